Answer stores that belong to no group yet

Cause: three control hosts never elected a leader. A store without a group looked up receivers among its own members, of which it has none, and dropped its votes. Ruled out: the election itself (its property test passes; there the network delivers by store number). Fix: a connection says where answers go, and couriers remember the hosts they heard from.

--- a/src/control.rs
+++ b/src/control.rs
@@ -69,8 +69,8 @@
 async fn take_connections(control: Arc<Control>, mut incoming: mpsc::Receiver<Incoming>) {
     while let Some(Incoming { open, reader, writer }) = incoming.recv().await {
         match open {
-            Open::Agree { host } => {
-                tokio::spawn(serve::take_envelopes(control.clone(), host, reader));
+            Open::Agree { host, peer } => {
+                tokio::spawn(serve::take_envelopes(control.clone(), host, peer, reader));
             }
             Open::Pull { have, .. } => {
                 tokio::spawn(spread::answer_pull(control.configs.clone(), have, writer));
--- a/src/control/courier.rs
+++ b/src/control/courier.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::mpsc;
 
-use crate::agree::{Envelope, GroupMember};
+use crate::agree::{Envelope, GroupMember, StoreId};
 use crate::peer::Peers;
 use crate::wire::{HostId, Open, write_frame};
 
@@ -21,21 +21,29 @@
 /// One task for each host that messages go to.
 pub(super) struct Couriers {
     peers: Arc<Peers>,
+    heard: HashMap<StoreId, (HostId, SocketAddr)>,
     outboxes: HashMap<(HostId, SocketAddr), mpsc::Sender<Envelope>>,
 }
 
 impl Couriers {
     pub fn new(peers: Arc<Peers>) -> Couriers {
-        Couriers { peers, outboxes: HashMap::new() }
+        Couriers { peers, heard: HashMap::new(), outboxes: HashMap::new() }
+    }
+
+    /// A store was heard from. A store that belongs to no group yet finds the
+    /// others only by this.
+    pub fn learn(&mut self, store: StoreId, host: HostId, peer: SocketAddr) {
+        self.heard.insert(store, (host, peer));
     }
 
     /// Sends messages; those for unknown stores are dropped.
     pub fn send(&mut self, members: &[GroupMember], messages: Vec<Envelope>) {
         for envelope in messages {
-            let Some(member) = members.iter().find(|m| m.store == envelope.to) else {
+            let member = members.iter().find(|m| m.store == envelope.to);
+            let member = member.map(|m| (m.host, m.peer));
+            let Some(to) = member.or_else(|| self.heard.get(&envelope.to).copied()) else {
                 continue;
             };
-            let to = (member.host, member.peer);
             let outbox = self.outboxes.entry(to).or_insert_with(|| {
                 let (sender, messages) = mpsc::channel(OUTBOX);
                 tokio::spawn(carry(self.peers.clone(), to.0, to.1, messages));
@@ -63,7 +71,7 @@
             continue;
         }
         if connection.is_none() {
-            let open = Open::Agree { host: peers.me };
+            let open = Open::Agree { host: peers.me, peer: peers.address };
             connection = peers.connect(address, &open).await.ok().map(|(_, writer)| writer);
         }
         let Some(writer) = &mut connection else {
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -1,6 +1,7 @@
 //! Drives the agreement: disk, network and state around the state machine.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -41,7 +42,7 @@
 type ReplyTo = oneshot::Sender<Result<Reply, NoLeader>>;
 
 enum Event {
-    Receive(Envelope),
+    Receive { envelope: Envelope, host: HostId, peer: SocketAddr },
     Propose(Command, ReplyTo),
     Read(oneshot::Sender<Result<(), NoLeader>>),
     Found(Vec<GroupMember>),
@@ -85,9 +86,9 @@
         receiver.await.unwrap_or(Err(NoLeader::Uncertain))
     }
 
-    /// A message from another store.
-    pub async fn receive(&self, envelope: Envelope) {
-        self.send(Event::Receive(envelope)).await;
+    /// A message from another store, and the host that holds it.
+    pub async fn receive(&self, envelope: Envelope, host: HostId, peer: SocketAddr) {
+        self.send(Event::Receive { envelope, host, peer }).await;
     }
 
     /// Founds a new group, unless this store belongs to one.
@@ -227,7 +228,8 @@
     fn event(&mut self, event: Event) -> Result<()> {
         let now = self.peers.clock.now();
         match event {
-            Event::Receive(envelope) => {
+            Event::Receive { envelope, host, peer } => {
+                self.couriers.learn(envelope.from, host, peer);
                 let out = self.node.receive(now, envelope);
                 self.carry_out(out)
             }
--- a/src/control/serve.rs
+++ b/src/control/serve.rs
@@ -74,13 +74,18 @@
     pub asked: Asked,
 }
 
-pub(super) async fn take_envelopes(control: Arc<Control>, host: HostId, mut reader: PeerReader) {
+pub(super) async fn take_envelopes(
+    control: Arc<Control>,
+    host: HostId,
+    peer: SocketAddr,
+    mut reader: PeerReader,
+) {
     while let Ok(batch) = reader.next::<Vec<Envelope>>().await {
         if control.peers.links.is_cut_from(host) {
             continue;
         }
         for envelope in batch {
-            control.handle.receive(envelope).await;
+            control.handle.receive(envelope, host, peer).await;
         }
     }
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -49,6 +49,8 @@
 pub struct Peers {
     /// This host's number.
     pub me: HostId,
+    /// Where peers reach this host.
+    pub address: SocketAddr,
     /// This start of the process, in milliseconds since the epoch.
     pub incarnation: u64,
     /// The clock of all decisions here.
@@ -89,6 +91,7 @@
         let first = Arc::new(table.view(0));
         let peers = Arc::new(Peers {
             me: settings.id,
+            address,
             incarnation,
             clock: Clock::start(),
             links: Links::default(),
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -74,6 +74,8 @@
     Agree {
         /// Who sends.
         host: HostId,
+        /// Where answers go, also from stores that know no group yet.
+        peer: SocketAddr,
     },
     /// Asks which store a control host holds, before the group is founded.
     Identify,
@@ -89,7 +91,7 @@
     pub fn sender(&self) -> Option<HostId> {
         match self {
             Open::Dispatch { router, .. } | Open::Claims { router } => Some(*router),
-            Open::Pull { host, .. } | Open::Agree { host } => Some(*host),
+            Open::Pull { host, .. } | Open::Agree { host, .. } => Some(*host),
             Open::Identify => None,
         }
     }
