Do not lift customers while a dispatcher that takes over still learns the floor

Cause: a test of take-over failed: customers re-registered first set a floor to which the less served ones were lifted, so the order was lost. Ruled out: the echoed leads (they arrive right). Fix: no lifting until recovery ends. Before: order [0, 1] where 1 had less.

--- a/src/dispatch/account.rs
+++ b/src/dispatch/account.rs
@@ -105,9 +105,16 @@
     }
 
     /// Queues a request. A customer back from idle is lifted to the floor, so
-    /// that idleness earns nothing.
-    pub fn push(&mut self, now: Millis, id: CustomerId, router: HostId, request: Waiting) {
-        let floor = self.floor();
+    /// that idleness earns nothing; not while the floor is still being learned.
+    pub fn push(
+        &mut self,
+        now: Millis,
+        id: CustomerId,
+        router: HostId,
+        request: Waiting,
+        lift: bool,
+    ) {
+        let floor = if lift { self.floor() } else { 0 };
         let account = self.by_id.entry(id).or_default();
         if account.waiting == 0 {
             account.counter = account.counter.max(floor);
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -334,7 +334,8 @@
             start_by: now + Millis::from(want.start_within_ms),
             prefix: want.prefix,
         };
-        self.accounts.push(now, want.customer, router, waiting);
+        let lift = self.recovering_until.is_none();
+        self.accounts.push(now, want.customer, router, waiting, lift);
     }
 
     fn refusal(
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -1,1 +1,355 @@
+//! The dispatcher alone, and together with routers over sessions that break.
 
+mod fleet;
+mod properties;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use super::*;
+use crate::config::{Config, CustomerId, EndpointId, HallId, HallSet, ServiceId};
+use crate::wire::{Ending, HostId, RefuseReason, ToDispatcher, Want};
+
+const ROUTER: HostId = HostId(1);
+
+/// One service, customers `c0..` with the given shares, endpoints by hall and slots.
+fn config(shares: &[u32], endpoints: &[(u8, u32)], max_waiting: u32) -> Arc<Config> {
+    let mut text = String::from("halls: [a, b, c]\nservices: [{name: s}]\ncustomers:\n");
+    for (n, share) in shares.iter().enumerate() {
+        text += &format!("  - {{name: c{n}, share: {share}, max_waiting: {max_waiting}}}\n");
+    }
+    text += "endpoints:\n";
+    for (n, (hall, slots)) in endpoints.iter().enumerate() {
+        let hall = ["a", "b", "c"][*hall as usize];
+        text += &format!(
+            "  - {{name: e{n}, service: s, hall: {hall}, address: '127.0.0.1:{}', slots: {slots}}}\n",
+            n + 1
+        );
+    }
+    let document: crate::config::Document = serde_saphyr::from_str(&text).unwrap();
+    Arc::new(Config::default().apply(&document.changes()).unwrap())
+}
+
+/// A dispatcher with one router attached.
+struct Bench {
+    dispatcher: Dispatcher,
+    now: Millis,
+    seq: u64,
+}
+
+impl Bench {
+    fn new(config: Arc<Config>) -> Bench {
+        let mut dispatcher = Dispatcher::new(0, ServiceId(0), 1);
+        dispatcher.configure(0, config, &BTreeSet::new());
+        let mut bench = Bench { dispatcher, now: 0, seq: 0 };
+        bench.join(ROUTER, 1, HallSet::ALL, false, vec![]);
+        bench
+    }
+
+    fn join(
+        &mut self,
+        router: HostId,
+        session: u64,
+        reach: HallSet,
+        takeover: bool,
+        leads: Vec<(CustomerId, u64)>,
+    ) -> Vec<Decision> {
+        let join = ToDispatcher::Join { reach, takeover, leads };
+        self.dispatcher.receive(self.now, router, session, join)
+    }
+
+    fn want(&mut self, customer: u32, input: u32) -> Vec<Decision> {
+        self.want_within(customer, input, 60_000)
+    }
+
+    fn want_within(&mut self, customer: u32, input: u32, start_within_ms: u32) -> Vec<Decision> {
+        self.seq += 1;
+        let want = Want {
+            seq: self.seq,
+            customer: CustomerId(customer),
+            input,
+            start_within_ms,
+            prefix: vec![],
+        };
+        self.send(ToDispatcher::Want(want))
+    }
+
+    fn send(&mut self, message: ToDispatcher) -> Vec<Decision> {
+        self.dispatcher.receive(self.now, ROUTER, 1, message)
+    }
+
+    fn done(&mut self, seq: u64, units: u32) -> Vec<Decision> {
+        self.send(ToDispatcher::Done { seq, units, ending: Ending::Answered })
+    }
+
+    fn wait(&mut self, ms: Millis) -> Vec<Decision> {
+        let until = self.now + ms;
+        let mut decisions = Vec::new();
+        while self.now < until {
+            self.now = (self.now + 50).min(until);
+            decisions.extend(self.dispatcher.tick(self.now));
+        }
+        decisions
+    }
+}
+
+/// Customers and numbers granted, in order.
+fn grants(decisions: &[Decision]) -> Vec<(u32, u64, u32)> {
+    let grant = |d: &Decision| match d {
+        Decision::Grant { customer, seq, endpoint, .. } => Some((customer.0, *seq, endpoint.0)),
+        _ => None,
+    };
+    decisions.iter().filter_map(grant).collect()
+}
+
+fn refusals(decisions: &[Decision]) -> Vec<(u64, RefuseReason, u32)> {
+    let refusal = |d: &Decision| match d {
+        Decision::Refuse { seq, reason, retry_after_ms, .. } => {
+            Some((*seq, *reason, *retry_after_ms))
+        }
+        _ => None,
+    };
+    decisions.iter().filter_map(refusal).collect()
+}
+
+#[test]
+fn a_request_runs_at_once_when_there_is_room() {
+    let mut bench = Bench::new(config(&[1], &[(0, 2)], 10));
+    assert_eq!(grants(&bench.want(0, 5)), [(0, 1, 0)]);
+}
+
+#[test]
+fn service_follows_shares() {
+    let mut bench = Bench::new(config(&[3, 1], &[(0, 1)], 1_000));
+    for _ in 0..80 {
+        bench.want(0, 10);
+        bench.want(1, 10);
+    }
+    let mut served = [0; 2];
+    let mut running = vec![1, 2];
+    while served[0] + served[1] < 80 {
+        let seq = running.remove(0);
+        bench.now += 1;
+        for (customer, seq, _) in grants(&bench.done(seq, 10)) {
+            served[customer as usize] += 1;
+            running.push(seq);
+        }
+    }
+    assert!((58..=62).contains(&served[0]), "{served:?}");
+}
+
+#[test]
+fn idleness_earns_nothing() {
+    let mut bench = Bench::new(config(&[1, 1], &[(0, 1)], 1_000));
+    for _ in 0..50 {
+        bench.want(0, 10);
+    }
+    let mut running: Vec<u64> = vec![1, 2];
+    for _ in 0..20 {
+        let seq = running.remove(0);
+        running.extend(grants(&bench.done(seq, 10)).iter().map(|g| g.1));
+    }
+    for _ in 0..50 {
+        bench.want(1, 10);
+    }
+    let mut order = Vec::new();
+    for _ in 0..8 {
+        let seq = running.remove(0);
+        for (customer, seq, _) in grants(&bench.done(seq, 10)) {
+            order.push(customer);
+            running.push(seq);
+        }
+    }
+    let newcomer = order.iter().filter(|c| **c == 1).count();
+    assert!((3..=5).contains(&newcomer), "{order:?}");
+}
+
+#[test]
+fn a_cost_known_only_at_the_end_is_settled() {
+    let mut bench = Bench::new(config(&[1, 1], &[(0, 1)], 100));
+    for _ in 0..10 {
+        bench.want(0, 1);
+        bench.want(1, 1);
+    }
+    // Customer 0's first request turns out to cost a thousand times more.
+    let next = grants(&bench.done(1, 1_000));
+    let mut order: Vec<_> = next.iter().map(|g| g.0).collect();
+    let mut running: Vec<_> = std::iter::once(2).chain(next.iter().map(|g| g.1)).collect();
+    for _ in 0..6 {
+        let seq = running.remove(0);
+        for (customer, seq, _) in grants(&bench.done(seq, 1)) {
+            order.push(customer);
+            running.push(seq);
+        }
+    }
+    assert!(order.iter().filter(|c| **c == 1).count() >= 6, "{order:?}");
+}
+
+#[test]
+fn slots_are_kept_full_by_granting_slightly_ahead() {
+    let mut bench = Bench::new(config(&[1], &[(0, 2), (0, 2)], 100));
+    let granted: usize = (0..10).map(|_| grants(&bench.want(0, 1)).len()).sum();
+    assert_eq!(granted, 6, "two slots and one ahead for each endpoint");
+}
+
+#[test]
+fn a_full_queue_is_refused_at_once_with_a_time_to_come_back() {
+    let mut bench = Bench::new(config(&[1], &[(0, 1)], 3));
+    (0..5).for_each(|_| drop(bench.want(0, 1)));
+    let refused = refusals(&bench.want(0, 1));
+    assert_eq!(refused.len(), 1);
+    let (seq, reason, retry_after_ms) = refused[0];
+    assert_eq!((seq, reason), (6, RefuseReason::QueueFull));
+    assert!(retry_after_ms > 0);
+}
+
+#[test]
+fn a_deadline_that_cannot_be_met_is_refused_at_once() {
+    let mut bench = Bench::new(config(&[1], &[(0, 1)], 1_000));
+    bench.want(0, 10);
+    bench.want(0, 10);
+    let mut running = vec![1u64, 2];
+    for _ in 0..20 {
+        bench.want(0, 10);
+        bench.now += 500;
+        let seq = running.remove(0);
+        running.extend(grants(&bench.done(seq, 10)).iter().map(|g| g.1));
+    }
+    (0..20).for_each(|_| drop(bench.want(0, 10)));
+    // Twenty requests of half a second each stand before it.
+    let refused = refusals(&bench.want_within(0, 10, 2_000));
+    assert_eq!(refused.len(), 1);
+    assert_eq!(refused[0].1, RefuseReason::DeadlineUnmet);
+    assert!(refused[0].2 > 1_000, "come back after {} ms", refused[0].2);
+}
+
+#[test]
+fn a_request_is_given_up_as_soon_as_its_deadline_passes() {
+    let mut bench = Bench::new(config(&[1], &[(0, 1)], 10));
+    (0..2).for_each(|_| drop(bench.want(0, 1)));
+    bench.want_within(0, 1, 300);
+    assert!(refusals(&bench.wait(250)).is_empty());
+    assert_eq!(refusals(&bench.wait(100)).len(), 1);
+}
+
+#[test]
+fn a_hall_out_of_reach_gets_no_work_from_a_router() {
+    let mut bench = Bench::new(config(&[1], &[(0, 4), (1, 4)], 10));
+    bench.send(ToDispatcher::Reach(HallSet::default().with(HallId(1))));
+    for _ in 0..4 {
+        assert_eq!(grants(&bench.want(0, 1))[0].2, 1);
+    }
+    bench.send(ToDispatcher::Reach(HallSet::default()));
+    assert_eq!(refusals(&bench.want(0, 1))[0].1, RefuseReason::NoEndpoint);
+}
+
+#[test]
+fn one_routers_reach_does_not_block_another() {
+    let mut bench = Bench::new(config(&[1], &[(0, 1), (1, 1)], 100));
+    bench.send(ToDispatcher::Reach(HallSet::default().with(HallId(0))));
+    bench.join(HostId(2), 5, HallSet::default().with(HallId(1)), false, vec![]);
+    (0..10).for_each(|_| drop(bench.want(0, 1)));
+    let want =
+        Want { seq: 1, customer: CustomerId(0), input: 1, start_within_ms: 60_000, prefix: vec![] };
+    let decisions = bench.dispatcher.receive(0, HostId(2), 5, ToDispatcher::Want(want));
+    assert_eq!(grants(&decisions), [(0, 1, 1)]);
+}
+
+#[test]
+fn a_leaving_endpoint_gets_no_new_work() {
+    let config = config(&[1], &[(0, 4), (0, 4)], 10);
+    let mut bench = Bench::new(config.clone());
+    let leaving = BTreeSet::from([EndpointId(0)]);
+    bench.dispatcher.configure(0, config, &leaving);
+    for _ in 0..5 {
+        assert!(grants(&bench.want(0, 1)).iter().all(|g| g.2 == 1));
+    }
+}
+
+#[test]
+fn a_failing_endpoint_is_left_out_and_probed_back_in() {
+    let mut bench = Bench::new(config(&[1], &[(0, 1), (0, 1)], 10));
+    let first = grants(&bench.want(0, 1))[0];
+    let failed = Ending::Failed;
+    bench.send(ToDispatcher::Done { seq: first.1, units: 0, ending: failed });
+    let second = grants(&bench.want(0, 1))[0];
+    assert_ne!(second.2, first.2);
+    bench.done(second.1, 1);
+    bench.wait(250);
+    let seen: BTreeSet<_> = (0..2).flat_map(|_| grants(&bench.want(0, 1))).map(|g| g.2).collect();
+    assert_eq!(seen.len(), 2, "the endpoint is tried again");
+}
+
+#[test]
+fn a_prompt_goes_where_its_prefix_was_seen() {
+    let mut bench = Bench::new(config(&[1], &[(0, 4), (0, 4), (0, 4)], 10));
+    let mut ask = |prefix: Vec<u32>| {
+        bench.seq += 1;
+        let want = Want {
+            seq: bench.seq,
+            customer: CustomerId(0),
+            input: 1,
+            start_within_ms: 1_000,
+            prefix,
+        };
+        grants(&bench.send(ToDispatcher::Want(want)))[0].2
+    };
+    let first = ask(vec![11, 12]);
+    let other = ask(vec![21]);
+    assert_ne!(first, other);
+    assert_eq!(ask(vec![11, 13]), first);
+    assert_eq!(ask(vec![21, 22]), other);
+}
+
+#[test]
+fn a_frozen_dispatcher_forgets_what_it_held() {
+    let mut bench = Bench::new(config(&[1], &[(0, 1)], 10));
+    (0..5).for_each(|_| drop(bench.want(0, 1)));
+    bench.now += THAW_MS;
+    let decisions = bench.dispatcher.tick(bench.now);
+    assert!(matches!(decisions[..], [Decision::Reset { .. }]));
+    let snapshot = bench.dispatcher.snapshot();
+    assert!(snapshot.waiting.is_empty() && snapshot.running == 0 && snapshot.routers.is_empty());
+}
+
+#[test]
+fn a_lost_routers_slots_are_freed_and_its_wants_forgotten() {
+    let mut bench = Bench::new(config(&[1], &[(0, 1)], 10));
+    (0..5).for_each(|_| drop(bench.want(0, 1)));
+    bench.dispatcher.lost(bench.now, ROUTER, 1);
+    assert!(bench.dispatcher.snapshot().waiting.is_empty());
+    assert_eq!(bench.dispatcher.snapshot().running, 2, "they may still be running");
+    bench.wait(ORPHAN_MS);
+    assert_eq!(bench.dispatcher.snapshot().running, 0);
+    assert!(bench.dispatcher.is_idle());
+}
+
+#[test]
+fn messages_of_an_earlier_session_are_ignored() {
+    let mut bench = Bench::new(config(&[1], &[(0, 1)], 10));
+    bench.join(ROUTER, 2, HallSet::ALL, false, vec![]);
+    assert!(bench.want(0, 1).is_empty());
+    assert!(bench.dispatcher.snapshot().waiting.is_empty());
+}
+
+#[test]
+fn a_dispatcher_that_takes_over_waits_and_keeps_the_order() {
+    let mut bench = Bench::new(config(&[1, 1], &[(0, 1)], 10));
+    bench.dispatcher = Dispatcher::new(0, ServiceId(0), 1);
+    bench.dispatcher.configure(0, config(&[1, 1], &[(0, 1)], 10), &BTreeSet::new());
+    let leads = vec![(CustomerId(0), 500), (CustomerId(1), 0)];
+    bench.join(ROUTER, 1, HallSet::ALL, true, leads);
+    let mut decisions = bench.want(0, 10);
+    decisions.extend(bench.want(1, 10));
+    assert!(decisions.is_empty(), "it grants before it knows the others");
+    let order: Vec<_> = grants(&bench.wait(RECOVERY_MS + 50)).iter().map(|g| g.0).collect();
+    assert_eq!(order, [1, 0], "the least served goes first");
+}
+
+#[test]
+fn alone_a_router_uses_its_part_of_the_slots() {
+    let mut dispatcher = Dispatcher::new(0, ServiceId(0), 4);
+    dispatcher.configure(0, config(&[1], &[(0, 16)], 100), &BTreeSet::new());
+    let slots: u32 = dispatcher.snapshot().endpoints.iter().map(|e| e.slots).sum();
+    assert_eq!(slots, 4);
+}
