--- a/src/agree/node.rs
+++ b/src/agree/node.rs
@@ -233,7 +233,9 @@
 
     /// The state machine's state up to `index`, in place of the entries.
     pub fn compact(&mut self, index: u64, data: Vec<u8>) -> Output {
-        let Some(term) = self.log.term(index).filter(|_| index <= self.commit) else {
+        // A snapshot that covers nothing new would take the entries behind it along.
+        let new = index > self.log.snapshot.index && index <= self.commit;
+        let Some(term) = self.log.term(index).filter(|_| new) else {
             return Output::default();
         };
         let members = self.log.members_at(index);
--- a/src/agree/tests.rs
+++ b/src/agree/tests.rs
@@ -222,7 +222,11 @@
     }
 
     fn assert_same_state(&self) {
-        let voters = self.voters();
+        // A store whose disk was lost before the group heard of its replacement
+        // is still listed; there is nothing left of it to compare.
+        let voters: Vec<_> =
+            self.voters().into_iter().filter(|v| self.stores.contains_key(v)).collect();
+        assert!(!voters.is_empty());
         let states: BTreeSet<_> = voters.iter().map(|v| &self.stores[v].applied).collect();
         assert_eq!(states.len(), 1, "states differ");
         let last = states.first().unwrap().last().unwrap();
@@ -307,7 +311,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 64, max_shrink_iters: 200, ..ProptestConfig::default() })]
+    #![proptest_config(crate::testing::property(64))]
 
     /// One leader a term, and no committed entry lost or changed, whatever
     /// happens; after healing all stores hold the same state.
@@ -417,3 +421,13 @@
     }
     panic!("the read was never answered");
 }
+
+#[test]
+fn a_snapshot_that_covers_nothing_new_is_not_written() {
+    let mut group = Group::new(3, 5);
+    group.run(150);
+    let leader = group.leader().unwrap();
+    group.propose(leader);
+    let node = group.stores.get_mut(&leader).unwrap().node.as_mut().unwrap();
+    assert_eq!(node.compact(0, vec![1]), Output::default());
+}
--- a/src/claim/client.rs
+++ b/src/claim/client.rs
@@ -160,7 +160,7 @@
         });
         for (number, asking) in &self.open {
             // A broken connection is noticed by its reader.
-            let _ = out.send(asking.request(*number));
+            let _ = out.send(asking.request(*number).into());
         }
         let mut heard = tokio::time::Instant::now();
         loop {
@@ -171,7 +171,7 @@
                         heard = tokio::time::Instant::now();
                     }
                     let number = self.take(asking);
-                    let _ = out.send(self.open[&number].request(number));
+                    let _ = out.send(self.open[&number].request(number).into());
                 }
                 batch = answers.recv() => {
                     let Some(batch) = batch else { break };
--- a/src/claim/tests.rs
+++ b/src/claim/tests.rs
@@ -86,6 +86,8 @@
 }
 
 proptest! {
+    #![proptest_config(crate::testing::property(128))]
+
     /// However claims and settlements are doubled, reordered or late: between
     /// two grants to different attempts, the first said that it did not run.
     #[test]
--- a/src/control/serve.rs
+++ b/src/control/serve.rs
@@ -128,7 +128,7 @@
                 let number = request.number;
                 let asked = answer(&control, request).await;
                 // The router may have left.
-                let _ = answers.send(ClaimAnswer { number, asked });
+                let _ = answers.send(ClaimAnswer { number, asked }.into());
             });
         }
     }
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -52,6 +52,8 @@
 }
 
 proptest! {
+    #![proptest_config(crate::testing::property(128))]
+
     /// However operations are doubled and resent, each has one outcome, and the
     /// version counts the accepted ones.
     #[test]
--- a/src/dispatch/capacity.rs
+++ b/src/dispatch/capacity.rs
@@ -12,6 +12,9 @@
 const LAST_BACKOFF_MS: Millis = 10_000;
 /// Routers that must see an endpoint fail before it is left out for all.
 const QUORUM_OF_FAILURES: usize = 2;
+/// Time from the end of a request to the start of the next, in milliseconds: two
+/// messages and the time they may wait for others.
+const ROUND_TRIP_MS: f64 = 6.0;
 /// Prompt prefixes remembered for an endpoint.
 const REMEMBERED_PREFIXES: usize = 4_096;
 
@@ -89,13 +92,19 @@
 pub struct Capacity {
     divisor: u32,
     ahead: u32,
+    round_trip_part: f64,
     endpoints: BTreeMap<EndpointId, State>,
 }
 
 impl Capacity {
     /// Capacity of which this dispatcher may use one part in `divisor`.
     pub fn new(divisor: u32) -> Capacity {
-        Capacity { divisor: divisor.max(1), ahead: 0, endpoints: BTreeMap::new() }
+        Capacity {
+            divisor: divisor.max(1),
+            ahead: 0,
+            round_trip_part: 0.0,
+            endpoints: BTreeMap::new(),
+        }
     }
 
     /// Adopts the endpoints that `config` declares for `service`.
@@ -109,7 +118,7 @@
             self.endpoints.clear();
             return;
         };
-        self.ahead = if self.divisor == 1 { declared.ahead } else { 0 };
+        self.ahead = declared.ahead;
         let of_service = config.endpoints.iter().filter(|(_, e)| e.service == declared.name);
         let mut next = BTreeMap::new();
         for (id, endpoint) in of_service {
@@ -132,6 +141,21 @@
         self.endpoints = next;
     }
 
+    /// Grants so far ahead that slots stay full through a round trip, given how
+    /// long requests take.
+    pub fn keep_full(&mut self, mean_ms: f64) {
+        self.round_trip_part = ROUND_TRIP_MS / mean_ms.max(1.0);
+    }
+
+    /// Grants that an endpoint may have beyond its slots.
+    fn ahead_of(&self, slots: u32) -> u32 {
+        if self.divisor > 1 {
+            return 0;
+        }
+        let wanted = (f64::from(slots) * self.round_trip_part).ceil() as u32;
+        wanted.clamp(self.ahead, self.ahead.max(slots / 2))
+    }
+
     /// Slots of endpoints that take new work.
     pub fn slots(&self) -> u32 {
         let active = self.endpoints.values().filter(|e| !e.leaving);
@@ -145,8 +169,8 @@
 
     /// Whether any endpoint has room.
     pub fn has_room(&self) -> bool {
-        let ahead = self.ahead;
-        self.endpoints.values().any(|e| !e.leaving && e.outstanding < e.slots + ahead)
+        let room = |e: &State| e.outstanding < e.slots + self.ahead_of(e.slots);
+        self.endpoints.values().any(|e| !e.leaving && room(e))
     }
 
     /// The endpoint to run a request on: one with a free slot that likely has
@@ -174,7 +198,7 @@
         let queued = candidates
             .iter()
             .filter(usable)
-            .filter(|(_, e)| e.outstanding < e.slots + self.ahead)
+            .filter(|(_, e)| e.outstanding < e.slots + self.ahead_of(e.slots))
             .min_by_key(|(id, e)| (e.outstanding - e.slots, **id));
         queued.map(|(id, _)| **id)
     }
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -435,6 +435,9 @@
     fn learn(&mut self, now: Millis, router: HostId, granted: &Granted, units: u32) {
         self.capacity.answered(router, granted.endpoint);
         self.rate.learn(units, now.saturating_sub(granted.since));
+        if let Some(mean_ms) = self.rate.mean_ms() {
+            self.capacity.keep_full(mean_ms);
+        }
         let output = units.saturating_sub(granted.input);
         self.mean_output = Some(blend(self.mean_output, output));
         self.accounts.entry(granted.customer).learn_output(output);
--- a/src/dispatch/estimate.rs
+++ b/src/dispatch/estimate.rs
@@ -26,6 +26,12 @@
         self.samples = self.samples.saturating_add(1);
     }
 
+    /// Milliseconds that a request takes; none before enough was seen.
+    pub fn mean_ms(&self) -> Option<f64> {
+        let weight = (1.0 - DECAY.powi(self.samples.min(10_000) as i32)) / (1.0 - DECAY);
+        (self.samples >= MIN_SAMPLES).then(|| self.slot_ms / weight)
+    }
+
     /// Units a millisecond over `slots` slots; none before enough was seen.
     pub fn of(&self, slots: u32) -> Option<f64> {
         let trusted = self.samples >= MIN_SAMPLES && slots > 0 && self.units > 0.0;
--- a/src/dispatch/tests/properties.rs
+++ b/src/dispatch/tests/properties.rs
@@ -69,7 +69,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 96, max_shrink_iters: 300, ..ProptestConfig::default() })]
+    #![proptest_config(crate::testing::property(96))]
 
     /// No request is forgotten and no slot leaks: once faults end, every
     /// request ends and the dispatcher holds nothing.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,4 +29,6 @@
 pub mod spread;
 pub mod store;
 pub mod telemetry;
+#[cfg(test)]
+mod testing;
 pub mod wire;
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -7,7 +7,7 @@
 
 use crate::config::ServiceId;
 use crate::dispatch::Millis;
-use crate::wire::{Heartbeat, HostId, Role};
+use crate::wire::{Beat, Heartbeat, HostId, Role};
 
 /// Milliseconds between two heartbeats.
 pub const HEARTBEAT_MS: Millis = 500;
@@ -15,6 +15,8 @@
 pub const SUSPECT_MS: Millis = 1_600;
 /// Milliseconds for which a host that refused a connection is avoided.
 const AVOID_MS: Millis = 2_000;
+/// One heartbeat in so many says the whole.
+const WHOLE_EVERY: usize = 10;
 /// Milliseconds of silence after which a host is forgotten.
 const FORGET_MS: Millis = 600_000;
 
@@ -72,12 +74,13 @@
     seeds: Vec<SocketAddr>,
     members: BTreeMap<HostId, Member>,
     turn: usize,
+    greet: bool,
 }
 
 impl Table {
     /// A table that knows only this host and where to look for others.
     pub fn new(me: Heartbeat, seeds: Vec<SocketAddr>) -> Table {
-        Table { me, seeds, members: BTreeMap::new(), turn: 0 }
+        Table { me, seeds, members: BTreeMap::new(), turn: 0, greet: true }
     }
 
     /// This host's number.
@@ -95,8 +98,23 @@
         self.me.draining = true;
     }
 
-    /// A heartbeat arrived. Those of earlier incarnations are ignored.
-    pub fn heard(&mut self, now: Millis, beat: Heartbeat) {
+    /// A heartbeat arrived. Those of earlier incarnations are ignored, and brief
+    /// ones of hosts that have not yet said the whole.
+    pub fn heard(&mut self, now: Millis, beat: Beat) {
+        match beat {
+            Beat::Whole(beat) => self.heard_whole(now, beat),
+            Beat::Brief { host, incarnation, version, draining } => {
+                let known = self.members.get_mut(&host);
+                if let Some(member) = known.filter(|m| m.beat.incarnation == incarnation) {
+                    member.beat.version = version;
+                    member.beat.draining = draining;
+                    member.heard = now;
+                }
+            }
+        }
+    }
+
+    fn heard_whole(&mut self, now: Millis, beat: Heartbeat) {
         if beat.host == self.me.host {
             return;
         }
@@ -112,6 +130,8 @@
             Some(member) if !restarted => member.avoid_until,
             _ => 0,
         };
+        // A newcomer must learn of this host too.
+        self.greet |= restarted;
         let host = beat.host;
         let member = Member { beat, heard: now, avoid_until };
         self.members.insert(host, member);
@@ -137,14 +157,24 @@
     }
 
     /// What to send now, and to whom.
-    pub fn beat(&mut self) -> (Heartbeat, Vec<SocketAddr>) {
+    pub fn beat(&mut self) -> (Beat, Vec<SocketAddr>) {
         let mut targets: Vec<_> = self.members.values().map(|m| m.beat.peer).collect();
         let unknown = self.seeds.iter().filter(|s| **s != self.me.peer && !targets.contains(s));
         let unknown: Vec<_> = unknown.copied().collect();
         let also = targets.get(self.turn % targets.len().max(1)).copied();
         self.turn += 1;
         targets.extend(unknown);
-        (Heartbeat { also, ..self.me.clone() }, targets)
+        let whole = std::mem::take(&mut self.greet) || self.turn % WHOLE_EVERY == 1;
+        let beat = match whole {
+            true => Beat::Whole(Heartbeat { also, ..self.me.clone() }),
+            false => Beat::Brief {
+                host: self.me.host,
+                incarnation: self.me.incarnation,
+                version: self.me.version,
+                draining: self.me.draining,
+            },
+        };
+        (beat, targets)
     }
 
     /// The hosts that are live now.
--- a/src/member/tests.rs
+++ b/src/member/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::config::ServiceId;
-use crate::wire::{Heartbeat, HostId, Role};
+use crate::wire::{Beat, Heartbeat, HostId, Role};
 
 fn beat(host: u16, incarnation: u64) -> Heartbeat {
     Heartbeat {
@@ -21,33 +21,33 @@
 #[test]
 fn a_silent_host_is_suspected_and_comes_back() {
     let mut table = Table::new(beat(1, 1), vec![]);
-    table.heard(0, beat(2, 1));
+    table.heard(0, Beat::Whole(beat(2, 1)));
     assert_eq!(table.view(SUSPECT_MS - 1).live.len(), 2);
     let view = table.view(SUSPECT_MS);
     assert_eq!((view.live.len(), view.suspected.len()), (1, 1));
-    table.heard(SUSPECT_MS, beat(2, 1));
+    table.heard(SUSPECT_MS, Beat::Whole(beat(2, 1)));
     assert_eq!(table.view(SUSPECT_MS).live.len(), 2);
 }
 
 #[test]
 fn a_late_heartbeat_of_an_earlier_incarnation_is_ignored() {
     let mut table = Table::new(beat(1, 1), vec![]);
-    table.heard(0, beat(2, 9));
-    table.heard(5, Heartbeat { draining: true, ..beat(2, 8) });
+    table.heard(0, Beat::Whole(beat(2, 9)));
+    table.heard(5, Beat::Whole(Heartbeat { draining: true, ..beat(2, 8) }));
     assert!(!table.view(5).get(HostId(2)).unwrap().draining);
 }
 
 #[test]
 fn a_draining_router_does_not_dispatch() {
     let mut table = Table::new(beat(1, 1), vec![]);
-    table.heard(0, beat(2, 1));
+    table.heard(0, Beat::Whole(beat(2, 1)));
     let service = ServiceId(0);
     let first = table.view(0).dispatcher(service).unwrap().host;
     let other = HostId(3 - first.0);
     if first == HostId(1) {
         table.set_draining();
     } else {
-        table.heard(1, Heartbeat { draining: true, ..beat(2, 1) });
+        table.heard(1, Beat::Whole(Heartbeat { draining: true, ..beat(2, 1) }));
     }
     assert_eq!(table.view(1).dispatcher(service).unwrap().host, other);
 }
@@ -55,20 +55,20 @@
 #[test]
 fn a_host_that_refused_a_connection_is_avoided_though_it_beats() {
     let mut table = Table::new(beat(1, 1), vec![]);
-    table.heard(0, beat(2, 1));
+    table.heard(0, Beat::Whole(beat(2, 1)));
     table.avoid(0, HostId(2));
-    table.heard(10, beat(2, 1));
+    table.heard(10, Beat::Whole(beat(2, 1)));
     assert!(table.view(10).get(HostId(2)).is_none());
-    table.heard(2_000, beat(2, 1));
+    table.heard(2_000, Beat::Whole(beat(2, 1)));
     assert!(table.view(2_000).get(HostId(2)).is_some());
 }
 
 #[test]
 fn a_restarted_host_is_not_avoided() {
     let mut table = Table::new(beat(1, 1), vec![]);
-    table.heard(0, beat(2, 1));
+    table.heard(0, Beat::Whole(beat(2, 1)));
     table.avoid(0, HostId(2));
-    table.heard(10, beat(2, 2));
+    table.heard(10, Beat::Whole(beat(2, 2)));
     assert!(table.view(10).get(HostId(2)).is_some());
 }
 
@@ -76,11 +76,45 @@
 fn newcomers_spread_through_other_members() {
     let mut table = Table::new(beat(1, 1), vec![]);
     let also = Some(beat(3, 1).peer);
-    table.heard(0, Heartbeat { also, ..beat(2, 1) });
+    table.heard(0, Beat::Whole(Heartbeat { also, ..beat(2, 1) }));
     assert!(table.beat().1.contains(&beat(3, 1).peer));
 }
 
+fn brief(host: u16, incarnation: u64, version: u64) -> Beat {
+    Beat::Brief { host: HostId(host), incarnation, version, draining: false }
+}
+
+#[test]
+fn brief_heartbeats_keep_a_known_host_live_and_say_its_version() {
+    let mut table = Table::new(beat(1, 1), vec![]);
+    table.heard(0, Beat::Whole(beat(2, 1)));
+    table.heard(SUSPECT_MS, brief(2, 1, 7));
+    assert_eq!(table.view(SUSPECT_MS).get(HostId(2)).unwrap().version, 7);
+}
+
+#[test]
+fn a_brief_heartbeat_of_a_stranger_or_another_incarnation_is_ignored() {
+    let mut table = Table::new(beat(1, 1), vec![]);
+    table.heard(0, brief(2, 1, 7));
+    assert!(table.view(0).get(HostId(2)).is_none());
+    table.heard(0, Beat::Whole(beat(2, 1)));
+    table.heard(0, brief(2, 2, 7));
+    assert_eq!(table.view(0).get(HostId(2)).unwrap().version, 0);
+}
+
+#[test]
+fn a_newcomer_is_told_the_whole_at_the_next_heartbeat() {
+    let mut table = Table::new(beat(1, 1), vec![]);
+    table.heard(0, Beat::Whole(beat(2, 1)));
+    assert!(matches!(table.beat().0, Beat::Whole(_)));
+    while matches!(table.beat().0, Beat::Whole(_)) {}
+    table.heard(0, Beat::Whole(beat(2, 2)));
+    assert!(matches!(table.beat().0, Beat::Whole(_)), "the host is back empty");
+}
+
 proptest! {
+    #![proptest_config(crate::testing::property(128))]
+
     /// Hosts that see the same members agree on every dispatcher, and the loss
     /// of a host moves only the services that it dispatched.
     #[test]
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -17,7 +17,9 @@
 use crate::error::{NetSnafu, Result};
 use crate::member::{HEARTBEAT_MS, Table, View};
 use crate::settings::HostSettings;
-use crate::wire::{FrameReader, Heartbeat, HostId, Open, Role, SentBytes, UDP_HEADER, write_frame};
+use crate::wire::{
+    Beat, FrameReader, Heartbeat, HostId, Open, Role, SentBytes, UDP_HEADER, write_frame,
+};
 
 pub use link::Links;
 
@@ -222,11 +224,11 @@
         let Ok((size, _)) = udp.recv_from(&mut buffer).await else {
             continue;
         };
-        let Ok(beat) = postcard::from_bytes::<Heartbeat>(&buffer[..size]) else {
+        let Ok(beat) = postcard::from_bytes::<Beat>(&buffer[..size]) else {
             log::warn!("member: dropped a malformed datagram of {size} bytes");
             continue;
         };
-        if peers.links.is_cut_from(beat.host) {
+        if peers.links.is_cut_from(beat.host()) {
             continue;
         }
         let now = peers.clock.now();
--- a/src/router/dispatchers.rs
+++ b/src/router/dispatchers.rs
@@ -13,7 +13,7 @@
 use crate::peer::{PeerReader, Peers};
 use crate::spread::Configs;
 use crate::telemetry::{RequestId, Trace};
-use crate::wire::{BatchWriter, FromDispatcher, HostId, ToDispatcher};
+use crate::wire::{BatchSender, BatchWriter, FromDispatcher, HostId, ToDispatcher};
 
 /// How often a dispatcher looks at deadlines and orphans.
 const TICK: Duration = Duration::from_millis(50);
@@ -23,7 +23,7 @@
 pub(super) const SESSION_BITS: u32 = 20;
 
 enum Event {
-    Attached { router: HostId, session: u64, out: mpsc::UnboundedSender<FromDispatcher> },
+    Attached { router: HostId, session: u64, out: BatchSender<FromDispatcher> },
     Messages { router: HostId, session: u64, messages: Vec<ToDispatcher> },
     Lost { router: HostId, session: u64 },
     Snapshot(oneshot::Sender<Snapshot>),
@@ -118,7 +118,7 @@
     router: HostId,
     session: u64,
     mut reader: PeerReader,
-    out: mpsc::UnboundedSender<FromDispatcher>,
+    out: BatchSender<FromDispatcher>,
     events: mpsc::Sender<Event>,
 ) {
     let attached = Event::Attached { router, session, out: out.clone() };
@@ -148,7 +148,7 @@
     peers: Arc<Peers>,
     trace: Arc<Trace>,
     dispatcher: Dispatcher,
-    outs: HashMap<HostId, (u64, mpsc::UnboundedSender<FromDispatcher>)>,
+    outs: HashMap<HostId, (u64, BatchSender<FromDispatcher>)>,
 }
 
 impl Task {
@@ -281,7 +281,7 @@
     fn send(&self, router: HostId, message: FromDispatcher) {
         if let Some((_, out)) = self.outs.get(&router) {
             // A session that has just closed is noticed by its reader.
-            let _ = out.send(message);
+            let _ = out.send(message.into());
         }
     }
 }
--- a/src/router/link.rs
+++ b/src/router/link.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
 use super::dispatchers::SESSION_BITS;
@@ -15,11 +16,18 @@
 use crate::peer::Peers;
 use crate::settings::DispatchMode;
 use crate::wire::{
-    BatchWriter, Ending, FromDispatcher, Heartbeat, HostId, Open, RefuseReason, ToDispatcher, Want,
+    BatchSender, BatchWriter, Ending, FromDispatcher, Heartbeat, HostId, Open, Patient,
+    RefuseReason, ToDispatcher, Want,
 };
 
 /// How often a link without a dispatcher looks for one.
 const RETRY: Duration = Duration::from_millis(100);
+/// Longest time that a message waits for others to share its frame.
+const PATIENCE: Duration = Duration::from_millis(10);
+/// A message waits at most this part of the time that requests take.
+const PATIENCE_PART: u32 = 64;
+/// Requests over which the time they take is averaged.
+const MEAN_OF: u32 = 16;
 
 /// What the dispatcher decided about a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,7 +51,7 @@
 struct Connection {
     session: u64,
     dispatcher: (HostId, u64),
-    out: mpsc::UnboundedSender<ToDispatcher>,
+    out: BatchSender<ToDispatcher>,
 }
 
 /// Sends requests' events to the link's task.
@@ -63,6 +71,8 @@
             connection: None,
             connecting: None,
             last_session: 0,
+            granted_at: HashMap::new(),
+            mean_run: Duration::ZERO,
             events: sender.clone(),
         };
         tokio::spawn(task.run(events, reach));
@@ -127,6 +137,8 @@
     connection: Option<(Connection, AbortOnDropHandle<()>)>,
     connecting: Option<((HostId, u64), AbortOnDropHandle<()>)>,
     last_session: u64,
+    granted_at: HashMap<u64, Instant>,
+    mean_run: Duration,
     events: mpsc::UnboundedSender<Event>,
 }
 
@@ -191,6 +203,7 @@
             }
             Event::Finish { seq, units, ending } => {
                 self.verdicts.remove(&seq);
+                self.learn_run(seq);
                 let message = self.client.finish(seq, units, ending);
                 self.send(message);
             }
@@ -259,7 +272,10 @@
 
     fn received(&mut self, received: Received) {
         match received {
-            Received::Run { seq, endpoint } => self.deliver(seq, Verdict::Run(endpoint)),
+            Received::Run { seq, endpoint } => {
+                self.granted_at.insert(seq, Instant::now());
+                self.deliver(seq, Verdict::Run(endpoint));
+            }
             Received::Refuse { seq, reason, retry_after_ms } => {
                 self.deliver(seq, Verdict::Refuse { reason, retry_after_ms });
             }
@@ -271,15 +287,36 @@
     fn deliver(&mut self, seq: u64, verdict: Verdict) {
         let taken = self.verdicts.remove(&seq).is_some_and(|v| v.send(verdict).is_ok());
         if !taken {
+            self.granted_at.remove(&seq);
             let message = self.client.finish(seq, 0, Ending::Unused);
             self.send(message);
         }
     }
 
+    /// How long a message may wait for others: reports a small part of the time
+    /// that requests take here, wants only where others wait already.
+    fn patience(&self, message: &ToDispatcher) -> Duration {
+        let of_reports = self.mean_run / PATIENCE_PART;
+        match message {
+            ToDispatcher::Done { .. } | ToDispatcher::Progress { .. } => of_reports.min(PATIENCE),
+            ToDispatcher::Want(_) if self.client.waiting_count() > 1 => of_reports.min(PATIENCE),
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Learns how long granted requests take.
+    fn learn_run(&mut self, seq: u64) {
+        if let Some(since) = self.granted_at.remove(&seq) {
+            let run = Instant::now() - since;
+            self.mean_run = (self.mean_run * (MEAN_OF - 1) + run) / MEAN_OF;
+        }
+    }
+
     fn send(&self, message: Option<ToDispatcher>) {
         if let (Some(message), Some((connection, _))) = (message, &self.connection) {
             // A broken connection is noticed by its reader.
-            let _ = connection.out.send(message);
+            let patience = self.patience(&message);
+            let _ = connection.out.send(Patient { message, patience });
         }
     }
 }
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -113,7 +113,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
+    #![proptest_config(crate::testing::property(48))]
 
     /// Wherever a crash tears the last write, all earlier syncs are found whole.
     #[test]
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -10,6 +10,7 @@
 mod tests;
 
 pub use frame::{
-    BatchWriter, FrameReader, MAX_FRAME, SentBytes, TCP_HEADER, UDP_HEADER, write_frame,
+    BatchSender, BatchWriter, FrameReader, MAX_FRAME, Patient, SentBytes, TCP_HEADER, UDP_HEADER,
+    write_frame,
 };
 pub use message::*;
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -8,6 +8,7 @@
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use crate::error::{Error, Result};
 
@@ -93,16 +94,36 @@
     }
 }
 
-/// Sends messages in batches: the first at once, later ones share a frame.
+/// A message and how long it may wait for others to share its frame.
+#[derive(Clone, Debug)]
+pub struct Patient<T> {
+    /// The message.
+    pub message: T,
+    /// Its patience; zero to go at once.
+    pub patience: Duration,
+}
+
+impl<T> From<T> for Patient<T> {
+    /// A message that goes at once.
+    fn from(message: T) -> Self {
+        Patient { message, patience: Duration::ZERO }
+    }
+}
+
+/// Where messages for a [`BatchWriter`] go.
+pub type BatchSender<T> = mpsc::UnboundedSender<Patient<T>>;
+
+/// Sends messages in batches: a message waits as long as the least patient one
+/// with it, and after a frame the next waits a moment.
 #[derive(Debug)]
 pub struct BatchWriter<T> {
-    messages: mpsc::UnboundedReceiver<T>,
+    messages: mpsc::UnboundedReceiver<Patient<T>>,
     sent: Option<SentBytes>,
 }
 
 impl<T: Serialize> BatchWriter<T> {
     /// A writer fed through the returned sender; `sent` counts its bytes.
-    pub fn new(sent: Option<SentBytes>) -> (mpsc::UnboundedSender<T>, Self) {
+    pub fn new(sent: Option<SentBytes>) -> (BatchSender<T>, Self) {
         let (sender, messages) = mpsc::unbounded_channel();
         (sender, BatchWriter { messages, sent })
     }
@@ -114,23 +135,40 @@
         W: AsyncWrite + Unpin,
         F: Future<Output = ()>,
     {
-        let mut batch = Vec::new();
         while let Some(first) = self.messages.recv().await {
-            batch.push(first);
-            while let Ok(more) = self.messages.try_recv() {
-                batch.push(more);
-            }
+            let batch = self.gather(first).await;
             clear().await;
             let bytes = write_frame(&mut writer, &batch).await?;
             if let Some(sent) = &self.sent {
                 sent.add(bytes);
             }
-            batch.clear();
             tokio::time::sleep(BATCH_INTERVAL).await;
         }
         let closed = writer.shutdown().await;
         closed.map_err(|source| net("close a connection", source))
     }
+
+    /// What goes into one frame with `first`.
+    async fn gather(&mut self, first: Patient<T>) -> Vec<T> {
+        let mut until = Instant::now() + first.patience;
+        let mut batch = vec![first.message];
+        loop {
+            while let Ok(more) = self.messages.try_recv() {
+                until = until.min(Instant::now() + more.patience);
+                batch.push(more.message);
+            }
+            if Instant::now() >= until {
+                return batch;
+            }
+            match tokio::time::timeout_at(until, self.messages.recv()).await {
+                Ok(Some(more)) => {
+                    until = until.min(Instant::now() + more.patience);
+                    batch.push(more.message);
+                }
+                Ok(None) | Err(_) => return batch,
+            }
+        }
+    }
 }
 
 fn net(what: &str, source: std::io::Error) -> Error {
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -51,6 +51,35 @@
     pub also: Option<SocketAddr>,
 }
 
+/// A heartbeat datagram. Most are brief; the whole is said to newcomers and now
+/// and then.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Beat {
+    /// All that a host says of itself.
+    Whole(Heartbeat),
+    /// What changes.
+    Brief {
+        /// The host.
+        host: HostId,
+        /// Its incarnation.
+        incarnation: u64,
+        /// The configuration version in force there.
+        version: u64,
+        /// Whether it is in a planned stop.
+        draining: bool,
+    },
+}
+
+impl Beat {
+    /// Who sent it.
+    pub fn host(&self) -> HostId {
+        match self {
+            Beat::Whole(beat) => beat.host,
+            Beat::Brief { host, .. } => *host,
+        }
+    }
+}
+
 /// The first frame on a TCP connection between hosts: what it is for.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Open {
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -42,10 +42,23 @@
     let (a, b) = tokio::io::duplex(1 << 16);
     let (sender, writer) = BatchWriter::new(None);
     for seq in 0..50 {
-        sender.send(want(seq)).unwrap();
+        sender.send(want(seq).into()).unwrap();
     }
     drop(sender);
     writer.run(a, || async {}).await.unwrap();
     let got: Vec<ToDispatcher> = FrameReader::new(b).next().await.unwrap();
     assert_eq!(got, (0..50).map(want).collect::<Vec<_>>());
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_patient_message_shares_the_frame_of_an_impatient_one() {
+    let (a, b) = tokio::io::duplex(1 << 16);
+    let (sender, writer) = BatchWriter::new(None);
+    let patience = std::time::Duration::from_secs(3_600);
+    tokio::spawn(writer.run(a, || async {}));
+    sender.send(Patient { message: want(1), patience }).unwrap();
+    tokio::task::yield_now().await;
+    sender.send(want(2).into()).unwrap();
+    let got: Vec<ToDispatcher> = FrameReader::new(b).next().await.unwrap();
+    assert_eq!(got, [want(1), want(2)]);
+}
