Let queued grants and reports wait longer for company

Change: a report waits up to 1/32 of the time requests take (25 ms at most); a grant that queues at its endpoint waits up to 10 ms. Grants ahead follow from it. Ruled out: waiting with grants into free slots (that idles them).

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -20,5 +20,11 @@
 pub use client::{Client, Received, Submitted};
 pub use dispatcher::{Decision, Dispatcher, ORPHAN_MS, RECOVERY_MS, Snapshot, THAW_MS, Waited};
 
+/// Longest time that a report may wait for others to share its frame, in
+/// milliseconds.
+pub const REPORT_PATIENCE_MS: Millis = 25;
+/// A report waits at most this part of the time that requests take.
+pub const REPORT_PATIENCE_PART: u32 = 32;
+
 /// Milliseconds on the process's monotonic clock.
 pub type Millis = u64;
--- a/src/dispatch/capacity.rs
+++ b/src/dispatch/capacity.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use super::Millis;
+use super::{Millis, REPORT_PATIENCE_MS, REPORT_PATIENCE_PART};
 use crate::config::{Config, EndpointId, HallId, HallSet, ServiceId};
 use crate::wire::HostId;
 
@@ -12,9 +12,9 @@
 const LAST_BACKOFF_MS: Millis = 10_000;
 /// Routers that must see an endpoint fail before it is left out for all.
 const QUORUM_OF_FAILURES: usize = 2;
-/// Time from the end of a request to the start of the next, in milliseconds: two
-/// messages and the time they may wait for others.
-const ROUND_TRIP_MS: f64 = 6.0;
+/// Time from the end of a request to the start of the next, in milliseconds,
+/// beside the time that the report may wait.
+const ROUND_TRIP_MS: f64 = 4.0;
 /// Prompt prefixes remembered for an endpoint.
 const REMEMBERED_PREFIXES: usize = 4_096;
 
@@ -144,7 +144,9 @@
     /// Grants so far ahead that slots stay full through a round trip, given how
     /// long requests take.
     pub fn keep_full(&mut self, mean_ms: f64) {
-        self.round_trip_part = ROUND_TRIP_MS / mean_ms.max(1.0);
+        let patience = mean_ms / f64::from(REPORT_PATIENCE_PART);
+        let round_trip = ROUND_TRIP_MS + patience.min(REPORT_PATIENCE_MS as f64);
+        self.round_trip_part = round_trip / mean_ms.max(1.0);
     }
 
     /// Grants that an endpoint may have beyond its slots.
@@ -203,6 +205,11 @@
         queued.map(|(id, _)| **id)
     }
 
+    /// Whether every slot of an endpoint is taken, so that a grant queues there.
+    pub fn is_full(&self, endpoint: EndpointId) -> bool {
+        self.endpoints.get(&endpoint).is_some_and(|e| e.outstanding >= e.slots)
+    }
+
     /// Takes a slot.
     pub fn acquire(&mut self, endpoint: EndpointId, prefix: &[u32]) {
         if let Some(state) = self.endpoints.get_mut(&endpoint) {
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -55,6 +55,8 @@
         charged: u32,
         /// The customer's lead after the charge, in units over share.
         lead: u64,
+        /// Whether it queues at the endpoint, so that a moment more costs nothing.
+        queued: bool,
         /// Why now.
         waited: Waited,
     },
@@ -568,6 +570,7 @@
         self.accounts.advance(before);
         let charged = self.predicted(customer, request.input);
         self.charge(customer, charged);
+        let queued = self.capacity.is_full(endpoint);
         self.capacity.acquire(endpoint, &request.prefix);
         let after = self.accounts.entry(customer).counter;
         let granted = Granted { customer, endpoint, input: request.input, charged, since: now };
@@ -579,6 +582,7 @@
             endpoint,
             charged,
             lead: after.saturating_sub(self.accounts.floor()) / VIRTUAL_SCALE,
+            queued,
             waited,
         }
     }
--- a/src/router/dispatchers.rs
+++ b/src/router/dispatchers.rs
@@ -13,10 +13,13 @@
 use crate::peer::{PeerReader, Peers};
 use crate::spread::Configs;
 use crate::telemetry::{RequestId, Trace};
-use crate::wire::{BatchSender, BatchWriter, FromDispatcher, HostId, ToDispatcher};
+use crate::wire::{BatchSender, BatchWriter, FromDispatcher, HostId, Patient, ToDispatcher};
 
 /// How often a dispatcher looks at deadlines and orphans.
 const TICK: Duration = Duration::from_millis(50);
+/// How long a grant that queues at its endpoint may wait for others to share its
+/// frame.
+const QUEUED_PATIENCE: Duration = Duration::from_millis(10);
 /// Messages from routers that may wait for a dispatcher.
 const INBOX: usize = 4_096;
 /// Bits of a session number below the incarnation.
@@ -239,14 +242,25 @@
     fn carry_out(&mut self, decisions: Vec<Decision>) {
         for decision in decisions {
             match decision {
-                Decision::Grant { router, seq, customer, endpoint, charged, lead, waited } => {
+                Decision::Grant {
+                    router,
+                    seq,
+                    customer,
+                    endpoint,
+                    charged,
+                    lead,
+                    queued,
+                    waited,
+                } => {
                     let text = format!(
                         "granted endpoint {} to customer {} after {} ms: least served of {} waiting, \
                          lead {} -> {lead}, charged {charged}",
                         endpoint.0, customer.0, waited.ms, waited.backlogged, waited.lead_before,
                     );
                     self.decide(router, seq, text);
-                    self.send(router, FromDispatcher::Grant { seq, endpoint, charged, lead });
+                    let grant = FromDispatcher::Grant { seq, endpoint, charged, lead };
+                    let patience = if queued { QUEUED_PATIENCE } else { Duration::ZERO };
+                    self.send(router, grant, patience);
                 }
                 Decision::Refuse { router, seq, customer, reason, retry_after_ms, hold_ms } => {
                     let text = format!(
@@ -255,7 +269,7 @@
                     );
                     self.decide(router, seq, text);
                     let refuse = FromDispatcher::Refuse { seq, reason, retry_after_ms, hold_ms };
-                    self.send(router, refuse);
+                    self.send(router, refuse, Duration::ZERO);
                 }
                 Decision::LeftOut { router, endpoint, for_ms } => {
                     let id = endpoint.0;
@@ -278,10 +292,10 @@
         self.trace.decide(RequestId { router, incarnation, seq }, "dispatch", text);
     }
 
-    fn send(&self, router: HostId, message: FromDispatcher) {
+    fn send(&self, router: HostId, message: FromDispatcher, patience: Duration) {
         if let Some((_, out)) = self.outs.get(&router) {
             // A session that has just closed is noticed by its reader.
-            let _ = out.send(message.into());
+            let _ = out.send(Patient { message, patience });
         }
     }
 }
--- a/src/router/link.rs
+++ b/src/router/link.rs
@@ -11,7 +11,7 @@
 use super::dispatchers::SESSION_BITS;
 use super::state::Router;
 use crate::config::{EndpointId, HallSet, ServiceId};
-use crate::dispatch::{Client, Received, Submitted};
+use crate::dispatch::{Client, REPORT_PATIENCE_MS, REPORT_PATIENCE_PART, Received, Submitted};
 use crate::member::View;
 use crate::peer::Peers;
 use crate::settings::DispatchMode;
@@ -23,9 +23,9 @@
 /// How often a link without a dispatcher looks for one.
 const RETRY: Duration = Duration::from_millis(100);
 /// Longest time that a message waits for others to share its frame.
-const PATIENCE: Duration = Duration::from_millis(10);
+const PATIENCE: Duration = Duration::from_millis(REPORT_PATIENCE_MS);
 /// A message waits at most this part of the time that requests take.
-const PATIENCE_PART: u32 = 64;
+const PATIENCE_PART: u32 = REPORT_PATIENCE_PART;
 /// Requests over which the time they take is averaged.
 const MEAN_OF: u32 = 16;
 
