Let queued grants wait a sixteenth of the time requests take

Change: the patience of a grant that queues at its endpoint follows the time that requests take (50 ms at most), and the grants ahead follow from that. Ruled out: dispatching one service on two hosts (two orders, so no bound on the gap); datagrams for grants (12 bytes a frame less, and loss to be repaired).

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -26,5 +26,11 @@
 /// A report waits at most this part of the time that requests take.
 pub const REPORT_PATIENCE_PART: u32 = 32;
 
+/// Longest time that a grant which queues at its endpoint may wait for others to
+/// share its frame, in milliseconds.
+pub const GRANT_PATIENCE_MS: Millis = 50;
+/// Such a grant waits at most this part of the time that requests take.
+pub const GRANT_PATIENCE_PART: u32 = 16;
+
 /// Milliseconds on the process's monotonic clock.
 pub type Millis = u64;
--- a/src/dispatch/capacity.rs
+++ b/src/dispatch/capacity.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use super::{Millis, REPORT_PATIENCE_MS, REPORT_PATIENCE_PART};
+use super::{
+    GRANT_PATIENCE_MS, GRANT_PATIENCE_PART, Millis, REPORT_PATIENCE_MS, REPORT_PATIENCE_PART,
+};
 use crate::config::{Config, EndpointId, HallId, HallSet, ServiceId};
 use crate::wire::HostId;
 
@@ -93,6 +95,7 @@
     divisor: u32,
     ahead: u32,
     round_trip_part: f64,
+    grant_patience_ms: Millis,
     endpoints: BTreeMap<EndpointId, State>,
 }
 
@@ -103,6 +106,7 @@
             divisor: divisor.max(1),
             ahead: 0,
             round_trip_part: 0.0,
+            grant_patience_ms: 0,
             endpoints: BTreeMap::new(),
         }
     }
@@ -144,9 +148,12 @@
     /// Grants so far ahead that slots stay full through a round trip, given how
     /// long requests take.
     pub fn keep_full(&mut self, mean_ms: f64) {
-        let patience = mean_ms / f64::from(REPORT_PATIENCE_PART);
-        let round_trip = ROUND_TRIP_MS + patience.min(REPORT_PATIENCE_MS as f64);
-        self.round_trip_part = round_trip / mean_ms.max(1.0);
+        let report = mean_ms / f64::from(REPORT_PATIENCE_PART);
+        let report = report.min(REPORT_PATIENCE_MS as f64);
+        let grant = mean_ms / f64::from(GRANT_PATIENCE_PART);
+        let grant = grant.min(GRANT_PATIENCE_MS as f64);
+        self.grant_patience_ms = grant as Millis;
+        self.round_trip_part = (ROUND_TRIP_MS + report + grant) / mean_ms.max(1.0);
     }
 
     /// Grants that an endpoint may have beyond its slots.
@@ -205,9 +212,11 @@
         queued.map(|(id, _)| **id)
     }
 
-    /// Whether every slot of an endpoint is taken, so that a grant queues there.
-    pub fn is_full(&self, endpoint: EndpointId) -> bool {
-        self.endpoints.get(&endpoint).is_some_and(|e| e.outstanding >= e.slots)
+    /// How long a grant may wait on its way: none into a free slot, a moment when
+    /// it queues at the endpoint.
+    pub fn grant_patience(&self, endpoint: EndpointId) -> Millis {
+        let full = self.endpoints.get(&endpoint).is_some_and(|e| e.outstanding >= e.slots);
+        if full { self.grant_patience_ms } else { 0 }
     }
 
     /// Takes a slot.
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -55,8 +55,8 @@
         charged: u32,
         /// The customer's lead after the charge, in units over share.
         lead: u64,
-        /// Whether it queues at the endpoint, so that a moment more costs nothing.
-        queued: bool,
+        /// Milliseconds that it may wait for others to share its frame.
+        patience_ms: Millis,
         /// Why now.
         waited: Waited,
     },
@@ -570,7 +570,7 @@
         self.accounts.advance(before);
         let charged = self.predicted(customer, request.input);
         self.charge(customer, charged);
-        let queued = self.capacity.is_full(endpoint);
+        let patience_ms = self.capacity.grant_patience(endpoint);
         self.capacity.acquire(endpoint, &request.prefix);
         let after = self.accounts.entry(customer).counter;
         let granted = Granted { customer, endpoint, input: request.input, charged, since: now };
@@ -582,7 +582,7 @@
             endpoint,
             charged,
             lead: after.saturating_sub(self.accounts.floor()) / VIRTUAL_SCALE,
-            queued,
+            patience_ms,
             waited,
         }
     }
--- a/src/router/dispatchers.rs
+++ b/src/router/dispatchers.rs
@@ -17,9 +17,6 @@
 
 /// How often a dispatcher looks at deadlines and orphans.
 const TICK: Duration = Duration::from_millis(50);
-/// How long a grant that queues at its endpoint may wait for others to share its
-/// frame.
-const QUEUED_PATIENCE: Duration = Duration::from_millis(10);
 /// Messages from routers that may wait for a dispatcher.
 const INBOX: usize = 4_096;
 /// Bits of a session number below the incarnation.
@@ -249,7 +246,7 @@
                     endpoint,
                     charged,
                     lead,
-                    queued,
+                    patience_ms,
                     waited,
                 } => {
                     let text = format!(
@@ -259,7 +256,7 @@
                     );
                     self.decide(router, seq, text);
                     let grant = FromDispatcher::Grant { seq, endpoint, charged, lead };
-                    let patience = if queued { QUEUED_PATIENCE } else { Duration::ZERO };
+                    let patience = Duration::from_millis(patience_ms);
                     self.send(router, grant, patience);
                 }
                 Decision::Refuse { router, seq, customer, reason, retry_after_ms, hold_ms } => {
