--- a/src/claim/client.rs
+++ b/src/claim/client.rs
@@ -52,19 +52,27 @@
         match self.ask(claim.clone(), Ask::Claim, limit).await {
             Some(Asked::Claimed(claimed)) => Some(claimed),
             _ => {
-                self.settle(claim, Settlement::NotRun);
+                drop(self.settle(claim, Settlement::NotRun));
                 None
             }
         }
     }
 
+    /// Settles a claim and waits until that is taken, at most for `limit`; after
+    /// it the settling goes on in the background.
+    pub async fn settled(&self, claim: Claim, settlement: Settlement, limit: Duration) {
+        let taken = self.settle(claim, settlement);
+        let _ = tokio::time::timeout(limit, taken).await;
+    }
+
     /// Settles a claim in the background, until it is taken.
-    pub fn settle(&self, claim: Claim, settlement: Settlement) {
-        let (reply, _) = oneshot::channel();
+    fn settle(&self, claim: Claim, settlement: Settlement) -> oneshot::Receiver<Asked> {
+        let (reply, taken) = oneshot::channel();
         let until = tokio::time::Instant::now() + SETTLE_FOR;
         let ask = Ask::Settle(settlement);
         // The task runs as long as the process.
         let _ = self.0.send(Asking { claim, ask, until, reply });
+        taken
     }
 
     async fn ask(&self, claim: Claim, ask: Ask, limit: Duration) -> Option<Asked> {
@@ -209,9 +217,7 @@
                     leads = false;
                 }
                 asked => {
-                    if !matches!(asked, Asked::Free) {
-                        self.leader = Some(host);
-                    }
+                    self.leader = Some(host);
                     if let Some(asking) = self.open.remove(&number) {
                         // The asker may have left.
                         let _ = asking.reply.send(asked);
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -48,7 +48,7 @@
     Found(Vec<GroupMember>),
     Let { newcomer: GroupMember, reply: oneshot::Sender<Result<bool, NoLeader>> },
     Status(oneshot::Sender<DriverStatus>),
-    Look(Box<dyn FnOnce(&State) + Send>),
+    Look(Box<dyn FnOnce(&State) + Send>, oneshot::Sender<NoLeader>),
 }
 
 /// The agreement's state for reports.
@@ -110,18 +110,23 @@
         receiver.await.ok()
     }
 
-    /// Looks at the state as applied here, which may lag.
+    /// Looks at the state as applied here, if this store leads as far as it
+    /// knows. Others lag by a heartbeat, a new leader by a little.
     pub async fn look<T: Send + 'static>(
         &self,
         f: impl FnOnce(&State) -> T + Send + 'static,
-    ) -> Option<T> {
+    ) -> Result<T, NoLeader> {
         let (sender, receiver) = oneshot::channel();
+        let (refuse, refused) = oneshot::channel();
         let look = move |state: &State| {
             // The asker may have left.
             let _ = sender.send(f(state));
         };
-        self.send(Event::Look(Box::new(look))).await;
-        receiver.await.ok()
+        self.send(Event::Look(Box::new(look), refuse)).await;
+        match receiver.await {
+            Ok(seen) => Ok(seen),
+            Err(_) => Err(refused.await.unwrap_or(NoLeader::Unknown)),
+        }
     }
 
     async fn send(&self, event: Event) {
@@ -247,8 +252,14 @@
                 let _ = reply.send(status);
                 Ok(())
             }
-            Event::Look(look) => {
-                look(&self.state);
+            Event::Look(look, refuse) => {
+                let status = self.node.status();
+                if status.role == Role::Leader {
+                    look(&self.state);
+                } else {
+                    // The asker may have left.
+                    let _ = refuse.send(self.no_leader(NotLeader { leader: status.leader }));
+                }
                 Ok(())
             }
         }
--- a/src/control/serve.rs
+++ b/src/control/serve.rs
@@ -140,7 +140,11 @@
     let command = match ask {
         Ask::Look => {
             let look = control.handle.look(move |state| state.claims().look(&claim)).await;
-            return look.flatten().map_or(Asked::Free, Asked::Claimed);
+            return match look {
+                Ok(Some(claimed)) => Asked::Claimed(claimed),
+                Ok(None) => Asked::Free,
+                Err(no_leader) => elsewhere(no_leader),
+            };
         }
         Ask::Claim => Command::Claim { at_ms, claim },
         Ask::Settle(settlement) => Command::Settle { at_ms, claim, settlement },
@@ -148,8 +152,14 @@
     match control.handle.propose(command).await {
         Ok(Reply::Claimed(claimed)) => Asked::Claimed(claimed),
         Ok(Reply::Settled | Reply::Changed(_)) => Asked::Settled,
-        Err(NoLeader::Elsewhere(host)) => Asked::Elsewhere(Some(host)),
-        Err(NoLeader::Unknown) => Asked::Elsewhere(None),
-        Err(NoLeader::Uncertain) => Asked::Uncertain,
+        Err(no_leader) => elsewhere(no_leader),
+    }
+}
+
+fn elsewhere(no_leader: NoLeader) -> Asked {
+    match no_leader {
+        NoLeader::Elsewhere(host) => Asked::Elsewhere(Some(host)),
+        NoLeader::Unknown => Asked::Elsewhere(None),
+        NoLeader::Uncertain => Asked::Uncertain,
     }
 }
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -16,7 +16,8 @@
 use crate::{control, emulate, load, router};
 
 /// Where the search for a free range of ports begins and ends.
-const PORTS: std::ops::Range<u16> = 21_000..60_000;
+/// It ends below the ports that systems give to outgoing connections.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
 const PORTS_STEP: usize = 1_000;
 /// How long the fleet may take to come up.
 const UP_WITHIN: Duration = Duration::from_secs(20);
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -346,7 +346,9 @@
         reach: HallSet,
         want: &Want,
     ) -> Option<(RefuseReason, u32, u32)> {
-        if !self.capacity.serves(reach) {
+        // A dispatcher that does not know the service yet is behind its routers.
+        let knows = self.config.services.contains_key(&self.service);
+        if knows && !self.capacity.serves(reach) {
             return Some((RefuseReason::NoEndpoint, BLIND_RETRY_MS, 0));
         }
         let waiting = self.accounts.get(want.customer).map_or(0, |a| a.waiting);
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -353,3 +353,12 @@
     let slots: u32 = dispatcher.snapshot().endpoints.iter().map(|e| e.slots).sum();
     assert_eq!(slots, 4);
 }
+
+#[test]
+fn a_dispatcher_behind_its_routers_keeps_requests_until_it_knows_the_service() {
+    let mut bench = Bench::new(Arc::default());
+    assert!(bench.want(0, 1).is_empty());
+    let known = config(&[1], &[(0, 1)], 10);
+    let decisions = bench.dispatcher.configure(0, known, &BTreeSet::new());
+    assert_eq!(grants(&decisions), [(0, 1, 0)]);
+}
--- a/src/emulate/slot.rs
+++ b/src/emulate/slot.rs
@@ -16,6 +16,8 @@
     pub running: u32,
     /// Requests waiting for a slot.
     pub waiting: u32,
+    /// Requests that have taken a slot since the start.
+    pub started: u64,
     /// Microseconds of slots used since the start.
     pub busy_us: u64,
 }
@@ -23,6 +25,7 @@
 #[derive(Debug, Default)]
 struct State {
     running: u32,
+    started: u64,
     busy_us: u64,
     changed: Option<Instant>,
     arrivals: u64,
@@ -66,6 +69,7 @@
             if state.running < self.count {
                 state.account();
                 state.running += 1;
+                state.started += 1;
                 return Some(Slot { slots: Some(self.clone()) });
             }
             let (sender, receiver) = oneshot::channel();
@@ -85,6 +89,7 @@
             slots: self.count,
             running: state.running,
             waiting: state.waiting.len() as u32,
+            started: state.started,
             busy_us: state.busy_us,
         }
     }
@@ -103,6 +108,7 @@
             match waiter.send(next) {
                 Ok(()) => {
                     state.running += 1;
+                    state.started += 1;
                     return;
                 }
                 // The waiter has left: this slot must not free itself again.
--- a/src/load/issue.rs
+++ b/src/load/issue.rs
@@ -201,7 +201,12 @@
     let mut splitter = Splitter::default();
     let mut tokens = 0;
     let mut last = Instant::now();
-    while let Some(Ok(frame)) = body.frame().await {
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            // The connection broke: the caller knows that it has not all.
+            add(&seen.lost, 1);
+            return false;
+        };
         if let Some(data) = frame.data_ref() {
             splitter.push(data);
         }
@@ -259,10 +264,11 @@
     add(&counters.wait_ms, wait.as_millis() as u64);
     add(&counters.received, PLAIN_UNITS);
     seen.largest.fetch_max(PLAIN_UNITS, Ordering::Relaxed);
-    let body = response.into_body().collect().await;
-    let answer =
-        body.ok().and_then(|b| serde_json::from_slice::<serde_json::Value>(&b.to_bytes()).ok());
-    let Some(answer) = answer else {
+    let Ok(body) = response.into_body().collect().await else {
+        add(&seen.lost, 1);
+        return false;
+    };
+    let Ok(answer) = serde_json::from_slice::<serde_json::Value>(&body.to_bytes()) else {
         return check_whole(false, seen);
     };
     let key = issue.key.as_deref();
--- a/src/router/dispatchers.rs
+++ b/src/router/dispatchers.rs
@@ -6,6 +6,7 @@
 
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio_util::sync::{CancellationToken, DropGuard};
 
 use super::state::Leaving;
 use crate::config::ServiceId;
@@ -23,12 +24,19 @@
 pub(super) const SESSION_BITS: u32 = 20;
 
 enum Event {
-    Attached { router: HostId, session: u64, out: BatchSender<FromDispatcher> },
+    Attached { router: HostId, session: Session },
     Messages { router: HostId, session: u64, messages: Vec<ToDispatcher> },
     Lost { router: HostId, session: u64 },
     Snapshot(oneshot::Sender<Snapshot>),
 }
 
+/// A router's session; its connection closes when this is dropped.
+struct Session {
+    number: u64,
+    out: BatchSender<FromDispatcher>,
+    _close: DropGuard,
+}
+
 /// Starts dispatchers as routers attach to them.
 #[derive(Debug)]
 pub struct Dispatchers {
@@ -71,7 +79,10 @@
             let links = links.clone();
             async move { links.clear_to(router).await }
         }));
-        tokio::spawn(read_session(peers, router, session, reader, out, events));
+        let closed = CancellationToken::new();
+        let _close = closed.clone().drop_guard();
+        let session = Session { number: session, out, _close };
+        tokio::spawn(read_session(peers, router, session, reader, closed, events));
     }
 
     /// What the dispatchers here hold, by service.
@@ -104,7 +115,7 @@
                 peers: self.peers.clone(),
                 trace: self.trace.clone(),
                 dispatcher: Dispatcher::new(now, service, self.divisor),
-                outs: HashMap::new(),
+                sessions: HashMap::new(),
             };
             tokio::spawn(task.run(events, self.configs.clone(), self.leaving.clone()));
             sender
@@ -116,13 +127,13 @@
 async fn read_session(
     peers: Arc<Peers>,
     router: HostId,
-    session: u64,
+    session: Session,
     mut reader: PeerReader,
-    out: BatchSender<FromDispatcher>,
+    closed: CancellationToken,
     events: mpsc::Sender<Event>,
 ) {
-    let attached = Event::Attached { router, session, out: out.clone() };
-    if events.send(attached).await.is_err() {
+    let number = session.number;
+    if events.send(Event::Attached { router, session }).await.is_err() {
         return;
     }
     loop {
@@ -132,15 +143,16 @@
                 Err(_) => break,
             },
             // The dispatcher has closed the session.
-            () = out.closed() => break,
+            () = closed.cancelled() => break,
         };
         peers.links.clear_from(router).await;
-        if events.send(Event::Messages { router, session, messages }).await.is_err() {
+        let messages = Event::Messages { router, session: number, messages };
+        if events.send(messages).await.is_err() {
             return;
         }
     }
     // The dispatcher outlives its sessions; it is gone only when the process stops.
-    let _ = events.send(Event::Lost { router, session }).await;
+    let _ = events.send(Event::Lost { router, session: number }).await;
 }
 
 struct Task {
@@ -148,7 +160,7 @@
     peers: Arc<Peers>,
     trace: Arc<Trace>,
     dispatcher: Dispatcher,
-    outs: HashMap<HostId, (u64, BatchSender<FromDispatcher>)>,
+    sessions: HashMap<HostId, Session>,
 }
 
 impl Task {
@@ -181,10 +193,10 @@
     fn event(&mut self, event: Event) -> Vec<Decision> {
         let now = self.peers.clock.now();
         match event {
-            Event::Attached { router, session, out } => {
-                let newer = self.outs.get(&router).is_none_or(|(s, _)| *s < session);
-                if newer {
-                    self.outs.insert(router, (session, out));
+            Event::Attached { router, session } => {
+                let known = self.sessions.get(&router);
+                if known.is_none_or(|s| s.number < session.number) {
+                    self.sessions.insert(router, session);
                 }
                 Vec::new()
             }
@@ -196,8 +208,8 @@
                 decisions
             }
             Event::Lost { router, session } => {
-                if self.outs.get(&router).is_some_and(|(s, _)| *s == session) {
-                    self.outs.remove(&router);
+                if self.sessions.get(&router).is_some_and(|s| s.number == session) {
+                    self.sessions.remove(&router);
                 }
                 self.dispatcher.lost(now, router, session)
             }
@@ -223,14 +235,14 @@
     fn drop_suspected(&mut self, view: &crate::member::View) -> Vec<Decision> {
         let now = self.peers.clock.now();
         let lost: Vec<_> = self
-            .outs
+            .sessions
             .iter()
             .filter(|(router, _)| view.get(**router).is_none())
-            .map(|(router, (session, _))| (*router, *session))
+            .map(|(router, session)| (*router, session.number))
             .collect();
         let mut decisions = Vec::new();
         for (router, session) in lost {
-            self.outs.remove(&router);
+            self.sessions.remove(&router);
             decisions.extend(self.dispatcher.lost(now, router, session));
         }
         decisions
@@ -277,20 +289,20 @@
                 Decision::Reset { stalled_ms } => {
                     let service = self.service.0;
                     log::warn!("dispatch: service {service} stalled {stalled_ms} ms, starts anew");
-                    self.outs.clear();
+                    self.sessions.clear();
                 }
             }
         }
     }
 
     fn decide(&self, router: HostId, seq: u64, text: String) {
-        let session = self.outs.get(&router).map_or(0, |(session, _)| *session);
+        let session = self.sessions.get(&router).map_or(0, |s| s.number);
         let incarnation = session >> SESSION_BITS;
         self.trace.decide(RequestId { router, incarnation, seq }, "dispatch", text);
     }
 
     fn send(&self, router: HostId, message: FromDispatcher, patience: Duration) {
-        if let Some((_, out)) = self.outs.get(&router) {
+        if let Some(Session { out, .. }) = self.sessions.get(&router) {
             // A session that has just closed is noticed by its reader.
             let _ = out.send(Patient { message, patience });
         }
--- a/src/router/once.rs
+++ b/src/router/once.rs
@@ -18,6 +18,8 @@
 /// How long a look at an earlier claim may take; without an answer the call
 /// goes on to its claim, which decides.
 const LOOK_LIMIT: Duration = Duration::from_millis(500);
+/// How long the caller's answer may wait for the settlement.
+const SETTLE_LIMIT: Duration = Duration::from_millis(500);
 /// Time to come back after when the key is held or cannot be claimed.
 const RETRY_MS: u32 = 1_000;
 
@@ -105,8 +107,9 @@
     response
 }
 
-/// Records how a claimed call ended.
-pub(super) fn settle(router: &Router, claim: Claim, attempt: &Attempt) {
+/// Records how a claimed call ended, before its caller is told, so that a resend
+/// finds it.
+pub(super) async fn settle(router: &Router, claim: Claim, attempt: &Attempt) {
     let settlement = match attempt {
         Attempt::Answered(Answer::Whole(response)) => {
             let body = response.body();
@@ -121,5 +124,5 @@
         Attempt::NotSent | Attempt::Refused => Settlement::NotRun,
         Attempt::Unknown(_) => Settlement::Unknown,
     };
-    router.claims.settle(claim, settlement);
+    router.claims.settled(claim, settlement, SETTLE_LIMIT).await;
 }
--- a/src/router/reach.rs
+++ b/src/router/reach.rs
@@ -15,8 +15,9 @@
 /// Keeps the set of halls in reach up to date. A hall is in reach when one of
 /// its hosts is live or one of its endpoints takes a connection.
 pub async fn follow(router: Arc<Router>) {
+    let mut version = router.configs.watch();
     loop {
-        let config = router.config();
+        let config = version.borrow_and_update().clone();
         let view = router.peers.view();
         let mut reach = HallSet::default();
         for (id, name) in &config.halls {
@@ -34,7 +35,10 @@
             }
             changed
         });
-        tokio::time::sleep(INTERVAL).await;
+        tokio::select! {
+            () = tokio::time::sleep(INTERVAL) => {}
+            changed = version.changed() => if changed.is_err() { return },
+        }
     }
 }
 
--- a/src/router/serve.rs
+++ b/src/router/serve.rs
@@ -21,6 +21,9 @@
 /// Time to come back after when nothing better is known, in milliseconds.
 const RETRY_MS: u32 = 1_000;
 
+/// Times that one request is tried in all.
+const MAX_ATTEMPTS: u32 = 4;
+
 /// A caller's request, checked and ready to be admitted.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -231,7 +234,10 @@
                 Next::Again { free, otherwise } => (free, otherwise),
             };
             let late = Instant::now() >= self.deadline;
-            if late || !(free || self.router.with_budget(self.customer, |b| b.spend())) {
+            if late
+                || self.wants >= MAX_ATTEMPTS
+                || !(free || self.router.with_budget(self.customer, |b| b.spend()))
+            {
                 return otherwise;
             }
             self.router.metrics.retries.inc();
@@ -300,7 +306,7 @@
             None => Attempt::NotSent,
         };
         if let Some(claim) = claim {
-            once::settle(&self.router, claim, &attempt);
+            once::settle(&self.router, claim, &attempt).await;
         }
         match attempt {
             Attempt::Answered(Answer::Whole(response)) => {
--- /dev/null
+++ b/tests/features/03_whole_answer_to_own_request.feature
@@ -0,0 +1,32 @@
+Feature: Each caller receives the whole answer to its own request
+
+  Scenario: a stream that breaks is resumed and is whole
+    Given a fleet of 2 routers, 1 control hosts, 1 engines and 1 ticket services
+    When engine 1 is told to cut 1 request after 40
+    And harbour-agents chats through router 1 for 100 tokens
+    Then the answer is answered
+    And the stream holds all 100 tokens and its end
+
+  Scenario: a stream that cannot be resumed ends with an explicit error
+    Given a fleet of 2 routers, 1 control hosts, 1 engines and 1 ticket services
+    When engine 1 is told to cut 9 requests after 40
+    And harbour-agents chats through router 1 for 400 tokens
+    Then the stream ends with an explicit error
+
+  Scenario: crossed answers are dropped and the request is served elsewhere
+    Given a fleet of 2 routers, 1 control hosts, 2 engines and 1 ticket services
+    When engine 1 is told to cross 1 request
+    And engine 2 is told to cross 1 request
+    And harbour-agents chats through router 1 for 20 tokens
+    Then the answer is answered
+    And the stream holds all 20 tokens and its end
+
+  Scenario: engines are killed and come back under load
+    Given a fleet of 3 routers, 1 control hosts, 3 engines and 1 ticket services
+    When the uneven load runs for 10 seconds
+    And engine 1 is killed and started again
+    And 2 seconds pass
+    And engine 2 is killed and started again
+    And the load has ended
+    Then no promise was broken
+    And at least 100 requests were answered
--- /dev/null
+++ b/tests/scenarios/loads.rs
@@ -0,0 +1,73 @@
+//! The loads that scenarios run.
+
+use bramblecrank::load::{Arrival, Lengths, LoadCustomer, LoadFile};
+use bramblecrank::site::Site;
+
+fn chat(site: &Site, name: &str, share: u32, arrival: Arrival, routers: &[usize]) -> LoadCustomer {
+    LoadCustomer {
+        name: name.into(),
+        share,
+        service: site.model.clone(),
+        path: None,
+        routers: routers.to_vec(),
+        arrival,
+        prompt: Lengths { median: 60.0, sigma: 0.8, max: 1_000 },
+        output: Lengths { median: 60.0, sigma: 0.6, max: 200 },
+        shared_prefix: 0,
+        keyed: false,
+        resend: 0.0,
+        deadline_ms: None,
+    }
+}
+
+fn tickets(site: &Site, arrival: Arrival) -> LoadCustomer {
+    LoadCustomer {
+        service: site.plain.clone(),
+        path: Some(format!("{}/seat", site.once_path)),
+        keyed: true,
+        resend: 0.4,
+        ..chat(site, "market-traders", 2, arrival, &[])
+    }
+}
+
+/// A load by name.
+pub fn load(site: &Site, name: &str, seconds: u64) -> LoadFile {
+    let closed = Arrival::Closed;
+    let customers = match name {
+        // Three customers that always want more, spread unevenly over routers.
+        "uneven" => vec![
+            chat(site, "harbour-agents", 4, closed(30), &[0]),
+            chat(site, "truck-drivers", 2, closed(30), &[]),
+            chat(site, "bawean-line", 1, closed(20), &[1]),
+        ],
+        "tickets" => vec![tickets(site, Arrival::Open(80.0))],
+        "mixed" => vec![
+            chat(site, "harbour-agents", 4, closed(20), &[]),
+            chat(site, "truck-drivers", 2, closed(20), &[0]),
+            tickets(site, Arrival::Open(40.0)),
+        ],
+        "flood" => vec![
+            chat(site, "harbour-agents", 4, Arrival::Open(400.0), &[]),
+            chat(site, "pilgrim-groups", 1, Arrival::Open(2.0), &[1]),
+        ],
+        // Streams that last, and callers that mind when one is cut.
+        "streams" => vec![LoadCustomer {
+            output: Lengths { median: 800.0, sigma: 0.0, max: 800 },
+            ..chat(site, "passenger-chat", 4, closed(8), &[])
+        }],
+        "light" => vec![chat(site, "pilgrim-groups", 1, closed(4), &[])],
+        other => panic!("no load is called {other}"),
+    };
+    LoadFile {
+        name: name.into(),
+        routers: (0..site.routers).map(|r| site.callers(r)).collect(),
+        endpoints: (0..site.engines).map(|e| site.engine(e)).collect(),
+        ledgers: (0..site.services).map(|s| site.service(s)).collect(),
+        duration_s: seconds as f64,
+        warmup_s: 2.0,
+        seed: 1,
+        input_weight: 1,
+        output_weight: 2,
+        customers,
+    }
+}
--- /dev/null
+++ b/tests/scenarios/steps.rs
@@ -0,0 +1,574 @@
+//! The steps of the test language.
+
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::http::Request;
+use bramblecrank::delivery::{HttpClient, header};
+use bramblecrank::operator::{connect, proto};
+use cucumber::{given, then, when};
+use http_body_util::BodyExt;
+use serde_json::json;
+
+use super::fleet::{Answer, Fleet, FleetWorld, until};
+use super::loads;
+
+type Applied = proto::apply_reply::Result;
+
+#[given(
+    expr = "a fleet of {int} routers, {int} control hosts, {int} engines and {int} ticket services"
+)]
+async fn a_fleet(w: &mut FleetWorld, routers: u16, controls: u16, engines: u16, services: u16) {
+    w.fleet = Some(Fleet::start(routers, controls, engines, services).await);
+}
+
+/// The process that a step names.
+async fn process(w: &mut FleetWorld, what: &str) -> String {
+    let plain = w.fleet().site.plain.clone();
+    let model = w.fleet().site.model.clone();
+    match what {
+        "the control leader" => format!("control-{}", w.fleet().leader().await),
+        "the dispatcher of the model" => format!("router-{}", w.fleet().dispatcher(&model).await),
+        "the dispatcher of tickets" => format!("router-{}", w.fleet().dispatcher(&plain).await),
+        _ => {
+            let (kind, number) = what.rsplit_once(' ').unwrap();
+            let kind = match kind {
+                "control host" => "control",
+                "ticket service" => "service",
+                other => other,
+            };
+            format!("{kind}-{number}")
+        }
+    }
+}
+
+#[when(regex = r"^(.+) is (killed|frozen|thawed|started)$")]
+async fn something_happens(w: &mut FleetWorld, what: String, how: String) {
+    let name = process(w, &what).await;
+    let fleet = w.fleet();
+    match how.as_str() {
+        "killed" => fleet.kill(&name),
+        "frozen" => fleet.freeze(&name),
+        "thawed" => fleet.thaw(&name),
+        _ => fleet.spawn(&name),
+    }
+}
+
+#[when(regex = r"^(.+) is frozen for (\d+) seconds$")]
+async fn frozen_for(w: &mut FleetWorld, what: String, seconds: u64) {
+    let name = process(w, &what).await;
+    w.fleet().freeze(&name);
+    tokio::time::sleep(Duration::from_secs(seconds)).await;
+    w.fleet().thaw(&name);
+}
+
+#[when(regex = r"^(.+) is killed and started again$")]
+async fn killed_and_started(w: &mut FleetWorld, what: String) {
+    let name = process(w, &what).await;
+    w.fleet().kill(&name);
+    w.fleet().spawn(&name);
+}
+
+#[when(regex = r"^control host (\d+) loses its disk$")]
+async fn loses_disk(w: &mut FleetWorld, number: u16) {
+    let name = format!("control-{number}");
+    w.fleet().kill(&name);
+    w.fleet().lose_disk(number);
+    w.fleet().spawn(&name);
+}
+
+#[when(regex = r"^control host (\d+) is let in again$")]
+async fn let_in(w: &mut FleetWorld, number: u16) {
+    let fleet = w.fleet();
+    let host = u32::from(fleet.site.control(number - 1).host.id.0);
+    until("the leader lets the store in", async || {
+        let leader = fleet.leader().await;
+        let operator = fleet.site.control_operator(leader - 1);
+        let Some(group) = fleet.status(operator).await.and_then(|s| s.group) else {
+            return false;
+        };
+        let old = group.members.iter().find(|m| m.host == host);
+        let old_store = old.map(|m| m.store.clone()).unwrap_or_default();
+        let request = proto::ReplaceControlRequest { host, old_store };
+        let Ok(mut client) = connect(operator).await else { return false };
+        client.replace_control(request).await.is_ok_and(|r| r.into_inner().accepted)
+    })
+    .await;
+}
+
+#[then(regex = r"^control host (\d+) counts in majorities (again|no more)$")]
+async fn counts(w: &mut FleetWorld, number: u16, how: String) {
+    let fleet = w.fleet();
+    let own = fleet.site.control_operator(number - 1);
+    until("the group's members are as expected", async || {
+        let Some(own) = fleet.status(own).await.and_then(|s| s.group) else { return false };
+        let leader = fleet.leader().await;
+        let leader = fleet.status(fleet.site.control_operator(leader - 1)).await;
+        let Some(group) = leader.and_then(|s| s.group) else { return false };
+        let voter = group.members.iter().any(|m| m.store == own.store && m.voter);
+        voter == (how == "again")
+    })
+    .await;
+}
+
+#[when(regex = r"^(.+) is stopped as planned$")]
+async fn stopped(w: &mut FleetWorld, what: String) {
+    let name = process(w, &what).await;
+    assert!(w.fleet().stop(&name).await, "{name} did not stop cleanly");
+}
+
+#[when(regex = r"^router (\d+) cannot send to router (\d+)$")]
+async fn one_sided(w: &mut FleetWorld, from: u16, to: u16) {
+    let fleet = w.fleet();
+    let (from, to) = (fleet.site.router(from - 1), fleet.site.router(to - 1));
+    let cut_to = vec![u32::from(to.host.id.0)];
+    let cut_from = vec![u32::from(from.host.id.0)];
+    fleet.rehearse(from.operator, proto::RehearseRequest { cut_to, ..Default::default() }).await;
+    fleet.rehearse(to.operator, proto::RehearseRequest { cut_from, ..Default::default() }).await;
+}
+
+#[when(regex = r"^data hall (\S+) is cut off$")]
+async fn hall_cut(w: &mut FleetWorld, hall: String) {
+    let fleet = w.fleet();
+    let hosts = fleet.hosts();
+    for (operator, _, own) in &hosts {
+        let inside = *own == hall;
+        let beyond = hosts.iter().filter(|(_, _, other)| (*other == hall) != inside);
+        let cut: Vec<_> = beyond.map(|(_, id, _)| *id).collect();
+        let halls = fleet.site.halls.iter().filter(|h| (**h == hall) != inside);
+        let request = proto::RehearseRequest {
+            cut_to: cut.clone(),
+            cut_from: cut,
+            cut_halls: halls.cloned().collect(),
+        };
+        fleet.rehearse(*operator, request).await;
+    }
+}
+
+#[when(regex = r"^(control host|router) (\d+) is cut off in silence$")]
+async fn host_cut(w: &mut FleetWorld, kind: String, number: u16) {
+    let fleet = w.fleet();
+    let own = match kind.as_str() {
+        "router" => fleet.site.router_operator(number - 1),
+        _ => fleet.site.control_operator(number - 1),
+    };
+    cut_off(fleet, own).await;
+}
+
+#[when("the control leader is cut off in silence")]
+async fn leader_cut(w: &mut FleetWorld) {
+    let fleet = w.fleet();
+    let leader = fleet.leader().await;
+    let own = fleet.site.control_operator(leader - 1);
+    cut_off(fleet, own).await;
+}
+
+async fn cut_off(fleet: &Fleet, own: std::net::SocketAddr) {
+    let hosts = fleet.hosts();
+    let id = hosts.iter().find(|(operator, _, _)| *operator == own).unwrap().1;
+    for (operator, _, _) in &hosts {
+        let cut: Vec<_> = match *operator == own {
+            true => hosts.iter().map(|h| h.1).filter(|other| *other != id).collect(),
+            false => vec![id],
+        };
+        let request =
+            proto::RehearseRequest { cut_to: cut.clone(), cut_from: cut, cut_halls: Vec::new() };
+        fleet.rehearse(*operator, request).await;
+    }
+}
+
+#[when("all links are mended")]
+async fn mended(w: &mut FleetWorld) {
+    let fleet = w.fleet();
+    for (operator, _, _) in fleet.hosts() {
+        if fleet.status(operator).await.is_some() {
+            fleet.rehearse(operator, proto::RehearseRequest::default()).await;
+        }
+    }
+}
+
+#[when(regex = r"^the (\w+) load runs for (\d+) seconds$")]
+async fn load_runs(w: &mut FleetWorld, name: String, seconds: u64) {
+    let file = loads::load(&w.fleet().site, &name, seconds);
+    w.load = Some(tokio::spawn(bramblecrank::load::run(file, |_, _| ())));
+    // Its warm-up, so that what follows meets requests in flight.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+}
+
+#[when("the load has ended")]
+async fn load_ended(w: &mut FleetWorld) {
+    let load = w.load.take().expect("no load runs");
+    let report = load.await.unwrap().unwrap();
+    println!("{report}");
+    w.report = Some(report);
+}
+
+#[when(regex = r"^(\d+) seconds? pass(?:es)?$")]
+async fn pass(_: &mut FleetWorld, seconds: u64) {
+    tokio::time::sleep(Duration::from_secs(seconds)).await;
+}
+
+#[then("no promise was broken")]
+async fn clean(w: &mut FleetWorld) {
+    let r = w.report.as_ref().unwrap();
+    let counts = [r.doubled, r.crossed, r.truncated, r.false_not_run, r.no_retry_after];
+    assert_eq!(counts, [0; 5], "doubled, crossed, truncated, false not run, no come-back time");
+    assert!(r.finished, "requests were left hanging");
+}
+
+#[then("nothing was lost or cut")]
+async fn nothing_lost(w: &mut FleetWorld) {
+    let r = w.report.as_ref().unwrap();
+    assert_eq!([r.lost, r.broken, r.unknown], [0; 3], "lost, broken, unknown");
+}
+
+#[then("no stream was cut")]
+async fn no_stream_cut(w: &mut FleetWorld) {
+    let r = w.report.as_ref().unwrap();
+    assert_eq!([r.broken, r.truncated, r.crossed], [0; 3], "broken, truncated, crossed");
+    assert!(r.answered > 0);
+}
+
+#[then(regex = r"^at least (\d+) requests were answered$")]
+async fn answered(w: &mut FleetWorld, least: u64) {
+    let r = w.report.as_ref().unwrap();
+    assert!(r.answered >= least, "only {} answered", r.answered);
+}
+
+#[then("the gap stayed within twice the largest request and what is in flight")]
+async fn gap_bounded(w: &mut FleetWorld) {
+    let slots = f64::from(w.fleet().site.engines) * 6.0;
+    let r = w.report.as_ref().unwrap();
+    assert!(r.gap.backlogged.len() >= 2, "only {:?} were backlogged", r.gap.backlogged);
+    // In flight: every slot and grant ahead, with a request of mean size.
+    let mean = r.customers.iter().map(|c| c.units).sum::<u64>() as f64 / r.answered.max(1) as f64;
+    let bound = 2.0 * r.largest_units as f64 + slots * mean;
+    assert!(r.gap.units <= bound, "gap {} above {bound}", r.gap.units);
+}
+
+#[then(regex = r"^customer (\S+) had at least (\d+) requests answered and (\d+) refused$")]
+async fn customer_served(w: &mut FleetWorld, name: String, least: u64, refused: u64) {
+    let r = w.report.as_ref().unwrap();
+    let customer = r.customers.iter().find(|c| c.name == name).unwrap();
+    assert!(customer.answered >= least, "only {} answered", customer.answered);
+    assert_eq!(customer.refused, refused);
+}
+
+#[then(regex = r"^customer (\S+) was refused at least (\d+) times$")]
+async fn customer_refused(w: &mut FleetWorld, name: String, least: u64) {
+    let r = w.report.as_ref().unwrap();
+    let customer = r.customers.iter().find(|c| c.name == name).unwrap();
+    assert!(customer.refused >= least, "only {} refused", customer.refused);
+}
+
+/// Sends one call through a router.
+async fn call(w: &mut FleetWorld, router: u16, request: Request<Body>) {
+    // The platform's balancer sends nothing to a router that is not ready.
+    w.fleet().wait_ready(router - 1).await;
+    let address = w.fleet().site.callers(router - 1);
+    let mut request = request;
+    let path = request.uri().to_string();
+    *request.uri_mut() = format!("http://{address}{path}").parse().unwrap();
+    let response = HttpClient::default().send(request).await.unwrap();
+    let text = |name| header::text(response.headers(), name).unwrap_or_default().to_string();
+    let mut answer = Answer {
+        status: response.status().as_u16(),
+        outcome: text(header::OUTCOME),
+        reason: text(header::REASON),
+        retry_after: text("retry-after").parse().ok(),
+        replayed: !text(header::REPLAYED).is_empty(),
+        trace: text(header::TRACE),
+        body: String::new(),
+    };
+    let body = response.into_body().collect().await;
+    answer.body =
+        body.map(|b| String::from_utf8_lossy(&b.to_bytes()).into_owned()).unwrap_or_default();
+    w.answers.push(answer);
+}
+
+fn post(path: &str, customer: &str, body: String) -> Request<Body> {
+    let request = Request::post(path).header(header::CUSTOMER, customer);
+    request.header("content-type", "application/json").body(Body::from(body)).unwrap()
+}
+
+#[when(regex = r"^(\S+) buys seat (\S+) through router (\d+)$")]
+async fn buys(w: &mut FleetWorld, customer: String, seat: String, router: u16) {
+    let site = &w.fleet().site;
+    let path = format!("/{}{}/{seat}", site.plain, site.once_path);
+    let mut request = post(&path, &customer, json!({"seat": seat}).to_string());
+    request.headers_mut().insert(header::KEY, seat.parse().unwrap());
+    call(w, router, request).await;
+}
+
+#[when(regex = r"^(\S+) chats through router (\d+) for (\d+) tokens$")]
+async fn chats(w: &mut FleetWorld, customer: String, router: u16, tokens: u32) {
+    let model = w.fleet().site.model.clone();
+    let body = json!({"model": model, "stream": true, "emulate": {"output_tokens": tokens},
+        "messages": [{"role": "user", "content": "When does the ferry leave?"}]});
+    call(w, router, post("/v1/chat/completions", &customer, body.to_string())).await;
+}
+
+#[when(regex = r#"^(\S+) sends "(.*)" to (\S+) through router (\d+)$"#)]
+async fn sends(w: &mut FleetWorld, customer: String, body: String, path: String, router: u16) {
+    call(w, router, post(&path, &customer, body)).await;
+}
+
+#[when(regex = r"^(\S+) sends (\d+) bytes to (\S+) through router (\d+)$")]
+async fn sends_bytes(w: &mut FleetWorld, customer: String, size: usize, path: String, router: u16) {
+    call(w, router, post(&path, &customer, "x".repeat(size))).await;
+}
+
+#[then(regex = r"^the answer is (answered|not-run|running|unknown)$")]
+async fn outcome_is(w: &mut FleetWorld, outcome: String) {
+    let answer = w.answers.last().unwrap();
+    assert_eq!(answer.outcome, outcome, "{answer:?}");
+    if outcome == "not-run" && answer.status >= 429 && answer.status != 431 {
+        assert!(answer.retry_after.is_some(), "no time to come back: {answer:?}");
+    }
+}
+
+#[then(regex = r"^the answer has status (\d+)$")]
+async fn status_is(w: &mut FleetWorld, status: u16) {
+    let answer = w.answers.last().unwrap();
+    assert_eq!(answer.status, status, "{answer:?}");
+}
+
+#[then(regex = r"^the reason is (\S+)$")]
+async fn reason_is(w: &mut FleetWorld, reason: String) {
+    let answer = w.answers.last().unwrap();
+    assert_eq!(answer.reason, reason, "{answer:?}");
+}
+
+#[then("the answer is the recorded one")]
+async fn recorded(w: &mut FleetWorld) {
+    let [.., first, last] = w.answers.as_slice() else { panic!("two answers are needed") };
+    assert!(last.replayed, "{last:?}");
+    assert_eq!(first.body, last.body);
+}
+
+#[then(regex = r"^the stream holds all (\d+) tokens and its end$")]
+async fn whole_stream(w: &mut FleetWorld, tokens: u32) {
+    let body = &w.answers.last().unwrap().body;
+    let mut from = 0;
+    for n in 0..tokens {
+        let token = format!("t{n} ");
+        let at = body[from..].find(&token).unwrap_or_else(|| panic!("{token} is missing: {body}"));
+        from += at + token.len();
+    }
+    assert!(body.trim_end().ends_with("data: [DONE]"), "{body}");
+}
+
+#[then("the stream ends with an explicit error")]
+async fn broken_stream(w: &mut FleetWorld) {
+    let body = &w.answers.last().unwrap().body;
+    assert!(body.contains("event: error") && !body.contains("[DONE]"), "{body}");
+}
+
+#[when(
+    regex = r"^(engine|ticket service) (\d+) is told to (\w+) (\d+) requests?(?: after (\d+))?$"
+)]
+async fn told_fault(
+    w: &mut FleetWorld,
+    kind: String,
+    number: u16,
+    fault: String,
+    times: u32,
+    amount: String,
+) {
+    let site = &w.fleet().site;
+    let address = if kind == "engine" { site.engine(number - 1) } else { site.service(number - 1) };
+    let amount: u64 = amount.parse().unwrap_or(0);
+    let body = json!({"kind": fault, "times": times, "amount": amount}).to_string();
+    let request = Request::post(format!("http://{address}/fault"))
+        .header("content-type", "application/json")
+        .body(Body::from(body))
+        .unwrap();
+    let response = HttpClient::default().send(request).await.unwrap();
+    assert!(response.status().is_success());
+}
+
+async fn fetch(address: std::net::SocketAddr, path: &str) -> serde_json::Value {
+    let uri = format!("http://{address}{path}").parse().unwrap();
+    let response = HttpClient::default().get(uri).await.unwrap();
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    serde_json::from_slice(&body).unwrap()
+}
+
+#[then(regex = r"^seat (\S+) was sold (\d+) times?$")]
+async fn sold(w: &mut FleetWorld, seat: String, times: u64) {
+    let mut runs = 0;
+    for n in 0..w.fleet().site.services {
+        let ledger = fetch(w.fleet().site.service(n), "/ledger").await;
+        let by_key = ledger["by_key"].as_object().unwrap();
+        let mine = by_key.iter().filter(|(key, _)| key.ends_with(&format!("/{seat}")));
+        runs += mine.map(|(_, count)| count.as_u64().unwrap()).sum::<u64>();
+    }
+    assert_eq!(runs, times);
+}
+
+#[when(regex = r"^the platform says that engine (\d+) is (leaving|live)$")]
+async fn platform_says(w: &mut FleetWorld, engine: u16, state: String) {
+    let address = w.fleet().site.platform();
+    let request = Request::put(format!("http://{address}/hosts/engine-{engine}"))
+        .header("content-type", "application/json")
+        .body(Body::from(json!(state).to_string()))
+        .unwrap();
+    assert!(HttpClient::default().send(request).await.unwrap().status().is_success());
+}
+
+#[when(regex = r"^an operator drains engine (\d+)$")]
+async fn drains(w: &mut FleetWorld, engine: u16) {
+    let leaving = vec![proto::Leaving { endpoint: format!("engine-{engine}"), leaving: true }];
+    let request =
+        proto::ApplyRequest { operation: format!("drain-{engine}"), leaving, ..Default::default() };
+    let operators = w.fleet().operators();
+    let reply = bramblecrank::operator::apply_document(&operators, request).await.unwrap();
+    assert_eq!(reply.result(), Applied::Accepted);
+}
+
+async fn started(w: &mut FleetWorld, engine: u16) -> u64 {
+    let load = fetch(w.fleet().site.engine(engine - 1), "/load").await;
+    load["started"].as_u64().unwrap()
+}
+
+#[then(regex = r"^engine (\d+) gets no new work while the others do$")]
+async fn no_new_work(w: &mut FleetWorld, engine: u16) {
+    let others: Vec<_> = (1..=w.fleet().site.engines).filter(|n| *n != engine).collect();
+    let before = started(w, engine).await;
+    let mut others_before = 0;
+    for n in &others {
+        others_before += started(w, *n).await;
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(started(w, engine).await, before, "a leaving endpoint got new work");
+    let mut others_after = 0;
+    for n in &others {
+        others_after += started(w, *n).await;
+    }
+    assert!(others_after > others_before, "nothing was served at all");
+}
+
+#[when(regex = r"^operator (\w+) declares customer (\S+)(?: on version (\d+))?$")]
+async fn declares(w: &mut FleetWorld, operation: String, customer: String, base: String) {
+    let document = format!("customers: [{{name: {customer}}}]");
+    let reply = w.fleet().apply(&operation, base.parse().ok(), &document).await;
+    w.replies.push(reply);
+}
+
+#[when(regex = r"^(\d+) customers are declared one by one$")]
+async fn many_changes(w: &mut FleetWorld, count: u32) {
+    for n in 0..count {
+        let document = format!("customers: [{{name: extra-{n}}}]");
+        let reply = w.fleet().apply(&format!("extra-{n}"), None, &document).await;
+        assert_eq!(reply.result(), Applied::Accepted, "{reply:?}");
+        w.replies.push(reply);
+    }
+}
+
+#[when(regex = r"^(\d+) operators race on version (\d+)$")]
+async fn race(w: &mut FleetWorld, count: u32, base: u64) {
+    let fleet = w.fleet();
+    let race = (0..count).map(|n| {
+        let fleet = &*fleet;
+        async move {
+            let document = format!("customers: [{{name: racer-{n}}}]");
+            fleet.apply(&format!("race-{n}"), Some(base), &document).await
+        }
+    });
+    w.replies = futures_util::future::join_all(race).await;
+}
+
+#[then(regex = r"^one wins and the others are told that version (\d+) stands$")]
+async fn one_wins(w: &mut FleetWorld, version: u64) {
+    let won = w.replies.iter().filter(|r| r.result() == Applied::Accepted);
+    assert_eq!(won.count(), 1, "{:?}", w.replies);
+    for reply in &w.replies {
+        assert_eq!(reply.version, version, "{reply:?}");
+    }
+}
+
+#[then(regex = r"^the change is accepted as version (\d+)$")]
+async fn accepted(w: &mut FleetWorld, version: u64) {
+    let reply = w.replies.last().unwrap();
+    assert_eq!((reply.result(), reply.version), (Applied::Accepted, version), "{reply:?}");
+}
+
+#[then(regex = r"^the change is refused because of (\S+)$")]
+async fn refused(w: &mut FleetWorld, field: String) {
+    let reply = w.replies.last().unwrap();
+    assert_eq!(reply.result(), Applied::Refused);
+    assert_eq!(reply.field, field);
+    assert!(!reply.remedy.is_empty());
+}
+
+#[when(regex = r"^operator (\w+) applies: (.*)$")]
+async fn applies(w: &mut FleetWorld, operation: String, document: String) {
+    let reply = w.fleet().apply(&operation, None, &document).await;
+    w.replies.push(reply);
+}
+
+#[then(regex = r"^every router has version (\d+) in force$")]
+async fn in_force(w: &mut FleetWorld, version: u64) {
+    let fleet = w.fleet();
+    for n in 0..fleet.site.routers {
+        in_force_at(fleet, n, version).await;
+    }
+}
+
+#[then(regex = r"^router (\d+) has version (\d+) in force$")]
+async fn in_force_on(w: &mut FleetWorld, router: u16, version: u64) {
+    in_force_at(w.fleet(), router - 1, version).await;
+}
+
+async fn in_force_at(fleet: &Fleet, router: u16, version: u64) {
+    let operator = fleet.site.router_operator(router);
+    until(&format!("version {version} on router {}", router + 1), async || {
+        fleet.status(operator).await.is_some_and(|s| s.version == version)
+    })
+    .await;
+}
+
+#[then(regex = r"^router (\d+) says that it is (stale|current)$")]
+async fn stale(w: &mut FleetWorld, router: u16, how: String) {
+    let fleet = w.fleet();
+    let operator = fleet.site.router_operator(router - 1);
+    until("the router says so", async || {
+        fleet.status(operator).await.is_some_and(|s| s.stale == (how == "stale"))
+    })
+    .await;
+}
+
+#[then("the request can be followed from admission to answer")]
+async fn explained(w: &mut FleetWorld) {
+    let trace = w.answers.last().unwrap().trace.clone();
+    let ask = w.fleet().site.router_operator(0);
+    let steps = bramblecrank::operator::explain(ask, &trace).await.unwrap();
+    let parts: Vec<_> = steps.iter().map(|s| s.part.as_str()).collect();
+    for part in ["admission", "dispatch", "delivery"] {
+        assert!(parts.contains(&part), "{part} is missing: {steps:?}");
+    }
+    assert!(steps.iter().any(|s| s.text.contains("least served")), "{steps:?}");
+}
+
+#[when(regex = r"^garbage is sent to the peer port of router (\d+)$")]
+async fn garbage(w: &mut FleetWorld, router: u16) {
+    use tokio::io::AsyncWriteExt;
+    let peer = w.fleet().site.router(router - 1).host.peer;
+    for frame in [&[0u8, 0, 0, 4, 255, 255, 255, 255][..], &[255; 64], b"GET / HTTP/1.1\r\n\r\n"] {
+        let mut stream = tokio::net::TcpStream::connect(peer).await.unwrap();
+        stream.write_all(frame).await.unwrap();
+    }
+    let udp = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    for size in [0, 1, 40, 1_400] {
+        udp.send_to(&vec![0xa5; size], peer).await.unwrap();
+    }
+}
+
+#[then(regex = r"^router (\d+) has logged (.+)$")]
+async fn logged(w: &mut FleetWorld, router: u16, text: String) {
+    let fleet = w.fleet();
+    until("the log line is written", async || {
+        fleet.log(&format!("router-{router}")).contains(&text)
+    })
+    .await;
+}
