--- a/bench/site.sh
+++ b/bench/site.sh
@@ -16,6 +16,8 @@
 [ "$1" = -- ] && shift
 rm -rf "$folder"
 "$bin" site "$site" --out "$folder" --base-port "$base" $alone >/dev/null
+# EDIT may change the files before anything starts.
+if [ -n "${EDIT:-}" ]; then (cd "$folder" && eval "$EDIT"); fi
 pids=()
 finish() {
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
@@ -25,6 +27,7 @@
 start() { # kind, settings name
   "$bin" --log-level "${LOG:-warn}" $1 --settings "$folder/$2.yaml" 2>"$folder/$2.log" &
   pids+=($!)
+  echo "$2 $!" >>"$folder/pids"
 }
 start "emulate platform" platform
 for file in "$folder"/engine-*.yaml; do start "emulate engine" "$(basename "$file" .yaml)"; done
--- /dev/null
+++ b/examples/slopes.rs
@@ -0,0 +1,302 @@
+//! Measures what each decision costs at several sizes, for `docs/CAPACITY.md`.
+//!
+//! Run with `cargo run --release --example slopes`. Figures are of one core of
+//! the machine at hand.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Instant;
+
+use bramblecrank::agree::{Entry, Payload, Persist};
+use bramblecrank::claim::{Attempt, Claim, Settlement, Table};
+use bramblecrank::config::{
+    Change, Config, Customer, CustomerId, Document, Endpoint, HallSet, History, ServiceId,
+};
+use bramblecrank::control::{Command, State};
+use bramblecrank::dispatch::{Decision, Dispatcher};
+use bramblecrank::member::Table as Members;
+use bramblecrank::store::Disk;
+use bramblecrank::wire::{
+    Beat, Ending, FromDispatcher, Heartbeat, HostId, Role, ToDispatcher, Want,
+};
+
+fn main() {
+    sizes();
+    dispatching();
+    members();
+    configuration();
+    claims();
+    disk();
+    restart();
+}
+
+fn row(name: &str, size: impl std::fmt::Display, value: f64, unit: &str) {
+    println!("| {name} | {size} | {value:.2} {unit} |");
+}
+
+fn title(text: &str) {
+    println!("\n### {text}\n\n| what | size | measured |\n| --- | --- | --- |");
+}
+
+fn bytes<T: serde::Serialize>(value: &T) -> f64 {
+    postcard::to_stdvec(value).map_or(0.0, |b| b.len() as f64)
+}
+
+fn want(seq: u64, customer: u32, prefix: usize) -> Want {
+    Want {
+        seq,
+        customer: CustomerId(customer),
+        input: 900,
+        start_within_ms: 60_000,
+        prefix: vec![u32::MAX; prefix],
+    }
+}
+
+fn beat(host: u16) -> Heartbeat {
+    Heartbeat {
+        host: HostId(host),
+        incarnation: 1_796_205_361_634,
+        role: Role::Router,
+        hall: "bkk-ratchada".into(),
+        peer: ([10, 0, 0, 1], 20_500 + host).into(),
+        operator: ([10, 0, 0, 1], 20_300).into(),
+        version: 123_456,
+        draining: false,
+        also: None,
+    }
+}
+
+fn sizes() {
+    title("Bytes of messages, without headers");
+    row("want, short prompt", 1, bytes(&ToDispatcher::Want(want(100_000, 15_000, 0))), "B");
+    row("want, long prompt", 1, bytes(&ToDispatcher::Want(want(100_000, 15_000, 4))), "B");
+    let grant = FromDispatcher::Grant {
+        seq: 100_000,
+        endpoint: bramblecrank::config::EndpointId(900),
+        charged: 1_500,
+        lead: 4_000,
+    };
+    row("grant", 1, bytes(&grant), "B");
+    let done = ToDispatcher::Done { seq: 100_000, units: 1_500, ending: Ending::Answered };
+    row("done", 1, bytes(&done), "B");
+    row("progress", 1, bytes(&ToDispatcher::Progress { seq: 100_000, units: 1_500 }), "B");
+    row("whole heartbeat", 1, bytes(&Beat::Whole(beat(7))), "B");
+    let brief = Beat::Brief {
+        host: HostId(7),
+        incarnation: 1_796_205_361_634,
+        version: 123_456,
+        draining: false,
+    };
+    row("brief heartbeat", 1, bytes(&brief), "B");
+}
+
+fn config(customers: u32, endpoints: u32) -> Config {
+    let mut document: Document =
+        serde_saphyr::from_str("{halls: [a], services: [{name: s}]}").expect("sound");
+    document.customers = (0..customers).map(customer).collect();
+    document.endpoints = (0..endpoints)
+        .map(|n| Endpoint {
+            name: format!("endpoint-{n}"),
+            service: "s".into(),
+            hall: "a".into(),
+            address: format!("10.1.{}.{}:8000", n / 250, n % 250),
+            slots: 16,
+            leaving: false,
+        })
+        .collect();
+    Config::default().apply(&document.changes()).expect("sound")
+}
+
+fn customer(n: u32) -> Customer {
+    let text = format!("{{name: customer-{n}, share: {}}}", n % 4 + 1);
+    serde_saphyr::from_str(&text).expect("sound")
+}
+
+/// Microseconds for a want, a grant and a report, with every customer backlogged.
+fn dispatching() {
+    title("Dispatcher: processor time a request (want, grant, done)");
+    for (customers, endpoints) in
+        [(10, 10), (100, 10), (1_900, 10), (100, 100), (100, 400), (100, 1_200), (1_900, 45)]
+    {
+        let mut dispatcher = Dispatcher::new(0, ServiceId(0), 1);
+        let config = Arc::new(config(customers, endpoints));
+        dispatcher.configure(0, config, &BTreeSet::new());
+        let join = ToDispatcher::Join { reach: HallSet::ALL, takeover: false, leads: vec![] };
+        dispatcher.receive(0, HostId(1), 1, join);
+        let mut decisions = Vec::new();
+        let mut seq = 0;
+        let mut ask = |dispatcher: &mut Dispatcher, customer: u32, now| {
+            seq += 1;
+            let want = ToDispatcher::Want(want(seq, customer, 0));
+            dispatcher.receive(now, HostId(1), 1, want)
+        };
+        for n in 0..(customers * 4 + endpoints * 20) {
+            decisions.extend(ask(&mut dispatcher, n % customers, 0));
+        }
+        let rounds = 20_000;
+        let start = Instant::now();
+        for round in 0..rounds {
+            let Some(Decision::Grant { seq, customer, .. }) = decisions.pop() else { continue };
+            let now = round / 100;
+            let done = ToDispatcher::Done { seq, units: 1_200, ending: Ending::Answered };
+            decisions.extend(dispatcher.receive(now, HostId(1), 1, done));
+            decisions.extend(ask(&mut dispatcher, customer.0, now));
+        }
+        let each = start.elapsed().as_secs_f64() * 1e6 / rounds as f64;
+        row("request", format!("{customers} backlogged, {endpoints} endpoints"), each, "µs");
+        let start = Instant::now();
+        for n in 0..50 {
+            dispatcher.tick(200 + n);
+        }
+        let each = start.elapsed().as_secs_f64() * 1e6 / 50.0;
+        row("tick (20 a second)", format!("{customers} backlogged"), each, "µs");
+    }
+}
+
+fn members() {
+    title("Members: processor time a heartbeat heard, and a view");
+    for hosts in [10u16, 50, 200, 340] {
+        let mut table = Members::new(beat(0), vec![]);
+        (1..hosts).for_each(|h| table.heard(0, Beat::Whole(beat(h))));
+        let start = Instant::now();
+        for round in 0..200 {
+            for h in 1..hosts {
+                let host = HostId(h);
+                let incarnation = 1_796_205_361_634;
+                let brief = Beat::Brief { host, incarnation, version: 1, draining: false };
+                table.heard(round, brief);
+            }
+        }
+        let beats = f64::from(hosts - 1) * 200.0;
+        row("heartbeat", hosts, start.elapsed().as_secs_f64() * 1e6 / beats, "µs");
+        let start = Instant::now();
+        (0..200).for_each(|_| drop(table.view(1)));
+        row("view", hosts, start.elapsed().as_secs_f64() * 1e6 / 200.0, "µs");
+    }
+}
+
+fn configuration() {
+    title("Configuration: size, and processor time of a change");
+    for customers in [100, 1_900, 19_000] {
+        let config = config(customers, 1_200);
+        row("whole", format!("{customers} customers"), bytes(&config) / 1_000.0, "KB");
+        let change = Change::PutCustomer(customer(5));
+        let mut history = History::starting_from(config);
+        let start = Instant::now();
+        for _ in 0..50 {
+            history.advance(vec![change.clone()]).expect("sound");
+        }
+        let each = start.elapsed().as_secs_f64() * 1e6 / 50.0;
+        row("change in place", format!("{customers} customers"), each, "µs");
+        let held = history.config().clone();
+        let start = Instant::now();
+        history.advance(vec![change.clone()]).expect("sound");
+        let each = start.elapsed().as_secs_f64() * 1e6;
+        drop(held);
+        row("change of a version in use", format!("{customers} customers"), each, "µs");
+    }
+    let delta = bramblecrank::config::Delta {
+        version: 123_456,
+        changes: vec![Change::PutCustomer(customer(5))],
+    };
+    row("delta", 1, bytes(&delta), "B");
+}
+
+fn claim(n: u64) -> Claim {
+    Claim {
+        customer: CustomerId(5),
+        key: format!("1796205361634-{n}"),
+        fingerprint: n,
+        attempt: Attempt { router: HostId(7), incarnation: 1_796_205_361_634, seq: n },
+    }
+}
+
+fn claims() {
+    title("Claims: size and processor time");
+    for count in [1_000u64, 10_000, 100_000] {
+        let mut table = Table::default();
+        let start = Instant::now();
+        for n in 0..count {
+            table.claim(n, &claim(n));
+            table.settle(n, &claim(n), Settlement::Answered(None));
+        }
+        let each = start.elapsed().as_secs_f64() * 1e6 / count as f64;
+        row("claim and settlement", count, each, "µs");
+        row("bytes a claim in a snapshot", count, bytes(&table) / count as f64, "B");
+    }
+    let entry = bytes(&Command::Claim { at_ms: 1_796_205_361_634, claim: claim(100_000) });
+    row("claim in the log", 1, entry, "B");
+}
+
+fn disk() {
+    title("Disk: append and sync");
+    let folder = std::env::temp_dir().join(format!("bramblecrank-slopes-{}", std::process::id()));
+    let (mut disk, _) = Disk::open(&folder).expect("a folder");
+    let mut index = 0;
+    for batch in [1u64, 10, 100, 1_000] {
+        let start = Instant::now();
+        for _ in 0..100 {
+            let entry =
+                |n| Entry { term: 1, index: index + n, payload: Payload::Data(vec![7; 70]) };
+            let entries = (1..=batch).map(entry).collect();
+            index += batch;
+            disk.write(&[Persist::Entries(entries)]).expect("written");
+        }
+        let each = start.elapsed().as_secs_f64() * 1e3 / 100.0;
+        row("sync", format!("{batch} entries"), each, "ms");
+    }
+    drop(disk);
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+/// From the folder's opening to the newest configuration.
+fn restart() {
+    title("Restart of a control host: reading and applying its log");
+    for (changes, snapshot_every) in [(500u64, 1_000u64), (50_000, 1_000), (50_000, u64::MAX)] {
+        let folder =
+            std::env::temp_dir().join(format!("bramblecrank-restart-{}", std::process::id()));
+        let (mut disk, _) = Disk::open(&folder).expect("a folder");
+        let mut state = State::default();
+        for index in 1..=changes {
+            let command = Command::Change {
+                operation: index.to_string(),
+                base: None,
+                changes: vec![if index == 1 {
+                    Change::AddHall("a".into())
+                } else {
+                    Change::PutCustomer(customer((index % 19_000) as u32))
+                }],
+            };
+            let payload = Payload::Data(postcard::to_stdvec(&command).expect("encoded"));
+            disk.write(&[Persist::Entries(vec![Entry { term: 1, index, payload }])])
+                .expect("written");
+            state.apply(command);
+            if index % snapshot_every == 0 {
+                let data = postcard::to_stdvec(&state).expect("encoded");
+                let snapshot =
+                    bramblecrank::agree::Snapshot { index, term: 1, members: vec![], data };
+                disk.write(&[Persist::Snapshot(snapshot)]).expect("written");
+            }
+        }
+        drop(disk);
+        let start = Instant::now();
+        let (_disk, found) = Disk::open(&folder).expect("a folder");
+        let mut state: State = match found.snapshot.data.is_empty() {
+            true => State::default(),
+            false => postcard::from_bytes(&found.snapshot.data).expect("decoded"),
+        };
+        for entry in &found.entries {
+            if let Payload::Data(data) = &entry.payload {
+                state.apply(postcard::from_bytes(data).expect("decoded"));
+            }
+        }
+        let took = start.elapsed().as_secs_f64() * 1e3;
+        assert_eq!(state.history().config().version, changes);
+        let every = match snapshot_every {
+            u64::MAX => "no snapshot".to_string(),
+            n => format!("snapshot every {n}"),
+        };
+        row("restart", format!("{changes} changes, {every}"), took, "ms");
+        let _ = std::fs::remove_dir_all(folder);
+    }
+}
--- /dev/null
+++ b/examples/spread.rs
@@ -0,0 +1,133 @@
+//! Measures how a configuration spreads over many hosts, and what heartbeats
+//! cost: small stand-ins of routers, each with its own ports and state, in one
+//! process. For `docs/CAPACITY.md`.
+//!
+//! Run with `cargo run --release --example spread -- HOSTS CUSTOMERS CHANGES`.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bramblecrank::config::{Change, Config, Customer, Document, History};
+use bramblecrank::peer::{Incoming, Peers};
+use bramblecrank::settings::HostSettings;
+use bramblecrank::spread::{self, Configs};
+use bramblecrank::wire::{HostId, Open, Role};
+use tokio::sync::mpsc;
+
+const FIRST_PORT: u16 = 10_000;
+
+struct Host {
+    peers: Arc<Peers>,
+    configs: Arc<Configs>,
+}
+
+#[tokio::main]
+async fn main() {
+    let mut arguments = std::env::args().skip(1).filter_map(|a| a.parse::<u32>().ok());
+    let hosts = arguments.next().unwrap_or(9) as u16;
+    let customers = arguments.next().unwrap_or(1);
+    let changes = arguments.next().unwrap_or(20);
+    let mut all = Vec::new();
+    for n in 0..=hosts {
+        all.push(start(n).await);
+    }
+    let control = &all[0];
+    let mut history = History::starting_from(first(customers));
+    control.configs.replace(history.clone());
+    wait(&all, 1).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let (sent, cpu, begun) = (bytes(&all), cpu_seconds(), Instant::now());
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let idle_s = begun.elapsed().as_secs_f64();
+    let idle_bytes = (bytes(&all) - sent) as f64 / idle_s / f64::from(hosts);
+    let idle_cpu = (cpu_seconds() - cpu) / idle_s / f64::from(hosts) * 100.0;
+    let (sent, begun) = (bytes(&all), Instant::now());
+    let mut times = Vec::new();
+    for n in 0..changes {
+        let name = format!("customer-{}", n % customers.max(1));
+        history.advance(vec![Change::PutCustomer(customer(&name))]).expect("sound");
+        control.configs.replace(history.clone());
+        times.extend(wait(&all, history.config().version).await);
+    }
+    let spent = begun.elapsed().as_secs_f64();
+    let changing = (bytes(&all) - sent) as f64;
+    let each =
+        (changing - idle_bytes * f64::from(hosts) * spent) / f64::from(changes * u32::from(hosts));
+    times.sort_by(f64::total_cmp);
+    let at = |part: f64| times[((times.len() - 1) as f64 * part) as usize];
+    println!("hosts {hosts}, customers {customers}, changes {changes}");
+    println!("  seconds to in force: p50 {:.3}, p99 {:.3}, max {:.3}", at(0.5), at(0.99), at(1.0));
+    println!("  bytes a change a host, beside heartbeats: {each:.0}");
+    println!("  idle: {idle_bytes:.0} bytes/s a host, {idle_cpu:.3} % of a core a host");
+}
+
+fn customer(name: &str) -> Customer {
+    serde_saphyr::from_str(&format!("{{name: {name}}}")).expect("sound")
+}
+
+fn first(customers: u32) -> Config {
+    let customers = (0..customers).map(|n| customer(&format!("customer-{n}"))).collect();
+    let document = Document { customers, ..Document::default() };
+    Config::default().apply(&document.changes()).expect("sound")
+}
+
+async fn start(n: u16) -> Host {
+    let address = |n: u16| ([127, 0, 0, 1], FIRST_PORT + n).into();
+    let settings = HostSettings {
+        name: format!("host-{n}"),
+        id: HostId(n + 1),
+        hall: "bkk-ratchada".into(),
+        peer: address(n),
+        seeds: (0..n).rev().take(2).map(address).collect(),
+    };
+    let role = if n == 0 { Role::Control } else { Role::Router };
+    let (peers, incoming) = Peers::start(&settings, role, address(n)).await.expect("a free port");
+    let configs = Arc::new(Configs::default());
+    tokio::spawn(answer(configs.clone(), incoming));
+    match n {
+        0 => tokio::spawn(spread::follow_version(configs.clone(), peers.clone())),
+        _ => tokio::spawn(spread::follow(configs.clone(), peers.clone())),
+    };
+    Host { peers, configs }
+}
+
+async fn answer(configs: Arc<Configs>, mut incoming: mpsc::Receiver<Incoming>) {
+    while let Some(Incoming { open, writer, .. }) = incoming.recv().await {
+        if let Open::Pull { have, .. } = open {
+            tokio::spawn(spread::answer_pull(configs.clone(), have, writer));
+        }
+    }
+}
+
+/// Seconds until each host has `version` in force.
+async fn wait(hosts: &[Host], version: u64) -> Vec<f64> {
+    let start = Instant::now();
+    let mut waits = Vec::new();
+    for host in &hosts[1..] {
+        let mut watch = host.configs.watch();
+        waits.push(tokio::spawn(async move {
+            while watch.borrow_and_update().version < version {
+                watch.changed().await.expect("the host runs");
+            }
+            start.elapsed().as_secs_f64()
+        }));
+    }
+    let mut times = Vec::new();
+    for wait in waits {
+        times.push(wait.await.expect("no panic"));
+    }
+    times
+}
+
+fn bytes(hosts: &[Host]) -> u64 {
+    hosts.iter().map(|h| h.peers.sent.get()).sum()
+}
+
+/// Processor seconds of this process so far.
+fn cpu_seconds() -> f64 {
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields: Vec<_> = stat.rsplit(' ').collect();
+    let all: Vec<_> = fields.into_iter().rev().collect();
+    let ticks = |at: usize| all.get(at).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+    (ticks(13) + ticks(14)) / 100.0
+}
--- a/src/agree.rs
+++ b/src/agree.rs
@@ -9,9 +9,9 @@
 
 mod log;
 mod message;
-mod node;
+mod replica;
 #[cfg(test)]
 mod tests;
 
 pub use message::*;
-pub use node::{ELECTION_MS, HEARTBEAT_MS, Node, NotLeader, Output, Persist, Role, Status};
+pub use replica::{ELECTION_MS, HEARTBEAT_MS, NotLeader, Output, Persist, Replica, Role, Status};
--- a/src/agree/tests.rs
+++ b/src/agree/tests.rs
@@ -44,7 +44,7 @@
 
 struct Store {
     disk: Disk,
-    node: Option<Node>,
+    replica: Option<Replica>,
     applied: Vec<Vec<u8>>,
 }
 
@@ -89,7 +89,7 @@
         };
         for id in 1..=size {
             let mut disk = Disk::default();
-            disk.write(&Node::founding(members.clone()));
+            disk.write(&Replica::founding(members.clone()));
             group.start(StoreId(id), disk);
         }
         group
@@ -102,29 +102,29 @@
             true => Vec::new(),
             false => postcard::from_bytes(&snapshot.data).unwrap(),
         };
-        let node = Node::new(self.now, id, hard, snapshot, entries, seed);
-        self.stores.insert(id, Store { disk, node: Some(node), applied });
+        let replica = Replica::new(self.now, id, hard, snapshot, entries, seed);
+        self.stores.insert(id, Store { disk, replica: Some(replica), applied });
     }
 
     fn crash(&mut self, id: StoreId) {
         if let Some(store) = self.stores.get_mut(&id) {
-            store.node = None;
+            store.replica = None;
         }
     }
 
     fn restart(&mut self, id: StoreId) {
-        let down = self.stores.get(&id).filter(|s| s.node.is_none());
+        let down = self.stores.get(&id).filter(|s| s.replica.is_none());
         if let Some(disk) = down.map(|s| s.disk.clone()) {
             self.start(id, disk);
         }
     }
 
-    fn with(&mut self, id: StoreId, f: impl FnOnce(&mut Node, u64) -> Output) {
+    fn with(&mut self, id: StoreId, f: impl FnOnce(&mut Replica, u64) -> Output) {
         let now = self.now;
-        let Some(node) = self.stores.get_mut(&id).and_then(|s| s.node.as_mut()) else {
+        let Some(replica) = self.stores.get_mut(&id).and_then(|s| s.replica.as_mut()) else {
             return;
         };
-        let out = f(node, now);
+        let out = f(replica, now);
         self.carry_out(id, out);
     }
 
@@ -141,7 +141,7 @@
             let first = self.committed.entry(entry.index).or_insert_with(|| entry.clone());
             assert_eq!(first, entry, "a committed entry was changed");
         }
-        let status = self.stores[&id].node.as_ref().unwrap().status();
+        let status = self.stores[&id].replica.as_ref().unwrap().status();
         if status.role == Role::Leader {
             let leader = *self.leaders.entry(status.term).or_insert(id);
             assert_eq!(leader, id, "two leaders in term {}", status.term);
@@ -153,11 +153,11 @@
         self.proposals += 1;
         let data = self.proposals.to_be_bytes().to_vec();
         let now = self.now;
-        let Some(node) = self.stores.get_mut(&id).and_then(|s| s.node.as_mut()) else {
+        let Some(replica) = self.stores.get_mut(&id).and_then(|s| s.replica.as_mut()) else {
             return;
         };
-        if let Ok((indexes, out)) = node.propose(now, vec![data]) {
-            let term = node.status().term;
+        if let Ok((indexes, out)) = replica.propose(now, vec![data]) {
+            let term = replica.status().term;
             self.accepted.push((id, term, indexes[0]));
             self.carry_out(id, out);
         }
@@ -165,15 +165,15 @@
 
     fn compact(&mut self, id: StoreId) {
         let Some(store) = self.stores.get(&id) else { return };
-        let Some(node) = &store.node else { return };
-        let commit = node.status().commit;
+        let Some(replica) = &store.replica else { return };
+        let commit = replica.status().commit;
         let data = postcard::to_stdvec(&store.applied).unwrap();
-        self.with(id, |node, _| node.compact(commit, data));
+        self.with(id, |replica, _| replica.compact(commit, data));
     }
 
     fn leader(&self) -> Option<StoreId> {
         let leads =
-            |s: &Store| s.node.as_ref().map(|n| n.status()).filter(|s| s.role == Role::Leader);
+            |s: &Store| s.replica.as_ref().map(|n| n.status()).filter(|s| s.role == Role::Leader);
         let leaders = self.stores.values().filter_map(leads);
         leaders.max_by_key(|s| s.term).map(|s| s.store)
     }
@@ -182,7 +182,7 @@
     fn step(&mut self) {
         self.now += 20;
         for id in self.stores.keys().copied().collect::<Vec<_>>() {
-            self.with(id, |node, now| node.tick(now));
+            self.with(id, |replica, now| replica.tick(now));
         }
         let arriving = self.network.len().div_ceil(2);
         for _ in 0..arriving {
@@ -194,7 +194,7 @@
             if self.rng.random_bool(self.loss / 2.0) {
                 self.network.push(envelope.clone());
             }
-            self.with(envelope.to, |node, now| node.receive(now, envelope));
+            self.with(envelope.to, |replica, now| replica.receive(now, envelope));
         }
     }
 
@@ -217,7 +217,7 @@
 
     fn voters(&self) -> Vec<StoreId> {
         let Some(leader) = self.leader() else { return Vec::new() };
-        let status = self.stores[&leader].node.as_ref().unwrap().status();
+        let status = self.stores[&leader].replica.as_ref().unwrap().status();
         status.members.iter().filter(|m| m.voter).map(|m| m.store).collect()
     }
 
@@ -268,7 +268,7 @@
 /// let it take the old one's place.
 fn replace(group: &mut Group, id: StoreId) {
     let Some(leader) = group.leader().filter(|l| *l != id) else { return };
-    let status = group.stores[&leader].node.as_ref().unwrap().status();
+    let status = group.stores[&leader].replica.as_ref().unwrap().status();
     let settled = status.members.iter().all(|m| m.voter && group.stores.contains_key(&m.store));
     // More lost disks than a minority cannot be survived by any protocol.
     if !settled || !status.members.iter().any(|m| m.store == id) {
@@ -278,8 +278,8 @@
     let mut members = status.members;
     members.push(member(fresh.0, false, Some(id)));
     let now = group.now;
-    let node = group.stores.get_mut(&leader).unwrap().node.as_mut().unwrap();
-    let Ok(Some(out)) = node.change_members(now, members) else { return };
+    let replica = group.stores.get_mut(&leader).unwrap().replica.as_mut().unwrap();
+    let Ok(Some(out)) = replica.change_members(now, members) else { return };
     group.carry_out(leader, out);
     group.stores.remove(&id);
     group.start(fresh, Disk::default());
@@ -344,13 +344,13 @@
     let (_, _, index) = *group.accepted.last().unwrap();
     group.run(300);
     assert!(!group.committed.contains_key(&index) || group.leader() != Some(old));
-    assert_ne!(group.stores[&old].node.as_ref().unwrap().status().role, Role::Leader);
+    assert_ne!(group.stores[&old].replica.as_ref().unwrap().status().role, Role::Leader);
     let new = group.leader().unwrap();
-    let term = group.stores[&new].node.as_ref().unwrap().status().term;
+    let term = group.stores[&new].replica.as_ref().unwrap().status().term;
     group.cut.clear();
     group.run(200);
     assert_eq!(group.leader(), Some(new));
-    assert_eq!(group.stores[&new].node.as_ref().unwrap().status().term, term);
+    assert_eq!(group.stores[&new].replica.as_ref().unwrap().status().term, term);
 }
 
 #[test]
@@ -376,7 +376,7 @@
     group.cut.insert((leader, StoreId(4)));
     replace(&mut group, lost);
     group.run(100);
-    let status = group.stores[&leader].node.as_ref().unwrap().status();
+    let status = group.stores[&leader].replica.as_ref().unwrap().status();
     assert!(!status.members.iter().find(|m| m.store == StoreId(4)).unwrap().voter);
     group.cut.clear();
     group.run(100);
@@ -392,10 +392,11 @@
 
 #[test]
 fn a_message_for_an_earlier_store_of_the_host_is_not_taken() {
-    let mut node = Node::new(0, StoreId(9), HardState::default(), Snapshot::default(), vec![], 1);
+    let mut replica =
+        Replica::new(0, StoreId(9), HardState::default(), Snapshot::default(), vec![], 1);
     let message = Message::Vote { pre: false, last_index: 1, last_term: 1 };
     let envelope = Envelope { from: StoreId(1), to: StoreId(3), term: 2, message };
-    assert_eq!(node.receive(0, envelope), Output::default());
+    assert_eq!(replica.receive(0, envelope), Output::default());
 }
 
 #[test]
@@ -403,18 +404,18 @@
     let mut group = Group::new(3, 11);
     group.run(150);
     let leader = group.leader().unwrap();
-    let node = group.stores.get_mut(&leader).unwrap().node.as_mut().unwrap();
-    let out = node.read(group.now, 5).unwrap();
+    let replica = group.stores.get_mut(&leader).unwrap().replica.as_mut().unwrap();
+    let out = replica.read(group.now, 5).unwrap();
     assert!(out.reads.is_empty());
     let replies: Vec<_> = out.messages.clone();
     for envelope in replies {
         let to = envelope.to;
         let now = group.now;
         let answer =
-            group.stores.get_mut(&to).unwrap().node.as_mut().unwrap().receive(now, envelope);
+            group.stores.get_mut(&to).unwrap().replica.as_mut().unwrap().receive(now, envelope);
         for back in answer.messages {
-            let node = group.stores.get_mut(&leader).unwrap().node.as_mut().unwrap();
-            if node.receive(now, back).reads == [5] {
+            let replica = group.stores.get_mut(&leader).unwrap().replica.as_mut().unwrap();
+            if replica.receive(now, back).reads == [5] {
                 return;
             }
         }
@@ -428,6 +429,6 @@
     group.run(150);
     let leader = group.leader().unwrap();
     group.propose(leader);
-    let node = group.stores.get_mut(&leader).unwrap().node.as_mut().unwrap();
-    assert_eq!(node.compact(0, vec![1]), Output::default());
+    let replica = group.stores.get_mut(&leader).unwrap().replica.as_mut().unwrap();
+    assert_eq!(replica.compact(0, vec![1]), Output::default());
 }
--- a/src/bin/bramblecrank/command.rs
+++ b/src/bin/bramblecrank/command.rs
@@ -5,14 +5,11 @@
 
 use bramblecrank::error::{Error, Result};
 use bramblecrank::load::{self, LoadFile, LoadReport};
-use bramblecrank::operator::{self, proto};
 use bramblecrank::{control, demo, emulate, router, settings, telemetry};
 use tokio_util::sync::CancellationToken;
 
 use crate::app::{App, Task};
-
-#[path = "operate.rs"]
-mod operate;
+use crate::operate;
 
 /// Runs the app in a runtime of its own.
 pub fn run(app: App) -> Result<()> {
--- a/src/bin/bramblecrank/main.rs
+++ b/src/bin/bramblecrank/main.rs
@@ -3,6 +3,7 @@
 mod app;
 mod clap_app;
 mod command;
+mod operate;
 
 use std::process::ExitCode;
 
--- a/src/bin/bramblecrank/operate.rs
+++ b/src/bin/bramblecrank/operate.rs
@@ -4,10 +4,13 @@
 use std::path::Path;
 
 use bramblecrank::config::{Config, Document};
+use bramblecrank::error::{Error, Result};
+use bramblecrank::operator::{self, proto};
+use bramblecrank::settings;
 use rand::RngExt;
 use serde_json::json;
 
-use super::{Error, Result, Task, operator, proto, settings};
+use crate::app::Task;
 
 /// Carries out an operator's command.
 pub async fn run(task: Task) -> Result<()> {
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -12,7 +12,7 @@
 use super::courier::Couriers;
 use super::state::{Command, Reply, State};
 use crate::agree::{
-    Entry, Envelope, GroupMember, Node, NotLeader, Output, Payload, Role, Status, StoreId,
+    Entry, Envelope, GroupMember, NotLeader, Output, Payload, Replica, Role, Status, StoreId,
 };
 use crate::error::Result;
 use crate::peer::Peers;
@@ -55,7 +55,7 @@
 #[derive(Clone, Debug)]
 pub struct DriverStatus {
     /// Of the state machine.
-    pub node: Status,
+    pub replica: Status,
     /// How far each store's log matches, on the leader.
     pub matched: BTreeMap<StoreId, u64>,
     /// Claims held.
@@ -149,13 +149,13 @@
     let seed = rand::rng().random();
     let state = restore(&found.snapshot.data);
     let applied = found.snapshot.index;
-    let node = Node::new(now, store, found.hard, found.snapshot, found.entries, seed);
+    let replica = Replica::new(now, store, found.hard, found.snapshot, found.entries, seed);
     let driver = Driver {
         couriers: Couriers::new(peers.clone()),
         peers,
         configs,
         disk,
-        node,
+        replica,
         state,
         applied,
         snapshot_at: applied,
@@ -182,7 +182,7 @@
     configs: Arc<Configs>,
     couriers: Couriers,
     disk: Disk,
-    node: Node,
+    replica: Replica,
     state: State,
     applied: u64,
     snapshot_at: u64,
@@ -207,7 +207,7 @@
                     self.events(batch)?;
                 }
                 _ = ticks.tick() => {
-                    let out = self.node.tick(self.peers.clock.now());
+                    let out = self.replica.tick(self.peers.clock.now());
                     self.carry_out(out)?;
                 }
             }
@@ -235,7 +235,7 @@
         match event {
             Event::Receive { envelope, host, peer } => {
                 self.couriers.learn(envelope.from, host, peer);
-                let out = self.node.receive(now, envelope);
+                let out = self.replica.receive(now, envelope);
                 self.carry_out(out)
             }
             Event::Propose(command, reply) => self.propose(vec![(command, reply)]),
@@ -244,8 +244,8 @@
             Event::Let { newcomer, reply } => self.let_in(newcomer, reply),
             Event::Status(reply) => {
                 let status = DriverStatus {
-                    node: self.node.status(),
-                    matched: self.node.matched(),
+                    replica: self.replica.status(),
+                    matched: self.replica.matched(),
                     claims: self.state.claims().len(),
                 };
                 // The asker may have left.
@@ -253,7 +253,7 @@
                 Ok(())
             }
             Event::Look(look, refuse) => {
-                let status = self.node.status();
+                let status = self.replica.status();
                 if status.role == Role::Leader {
                     look(&self.state);
                 } else {
@@ -274,9 +274,9 @@
                 replies.push(reply);
             }
         }
-        match self.node.propose(self.peers.clock.now(), data) {
+        match self.replica.propose(self.peers.clock.now(), data) {
             Ok((indexes, out)) => {
-                let term = self.node.status().term;
+                let term = self.replica.status().term;
                 let waiting = replies.into_iter().map(|reply| (term, reply));
                 self.waiting.extend(indexes.into_iter().zip(waiting));
                 self.carry_out(out)
@@ -293,7 +293,7 @@
     }
 
     fn no_leader(&self, not_leader: NotLeader) -> NoLeader {
-        let members = self.node.status().members;
+        let members = self.replica.status().members;
         let leader = members.into_iter().find(|m| Some(m.store) == not_leader.leader);
         leader.map_or(NoLeader::Unknown, |m| NoLeader::Elsewhere(m.host))
     }
@@ -301,7 +301,7 @@
     fn read(&mut self, reply: oneshot::Sender<Result<(), NoLeader>>) -> Result<()> {
         self.next_read += 1;
         let token = self.next_read;
-        match self.node.read(self.peers.clock.now(), token) {
+        match self.replica.read(self.peers.clock.now(), token) {
             Ok(out) => {
                 self.reads.insert(token, reply);
                 self.carry_out(out)
@@ -315,11 +315,11 @@
     }
 
     fn found(&mut self, members: Vec<GroupMember>) -> Result<()> {
-        if self.node.is_founded() {
+        if self.replica.is_founded() {
             return Ok(());
         }
         log::info!("control: founds the group with {} stores", members.len());
-        let records = Node::founding(members);
+        let records = Replica::founding(members);
         self.disk.write(&records)?;
         let mut hard = crate::agree::HardState::default();
         let mut entries = Vec::new();
@@ -334,7 +334,7 @@
         let seed = rand::rng().random();
         let store = self.disk.identity();
         let none = crate::agree::Snapshot::default();
-        self.node = Node::new(now, store, hard, none, entries, seed);
+        self.replica = Replica::new(now, store, hard, none, entries, seed);
         Ok(())
     }
 
@@ -343,13 +343,13 @@
         newcomer: GroupMember,
         reply: oneshot::Sender<Result<bool, NoLeader>>,
     ) -> Result<()> {
-        let mut members = self.node.status().members;
+        let mut members = self.replica.status().members;
         if members.iter().any(|m| m.store == newcomer.store) {
             let _ = reply.send(Ok(true));
             return Ok(());
         }
         members.push(newcomer);
-        let changed = self.node.change_members(self.peers.clock.now(), members);
+        let changed = self.replica.change_members(self.peers.clock.now(), members);
         let (answer, out) = match changed {
             Ok(Some(out)) => (Ok(true), out),
             Ok(None) => (Ok(false), Output::default()),
@@ -364,7 +364,7 @@
         if !out.persist.is_empty() {
             tokio::task::block_in_place(|| self.disk.write(&out.persist))?;
         }
-        let members = self.node.status().members;
+        let members = self.replica.status().members;
         self.couriers.send(&members, out.messages);
         if let Some(snapshot) = out.restore {
             self.state = restore(&snapshot.data);
@@ -418,7 +418,7 @@
         };
         self.snapshot_at = self.applied;
         log::info!("store: snapshot at entry {}, {} bytes", self.applied, data.len());
-        let out = self.node.compact(self.applied, data);
+        let out = self.replica.compact(self.applied, data);
         tokio::task::block_in_place(|| self.disk.write(&out.persist))
     }
 
@@ -427,7 +427,7 @@
         if self.waiting.is_empty() && self.reads.is_empty() {
             return;
         }
-        if self.node.status().role == Role::Leader {
+        if self.replica.status().role == Role::Leader {
             return;
         }
         for (_, (_, reply)) in std::mem::take(&mut self.waiting) {
--- a/src/control/found.rs
+++ b/src/control/found.rs
@@ -23,7 +23,7 @@
     }
     loop {
         match control.handle.status().await {
-            Some(status) if !status.node.members.is_empty() => return,
+            Some(status) if !status.replica.members.is_empty() => return,
             Some(_) => {}
             None => return,
         }
--- a/src/control/serve.rs
+++ b/src/control/serve.rs
@@ -96,7 +96,7 @@
         host: control.peers.me,
         peer: control.settings.host.peer,
         store: control.handle.store,
-        founded: status.is_some_and(|s| !s.node.members.is_empty()),
+        founded: status.is_some_and(|s| !s.replica.members.is_empty()),
     }
 }
 
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -133,21 +133,11 @@
         resend: 0.3,
         ..customer("market-traders", 2, Arrival::Open(20.0), 1.0, &[])
     };
-    LoadFile {
-        name: "demo".into(),
-        routers: (0..site.routers).map(|r| site.callers(r)).collect(),
-        endpoints: (0..site.engines).map(|e| site.engine(e)).collect(),
-        ledgers: (0..site.services).map(|s| site.service(s)).collect(),
-        duration_s: seconds as f64,
-        warmup_s: 2.0,
-        seed: 1,
-        input_weight: 1,
-        output_weight: 2,
-        customers: vec![
-            customer("harbour-agents", 4, Arrival::Closed(80), 120.0, &[0]),
-            customer("truck-drivers", 2, Arrival::Closed(80), 120.0, &[]),
-            customer("passenger-chat", 4, Arrival::Open(5.0), 40.0, &[1]),
-            seats,
-        ],
-    }
+    let customers = vec![
+        customer("harbour-agents", 4, Arrival::Closed(80), 120.0, &[0]),
+        customer("truck-drivers", 2, Arrival::Closed(80), 120.0, &[]),
+        customer("passenger-chat", 4, Arrival::Open(5.0), 40.0, &[1]),
+        seats,
+    ];
+    LoadFile::for_site("demo", site, seconds, customers)
 }
--- a/src/dispatch/account.rs
+++ b/src/dispatch/account.rs
@@ -89,6 +89,10 @@
         self.backlog.iter().map(|(_, id)| (*id, &self.by_id[id]))
     }
 
+    pub fn backlogged_count(&self) -> usize {
+        self.backlog.len()
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = (CustomerId, &Account)> {
         self.by_id.iter().map(|(id, account)| (*id, account))
     }
--- a/src/dispatch/client.rs
+++ b/src/dispatch/client.rs
@@ -226,8 +226,9 @@
         if request.phase != Phase::Waiting {
             return None;
         }
+        let customer = request.customer;
         self.open.remove(&seq);
-        self.session.map(|_| ToDispatcher::Cancel { seq })
+        self.session.map(|_| ToDispatcher::Cancel { seq, customer })
     }
 
     fn open_leads(&self) -> Vec<(CustomerId, u64)> {
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -1,12 +1,16 @@
 //! The dispatcher of one service.
 
+mod refusal;
+mod service;
+mod session;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use super::Millis;
-use super::account::{Accounts, VIRTUAL_SCALE, Waiting, blend};
+use super::account::{Accounts, VIRTUAL_SCALE, Waiting};
 use super::capacity::{Capacity, EndpointLoad};
-use super::estimate::{SlotRate, queued_units, wait_ms};
+use super::estimate::{FairOrder, SlotRate};
 use crate::config::{Config, CustomerId, EndpointId, HallSet, ServiceId};
 use crate::wire::{Ending, HostId, RefuseReason, ToDispatcher, Want};
 
@@ -132,6 +136,7 @@
     sessions: BTreeMap<HostId, Session>,
     granted: BTreeMap<(HostId, u64), Granted>,
     rate: SlotRate,
+    order: FairOrder,
     mean_output: Option<f64>,
     recovering_until: Option<Millis>,
     arrivals: u64,
@@ -150,6 +155,7 @@
             sessions: BTreeMap::new(),
             granted: BTreeMap::new(),
             rate: SlotRate::default(),
+            order: FairOrder::default(),
             mean_output: None,
             recovering_until: None,
             arrivals: 0,
@@ -200,7 +206,9 @@
             ToDispatcher::Done { seq, units, ending } => {
                 self.done(now, router, seq, units, ending, &mut out);
             }
-            ToDispatcher::Cancel { seq } => self.cancel(router, seq),
+            ToDispatcher::Cancel { seq, customer } => {
+                self.accounts.remove_if(customer, router, |w| w.seq == seq);
+            }
         }
         self.serve(now, &mut out);
         out
@@ -249,73 +257,12 @@
         }
     }
 
-    fn notice_stall(&mut self, now: Millis) -> Vec<Decision> {
-        let stalled_ms = now.saturating_sub(self.last_step);
-        self.last_step = self.last_step.max(now);
-        if stalled_ms < THAW_MS || self.sessions.is_empty() {
-            return Vec::new();
-        }
-        self.accounts = Accounts::default();
-        self.sessions.clear();
-        self.granted.clear();
-        self.capacity.release_all();
-        self.recovering_until = None;
-        vec![Decision::Reset { stalled_ms }]
-    }
-
-    fn join(
-        &mut self,
-        now: Millis,
-        router: HostId,
-        session: u64,
-        reach: HallSet,
-        takeover: bool,
-        leads: Vec<(CustomerId, u64)>,
-    ) {
-        if self.sessions.get(&router).is_some_and(|s| s.number >= session) {
-            return;
-        }
-        if takeover && self.sessions.is_empty() {
-            self.recovering_until = Some(now + RECOVERY_MS);
-        }
-        self.drop_grants_of(router);
-        self.accounts.drop_router(router);
-        let joined = Session { number: session, reach, lost_at: None };
-        self.sessions.insert(router, joined);
-        if self.recovering_until.is_some() {
-            self.adopt_leads(leads);
-        }
-    }
-
-    fn adopt_leads(&mut self, leads: Vec<(CustomerId, u64)>) {
-        for (customer, lead) in leads {
-            let counter = lead.saturating_mul(VIRTUAL_SCALE);
-            let account = self.accounts.entry(customer);
-            account.known = true;
-            let counter = account.counter.max(counter);
-            self.accounts.set_counter(customer, counter);
-        }
-    }
-
-    fn end_recovery(&mut self, now: Millis) {
-        if self.recovering_until.is_some_and(|until| now >= until) {
-            self.recovering_until = None;
-            self.accounts.settle_recovery();
-        }
-    }
-
-    fn set_reach(&mut self, router: HostId, reach: HallSet) {
-        if let Some(session) = self.sessions.get_mut(&router) {
-            session.reach = reach;
-        }
-    }
-
     fn want(&mut self, now: Millis, router: HostId, want: Want, out: &mut Vec<Decision>) {
         if self.granted.contains_key(&(router, want.seq)) {
             return;
         }
         let reach = self.sessions.get(&router).map_or(HallSet::ALL, |s| s.reach);
-        let refusal = self.refusal(now, reach, &want);
+        let refusal = self.refusal(reach, &want);
         if let Some((reason, retry_after_ms, hold_ms)) = refusal {
             out.push(Decision::Refuse {
                 router,
@@ -339,274 +286,4 @@
         let lift = self.recovering_until.is_none();
         self.accounts.push(now, want.customer, router, waiting, lift);
     }
-
-    fn refusal(
-        &self,
-        now: Millis,
-        reach: HallSet,
-        want: &Want,
-    ) -> Option<(RefuseReason, u32, u32)> {
-        // A dispatcher that does not know the service yet is behind its routers.
-        let knows = self.config.services.contains_key(&self.service);
-        if knows && !self.capacity.serves(reach) {
-            return Some((RefuseReason::NoEndpoint, BLIND_RETRY_MS, 0));
-        }
-        let waiting = self.accounts.get(want.customer).map_or(0, |a| a.waiting);
-        let limit = self.config.customers.get(&want.customer).map_or(u32::MAX, |c| c.max_waiting);
-        let queue_ms = self.queue_ms(now, want.customer);
-        if waiting >= limit {
-            let quarter = queue_ms.map_or(f64::from(BLIND_RETRY_MS), |ms| ms / 4.0);
-            let hold = quarter.min(MAX_HOLD_MS) as u32;
-            return Some((RefuseReason::QueueFull, retry_ms(quarter), hold));
-        }
-        let late = queue_ms? - f64::from(want.start_within_ms);
-        let hold = late.min(MAX_HOLD_MS) as u32;
-        (late > 0.0).then(|| (RefuseReason::DeadlineUnmet, retry_ms(late), hold))
-    }
-
-    /// Milliseconds until all that a customer has waiting has started.
-    fn queue_ms(&self, now: Millis, customer: CustomerId) -> Option<f64> {
-        let rate = self.rate.of(self.capacity.slots())?;
-        let units = queued_units(&self.accounts, customer, self.mean_output);
-        let mean = self.mean_output;
-        Some(wait_ms(&self.accounts, &self.config, now, customer, units, rate, mean))
-    }
-
-    fn running(
-        &mut self,
-        now: Millis,
-        router: HostId,
-        seq: u64,
-        customer: CustomerId,
-        endpoint: EndpointId,
-        units: u32,
-    ) {
-        let charged = units.max(self.predicted(customer, 0));
-        let granted = Granted { customer, endpoint, input: 0, charged, since: now };
-        if self.granted.insert((router, seq), granted).is_none() {
-            self.capacity.acquire(endpoint, &[]);
-        }
-    }
-
-    fn progress(&mut self, router: HostId, seq: u64, units: u32) {
-        let Some(granted) = self.granted.get_mut(&(router, seq)) else {
-            return;
-        };
-        if units <= granted.charged {
-            return;
-        }
-        let more = units - granted.charged;
-        granted.charged = units;
-        let customer = granted.customer;
-        self.charge(customer, more);
-    }
-
-    fn done(
-        &mut self,
-        now: Millis,
-        router: HostId,
-        seq: u64,
-        units: u32,
-        ending: Ending,
-        out: &mut Vec<Decision>,
-    ) {
-        let Some(granted) = self.granted.remove(&(router, seq)) else {
-            return;
-        };
-        self.capacity.release(granted.endpoint);
-        self.settle(&granted, units);
-        match ending {
-            Ending::Answered => self.learn(now, router, &granted, units),
-            Ending::Unused => {}
-            Ending::Failed => {
-                let for_ms = self.capacity.failed(now, router, granted.endpoint);
-                let endpoint = granted.endpoint;
-                out.push(Decision::LeftOut { router, endpoint, for_ms });
-            }
-        }
-    }
-
-    fn settle(&mut self, granted: &Granted, units: u32) {
-        if units >= granted.charged {
-            self.charge(granted.customer, units - granted.charged);
-            return;
-        }
-        let refund = self.virtual_units(granted.customer, granted.charged - units);
-        let counter = self.accounts.entry(granted.customer).counter;
-        self.accounts.set_counter(granted.customer, counter.saturating_sub(refund));
-    }
-
-    fn learn(&mut self, now: Millis, router: HostId, granted: &Granted, units: u32) {
-        self.capacity.answered(router, granted.endpoint);
-        self.rate.learn(units, now.saturating_sub(granted.since));
-        if let Some(mean_ms) = self.rate.mean_ms() {
-            self.capacity.keep_full(mean_ms);
-        }
-        let output = units.saturating_sub(granted.input);
-        self.mean_output = Some(blend(self.mean_output, output));
-        self.accounts.entry(granted.customer).learn_output(output);
-    }
-
-    fn cancel(&mut self, router: HostId, seq: u64) {
-        let holds = |(id, a): (CustomerId, &super::account::Account)| {
-            let queue = a.queues.get(&router)?;
-            queue.iter().any(|w| w.seq == seq).then_some(id)
-        };
-        let found = self.accounts.backlogged().find_map(holds);
-        if let Some(customer) = found {
-            self.accounts.remove_if(customer, router, |w| w.seq == seq);
-        }
-    }
-
-    fn drop_grants_of(&mut self, router: HostId) {
-        let of_router = self.granted.range((router, 0)..=(router, u64::MAX));
-        let keys: Vec<_> = of_router.map(|(key, _)| *key).collect();
-        for key in keys {
-            if let Some(granted) = self.granted.remove(&key) {
-                self.capacity.release(granted.endpoint);
-            }
-        }
-    }
-
-    fn free_orphans(&mut self, now: Millis) {
-        let expired = |(router, s): (&HostId, &Session)| {
-            let lost_at = s.lost_at?;
-            (now >= lost_at + ORPHAN_MS).then_some(*router)
-        };
-        let routers: Vec<_> = self.sessions.iter().filter_map(expired).collect();
-        for router in routers {
-            self.drop_grants_of(router);
-            self.capacity.forget_router(router);
-            self.sessions.remove(&router);
-        }
-    }
-
-    fn give_up(&mut self, now: Millis, out: &mut Vec<Decision>) {
-        let customers: Vec<_> = self.accounts.backlogged().map(|(id, _)| id).collect();
-        for customer in customers {
-            let queue_ms = self.queue_ms(now, customer);
-            self.give_up_of(now, customer, queue_ms, out);
-        }
-    }
-
-    fn give_up_of(
-        &mut self,
-        now: Millis,
-        customer: CustomerId,
-        queue_ms: Option<f64>,
-        out: &mut Vec<Decision>,
-    ) {
-        let Some(account) = self.accounts.get(customer) else {
-            return;
-        };
-        let routers: Vec<_> = account.queues.iter().map(|(r, q)| (*r, q.len())).collect();
-        for (router, length) in routers {
-            let step = queue_ms.unwrap_or(0.0) / length as f64 / GIVE_UP_FACTOR;
-            let mut ahead = 0.0;
-            let late = |w: &Waiting| {
-                let left = w.start_by.saturating_sub(now) as f64;
-                let hopeless = left == 0.0 || ahead > left;
-                if !hopeless {
-                    ahead += step;
-                }
-                hopeless
-            };
-            for request in self.accounts.remove_if(customer, router, late) {
-                out.push(Decision::Refuse {
-                    router,
-                    seq: request.seq,
-                    customer,
-                    reason: RefuseReason::DeadlineUnmet,
-                    retry_after_ms: retry_ms(queue_ms.unwrap_or(f64::from(BLIND_RETRY_MS))),
-                    hold_ms: 0,
-                });
-            }
-        }
-    }
-
-    fn serve(&mut self, now: Millis, out: &mut Vec<Decision>) {
-        if self.recovering_until.is_some() {
-            return;
-        }
-        while self.capacity.has_room() {
-            let Some((customer, router, endpoint)) = self.choose(now) else {
-                return;
-            };
-            let Some(request) = self.accounts.pop(customer, router) else {
-                return;
-            };
-            out.push(self.grant(now, customer, router, endpoint, request));
-        }
-    }
-
-    /// The least served customer with a request that an endpoint can take.
-    fn choose(&self, now: Millis) -> Option<(CustomerId, HostId, EndpointId)> {
-        for (customer, account) in self.accounts.backlogged() {
-            for router in account.heads() {
-                let reach = self.sessions.get(&router)?.reach;
-                let head = account.queues.get(&router)?.front()?;
-                let picked = self.capacity.pick(now, router, reach, &head.prefix);
-                if let Some(endpoint) = picked {
-                    return Some((customer, router, endpoint));
-                }
-            }
-        }
-        None
-    }
-
-    fn grant(
-        &mut self,
-        now: Millis,
-        customer: CustomerId,
-        router: HostId,
-        endpoint: EndpointId,
-        request: Waiting,
-    ) -> Decision {
-        let floor = self.accounts.floor();
-        let before = self.accounts.entry(customer).counter;
-        let waited = Waited {
-            ms: now.saturating_sub(request.since),
-            backlogged: self.accounts.backlogged().count(),
-            lead_before: before.saturating_sub(floor) / VIRTUAL_SCALE,
-        };
-        self.accounts.advance(before);
-        let charged = self.predicted(customer, request.input);
-        self.charge(customer, charged);
-        let patience_ms = self.capacity.grant_patience(endpoint);
-        self.capacity.acquire(endpoint, &request.prefix);
-        let after = self.accounts.entry(customer).counter;
-        let granted = Granted { customer, endpoint, input: request.input, charged, since: now };
-        self.granted.insert((router, request.seq), granted);
-        Decision::Grant {
-            router,
-            seq: request.seq,
-            customer,
-            endpoint,
-            charged,
-            lead: after.saturating_sub(self.accounts.floor()) / VIRTUAL_SCALE,
-            patience_ms,
-            waited,
-        }
-    }
-
-    fn predicted(&self, customer: CustomerId, input: u32) -> u32 {
-        let own = self.accounts.get(customer).and_then(|a| a.mean_output);
-        let output = own.or(self.mean_output).unwrap_or(0.0);
-        input.saturating_add(output as u32)
-    }
-
-    fn virtual_units(&self, customer: CustomerId, units: u32) -> u64 {
-        let share = self.config.customers.get(&customer).map_or(1, |c| c.share.max(1));
-        u64::from(units) * VIRTUAL_SCALE / u64::from(share)
-    }
-
-    fn charge(&mut self, customer: CustomerId, units: u32) {
-        let more = self.virtual_units(customer, units);
-        let counter = self.accounts.entry(customer).counter;
-        self.accounts.set_counter(customer, counter.saturating_add(more));
-    }
-}
-
-fn retry_ms(ms: f64) -> u32 {
-    ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS) as u32
 }
--- a/src/dispatch/estimate.rs
+++ b/src/dispatch/estimate.rs
@@ -48,32 +48,64 @@
     account.waiting_input as f64 + output * f64::from(account.waiting)
 }
 
-/// Milliseconds until `units` of a customer are served in fair order, beside
-/// what the others have waiting. Those backlogged for long count at their full
-/// share, others only with what they have.
-pub(super) fn wait_ms(
-    accounts: &Accounts,
-    config: &Config,
-    now: Millis,
-    id: CustomerId,
+/// What all backlogged customers want, as of one moment, so that one customer's
+/// wait in fair order is found without looking at the others.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FairOrder {
+    /// Shares of customers backlogged for long; they are taken to stay so.
+    persistent_share: f64,
+    /// The others by units over share: that ratio, and units and shares of all
+    /// up to it.
+    others: Vec<Point>,
+    others_share: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Point {
+    ratio: f64,
     units: f64,
-    rate: f64,
-    mean: Option<f64>,
-) -> f64 {
-    let share = |id: CustomerId| config.customers.get(&id).map_or(1, |c| c.share);
-    let own = f64::from(share(id));
-    let mut total = units;
-    for (other, account) in accounts.backlogged() {
-        if other == id {
-            continue;
+    share: f64,
+}
+
+impl FairOrder {
+    /// The order of all that is waiting now.
+    pub fn of(accounts: &Accounts, config: &Config, now: Millis, mean: Option<f64>) -> FairOrder {
+        let mut order = FairOrder::default();
+        for (id, account) in accounts.backlogged() {
+            let share = share_of(config, id);
+            let since = account.backlogged_since.unwrap_or(now);
+            if now.saturating_sub(since) >= PERSISTENT_MS {
+                order.persistent_share += share;
+                continue;
+            }
+            let units = queued_units(accounts, id, mean);
+            order.others_share += share;
+            order.others.push(Point { ratio: units / share, units, share });
+        }
+        order.others.sort_by(|a, b| a.ratio.total_cmp(&b.ratio));
+        let (mut units, mut share) = (0.0, 0.0);
+        for point in &mut order.others {
+            units += point.units;
+            share += point.share;
+            (point.units, point.share) = (units, share);
         }
-        let fair = units * f64::from(share(other)) / own;
-        let since = account.backlogged_since.unwrap_or(now);
-        let persistent = now.saturating_sub(since) >= PERSISTENT_MS;
-        total += match persistent {
-            true => fair,
-            false => fair.min(queued_units(accounts, other, mean)),
-        };
+        order
     }
-    total / rate
+
+    /// Units served until `units` of a customer with this share are: others get
+    /// as much over their share, but no more than they have waiting unless they
+    /// are backlogged for long.
+    pub fn units_until(&self, units: f64, share: f64) -> f64 {
+        let ratio = units / share;
+        let served = self.others.partition_point(|p| p.ratio <= ratio);
+        let below = served.checked_sub(1).map(|at| self.others[at]);
+        let (whole, share_below) = below.map_or((0.0, 0.0), |p| (p.units, p.share));
+        let partly = ratio * (self.others_share - share_below);
+        (ratio * self.persistent_share + whole + partly).max(units)
+    }
+}
+
+/// A customer's share.
+pub(super) fn share_of(config: &Config, id: CustomerId) -> f64 {
+    config.customers.get(&id).map_or(1.0, |c| f64::from(c.share.max(1)))
 }
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -1,5 +1,6 @@
 //! The dispatcher alone, and together with routers over sessions that break.
 
+mod estimate;
 mod fleet;
 mod properties;
 
--- a/src/load/file.rs
+++ b/src/load/file.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::{Error, Result};
+use crate::site::Site;
 
 /// A scripted load.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -36,6 +37,10 @@
     /// Units of one generated token.
     #[serde(default = "default_output_weight")]
     pub output_weight: u32,
+    /// Whether `routers` are endpoints, called straight: what routers add is the
+    /// difference.
+    #[serde(default)]
+    pub direct: bool,
     /// Who sends what.
     pub customers: Vec<LoadCustomer>,
 }
@@ -140,6 +145,28 @@
 }
 
 impl LoadFile {
+    /// A load on all routers, engines and services of a sample site.
+    pub fn for_site(
+        name: &str,
+        site: &Site,
+        seconds: u64,
+        customers: Vec<LoadCustomer>,
+    ) -> LoadFile {
+        LoadFile {
+            name: name.into(),
+            routers: (0..site.routers).map(|r| site.callers(r)).collect(),
+            endpoints: (0..site.engines).map(|e| site.engine(e)).collect(),
+            ledgers: (0..site.services).map(|s| site.service(s)).collect(),
+            duration_s: seconds as f64,
+            warmup_s: default_warmup(),
+            seed: default_seed(),
+            input_weight: default_input_weight(),
+            output_weight: default_output_weight(),
+            direct: false,
+            customers,
+        }
+    }
+
     /// Checks what parsing cannot.
     pub fn check(&self) -> Result<()> {
         let wrong = |field: &str, problem: &str, remedy: &str| Error::Invalid {
--- a/src/load/issue.rs
+++ b/src/load/issue.rs
@@ -18,6 +18,8 @@
 
 /// Units of a call to a plain service, in milliseconds of a slot.
 const PLAIN_UNITS: u64 = 20;
+/// How long a request is under way before it counts as waiting.
+const WAITS_AFTER: Duration = Duration::from_millis(400);
 /// How long any answer may take before the request counts as lost.
 const LOST_AFTER: Duration = Duration::from_secs(300);
 
@@ -47,14 +49,36 @@
     Other,
 }
 
-/// Counts a request as waiting until its first byte, however it ends.
-struct Waiting<'a>(&'a Observations, usize, bool);
+/// Counts a request as waiting from [`WAITS_AFTER`] until its first byte,
+/// however it ends. Before that it may just be under way.
+struct Waiting<'a> {
+    seen: &'a Observations,
+    customer: usize,
+    counted: bool,
+}
 
 impl Waiting<'_> {
+    fn begin(&mut self) {
+        self.counted = true;
+        add(&self.seen.customers[self.customer].waiting, 1);
+    }
+
     fn end(&mut self) {
-        if std::mem::take(&mut self.2) {
-            self.0.customers[self.1].waiting.fetch_sub(1, Ordering::Relaxed);
+        if std::mem::take(&mut self.counted) {
+            self.seen.customers[self.customer].waiting.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Passes a future on, and begins to count when it takes long.
+    async fn during<T>(&mut self, future: impl Future<Output = T>) -> T {
+        tokio::pin!(future);
+        if !self.counted {
+            match tokio::time::timeout(WAITS_AFTER, &mut future).await {
+                Ok(done) => return done,
+                Err(_) => self.begin(),
+            }
         }
+        future.await
     }
 }
 
@@ -73,11 +97,10 @@
 ) -> Ended {
     let counters = &seen.customers[issue.customer];
     add(&counters.sent, 1);
-    add(&counters.waiting, 1);
-    let mut waiting = Waiting(seen, issue.customer, true);
+    let mut waiting = Waiting { seen, customer: issue.customer, counted: false };
     let sent = Instant::now();
     let request = request(file, issue);
-    let answer = tokio::time::timeout(LOST_AFTER, client.send(request)).await;
+    let answer = waiting.during(tokio::time::timeout(LOST_AFTER, client.send(request))).await;
     let Ok(Ok(response)) = answer else {
         add(&seen.lost, 1);
         if let Some(key) = &issue.key {
@@ -85,7 +108,8 @@
         }
         return Ended::Other;
     };
-    let outcome = header::text(response.headers(), header::OUTCOME).unwrap_or("none").to_string();
+    let unsaid = if file.direct { "answered" } else { "none" };
+    let outcome = header::text(response.headers(), header::OUTCOME).unwrap_or(unsaid).to_string();
     if let Some(key) = &issue.key {
         seen.tell(key, |told| match outcome.as_str() {
             "answered" => told.answered += 1,
@@ -132,6 +156,7 @@
     let customer = &file.customers[issue.customer];
     let router = file.routers[issue.router];
     let (path, body) = match &customer.path {
+        Some(path) if file.direct => (path.clone(), json!({"seat": issue.key})),
         Some(path) => (format!("/{}{path}", customer.service), json!({"seat": issue.key})),
         None => ("/v1/chat/completions".to_string(), chat(customer, issue)),
     };
@@ -186,7 +211,7 @@
     let replayed = response.headers().contains_key(header::REPLAYED);
     let trace = header::text(response.headers(), header::TRACE).map(String::from);
     let echoed = header::text(response.headers(), header::REQUEST).map(String::from);
-    if !replayed && echoed.is_some() && echoed != trace {
+    if !replayed && !file.direct && echoed.is_some() && echoed != trace {
         add(&seen.crossed, 1);
         return false;
     }
--- a/src/operator/control.rs
+++ b/src/operator/control.rs
@@ -112,7 +112,7 @@
 
     async fn group(&self) -> Option<proto::GroupStatus> {
         let status = self.0.handle.status().await?;
-        let node = status.node;
+        let replica = status.replica;
         let member = |m: &GroupMember| proto::GroupMember {
             store: m.store.to_string(),
             host: m.host.0.into(),
@@ -121,13 +121,13 @@
             matched: status.matched.get(&m.store).copied().unwrap_or(0),
         };
         Some(proto::GroupStatus {
-            store: node.store.to_string(),
-            state: format!("{:?}", node.role).to_lowercase(),
-            term: node.term,
-            leader: node.leader.map(|l| l.to_string()).unwrap_or_default(),
-            commit: node.commit,
-            last: node.last,
-            members: node.members.iter().map(member).collect(),
+            store: replica.store.to_string(),
+            state: format!("{:?}", replica.role).to_lowercase(),
+            term: replica.term,
+            leader: replica.leader.map(|l| l.to_string()).unwrap_or_default(),
+            commit: replica.commit,
+            last: replica.last,
+            members: replica.members.iter().map(member).collect(),
             claims: status.claims as u64,
         })
     }
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -210,6 +210,8 @@
     Cancel {
         /// Number of the request.
         seq: u64,
+        /// Whose it is.
+        customer: CustomerId,
     },
 }
 
--- a/tests/scenarios/loads.rs
+++ b/tests/scenarios/loads.rs
@@ -58,16 +58,5 @@
         "light" => vec![chat(site, "pilgrim-groups", 1, closed(4), &[])],
         other => panic!("no load is called {other}"),
     };
-    LoadFile {
-        name: name.into(),
-        routers: (0..site.routers).map(|r| site.callers(r)).collect(),
-        endpoints: (0..site.engines).map(|e| site.engine(e)).collect(),
-        ledgers: (0..site.services).map(|s| site.service(s)).collect(),
-        duration_s: seconds as f64,
-        warmup_s: 2.0,
-        seed: 1,
-        input_weight: 1,
-        output_weight: 2,
-        customers,
-    }
+    LoadFile::for_site(name, site, seconds, customers)
 }
