--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -168,22 +168,28 @@
 #[test]
 fn a_cost_known_only_at_the_end_is_settled() {
     let mut bench = Bench::new(config(&[1, 1], &[(0, 1)], 100));
-    for _ in 0..10 {
-        bench.want(0, 1);
-        bench.want(1, 1);
+    let mut running: Vec<_> = Vec::new();
+    for _ in 0..20 {
+        running.extend(grants(&bench.want(0, 1)));
+        running.extend(grants(&bench.want(1, 1)));
     }
-    // Customer 0's first request turns out to cost a thousand times more.
-    let next = grants(&bench.done(1, 1_000));
-    let mut order: Vec<_> = next.iter().map(|g| g.0).collect();
-    let mut running: Vec<_> = std::iter::once(2).chain(next.iter().map(|g| g.1)).collect();
-    for _ in 0..6 {
-        let seq = running.remove(0);
-        for (customer, seq, _) in grants(&bench.done(seq, 1)) {
-            order.push(customer);
-            running.push(seq);
+    // Both are known to be cheap before one request of customer 0 is not.
+    let mut order = Vec::new();
+    let mut dear = None;
+    while order.len() < 20 {
+        let (customer, seq, _) = running.remove(0);
+        let units = if order.len() >= 10 && customer == 0 && dear.is_none() { 1_000 } else { 1 };
+        if units > 1 {
+            dear = Some(order.len());
+        }
+        for grant in grants(&bench.done(seq, units)) {
+            order.push(grant.0);
+            running.push(grant);
         }
     }
-    assert!(order.iter().filter(|c| **c == 1).count() >= 6, "{order:?}");
+    // From that end on customer 1 has its turn.
+    let after = &order[dear.unwrap()..];
+    assert!(after.len() >= 6 && after.iter().all(|c| *c == 1), "{order:?}");
 }
 
 #[test]
