--- a/src/site/tests.rs
+++ b/src/site/tests.rs
@@ -34,3 +34,20 @@
     assert!(error.contains("lagg_ms") && error.contains("line 2"), "{error}");
     assert!(error.contains("lag_ms"), "no remedy: {error}");
 }
+
+#[test]
+fn the_committed_sites_are_what_the_plans_write() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/sites");
+    for (sample, name) in [(SampleSite::Perak, "perak"), (SampleSite::Bangkok, "bangkok")] {
+        let data = Path::new("examples/sites").join(name).join("data");
+        let folder = tempfile::tempdir().unwrap();
+        sample.plan(20_000, &data).files().write(folder.path()).unwrap();
+        for file in std::fs::read_dir(folder.path()).unwrap() {
+            let file = file.unwrap();
+            let fresh = std::fs::read_to_string(file.path()).unwrap();
+            let committed = root.join(name).join(file.file_name());
+            let committed = std::fs::read_to_string(&committed).unwrap_or_default();
+            assert_eq!(committed, fresh, "{name}/{:?} is stale", file.file_name());
+        }
+    }
+}
