--- a/src/delivery/sse.rs
+++ b/src/delivery/sse.rs
@@ -1,6 +1,6 @@
 //! Server-sent events of a model's stream.
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use serde::Deserialize;
 
 /// The data of the event that ends a stream.
@@ -41,12 +41,11 @@
                 false => Ok(None),
             };
         };
-        let mut raw = self.buffer.split_to(end + gap).freeze();
+        let raw = self.buffer.split_to(end + gap).freeze();
         let text = std::str::from_utf8(&raw[..end]).map_err(|_| BadEvent)?;
         let lines = text.lines().filter_map(|l| l.strip_prefix("data:"));
         let data: Vec<_> = lines.map(|l| l.strip_prefix(' ').unwrap_or(l)).collect();
         let data = data.join("\n");
-        raw.advance(0);
         Ok(Some(Event { raw, data }))
     }
 
--- a/src/emulate/engine.rs
+++ b/src/emulate/engine.rs
@@ -4,7 +4,6 @@
 //! request's `emulate.output_tokens`, which routers do not read.
 
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::convert::Infallible;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -280,9 +279,7 @@
             "usage": usage(&job, to),
         });
         done = to;
-        if send_event(&sender, &event.to_string()).await.is_err() {
-            return;
-        }
+        send_event(&sender, &event.to_string()).await;
         if job.cut_after.is_some_and(|after| done >= after) && done < job.total {
             engine.remember_cut(&job);
             let broken = std::io::Error::other("told to cut");
@@ -292,12 +289,10 @@
         }
     }
     drop(slot);
-    // The caller may have gone already.
-    let _ = send_event(&sender, "[DONE]").await;
+    send_event(&sender, "[DONE]").await;
 }
 
-async fn send_event(sender: &FrameSender, data: &str) -> Result<(), Infallible> {
+async fn send_event(sender: &FrameSender, data: &str) {
     // A caller that has gone is noticed by the next wait.
     let _ = sender.send(Ok(Bytes::from(format!("data: {data}\n\n")))).await;
-    Ok(())
 }
--- a/src/router/serve.rs
+++ b/src/router/serve.rs
@@ -289,6 +289,10 @@
         };
         let address = declared.address.parse::<SocketAddr>().ok();
         let address = address.filter(|_| !self.router.peers.links.is_hall_cut(&declared.hall));
+        let Some(address) = address else {
+            ticket.finish(0, Ending::Failed);
+            return Next::Again { free: false, otherwise: refused() };
+        };
         let claim = match once::claim(self).await {
             Ok(claim) => claim,
             Err(outcome) => {
@@ -298,13 +302,8 @@
         };
         self.decide("delivery", format!("calls endpoint {}", declared.name));
         let started = Instant::now();
-        let attempt = match address {
-            Some(address) => {
-                let limit = self.deadline.saturating_duration_since(started);
-                self.router.caller.attempt(address, &self.call, limit).await
-            }
-            None => Attempt::NotSent,
-        };
+        let limit = self.deadline.saturating_duration_since(started);
+        let attempt = self.router.caller.attempt(address, &self.call, limit).await;
         if let Some(claim) = claim {
             once::settle(&self.router, claim, &attempt).await;
         }
@@ -316,7 +315,6 @@
                 Next::Finish(Outcome::Answered(passed_on(response)))
             }
             Attempt::Answered(Answer::Stream(response)) => {
-                let address = address.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)));
                 match stream::relay(self, ticket, address, response).await {
                     Ok(response) => Next::Finish(Outcome::Answered(response)),
                     Err(reason) => self.unknown(reason),
--- a/src/router/stream.rs
+++ b/src/router/stream.rs
@@ -62,7 +62,7 @@
 ) -> Result<Response<Body>, UnknownReason> {
     let (mut head, body) = response.into_parts();
     head.headers = crate::delivery::pass_on(&head.headers);
-    // Ends where the router says so, not where the endpoint did.
+    // A stream may have been resumed: nobody in between may keep it.
     head.headers.insert("cache-control", HeaderValue::from_static("no-store"));
     let mut relay = Relay {
         router: job.router.clone(),
