--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -52,7 +52,7 @@
     }
 }
 
-fn beat(host: u16) -> Heartbeat {
+fn beat(host: u32) -> Heartbeat {
     Heartbeat {
         host: HostId(host),
         incarnation: 1_796_205_361_634,
@@ -155,7 +155,7 @@
 
 fn members() {
     title("Members: processor time a heartbeat heard, and a view");
-    for hosts in [10u16, 50, 200, 340] {
+    for hosts in [10u32, 50, 200, 340] {
         let mut table = Members::new(beat(0), vec![]);
         (1..hosts).for_each(|h| table.heard(0, Beat::Whole(beat(h))));
         let start = Instant::now();
--- a/examples/spread.rs
+++ b/examples/spread.rs
@@ -75,8 +75,10 @@
 async fn start(n: u16, hosts: u16) -> Host {
     let address = |n: u16| ([127, 0, 0, 1], FIRST_PORT + n).into();
     let settings = HostSettings {
+        seed_port: None,
+        heartbeats: Default::default(),
         name: format!("host-{n}"),
-        id: HostId(n + 1),
+        id: Some(HostId((n + 1).into())),
         hall: "bkk-ratchada".into(),
         peer: address(n),
         seeds: (0..=hosts).filter(|other| *other != n).map(address).collect(),
--- a/src/agree/message.rs
+++ b/src/agree/message.rs
@@ -88,6 +88,19 @@
     pub message: Message,
 }
 
+impl Envelope {
+    /// Whether it promises something that must be on the sender's disk first.
+    /// A leader's entries promise nothing of its own copy, and a preliminary
+    /// vote binds nobody.
+    pub fn needs_sync(&self) -> bool {
+        match self.message {
+            Message::Append { .. } | Message::Install { .. } => false,
+            Message::Vote { pre, .. } | Message::Voted { pre, .. } => !pre,
+            Message::Appended { .. } => true,
+        }
+    }
+}
+
 /// What stores say to each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
--- a/src/agree/replica.rs
+++ b/src/agree/replica.rs
@@ -112,6 +112,8 @@
     commit: u64,
     members: Vec<GroupMember>,
     members_index: u64,
+    durable: u64,
+    most_voters: usize,
     votes: BTreeSet<StoreId>,
     progress: BTreeMap<StoreId, Progress>,
     reads: Vec<Read>,
@@ -136,6 +138,7 @@
         let commit = snapshot.index;
         let log = Log::new(snapshot, entries);
         let (members_index, members) = log.members();
+        let durable = log.last_index();
         let mut replica = Replica {
             id,
             hard,
@@ -145,6 +148,8 @@
             commit,
             members,
             members_index,
+            durable,
+            most_voters: usize::MAX,
             votes: BTreeSet::new(),
             progress: BTreeMap::new(),
             reads: Vec::new(),
@@ -179,6 +184,58 @@
         }
     }
 
+    /// With this many voters the group is complete: further stores follow
+    /// without a vote until one is long silent.
+    pub fn set_most_voters(&mut self, most: usize) {
+        self.most_voters = most;
+    }
+
+    /// Its role.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Its term.
+    pub fn term(&self) -> u64 {
+        self.hard.term
+    }
+
+    /// The leader that it follows or is, where known.
+    pub fn leader(&self) -> Option<StoreId> {
+        self.leader
+    }
+
+    /// The group as it knows it.
+    pub fn members(&self) -> &[GroupMember] {
+        &self.members
+    }
+
+    /// The entry up to which a restart would find the log as it is now, were
+    /// everything persisted that has been handed out.
+    pub fn last_entry(&self) -> (u64, u64) {
+        (self.log.last_index(), self.log.last_term())
+    }
+
+    /// When [`Replica::tick`] has something to do next.
+    pub fn next_tick(&self) -> Millis {
+        match self.role {
+            Role::Leader => self.heartbeat_at,
+            _ => self.election_at,
+        }
+    }
+
+    /// All that was handed out for persisting up to the entry `index` of `term`
+    /// is on this store's disk. A leader counts itself only up to there.
+    pub fn synced(&mut self, index: u64, term: u64) -> Output {
+        if self.log.term(index) == Some(term) && index > self.durable {
+            self.durable = index;
+            if self.role == Role::Leader {
+                self.advance_commit();
+            }
+        }
+        self.take_output()
+    }
+
     /// Whether it belongs to a group already.
     pub fn is_founded(&self) -> bool {
         !self.members.is_empty()
--- a/src/agree/replica/replication.rs
+++ b/src/agree/replica/replication.rs
@@ -20,6 +20,9 @@
     }
 
     pub(super) fn write(&mut self, entries: Vec<Entry>) {
+        if let Some(first) = entries.first() {
+            self.durable = self.durable.min(first.index - 1);
+        }
         self.log.append(&entries);
         (self.members_index, self.members) = self.log.members();
         self.out.persist.push(Persist::Entries(entries));
@@ -174,11 +177,10 @@
 
     /// Commits what a majority holds, if it is of this term.
     pub(super) fn advance_commit(&mut self) {
-        let last = self.log.last_index();
         let voters = self.members.iter().filter(|m| m.voter);
         let mut matched: Vec<_> = voters
             .map(|m| match m.store == self.id {
-                true => last,
+                true => self.durable,
                 false => self.progress.get(&m.store).map_or(0, |p| p.matched),
             })
             .collect();
--- a/src/agree/tests.rs
+++ b/src/agree/tests.rs
@@ -42,8 +42,16 @@
     }
 }
 
+/// What waits for the disk: records, and the messages that promise them.
+struct Unsynced {
+    persist: Vec<Persist>,
+    messages: Vec<Envelope>,
+    last: (u64, u64),
+}
+
 struct Store {
     disk: Disk,
+    unsynced: Vec<Unsynced>,
     replica: Option<Replica>,
     applied: Vec<Vec<u8>>,
 }
@@ -55,6 +63,7 @@
     stores: BTreeMap<StoreId, Store>,
     network: Vec<Envelope>,
     cut: BTreeSet<(StoreId, StoreId)>,
+    slow: BTreeSet<StoreId>,
     loss: f64,
     leaders: BTreeMap<u64, StoreId>,
     committed: BTreeMap<u64, Entry>,
@@ -65,7 +74,7 @@
 fn member(id: u64, voter: bool, replaces: Option<StoreId>) -> GroupMember {
     GroupMember {
         store: StoreId(id),
-        host: HostId(id as u16),
+        host: HostId(id as u32),
         peer: "127.0.0.1:1".parse().unwrap(),
         voter,
         replaces,
@@ -81,6 +90,7 @@
             stores: BTreeMap::new(),
             network: Vec::new(),
             cut: BTreeSet::new(),
+            slow: BTreeSet::new(),
             loss: 0.0,
             leaders: BTreeMap::new(),
             committed: BTreeMap::new(),
@@ -103,12 +113,14 @@
             false => postcard::from_bytes(&snapshot.data).unwrap(),
         };
         let replica = Replica::new(self.now, id, hard, snapshot, entries, seed);
-        self.stores.insert(id, Store { disk, replica: Some(replica), applied });
+        self.stores
+            .insert(id, Store { disk, unsynced: Vec::new(), replica: Some(replica), applied });
     }
 
     fn crash(&mut self, id: StoreId) {
         if let Some(store) = self.stores.get_mut(&id) {
             store.replica = None;
+            store.unsynced.clear();
         }
     }
 
@@ -130,7 +142,9 @@
 
     fn carry_out(&mut self, id: StoreId, out: Output) {
         let store = self.stores.get_mut(&id).unwrap();
-        store.disk.write(&out.persist);
+        let (held, at_once) = out.messages.into_iter().partition(Envelope::needs_sync);
+        let last = store.replica.as_ref().unwrap().last_entry();
+        store.unsynced.push(Unsynced { persist: out.persist, messages: held, last });
         if let Some(snapshot) = &out.restore {
             store.applied = postcard::from_bytes(&snapshot.data).unwrap();
         }
@@ -146,7 +160,18 @@
             let leader = *self.leaders.entry(status.term).or_insert(id);
             assert_eq!(leader, id, "two leaders in term {}", status.term);
         }
-        self.network.extend(out.messages);
+        self.network.extend::<Vec<_>>(at_once);
+    }
+
+    /// The disk of a store has taken all that waited for it.
+    fn sync(&mut self, id: StoreId) {
+        let Some(store) = self.stores.get_mut(&id) else { return };
+        for Unsynced { persist, messages, last } in std::mem::take(&mut store.unsynced) {
+            let store = self.stores.get_mut(&id).unwrap();
+            store.disk.write(&persist);
+            self.network.extend(messages);
+            self.with(id, |replica, _| replica.synced(last.0, last.1));
+        }
     }
 
     fn propose(&mut self, id: StoreId) {
@@ -184,6 +209,11 @@
         for id in self.stores.keys().copied().collect::<Vec<_>>() {
             self.with(id, |replica, now| replica.tick(now));
         }
+        for id in self.stores.keys().copied().collect::<Vec<_>>() {
+            if !self.slow.contains(&id) && self.rng.random_bool(0.7) {
+                self.sync(id);
+            }
+        }
         let arriving = self.network.len().div_ceil(2);
         for _ in 0..arriving {
             let at = self.rng.random_range(0..self.network.len());
@@ -205,6 +235,7 @@
     /// Everything works again; all must agree before long.
     fn heal(&mut self) {
         self.cut.clear();
+        self.slow.clear();
         self.loss = 0.0;
         for id in self.stores.keys().copied().collect::<Vec<_>>() {
             self.restart(id);
@@ -244,6 +275,7 @@
     CutOff(u64),
     Heal,
     Loss(u8),
+    Slow(u64),
     Replace(u64),
     Run(u8),
 }
@@ -259,6 +291,7 @@
         1 => id.clone().prop_map(Event::CutOff),
         2 => Just(Event::Heal),
         2 => (0u8..30).prop_map(Event::Loss),
+        1 => id.clone().prop_map(Event::Slow),
         1 => id.prop_map(Event::Replace),
         8 => (1u8..60).prop_map(Event::Run),
     ]
@@ -305,6 +338,9 @@
         }
         Event::Heal => group.cut.clear(),
         Event::Loss(percent) => group.loss = f64::from(percent) / 100.0,
+        Event::Slow(id) => {
+            group.slow.insert(StoreId(id));
+        }
         Event::Replace(id) => replace(group, StoreId(id)),
         Event::Run(steps) => group.run(steps.into()),
     }
@@ -432,3 +468,43 @@
     let replica = group.stores.get_mut(&leader).unwrap().replica.as_mut().unwrap();
     assert_eq!(replica.compact(0, vec![1]), Output::default());
 }
+
+#[test]
+fn a_leader_whose_disk_hangs_commits_by_its_followers_disks() {
+    let mut group = Group::new(3, 13);
+    group.run(150);
+    let leader = group.leader().unwrap();
+    group.slow.insert(leader);
+    group.propose(leader);
+    let (_, _, index) = *group.accepted.last().unwrap();
+    group.run(50);
+    assert!(group.committed.contains_key(&index));
+    // What only a hanging disk has seen is not committed.
+    let others = [1, 2, 3].map(StoreId).into_iter().filter(|s| *s != leader);
+    group.slow.extend(others);
+    group.propose(leader);
+    let (_, _, index) = *group.accepted.last().unwrap();
+    group.run(20);
+    assert!(!group.committed.contains_key(&index));
+}
+
+#[test]
+fn a_newcomer_takes_the_place_of_a_voter_long_silent_and_waits_otherwise() {
+    let mut group = Group::new(3, 17);
+    group.run(150);
+    let leader = group.leader().unwrap();
+    let now = group.now;
+    let replica = group.stores.get_mut(&leader).unwrap().replica.as_mut().unwrap();
+    replica.set_most_voters(3);
+    let (joined, out) = replica.join(now, member(4, false, None)).unwrap();
+    assert!(joined);
+    group.carry_out(leader, out);
+    group.start(StoreId(4), Disk::default());
+    group.run(300);
+    assert!(!group.voters().contains(&StoreId(4)), "three voters are there and heard");
+    let gone = [1, 2, 3].map(StoreId).into_iter().find(|s| *s != leader).unwrap();
+    group.crash(gone);
+    group.run(300);
+    let voters = group.voters();
+    assert!(voters.contains(&StoreId(4)) && !voters.contains(&gone));
+}
--- a/src/bin/bramblecrank/app.rs
+++ b/src/bin/bramblecrank/app.rs
@@ -108,6 +108,7 @@
         let layout = match text(matches, "log-layout").as_str() {
             "json" => LogLayout::Json,
             "logfmt" => LogLayout::Logfmt,
+            "plain" => LogLayout::Plain,
             _ => LogLayout::Text,
         };
         let task = task(matches);
--- a/src/bin/bramblecrank/clap_app.rs
+++ b/src/bin/bramblecrank/clap_app.rs
@@ -44,7 +44,7 @@
             Arg::new("log-layout")
                 .long("log-layout")
                 .global(true)
-                .value_parser(["text", "logfmt", "json"])
+                .value_parser(["text", "logfmt", "json", "plain"])
                 .default_value("text")
                 .help("How log lines are written to standard error"),
         )
--- a/src/bin/bramblecrank/command.rs
+++ b/src/bin/bramblecrank/command.rs
@@ -2,29 +2,57 @@
 
 use std::io::{IsTerminal, Write};
 use std::path::Path;
+use std::sync::Arc;
 
 use bramblecrank::error::{Error, Result};
 use bramblecrank::load::{self, LoadFile, LoadReport};
-use bramblecrank::{control, demo, emulate, router, settings, telemetry};
+use bramblecrank::settings::{ControlSettings, RouterSettings};
+use bramblecrank::{control, demo, emulate, gateway, router, settings, telemetry};
 use tokio_util::sync::CancellationToken;
 
 use crate::app::{App, Task};
 use crate::operate;
+use crate::platform::{self, PlatformHeaders};
 
 /// Runs the app in a runtime of its own.
 pub fn run(app: App) -> Result<()> {
     let quiet = matches!(app.task, Task::Demo { .. } | Task::Load { .. });
     let level = if quiet { app.level.min(log::LevelFilter::Warn) } else { app.level };
     telemetry::start_logging(level, app.layout);
-    let runtime = tokio::runtime::Runtime::new();
+    let runtime = runtime_for(&app.task).enable_all().build();
     let runtime = runtime.map_err(|source| Error::Net { what: "start".into(), source })?;
     runtime.block_on(carry_out(app.task))
 }
 
+/// Daemons of small hosts run on one thread; load tools and emulators on all.
+fn runtime_for(task: &Task) -> tokio::runtime::Builder {
+    match task {
+        Task::Router(_) | Task::Control(_) => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    }
+}
+
+/// A router serves chat completions, or by routes in the platform's terms.
+async fn run_router(settings: RouterSettings) -> Result<()> {
+    let stop = stop_on_signal();
+    match settings.gateway.clone() {
+        Some(rules) => gateway::run(settings, rules, Arc::new(PlatformHeaders), stop).await,
+        None => router::run(settings, stop).await,
+    }
+}
+
+/// A control host also takes the platform's calls, where its settings say so.
+async fn run_control(settings: ControlSettings) -> Result<()> {
+    let interface = settings
+        .platform
+        .map(|listen| control::Interface { listen, app: Box::new(platform::control_app) });
+    control::run(settings, stop_on_signal(), interface).await
+}
+
 async fn carry_out(task: Task) -> Result<()> {
     match task {
-        Task::Router(file) => router::run(settings::read(&file)?, stop_on_signal()).await,
-        Task::Control(file) => control::run(settings::read(&file)?, stop_on_signal()).await,
+        Task::Router(file) => run_router(settings::read(&file)?).await,
+        Task::Control(file) => run_control(settings::read(&file)?).await,
         Task::Engine(file) => until_signal(emulate::engine::run(settings::read(&file)?)).await,
         Task::Service(file) => until_signal(emulate::service::run(settings::read(&file)?)).await,
         Task::Platform(file) => until_signal(emulate::platform::run(settings::read(&file)?)).await,
--- a/src/bin/bramblecrank/main.rs
+++ b/src/bin/bramblecrank/main.rs
@@ -4,6 +4,8 @@
 mod clap_app;
 mod command;
 mod operate;
+#[path = "../../../platform/mod.rs"]
+mod platform;
 
 use std::process::ExitCode;
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,26 +1,39 @@
 //! The control process: one of the hosts that agree on the configuration.
 
 mod courier;
+mod documents;
 mod driver;
 pub(crate) mod found;
+mod join;
 mod serve;
 mod state;
 #[cfg(test)]
 mod tests;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use crate::error::Result;
+use crate::error::{Error, Result};
+use crate::feed::{self, Subscriptions};
 use crate::peer::{Incoming, Peers};
+use crate::registry::SharedRegistry;
+use crate::routing::Documents;
 use crate::settings::ControlSettings;
 use crate::spread::{self, Configs};
-use crate::store::Disk;
-use crate::wire::{Open, Role};
+use crate::store::{Disk, Found};
+use crate::wire::{HostId, Open, Role};
 
-pub use driver::{Handle, NoLeader};
+/// How long to wait for a disk that refuses to be opened.
+const DISK_PAUSE: Duration = Duration::from_millis(200);
+
+pub use documents::Unanswered;
+pub use driver::{Handle, Leadership, NoLeader};
+pub use join::Joined;
 pub use serve::{Ask, Asked, ClaimAnswer, ClaimRequest, Identity};
 pub use state::{Changed, Command, Reply, State};
 
@@ -33,28 +46,78 @@
     pub peers: Arc<Peers>,
     /// The newest accepted configuration, as this host knows it.
     pub configs: Arc<Configs>,
+    /// The routing in force, as this host knows it.
+    pub documents: Arc<Documents>,
+    /// Endpoints that registered themselves here or elsewhere.
+    pub registry: Arc<SharedRegistry>,
     /// The agreement.
     pub handle: Handle,
     /// Set when an operator asks for a planned stop.
     pub stop: CancellationToken,
 }
 
+/// How operators and endpoints of another platform reach a control host.
+pub struct Interface {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Builds the application that translates their calls.
+    pub app: Box<dyn FnOnce(Arc<Control>) -> axum::Router + Send>,
+}
+
+/// Opens the data folder. While the disk refuses, it is tried again; damage and
+/// a folder in use are errors.
+async fn open_disk(settings: &ControlSettings) -> Result<(Disk, Found)> {
+    loop {
+        match Disk::open(&settings.data) {
+            Err(error @ Error::File { .. }) if settings.wait_for_disk => {
+                log::error!("store: cannot be opened yet: {error}");
+                tokio::time::sleep(DISK_PAUSE).await;
+            }
+            opened => return opened,
+        }
+    }
+}
+
 /// Runs a control host until `stop`.
-pub async fn run(settings: ControlSettings, stop: CancellationToken) -> Result<()> {
+pub async fn run(
+    settings: ControlSettings,
+    stop: CancellationToken,
+    interface: Option<Interface>,
+) -> Result<()> {
     settings.check()?;
-    let (disk, found) = Disk::open(&settings.data)?;
+    let (disk, found) = open_disk(&settings).await?;
     if found.cut_bytes > 0 {
         log::warn!("store: cut a torn tail of {} bytes", found.cut_bytes);
     }
     let role = Role::Control;
     let (peers, incoming) = Peers::start(&settings.host, role, settings.operator).await?;
     let configs = Arc::new(Configs::default());
-    let (handle, driver) = driver::start(&settings, peers.clone(), configs.clone(), disk, found);
-    let control = Arc::new(Control { settings, peers, configs, handle, stop: stop.clone() });
+    let documents = Arc::new(Documents::default());
+    let registry = Arc::new(SharedRegistry::default());
+    let (handle, driver) =
+        driver::start(&settings, peers.clone(), configs.clone(), documents.clone(), disk, found)?;
+    let control = Arc::new(Control {
+        settings,
+        peers,
+        configs,
+        documents,
+        registry,
+        handle,
+        stop: stop.clone(),
+    });
     tokio::spawn(take_connections(control.clone(), incoming));
     tokio::spawn(found::found(control.clone()));
     tokio::spawn(spread::follow_version(control.configs.clone(), control.peers.clone()));
     tokio::spawn(crate::operator::serve_control(control.clone()));
+    if let Some(interface) = interface {
+        tokio::spawn(join::keep_joined(control.clone()));
+        Subscriptions::start(
+            control.peers.clone(),
+            control.documents.clone(),
+            control.registry.clone(),
+        );
+        crate::http::serve(interface.listen, (interface.app)(control.clone()), &stop).await?;
+    }
     log::info!("control: host {} holds store {}", control.peers.me, control.handle.store);
     tokio::select! {
         result = driver => result.unwrap_or(Ok(())),
@@ -83,6 +146,12 @@
             Open::Identify => {
                 tokio::spawn(serve::identify(control.clone(), writer));
             }
+            Open::Join(newcomer) => {
+                tokio::spawn(join::answer(control.clone(), newcomer, writer));
+            }
+            Open::Feed { host } => {
+                tokio::spawn(publish_feed(control.clone(), host, writer));
+            }
             Open::Claims { router } => {
                 tokio::spawn(serve::take_claims(control.clone(), router, reader, writer));
             }
@@ -90,3 +159,16 @@
         }
     }
 }
+
+async fn publish_feed(control: Arc<Control>, host: HostId, writer: OwnedWriteHalf) {
+    let published = feed::publish(
+        control.documents.clone(),
+        control.registry.clone(),
+        control.handle.leadership.clone(),
+        control.peers.sent.clone(),
+        writer,
+    );
+    if let Err(error) = published.await {
+        log::info!("feed: host {host} follows no longer: {error}");
+    }
+}
--- /dev/null
+++ b/src/control/documents.rs
@@ -0,0 +1,81 @@
+//! Replacing and reading the routing document.
+
+use std::sync::Arc;
+
+use super::Control;
+use super::driver::NoLeader;
+use super::state::{Command, Reply};
+use crate::config::Refusal;
+use crate::registry::Registration;
+use crate::routing::Document;
+use crate::wire::HostId;
+
+/// Why an operator's call cannot be answered here now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Unanswered {
+    /// The document is invalid.
+    Invalid(Refusal),
+    /// Another host leads.
+    Elsewhere(HostId),
+    /// Nothing can be said for sure; ask again.
+    Unsure,
+}
+
+impl From<NoLeader> for Unanswered {
+    fn from(no_leader: NoLeader) -> Self {
+        match no_leader {
+            NoLeader::Elsewhere(host) => Unanswered::Elsewhere(host),
+            NoLeader::Unknown | NoLeader::Uncertain => Unanswered::Unsure,
+        }
+    }
+}
+
+impl Control {
+    /// Puts a document in force unless one at least as high is. Returns the
+    /// version in force, which is on the disks of a majority.
+    pub async fn replace_document(&self, document: Document) -> Result<u64, Unanswered> {
+        document.table.check().map_err(Unanswered::Invalid)?;
+        let version = document.table.version;
+        let held = self.documents.current().map(|routing| routing.table.version);
+        if let Some(held) = held.filter(|held| *held >= version) {
+            self.handle.read().await?;
+            return Ok(held);
+        }
+        match self.handle.propose(Command::Replace(Box::new(document))).await? {
+            Reply::Replaced(in_force) => {
+                log::info!("control: document {version} taken, {in_force} is in force");
+                Ok(in_force)
+            }
+            Reply::Changed(_) | Reply::Claimed(_) | Reply::Settled => Err(Unanswered::Unsure),
+        }
+    }
+
+    /// The newest document; none before the first.
+    pub async fn read_document(&self) -> Result<Option<Arc<Document>>, Unanswered> {
+        self.handle.read().await?;
+        let document = self.handle.look(|state| state.document().cloned()).await?;
+        Ok(document)
+    }
+
+    /// What this host counts, in the text format of metrics.
+    pub fn render_metrics(&self) -> String {
+        let version = self.documents.current().map_or(0, |routing| routing.table.version);
+        let leadership = self.handle.leadership.borrow().clone();
+        let endpoints = self.registry.read(|registry| registry.all().count());
+        let figures = [
+            ("routing_version", version),
+            ("term", leadership.term),
+            ("leads", u64::from(leadership.leads)),
+            ("members", leadership.hosts.len() as u64),
+            ("endpoints", endpoints as u64),
+            ("sent_bytes", self.peers.sent.get()),
+        ];
+        crate::telemetry::render_gauges("bramblecrank_control", &figures)
+    }
+
+    /// Takes in what an endpoint says of itself. Routers in reach are told at
+    /// once.
+    pub fn register(&self, registration: Registration) {
+        self.registry.merge(registration);
+    }
+}
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -1,28 +1,29 @@
 //! Drives the agreement: disk, network and state around the state machine.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::RngExt;
-use tokio::sync::{mpsc, oneshot};
+use snafu::ResultExt;
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 
 use super::courier::Couriers;
 use super::state::{Command, Reply, State};
 use crate::agree::{
-    Entry, Envelope, GroupMember, NotLeader, Output, Payload, Replica, Role, Status, StoreId,
+    Entry, Envelope, GroupMember, NotLeader, Output, Payload, Persist, Replica, Role, Status,
+    StoreId,
 };
-use crate::error::Result;
+use crate::error::{NetSnafu, Result};
 use crate::peer::Peers;
+use crate::routing::Documents;
 use crate::settings::ControlSettings;
 use crate::spread::Configs;
-use crate::store::{Disk, Found};
+use crate::store::{Disk, DiskWriter, Found};
 use crate::wire::HostId;
 
-/// How often time passes for the agreement.
-const TICK: Duration = Duration::from_millis(20);
 /// Events taken together, so that they share one sync.
 const MAX_BATCH: usize = 1_024;
 /// Events that may wait.
@@ -47,6 +48,7 @@
     Read(oneshot::Sender<Result<(), NoLeader>>),
     Found(Vec<GroupMember>),
     Let { newcomer: GroupMember, reply: oneshot::Sender<Result<bool, NoLeader>> },
+    Join { newcomer: GroupMember, reply: oneshot::Sender<Result<bool, NoLeader>> },
     Status(oneshot::Sender<DriverStatus>),
     Look(Box<dyn FnOnce(&State) + Send>, oneshot::Sender<NoLeader>),
 }
@@ -67,9 +69,47 @@
 pub struct Handle {
     /// This host's store.
     pub store: StoreId,
+    /// Who leads, as this store knows it.
+    pub leadership: watch::Receiver<Leadership>,
     events: mpsc::Sender<Event>,
 }
 
+/// Who leads the agreement, as one store knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Leadership {
+    /// The term.
+    pub term: u64,
+    /// The leader's host, where known.
+    pub leader: Option<HostId>,
+    /// Whether this store leads.
+    pub leads: bool,
+    /// Whether this store belongs to a group.
+    pub founded: bool,
+    /// The hosts of the group, with their peer addresses.
+    pub hosts: Vec<(HostId, SocketAddr)>,
+}
+
+impl Leadership {
+    fn of(replica: &Replica) -> Leadership {
+        let members = replica.members();
+        let leader = members.iter().find(|m| Some(m.store) == replica.leader());
+        Leadership {
+            term: replica.term(),
+            leader: leader.map(|m| m.host),
+            leads: replica.role() == Role::Leader,
+            founded: replica.is_founded(),
+            hosts: members.iter().map(|m| (m.host, m.peer)).collect(),
+        }
+    }
+}
+
+/// Messages that promise what the disk has not yet taken.
+struct Unsynced {
+    job: u64,
+    messages: Vec<Envelope>,
+    last_entry: (u64, u64),
+}
+
 impl Handle {
     /// Proposes a command and waits for its reply.
     pub async fn propose(&self, command: Command) -> Result<Reply, NoLeader> {
@@ -103,6 +143,14 @@
         receiver.await.unwrap_or(Err(NoLeader::Uncertain))
     }
 
+    /// Lets a store in that asks to join; false while another change is under
+    /// way.
+    pub async fn join(&self, newcomer: GroupMember) -> Result<bool, NoLeader> {
+        let (reply, receiver) = oneshot::channel();
+        self.send(Event::Join { newcomer, reply }).await;
+        receiver.await.unwrap_or(Err(NoLeader::Uncertain))
+    }
+
     /// The agreement's state.
     pub async fn status(&self) -> Option<DriverStatus> {
         let (sender, receiver) = oneshot::channel();
@@ -140,17 +188,28 @@
     settings: &ControlSettings,
     peers: Arc<Peers>,
     configs: Arc<Configs>,
+    documents: Arc<Documents>,
     disk: Disk,
     found: Found,
-) -> (Handle, JoinHandle<Result<()>>) {
+) -> Result<(Handle, JoinHandle<Result<()>>)> {
     let store = disk.identity();
+    let (disk, synced) =
+        DiskWriter::start(disk).context(NetSnafu { what: "start the disk thread" })?;
     let (sender, events) = mpsc::channel(INBOX);
     let now = peers.clock.now();
     let seed = rand::rng().random();
     let state = restore(&found.snapshot.data);
     let applied = found.snapshot.index;
-    let replica = Replica::new(now, store, found.hard, found.snapshot, found.entries, seed);
+    let mut replica = Replica::new(now, store, found.hard, found.snapshot, found.entries, seed);
+    replica.set_most_voters(settings.most_voters());
+    let status = watch::Sender::new(Leadership::of(&replica));
+    let leadership = status.subscribe();
     let driver = Driver {
+        store,
+        most_voters: settings.most_voters(),
+        unsynced: VecDeque::new(),
+        documents,
+        leadership: status,
         couriers: Couriers::new(peers.clone()),
         peers,
         configs,
@@ -164,9 +223,9 @@
         reads: BTreeMap::new(),
         next_read: 0,
     };
-    driver.configs.replace(driver.state.history().clone());
-    let task = tokio::spawn(driver.run(events));
-    (Handle { store, events: sender }, task)
+    driver.publish_state();
+    let task = tokio::spawn(driver.run(events, synced));
+    Ok((Handle { store, events: sender, leadership }, task))
 }
 
 fn restore(data: &[u8]) -> State {
@@ -180,8 +239,13 @@
 struct Driver {
     peers: Arc<Peers>,
     configs: Arc<Configs>,
+    documents: Arc<Documents>,
+    leadership: watch::Sender<Leadership>,
     couriers: Couriers,
-    disk: Disk,
+    store: StoreId,
+    most_voters: usize,
+    disk: DiskWriter,
+    unsynced: VecDeque<Unsynced>,
     replica: Replica,
     state: State,
     applied: u64,
@@ -193,10 +257,14 @@
 }
 
 impl Driver {
-    async fn run(mut self, mut events: mpsc::Receiver<Event>) -> Result<()> {
-        let mut ticks = tokio::time::interval(TICK);
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    async fn run(
+        mut self,
+        mut events: mpsc::Receiver<Event>,
+        mut synced: mpsc::UnboundedReceiver<u64>,
+    ) -> Result<()> {
         loop {
+            let now = self.peers.clock.now();
+            let pause = self.replica.next_tick().saturating_sub(now).max(1);
             tokio::select! {
                 event = events.recv() => {
                     let Some(first) = event else { return Ok(()) };
@@ -206,12 +274,53 @@
                     }
                     self.events(batch)?;
                 }
-                _ = ticks.tick() => {
+                job = synced.recv() => {
+                    let Some(job) = job else { return Ok(()) };
+                    self.synced(job)?;
+                }
+                () = tokio::time::sleep(Duration::from_millis(pause)) => {
                     let out = self.replica.tick(self.peers.clock.now());
                     self.carry_out(out)?;
                 }
             }
             self.drop_waiting_unless_leader();
+            self.publish_leadership();
+        }
+    }
+
+    /// The disk has taken a job and all before it.
+    fn synced(&mut self, job: u64) -> Result<()> {
+        while let Some(unsynced) = self.unsynced.pop_front_if(|u| u.job <= job) {
+            self.send_messages(unsynced.messages);
+            let (index, term) = unsynced.last_entry;
+            let out = self.replica.synced(index, term);
+            self.carry_out(out)?;
+        }
+        Ok(())
+    }
+
+    fn publish_leadership(&mut self) {
+        let now = Leadership::of(&self.replica);
+        self.leadership.send_if_modified(|known| {
+            let changed = *known != now;
+            if changed {
+                log::info!("control: term {}, leader {:?}", now.term, now.leader);
+                *known = now;
+            }
+            changed
+        });
+    }
+
+    fn publish_state(&self) {
+        self.configs.replace(self.state.history().clone());
+        if let Some(document) = self.state.document() {
+            self.documents.adopt(document.clone());
+        }
+    }
+
+    fn send_messages(&mut self, messages: Vec<Envelope>) {
+        if !messages.is_empty() {
+            self.couriers.send(self.replica.members(), messages);
         }
     }
 
@@ -242,6 +351,7 @@
             Event::Read(reply) => self.read(reply),
             Event::Found(members) => self.found(members),
             Event::Let { newcomer, reply } => self.let_in(newcomer, reply),
+            Event::Join { newcomer, reply } => self.join(newcomer, reply),
             Event::Status(reply) => {
                 let status = DriverStatus {
                     replica: self.replica.status(),
@@ -253,12 +363,12 @@
                 Ok(())
             }
             Event::Look(look, refuse) => {
-                let status = self.replica.status();
-                if status.role == Role::Leader {
+                if self.replica.role() == Role::Leader {
                     look(&self.state);
                 } else {
+                    let leader = self.replica.leader();
                     // The asker may have left.
-                    let _ = refuse.send(self.no_leader(NotLeader { leader: status.leader }));
+                    let _ = refuse.send(self.no_leader(NotLeader { leader }));
                 }
                 Ok(())
             }
@@ -276,7 +386,7 @@
         }
         match self.replica.propose(self.peers.clock.now(), data) {
             Ok((indexes, out)) => {
-                let term = self.replica.status().term;
+                let term = self.replica.term();
                 let waiting = replies.into_iter().map(|reply| (term, reply));
                 self.waiting.extend(indexes.into_iter().zip(waiting));
                 self.carry_out(out)
@@ -293,8 +403,8 @@
     }
 
     fn no_leader(&self, not_leader: NotLeader) -> NoLeader {
-        let members = self.replica.status().members;
-        let leader = members.into_iter().find(|m| Some(m.store) == not_leader.leader);
+        let members = self.replica.members();
+        let leader = members.iter().find(|m| Some(m.store) == not_leader.leader);
         leader.map_or(NoLeader::Unknown, |m| NoLeader::Elsewhere(m.host))
     }
 
@@ -320,7 +430,8 @@
         }
         log::info!("control: founds the group with {} stores", members.len());
         let records = Replica::founding(members);
-        self.disk.write(&records)?;
+        // The group begins with this job; until it is on disk nothing is promised.
+        let job = self.disk.write(records.clone());
         let mut hard = crate::agree::HardState::default();
         let mut entries = Vec::new();
         for record in records {
@@ -332,9 +443,11 @@
         }
         let now = self.peers.clock.now();
         let seed = rand::rng().random();
-        let store = self.disk.identity();
         let none = crate::agree::Snapshot::default();
-        self.replica = Replica::new(now, store, hard, none, entries, seed);
+        self.replica = Replica::new(now, self.store, hard, none, entries, seed);
+        self.replica.set_most_voters(self.most_voters);
+        let last_entry = self.replica.last_entry();
+        self.unsynced.push_back(Unsynced { job, messages: Vec::new(), last_entry });
         Ok(())
     }
 
@@ -360,17 +473,29 @@
         self.carry_out(out)
     }
 
+    fn join(
+        &mut self,
+        newcomer: GroupMember,
+        reply: oneshot::Sender<Result<bool, NoLeader>>,
+    ) -> Result<()> {
+        let (answer, out) = match self.replica.join(self.peers.clock.now(), newcomer) {
+            Ok((joined, out)) => (Ok(joined), out),
+            Err(not_leader) => (Err(self.no_leader(not_leader)), Output::default()),
+        };
+        // The asker may have left.
+        let _ = reply.send(answer);
+        self.carry_out(out)
+    }
+
     fn carry_out(&mut self, out: Output) -> Result<()> {
-        if !out.persist.is_empty() {
-            tokio::task::block_in_place(|| self.disk.write(&out.persist))?;
-        }
-        let members = self.replica.status().members;
-        self.couriers.send(&members, out.messages);
+        let (held, at_once) = out.messages.into_iter().partition(Envelope::needs_sync);
+        self.send_messages(at_once);
+        self.persist(out.persist, held);
         if let Some(snapshot) = out.restore {
             self.state = restore(&snapshot.data);
             self.applied = snapshot.index;
             self.snapshot_at = snapshot.index;
-            self.configs.replace(self.state.history().clone());
+            self.publish_state();
         }
         self.apply(out.committed);
         for token in out.reads {
@@ -382,8 +507,22 @@
         self.snapshot_if_due()
     }
 
+    /// Queues records for the disk, and the messages that promise them behind.
+    fn persist(&mut self, records: Vec<Persist>, messages: Vec<Envelope>) {
+        let last_entry = self.replica.last_entry();
+        if !records.is_empty() {
+            let job = self.disk.write(records);
+            self.unsynced.push_back(Unsynced { job, messages, last_entry });
+            return;
+        }
+        match self.unsynced.back_mut() {
+            Some(last) => last.messages.extend(messages),
+            None => self.send_messages(messages),
+        }
+    }
+
     fn apply(&mut self, entries: Vec<Entry>) {
-        let before = self.state.history().config().version;
+        let before = (self.state.history().config().version, self.state.document_version());
         for entry in entries {
             self.applied = entry.index;
             let Payload::Data(data) = &entry.payload else {
@@ -401,8 +540,8 @@
                 let _ = waiting.send(answer);
             }
         }
-        if self.state.history().config().version > before {
-            self.configs.replace(self.state.history().clone());
+        if (self.state.history().config().version, self.state.document_version()) != before {
+            self.publish_state();
         }
     }
 
@@ -419,7 +558,8 @@
         self.snapshot_at = self.applied;
         log::info!("store: snapshot at entry {}, {} bytes", self.applied, data.len());
         let out = self.replica.compact(self.applied, data);
-        tokio::task::block_in_place(|| self.disk.write(&out.persist))
+        self.persist(out.persist, Vec::new());
+        Ok(())
     }
 
     /// Those who wait for this store's decisions are told when it leads no more.
@@ -427,7 +567,7 @@
         if self.waiting.is_empty() && self.reads.is_empty() {
             return;
         }
-        if self.replica.status().role == Role::Leader {
+        if self.replica.role() == Role::Leader {
             return;
         }
         for (_, (_, reply)) in std::mem::take(&mut self.waiting) {
--- a/src/control/found.rs
+++ b/src/control/found.rs
@@ -17,7 +17,7 @@
 
 /// Founds the group when this host is the first founder and all are empty.
 pub(super) async fn found(control: Arc<Control>) {
-    let founders = &control.settings.founders;
+    let (founders, addresses) = control.settings.founding();
     if founders.iter().min() != Some(&control.peers.me) {
         return;
     }
@@ -27,12 +27,12 @@
             Some(_) => {}
             None => return,
         }
-        let identities = identify_all(&control).await;
+        let identities = identify_all(&control, &addresses).await;
         if identities.iter().any(|i| i.founded) {
             log::warn!("control: the group exists; this store waits to be let in");
             return;
         }
-        if let Some(members) = complete(founders, &identities) {
+        if let Some(members) = complete(&founders, &identities) {
             control.handle.found(members).await;
             return;
         }
@@ -55,9 +55,9 @@
     founders.iter().map(member).collect()
 }
 
-async fn identify_all(control: &Control) -> Vec<Identity> {
+async fn identify_all(control: &Control, addresses: &[std::net::SocketAddr]) -> Vec<Identity> {
     let mut identities = vec![super::serve::own_identity(control).await];
-    for address in &control.settings.control {
+    for address in addresses {
         if *address == control.settings.host.peer {
             continue;
         }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,11 +1,13 @@
 //! The state that control hosts agree on: configuration, operations, claims.
 
 use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 use crate::claim::{Claim, Claimed, Settlement, Table};
 use crate::config::{Change, History, Refusal};
+use crate::routing::Document;
 
 /// Operations whose answers are kept for resends.
 pub const KEPT_OPERATIONS: usize = 10_000;
@@ -38,6 +40,8 @@
         /// How it ended.
         settlement: Settlement,
     },
+    /// Put a whole routing document in force, if its version is the highest.
+    Replace(Box<Document>),
 }
 
 /// What became of a change.
@@ -60,6 +64,9 @@
     Claimed(Claimed),
     /// A settlement was taken.
     Settled,
+    /// This version of the routing document is in force now; either the one
+    /// sent or one at least as high.
+    Replaced(u64),
 }
 
 /// The agreed state. Applying a command is deterministic.
@@ -69,6 +76,7 @@
     operations: HashMap<String, Changed>,
     operations_by_age: VecDeque<String>,
     claims: Table,
+    document: Option<Arc<Document>>,
 }
 
 impl State {
@@ -82,6 +90,16 @@
         &self.claims
     }
 
+    /// The routing document in force.
+    pub fn document(&self) -> Option<&Arc<Document>> {
+        self.document.as_ref()
+    }
+
+    /// Its version; 0 while there is none.
+    pub fn document_version(&self) -> u64 {
+        self.document.as_ref().map_or(0, |d| d.table.version)
+    }
+
     /// Applies a command.
     pub fn apply(&mut self, command: Command) -> Reply {
         match command {
@@ -93,7 +111,17 @@
                 self.claims.settle(at_ms, &claim, settlement);
                 Reply::Settled
             }
+            Command::Replace(document) => Reply::Replaced(self.replace(*document)),
+        }
+    }
+
+    /// The document with the highest version prevails; a resent one changes
+    /// nothing.
+    fn replace(&mut self, document: Document) -> u64 {
+        if self.document.is_none() || document.table.version > self.document_version() {
+            self.document = Some(Arc::new(document));
         }
+        self.document_version()
     }
 
     /// An operation's first answer again; otherwise the change is decided now.
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -71,7 +71,7 @@
     }
     spawn("platform", emulate::platform::run(files.platform));
     for settings in files.controls {
-        spawn("control", control::run(settings, stop.clone()));
+        spawn("control", control::run(settings, stop.clone(), None));
     }
     for settings in files.routers {
         spawn("router", router::run(settings, stop.clone()));
--- a/src/dispatch/tests/fleet.rs
+++ b/src/dispatch/tests/fleet.rs
@@ -265,5 +265,5 @@
 }
 
 pub fn host(router: usize) -> HostId {
-    HostId(router as u16)
+    HostId(router as u32)
 }
--- /dev/null
+++ b/src/feed.rs
@@ -0,0 +1,33 @@
+//! What control hosts tell every router, and each other, as it changes: the
+//! routing in force, endpoints, and who leads.
+//!
+//! A subscriber keeps one connection to each control host in view. What it
+//! learns merges in any order, so a lost connection costs nothing but time.
+
+mod publish;
+mod subscribe;
+
+use serde::{Deserialize, Serialize};
+
+use crate::registry::Registration;
+use crate::routing::RoutingTable;
+use crate::wire::HostId;
+
+pub use publish::publish;
+pub use subscribe::Subscriptions;
+
+/// One message of a feed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FeedMessage {
+    /// A routing table that was agreed on.
+    Routing(Box<RoutingTable>),
+    /// Endpoints, all of them at first and then those that changed.
+    Endpoints(Vec<Registration>),
+    /// Who leads the agreement, as the sender knows it.
+    Leader {
+        /// The term.
+        term: u64,
+        /// The leader's host, where known.
+        leader: Option<HostId>,
+    },
+}
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,27 @@
+//! The gateway: a router for opaque requests of any method, path and headers,
+//! by the routes of the agreed document.
+//!
+//! A request is read whole, its route and customer are looked up, an endpoint is
+//! chosen, and the answer is passed on as it comes. What an endpoint has not run
+//! may be sent to another one; what it may have run only where that is allowed.
+
+mod budget;
+mod connections;
+mod dialect;
+mod endpoints;
+mod exchange;
+mod request;
+mod server;
+mod state;
+mod stream;
+#[cfg(test)]
+mod tests;
+
+pub use budget::{BudgetRules, RetryBudgets};
+pub use dialect::{
+    AnswerHead, CallHead, Dialect, Forwarding, NativeDialect, PromptPart, prompt_parts, set_header,
+    text, token_counts,
+};
+pub use endpoints::{Endpoints, Failure};
+pub use server::run;
+pub use state::Gateway;
--- /dev/null
+++ b/src/gateway/connections.rs
@@ -0,0 +1,175 @@
+//! Kept connections to endpoints, one request at a time on each.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use axum::http::{Request, Response};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// How long a connection to an endpoint may take to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long bytes may stay unacknowledged before a connection counts as dead.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(2_000);
+/// How long an unused connection is kept when the endpoint names no time.
+const IDLE: Duration = Duration::from_millis(2_500);
+/// Connections kept for one endpoint.
+const MAX_IDLE: usize = 12;
+/// Subtracted from the time for which an endpoint says it keeps a connection.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// Why no answer came.
+#[derive(Debug)]
+pub enum SendError {
+    /// Nothing was written: the request has not run.
+    NotSent(String),
+    /// The request may have run.
+    Unknown(String),
+}
+
+/// One connection; closed when dropped.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+    keep: Duration,
+    idle_since: Instant,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Connection {
+    async fn open(address: SocketAddr) -> Result<Connection, SendError> {
+        let not_sent = |error: &dyn std::fmt::Display| SendError::NotSent(error.to_string());
+        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = match connect {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(not_sent(&error)),
+            Err(elapsed) => return Err(not_sent(&elapsed)),
+        };
+        // Without these a connection is only slower to use or to give up.
+        let _ = stream.set_nodelay(true);
+        let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, driver) = handshake.map_err(|error| not_sent(&error))?;
+        let task = tokio::spawn(async move {
+            if let Err(error) = driver.await {
+                log::debug!("gateway: connection to {address}: {error}");
+            }
+        });
+        let idle_since = Instant::now();
+        Ok(Connection { sender, driver: task.abort_handle(), keep: IDLE, idle_since })
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, (SendError, Option<Request<Full<Bytes>>>)> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => {
+                self.note_keep_alive(&response);
+                Ok(response)
+            }
+            Err(mut failed) => {
+                let text = failed.error().to_string();
+                match failed.take_message() {
+                    Some(unsent) => Err((SendError::NotSent(text), Some(unsent))),
+                    None => Err((SendError::Unknown(text), None)),
+                }
+            }
+        }
+    }
+
+    fn note_keep_alive(&mut self, response: &Response<Incoming>) {
+        let value = response.headers().get("keep-alive").and_then(|v| v.to_str().ok());
+        let mut words = value.into_iter().flat_map(|text| text.split(','));
+        let seconds = words.find_map(|word| word.trim().strip_prefix("timeout=")?.parse().ok());
+        if let Some(seconds) = seconds {
+            self.keep = Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN);
+        }
+        let closes = response.headers().get("connection").and_then(|v| v.to_str().ok());
+        if closes.is_some_and(|text| text.eq_ignore_ascii_case("close")) {
+            self.keep = Duration::ZERO;
+        }
+    }
+
+    fn is_usable(&self) -> bool {
+        !self.sender.is_closed() && self.sender.is_ready() && self.idle_since.elapsed() < self.keep
+    }
+}
+
+/// Kept connections by endpoint.
+#[derive(Debug, Default)]
+pub struct Connections {
+    idle: Mutex<HashMap<String, Vec<Connection>>>,
+}
+
+impl Connections {
+    /// Sends a request to an endpoint, on a kept connection where one is usable.
+    pub async fn send(
+        &self,
+        endpoint: &str,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Connection), SendError> {
+        while let Some(mut kept) = self.take(endpoint) {
+            match kept.send(request).await {
+                Ok(response) => return Ok((response, kept)),
+                // The endpoint had closed it before anything was written.
+                Err((SendError::NotSent(_), Some(unsent))) => request = unsent,
+                Err((error, _)) => return Err(error),
+            }
+        }
+        let mut fresh = Connection::open(address).await?;
+        match fresh.send(request).await {
+            Ok(response) => Ok((response, fresh)),
+            Err((error, _)) => Err(error),
+        }
+    }
+
+    fn take(&self, endpoint: &str) -> Option<Connection> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let kept = idle.get_mut(endpoint)?;
+        while let Some(connection) = kept.pop() {
+            if connection.is_usable() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer has been read to its end.
+    pub fn keep(&self, endpoint: &str, mut connection: Connection) {
+        if connection.keep.is_zero() || connection.sender.is_closed() {
+            return;
+        }
+        connection.idle_since = Instant::now();
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let kept = match idle.get_mut(endpoint) {
+            Some(kept) => kept,
+            None => idle.entry(endpoint.to_string()).or_default(),
+        };
+        kept.retain(|c| !c.sender.is_closed() && c.idle_since.elapsed() < c.keep);
+        if kept.len() < MAX_IDLE {
+            kept.push(connection);
+        }
+    }
+
+    /// Closes the kept connections of an endpoint.
+    pub fn forget(&self, endpoint: &str) {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(endpoint);
+    }
+}
--- /dev/null
+++ b/src/gateway/endpoints.rs
@@ -0,0 +1,146 @@
+//! Choosing an endpoint from what this router has seen itself.
+//!
+//! No health answer decides: what counts is how the requests went that were
+//! sent. An endpoint that fails is avoided for a while, longer each time.
+
+use std::collections::HashMap;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::dispatch::Millis;
+use crate::registry::Registration;
+
+/// Shortest time for which an endpoint is avoided after a failure.
+const AVOID_MS: Millis = 300;
+/// Longest time for which an endpoint is avoided.
+const MAX_AVOID_MS: Millis = 4_000;
+/// Endpoints preferred for one prompt.
+const PREFERRED: usize = 2;
+/// Failures in a row after which an endpoint is avoided, where one may be chance.
+const TOLERATED: u32 = 2;
+
+/// How a request failed at an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No connection came about: it is unreachable.
+    Unreachable,
+    /// Another endpoint answers at its address: it is gone for good.
+    Replaced,
+    /// It rejected the request without running it.
+    Rejected,
+    /// It broke off, sent no answer or an error.
+    Failed,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    in_flight: u32,
+    prompt_tokens: u64,
+    failures: u32,
+    avoid_until: Millis,
+    replaced: bool,
+}
+
+/// What this router has seen of each endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct Endpoints {
+    seen: HashMap<String, Seen>,
+}
+
+impl Endpoints {
+    /// Chooses among `ready`, leaving out those in `tried`. Requests with the
+    /// same `affinity` go to the same few endpoints as long as these have no more
+    /// to do than others; all else goes where least is under way.
+    pub fn choose<'a>(
+        &self,
+        now: Millis,
+        ready: impl Iterator<Item = &'a Registration>,
+        tried: &[String],
+        affinity: Option<u64>,
+    ) -> Option<&'a Registration> {
+        let usable = |r: &&Registration| {
+            let replaced = self.seen.get(&r.id).is_some_and(|s| s.replaced);
+            !replaced && !tried.contains(&r.id) && r.address.is_some()
+        };
+        let mut usable: Vec<_> = ready.filter(usable).collect();
+        let calm = |r: &Registration| self.seen.get(&r.id).is_none_or(|s| s.avoid_until <= now);
+        if usable.iter().any(|r| calm(r)) {
+            usable.retain(|r| calm(r));
+        }
+        if let Some(affinity) = affinity {
+            usable.sort_by_cached_key(|r| std::cmp::Reverse(rank(affinity, &r.id)));
+            usable.truncate(PREFERRED);
+        }
+        usable.into_iter().min_by_key(|r| self.load(r, affinity))
+    }
+
+    fn load(&self, endpoint: &Registration, affinity: Option<u64>) -> (u64, u64) {
+        let spread = rank(affinity.unwrap_or_default(), &endpoint.id);
+        let Some(seen) = self.seen.get(&endpoint.id) else {
+            return (0, spread);
+        };
+        match affinity {
+            Some(_) => (seen.prompt_tokens, spread),
+            None => (u64::from(seen.in_flight) * 1_000 / u64::from(endpoint.slots.max(1)), spread),
+        }
+    }
+
+    /// A request was sent.
+    pub fn begin(&mut self, id: &str, prompt_tokens: u32) {
+        let seen = self.seen.entry(id.to_string()).or_default();
+        seen.in_flight += 1;
+        seen.prompt_tokens += u64::from(prompt_tokens);
+    }
+
+    /// Its prompt has been read: the first event came.
+    pub fn begun(&mut self, id: &str, prompt_tokens: u32) {
+        if let Some(seen) = self.seen.get_mut(id) {
+            seen.prompt_tokens = seen.prompt_tokens.saturating_sub(u64::from(prompt_tokens));
+        }
+    }
+
+    /// A request has ended.
+    pub fn end(&mut self, id: &str) {
+        if let Some(seen) = self.seen.get_mut(id) {
+            seen.in_flight = seen.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// A request was answered.
+    pub fn succeeded(&mut self, id: &str) {
+        if let Some(seen) = self.seen.get_mut(id) {
+            seen.failures = 0;
+            seen.avoid_until = 0;
+        }
+    }
+
+    /// A request failed; returns for how long the endpoint is avoided.
+    pub fn failed(&mut self, now: Millis, id: &str, failure: Failure) -> Millis {
+        let seen = self.seen.entry(id.to_string()).or_default();
+        seen.failures += 1;
+        seen.replaced |= failure == Failure::Replaced;
+        let at_once = failure == Failure::Unreachable;
+        if !at_once && seen.failures < TOLERATED {
+            return 0;
+        }
+        let doubled = AVOID_MS << seen.failures.min(8).saturating_sub(1);
+        let avoid = doubled.min(MAX_AVOID_MS);
+        seen.avoid_until = now + avoid;
+        avoid
+    }
+
+    /// Forgets endpoints that are gone.
+    pub fn forget(&mut self, id: &str) {
+        if self.seen.get(id).is_some_and(|s| s.in_flight == 0) {
+            self.seen.remove(id);
+        }
+    }
+}
+
+/// Rendezvous hashing: where requests of one kind go stays the same as endpoints
+/// come and go.
+fn rank(affinity: u64, id: &str) -> u64 {
+    let mut key = affinity.to_be_bytes().to_vec();
+    key.extend_from_slice(id.as_bytes());
+    xxh3_64(&key)
+}
--- /dev/null
+++ b/src/gateway/exchange.rs
@@ -0,0 +1,199 @@
+//! One attempt: a request sent to one endpoint, and the head of its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::http::{HeaderMap, Request, Response, StatusCode, Uri, header};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+
+use super::connections::{Connection, SendError};
+use super::dialect::Forwarding;
+use super::endpoints::Failure;
+use super::request::Call;
+use super::state::Ticket;
+use super::stream;
+use crate::registry::Registration;
+use crate::routing::RouteKind;
+
+/// Largest answer that is not a stream, in bytes.
+const MAX_ANSWER: usize = 16 << 20;
+/// A repeatable request is given up at one endpoint after so many times its
+/// objective, to be sent to another.
+const PATIENCE: u64 = 3;
+/// The shortest time for which one endpoint is waited for.
+const LEAST_PATIENCE: Duration = Duration::from_millis(300);
+
+/// What came of one attempt.
+pub(super) enum Attempt {
+    /// The answer, for the caller.
+    Answered(Response<Body>),
+    /// The endpoint ran it and answered with an error.
+    Error(Response<Body>),
+    /// Nothing was sent.
+    NotSent,
+    /// The endpoint states that it did not run it.
+    NotExecuted,
+    /// It may have run; there is no answer that could be passed on.
+    Unknown,
+    /// It may have run; no answer came in time.
+    TimedOut,
+}
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [header::HeaderName; 8] = [
+    header::CONNECTION,
+    header::HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Removes what concerns one connection only, also where `Connection` names it.
+pub(super) fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named = headers.get_all(header::CONNECTION).iter().filter_map(|v| v.to_str().ok());
+    let named: Vec<_> = named.flat_map(|text| text.split(',')).map(str::trim).collect();
+    let named: Vec<_> =
+        named.into_iter().filter_map(|n| n.parse::<header::HeaderName>().ok()).collect();
+    for name in named.iter().chain(&CONNECTION_HEADERS) {
+        headers.remove(name);
+    }
+}
+
+/// The request as an endpoint gets it.
+pub(super) fn request_for(
+    call: &Call,
+    endpoint: &Registration,
+    after_event: Option<&str>,
+) -> Request<Full<Bytes>> {
+    let mut headers = call.parts.headers.clone();
+    strip_connection_headers(&mut headers);
+    headers.remove(header::EXPECT);
+    headers.remove(header::CONTENT_LENGTH);
+    let forwarding = Forwarding {
+        remaining_ms: call.remaining().as_millis() as u64,
+        endpoint: &endpoint.id,
+        customer: call.customer.as_deref(),
+        after_event,
+    };
+    call.gateway.dialect.write_call(&mut headers, &forwarding);
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.parts.method.clone();
+    *request.uri_mut() = origin_form(&call.parts.uri);
+    *request.headers_mut() = headers;
+    request
+}
+
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map(Uri::from).unwrap_or_else(|| Uri::from_static("/"))
+}
+
+/// Sends a request to one endpoint and waits for its answer, or for the head of
+/// its stream.
+pub(super) async fn attempt(call: &Arc<Call>, endpoint: &Registration, again: bool) -> Attempt {
+    let Some(address) = endpoint.address else { return Attempt::NotSent };
+    let ticket = Ticket::new(&call.gateway, &endpoint.id, call.prompt_tokens());
+    if again {
+        call.gateway.metrics.retries.with_label_values(&[&call.service]).inc();
+    }
+    let request = request_for(call, endpoint, None);
+    let exchange = call.gateway.connections.send(&endpoint.id, address, request);
+    let sent = tokio::time::timeout(patience(call), exchange).await;
+    let (response, connection) = match sent {
+        Ok(Ok(answered)) => answered,
+        Ok(Err(SendError::NotSent(why))) => {
+            log::info!("gateway: request {} not sent to {}: {why}", call.number, endpoint.id);
+            call.gateway.note_failure(&endpoint.id, Failure::Unreachable);
+            return Attempt::NotSent;
+        }
+        Ok(Err(SendError::Unknown(why))) => {
+            return unknown(call, endpoint, &why);
+        }
+        Err(_) => {
+            call.gateway.note_failure(&endpoint.id, Failure::Failed);
+            log::info!("gateway: request {} got no answer of {}", call.number, endpoint.id);
+            return Attempt::TimedOut;
+        }
+    };
+    judge(call, endpoint, ticket, response, connection).await
+}
+
+fn unknown(call: &Call, endpoint: &Registration, why: &str) -> Attempt {
+    log::info!("gateway: request {} lost its answer at {}: {why}", call.number, endpoint.id);
+    call.gateway.note_failure(&endpoint.id, Failure::Failed);
+    Attempt::Unknown
+}
+
+/// How long an endpoint is waited for.
+fn patience(call: &Call) -> Duration {
+    let remaining = call.remaining();
+    if !call.route.may_repeat() || call.route.attempts < 2 {
+        return remaining;
+    }
+    let patience = Duration::from_millis(call.route.objective_ms * PATIENCE);
+    remaining.min(patience.max(LEAST_PATIENCE))
+}
+
+async fn judge(
+    call: &Arc<Call>,
+    endpoint: &Registration,
+    ticket: Ticket,
+    response: Response<Incoming>,
+    connection: Connection,
+) -> Attempt {
+    let head = call.gateway.dialect.read_answer(response.headers());
+    let status = response.status();
+    if head.not_executed || status == StatusCode::MISDIRECTED_REQUEST {
+        let replaced = status == StatusCode::MISDIRECTED_REQUEST;
+        let failure = if replaced { Failure::Replaced } else { Failure::Rejected };
+        log::info!("gateway: request {} not run by {}: {status}", call.number, endpoint.id);
+        call.gateway.note_failure(&endpoint.id, failure);
+        return Attempt::NotExecuted;
+    }
+    if head.id != call.head.id {
+        return unknown(call, endpoint, "the answer is another request's");
+    }
+    if !head.sealed {
+        return unknown(call, endpoint, "the answer is not the endpoint's");
+    }
+    if status.is_success() && call.route.kind == RouteKind::Streaming {
+        call.gateway.with_endpoints(|e| e.succeeded(&endpoint.id));
+        return Attempt::Answered(stream::relay(call, endpoint, ticket, response, connection));
+    }
+    whole(call, endpoint, response, connection).await
+}
+
+/// Reads a whole answer before any of it is passed on.
+async fn whole(
+    call: &Call,
+    endpoint: &Registration,
+    response: Response<Incoming>,
+    connection: Connection,
+) -> Attempt {
+    let (mut head, body) = response.into_parts();
+    let reading = Limited::new(body, MAX_ANSWER).collect();
+    let body = match tokio::time::timeout(call.remaining(), reading).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => return unknown(call, endpoint, &error.to_string()),
+        Err(_) => return Attempt::TimedOut,
+    };
+    call.gateway.connections.keep(&endpoint.id, connection);
+    strip_connection_headers(&mut head.headers);
+    if call.parts.method != axum::http::Method::HEAD {
+        head.headers.remove(header::CONTENT_LENGTH);
+    }
+    let failed = head.status.is_server_error();
+    let response = Response::from_parts(head, Body::from(body));
+    if failed {
+        call.gateway.note_failure(&endpoint.id, Failure::Failed);
+        return Attempt::Error(response);
+    }
+    call.gateway.with_endpoints(|e| e.succeeded(&endpoint.id));
+    Attempt::Answered(response)
+}
--- /dev/null
+++ b/src/gateway/request.rs
@@ -0,0 +1,343 @@
+//! One request from its arrival to its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::http::request::Parts;
+use axum::http::{HeaderValue, Request, Response, StatusCode, header};
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use rand::RngExt;
+use tokio::time::Instant;
+
+use super::dialect::CallHead;
+use super::exchange::{self, Attempt};
+use super::state::{Gateway, Presence};
+use crate::registry::Registration;
+use crate::routing::{Route, Routing};
+
+/// Endpoints to which one request is sent at most when none has taken it.
+const MAX_SENDS: usize = 4;
+/// Time left below which a request is not sent any more.
+const LEAST_REMAINING: Duration = Duration::from_millis(10);
+/// When to come back if nothing better is known, in seconds.
+const RETRY_AFTER_S: f64 = 0.25;
+
+/// Why the gateway itself ends a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No routing is known here yet.
+    NoRouting,
+    /// No route fits.
+    NoRoute,
+    /// The key is missing or unknown.
+    UnknownKey,
+    /// The body is too large.
+    BodyTooLarge,
+    /// The body did not come in time.
+    BodyTooSlow,
+    /// The body broke off.
+    BodyBroken,
+    /// No endpoint of the service is known to take work.
+    NoEndpoint,
+    /// Endpoints were asked and none ran it.
+    NotExecuted,
+    /// Time ran out before it was sent.
+    TimedOutUnsent,
+    /// Time ran out after it was sent.
+    TimedOut,
+    /// It may have run, and its answer is lost.
+    AnswerLost,
+}
+
+impl Refusal {
+    fn status(self) -> StatusCode {
+        match self {
+            Refusal::NoRouting
+            | Refusal::NoEndpoint
+            | Refusal::NotExecuted
+            | Refusal::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::NoRoute => StatusCode::NOT_FOUND,
+            Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
+            Refusal::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+            Refusal::BodyBroken => StatusCode::BAD_REQUEST,
+            Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Refusal::AnswerLost => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// Whether the rest of the caller's connection cannot be used any more.
+    fn closes(self) -> bool {
+        matches!(self, Refusal::BodyTooLarge | Refusal::BodyTooSlow | Refusal::BodyBroken)
+    }
+
+    /// The name used in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Refusal::NoRouting => "no_routing",
+            Refusal::NoRoute => "no_route",
+            Refusal::UnknownKey => "unknown_key",
+            Refusal::BodyTooLarge => "body_too_large",
+            Refusal::BodyTooSlow => "body_too_slow",
+            Refusal::BodyBroken => "body_broken",
+            Refusal::NoEndpoint => "no_endpoint",
+            Refusal::NotExecuted => "not_executed",
+            Refusal::TimedOutUnsent => "timed_out_unsent",
+            Refusal::TimedOut => "timed_out",
+            Refusal::AnswerLost => "answer_lost",
+        }
+    }
+
+    fn into_response(self) -> Response<Body> {
+        let mut response = Response::new(Body::from(self.name()));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        if self.status() == StatusCode::SERVICE_UNAVAILABLE {
+            let after = HeaderValue::from_str(&format!("{RETRY_AFTER_S}"));
+            headers.insert(header::RETRY_AFTER, after.expect("a number is a legal header"));
+        }
+        if self.closes() {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+/// A request that has found its route and customer.
+pub(super) struct Call {
+    pub gateway: Arc<Gateway>,
+    pub number: u64,
+    pub route: Route,
+    pub service: String,
+    pub customer: Option<String>,
+    pub head: CallHead,
+    pub parts: Parts,
+    pub body: Bytes,
+    pub arrived: Instant,
+    pub limit: Instant,
+    pub _presence: Presence,
+}
+
+impl Call {
+    /// Tokens of the prompt, which an engine has to read.
+    pub fn prompt_tokens(&self) -> u32 {
+        self.head.prompt_tokens
+    }
+
+    pub fn remaining(&self) -> Duration {
+        self.limit.saturating_duration_since(Instant::now())
+    }
+
+    /// What a request has in common with others that should go where it goes.
+    pub fn affinity(&self) -> Option<u64> {
+        self.head.parts.first().map(|part| part.id)
+    }
+
+    /// Chooses an endpoint that was not tried before.
+    pub fn choose(&self, tried: &[String]) -> Option<Registration> {
+        let now = self.gateway.now();
+        self.gateway.registry.read(|registry| {
+            let ready = registry.ready(&self.service);
+            let affinity = self.affinity();
+            self.gateway.with_endpoints(|e| e.choose(now, ready, tried, affinity).cloned())
+        })
+    }
+
+    /// Whether the budget allows to send it again.
+    pub fn may_repeat(&self) -> bool {
+        let now = self.gateway.now();
+        self.gateway.with_budgets(|budgets| budgets.take(now, &self.service))
+    }
+}
+
+/// Serves one request.
+pub(super) async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+    let stopping = gateway.stop.is_cancelled();
+    let metrics = gateway.metrics.clone();
+    let mut response = match admit(gateway, request).await {
+        Ok(call) => run(Arc::new(call)).await,
+        Err(refusal) => {
+            metrics.outcomes.with_label_values(&["", refusal.name()]).inc();
+            refusal.into_response()
+        }
+    };
+    if stopping {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn admit(gateway: Arc<Gateway>, request: Request<Incoming>) -> Result<Call, Refusal> {
+    let arrived = Instant::now();
+    let presence = gateway.enter();
+    let routing = gateway.documents.current().ok_or(Refusal::NoRouting)?;
+    let (parts, body) = request.into_parts();
+    let route = find_route(&routing, &parts).ok_or(Refusal::NoRoute)?.clone();
+    let head = gateway.dialect.read_call(&parts.headers);
+    let customer = find_customer(&routing, &route, &head)?;
+    let timeout = Duration::from_millis(route.timeout_ms);
+    let deadline = head.deadline_ms.map_or(timeout, Duration::from_millis);
+    let limit = arrived + deadline.min(timeout);
+    let limits = &routing.table.limits;
+    let body_limit = limit.min(arrived + Duration::from_millis(limits.header_timeout_ms));
+    let body = read_body(body, limits.max_body_bytes, body_limit).await?;
+    let service = pick_service(&route).ok_or(Refusal::NoEndpoint)?;
+    let now = gateway.now();
+    gateway.with_budgets(|budgets| budgets.request(now, &service));
+    let number = gateway.next_number();
+    Ok(Call {
+        number,
+        route,
+        service,
+        customer,
+        head,
+        parts,
+        body,
+        arrived,
+        limit,
+        _presence: presence,
+        gateway,
+    })
+}
+
+fn find_route<'a>(routing: &'a Routing, parts: &Parts) -> Option<&'a Route> {
+    let named = parts.headers.get(header::HOST).and_then(|v| v.to_str().ok());
+    let host = parts.uri.host().or(named)?;
+    let host = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
+    routing.route(&host, parts.uri.path())
+}
+
+fn find_customer(
+    routing: &Routing,
+    route: &Route,
+    head: &CallHead,
+) -> Result<Option<String>, Refusal> {
+    if !routing.needs_keys() {
+        return Ok(None);
+    }
+    let customer = head.key.as_deref().and_then(|key| routing.customer(key));
+    match customer {
+        Some(customer) => Ok(Some(customer.name.clone())),
+        None if route.public => Ok(None),
+        None => Err(Refusal::UnknownKey),
+    }
+}
+
+/// A target of the route, at random by weight.
+fn pick_service(route: &Route) -> Option<String> {
+    let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
+    if total == 0 {
+        return None;
+    }
+    let mut at = rand::rng().random_range(0..total);
+    for target in &route.targets {
+        let weight = u64::from(target.weight);
+        if at < weight {
+            return Some(target.service.clone());
+        }
+        at -= weight;
+    }
+    None
+}
+
+async fn read_body(body: Incoming, most: usize, until: Instant) -> Result<Bytes, Refusal> {
+    let collected = tokio::time::timeout_at(until, Limited::new(body, most).collect()).await;
+    match collected {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Ok(Err(_)) => Err(Refusal::BodyBroken),
+        Err(_) => Err(Refusal::BodyTooSlow),
+    }
+}
+
+/// How often a request was sent, and what is known of its runs.
+#[derive(Default)]
+struct Progress {
+    tried: Vec<String>,
+    runs: u32,
+    may_have_run: bool,
+    last_error: Option<Response<Body>>,
+}
+
+/// Sends a request to endpoints until it has its answer.
+async fn run(call: Arc<Call>) -> Response<Body> {
+    let mut progress = Progress::default();
+    let mut ended = Refusal::NoEndpoint;
+    while progress.tried.len() < MAX_SENDS {
+        if call.remaining() < LEAST_REMAINING {
+            ended = Refusal::TimedOutUnsent;
+            break;
+        }
+        let Some(endpoint) = call.choose(&progress.tried) else { break };
+        progress.tried.push(endpoint.id.clone());
+        match exchange::attempt(&call, &endpoint, progress.tried.len() > 1).await {
+            Attempt::Answered(response) => return finish(&call, &endpoint.id, response),
+            Attempt::NotSent => ended = Refusal::NotExecuted,
+            Attempt::NotExecuted => {
+                ended = Refusal::NotExecuted;
+                if !call.may_repeat() {
+                    break;
+                }
+            }
+            Attempt::Error(response) => {
+                progress.last_error = Some(response);
+                if !may_run_again(&call, &mut progress) {
+                    break;
+                }
+            }
+            Attempt::Unknown => {
+                ended = Refusal::AnswerLost;
+                if !may_run_again(&call, &mut progress) {
+                    break;
+                }
+            }
+            Attempt::TimedOut => {
+                ended = Refusal::TimedOut;
+                if !may_run_again(&call, &mut progress) {
+                    break;
+                }
+            }
+        }
+    }
+    if let Some(response) = progress.last_error {
+        let endpoint = progress.tried.last().cloned().unwrap_or_default();
+        return finish(&call, &endpoint, response);
+    }
+    // A promise that it has not run may be given only when that is sure.
+    if progress.may_have_run && ended.status() == StatusCode::SERVICE_UNAVAILABLE {
+        ended = Refusal::AnswerLost;
+    }
+    let ms = call.arrived.elapsed().as_millis();
+    log::info!(
+        "gateway: request {} ({}) on {} ended {} after {ms} ms, tried {:?}",
+        call.number,
+        call.head.id.as_deref().unwrap_or_default(),
+        call.route.name,
+        ended.name(),
+        progress.tried
+    );
+    count(&call, ended.name());
+    ended.into_response()
+}
+
+fn may_run_again(call: &Call, progress: &mut Progress) -> bool {
+    progress.runs += 1;
+    progress.may_have_run = true;
+    call.route.may_repeat() && progress.runs < call.route.attempts && call.may_repeat()
+}
+
+fn finish(call: &Call, endpoint: &str, response: Response<Body>) -> Response<Body> {
+    log::debug!("gateway: request {} answered {} by {endpoint}", call.number, response.status());
+    let name = if response.status().is_success() { "answered" } else { "endpoint_error" };
+    count(call, name);
+    let seconds = call.arrived.elapsed().as_secs_f64();
+    call.gateway.metrics.first_answer.with_label_values(&[&call.service]).observe(seconds);
+    response
+}
+
+fn count(call: &Call, outcome: &str) {
+    call.gateway.metrics.outcomes.with_label_values(&[&call.service, outcome]).inc();
+}
--- /dev/null
+++ b/src/gateway/server.rs
@@ -0,0 +1,157 @@
+//! The gateway's process: callers' connections, readiness, planned stop.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::get;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use snafu::ResultExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use super::dialect::Dialect;
+use super::request;
+use super::state::{Gateway, follow_registry};
+use crate::error::{NetSnafu, Result};
+use crate::peer::{Incoming, Peers};
+use crate::settings::{GatewaySettings, RouterSettings};
+use crate::wire::Role;
+
+/// How often a planned stop looks whether all requests have ended.
+const STOP_POLL: Duration = Duration::from_millis(50);
+/// A planned stop ends so long before it would be ended by force.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// How long to wait after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Runs a gateway until `stop`, then lets requests in flight finish.
+pub async fn run(
+    settings: RouterSettings,
+    rules: GatewaySettings,
+    dialect: Arc<dyn Dialect>,
+    stop: CancellationToken,
+) -> Result<()> {
+    settings.check()?;
+    let (peers, incoming) = Peers::start(&settings.host, Role::Router, settings.operator).await?;
+    tokio::spawn(refuse_peers(incoming));
+    let gateway = Gateway::new(settings, rules, peers, dialect, stop.clone());
+    tokio::spawn(follow_registry(gateway.clone()));
+    tokio::spawn(count_routers(gateway.clone()));
+    serve_readiness(&gateway).await?;
+    let listen = gateway.settings.listen;
+    let listener = TcpListener::bind(listen).await;
+    let listener =
+        listener.context(NetSnafu { what: format!("listen for callers on {listen}") })?;
+    log::info!("gateway: host {} takes requests on {listen}", gateway.peers.me);
+    let closing = CancellationToken::new();
+    tokio::spawn(accept(gateway.clone(), listener, closing.clone()));
+    stop.cancelled().await;
+    stop_gracefully(&gateway, &closing).await;
+    Ok(())
+}
+
+/// Requests are taken for a while yet, since the platform still sends some; then
+/// connections close as they fall idle, and the rest may take until the limit.
+async fn stop_gracefully(gateway: &Gateway, closing: &CancellationToken) {
+    log::info!("gateway: planned stop begins, {} requests in flight", gateway.in_flight());
+    gateway.peers.set_draining();
+    let limit = Duration::from_secs_f64(gateway.rules.stop_within_s).saturating_sub(STOP_MARGIN);
+    let takes = Duration::from_millis(gateway.rules.stop_takes_ms).min(limit / 2);
+    tokio::time::sleep(takes).await;
+    closing.cancel();
+    let deadline = tokio::time::Instant::now() + limit.saturating_sub(takes);
+    while gateway.in_flight() > 0 && tokio::time::Instant::now() < deadline {
+        tokio::time::sleep(STOP_POLL).await;
+    }
+    // What has just been answered still has to leave.
+    tokio::time::sleep(STOP_POLL).await;
+    log::info!("gateway: stopped, {} requests in flight", gateway.in_flight());
+}
+
+async fn serve_readiness(gateway: &Arc<Gateway>) -> Result<()> {
+    let app = axum::Router::new()
+        .route("/ready", get(ready))
+        .route("/metrics", get(async |State(g): State<Arc<Gateway>>| g.metrics.render()))
+        .with_state(gateway.clone());
+    let never = CancellationToken::new();
+    crate::http::serve(gateway.rules.ready, app.clone(), &never).await?;
+    match gateway.rules.metrics {
+        Some(metrics) => crate::http::serve(metrics, app, &never).await,
+        None => Ok(()),
+    }
+}
+
+async fn ready(State(gateway): State<Arc<Gateway>>) -> StatusCode {
+    let ready = !gateway.stop.is_cancelled() && gateway.documents.current().is_some();
+    match ready {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// The retry budget is shared by the routers that control hosts know of.
+async fn count_routers(gateway: Arc<Gateway>) {
+    let routers = gateway.rules.routers;
+    gateway.with_budgets(|budgets| budgets.set_routers(routers));
+}
+
+async fn refuse_peers(mut incoming: mpsc::Receiver<Incoming>) {
+    while let Some(Incoming { open, .. }) = incoming.recv().await {
+        log::warn!("peer: a gateway takes no connection {open:?}");
+    }
+}
+
+async fn accept(gateway: Arc<Gateway>, listener: TcpListener, closing: CancellationToken) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                tokio::spawn(serve_connection(gateway.clone(), stream, from, closing.clone()));
+            }
+            Err(error) => {
+                log::warn!("gateway: accept failed: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(
+    gateway: Arc<Gateway>,
+    stream: TcpStream,
+    from: SocketAddr,
+    closing: CancellationToken,
+) {
+    // Without it events wait for the caller's delayed acknowledgements.
+    let _ = stream.set_nodelay(true);
+    let limits = gateway.documents.current().map(|r| r.table.limits.clone()).unwrap_or_default();
+    let service = service_fn(|call| {
+        let gateway = gateway.clone();
+        async move { Ok::<_, Infallible>(request::serve(gateway, call).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
+        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        () = closing.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = served {
+        log::debug!("gateway: connection from {from}: {error}");
+    }
+}
+
+/// The smallest buffer that the HTTP library takes, in bytes.
+const MIN_BUFFER: usize = 16 << 10;
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,173 @@
+//! What the parts of a gateway share.
+
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use tokio_util::sync::CancellationToken;
+
+use super::budget::RetryBudgets;
+use super::connections::Connections;
+use super::dialect::Dialect;
+use super::endpoints::{Endpoints, Failure};
+use crate::dispatch::Millis;
+use crate::feed::Subscriptions;
+use crate::peer::Peers;
+use crate::registry::{EndpointState, SharedRegistry};
+use crate::routing::Documents;
+use crate::settings::{GatewaySettings, RouterSettings};
+use crate::telemetry::GatewayMetrics;
+
+/// A gateway and all that its parts share.
+pub struct Gateway {
+    /// Its settings.
+    pub settings: RouterSettings,
+    /// The part of its settings for requests by routes.
+    pub rules: GatewaySettings,
+    /// The other hosts.
+    pub peers: Arc<Peers>,
+    /// The routing in force.
+    pub documents: Arc<Documents>,
+    /// The endpoints.
+    pub registry: Arc<SharedRegistry>,
+    /// What control hosts tell.
+    pub feeds: Arc<Subscriptions>,
+    /// Names and formats of heads.
+    pub dialect: Arc<dyn Dialect>,
+    /// Connections to endpoints.
+    pub connections: Connections,
+    /// Counters.
+    pub metrics: GatewayMetrics,
+    /// Begins a planned stop.
+    pub stop: CancellationToken,
+    pub(super) endpoints: Mutex<Endpoints>,
+    pub(super) budgets: Mutex<RetryBudgets>,
+    in_flight: AtomicUsize,
+    next_number: AtomicU64,
+}
+
+impl Gateway {
+    pub(super) fn new(
+        settings: RouterSettings,
+        rules: GatewaySettings,
+        peers: Arc<Peers>,
+        dialect: Arc<dyn Dialect>,
+        stop: CancellationToken,
+    ) -> Arc<Gateway> {
+        let documents = Arc::new(Documents::default());
+        let registry = Arc::new(SharedRegistry::default());
+        let feeds = Subscriptions::start(peers.clone(), documents.clone(), registry.clone());
+        let budgets = RetryBudgets::new(rules.retry_budget, 1);
+        Arc::new(Gateway {
+            settings,
+            rules,
+            peers,
+            documents,
+            registry,
+            feeds,
+            dialect,
+            connections: Connections::default(),
+            metrics: GatewayMetrics::default(),
+            stop,
+            endpoints: Mutex::default(),
+            budgets: Mutex::new(budgets),
+            in_flight: AtomicUsize::new(0),
+            next_number: AtomicU64::new(1),
+        })
+    }
+
+    /// Milliseconds on this process's clock.
+    pub fn now(&self) -> Millis {
+        self.peers.clock.now()
+    }
+
+    /// Works on what was seen of endpoints.
+    pub(super) fn with_endpoints<T>(&self, f: impl FnOnce(&mut Endpoints) -> T) -> T {
+        f(&mut self.endpoints.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Works on the retry budgets.
+    pub(super) fn with_budgets<T>(&self, f: impl FnOnce(&mut RetryBudgets) -> T) -> T {
+        f(&mut self.budgets.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// A number for a request, for the log.
+    pub(super) fn next_number(&self) -> u64 {
+        self.next_number.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// A request failed at an endpoint.
+    pub(super) fn note_failure(&self, id: &str, failure: Failure) {
+        let now = self.now();
+        let avoided = self.with_endpoints(|e| e.failed(now, id, failure));
+        if avoided > 0 {
+            log::info!("gateway: endpoint {id} avoided for {avoided} ms: {failure:?}");
+        }
+    }
+
+    /// Requests that are being served.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn enter(self: &Arc<Self>) -> Presence {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        Presence(self.clone())
+    }
+}
+
+/// A request that is being served; a planned stop waits until it is dropped.
+pub(super) struct Presence(Arc<Gateway>);
+
+impl Drop for Presence {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A request at an endpoint, counted there until dropped.
+pub(super) struct Ticket {
+    gateway: Arc<Gateway>,
+    /// The endpoint's id.
+    pub endpoint: String,
+    prompt_tokens: u32,
+    begun: bool,
+}
+
+impl Ticket {
+    pub fn new(gateway: &Arc<Gateway>, endpoint: &str, prompt_tokens: u32) -> Ticket {
+        gateway.with_endpoints(|e| e.begin(endpoint, prompt_tokens));
+        let endpoint = endpoint.to_string();
+        Ticket { gateway: gateway.clone(), endpoint, prompt_tokens, begun: false }
+    }
+
+    /// The first part of the answer came.
+    pub fn begun(&mut self) {
+        if !std::mem::replace(&mut self.begun, true) {
+            let tokens = self.prompt_tokens;
+            self.gateway.with_endpoints(|e| e.begun(&self.endpoint, tokens));
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.begun();
+        self.gateway.with_endpoints(|e| e.end(&self.endpoint));
+    }
+}
+
+/// Closes kept connections to endpoints that take no more work.
+pub(super) async fn follow_registry(gateway: Arc<Gateway>) {
+    use tokio::sync::broadcast::error::RecvError;
+    let (_, mut changes) = gateway.registry.subscribe();
+    loop {
+        match changes.recv().await {
+            Ok(endpoint) if endpoint.state != EndpointState::Ready => {
+                gateway.connections.forget(&endpoint.id);
+                gateway.with_endpoints(|e| e.forget(&endpoint.id));
+            }
+            Ok(_) | Err(RecvError::Lagged(_)) => {}
+            Err(RecvError::Closed) => return,
+        }
+    }
+}
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -7,6 +7,7 @@
 
 use crate::config::ServiceId;
 use crate::dispatch::Millis;
+use crate::settings::HeartbeatScope;
 use crate::wire::{Beat, Heartbeat, HostId, Role};
 
 /// Milliseconds between two heartbeats.
@@ -15,6 +16,8 @@
 pub const SUSPECT_MS: Millis = 1_600;
 /// Milliseconds for which a host that refused a connection is avoided.
 const AVOID_MS: Millis = 2_000;
+/// So many first heartbeats say the whole: some may be lost, or taken for late.
+const WHOLE_FIRST: usize = 6;
 /// One heartbeat in so many says the whole.
 const WHOLE_EVERY: usize = 10;
 /// Milliseconds of silence after which a host is forgotten.
@@ -61,7 +64,7 @@
 }
 
 fn rendezvous(service: ServiceId, host: HostId) -> u64 {
-    let mut key = [0; 4];
+    let mut key = [0; 6];
     key[..2].copy_from_slice(&service.0.to_be_bytes());
     key[2..].copy_from_slice(&host.0.to_be_bytes());
     xxh3_64(&key)
@@ -75,12 +78,13 @@
     members: BTreeMap<HostId, Member>,
     turn: usize,
     greet: bool,
+    scope: HeartbeatScope,
 }
 
 impl Table {
     /// A table that knows only this host and where to look for others.
-    pub fn new(me: Heartbeat, seeds: Vec<SocketAddr>) -> Table {
-        Table { me, seeds, members: BTreeMap::new(), turn: 0, greet: true }
+    pub fn new(me: Heartbeat, seeds: Vec<SocketAddr>, scope: HeartbeatScope) -> Table {
+        Table { me, seeds, members: BTreeMap::new(), turn: 0, greet: true, scope }
     }
 
     /// This host's number.
@@ -122,10 +126,14 @@
             self.add_seed(address);
         }
         let known = self.members.get(&beat.host);
-        if known.is_some_and(|m| m.beat.incarnation > beat.incarnation) {
+        // Clocks are set back at times: an earlier incarnation is late while the
+        // later one is heard, and a restart once that has fallen silent.
+        let is_late =
+            |m: &Member| m.beat.incarnation > beat.incarnation && now < m.heard + SUSPECT_MS;
+        if known.is_some_and(is_late) {
             return;
         }
-        let restarted = known.is_none_or(|m| m.beat.incarnation < beat.incarnation);
+        let restarted = known.is_none_or(|m| m.beat.incarnation != beat.incarnation);
         let avoid_until = match known {
             Some(member) if !restarted => member.avoid_until,
             _ => 0,
@@ -158,13 +166,18 @@
 
     /// What to send now, and to whom.
     pub fn beat(&mut self) -> (Beat, Vec<SocketAddr>) {
-        let mut targets: Vec<_> = self.members.values().map(|m| m.beat.peer).collect();
+        let hears = |m: &&Member| self.exchanges_with(m.beat.role);
+        let others = self.members.values().filter(hears);
+        let mut targets: Vec<_> = others.map(|m| m.beat.peer).collect();
+        let told = |m: &&Member| self.scope == HeartbeatScope::All || m.beat.role == Role::Control;
+        let spread: Vec<_> = self.members.values().filter(told).map(|m| m.beat.peer).collect();
         let unknown = self.seeds.iter().filter(|s| **s != self.me.peer && !targets.contains(s));
         let unknown: Vec<_> = unknown.copied().collect();
-        let also = targets.get(self.turn % targets.len().max(1)).copied();
+        let also = spread.get(self.turn % spread.len().max(1)).copied();
         self.turn += 1;
         targets.extend(unknown);
-        let whole = std::mem::take(&mut self.greet) || self.turn % WHOLE_EVERY == 1;
+        let greets = std::mem::take(&mut self.greet);
+        let whole = greets || self.turn <= WHOLE_FIRST || self.turn % WHOLE_EVERY == 1;
         let beat = match whole {
             true => Beat::Whole(Heartbeat { also, ..self.me.clone() }),
             false => Beat::Brief {
@@ -177,6 +190,11 @@
         (beat, targets)
     }
 
+    fn exchanges_with(&self, role: Role) -> bool {
+        let both_route = self.me.role == Role::Router && role == Role::Router;
+        self.scope == HeartbeatScope::All || !both_route
+    }
+
     /// The hosts that are live now.
     pub fn view(&self, now: Millis) -> View {
         let is_live = |m: &&Member| now < m.heard + SUSPECT_MS && now >= m.avoid_until;
--- a/src/member/tests.rs
+++ b/src/member/tests.rs
@@ -2,9 +2,10 @@
 
 use super::*;
 use crate::config::ServiceId;
+use crate::settings::HeartbeatScope;
 use crate::wire::{Beat, Heartbeat, HostId, Role};
 
-fn beat(host: u16, incarnation: u64) -> Heartbeat {
+fn beat(host: u32, incarnation: u64) -> Heartbeat {
     Heartbeat {
         host: HostId(host),
         incarnation,
@@ -20,7 +21,7 @@
 
 #[test]
 fn a_silent_host_is_suspected_and_comes_back() {
-    let mut table = Table::new(beat(1, 1), vec![]);
+    let mut table = Table::new(beat(1, 1), vec![], HeartbeatScope::All);
     table.heard(0, Beat::Whole(beat(2, 1)));
     assert_eq!(table.view(SUSPECT_MS - 1).live.len(), 2);
     let view = table.view(SUSPECT_MS);
@@ -31,15 +32,36 @@
 
 #[test]
 fn a_late_heartbeat_of_an_earlier_incarnation_is_ignored() {
-    let mut table = Table::new(beat(1, 1), vec![]);
+    let mut table = Table::new(beat(1, 1), vec![], HeartbeatScope::All);
     table.heard(0, Beat::Whole(beat(2, 9)));
     table.heard(5, Beat::Whole(Heartbeat { draining: true, ..beat(2, 8) }));
     assert!(!table.view(5).get(HostId(2)).unwrap().draining);
 }
 
+#[test]
+fn a_host_that_starts_again_after_its_clock_was_set_back_is_heard() {
+    let mut table = Table::new(beat(1, 1), vec![], HeartbeatScope::All);
+    table.heard(0, Beat::Whole(beat(2, 9)));
+    table.heard(SUSPECT_MS, Beat::Whole(beat(2, 8)));
+    assert_eq!(table.view(SUSPECT_MS).get(HostId(2)).unwrap().incarnation, 8);
+}
+
+#[test]
+fn routers_may_exchange_heartbeats_with_control_hosts_only() {
+    let control = |host| Heartbeat { role: Role::Control, ..beat(host, 1) };
+    let mut router = Table::new(beat(1, 1), vec![], HeartbeatScope::Control);
+    router.heard(0, Beat::Whole(beat(2, 1)));
+    router.heard(0, Beat::Whole(control(3)));
+    assert_eq!(router.beat().1, [beat(3, 1).peer]);
+    let mut other = Table::new(control(3), vec![], HeartbeatScope::Control);
+    other.heard(0, Beat::Whole(beat(2, 1)));
+    other.heard(0, Beat::Whole(control(4)));
+    assert_eq!(other.beat().1, [beat(2, 1).peer, beat(4, 1).peer]);
+}
+
 #[test]
 fn a_draining_router_does_not_dispatch() {
-    let mut table = Table::new(beat(1, 1), vec![]);
+    let mut table = Table::new(beat(1, 1), vec![], HeartbeatScope::All);
     table.heard(0, Beat::Whole(beat(2, 1)));
     let service = ServiceId(0);
     let first = table.view(0).dispatcher(service).unwrap().host;
@@ -54,7 +76,7 @@
 
 #[test]
 fn a_host_that_refused_a_connection_is_avoided_though_it_beats() {
-    let mut table = Table::new(beat(1, 1), vec![]);
+    let mut table = Table::new(beat(1, 1), vec![], HeartbeatScope::All);
     table.heard(0, Beat::Whole(beat(2, 1)));
     table.avoid(0, HostId(2));
     table.heard(10, Beat::Whole(beat(2, 1)));
@@ -65,7 +87,7 @@
 
 #[test]
 fn a_restarted_host_is_not_avoided() {
-    let mut table = Table::new(beat(1, 1), vec![]);
+    let mut table = Table::new(beat(1, 1), vec![], HeartbeatScope::All);
     table.heard(0, Beat::Whole(beat(2, 1)));
     table.avoid(0, HostId(2));
     table.heard(10, Beat::Whole(beat(2, 2)));
@@ -74,19 +96,19 @@
 
 #[test]
 fn newcomers_spread_through_other_members() {
-    let mut table = Table::new(beat(1, 1), vec![]);
+    let mut table = Table::new(beat(1, 1), vec![], HeartbeatScope::All);
     let also = Some(beat(3, 1).peer);
     table.heard(0, Beat::Whole(Heartbeat { also, ..beat(2, 1) }));
     assert!(table.beat().1.contains(&beat(3, 1).peer));
 }
 
-fn brief(host: u16, incarnation: u64, version: u64) -> Beat {
+fn brief(host: u32, incarnation: u64, version: u64) -> Beat {
     Beat::Brief { host: HostId(host), incarnation, version, draining: false }
 }
 
 #[test]
 fn brief_heartbeats_keep_a_known_host_live_and_say_its_version() {
-    let mut table = Table::new(beat(1, 1), vec![]);
+    let mut table = Table::new(beat(1, 1), vec![], HeartbeatScope::All);
     table.heard(0, Beat::Whole(beat(2, 1)));
     table.heard(SUSPECT_MS, brief(2, 1, 7));
     assert_eq!(table.view(SUSPECT_MS).get(HostId(2)).unwrap().version, 7);
@@ -94,7 +116,7 @@
 
 #[test]
 fn a_brief_heartbeat_of_a_stranger_or_another_incarnation_is_ignored() {
-    let mut table = Table::new(beat(1, 1), vec![]);
+    let mut table = Table::new(beat(1, 1), vec![], HeartbeatScope::All);
     table.heard(0, brief(2, 1, 7));
     assert!(table.view(0).get(HostId(2)).is_none());
     table.heard(0, Beat::Whole(beat(2, 1)));
@@ -104,7 +126,7 @@
 
 #[test]
 fn a_newcomer_is_told_the_whole_at_the_next_heartbeat() {
-    let mut table = Table::new(beat(1, 1), vec![]);
+    let mut table = Table::new(beat(1, 1), vec![], HeartbeatScope::All);
     table.heard(0, Beat::Whole(beat(2, 1)));
     assert!(matches!(table.beat().0, Beat::Whole(_)));
     while matches!(table.beat().0, Beat::Whole(_)) {}
@@ -118,7 +140,7 @@
     /// Hosts that see the same members agree on every dispatcher, and the loss
     /// of a host moves only the services that it dispatched.
     #[test]
-    fn losing_a_host_moves_only_its_services(count in 2u16..20, lost in 0u16..20) {
+    fn losing_a_host_moves_only_its_services(count in 2u32..20, lost in 0u32..20) {
         let lost = HostId(lost % count);
         let all = View { live: (0..count).map(|h| beat(h, 1)).collect(), suspected: vec![] };
         let rest = View {
--- a/src/operator/control.rs
+++ b/src/operator/control.rs
@@ -104,7 +104,7 @@
         let propose = self.0.handle.propose(Command::Change { operation, base, changes });
         match tokio::time::timeout(PROPOSE_TIMEOUT, propose).await {
             Ok(Ok(Reply::Changed(changed))) => Ok(reply(changed)),
-            Ok(Ok(Reply::Claimed(_) | Reply::Settled)) => Ok(uncertain()),
+            Ok(Ok(Reply::Claimed(_) | Reply::Settled | Reply::Replaced(_))) => Ok(uncertain()),
             Ok(Err(no_leader)) => Err(no_leader),
             Err(_) => Err(NoLeader::Uncertain),
         }
@@ -115,7 +115,7 @@
         let replica = status.replica;
         let member = |m: &GroupMember| proto::GroupMember {
             store: m.store.to_string(),
-            host: m.host.0.into(),
+            host: m.host.0,
             peer: m.peer.to_string(),
             voter: m.voter,
             matched: status.matched.get(&m.store).copied().unwrap_or(0),
@@ -204,7 +204,7 @@
         request: Request<proto::ReplaceControlRequest>,
     ) -> Result<Response<proto::ReplaceControlReply>, Status> {
         let request = request.into_inner();
-        let host = HostId(request.host as u16);
+        let host = HostId(request.host);
         let replaces = match request.old_store.as_str() {
             "" => None,
             text => match u64::from_str_radix(text, 16) {
--- a/src/operator/view.rs
+++ b/src/operator/view.rs
@@ -72,7 +72,7 @@
     if !allowed {
         return false;
     }
-    let hosts = |ids: Vec<u32>| ids.into_iter().map(|id| crate::wire::HostId(id as u16)).collect();
+    let hosts = |ids: Vec<u32>| ids.into_iter().map(|id| crate::wire::HostId(id)).collect();
     log::warn!(
         "peer: rehearsal: cut to {:?}, from {:?}, halls {:?}",
         request.cut_to,
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -79,7 +79,7 @@
         let udp = UdpSocket::bind(address).await.with_context(|_| NetSnafu { what: what() })?;
         let incarnation = epoch_ms();
         let beat = Heartbeat {
-            host: settings.id,
+            host: settings.number(),
             incarnation,
             role,
             hall: settings.hall.clone(),
@@ -89,10 +89,10 @@
             draining: false,
             also: None,
         };
-        let table = Table::new(beat, settings.seeds.clone());
+        let table = Table::new(beat, settings.seed_peers(), settings.heartbeats);
         let first = Arc::new(table.view(0));
         let peers = Arc::new(Peers {
-            me: settings.id,
+            me: settings.number(),
             address,
             incarnation,
             clock: Clock::start(),
--- /dev/null
+++ b/src/registry.rs
@@ -0,0 +1,13 @@
+//! Endpoints that register themselves with control hosts.
+//!
+//! What is known of an endpoint merges without agreement: its sequence numbers
+//! rise, its state only goes forward (ready, leaving, gone), and an id never
+//! comes back. So every process may learn from every other, in any order.
+
+mod shared;
+mod table;
+#[cfg(test)]
+mod tests;
+
+pub use shared::SharedRegistry;
+pub use table::{EndpointState, Registration, Registry};
--- a/src/router.rs
+++ b/src/router.rs
@@ -109,7 +109,11 @@
                     writer,
                 ));
             }
-            Open::Agree { .. } | Open::Identify | Open::Claims { .. } => {
+            Open::Agree { .. }
+            | Open::Identify
+            | Open::Join(_)
+            | Open::Feed { .. }
+            | Open::Claims { .. } => {
                 log::warn!("peer: a router takes no such connection");
             }
         }
--- /dev/null
+++ b/src/routing/documents.rs
@@ -0,0 +1,100 @@
+//! The document in force in this process, compiled for look-ups.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use tokio::sync::watch;
+
+use super::model::{CustomerKeys, Document, Route, RoutingTable, ServicePool};
+
+/// A routing table with indexes.
+#[derive(Debug, Default)]
+pub struct Routing {
+    /// The table.
+    pub table: RoutingTable,
+    by_host: HashMap<String, Vec<usize>>,
+    by_key: HashMap<String, usize>,
+    by_service: HashMap<String, usize>,
+}
+
+impl Routing {
+    /// Builds the indexes.
+    pub fn new(table: RoutingTable) -> Routing {
+        let mut by_host: HashMap<String, Vec<usize>> = HashMap::new();
+        for (at, route) in table.routes.iter().enumerate() {
+            by_host.entry(route.host.clone()).or_default().push(at);
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|at| std::cmp::Reverse(table.routes[*at].prefix.len()));
+        }
+        let mut by_key = HashMap::new();
+        for (at, customer) in table.customers.iter().enumerate() {
+            by_key.extend(customer.keys.iter().map(|key| (key.clone(), at)));
+        }
+        let services = table.services.iter().enumerate();
+        let by_service = services.map(|(at, service)| (service.name.clone(), at)).collect();
+        Routing { table, by_host, by_key, by_service }
+    }
+
+    /// The route with the longest prefix of `path` among those of `host`.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let routes = self.by_host.get(host)?.iter().map(|at| &self.table.routes[*at]);
+        routes.into_iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// The customer that holds `key`.
+    pub fn customer(&self, key: &str) -> Option<&CustomerKeys> {
+        self.by_key.get(key).map(|at| &self.table.customers[*at])
+    }
+
+    /// A service by name.
+    pub fn service(&self, name: &str) -> Option<&ServicePool> {
+        self.by_service.get(name).map(|at| &self.table.services[*at])
+    }
+
+    /// Whether callers need keys at all.
+    pub fn needs_keys(&self) -> bool {
+        !self.table.customers.is_empty()
+    }
+}
+
+/// The routing in force, which only ever moves to a higher version.
+#[derive(Debug)]
+pub struct Documents {
+    current: watch::Sender<Option<Arc<Routing>>>,
+}
+
+impl Default for Documents {
+    fn default() -> Self {
+        Documents { current: watch::Sender::new(None) }
+    }
+}
+
+impl Documents {
+    /// What is in force; none before the first document.
+    pub fn current(&self) -> Option<Arc<Routing>> {
+        self.current.borrow().clone()
+    }
+
+    /// What is in force, now and as it changes.
+    pub fn watch(&self) -> watch::Receiver<Option<Arc<Routing>>> {
+        self.current.subscribe()
+    }
+
+    /// Puts an agreed document in force, if it is newer.
+    pub fn adopt(&self, document: Arc<Document>) {
+        self.adopt_table(document.table.clone());
+    }
+
+    /// Puts an agreed table in force, if it is newer.
+    pub fn adopt_table(&self, table: RoutingTable) {
+        self.current.send_if_modified(|current| {
+            let newer = current.as_ref().is_none_or(|c| c.table.version < table.version);
+            if newer {
+                log::info!("routing: version {} is in force", table.version);
+                *current = Some(Arc::new(Routing::new(table)));
+            }
+            newer
+        });
+    }
+}
--- /dev/null
+++ b/src/routing/tests.rs
@@ -0,0 +1,82 @@
+use std::sync::Arc;
+
+use super::*;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Repeatable,
+        timeout_ms: 1_000,
+        objective_ms: 100,
+        pause_objective_ms: 0,
+        priority: 1,
+        targets: vec![Target { service: "app".into(), weight: 1 }],
+        attempts: 2,
+        public: false,
+        resumable: false,
+    }
+}
+
+fn table(version: u64, routes: Vec<Route>) -> RoutingTable {
+    let service = ServicePool { name: "app".into(), max_connections: 10, engine: None };
+    RoutingTable { version, routes, services: vec![service], ..RoutingTable::default() }
+}
+
+fn keys(name: &str, keys: &[&str]) -> CustomerKeys {
+    let keys = keys.iter().map(|k| k.to_string()).collect();
+    CustomerKeys { name: name.into(), keys, priority: None }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![route("a", "x", "/p/"), route("b", "x", "/p/q/"), route("c", "y", "/")];
+    let routing = Routing::new(table(1, routes));
+    assert_eq!(routing.route("x", "/p/q/r").unwrap().name, "b");
+    assert_eq!(routing.route("x", "/p/r").unwrap().name, "a");
+    assert_eq!(routing.route("y", "/p/r").unwrap().name, "c");
+    assert!(routing.route("x", "/").is_none());
+    assert!(routing.route("z", "/p/").is_none());
+}
+
+#[test]
+fn each_fault_of_a_document_is_named() {
+    assert!(table(1, vec![route("a", "x", "/p/")]).check().is_ok());
+    let faulty = |f: fn(&mut Route)| {
+        let mut bad = route("a", "x", "/p/");
+        f(&mut bad);
+        table(1, vec![bad]).check().unwrap_err().field
+    };
+    assert_eq!(faulty(|r| r.timeout_ms = 0), "routes.a.timeout_ms");
+    assert_eq!(faulty(|r| r.targets[0].weight = 0), "routes.a.targets");
+    assert_eq!(faulty(|r| r.targets[0].service = "gone".into()), "routes.a.targets");
+    assert_eq!(faulty(|r| r.targets.clear()), "routes.a.targets");
+    assert_eq!(faulty(|r| r.prefix = "p/".into()), "routes.a.prefix");
+    let same = vec![route("a", "x", "/p/"), route("b", "x", "/p/")];
+    assert_eq!(table(1, same).check().unwrap_err().field, "routes.b.prefix");
+}
+
+#[test]
+fn two_customers_cannot_share_a_key() {
+    let mut shared = table(1, vec![]);
+    shared.customers = vec![keys("a", &["k1", "k2"]), keys("b", &["k2"])];
+    assert_eq!(shared.check().unwrap_err().field, "customers.b.keys");
+    shared.customers[1].keys = vec!["k3".into()];
+    assert!(shared.check().is_ok());
+    assert_eq!(Routing::new(shared).customer("k3").unwrap().name, "b");
+}
+
+#[test]
+fn an_older_document_never_replaces_a_newer_one() {
+    let documents = Documents::default();
+    assert!(documents.current().is_none());
+    documents.adopt_table(table(5, vec![]));
+    documents.adopt_table(table(4, vec![route("a", "x", "/")]));
+    documents
+        .adopt(Arc::new(Document { table: table(5, vec![route("a", "x", "/")]), source: vec![] }));
+    let current = documents.current().unwrap();
+    assert_eq!((current.table.version, current.table.routes.len()), (5, 0));
+    documents.adopt_table(table(7, vec![]));
+    assert_eq!(documents.current().unwrap().table.version, 7);
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -8,6 +8,7 @@
 use snafu::ResultExt;
 
 use crate::error::{Error, FileSnafu, Result};
+use crate::gateway::BudgetRules;
 use crate::wire::HostId;
 
 /// How a router decides who is served next.
@@ -28,8 +29,9 @@
 pub struct HostSettings {
     /// The host's name, for people.
     pub name: String,
-    /// The host's number, unique in the fleet.
-    pub id: HostId,
+    /// The host's number, unique in the fleet; by default its IPv4 address.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub id: Option<HostId>,
     /// The data hall it stands in.
     pub hall: String,
     /// Where peers reach it by UDP and TCP.
@@ -37,10 +39,33 @@
     /// Peer addresses of other hosts to start from.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// The peer port of every seed, where the list names other ports of theirs.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub seed_port: Option<u16>,
+    /// With whom heartbeats are exchanged.
+    #[serde(default, skip_serializing_if = "HeartbeatScope::is_default")]
+    pub heartbeats: HeartbeatScope,
+}
+
+/// With whom a host exchanges heartbeats.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum HeartbeatScope {
+    /// With every host that it hears of.
+    #[default]
+    All,
+    /// Routers only with control hosts, which hear everybody.
+    Control,
+}
+
+impl HeartbeatScope {
+    fn is_default(&self) -> bool {
+        *self == HeartbeatScope::All
+    }
 }
 
 /// Settings of `bramblecrank router`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RouterSettings {
     /// The host.
@@ -67,6 +92,33 @@
     /// Whether operators may rehearse cut links here.
     #[serde(default)]
     pub rehearsal: bool,
+    /// Set to serve requests of any kind by the routes of the agreed document,
+    /// in the platform's terms.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub gateway: Option<GatewaySettings>,
+}
+
+/// Settings of a router that serves by routes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// Where the platform asks whether this router takes requests.
+    pub ready: SocketAddr,
+    /// Where metrics are served, if not beside readiness alone.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+    /// Bound on requests sent again, for all routers together.
+    #[serde(default)]
+    pub retry_budget: BudgetRules,
+    /// Routers that share the retry budget.
+    #[serde(default = "default_routers")]
+    pub routers: usize,
+    /// Milliseconds for which requests are still taken in a planned stop.
+    #[serde(default = "default_stop_takes_ms")]
+    pub stop_takes_ms: u64,
+    /// Seconds after which a planned stop is ended by force.
+    #[serde(default = "default_stop_within_s")]
+    pub stop_within_s: f64,
 }
 
 /// Settings of `bramblecrank control`.
@@ -80,7 +132,22 @@
     /// The folder for durable state; one process at a time may hold it.
     pub data: PathBuf,
     /// Numbers of the hosts that found the group together.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub founders: Vec<HostId>,
+    /// Whether the control hosts among the seeds found the group; true only on
+    /// the very first start of the whole fleet.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub found_with_seeds: bool,
+    /// Control hosts that may be lost at once; the group is complete with twice
+    /// as many voters and one.
+    #[serde(default = "default_tolerated", skip_serializing_if = "is_default_tolerated")]
+    pub tolerated_losses: usize,
+    /// Whether to wait for a data folder that cannot be opened yet.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub wait_for_disk: bool,
+    /// Where operators and endpoints of the platform connect, where there are any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub platform: Option<SocketAddr>,
     /// Peer addresses of the other control hosts.
     #[serde(default)]
     pub control: Vec<SocketAddr>,
@@ -144,6 +211,21 @@
     pub lag_ms: u64,
 }
 
+fn default_routers() -> usize {
+    12
+}
+fn default_stop_within_s() -> f64 {
+    8.0
+}
+fn default_stop_takes_ms() -> u64 {
+    3_500
+}
+fn default_tolerated() -> usize {
+    3
+}
+fn is_default_tolerated(losses: &usize) -> bool {
+    *losses == default_tolerated()
+}
 fn default_alone_routers() -> u32 {
     1
 }
@@ -183,6 +265,23 @@
 }
 
 impl HostSettings {
+    /// The host's number: the one given, or its IPv4 address.
+    pub fn number(&self) -> HostId {
+        match (self.id, self.peer) {
+            (Some(id), _) => id,
+            (None, SocketAddr::V4(peer)) => HostId::of(*peer.ip()),
+            (None, SocketAddr::V6(peer)) => {
+                HostId(xxhash_rust::xxh3::xxh3_64(&peer.ip().octets()) as u32)
+            }
+        }
+    }
+
+    /// The peer addresses to start from.
+    pub fn seed_peers(&self) -> Vec<SocketAddr> {
+        let port = |seed: &SocketAddr| self.seed_port.unwrap_or(seed.port());
+        self.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port(seed))).collect()
+    }
+
     fn check(&self) -> Result<()> {
         if self.name.is_empty() {
             return Err(invalid("host.name", "is empty", "name the host"));
@@ -210,11 +309,27 @@
 }
 
 impl ControlSettings {
+    /// Voters at which the group is complete.
+    pub fn most_voters(&self) -> usize {
+        2 * self.tolerated_losses + 1
+    }
+
+    /// The hosts that found the group, and where their peers reach them.
+    pub fn founding(&self) -> (Vec<HostId>, Vec<SocketAddr>) {
+        if !self.found_with_seeds {
+            return (self.founders.clone(), self.control.clone());
+        }
+        let seeds = self.host.seed_peers();
+        let number = |seed: &SocketAddr| HostSettings { peer: *seed, ..self.host.clone() }.number();
+        (seeds.iter().map(number).collect(), seeds)
+    }
+
     /// Checks what parsing cannot.
     pub fn check(&self) -> Result<()> {
         self.host.check()?;
         let odd = matches!(self.founders.len(), 1 | 3 | 5 | 7);
-        if !odd {
+        let joins = self.platform.is_some() && self.founders.is_empty();
+        if !odd && !joins {
             let remedy = "name 1, 3, 5 or 7 hosts";
             return Err(invalid("founders", "cannot form a sound majority", remedy));
         }
--- a/src/site/plan.rs
+++ b/src/site/plan.rs
@@ -9,8 +9,8 @@
 use crate::config::{Customer, Document, Endpoint, RunOnceRule, Service, ServiceKind};
 use crate::error::{Error, FileSnafu, Result};
 use crate::settings::{
-    ControlSettings, DispatchMode, EngineSettings, HostSettings, PlatformSettings, RouterSettings,
-    ServiceSettings,
+    ControlSettings, DispatchMode, EngineSettings, HeartbeatScope, HostSettings, PlatformSettings,
+    RouterSettings, ServiceSettings,
 };
 use crate::wire::HostId;
 
@@ -195,7 +195,15 @@
         let routers = (0..self.routers).map(|n| self.at(port::ROUTER_PEER, n));
         let controls = (0..self.controls).map(|n| self.at(port::CONTROL_PEER, n));
         let seeds = routers.chain(controls).filter(|seed| *seed != peer).collect();
-        HostSettings { name, id: HostId(id), hall: self.hall(hall), peer, seeds }
+        HostSettings {
+            name,
+            id: Some(HostId(id.into())),
+            hall: self.hall(hall),
+            peer,
+            seeds,
+            seed_port: None,
+            heartbeats: HeartbeatScope::All,
+        }
     }
 
     /// Settings of a router, from 0.
@@ -211,6 +219,7 @@
             max_body: 4 << 20,
             drain_ms: 60_000,
             rehearsal: true,
+            gateway: None,
         }
     }
 
@@ -221,7 +230,11 @@
             host: self.host(name.clone(), FIRST_CONTROL + n, n, self.at(port::CONTROL_PEER, n)),
             operator: self.control_operator(n),
             data: self.data.join(name),
-            founders: (0..self.controls).map(|n| HostId(FIRST_CONTROL + n)).collect(),
+            found_with_seeds: false,
+            tolerated_losses: 3,
+            wait_for_disk: false,
+            platform: None,
+            founders: (0..self.controls).map(|n| HostId((FIRST_CONTROL + n).into())).collect(),
             control: (0..self.controls).map(|n| self.at(port::CONTROL_PEER, n)).collect(),
             snapshot_every: 1_000,
             rehearsal: true,
--- a/src/store.rs
+++ b/src/store.rs
@@ -8,5 +8,7 @@
 mod record;
 #[cfg(test)]
 mod tests;
+mod writer;
 
 pub use disk::{Disk, Found};
+pub use writer::DiskWriter;
--- a/src/store/disk.rs
+++ b/src/store/disk.rs
@@ -111,6 +111,18 @@
         result
     }
 
+    /// Makes a folder usable again whose last write failed: what may stand in
+    /// the log behind the last sync is cut off, so that the same records can be
+    /// written anew.
+    pub fn recover(&mut self) -> Result<()> {
+        let path = self.folder.join(LOG);
+        self.log = open_log(&path)?;
+        self.log.set_len(self.log_bytes).context(FileSnafu { path: &path })?;
+        self.log.sync_all().context(FileSnafu { path: &path })?;
+        self.failed = false;
+        Ok(())
+    }
+
     fn write_all(&mut self, records: &[Persist]) -> Result<()> {
         let mut items = Vec::new();
         for record in records {
@@ -159,9 +171,9 @@
         let kept = self.entries_after(snapshot)?;
         let buffer = self.encode(&[Item::HardState(self.hard), Item::Entries(kept)])?;
         self.replace(LOG, &buffer)?;
-        self.log = open_log(&self.folder.join(LOG))?;
-        self.sync += 1;
         self.log_bytes = buffer.len() as u64;
+        self.sync += 1;
+        self.log = open_log(&self.folder.join(LOG))?;
         Ok(())
     }
 
--- /dev/null
+++ b/src/telemetry/gateway.rs
@@ -0,0 +1,72 @@
+//! Metrics of a router that serves by routes.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+/// Counters and histograms of a gateway.
+#[derive(Clone, Debug)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    /// Requests by service and outcome.
+    pub outcomes: IntCounterVec,
+    /// Requests sent to one more endpoint, by service.
+    pub retries: IntCounterVec,
+    /// Seconds from arrival to the head of the answer, by service.
+    pub first_answer: HistogramVec,
+    /// The routing version in force.
+    pub routing_version: IntGauge,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        Self::new().expect("metric names are constants, distinct and legal")
+    }
+}
+
+impl GatewayMetrics {
+    fn new() -> Result<GatewayMetrics, prometheus::Error> {
+        let name = |n: &str| format!("bramblecrank_gateway_{n}");
+        let counter = |n: &str, help: &str, labels: &[&str]| {
+            IntCounterVec::new(Opts::new(name(n), help), labels)
+        };
+        let seconds = HistogramOpts::new(name("answer_seconds"), "Arrival to head of answer.");
+        let metrics = GatewayMetrics {
+            registry: Registry::new(),
+            outcomes: counter("requests_total", "Requests.", &["service", "outcome"])?,
+            retries: counter("retries_total", "Requests sent again.", &["service"])?,
+            first_answer: HistogramVec::new(seconds, &["service"])?,
+            routing_version: IntGauge::new(name("routing_version"), "Version in force.")?,
+        };
+        let registry = &metrics.registry;
+        registry.register(Box::new(metrics.outcomes.clone()))?;
+        registry.register(Box::new(metrics.retries.clone()))?;
+        registry.register(Box::new(metrics.first_answer.clone()))?;
+        registry.register(Box::new(metrics.routing_version.clone()))?;
+        Ok(metrics)
+    }
+
+    /// All metrics in the text format.
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        // Writing into memory cannot fail.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
+
+/// Some whole numbers as gauges, in the text format.
+pub fn render_gauges(prefix: &str, figures: &[(&str, u64)]) -> String {
+    let registry = Registry::new();
+    for (name, figure) in figures {
+        let gauge = IntGauge::new(format!("{prefix}_{name}"), name.replace('_', " "));
+        // Names are constants, distinct and legal.
+        let gauge = gauge.expect("a legal name");
+        gauge.set(i64::try_from(*figure).unwrap_or(i64::MAX));
+        registry.register(Box::new(gauge)).expect("a distinct name");
+    }
+    let mut text = Vec::new();
+    // Writing into memory cannot fail.
+    let _ = TextEncoder::new().encode(&registry.gather(), &mut text);
+    String::from_utf8_lossy(&text).into_owned()
+}
--- a/src/telemetry/logging.rs
+++ b/src/telemetry/logging.rs
@@ -1,8 +1,9 @@
 //! Structured logs on standard error.
 
 use log::LevelFilter;
-use logforth::append;
 use logforth::layout::{JsonLayout, LogfmtLayout, PlainTextLayout};
+use logforth::record::Record;
+use logforth::{Diagnostic, Layout, append};
 
 /// How log lines are written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -14,14 +15,40 @@
     Logfmt,
     /// One JSON object an event.
     Json,
+    /// Level and message on standard output, for processes whose output is
+    /// collected with the time.
+    Plain,
+}
+
+/// Level and message, nothing else.
+#[derive(Debug)]
+struct PlainLayout;
+
+impl Layout for PlainLayout {
+    fn format(
+        &self,
+        record: &Record<'_>,
+        _diagnostics: &[Box<dyn Diagnostic>],
+    ) -> Result<Vec<u8>, logforth::Error> {
+        Ok(format!("{} {}", record.level(), record.payload()).into_bytes())
+    }
 }
 
 /// Starts logging at `level`; a second start in one process changes nothing.
 pub fn start_logging(level: LevelFilter, layout: LogLayout) {
+    if layout == LogLayout::Plain {
+        let stdout = append::Stdout::default().with_layout(PlainLayout);
+        let started = logforth::starter_log::builder().dispatch(|d| d.append(stdout)).try_apply();
+        if started.is_ok() {
+            log::set_max_level(level);
+        }
+        return;
+    }
     let stderr = append::Stderr::default();
     let stderr = match layout {
         LogLayout::Text => stderr.with_layout(PlainTextLayout::default()),
         LogLayout::Logfmt => stderr.with_layout(LogfmtLayout::default()),
+        LogLayout::Plain => stderr,
         LogLayout::Json => stderr.with_layout(JsonLayout::default()),
     };
     let started = logforth::starter_log::builder().dispatch(|d| d.append(stderr)).try_apply();
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -4,14 +4,27 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::agree::GroupMember;
 use crate::config::{Config, CustomerId, Delta, EndpointId, HallSet, ServiceId};
 
-/// Number of a host, from its settings.
+/// Number of a host: from its settings, or from its IPv4 address.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
 )]
 #[serde(transparent)]
-pub struct HostId(pub u16);
+pub struct HostId(pub u32);
+
+impl HostId {
+    /// The number of a host that is known by its address alone.
+    pub fn of(address: std::net::Ipv4Addr) -> HostId {
+        HostId(u32::from(address))
+    }
+
+    /// The address of a host that is known by it.
+    pub fn address(self) -> std::net::Ipv4Addr {
+        self.0.into()
+    }
+}
 
 impl std::fmt::Display for HostId {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
@@ -108,6 +121,13 @@
     },
     /// Asks which store a control host holds, before the group is founded.
     Identify,
+    /// A store asks to belong to the group.
+    Join(GroupMember),
+    /// A router or control host wants to be told of changes.
+    Feed {
+        /// Who asks.
+        host: HostId,
+    },
     /// A router sends run-once claims; answers come back on the connection.
     Claims {
         /// The router.
@@ -121,6 +141,8 @@
         match self {
             Open::Dispatch { router, .. } | Open::Claims { router } => Some(*router),
             Open::Pull { host, .. } | Open::Agree { host, .. } => Some(*host),
+            Open::Feed { host } => Some(*host),
+            Open::Join(newcomer) => Some(newcomer.host),
             Open::Identify => None,
         }
     }
