--- a/src/bin/bramblecrank/command.rs
+++ b/src/bin/bramblecrank/command.rs
@@ -82,6 +82,7 @@
 fn stop_on_signal() -> CancellationToken {
     let stop = CancellationToken::new();
     let token = stop.clone();
+    tokio::spawn(note_hangups());
     tokio::spawn(async move {
         signal().await;
         token.cancel();
@@ -92,6 +93,17 @@
     stop
 }
 
+/// Logs when the platform says that the settings file has changed. What a
+/// running process could take from it, addresses and peers, it learns from its
+/// peers; the file is read at the next start.
+async fn note_hangups() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
+    while hangup.recv().await.is_some() {
+        log::info!("process: the settings file has changed; it is read at the next start");
+    }
+}
+
 async fn signal() {
     use tokio::signal::unix::{SignalKind, signal};
     let Ok(mut terminate) = signal(SignalKind::terminate()) else {
--- a/src/control.rs
+++ b/src/control.rs
@@ -21,6 +21,7 @@
 use crate::error::{Error, Result};
 use crate::feed::{self, Subscriptions};
 use crate::peer::{Incoming, Peers};
+use crate::placement::{self, PlacementSession};
 use crate::registry::SharedRegistry;
 use crate::routing::Documents;
 use crate::settings::ControlSettings;
@@ -50,6 +51,8 @@
     pub documents: Arc<Documents>,
     /// Endpoints that registered themselves here or elsewhere.
     pub registry: Arc<SharedRegistry>,
+    /// The placer that runs here.
+    pub placement: PlacementSession,
     /// The agreement.
     pub handle: Handle,
     /// Set when an operator asks for a planned stop.
@@ -96,7 +99,10 @@
     let registry = Arc::new(SharedRegistry::default());
     let (handle, driver) =
         driver::start(&settings, peers.clone(), configs.clone(), documents.clone(), disk, found)?;
+    let placement =
+        placement::serve(peers.clock, documents.clone(), registry.clone(), peers.sent.clone());
     let control = Arc::new(Control {
+        placement,
         settings,
         peers,
         configs,
@@ -149,6 +155,9 @@
             Open::Join(newcomer) => {
                 tokio::spawn(join::answer(control.clone(), newcomer, writer));
             }
+            Open::Place { router, session } => {
+                tokio::spawn(control.placement.clone().attach(router, session, reader, writer));
+            }
             Open::Feed { host } => {
                 tokio::spawn(publish_feed(control.clone(), host, writer));
             }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -15,6 +15,7 @@
 use super::request::Call;
 use super::state::Ticket;
 use super::stream;
+use crate::placement::{Ending, Reservation};
 use crate::registry::Registration;
 use crate::routing::RouteKind;
 
@@ -96,9 +97,16 @@
 
 /// Sends a request to one endpoint and waits for its answer, or for the head of
 /// its stream.
-pub(super) async fn attempt(call: &Arc<Call>, endpoint: &Registration, again: bool) -> Attempt {
+pub(super) async fn attempt(
+    call: &Arc<Call>,
+    endpoint: &Registration,
+    reservation: Option<Reservation>,
+    again: bool,
+) -> Attempt {
     let Some(address) = endpoint.address else { return Attempt::NotSent };
-    let ticket = Ticket::new(&call.gateway, &endpoint.id, call.prompt_tokens());
+    let tokens = call.prompt_tokens();
+    let mut ticket = Ticket::new(&call.gateway, &endpoint.id, tokens, reservation);
+    ticket.set_ending(Ending::Failed);
     if again {
         call.gateway.metrics.retries.with_label_values(&[&call.service]).inc();
     }
@@ -143,7 +151,7 @@
 async fn judge(
     call: &Arc<Call>,
     endpoint: &Registration,
-    ticket: Ticket,
+    mut ticket: Ticket,
     response: Response<Incoming>,
     connection: Connection,
 ) -> Attempt {
@@ -164,9 +172,14 @@
     }
     if status.is_success() && call.route.kind == RouteKind::Streaming {
         call.gateway.with_endpoints(|e| e.succeeded(&endpoint.id));
+        ticket.set_ending(Ending::Abandoned);
         return Attempt::Answered(stream::relay(call, endpoint, ticket, response, connection));
     }
-    whole(call, endpoint, response, connection).await
+    let attempt = whole(call, endpoint, response, connection).await;
+    if matches!(attempt, Attempt::Answered(_)) {
+        ticket.set_ending(Ending::Served);
+    }
+    attempt
 }
 
 /// Reads a whole answer before any of it is passed on.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -15,7 +15,8 @@
 use super::dialect::CallHead;
 use super::exchange::{self, Attempt};
 use super::state::{Gateway, Presence};
-use crate::registry::Registration;
+use crate::placement::{Placed, PlacementRequest, Reservation};
+use crate::registry::{EndpointState, Registration};
 use crate::routing::{Route, Routing};
 
 /// Endpoints to which one request is sent at most when none has taken it.
@@ -30,6 +31,8 @@
 pub enum Refusal {
     /// No routing is known here yet.
     NoRouting,
+    /// A planned stop takes no more requests.
+    Stopping,
     /// No route fits.
     NoRoute,
     /// The key is missing or unknown.
@@ -44,6 +47,11 @@
     NoEndpoint,
     /// Endpoints were asked and none ran it.
     NotExecuted,
+    /// It cannot be served in time.
+    TooLate {
+        /// Milliseconds after which to come back.
+        retry_after_ms: u32,
+    },
     /// Time ran out before it was sent.
     TimedOutUnsent,
     /// Time ran out after it was sent.
@@ -56,8 +64,10 @@
     fn status(self) -> StatusCode {
         match self {
             Refusal::NoRouting
+            | Refusal::Stopping
             | Refusal::NoEndpoint
             | Refusal::NotExecuted
+            | Refusal::TooLate { .. }
             | Refusal::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
@@ -71,13 +81,17 @@
 
     /// Whether the rest of the caller's connection cannot be used any more.
     fn closes(self) -> bool {
-        matches!(self, Refusal::BodyTooLarge | Refusal::BodyTooSlow | Refusal::BodyBroken)
+        matches!(
+            self,
+            Refusal::Stopping | Refusal::BodyTooLarge | Refusal::BodyTooSlow | Refusal::BodyBroken
+        )
     }
 
     /// The name used in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
             Refusal::NoRouting => "no_routing",
+            Refusal::Stopping => "stopping",
             Refusal::NoRoute => "no_route",
             Refusal::UnknownKey => "unknown_key",
             Refusal::BodyTooLarge => "body_too_large",
@@ -85,6 +99,7 @@
             Refusal::BodyBroken => "body_broken",
             Refusal::NoEndpoint => "no_endpoint",
             Refusal::NotExecuted => "not_executed",
+            Refusal::TooLate { .. } => "too_late",
             Refusal::TimedOutUnsent => "timed_out_unsent",
             Refusal::TimedOut => "timed_out",
             Refusal::AnswerLost => "answer_lost",
@@ -96,7 +111,11 @@
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         if self.status() == StatusCode::SERVICE_UNAVAILABLE {
-            let after = HeaderValue::from_str(&format!("{RETRY_AFTER_S}"));
+            let seconds = match self {
+                Refusal::TooLate { retry_after_ms } => f64::from(retry_after_ms) / 1_000.0,
+                _ => RETRY_AFTER_S,
+            };
+            let after = HeaderValue::from_str(&format!("{seconds}"));
             headers.insert(header::RETRY_AFTER, after.expect("a number is a legal header"));
         }
         if self.closes() {
@@ -106,12 +125,23 @@
     }
 }
 
+/// Where a request goes next.
+pub(super) enum Place {
+    /// To this endpoint.
+    At(Registration, Option<Reservation>),
+    /// No endpoint is known.
+    Nowhere,
+    /// It cannot be served in time; come back after so many milliseconds.
+    TooLate(u32),
+}
+
 /// A request that has found its route and customer.
 pub(super) struct Call {
     pub gateway: Arc<Gateway>,
     pub number: u64,
     pub route: Route,
     pub service: String,
+    pub is_engine: bool,
     pub customer: Option<String>,
     pub head: CallHead,
     pub parts: Parts,
@@ -146,6 +176,46 @@
         })
     }
 
+    /// Finds a place for the request: engines by the placer, all else by what
+    /// this router has seen.
+    pub async fn place(&self, tried: &[String]) -> Place {
+        if self.is_engine {
+            match self.gateway.placements.place(self.placement_request(tried)).await {
+                Placed::At(reservation) => {
+                    let id = &reservation.endpoint;
+                    let endpoint = self.gateway.registry.read(|r| r.get(id).cloned());
+                    if let Some(endpoint) = endpoint.filter(|e| e.state == EndpointState::Ready) {
+                        return Place::At(endpoint, Some(reservation));
+                    }
+                }
+                Placed::Refused(retry_after_ms) => return Place::TooLate(retry_after_ms),
+                Placed::Alone => {}
+            }
+        }
+        match self.choose(tried) {
+            Some(endpoint) => Place::At(endpoint, None),
+            None => Place::Nowhere,
+        }
+    }
+
+    fn placement_request(&self, tried: &[String]) -> PlacementRequest {
+        let objective = Duration::from_millis(self.route.objective_ms);
+        let left = objective.saturating_sub(self.arrived.elapsed());
+        let full = self.head.deadline_ms.is_none_or(|ms| ms >= self.route.timeout_ms);
+        PlacementRequest {
+            seq: 0,
+            service: self.service.clone(),
+            customer: self.customer.clone().unwrap_or_default(),
+            parts: self.head.parts.iter().map(|part| (part.id, part.tokens)).collect(),
+            prompt_tokens: self.head.prompt_tokens,
+            output_tokens: self.head.output_tokens,
+            objective_ms: left.as_millis() as u32,
+            remaining_ms: self.remaining().as_millis() as u32,
+            returned: !full || !tried.is_empty(),
+            avoid: tried.to_vec(),
+        }
+    }
+
     /// Whether the budget allows to send it again.
     pub fn may_repeat(&self) -> bool {
         let now = self.gateway.now();
@@ -173,6 +243,9 @@
 async fn admit(gateway: Arc<Gateway>, request: Request<Incoming>) -> Result<Call, Refusal> {
     let arrived = Instant::now();
     let presence = gateway.enter();
+    if gateway.is_refusing() {
+        return Err(Refusal::Stopping);
+    }
     let routing = gateway.documents.current().ok_or(Refusal::NoRouting)?;
     let (parts, body) = request.into_parts();
     let route = find_route(&routing, &parts).ok_or(Refusal::NoRoute)?.clone();
@@ -188,7 +261,9 @@
     let now = gateway.now();
     gateway.with_budgets(|budgets| budgets.request(now, &service));
     let number = gateway.next_number();
+    let is_engine = routing.service(&service).is_some_and(|s| s.engine.is_some());
     Ok(Call {
+        is_engine,
         number,
         route,
         service,
@@ -271,9 +346,17 @@
             ended = Refusal::TimedOutUnsent;
             break;
         }
-        let Some(endpoint) = call.choose(&progress.tried) else { break };
+        let (endpoint, reservation) = match call.place(&progress.tried).await {
+            Place::At(endpoint, reservation) => (endpoint, reservation),
+            Place::Nowhere => break,
+            Place::TooLate(retry_after_ms) => {
+                ended = Refusal::TooLate { retry_after_ms };
+                break;
+            }
+        };
+        let again = !progress.tried.is_empty();
         progress.tried.push(endpoint.id.clone());
-        match exchange::attempt(&call, &endpoint, progress.tried.len() > 1).await {
+        match exchange::attempt(&call, &endpoint, reservation, again).await {
             Attempt::Answered(response) => return finish(&call, &endpoint.id, response),
             Attempt::NotSent => ended = Refusal::NotExecuted,
             Attempt::NotExecuted => {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -65,6 +65,7 @@
     let limit = Duration::from_secs_f64(gateway.rules.stop_within_s).saturating_sub(STOP_MARGIN);
     let takes = Duration::from_millis(gateway.rules.stop_takes_ms).min(limit / 2);
     tokio::time::sleep(takes).await;
+    gateway.refuse_new();
     closing.cancel();
     let deadline = tokio::time::Instant::now() + limit.saturating_sub(takes);
     while gateway.in_flight() > 0 && tokio::time::Instant::now() < deadline {
@@ -143,7 +144,7 @@
     tokio::pin!(connection);
     let served = tokio::select! {
         served = connection.as_mut() => served,
-        () = closing.cancelled() => {
+        () = closing.cancelled(), if !gateway.is_refusing() => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,6 +1,6 @@
 //! What the parts of a gateway share.
 
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use tokio_util::sync::CancellationToken;
@@ -12,6 +12,7 @@
 use crate::dispatch::Millis;
 use crate::feed::Subscriptions;
 use crate::peer::Peers;
+use crate::placement::{Ending, Placements, Reservation};
 use crate::registry::{EndpointState, SharedRegistry};
 use crate::routing::Documents;
 use crate::settings::{GatewaySettings, RouterSettings};
@@ -31,6 +32,8 @@
     pub registry: Arc<SharedRegistry>,
     /// What control hosts tell.
     pub feeds: Arc<Subscriptions>,
+    /// Where requests for engines go.
+    pub placements: Arc<Placements>,
     /// Names and formats of heads.
     pub dialect: Arc<dyn Dialect>,
     /// Connections to endpoints.
@@ -41,6 +44,7 @@
     pub stop: CancellationToken,
     pub(super) endpoints: Mutex<Endpoints>,
     pub(super) budgets: Mutex<RetryBudgets>,
+    refusing: AtomicBool,
     in_flight: AtomicUsize,
     next_number: AtomicU64,
 }
@@ -56,6 +60,8 @@
         let documents = Arc::new(Documents::default());
         let registry = Arc::new(SharedRegistry::default());
         let feeds = Subscriptions::start(peers.clone(), documents.clone(), registry.clone());
+        let hall = settings.host.hall.clone();
+        let placements = Placements::start(peers.clone(), feeds.clone(), hall);
         let budgets = RetryBudgets::new(rules.retry_budget, 1);
         Arc::new(Gateway {
             settings,
@@ -64,12 +70,14 @@
             documents,
             registry,
             feeds,
+            placements,
             dialect,
             connections: Connections::default(),
             metrics: GatewayMetrics::default(),
             stop,
             endpoints: Mutex::default(),
             budgets: Mutex::new(budgets),
+            refusing: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             next_number: AtomicU64::new(1),
         })
@@ -104,6 +112,16 @@
         }
     }
 
+    /// Whether a planned stop takes no more requests.
+    pub(super) fn is_refusing(&self) -> bool {
+        self.refusing.load(Ordering::Relaxed)
+    }
+
+    /// From here on a planned stop takes no more requests.
+    pub(super) fn refuse_new(&self) {
+        self.refusing.store(true, Ordering::Relaxed);
+    }
+
     /// Requests that are being served.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
@@ -131,13 +149,19 @@
     pub endpoint: String,
     prompt_tokens: u32,
     begun: bool,
+    reservation: Option<Reservation>,
 }
 
 impl Ticket {
-    pub fn new(gateway: &Arc<Gateway>, endpoint: &str, prompt_tokens: u32) -> Ticket {
+    pub fn new(
+        gateway: &Arc<Gateway>,
+        endpoint: &str,
+        prompt_tokens: u32,
+        reservation: Option<Reservation>,
+    ) -> Ticket {
         gateway.with_endpoints(|e| e.begin(endpoint, prompt_tokens));
         let endpoint = endpoint.to_string();
-        Ticket { gateway: gateway.clone(), endpoint, prompt_tokens, begun: false }
+        Ticket { gateway: gateway.clone(), endpoint, prompt_tokens, begun: false, reservation }
     }
 
     /// The first part of the answer came.
@@ -145,13 +169,24 @@
         if !std::mem::replace(&mut self.begun, true) {
             let tokens = self.prompt_tokens;
             self.gateway.with_endpoints(|e| e.begun(&self.endpoint, tokens));
+            if let Some(reservation) = &mut self.reservation {
+                reservation.begun();
+            }
+        }
+    }
+
+    /// Says how the request ended.
+    pub fn set_ending(&mut self, ending: Ending) {
+        if let Some(reservation) = &mut self.reservation {
+            reservation.set_ending(ending);
         }
     }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.begun();
+        let tokens = if self.begun { 0 } else { self.prompt_tokens };
+        self.gateway.with_endpoints(|e| e.begun(&self.endpoint, tokens));
         self.gateway.with_endpoints(|e| e.end(&self.endpoint));
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -13,6 +13,7 @@
 use super::exchange::strip_connection_headers;
 use super::request::Call;
 use super::state::Ticket;
+use crate::placement::Ending;
 use crate::registry::Registration;
 
 /// A stream under way. Dropping it closes the endpoint's connection, which ends
@@ -78,9 +79,11 @@
                     let number = self.call.number;
                     log::info!("gateway: request {number} broke off at {endpoint}: {source}");
                     self.call.gateway.note_failure(endpoint, Failure::Failed);
+                    self.ticket.set_ending(Ending::Failed);
                     return Err(BrokenOff::Endpoint { source });
                 }
                 None => {
+                    self.ticket.set_ending(Ending::Served);
                     if let Some(connection) = self.connection.take() {
                         self.call.gateway.connections.keep(&self.ticket.endpoint, connection);
                     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod member;
 pub mod operator;
 pub mod peer;
+pub mod placement;
 pub mod platform;
 pub mod registry;
 pub mod router;
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,24 @@
+//! Which engine reads a prompt, and whether it can do so in time.
+//!
+//! Reading prompts is what engines have least of, so each engine is modelled by
+//! the prompts that it has still to read and by the prompt parts that it keeps.
+//! A request goes where its first event comes first, counting what is kept
+//! there; one that cannot make its objective anywhere is refused at once, with
+//! the time at which it could. Customers above their fair share leave room for
+//! the others. One placer decides for all routers that reach it; see
+//! `docs/DISPATCH.md`.
+
+mod cache;
+mod client;
+mod engine;
+mod message;
+mod placer;
+mod server;
+mod shares;
+#[cfg(test)]
+mod tests;
+
+pub use client::{Placed, Placements, Reservation};
+pub use message::{Ending, FromPlacer, PlacementRequest, ToPlacer};
+pub use placer::{Decision, EngineInfo, Placer};
+pub use server::{PlacementSession, serve};
--- /dev/null
+++ b/src/placement/client.rs
@@ -0,0 +1,273 @@
+//! A router's sessions with placers.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+use super::message::{Ending, FromPlacer, PlacementRequest, ToPlacer};
+use crate::error::Result;
+use crate::feed::Subscriptions;
+use crate::member::View;
+use crate::peer::Peers;
+use crate::wire::{BatchSender, BatchWriter, HostId, Open, Role};
+
+/// How long a placer may take to answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
+/// How long to wait before a lost session is opened again.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Answers in a row that may fail to come before a placer is passed over.
+const TOLERATED_SILENCE: u32 = 2;
+/// How long a silent placer is passed over.
+const PASSED_OVER: Duration = Duration::from_millis(700);
+
+/// What a placer decided.
+#[derive(Debug)]
+pub enum Placed {
+    /// Go to the reserved endpoint.
+    At(Reservation),
+    /// It cannot be served in time; come back after so many milliseconds.
+    Refused(u32),
+    /// No placer answers, or none knows an engine: choose alone.
+    Alone,
+}
+
+type Waiting = Arc<Mutex<HashMap<u64, oneshot::Sender<FromPlacer>>>>;
+
+#[derive(Clone, Debug)]
+struct Session {
+    out: BatchSender<ToPlacer>,
+    waiting: Waiting,
+}
+
+#[derive(Debug)]
+struct Placer {
+    hall: String,
+    task: JoinHandle<()>,
+    incarnation: u64,
+    session: Option<Session>,
+    silent: u32,
+    passed_over_until: tokio::time::Instant,
+}
+
+/// The placers in view.
+#[derive(Debug)]
+pub struct Placements {
+    peers: Arc<Peers>,
+    feeds: Arc<Subscriptions>,
+    hall: String,
+    placers: Mutex<BTreeMap<HostId, Placer>>,
+    next_seq: AtomicU64,
+}
+
+/// A place at an endpoint, given back when dropped.
+#[derive(Debug)]
+pub struct Reservation {
+    /// The endpoint's id.
+    pub endpoint: String,
+    seq: u64,
+    out: BatchSender<ToPlacer>,
+    ending: Ending,
+    begun: bool,
+}
+
+impl Reservation {
+    /// The first event came.
+    pub fn begun(&mut self) {
+        if !std::mem::replace(&mut self.begun, true) {
+            // A session that has closed has given everything back.
+            let _ = self.out.send(ToPlacer::Begun { seq: self.seq }.into());
+        }
+    }
+
+    /// Says how the request ended; otherwise it counts as abandoned.
+    pub fn set_ending(&mut self, ending: Ending) {
+        self.ending = ending;
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        let done = ToPlacer::Done { seq: self.seq, ending: self.ending };
+        // A session that has closed has given everything back.
+        let _ = self.out.send(done.into());
+    }
+}
+
+impl Placements {
+    /// Opens a session with every control host in view.
+    pub fn start(peers: Arc<Peers>, feeds: Arc<Subscriptions>, hall: String) -> Arc<Placements> {
+        let placements = Arc::new(Placements {
+            peers,
+            feeds,
+            hall,
+            placers: Mutex::default(),
+            next_seq: AtomicU64::new(1),
+        });
+        tokio::spawn(follow_view(placements.clone()));
+        placements
+    }
+
+    /// Asks where a request goes: the leader's host, so that one decides for
+    /// all; out of its reach another one, first of the same data hall.
+    pub async fn place(&self, mut request: PlacementRequest) -> Placed {
+        let Some((host, session)) = self.session() else { return Placed::Alone };
+        let seq = self.next_seq.fetch_add(1, Ordering::Relaxed);
+        request.seq = seq;
+        let (sender, answer) = oneshot::channel();
+        lock(&session.waiting).insert(seq, sender);
+        if session.out.send(ToPlacer::Place(request).into()).is_err() {
+            return Placed::Alone;
+        }
+        let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
+        lock(&session.waiting).remove(&seq);
+        match answer {
+            Ok(Ok(answer)) => {
+                self.note_answer(host);
+                placed(answer, seq, &session)
+            }
+            Ok(Err(_)) => Placed::Alone,
+            Err(_) => {
+                self.note_silence(host);
+                // An answer that comes yet would hold a place for nobody.
+                let done = ToPlacer::Done { seq, ending: Ending::Abandoned };
+                let _ = session.out.send(done.into());
+                Placed::Alone
+            }
+        }
+    }
+
+    fn session(&self) -> Option<(HostId, Session)> {
+        let leader = self.feeds.leader();
+        let now = tokio::time::Instant::now();
+        let placers = lock(&self.placers);
+        let usable = |p: &Placer| p.session.clone().filter(|_| p.passed_over_until <= now);
+        let preferred = placers.iter().filter_map(|(host, placer)| {
+            let session = usable(placer)?;
+            let rank = (Some(*host) != leader, placer.hall != self.hall, *host);
+            Some((rank, *host, session))
+        });
+        preferred.min_by_key(|(rank, ..)| *rank).map(|(_, host, session)| (host, session))
+    }
+
+    /// Opens sessions to control hosts that have come, and drops the others'.
+    fn adopt_view(self: &Arc<Self>, view: &View) {
+        let controls: BTreeMap<_, _> = view.with_role(Role::Control).map(|m| (m.host, m)).collect();
+        let mut placers = lock(&self.placers);
+        placers.retain(|host, placer| {
+            let same = controls.get(host).is_some_and(|m| m.incarnation == placer.incarnation);
+            if !same {
+                placer.task.abort();
+            }
+            same
+        });
+        for (host, member) in controls {
+            placers.entry(host).or_insert_with(|| Placer {
+                hall: member.hall.clone(),
+                task: tokio::spawn(follow(self.clone(), host, member.peer)),
+                incarnation: member.incarnation,
+                session: None,
+                silent: 0,
+                passed_over_until: tokio::time::Instant::now(),
+            });
+        }
+    }
+
+    fn note_answer(&self, host: HostId) {
+        if let Some(placer) = lock(&self.placers).get_mut(&host) {
+            placer.silent = 0;
+        }
+    }
+
+    fn note_silence(&self, host: HostId) {
+        if let Some(placer) = lock(&self.placers).get_mut(&host) {
+            placer.silent += 1;
+            if placer.silent >= TOLERATED_SILENCE {
+                placer.passed_over_until = tokio::time::Instant::now() + PASSED_OVER;
+                log::info!("placement: control host {host} is silent, passed over");
+            }
+        }
+    }
+
+    fn set_session(&self, host: HostId, session: Option<Session>) {
+        if let Some(placer) = lock(&self.placers).get_mut(&host) {
+            placer.session = session;
+            placer.silent = 0;
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn placed(answer: FromPlacer, seq: u64, session: &Session) -> Placed {
+    match answer {
+        FromPlacer::Go { endpoint, .. } => Placed::At(Reservation {
+            endpoint,
+            seq,
+            out: session.out.clone(),
+            ending: Ending::Abandoned,
+            begun: false,
+        }),
+        FromPlacer::Refuse { retry_after_ms, .. } => Placed::Refused(retry_after_ms),
+        FromPlacer::Unknown { .. } => Placed::Alone,
+    }
+}
+
+async fn follow_view(all: Arc<Placements>) {
+    let mut view = all.peers.watch();
+    loop {
+        let now = view.borrow_and_update().clone();
+        all.adopt_view(&now);
+        if view.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn follow(all: Arc<Placements>, host: HostId, address: SocketAddr) {
+    loop {
+        if let Err(error) = run_session(&all, host, address).await {
+            log::info!("placement: lost control host {host}: {error}");
+        }
+        all.set_session(host, None);
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+async fn run_session(all: &Placements, host: HostId, address: SocketAddr) -> Result<()> {
+    let number = all.next_seq.fetch_add(1, Ordering::Relaxed);
+    let open = Open::Place { router: all.peers.me, session: number };
+    let (mut reader, writer) = all.peers.connect(address, &open).await?;
+    let (out, batch) = BatchWriter::immediate(Some(all.peers.sent.clone()));
+    let writing = tokio::spawn(batch.run(writer, || std::future::ready(())));
+    let waiting = Waiting::default();
+    all.set_session(host, Some(Session { out, waiting: waiting.clone() }));
+    let lost = loop {
+        match reader.next::<Vec<FromPlacer>>().await {
+            Ok(answers) => deliver(&waiting, answers),
+            Err(error) => break error,
+        }
+    };
+    writing.abort();
+    Err(lost)
+}
+
+fn deliver(waiting: &Waiting, answers: Vec<FromPlacer>) {
+    for answer in answers {
+        let seq = match &answer {
+            FromPlacer::Go { seq, .. }
+            | FromPlacer::Refuse { seq, .. }
+            | FromPlacer::Unknown { seq } => *seq,
+        };
+        if let Some(sender) = lock(waiting).remove(&seq) {
+            // The request may have been given up.
+            let _ = sender.send(answer);
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/engine.rs
@@ -0,0 +1,195 @@
+//! A model of one engine: what it has still to read, what it keeps, how fast it
+//! reads.
+
+use std::collections::{HashMap, VecDeque};
+
+use super::cache::PartCache;
+use crate::dispatch::Millis;
+use crate::wire::HostId;
+
+/// Names a request: its router and its number there.
+pub type RequestKey = (HostId, u64);
+
+/// Context at which attention makes reading a token twice as dear, in tokens.
+const ATTENTION_TOKENS: f64 = 60_000.0;
+/// Milliseconds to a first event beyond the reading of prompts.
+pub const FIXED_MS: f64 = 55.0;
+/// Weight of what was learnt before, at each new observation.
+const MEMORY: f64 = 0.97;
+/// How far learning may move the reading rate from its start.
+const RATE_RANGE: (f64, f64) = (0.4, 4.0);
+/// Part of the engine's memory that kept parts and running requests may fill.
+const USABLE_MEMORY: f64 = 0.92;
+/// Shortest and longest time for which a failing engine is left out.
+const LEFT_OUT_MS: (Millis, Millis) = (400, 5_000);
+/// Failures in a row after which an engine is left out.
+const TOLERATED: u32 = 2;
+
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    key: RequestKey,
+    units: f64,
+    since: Millis,
+}
+
+/// One engine as a placer sees it.
+#[derive(Clone, Debug)]
+pub struct EngineModel {
+    slots: u32,
+    memory_tokens: u64,
+    pending: VecDeque<Pending>,
+    head_since: Millis,
+    running: HashMap<RequestKey, u64>,
+    running_tokens: u64,
+    cache: PartCache,
+    start_rate: f64,
+    learnt_units: f64,
+    learnt_ms: f64,
+    failures: u32,
+    left_out_until: Millis,
+}
+
+/// The cost of reading `uncached` tokens behind `cached` ones, in tokens of an
+/// empty context.
+fn reading_units(cached: u32, uncached: u32) -> f64 {
+    let context = f64::from(cached) + f64::from(uncached) / 2.0;
+    f64::from(uncached) * (1.0 + context / ATTENTION_TOKENS)
+}
+
+impl EngineModel {
+    /// An idle engine that keeps nothing; `rate` is the guess of tokens read in a
+    /// millisecond.
+    pub fn new(slots: u32, memory_tokens: u64, rate: f64) -> EngineModel {
+        EngineModel {
+            slots,
+            memory_tokens,
+            pending: VecDeque::new(),
+            head_since: 0,
+            running: HashMap::new(),
+            running_tokens: 0,
+            cache: PartCache::default(),
+            start_rate: rate,
+            // The guess counts as much as a few observations.
+            learnt_units: rate * 1_000.0,
+            learnt_ms: 1_000.0,
+            failures: 0,
+            left_out_until: 0,
+        }
+    }
+
+    /// Tokens read in a millisecond, as learnt.
+    pub fn rate(&self) -> f64 {
+        let (low, high) = RATE_RANGE;
+        let learnt = self.learnt_units / self.learnt_ms;
+        learnt.clamp(self.start_rate * low, self.start_rate * high)
+    }
+
+    /// Milliseconds until all that was placed here has been read.
+    pub fn backlog_ms(&self, now: Millis) -> f64 {
+        let Some(head) = self.pending.front() else { return 0.0 };
+        let rate = self.rate();
+        let spent = now.saturating_sub(self.head_since) as f64;
+        let head_ms = head.units / rate;
+        let behind: f64 = self.pending.iter().skip(1).map(|p| p.units).sum();
+        // A head that is overdue says that the engine is slower than thought.
+        let head_left = match spent <= head_ms + FIXED_MS {
+            true => (head_ms - spent).max(0.0),
+            false => (spent - head_ms - FIXED_MS) / 2.0,
+        };
+        head_left + behind / rate
+    }
+
+    /// Milliseconds that reading a prompt takes here.
+    pub fn own_ms(&self, parts: &[(u64, u32)], prompt_tokens: u32) -> f64 {
+        let cached = self.cache.matched(parts).min(prompt_tokens);
+        reading_units(cached, prompt_tokens - cached) / self.rate()
+    }
+
+    /// Whether it can take one more request of this size.
+    pub fn has_room(&self, tokens: u64) -> bool {
+        let requests = self.pending.len() + self.running.len();
+        let memory = (self.memory_tokens as f64 * USABLE_MEMORY) as u64;
+        let fits = requests == 0 || self.running_tokens + tokens <= memory;
+        requests < self.slots as usize && fits
+    }
+
+    /// Whether it is left out after failures.
+    pub fn is_left_out(&self, now: Millis) -> bool {
+        now < self.left_out_until
+    }
+
+    /// Requests placed here that have not ended.
+    pub fn requests(&self) -> usize {
+        self.running.len()
+    }
+
+    /// A request is placed here.
+    pub fn place(
+        &mut self,
+        now: Millis,
+        key: RequestKey,
+        parts: &[(u64, u32)],
+        prompt_tokens: u32,
+        tokens: u64,
+    ) {
+        let cached = self.cache.matched(parts).min(prompt_tokens);
+        let units = reading_units(cached, prompt_tokens - cached);
+        if self.pending.is_empty() {
+            self.head_since = now;
+        }
+        self.pending.push_back(Pending { key, units, since: now });
+        self.running.insert(key, tokens);
+        self.running_tokens += tokens;
+        let memory = (self.memory_tokens as f64 * USABLE_MEMORY) as u64;
+        // What runs shares its parts with what is kept.
+        self.cache.touch(parts, memory);
+    }
+
+    /// The first event of a request came.
+    pub fn begun(&mut self, now: Millis, key: RequestKey) {
+        let Some(at) = self.pending.iter().position(|p| p.key == key) else { return };
+        let Some(begun) = self.pending.remove(at) else { return };
+        self.failures = 0;
+        self.left_out_until = 0;
+        if at != 0 {
+            return;
+        }
+        let idle_before = begun.since == self.head_since;
+        let fixed = if idle_before { FIXED_MS } else { 0.0 };
+        let took = (now.saturating_sub(self.head_since) as f64 - fixed).max(1.0);
+        self.learnt_units = self.learnt_units * MEMORY + begun.units;
+        self.learnt_ms = self.learnt_ms * MEMORY + took;
+        self.head_since = now;
+    }
+
+    /// A request has ended, however.
+    pub fn ended(&mut self, now: Millis, key: RequestKey) {
+        if let Some(tokens) = self.running.remove(&key) {
+            self.running_tokens -= tokens;
+        }
+        if let Some(at) = self.pending.iter().position(|p| p.key == key) {
+            self.pending.remove(at);
+            if at == 0 {
+                self.head_since = now;
+            }
+        }
+    }
+
+    /// A request failed here.
+    pub fn failed(&mut self, now: Millis) {
+        self.failures += 1;
+        if self.failures >= TOLERATED {
+            let (least, most) = LEFT_OUT_MS;
+            let doubled = least << (self.failures - TOLERATED).min(6);
+            self.left_out_until = now + doubled.min(most);
+        }
+    }
+
+    /// All requests of a router are over.
+    pub fn drop_router(&mut self, now: Millis, router: HostId) {
+        let keys: Vec<_> = self.running.keys().filter(|k| k.0 == router).copied().collect();
+        for key in keys {
+            self.ended(now, key);
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/message.rs
@@ -0,0 +1,82 @@
+//! Messages between routers and a placer.
+
+use serde::{Deserialize, Serialize};
+
+/// A request that wants an engine.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacementRequest {
+    /// Number of the request, unique within the router's session.
+    pub seq: u64,
+    /// The service.
+    pub service: String,
+    /// Whose it is; empty where customers are not told apart.
+    pub customer: String,
+    /// Ids and lengths of the prompt's parts, in order, in tokens.
+    pub parts: Vec<(u64, u32)>,
+    /// Length of the prompt in tokens.
+    pub prompt_tokens: u32,
+    /// Most tokens of output.
+    pub output_tokens: u32,
+    /// Milliseconds in which its first event is in time, from now on.
+    pub objective_ms: u32,
+    /// Milliseconds that its caller still waits.
+    pub remaining_ms: u32,
+    /// Whether it was refused before and came back.
+    pub returned: bool,
+    /// Endpoints that it must not go to.
+    pub avoid: Vec<String>,
+}
+
+/// How a placed request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ending {
+    /// The endpoint answered it.
+    Served,
+    /// The endpoint could not be reached, failed or broke off.
+    Failed,
+    /// Its caller left, or it was sent elsewhere.
+    Abandoned,
+}
+
+/// What a router tells a placer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ToPlacer {
+    /// A request wants an engine.
+    Place(PlacementRequest),
+    /// The first event of a placed request came.
+    Begun {
+        /// The request's number.
+        seq: u64,
+    },
+    /// A placed request has ended.
+    Done {
+        /// The request's number.
+        seq: u64,
+        /// How.
+        ending: Ending,
+    },
+}
+
+/// What a placer tells a router.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FromPlacer {
+    /// The request goes to this endpoint.
+    Go {
+        /// The request's number.
+        seq: u64,
+        /// The endpoint's id.
+        endpoint: String,
+    },
+    /// It cannot be served in time.
+    Refuse {
+        /// The request's number.
+        seq: u64,
+        /// Milliseconds after which another try would be in time.
+        retry_after_ms: u32,
+    },
+    /// No engine of the service is known here.
+    Unknown {
+        /// The request's number.
+        seq: u64,
+    },
+}
--- /dev/null
+++ b/src/placement/placer.rs
@@ -0,0 +1,214 @@
+//! The placer of a fleet, as a state machine without I/O.
+
+use std::collections::{BTreeMap, HashMap};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::engine::{EngineModel, FIXED_MS, RequestKey};
+use super::message::{Ending, FromPlacer, PlacementRequest, ToPlacer};
+use super::shares::Shares;
+use crate::dispatch::Millis;
+use crate::wire::HostId;
+
+/// How much dearer reading a prompt counts than waiting for others' prompts:
+/// what is read twice is lost to all.
+const READING_WEIGHT: f64 = 1.6;
+/// Part of its objective that a customer above its share may count on.
+const ABOVE_SHARE: f64 = 0.4;
+/// Ratio of service received to share from which on a customer is above it.
+const SHARE_TOLERANCE: f64 = 1.05;
+/// Milliseconds kept back from each objective, for what the model misses.
+const MARGIN_MS: f64 = 60.0;
+/// Part of its objective that a request which can never be in time may wait for
+/// others.
+const NEVER_IN_TIME_WAIT: f64 = 0.35;
+/// The same for a request that was refused once already.
+const RETURNED_WAIT: f64 = 1.5;
+/// Shortest and longest time to come back after, in milliseconds.
+const RETRY_MS: (f64, f64) = (60.0, 3_000.0);
+
+/// What is known of an engine from its registration and the routing.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineInfo {
+    /// The endpoint's id.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Tokens that its memory holds.
+    pub memory_tokens: u64,
+    /// A guess of the tokens that it reads in a millisecond.
+    pub rate: f64,
+}
+
+/// An answer to a router, with what decided it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decision {
+    /// The router.
+    pub router: HostId,
+    /// What it is told.
+    pub answer: FromPlacer,
+    /// Milliseconds of prompts to read before this one, at the best engine.
+    pub backlog_ms: f64,
+    /// Milliseconds to read its own prompt there.
+    pub own_ms: f64,
+    /// The customer's service received over its share.
+    pub ratio: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Engine {
+    service: String,
+    model: EngineModel,
+    open: bool,
+}
+
+struct Choice<'a> {
+    id: &'a str,
+    backlog_ms: f64,
+    own_ms: f64,
+}
+
+/// Decides for all routers where requests go.
+#[derive(Clone, Debug, Default)]
+pub struct Placer {
+    engines: BTreeMap<String, Engine>,
+    placed: HashMap<RequestKey, String>,
+    shares: Shares,
+}
+
+impl Placer {
+    /// The engines that take work now. Others keep what they have.
+    pub fn set_engines(&mut self, engines: Vec<EngineInfo>) {
+        self.engines.values_mut().for_each(|engine| engine.open = false);
+        for info in engines {
+            let known = self.engines.entry(info.id).or_insert_with(|| Engine {
+                service: info.service,
+                model: EngineModel::new(info.slots, info.memory_tokens, info.rate),
+                open: true,
+            });
+            known.open = true;
+        }
+        self.engines.retain(|_, engine| engine.open || engine.model.requests() > 0);
+    }
+
+    /// Takes a message from a router.
+    pub fn receive(&mut self, now: Millis, router: HostId, message: ToPlacer) -> Option<Decision> {
+        match message {
+            ToPlacer::Place(request) => return Some(self.place(now, router, &request)),
+            ToPlacer::Begun { seq } => {
+                if let Some(engine) = self.engine_of((router, seq)) {
+                    engine.model.begun(now, (router, seq));
+                }
+            }
+            ToPlacer::Done { seq, ending } => {
+                let key = (router, seq);
+                if let Some(engine) = self.engine_of(key) {
+                    if ending == Ending::Failed {
+                        engine.model.failed(now);
+                    }
+                    engine.model.ended(now, key);
+                }
+                self.placed.remove(&key);
+            }
+        }
+        None
+    }
+
+    fn engine_of(&mut self, key: RequestKey) -> Option<&mut Engine> {
+        let id = self.placed.get(&key)?;
+        self.engines.get_mut(id)
+    }
+
+    /// A router is gone, and all its requests with it.
+    pub fn lost(&mut self, now: Millis, router: HostId) {
+        self.placed.retain(|key, _| key.0 != router);
+        self.engines.values_mut().for_each(|engine| engine.model.drop_router(now, router));
+    }
+
+    fn place(&mut self, now: Millis, router: HostId, request: &PlacementRequest) -> Decision {
+        let seq = request.seq;
+        let units = units(request);
+        self.shares.asked(now, &request.customer, units);
+        let ratio = self.shares.ratio(&request.customer);
+        let decide =
+            |answer, backlog_ms, own_ms| Decision { router, answer, backlog_ms, own_ms, ratio };
+        let Some(choice) = self.choose(now, request) else {
+            return decide(FromPlacer::Unknown { seq }, 0.0, 0.0);
+        };
+        let Choice { backlog_ms, own_ms, .. } = choice;
+        let allowed = allowed_backlog(request, own_ms, ratio);
+        if backlog_ms > allowed {
+            let (least, most) = RETRY_MS;
+            let retry_after_ms = (backlog_ms - allowed + own_ms).clamp(least, most) as u32;
+            return decide(FromPlacer::Refuse { seq, retry_after_ms }, backlog_ms, own_ms);
+        }
+        let endpoint = choice.id.to_string();
+        let tokens = memory_tokens(request);
+        if let Some(engine) = self.engines.get_mut(&endpoint) {
+            let key = (router, seq);
+            engine.model.place(now, key, &request.parts, request.prompt_tokens, tokens);
+            self.placed.insert(key, endpoint.clone());
+        }
+        self.shares.served(now, &request.customer, units);
+        decide(FromPlacer::Go { seq, endpoint }, backlog_ms, own_ms)
+    }
+
+    /// The engine at which the request's first event comes first, with the
+    /// reading of its own prompt counted dearer.
+    fn choose(&self, now: Millis, request: &PlacementRequest) -> Option<Choice<'_>> {
+        let tokens = memory_tokens(request);
+        let fits = |(id, engine): &(&String, &Engine)| {
+            engine.open && engine.service == request.service && !request.avoid.contains(id)
+        };
+        let mut best: Option<(bool, f64, u64, Choice<'_>)> = None;
+        let affinity = request.parts.first().map_or(0, |part| part.0);
+        for (id, engine) in self.engines.iter().filter(fits) {
+            let unfit = engine.model.is_left_out(now) || !engine.model.has_room(tokens);
+            let backlog_ms = engine.model.backlog_ms(now);
+            let own_ms = engine.model.own_ms(&request.parts, request.prompt_tokens);
+            let score = backlog_ms + READING_WEIGHT * own_ms;
+            let rank = rank(affinity, id);
+            let better = best.as_ref().is_none_or(|(unfit_best, score_best, rank_best, _)| {
+                (unfit, score, rank) < (*unfit_best, *score_best, *rank_best)
+            });
+            if better {
+                best = Some((unfit, score, rank, Choice { id, backlog_ms, own_ms }));
+            }
+        }
+        best.map(|(.., choice)| choice)
+    }
+}
+
+/// Milliseconds of others' prompts that a request may wait for.
+fn allowed_backlog(request: &PlacementRequest, own_ms: f64, ratio: f64) -> f64 {
+    let objective = f64::from(request.objective_ms);
+    let left = objective - own_ms - FIXED_MS - MARGIN_MS;
+    let allowed = left.max(objective * NEVER_IN_TIME_WAIT);
+    if ratio > SHARE_TOLERANCE {
+        return allowed.min(objective * ABOVE_SHARE);
+    }
+    match request.returned {
+        true => allowed.max(objective * RETURNED_WAIT),
+        false => allowed,
+    }
+}
+
+/// Units of service: tokens read once, tokens made twice.
+fn units(request: &PlacementRequest) -> u64 {
+    u64::from(request.prompt_tokens) + 2 * u64::from(request.output_tokens)
+}
+
+/// Memory that a request takes until it ends, in tokens.
+fn memory_tokens(request: &PlacementRequest) -> u64 {
+    u64::from(request.prompt_tokens) + u64::from(request.output_tokens)
+}
+
+/// Where equal choices go: the same for every placer, so that a new one finds
+/// kept parts where the one before left them.
+fn rank(affinity: u64, id: &str) -> u64 {
+    let mut key = affinity.to_be_bytes().to_vec();
+    key.extend_from_slice(id.as_bytes());
+    xxh3_64(&key)
+}
--- /dev/null
+++ b/src/placement/server.rs
@@ -0,0 +1,167 @@
+//! The placer's task on a control host, and the sessions of routers.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::broadcast::error::RecvError;
+use tokio::sync::mpsc;
+
+use super::message::{FromPlacer, ToPlacer};
+use super::placer::{EngineInfo, Placer};
+use crate::clock::Clock;
+use crate::peer::PeerReader;
+use crate::registry::SharedRegistry;
+use crate::routing::Documents;
+use crate::wire::{BatchSender, BatchWriter, HostId, SentBytes};
+
+/// Messages that may wait for the placer.
+const INBOX: usize = 4_096;
+/// Tokens read in a millisecond by an engine of which nothing is known.
+const DEFAULT_RATE: f64 = 30.0;
+/// How much more an engine reads than its part of the fleet's nominal tokens,
+/// which count all tokens of prompts, kept ones too.
+const RATE_OVER_NOMINAL: f64 = 1.3;
+
+enum Event {
+    Opened { router: HostId, session: u64, out: BatchSender<FromPlacer> },
+    Messages { router: HostId, session: u64, messages: Vec<ToPlacer> },
+    Closed { router: HostId, session: u64 },
+}
+
+/// Where routers' connections to the placer are handed over.
+#[derive(Clone, Debug)]
+pub struct PlacementSession {
+    events: mpsc::Sender<Event>,
+    sent: SentBytes,
+}
+
+/// Starts the placer of a control host.
+pub fn serve(
+    clock: Clock,
+    documents: Arc<Documents>,
+    registry: Arc<SharedRegistry>,
+    sent: SentBytes,
+) -> PlacementSession {
+    let (events, inbox) = mpsc::channel(INBOX);
+    let task =
+        Task { clock, documents, registry, placer: Placer::default(), sessions: HashMap::new() };
+    tokio::spawn(task.run(inbox));
+    PlacementSession { events, sent }
+}
+
+impl PlacementSession {
+    /// Serves one router's connection until it closes.
+    pub async fn attach(
+        self,
+        router: HostId,
+        session: u64,
+        mut reader: PeerReader,
+        writer: OwnedWriteHalf,
+    ) {
+        let (out, batch) = BatchWriter::immediate(Some(self.sent.clone()));
+        tokio::spawn(batch.run(writer, || std::future::ready(())));
+        if self.events.send(Event::Opened { router, session, out }).await.is_err() {
+            return;
+        }
+        while let Ok(messages) = reader.next::<Vec<ToPlacer>>().await {
+            let messages = Event::Messages { router, session, messages };
+            if self.events.send(messages).await.is_err() {
+                return;
+            }
+        }
+        // The placer lives as long as the process.
+        let _ = self.events.send(Event::Closed { router, session }).await;
+    }
+}
+
+struct Task {
+    clock: Clock,
+    documents: Arc<Documents>,
+    registry: Arc<SharedRegistry>,
+    placer: Placer,
+    sessions: HashMap<HostId, (u64, BatchSender<FromPlacer>)>,
+}
+
+impl Task {
+    async fn run(mut self, mut inbox: mpsc::Receiver<Event>) {
+        let mut routing = self.documents.watch();
+        let (_, mut changes) = self.registry.subscribe();
+        self.learn_engines();
+        loop {
+            tokio::select! {
+                event = inbox.recv() => match event {
+                    Some(event) => self.event(event),
+                    None => return,
+                },
+                changed = changes.recv() => match changed {
+                    Ok(_) | Err(RecvError::Lagged(_)) => self.learn_engines(),
+                    Err(RecvError::Closed) => return,
+                },
+                Ok(()) = routing.changed() => self.learn_engines(),
+            }
+        }
+    }
+
+    fn learn_engines(&mut self) {
+        let Some(routing) = self.documents.current() else { return };
+        let nominal = routing.table.limits.tokens_per_second as f64 / 1_000.0;
+        let engines = self.registry.read(|registry| {
+            let mut engines = Vec::new();
+            for service in &routing.table.services {
+                let Some(engine) = &service.engine else { continue };
+                let ready: Vec<_> = registry.ready(&service.name).collect();
+                let rate = match nominal > 0.0 {
+                    true => nominal * RATE_OVER_NOMINAL / ready.len().max(1) as f64,
+                    false => DEFAULT_RATE,
+                };
+                engines.extend(ready.into_iter().map(|endpoint| EngineInfo {
+                    id: endpoint.id.clone(),
+                    service: service.name.clone(),
+                    slots: endpoint.slots.max(engine.slots),
+                    memory_tokens: engine.memory_tokens,
+                    rate,
+                }));
+            }
+            engines
+        });
+        self.placer.set_engines(engines);
+    }
+
+    fn event(&mut self, event: Event) {
+        let now = self.clock.now();
+        match event {
+            Event::Opened { router, session, out } => {
+                log::info!("placement: router {router} attached");
+                self.placer.lost(now, router);
+                self.sessions.insert(router, (session, out));
+            }
+            Event::Messages { router, session, messages } => {
+                if self.sessions.get(&router).is_none_or(|(current, _)| *current != session) {
+                    return;
+                }
+                for message in messages {
+                    self.receive(router, message);
+                }
+            }
+            Event::Closed { router, session } => {
+                if self.sessions.get(&router).is_some_and(|(current, _)| *current == session) {
+                    log::info!("placement: router {router} left");
+                    self.sessions.remove(&router);
+                    self.placer.lost(now, router);
+                }
+            }
+        }
+    }
+
+    fn receive(&mut self, router: HostId, message: ToPlacer) {
+        let Some(decision) = self.placer.receive(self.clock.now(), router, message) else {
+            return;
+        };
+        log::debug!("placement: {decision:?}");
+        if let Some((_, out)) = self.sessions.get(&router) {
+            // A session that has just closed is noticed by its reader.
+            let _ = out.send(decision.answer.into());
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/shares.rs
@@ -0,0 +1,98 @@
+//! What customers asked for and got, over a sliding window.
+
+use std::collections::{HashMap, VecDeque};
+
+use crate::dispatch::Millis;
+
+/// Length of the window in milliseconds.
+pub const WINDOW_MS: Millis = 4_000;
+
+#[derive(Clone, Debug, Default)]
+struct Account {
+    asked: u64,
+    served: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Event {
+    at: Millis,
+    customer: String,
+    units: u64,
+    served: bool,
+}
+
+/// Units asked and served by customer. A unit is one token read or half a token
+/// made.
+#[derive(Clone, Debug, Default)]
+pub struct Shares {
+    accounts: HashMap<String, Account>,
+    events: VecDeque<Event>,
+}
+
+impl Shares {
+    /// A customer asks for `units`.
+    pub fn asked(&mut self, now: Millis, customer: &str, units: u64) {
+        self.record(now, customer, units, false);
+    }
+
+    /// A customer's request was placed.
+    pub fn served(&mut self, now: Millis, customer: &str, units: u64) {
+        self.record(now, customer, units, true);
+    }
+
+    fn record(&mut self, now: Millis, customer: &str, units: u64, served: bool) {
+        self.forget(now);
+        let account = match self.accounts.get_mut(customer) {
+            Some(account) => account,
+            None => self.accounts.entry(customer.to_string()).or_default(),
+        };
+        match served {
+            true => account.served += units,
+            false => account.asked += units,
+        }
+        self.events.push_back(Event { at: now, customer: customer.to_string(), units, served });
+    }
+
+    fn forget(&mut self, now: Millis) {
+        while self.events.front().is_some_and(|e| e.at + WINDOW_MS <= now) {
+            let Some(event) = self.events.pop_front() else { return };
+            let Some(account) = self.accounts.get_mut(&event.customer) else { continue };
+            match event.served {
+                true => account.served -= event.units,
+                false => account.asked -= event.units,
+            }
+            if account.asked == 0 && account.served == 0 {
+                self.accounts.remove(&event.customer);
+            }
+        }
+    }
+
+    /// What a customer was served, over what an equal division of all that was
+    /// served gives to those who ask for more: above 1, it has had its share.
+    pub fn ratio(&self, customer: &str) -> f64 {
+        let Some(account) = self.accounts.get(customer) else { return 0.0 };
+        let level = self.level();
+        match level > 0.0 {
+            true => account.served as f64 / level,
+            false => 0.0,
+        }
+    }
+
+    /// The most that any customer gets when all that was served is divided
+    /// max-min by what was asked.
+    fn level(&self) -> f64 {
+        let mut left: f64 = self.accounts.values().map(|a| a.served as f64).sum();
+        let mut asked: Vec<_> = self.accounts.values().map(|a| a.asked.max(a.served)).collect();
+        asked.sort_unstable();
+        let mut customers = asked.len();
+        for demand in asked {
+            let level = left / customers as f64;
+            if demand as f64 >= level {
+                return level;
+            }
+            left -= demand as f64;
+            customers -= 1;
+        }
+        f64::INFINITY
+    }
+}
--- /dev/null
+++ b/src/placement/tests.rs
@@ -0,0 +1,1 @@
+//! Decisions of the placer.
--- a/src/router.rs
+++ b/src/router.rs
@@ -113,6 +113,7 @@
             | Open::Identify
             | Open::Join(_)
             | Open::Feed { .. }
+            | Open::Place { .. }
             | Open::Claims { .. } => {
                 log::warn!("peer: a router takes no such connection");
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -218,7 +218,7 @@
     8.0
 }
 fn default_stop_takes_ms() -> u64 {
-    3_500
+    2_600
 }
 fn default_tolerated() -> usize {
     3
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -119,13 +119,21 @@
 pub struct BatchWriter<T> {
     messages: mpsc::UnboundedReceiver<Patient<T>>,
     sent: Option<SentBytes>,
+    interval: Duration,
 }
 
 impl<T: Serialize> BatchWriter<T> {
     /// A writer fed through the returned sender; `sent` counts its bytes.
     pub fn new(sent: Option<SentBytes>) -> (BatchSender<T>, Self) {
         let (sender, messages) = mpsc::unbounded_channel();
-        (sender, BatchWriter { messages, sent })
+        (sender, BatchWriter { messages, sent, interval: BATCH_INTERVAL })
+    }
+
+    /// A writer that sends whatever there is at once, without a pause between
+    /// frames.
+    pub fn immediate(sent: Option<SentBytes>) -> (BatchSender<T>, Self) {
+        let (sender, writer) = Self::new(sent);
+        (sender, BatchWriter { interval: Duration::ZERO, ..writer })
     }
 
     /// Writes until the sender is dropped or the connection breaks. Each frame
@@ -142,7 +150,9 @@
             if let Some(sent) = &self.sent {
                 sent.add(bytes);
             }
-            tokio::time::sleep(BATCH_INTERVAL).await;
+            if !self.interval.is_zero() {
+                tokio::time::sleep(self.interval).await;
+            }
         }
         let closed = writer.shutdown().await;
         closed.map_err(|source| net("close a connection", source))
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -123,6 +123,13 @@
     Identify,
     /// A store asks to belong to the group.
     Join(GroupMember),
+    /// A router asks the placer of a control host where requests go.
+    Place {
+        /// The router.
+        router: HostId,
+        /// Grows with every connection of this router.
+        session: u64,
+    },
     /// A router or control host wants to be told of changes.
     Feed {
         /// Who asks.
@@ -142,6 +149,7 @@
             Open::Dispatch { router, .. } | Open::Claims { router } => Some(*router),
             Open::Pull { host, .. } | Open::Agree { host, .. } => Some(*host),
             Open::Feed { host } => Some(*host),
+            Open::Place { router, .. } => Some(*router),
             Open::Join(newcomer) => Some(newcomer.host),
             Open::Identify => None,
         }
