Pace the reading of prompts so that running streams keep their speed

Change: an engine counts as busy for 1/0.65 of the time that its prompts take; the figures of the placer become settings.

--- a/src/control.rs
+++ b/src/control.rs
@@ -99,8 +99,13 @@
     let registry = Arc::new(SharedRegistry::default());
     let (handle, driver) =
         driver::start(&settings, peers.clone(), configs.clone(), documents.clone(), disk, found)?;
-    let placement =
-        placement::serve(peers.clock, documents.clone(), registry.clone(), peers.sent.clone());
+    let placement = placement::serve(
+        settings.placement,
+        peers.clock,
+        documents.clone(),
+        registry.clone(),
+        peers.sent.clone(),
+    );
     let control = Arc::new(Control {
         placement,
         settings,
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -20,5 +20,5 @@
 
 pub use client::{Placed, Placements, Reservation};
 pub use message::{Ending, FromPlacer, PlacementRequest, ToPlacer};
-pub use placer::{Decision, EngineInfo, Placer};
+pub use placer::{Decision, EngineInfo, PlacementRules, Placer};
 pub use server::{PlacementSession, serve};
--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -43,6 +43,8 @@
     running_tokens: u64,
     cache: PartCache,
     start_rate: f64,
+    reading_share: f64,
+    busy_until: f64,
     learnt_units: f64,
     learnt_ms: f64,
     failures: u32,
@@ -58,8 +60,8 @@
 
 impl EngineModel {
     /// An idle engine that keeps nothing; `rate` is the guess of tokens read in a
-    /// millisecond.
-    pub fn new(slots: u32, memory_tokens: u64, rate: f64) -> EngineModel {
+    /// millisecond, `reading_share` the part of its time that may go into it.
+    pub fn new(slots: u32, memory_tokens: u64, rate: f64, reading_share: f64) -> EngineModel {
         EngineModel {
             slots,
             memory_tokens,
@@ -69,6 +71,8 @@
             running_tokens: 0,
             cache: PartCache::default(),
             start_rate: rate,
+            reading_share,
+            busy_until: 0.0,
             // The guess counts as much as a few observations.
             learnt_units: rate * 1_000.0,
             learnt_ms: 1_000.0,
@@ -99,6 +103,12 @@
         head_left + behind / rate
     }
 
+    /// Milliseconds until an engine that reads only for its share of the time
+    /// would have read all that was placed here.
+    pub fn paced_backlog_ms(&self, now: Millis) -> f64 {
+        self.backlog_ms(now).max(self.busy_until - now as f64)
+    }
+
     /// Milliseconds that reading a prompt takes here.
     pub fn own_ms(&self, parts: &[(u64, u32)], prompt_tokens: u32) -> f64 {
         let cached = self.cache.matched(parts).min(prompt_tokens);
@@ -134,6 +144,8 @@
     ) {
         let cached = self.cache.matched(parts).min(prompt_tokens);
         let units = reading_units(cached, prompt_tokens - cached);
+        let paced = units / self.rate() / self.reading_share;
+        self.busy_until = self.busy_until.max(now as f64) + paced;
         if self.pending.is_empty() {
             self.head_since = now;
         }
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::engine::{EngineModel, FIXED_MS, RequestKey};
@@ -10,23 +11,46 @@
 use crate::dispatch::Millis;
 use crate::wire::HostId;
 
-/// How much dearer reading a prompt counts than waiting for others' prompts:
-/// what is read twice is lost to all.
-const READING_WEIGHT: f64 = 1.6;
-/// Part of its objective that a customer above its share may count on.
-const ABOVE_SHARE: f64 = 0.4;
 /// Ratio of service received to share from which on a customer is above it.
 const SHARE_TOLERANCE: f64 = 1.05;
-/// Milliseconds kept back from each objective, for what the model misses.
-const MARGIN_MS: f64 = 60.0;
-/// Part of its objective that a request which can never be in time may wait for
-/// others.
-const NEVER_IN_TIME_WAIT: f64 = 0.35;
-/// The same for a request that was refused once already.
-const RETURNED_WAIT: f64 = 1.5;
 /// Shortest and longest time to come back after, in milliseconds.
 const RETRY_MS: (f64, f64) = (60.0, 3_000.0);
 
+/// What the placer aims at. The defaults are the measured ones, see
+/// `docs/DISPATCH.md`.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PlacementRules {
+    /// Part of their time that engines may spend on reading prompts; the rest
+    /// keeps running streams from slowing down.
+    pub reading_share: f64,
+    /// How much dearer reading a prompt counts than waiting for others': what is
+    /// read twice is lost to all.
+    pub reading_weight: f64,
+    /// Part of its objective that a customer above its share may count on.
+    pub above_share: f64,
+    /// Milliseconds kept back from each objective, for what the model misses.
+    pub margin_ms: f64,
+    /// Part of its objective that a request which can never be in time may wait
+    /// for others.
+    pub never_in_time_wait: f64,
+    /// The same for a request that was refused once already.
+    pub returned_wait: f64,
+}
+
+impl Default for PlacementRules {
+    fn default() -> Self {
+        PlacementRules {
+            reading_share: 0.65,
+            reading_weight: 1.6,
+            above_share: 0.4,
+            margin_ms: 60.0,
+            never_in_time_wait: 0.35,
+            returned_wait: 1.5,
+        }
+    }
+}
+
 /// What is known of an engine from its registration and the routing.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineInfo {
@@ -73,19 +97,26 @@
 /// Decides for all routers where requests go.
 #[derive(Clone, Debug, Default)]
 pub struct Placer {
+    rules: PlacementRules,
     engines: BTreeMap<String, Engine>,
     placed: HashMap<RequestKey, String>,
     shares: Shares,
 }
 
 impl Placer {
+    /// A placer that knows no engine yet.
+    pub fn new(rules: PlacementRules) -> Placer {
+        Placer { rules, ..Placer::default() }
+    }
+
     /// The engines that take work now. Others keep what they have.
     pub fn set_engines(&mut self, engines: Vec<EngineInfo>) {
         self.engines.values_mut().for_each(|engine| engine.open = false);
+        let reading_share = self.rules.reading_share;
         for info in engines {
             let known = self.engines.entry(info.id).or_insert_with(|| Engine {
                 service: info.service,
-                model: EngineModel::new(info.slots, info.memory_tokens, info.rate),
+                model: EngineModel::new(info.slots, info.memory_tokens, info.rate, reading_share),
                 open: true,
             });
             known.open = true;
@@ -138,7 +169,7 @@
             return decide(FromPlacer::Unknown { seq }, 0.0, 0.0);
         };
         let Choice { backlog_ms, own_ms, .. } = choice;
-        let allowed = allowed_backlog(request, own_ms, ratio);
+        let allowed = self.allowed_backlog(request, own_ms, ratio);
         if backlog_ms > allowed {
             let (least, most) = RETRY_MS;
             let retry_after_ms = (backlog_ms - allowed + own_ms).clamp(least, most) as u32;
@@ -155,6 +186,21 @@
         decide(FromPlacer::Go { seq, endpoint }, backlog_ms, own_ms)
     }
 
+    /// Milliseconds of others' prompts that a request may wait for.
+    fn allowed_backlog(&self, request: &PlacementRequest, own_ms: f64, ratio: f64) -> f64 {
+        let rules = &self.rules;
+        let objective = f64::from(request.objective_ms);
+        let left = objective - own_ms - FIXED_MS - rules.margin_ms;
+        let allowed = left.max(objective * rules.never_in_time_wait);
+        if ratio > SHARE_TOLERANCE {
+            return allowed.min(objective * rules.above_share);
+        }
+        match request.returned {
+            true => allowed.max(objective * rules.returned_wait),
+            false => allowed,
+        }
+    }
+
     /// The engine at which the request's first event comes first, with the
     /// reading of its own prompt counted dearer.
     fn choose(&self, now: Millis, request: &PlacementRequest) -> Option<Choice<'_>> {
@@ -166,9 +212,9 @@
         let affinity = request.parts.first().map_or(0, |part| part.0);
         for (id, engine) in self.engines.iter().filter(fits) {
             let unfit = engine.model.is_left_out(now) || !engine.model.has_room(tokens);
-            let backlog_ms = engine.model.backlog_ms(now);
+            let backlog_ms = engine.model.paced_backlog_ms(now);
             let own_ms = engine.model.own_ms(&request.parts, request.prompt_tokens);
-            let score = backlog_ms + READING_WEIGHT * own_ms;
+            let score = backlog_ms + self.rules.reading_weight * own_ms;
             let rank = rank(affinity, id);
             let better = best.as_ref().is_none_or(|(unfit_best, score_best, rank_best, _)| {
                 (unfit, score, rank) < (*unfit_best, *score_best, *rank_best)
@@ -181,20 +227,6 @@
     }
 }
 
-/// Milliseconds of others' prompts that a request may wait for.
-fn allowed_backlog(request: &PlacementRequest, own_ms: f64, ratio: f64) -> f64 {
-    let objective = f64::from(request.objective_ms);
-    let left = objective - own_ms - FIXED_MS - MARGIN_MS;
-    let allowed = left.max(objective * NEVER_IN_TIME_WAIT);
-    if ratio > SHARE_TOLERANCE {
-        return allowed.min(objective * ABOVE_SHARE);
-    }
-    match request.returned {
-        true => allowed.max(objective * RETURNED_WAIT),
-        false => allowed,
-    }
-}
-
 /// Units of service: tokens read once, tokens made twice.
 fn units(request: &PlacementRequest) -> u64 {
     u64::from(request.prompt_tokens) + 2 * u64::from(request.output_tokens)
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 
 use super::message::{FromPlacer, ToPlacer};
-use super::placer::{EngineInfo, Placer};
+use super::placer::{EngineInfo, PlacementRules, Placer};
 use crate::clock::Clock;
 use crate::peer::PeerReader;
 use crate::registry::SharedRegistry;
@@ -38,6 +38,7 @@
 
 /// Starts the placer of a control host.
 pub fn serve(
+    rules: PlacementRules,
     clock: Clock,
     documents: Arc<Documents>,
     registry: Arc<SharedRegistry>,
@@ -45,7 +46,7 @@
 ) -> PlacementSession {
     let (events, inbox) = mpsc::channel(INBOX);
     let task =
-        Task { clock, documents, registry, placer: Placer::default(), sessions: HashMap::new() };
+        Task { clock, documents, registry, placer: Placer::new(rules), sessions: HashMap::new() };
     tokio::spawn(task.run(inbox));
     PlacementSession { events, sent }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,6 +9,7 @@
 
 use crate::error::{Error, FileSnafu, Result};
 use crate::gateway::BudgetRules;
+use crate::placement::PlacementRules;
 use crate::wire::HostId;
 
 /// How a router decides who is served next.
@@ -122,7 +123,7 @@
 }
 
 /// Settings of `bramblecrank control`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ControlSettings {
     /// The host.
@@ -145,6 +146,9 @@
     /// Whether to wait for a data folder that cannot be opened yet.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub wait_for_disk: bool,
+    /// What the placer here aims at.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub placement: PlacementRules,
     /// Where operators and endpoints of the platform connect, where there are any.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub platform: Option<SocketAddr>,
@@ -211,6 +215,9 @@
     pub lag_ms: u64,
 }
 
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
 fn default_routers() -> usize {
     12
 }
--- a/src/site/plan.rs
+++ b/src/site/plan.rs
@@ -233,6 +233,7 @@
             found_with_seeds: false,
             tolerated_losses: 3,
             wait_for_disk: false,
+            placement: Default::default(),
             platform: None,
             founders: (0..self.controls).map(|n| HostId((FIRST_CONTROL + n).into())).collect(),
             control: (0..self.controls).map(|n| self.at(port::CONTROL_PEER, n)).collect(),
