--- a/src/control.rs
+++ b/src/control.rs
@@ -179,6 +179,7 @@
         control.documents.clone(),
         control.registry.clone(),
         control.handle.leadership.clone(),
+        control.peers.watch(),
         control.peers.sent.clone(),
         writer,
     );
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -23,6 +23,8 @@
     Routing(Box<RoutingTable>),
     /// Endpoints, all of them at first and then those that changed.
     Endpoints(Vec<Registration>),
+    /// How many routers the sender hears of.
+    Routers(u32),
     /// Who leads the agreement, as the sender knows it.
     Leader {
         /// The term.
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -10,9 +10,10 @@
 use super::FeedMessage;
 use crate::control::Leadership;
 use crate::error::{Result, RpcSnafu};
+use crate::member::View;
 use crate::registry::SharedRegistry;
 use crate::routing::Documents;
-use crate::wire::{SentBytes, write_frame};
+use crate::wire::{Role, SentBytes, write_frame};
 
 /// How long a subscriber may take to read one message.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -22,21 +23,19 @@
     documents: Arc<Documents>,
     registry: Arc<SharedRegistry>,
     mut leadership: watch::Receiver<Leadership>,
+    mut view: watch::Receiver<Arc<View>>,
     sent: SentBytes,
     mut writer: OwnedWriteHalf,
 ) -> Result<()> {
     let mut routing = documents.watch();
     routing.mark_changed();
     leadership.mark_changed();
+    view.mark_changed();
+    let mut routers = 0;
     let (known, mut changes) = registry.subscribe();
-    let mut next = FeedMessage::Endpoints(known);
+    write(&mut writer, &sent, FeedMessage::Endpoints(known)).await?;
     loop {
-        let write = write_frame(&mut writer, &next);
-        match tokio::time::timeout(WRITE_TIMEOUT, write).await {
-            Ok(written) => sent.add(written?),
-            Err(_) => return RpcSnafu { message: "a subscriber reads nothing" }.fail(),
-        }
-        next = tokio::select! {
+        let next = tokio::select! {
             changed = changes.recv() => match changed {
                 Ok(endpoint) => FeedMessage::Endpoints(vec![endpoint]),
                 Err(RecvError::Lagged(_)) => {
@@ -48,10 +47,27 @@
                 let known = leadership.borrow_and_update();
                 FeedMessage::Leader { term: known.term, leader: known.leader }
             }
+            Ok(()) = view.changed() => {
+                let now = view.borrow_and_update().with_role(Role::Router).count() as u32;
+                if std::mem::replace(&mut routers, now) == now {
+                    continue;
+                }
+                FeedMessage::Routers(now)
+            }
             Ok(()) = routing.changed() => match routing.borrow_and_update().clone() {
                 Some(routing) => FeedMessage::Routing(Box::new(routing.table.clone())),
-                None => FeedMessage::Endpoints(Vec::new()),
+                None => continue,
             },
         };
+        write(&mut writer, &sent, next).await?;
+    }
+}
+
+async fn write(writer: &mut OwnedWriteHalf, sent: &SentBytes, message: FeedMessage) -> Result<()> {
+    let written = write_frame(writer, &message);
+    match tokio::time::timeout(WRITE_TIMEOUT, written).await {
+        Ok(bytes) => sent.add(bytes?),
+        Err(_) => return RpcSnafu { message: "a subscriber reads nothing" }.fail(),
     }
+    Ok(())
 }
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -31,6 +32,7 @@
     documents: Arc<Documents>,
     registry: Arc<SharedRegistry>,
     leaders: Mutex<BTreeMap<HostId, LeaderNews>>,
+    routers: AtomicUsize,
 }
 
 impl Subscriptions {
@@ -41,7 +43,8 @@
         registry: Arc<SharedRegistry>,
     ) -> Arc<Subscriptions> {
         let leaders = Mutex::default();
-        let all = Arc::new(Subscriptions { peers, documents, registry, leaders });
+        let routers = AtomicUsize::new(1);
+        let all = Arc::new(Subscriptions { peers, documents, registry, leaders, routers });
         tokio::spawn(follow_view(all.clone()));
         all
     }
@@ -53,6 +56,11 @@
         named.max_by_key(|news| news.term).and_then(|news| news.leader)
     }
 
+    /// Routers in the fleet, as far as control hosts last said.
+    pub fn routers(&self) -> usize {
+        self.routers.load(Ordering::Relaxed)
+    }
+
     /// Control hosts whose feeds are open.
     pub fn open_feeds(&self) -> usize {
         self.leaders.lock().unwrap_or_else(PoisonError::into_inner).len()
@@ -64,6 +72,9 @@
             FeedMessage::Endpoints(endpoints) => {
                 endpoints.into_iter().for_each(|endpoint| self.registry.merge(endpoint));
             }
+            FeedMessage::Routers(routers) => {
+                self.routers.store(routers as usize, Ordering::Relaxed);
+            }
             FeedMessage::Leader { term, leader } => {
                 let mut leaders = self.leaders.lock().unwrap_or_else(PoisonError::into_inner);
                 leaders.insert(from, LeaderNews { term, leader });
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,6 +9,7 @@
 mod connections;
 mod dialect;
 mod endpoints;
+mod events;
 mod exchange;
 mod request;
 mod server;
@@ -23,5 +24,6 @@
     text, token_counts,
 };
 pub use endpoints::{Endpoints, Failure};
+pub use events::EventSplitter;
 pub use server::run;
 pub use state::Gateway;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -98,6 +98,13 @@
     path.map(Uri::from).unwrap_or_else(|| Uri::from_static("/"))
 }
 
+/// An endpoint's answer under way.
+pub(super) struct Opened {
+    pub response: Response<Incoming>,
+    pub connection: Connection,
+    pub ticket: Ticket,
+}
+
 /// Sends a request to one endpoint and waits for its answer, or for the head of
 /// its stream.
 pub(super) async fn attempt(
@@ -106,33 +113,46 @@
     reservation: Option<Reservation>,
     again: bool,
 ) -> Attempt {
-    let Some(address) = endpoint.address else { return Attempt::NotSent };
-    let tokens = call.prompt_tokens();
-    let mut ticket = Ticket::new(&call.gateway, &endpoint.id, tokens, reservation);
-    ticket.set_ending(Ending::Failed);
     if again {
         call.gateway.metrics.retries.with_label_values(&[&call.service]).inc();
     }
-    let request = request_for(call, endpoint, ticket.copy_from(), None);
+    match open(call, endpoint, reservation, None).await {
+        Ok(opened) => judge(call, endpoint, opened).await,
+        Err(attempt) => attempt,
+    }
+}
+
+/// Sends a request and waits for the head of an answer that is the endpoint's
+/// own, to this request.
+pub(super) async fn open(
+    call: &Arc<Call>,
+    endpoint: &Registration,
+    reservation: Option<Reservation>,
+    after_event: Option<&str>,
+) -> Result<Opened, Attempt> {
+    let Some(address) = endpoint.address else { return Err(Attempt::NotSent) };
+    let tokens = call.prompt_tokens();
+    let mut ticket = Ticket::new(&call.gateway, &endpoint.id, tokens, reservation);
+    ticket.set_ending(Ending::Failed);
+    let request = request_for(call, endpoint, ticket.copy_from(), after_event);
     let exchange = call.gateway.connections.send(&endpoint.id, address, request);
-    let sent = tokio::time::timeout(patience(call), exchange).await;
-    let (response, connection) = match sent {
-        Ok(Ok(answered)) => answered,
+    match tokio::time::timeout(patience(call), exchange).await {
+        Ok(Ok((response, connection))) => {
+            check_head(call, endpoint, &response)?;
+            Ok(Opened { response, connection, ticket })
+        }
         Ok(Err(SendError::NotSent(why))) => {
             log::info!("gateway: request {} not sent to {}: {why}", call.number, endpoint.id);
             call.gateway.note_failure(&endpoint.id, Failure::Unreachable);
-            return Attempt::NotSent;
-        }
-        Ok(Err(SendError::Unknown(why))) => {
-            return unknown(call, endpoint, &why);
+            Err(Attempt::NotSent)
         }
+        Ok(Err(SendError::Unknown(why))) => Err(unknown(call, endpoint, &why)),
         Err(_) => {
             call.gateway.note_failure(&endpoint.id, Failure::Failed);
             log::info!("gateway: request {} got no answer of {}", call.number, endpoint.id);
-            return Attempt::TimedOut;
+            Err(Attempt::TimedOut)
         }
-    };
-    judge(call, endpoint, ticket, response, connection).await
+    }
 }
 
 fn unknown(call: &Call, endpoint: &Registration, why: &str) -> Attempt {
@@ -151,13 +171,12 @@
     remaining.min(patience.max(LEAST_PATIENCE))
 }
 
-async fn judge(
-    call: &Arc<Call>,
+/// Whether a head is the endpoint's own answer to this request.
+fn check_head(
+    call: &Call,
     endpoint: &Registration,
-    mut ticket: Ticket,
-    response: Response<Incoming>,
-    connection: Connection,
-) -> Attempt {
+    response: &Response<Incoming>,
+) -> Result<(), Attempt> {
     let head = call.gateway.dialect.read_answer(response.headers());
     let status = response.status();
     if head.not_executed || status == StatusCode::MISDIRECTED_REQUEST {
@@ -165,19 +184,24 @@
         let failure = if replaced { Failure::Replaced } else { Failure::Rejected };
         log::info!("gateway: request {} not run by {}: {status}", call.number, endpoint.id);
         call.gateway.note_failure(&endpoint.id, failure);
-        return Attempt::NotExecuted;
+        return Err(Attempt::NotExecuted);
     }
     if head.id != call.head.id {
-        return unknown(call, endpoint, "the answer is another request's");
+        return Err(unknown(call, endpoint, "the answer is another request's"));
     }
     if !head.sealed {
-        return unknown(call, endpoint, "the answer is not the endpoint's");
+        return Err(unknown(call, endpoint, "the answer is not the endpoint's"));
     }
-    if status.is_success() && call.route.kind == RouteKind::Streaming {
+    Ok(())
+}
+
+async fn judge(call: &Arc<Call>, endpoint: &Registration, opened: Opened) -> Attempt {
+    let streams = call.route.kind == RouteKind::Streaming;
+    if opened.response.status().is_success() && streams {
         call.gateway.with_endpoints(|e| e.succeeded(&endpoint.id));
-        ticket.set_ending(Ending::Abandoned);
-        return Attempt::Answered(stream::relay(call, endpoint, ticket, response, connection));
+        return Attempt::Answered(stream::relay(call, opened));
     }
+    let Opened { response, connection, mut ticket } = opened;
     let attempt = whole(call, endpoint, response, connection).await;
     if matches!(attempt, Attempt::Answered(_)) {
         ticket.set_ending(Ending::Served);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -259,7 +259,11 @@
     let body = read_body(body, limits.max_body_bytes, body_limit).await?;
     let service = pick_service(&route).ok_or(Refusal::NoEndpoint)?;
     let now = gateway.now();
-    gateway.with_budgets(|budgets| budgets.request(now, &service));
+    let routers = gateway.feeds.routers().max(gateway.rules.least_routers);
+    gateway.with_budgets(|budgets| {
+        budgets.set_routers(routers);
+        budgets.request(now, &service);
+    });
     let number = gateway.next_number();
     let is_engine = routing.service(&service).is_some_and(|s| s.engine.is_some());
     Ok(Call {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -43,7 +43,6 @@
     tokio::spawn(refuse_peers(incoming));
     let gateway = Gateway::new(settings, rules, peers, dialect, stop.clone());
     tokio::spawn(follow_registry(gateway.clone()));
-    tokio::spawn(count_routers(gateway.clone()));
     serve_readiness(&gateway).await?;
     let listen = gateway.settings.listen;
     let listener = TcpListener::bind(listen).await;
@@ -97,12 +96,6 @@
     }
 }
 
-/// The retry budget is shared by the routers that control hosts know of.
-async fn count_routers(gateway: Arc<Gateway>) {
-    let routers = gateway.rules.routers;
-    gateway.with_budgets(|budgets| budgets.set_routers(routers));
-}
-
 async fn refuse_peers(mut incoming: mpsc::Receiver<Incoming>) {
     while let Some(Incoming { open, .. }) = incoming.recv().await {
         log::warn!("peer: a gateway takes no connection {open:?}");
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,7 +12,7 @@
 use crate::dispatch::Millis;
 use crate::feed::Subscriptions;
 use crate::peer::Peers;
-use crate::placement::{Ending, Placements, Reservation};
+use crate::placement::{Ending, LocalPlacer, Placements, Reservation};
 use crate::registry::{EndpointState, SharedRegistry};
 use crate::routing::Documents;
 use crate::settings::{GatewaySettings, RouterSettings};
@@ -61,7 +61,8 @@
         let registry = Arc::new(SharedRegistry::default());
         let feeds = Subscriptions::start(peers.clone(), documents.clone(), registry.clone());
         let hall = settings.host.hall.clone();
-        let placements = Placements::start(peers.clone(), feeds.clone(), hall);
+        let local = LocalPlacer::new(peers.me, peers.clock, documents.clone(), registry.clone());
+        let placements = Placements::start(peers.clone(), feeds.clone(), local, hall);
         let budgets = RetryBudgets::new(rules.retry_budget, 1);
         Arc::new(Gateway {
             settings,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,51 +1,62 @@
-//! Passing a stream of events on as they come.
+//! Passing a stream of events on as they come, and taking it up at another
+//! endpoint when it breaks off, where its route allows that.
 
 use std::sync::Arc;
 
 use axum::body::Body;
-use axum::http::{Response, header};
+use axum::http::{Response, StatusCode, header};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use super::connections::Connection;
 use super::endpoints::Failure;
-use super::exchange::strip_connection_headers;
-use super::request::Call;
+use super::events::EventSplitter;
+use super::exchange::{self, Opened, strip_connection_headers};
+use super::request::{Call, Place};
 use super::state::Ticket;
 use crate::placement::Ending;
-use crate::registry::Registration;
 
 /// A stream under way. Dropping it closes the endpoint's connection, which ends
 /// the run there.
 struct Relay {
     call: Arc<Call>,
-    ticket: Ticket,
+    source: Option<Source>,
+    tried: Vec<String>,
+    /// Set where the stream may be taken up elsewhere, event by event.
+    splitter: Option<EventSplitter>,
+}
+
+/// Where a stream comes from.
+struct Source {
     incoming: Incoming,
-    connection: Option<Connection>,
+    connection: Connection,
+    ticket: Ticket,
 }
 
 /// Why a stream is broken off; the caller sees its connection close.
 #[derive(Debug, snafu::Snafu)]
 enum BrokenOff {
-    #[snafu(display("the endpoint broke off: {source}"))]
-    Endpoint { source: hyper::Error },
+    #[snafu(display("the endpoint broke off"))]
+    Endpoint,
     #[snafu(display("the time is up"))]
     TimeUp,
 }
 
 /// The answer for the caller: the endpoint's head, and its events as they come.
-pub(super) fn relay(
-    call: &Arc<Call>,
-    _endpoint: &Registration,
-    ticket: Ticket,
-    response: Response<Incoming>,
-    connection: Connection,
-) -> Response<Body> {
+pub(super) fn relay(call: &Arc<Call>, opened: Opened) -> Response<Body> {
+    let Opened { response, connection, mut ticket } = opened;
+    ticket.set_ending(Ending::Abandoned);
     let (mut head, incoming) = response.into_parts();
     strip_connection_headers(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
-    let relay = Relay { call: call.clone(), ticket, incoming, connection: Some(connection) };
+    let resumes = call.route.resumable && call.route.attempts > 1;
+    let relay = Relay {
+        call: call.clone(),
+        tried: vec![ticket.endpoint.clone()],
+        source: Some(Source { incoming, connection, ticket }),
+        splitter: resumes.then(|| EventSplitter::after(call.head.last_event.clone())),
+    };
     let events = futures_util::stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
         match relay.next().await {
@@ -61,7 +72,8 @@
     /// The next bytes; none at the end of a whole stream.
     async fn next(&mut self) -> Result<Option<Bytes>, BrokenOff> {
         loop {
-            let frame = tokio::time::timeout_at(self.call.limit, self.incoming.frame());
+            let Some(source) = &mut self.source else { return Ok(None) };
+            let frame = tokio::time::timeout_at(self.call.limit, source.incoming.frame());
             let Ok(frame) = frame.await else {
                 log::info!("gateway: request {} ran out of time", self.call.number);
                 return Err(BrokenOff::TimeUp);
@@ -69,27 +81,68 @@
             match frame {
                 Some(Ok(frame)) => {
                     // Trailers concern this connection only.
-                    if let Ok(bytes) = frame.into_data() {
-                        self.ticket.begun();
+                    let Ok(bytes) = frame.into_data() else { continue };
+                    source.ticket.begun();
+                    let bytes = match &mut self.splitter {
+                        Some(splitter) => splitter.push(&bytes),
+                        None => bytes,
+                    };
+                    if !bytes.is_empty() {
                         return Ok(Some(bytes));
                     }
                 }
-                Some(Err(source)) => {
-                    let endpoint = &self.ticket.endpoint;
-                    let number = self.call.number;
-                    log::info!("gateway: request {number} broke off at {endpoint}: {source}");
-                    self.call.gateway.note_failure(endpoint, Failure::Failed);
-                    self.ticket.set_ending(Ending::Failed);
-                    return Err(BrokenOff::Endpoint { source });
-                }
-                None => {
-                    self.ticket.set_ending(Ending::Served);
-                    if let Some(connection) = self.connection.take() {
-                        self.call.gateway.connections.keep(&self.ticket.endpoint, connection);
-                    }
-                    return Ok(None);
+                Some(Err(error)) => {
+                    log::info!(
+                        "gateway: request {} broke off at {}: {error}",
+                        self.call.number,
+                        source.ticket.endpoint
+                    );
+                    self.resume().await?;
                 }
+                None => return Ok(self.finish()),
             }
         }
     }
+
+    /// The stream came to its end.
+    fn finish(&mut self) -> Option<Bytes> {
+        if let Some(mut source) = self.source.take() {
+            source.ticket.set_ending(Ending::Served);
+            self.call.gateway.connections.keep(&source.ticket.endpoint, source.connection);
+        }
+        let rest = self.splitter.as_mut().map(EventSplitter::finish);
+        rest.filter(|rest| !rest.is_empty())
+    }
+
+    /// Takes the stream up behind its last whole event at another endpoint.
+    async fn resume(&mut self) -> Result<(), BrokenOff> {
+        let Some(mut broken) = self.source.take() else { return Err(BrokenOff::Endpoint) };
+        let call = self.call.clone();
+        call.gateway.note_failure(&broken.ticket.endpoint, Failure::Failed);
+        broken.ticket.set_ending(Ending::Failed);
+        drop(broken);
+        let Some(splitter) = &mut self.splitter else { return Err(BrokenOff::Endpoint) };
+        splitter.discard_partial();
+        let runs = self.tried.len() as u32;
+        if runs >= call.route.attempts || !call.may_repeat() {
+            return Err(BrokenOff::Endpoint);
+        }
+        let Place::At(endpoint, reservation) = call.place(&self.tried).await else {
+            return Err(BrokenOff::Endpoint);
+        };
+        self.tried.push(endpoint.id.clone());
+        let after = splitter.last_id().map(str::to_string);
+        log::info!("gateway: request {} goes on at {} after {after:?}", call.number, endpoint.id);
+        let opened = exchange::open(&call, &endpoint, reservation, after.as_deref()).await;
+        let Ok(Opened { response, connection, mut ticket }) = opened else {
+            return Err(BrokenOff::Endpoint);
+        };
+        if response.status() != StatusCode::OK {
+            return Err(BrokenOff::Endpoint);
+        }
+        call.gateway.metrics.resumed.with_label_values(&[&call.service]).inc();
+        ticket.set_ending(Ending::Abandoned);
+        self.source = Some(Source { incoming: response.into_body(), connection, ticket });
+        Ok(())
+    }
 }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -11,6 +11,8 @@
 mod cache;
 mod client;
 mod engine;
+mod engines;
+mod local;
 mod message;
 mod placer;
 mod server;
@@ -19,6 +21,7 @@
 mod tests;
 
 pub use client::{Placed, Placements, Reservation};
+pub use local::LocalPlacer;
 pub use message::{Ending, FromPlacer, PlacementRequest, ToPlacer};
 pub use placer::{Decision, EngineInfo, PlacementRules, Placer};
 pub use server::{PlacementSession, serve};
--- a/src/placement/client.rs
+++ b/src/placement/client.rs
@@ -9,6 +9,7 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
+use super::local::LocalPlacer;
 use super::message::{Ending, FromPlacer, PlacementRequest, ToPlacer};
 use crate::error::Result;
 use crate::feed::Subscriptions;
@@ -60,6 +61,7 @@
     peers: Arc<Peers>,
     feeds: Arc<Subscriptions>,
     hall: String,
+    local: Arc<LocalPlacer>,
     placers: Mutex<BTreeMap<HostId, Placer>>,
     next_seq: AtomicU64,
 }
@@ -72,17 +74,33 @@
     /// The id of an endpoint from which it should copy prompt parts.
     pub copy_from: Option<String>,
     seq: u64,
-    out: BatchSender<ToPlacer>,
+    holder: Holder,
     ending: Ending,
     begun: bool,
 }
 
+/// Who keeps a reservation.
+#[derive(Clone, Debug)]
+enum Holder {
+    Session(BatchSender<ToPlacer>),
+    Local(Arc<LocalPlacer>),
+}
+
+impl Holder {
+    fn tell(&self, message: ToPlacer) {
+        match self {
+            // A session that has closed has given everything back.
+            Holder::Session(out) => drop(out.send(message.into())),
+            Holder::Local(placer) => placer.tell(message),
+        }
+    }
+}
+
 impl Reservation {
     /// The first event came.
     pub fn begun(&mut self) {
         if !std::mem::replace(&mut self.begun, true) {
-            // A session that has closed has given everything back.
-            let _ = self.out.send(ToPlacer::Begun { seq: self.seq }.into());
+            self.holder.tell(ToPlacer::Begun { seq: self.seq });
         }
     }
 
@@ -94,19 +112,23 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        let done = ToPlacer::Done { seq: self.seq, ending: self.ending };
-        // A session that has closed has given everything back.
-        let _ = self.out.send(done.into());
+        self.holder.tell(ToPlacer::Done { seq: self.seq, ending: self.ending });
     }
 }
 
 impl Placements {
     /// Opens a session with every control host in view.
-    pub fn start(peers: Arc<Peers>, feeds: Arc<Subscriptions>, hall: String) -> Arc<Placements> {
+    pub fn start(
+        peers: Arc<Peers>,
+        feeds: Arc<Subscriptions>,
+        local: LocalPlacer,
+        hall: String,
+    ) -> Arc<Placements> {
         let placements = Arc::new(Placements {
             peers,
             feeds,
             hall,
+            local: Arc::new(local),
             placers: Mutex::default(),
             next_seq: AtomicU64::new(1),
         });
@@ -115,30 +137,44 @@
     }
 
     /// Asks where a request goes: the leader's host, so that one decides for
-    /// all; out of its reach another one, first of the same data hall.
+    /// all; out of its reach another one, first of the same data hall; and this
+    /// router's own placer where none answers.
     pub async fn place(&self, mut request: PlacementRequest) -> Placed {
-        let Some((host, session)) = self.session() else { return Placed::Alone };
         let seq = self.next_seq.fetch_add(1, Ordering::Relaxed);
         request.seq = seq;
+        if let Some((host, session)) = self.session()
+            && let Some(answer) = self.ask(host, &session, request.clone()).await
+        {
+            return placed(answer, seq, Holder::Session(session.out));
+        }
+        let answer = self.local.place(request, self.feeds.routers());
+        placed(answer, seq, Holder::Local(self.local.clone()))
+    }
+
+    async fn ask(
+        &self,
+        host: HostId,
+        session: &Session,
+        request: PlacementRequest,
+    ) -> Option<FromPlacer> {
+        let seq = request.seq;
         let (sender, answer) = oneshot::channel();
         lock(&session.waiting).insert(seq, sender);
-        if session.out.send(ToPlacer::Place(request).into()).is_err() {
-            return Placed::Alone;
-        }
+        session.out.send(ToPlacer::Place(request).into()).ok()?;
         let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
         lock(&session.waiting).remove(&seq);
         match answer {
             Ok(Ok(answer)) => {
                 self.note_answer(host);
-                placed(answer, seq, &session)
+                Some(answer)
             }
-            Ok(Err(_)) => Placed::Alone,
+            Ok(Err(_)) => None,
             Err(_) => {
                 self.note_silence(host);
                 // An answer that comes yet would hold a place for nobody.
                 let done = ToPlacer::Done { seq, ending: Ending::Abandoned };
                 let _ = session.out.send(done.into());
-                Placed::Alone
+                None
             }
         }
     }
@@ -207,13 +243,13 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn placed(answer: FromPlacer, seq: u64, session: &Session) -> Placed {
+fn placed(answer: FromPlacer, seq: u64, holder: Holder) -> Placed {
     match answer {
         FromPlacer::Go { endpoint, copy_from, .. } => Placed::At(Reservation {
             endpoint,
             copy_from,
             seq,
-            out: session.out.clone(),
+            holder,
             ending: Ending::Abandoned,
             begun: false,
         }),
--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// The part of its time that may go into reading from now on.
+    pub fn set_reading_share(&mut self, share: f64) {
+        self.reading_share = share;
+    }
+
     /// Tokens read in a millisecond, as learnt.
     pub fn rate(&self) -> f64 {
         let (low, high) = RATE_RANGE;
--- /dev/null
+++ b/src/placement/engines.rs
@@ -0,0 +1,36 @@
+//! The engines that take work, as routing and registrations tell.
+
+use super::placer::EngineInfo;
+use crate::registry::Registry;
+use crate::routing::{Routing, ServicePool};
+
+/// Tokens read in a millisecond by an engine of which nothing is known.
+const DEFAULT_RATE: f64 = 30.0;
+/// How much more an engine reads than its part of the fleet's nominal tokens,
+/// which count all tokens of prompts, kept ones too.
+const RATE_OVER_NOMINAL: f64 = 1.3;
+
+/// All engines that take work.
+pub fn engines_of(routing: &Routing, registry: &Registry) -> Vec<EngineInfo> {
+    let nominal = routing.table.limits.tokens_per_second as f64 / 1_000.0;
+    let services = routing.table.services.iter();
+    services.flat_map(|service| engines_of_service(service, registry, nominal)).collect()
+}
+
+fn engines_of_service(service: &ServicePool, registry: &Registry, nominal: f64) -> Vec<EngineInfo> {
+    let Some(engine) = &service.engine else { return Vec::new() };
+    let ready: Vec<_> = registry.ready(&service.name).collect();
+    let rate = match nominal > 0.0 {
+        true => nominal * RATE_OVER_NOMINAL / ready.len().max(1) as f64,
+        false => DEFAULT_RATE,
+    };
+    let info = |endpoint: &crate::registry::Registration| EngineInfo {
+        id: endpoint.id.clone(),
+        service: service.name.clone(),
+        slots: endpoint.slots.max(engine.slots),
+        memory_tokens: engine.memory_tokens,
+        rate,
+        copy_ms_per_token: engine.copy_ms_per_token,
+    };
+    ready.into_iter().map(info).collect()
+}
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -130,6 +130,12 @@
         Placer { rules, ..Placer::default() }
     }
 
+    /// What to aim at from now on.
+    pub fn set_rules(&mut self, rules: PlacementRules) {
+        self.rules = rules;
+        self.engines.values_mut().for_each(|e| e.model.set_reading_share(rules.reading_share));
+    }
+
     /// The engines that take work now. Others keep what they have.
     pub fn set_engines(&mut self, engines: Vec<EngineInfo>) {
         self.engines.values_mut().for_each(|engine| engine.open = false);
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -7,8 +7,9 @@
 use tokio::sync::broadcast::error::RecvError;
 use tokio::sync::mpsc;
 
+use super::engines::engines_of;
 use super::message::{FromPlacer, ToPlacer};
-use super::placer::{EngineInfo, PlacementRules, Placer};
+use super::placer::{PlacementRules, Placer};
 use crate::clock::Clock;
 use crate::peer::PeerReader;
 use crate::registry::SharedRegistry;
@@ -17,12 +18,6 @@
 
 /// Messages that may wait for the placer.
 const INBOX: usize = 4_096;
-/// Tokens read in a millisecond by an engine of which nothing is known.
-const DEFAULT_RATE: f64 = 30.0;
-/// How much more an engine reads than its part of the fleet's nominal tokens,
-/// which count all tokens of prompts, kept ones too.
-const RATE_OVER_NOMINAL: f64 = 1.3;
-
 enum Event {
     Opened { router: HostId, session: u64, out: BatchSender<FromPlacer> },
     Messages { router: HostId, session: u64, messages: Vec<ToPlacer> },
@@ -105,29 +100,10 @@
     }
 
     fn learn_engines(&mut self) {
-        let Some(routing) = self.documents.current() else { return };
-        let nominal = routing.table.limits.tokens_per_second as f64 / 1_000.0;
-        let engines = self.registry.read(|registry| {
-            let mut engines = Vec::new();
-            for service in &routing.table.services {
-                let Some(engine) = &service.engine else { continue };
-                let ready: Vec<_> = registry.ready(&service.name).collect();
-                let rate = match nominal > 0.0 {
-                    true => nominal * RATE_OVER_NOMINAL / ready.len().max(1) as f64,
-                    false => DEFAULT_RATE,
-                };
-                engines.extend(ready.into_iter().map(|endpoint| EngineInfo {
-                    id: endpoint.id.clone(),
-                    service: service.name.clone(),
-                    slots: endpoint.slots.max(engine.slots),
-                    memory_tokens: engine.memory_tokens,
-                    rate,
-                    copy_ms_per_token: engine.copy_ms_per_token,
-                }));
-            }
-            engines
-        });
-        self.placer.set_engines(engines);
+        if let Some(routing) = self.documents.current() {
+            let engines = self.registry.read(|registry| engines_of(&routing, registry));
+            self.placer.set_engines(engines);
+        }
     }
 
     fn event(&mut self, event: Event) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -111,9 +111,9 @@
     /// Bound on requests sent again, for all routers together.
     #[serde(default)]
     pub retry_budget: BudgetRules,
-    /// Routers that share the retry budget.
-    #[serde(default = "default_routers")]
-    pub routers: usize,
+    /// Routers that share the retry budget, at least; more where more are heard of.
+    #[serde(default = "default_least_routers")]
+    pub least_routers: usize,
     /// Milliseconds for which requests are still taken in a planned stop.
     #[serde(default = "default_stop_takes_ms")]
     pub stop_takes_ms: u64,
@@ -218,8 +218,8 @@
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
 }
-fn default_routers() -> usize {
-    12
+fn default_least_routers() -> usize {
+    3
 }
 fn default_stop_within_s() -> f64 {
     8.0
--- a/src/telemetry/gateway.rs
+++ b/src/telemetry/gateway.rs
@@ -12,6 +12,8 @@
     pub outcomes: IntCounterVec,
     /// Requests sent to one more endpoint, by service.
     pub retries: IntCounterVec,
+    /// Streams taken up at another endpoint, by service.
+    pub resumed: IntCounterVec,
     /// Seconds from arrival to the head of the answer, by service.
     pub first_answer: HistogramVec,
     /// The routing version in force.
@@ -35,12 +37,14 @@
             registry: Registry::new(),
             outcomes: counter("requests_total", "Requests.", &["service", "outcome"])?,
             retries: counter("retries_total", "Requests sent again.", &["service"])?,
+            resumed: counter("resumed_total", "Streams taken up elsewhere.", &["service"])?,
             first_answer: HistogramVec::new(seconds, &["service"])?,
             routing_version: IntGauge::new(name("routing_version"), "Version in force.")?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.outcomes.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
+        registry.register(Box::new(metrics.resumed.clone()))?;
         registry.register(Box::new(metrics.first_answer.clone()))?;
         registry.register(Box::new(metrics.routing_version.clone()))?;
         Ok(metrics)
