Test the real programs against stand-ins of the platform; say why a request is refused

The router's log line of a refusal carries what decided it at the placer. The list of hosts moves from platform to host_list. Tests with one control host and one router as processes: heads, bad input, run once, promises, garbled answers, leaving, streams taken up elsewhere, leaving callers, configuration, restart, planned stop.

--- a/src/emulate/platform.rs
+++ b/src/emulate/platform.rs
@@ -9,7 +9,7 @@
 use axum::{Json, Router};
 
 use crate::error::Result;
-use crate::platform::{HostEntry, HostList, HostState};
+use crate::host_list::{HostEntry, HostList, HostState};
 use crate::settings::PlatformSettings;
 
 #[derive(Debug)]
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -15,7 +15,7 @@
 use super::dialect::CallHead;
 use super::exchange::{self, Attempt};
 use super::state::{Gateway, Presence};
-use crate::placement::{Placed, PlacementRequest, Reservation};
+use crate::placement::{self, Placed, PlacementRequest, Reservation};
 use crate::registry::{EndpointState, Registration};
 use crate::routing::{Route, Routing};
 
@@ -131,8 +131,8 @@
     At(Box<Registration>, Option<Reservation>),
     /// No endpoint is known.
     Nowhere,
-    /// It cannot be served in time; come back after so many milliseconds.
-    TooLate(u32),
+    /// It cannot be served in time.
+    TooLate(placement::Refusal),
 }
 
 /// A request that has found its route and customer.
@@ -188,7 +188,7 @@
                         return Place::At(Box::new(endpoint), Some(reservation));
                     }
                 }
-                Placed::Refused(retry_after_ms) => return Place::TooLate(retry_after_ms),
+                Placed::Refused(refusal) => return Place::TooLate(refusal),
                 Placed::Alone => {}
             }
         }
@@ -353,8 +353,9 @@
         let (endpoint, reservation) = match call.place(&progress.tried).await {
             Place::At(endpoint, reservation) => (endpoint, reservation),
             Place::Nowhere => break,
-            Place::TooLate(retry_after_ms) => {
-                ended = Refusal::TooLate { retry_after_ms };
+            Place::TooLate(refusal) => {
+                log_too_late(&call, &refusal);
+                ended = Refusal::TooLate { retry_after_ms: refusal.retry_after_ms };
                 break;
             }
         };
@@ -410,6 +411,17 @@
     ended.into_response()
 }
 
+fn log_too_late(call: &Call, refusal: &placement::Refusal) {
+    let placement::Refusal { backlog_ms, allowed_ms, own_ms, share_percent, .. } = *refusal;
+    log::info!(
+        "gateway: request {} ({}) of {} cannot be in time: {backlog_ms} ms of prompts before it, \
+         {allowed_ms} allowed, {own_ms} ms for its own, customer at {share_percent} % of its share",
+        call.number,
+        call.head.id.as_deref().unwrap_or_default(),
+        call.customer.as_deref().unwrap_or_default(),
+    );
+}
+
 fn may_run_again(call: &Call, progress: &mut Progress) -> bool {
     progress.runs += 1;
     progress.may_have_run = true;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,13 +20,14 @@
 pub mod error;
 pub mod feed;
 pub mod gateway;
+pub mod host_list;
 pub mod http;
 pub mod load;
 pub mod member;
 pub mod operator;
 pub mod peer;
 pub mod placement;
-pub mod platform;
+
 pub mod registry;
 pub mod router;
 pub mod routing;
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -22,6 +22,6 @@
 
 pub use client::{Placed, Placements, Reservation};
 pub use local::LocalPlacer;
-pub use message::{Ending, FromPlacer, PlacementRequest, ToPlacer};
+pub use message::{Ending, FromPlacer, PlacementRequest, Refusal, ToPlacer};
 pub use placer::{Decision, EngineInfo, PlacementRules, Placer};
 pub use server::{PlacementSession, serve};
--- a/src/placement/client.rs
+++ b/src/placement/client.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinHandle;
 
 use super::local::LocalPlacer;
-use super::message::{Ending, FromPlacer, PlacementRequest, ToPlacer};
+use super::message::{Ending, FromPlacer, PlacementRequest, Refusal, ToPlacer};
 use crate::error::Result;
 use crate::feed::Subscriptions;
 use crate::member::View;
@@ -31,8 +31,8 @@
 pub enum Placed {
     /// Go to the reserved endpoint.
     At(Reservation),
-    /// It cannot be served in time; come back after so many milliseconds.
-    Refused(u32),
+    /// It cannot be served in time.
+    Refused(Refusal),
     /// No placer answers, or none knows an engine: choose alone.
     Alone,
 }
@@ -253,7 +253,7 @@
             ending: Ending::Abandoned,
             begun: false,
         }),
-        FromPlacer::Refuse { retry_after_ms, .. } => Placed::Refused(retry_after_ms),
+        FromPlacer::Refuse { refusal, .. } => Placed::Refused(refusal),
         FromPlacer::Unknown { .. } => Placed::Alone,
     }
 }
--- a/src/placement/message.rs
+++ b/src/placement/message.rs
@@ -57,6 +57,21 @@
     },
 }
 
+/// Why a request cannot be served in time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Milliseconds after which another try would be in time.
+    pub retry_after_ms: u32,
+    /// Milliseconds of prompts to be read first at the best engine.
+    pub backlog_ms: u32,
+    /// Milliseconds of them that the request may wait for.
+    pub allowed_ms: u32,
+    /// Milliseconds to read its own prompt there.
+    pub own_ms: u32,
+    /// What its customer was served over its share, in hundredths.
+    pub share_percent: u32,
+}
+
 /// What a placer tells a router.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FromPlacer {
@@ -73,8 +88,8 @@
     Refuse {
         /// The request's number.
         seq: u64,
-        /// Milliseconds after which another try would be in time.
-        retry_after_ms: u32,
+        /// When to come back, and what decided it.
+        refusal: Refusal,
     },
     /// No engine of the service is known here.
     Unknown {
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::engine::{EngineModel, FIXED_MS, RequestKey};
-use super::message::{Ending, FromPlacer, PlacementRequest, ToPlacer};
+use super::message::{Ending, FromPlacer, PlacementRequest, Refusal, ToPlacer};
 use super::shares::Shares;
 use crate::dispatch::Millis;
 use crate::wire::HostId;
@@ -201,7 +201,14 @@
         if backlog_ms > allowed {
             let (least, most) = RETRY_MS;
             let retry_after_ms = (backlog_ms - allowed + own_ms).clamp(least, most) as u32;
-            return decide(FromPlacer::Refuse { seq, retry_after_ms }, backlog_ms, own_ms);
+            let refusal = Refusal {
+                retry_after_ms,
+                backlog_ms: backlog_ms as u32,
+                allowed_ms: allowed as u32,
+                own_ms: own_ms as u32,
+                share_percent: (ratio * 100.0) as u32,
+            };
+            return decide(FromPlacer::Refuse { seq, refusal }, backlog_ms, own_ms);
         }
         let endpoint = choice.id.to_string();
         let copy_from = copy.map(|copy| copy.from.to_string());
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -76,8 +76,8 @@
     for seq in 1..100 {
         match place(&mut placer, 0, request(seq, "x", seq, 500)) {
             FromPlacer::Go { .. } => {}
-            FromPlacer::Refuse { retry_after_ms, .. } => {
-                refused = Some((seq, retry_after_ms));
+            FromPlacer::Refuse { refusal, .. } => {
+                refused = Some((seq, refusal.retry_after_ms));
                 break;
             }
             other => panic!("{other:?}"),
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -16,8 +16,8 @@
 use crate::claim::Claims;
 use crate::config::{Config, CustomerId, EndpointId, HallSet, ServiceId};
 use crate::delivery::{Caller, HttpClient, RetryBudget};
+use crate::host_list;
 use crate::peer::Peers;
-use crate::platform;
 use crate::settings::{DispatchMode, RouterSettings};
 use crate::spread::{self, Configs};
 use crate::telemetry::{Metrics, RequestId, Trace};
@@ -183,7 +183,7 @@
     };
     let client = HttpClient::default();
     loop {
-        if let Some(list) = platform::fetch(&client, address).await {
+        if let Some(list) = host_list::fetch(&client, address).await {
             let config = router.config();
             let ids = list.leaving().filter_map(|n| config.endpoint_ids.get(n).copied());
             let ids: BTreeSet<_> = ids.collect();
@@ -196,7 +196,7 @@
                 changed
             });
         }
-        tokio::time::sleep(platform::POLL).await;
+        tokio::time::sleep(host_list::POLL).await;
     }
 }
 
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,268 @@
+//! The real programs on the users' platform, played by stand-ins: a replica, an
+//! operator and clients that speak its published protocol.
+
+#[path = "platform/fleet.rs"]
+mod fleet;
+#[path = "platform/http.rs"]
+mod http;
+#[path = "platform/replica.rs"]
+mod replica;
+
+use std::time::Duration;
+
+use fleet::{Fleet, configuration};
+use http::{call, open};
+use replica::{Behaviour, Replica};
+
+fn get(path: &str, id: &str) -> String {
+    request("GET", path, id, "Api-Key: key-one\r\n", "")
+}
+
+fn post(path: &str, id: &str, body: &str) -> String {
+    request("POST", path, id, "Api-Key: key-one\r\n", body)
+}
+
+fn request(method: &str, path: &str, id: &str, headers: &str, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nBramblecrank-Attempt-Id: {id}\r\n\
+         Bramblecrank-Deadline-Ms: 3000\r\nBramblecrank-Tenant: forged\r\n{headers}\
+         Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+async fn fleet_with(behaviours: &[Behaviour]) -> (Fleet, Vec<Replica>) {
+    let fleet = Fleet::start().await;
+    let mut replicas = Vec::new();
+    for (number, behaviour) in behaviours.iter().enumerate() {
+        let replica = Replica::start(&format!("i-{number}"), behaviour.clone()).await;
+        fleet.register(&replica, "ready", 1).await;
+        replicas.push(replica);
+    }
+    fleet.configure(&configuration(1)).await;
+    fleet.wait_ready().await;
+    (fleet, replicas)
+}
+
+#[tokio::test]
+async fn a_request_reaches_a_replica_as_the_client_sent_it() {
+    let (fleet, replicas) = fleet_with(&[Behaviour::Answer]).await;
+    let answer = call(fleet.front, &post("/once/a%20b?q=1", "r1", "the body")).await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body, "answer to r1");
+    assert_eq!(answer.header("bramblecrank-replica-seal"), Some("seal-i-0"));
+    let seen = replicas[0].seen().remove(0);
+    assert_eq!((seen.method.as_str(), seen.path.as_str()), ("POST", "/once/a%20b?q=1"));
+    assert_eq!(seen.body, "the body");
+    assert_eq!(seen.header("bramblecrank-tenant"), Some("one"));
+    assert_eq!(seen.header("bramblecrank-expect-replica"), Some("i-0"));
+    assert_eq!(seen.header("api-key"), None);
+    let left: u64 = seen.header("bramblecrank-deadline-ms").unwrap().parse().unwrap();
+    assert!(left <= 2_000, "the route's timeout bounds the deadline, not {left}");
+}
+
+#[tokio::test]
+async fn bad_requests_get_the_error_that_names_them() {
+    let (fleet, replicas) = fleet_with(&[Behaviour::Answer]).await;
+    let status = async |text: &str| call(fleet.front, text).await.status;
+    assert_eq!(status(&get("/nowhere/", "r1")).await, 404);
+    assert_eq!(status(&request("GET", "/safe/x", "r2", "Api-Key: wrong\r\n", "")).await, 401);
+    assert_eq!(status(&request("GET", "/safe/x", "r3", "", "")).await, 401);
+    assert_eq!(status(&request("GET", "/public/x", "r4", "", "")).await, 200);
+    let large = "x".repeat(5_000);
+    assert_eq!(status(&post("/once/x", "r5", &large)).await, 413);
+    assert_eq!(status("garbage\r\n\r\n").await, 400);
+    let header = format!("X-Large: {}\r\n", "y".repeat(64 << 10));
+    assert_eq!(status(&request("GET", "/safe/x", "r6", &header, "")).await, 431);
+    // Half a request harms nobody else.
+    let _half = open(fleet.front, "POST /once/x HTTP/1.1\r\nHost: shop.example\r\n").await;
+    assert_eq!(status(&get("/safe/x", "r7")).await, 200);
+    let served: Vec<_> = replicas[0].seen().iter().map(|seen| seen.id()).collect();
+    assert_eq!(served, ["r4", "r7"]);
+}
+
+#[tokio::test]
+async fn before_any_configuration_requests_are_refused_and_not_denied() {
+    let fleet = Fleet::start().await;
+    let answer = call(fleet.front, &get("/safe/x", "r1")).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(call(fleet.ready, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").await.status, 503);
+}
+
+#[tokio::test]
+async fn what_may_run_once_is_not_sent_again_when_its_answer_is_lost() {
+    let (fleet, replicas) = fleet_with(&[Behaviour::RunAndReset, Behaviour::RunAndReset]).await;
+    let answer = call(fleet.front, &post("/once/x", "r1", "seat 5")).await;
+    assert_eq!(answer.status, 502, "nothing may be promised of a run that may have been");
+    let runs: usize = replicas.iter().map(|r| r.seen().len()).sum();
+    assert_eq!(runs, 1);
+}
+
+#[tokio::test]
+async fn what_may_be_repeated_is_sent_to_another_replica() {
+    for lost in [Behaviour::RunAndReset, Behaviour::Fail, Behaviour::OtherId, Behaviour::CutShort] {
+        let (fleet, _replicas) = fleet_with(&[lost.clone(), Behaviour::Answer]).await;
+        for number in 0..4 {
+            let id = format!("r{number}");
+            let answer = call(fleet.front, &get("/safe/x", &id)).await;
+            assert_eq!(answer.status, 200, "{lost:?}");
+            assert_eq!(answer.body, format!("answer to {id}"));
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_answer_that_is_not_the_requests_own_is_never_passed_on() {
+    for wrong in [Behaviour::OtherId, Behaviour::Unsealed, Behaviour::CutShort] {
+        let (fleet, _replicas) = fleet_with(std::slice::from_ref(&wrong)).await;
+        let answer = call(fleet.front, &post("/once/x", "r1", "")).await;
+        assert_eq!(answer.status, 502, "{wrong:?}");
+    }
+}
+
+#[tokio::test]
+async fn what_no_replica_ran_is_promised_not_to_have_run() {
+    let (fleet, _replicas) = fleet_with(&[Behaviour::Full]).await;
+    let answer = call(fleet.front, &post("/once/x", "r1", "")).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(answer.header("bramblecrank-replica-seal"), None);
+}
+
+#[tokio::test]
+async fn a_replica_that_is_full_is_passed_over() {
+    let (fleet, _replicas) = fleet_with(&[Behaviour::Full, Behaviour::Answer]).await;
+    for number in 0..4 {
+        let answer = call(fleet.front, &post("/once/x", &format!("r{number}"), "")).await;
+        assert_eq!(answer.status, 200);
+    }
+}
+
+#[tokio::test]
+async fn a_failure_keeps_the_replicas_status_and_seal() {
+    let (fleet, _replicas) = fleet_with(&[Behaviour::Fail]).await;
+    let answer = call(fleet.front, &post("/once/x", "r1", "")).await;
+    assert_eq!(answer.status, 500);
+    assert_eq!(answer.header("bramblecrank-replica-seal"), Some("seal-i-0"));
+}
+
+#[tokio::test]
+async fn after_the_time_of_its_route_a_request_has_its_final_answer() {
+    let (fleet, _replicas) = fleet_with(&[Behaviour::Hang]).await;
+    let answer = call(fleet.front, &post("/once/x", "r1", "")).await;
+    assert_eq!(answer.status, 504);
+}
+
+#[tokio::test]
+async fn a_leaving_replica_gets_nothing_new_once_that_is_acknowledged() {
+    let (fleet, replicas) = fleet_with(&[Behaviour::Answer, Behaviour::Answer]).await;
+    fleet.register(&replicas[0], "draining", 2).await;
+    // A heartbeat from before does not bring it back.
+    fleet.register(&replicas[0], "ready", 1).await;
+    fleet.settle().await;
+    let before = replicas[0].seen().len();
+    for number in 0..8 {
+        let answer = call(fleet.front, &get("/safe/x", &format!("r{number}"))).await;
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(replicas[0].seen().len(), before);
+    fleet.deregister(&replicas[1]).await;
+    fleet.settle().await;
+    assert_eq!(call(fleet.front, &get("/safe/x", "last")).await.status, 503);
+}
+
+#[tokio::test]
+async fn events_pass_and_a_broken_stream_goes_on_where_that_is_allowed() {
+    let breaks = [Behaviour::BreakStream, Behaviour::BreakStream];
+    let (fleet, replicas) = fleet_with(&breaks).await;
+    // Each replica breaks off behind its second event; the second one begins at
+    // the third, so that all four events come once and in order.
+    let answer = call(fleet.front, &get("/resumable/x", "r1")).await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.header("bramblecrank-replica-seal").map(|s| s.len()), Some(8));
+    let events: Vec<_> = answer.body.lines().filter(|line| line.starts_with("id:")).collect();
+    assert_eq!(events, ["id: 1", "id: 2", "id: 3", "id: 4"]);
+    assert!(!answer.whole, "the second break leaves a visible end");
+    let seen: Vec<_> = replicas.iter().flat_map(Replica::seen).collect();
+    let resumed = seen.iter().filter(|s| s.header("last-event-id") == Some("2")).count();
+    assert_eq!((seen.len(), resumed), (2, 1));
+}
+
+#[tokio::test]
+async fn a_broken_stream_that_may_run_once_breaks_visibly() {
+    let (fleet, replicas) = fleet_with(&[Behaviour::BreakStream, Behaviour::BreakStream]).await;
+    let answer = call(fleet.front, &get("/stream/x", "r1")).await;
+    assert_eq!(answer.status, 200);
+    assert!(!answer.whole);
+    assert_eq!(replicas.iter().map(|r| r.seen().len()).sum::<usize>(), 1);
+}
+
+#[tokio::test]
+async fn a_client_that_leaves_ends_the_run() {
+    let (fleet, replicas) = fleet_with(&[Behaviour::Hang]).await;
+    let connection = open(fleet.front, &post("/once/x", "r1", "")).await;
+    replicas[0].wait_for(|replica| replica.seen().len() == 1).await;
+    drop(connection);
+    replicas[0].wait_for(|replica| replica.left() == 1).await;
+}
+
+#[tokio::test]
+async fn a_configuration_is_replaced_by_higher_versions_only() {
+    let (fleet, _replicas) = fleet_with(&[Behaviour::Answer]).await;
+    let five = configuration(5).replace("/safe/", "/moved/");
+    fleet.configure(&five).await;
+    assert_eq!(fleet.read_configuration().await, five);
+    // Resent, older and forged ones are acknowledged and change nothing.
+    for text in [&five, &configuration(3), &configuration(5)] {
+        assert_eq!(fleet.put_configuration(text).await, 200);
+        assert_eq!(fleet.read_configuration().await, five);
+    }
+    let invalid = [
+        configuration(9).replace("\"service\":\"app\"", "\"service\":\"unknown\""),
+        configuration(9).replace("/once/", "/safe/"),
+        configuration(9).replace("\"timeoutMs\":2000", "\"timeoutMs\":0"),
+        configuration(9).replace("key-two", "key-one"),
+        configuration(9)[..200].to_string(),
+    ];
+    for text in &invalid {
+        assert_eq!(fleet.put_configuration(text).await, 400, "{text}");
+        assert_eq!(fleet.read_configuration().await, five);
+    }
+    fleet.settle().await;
+    assert_eq!(call(fleet.front, &get("/moved/x", "r1")).await.status, 200);
+    assert_eq!(call(fleet.front, &get("/safe/x", "r2")).await.status, 404);
+}
+
+#[tokio::test]
+async fn what_was_acknowledged_outlives_the_process() {
+    let (mut fleet, replicas) = fleet_with(&[Behaviour::Answer]).await;
+    let seven = configuration(7);
+    fleet.configure(&seven).await;
+    fleet.kill_control();
+    // What routers know they keep.
+    assert_eq!(call(fleet.front, &get("/safe/x", "r1")).await.status, 200);
+    fleet.start_control();
+    assert_eq!(fleet.read_configuration().await, seven);
+    fleet.register(&replicas[0], "ready", 2).await;
+    fleet.kill_router();
+    fleet.start_router();
+    fleet.wait_ready().await;
+    assert_eq!(call(fleet.front, &get("/safe/x", "r2")).await.status, 200);
+}
+
+#[tokio::test]
+async fn a_planned_stop_cuts_nothing() {
+    let slow = Behaviour::Slow(Duration::from_millis(1_200));
+    let (mut fleet, replicas) = fleet_with(&[slow]).await;
+    let under_way = tokio::spawn({
+        let front = fleet.front;
+        async move { call(front, &post("/once/x", "r1", "")).await }
+    });
+    replicas[0].wait_for(|replica| replica.seen().len() == 1).await;
+    fleet.hang_up_router();
+    fleet.terminate_router();
+    assert_eq!(call(fleet.ready, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").await.status, 503);
+    assert_eq!(under_way.await.unwrap().status, 200);
+    fleet.wait_router_end().await;
+}
--- /dev/null
+++ b/tests/platform/fleet.rs
@@ -0,0 +1,255 @@
+//! One control host and one router as separate processes, each on a loopback
+//! address of its own, as on machines of their own.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use tempfile::TempDir;
+
+use crate::http::{Answer, call};
+use crate::replica::Replica;
+
+/// How long to wait between two looks at something that takes a moment.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Ports, the same on all machines.
+const PEER: u16 = 7_400;
+const OPERATOR: u16 = 7_401;
+const CONTROL: u16 = 8_705;
+const FRONT: u16 = 8_703;
+const READY: u16 = 8_704;
+
+/// Each fleet of a test run has two loopback addresses of its own.
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+pub struct Fleet {
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    control: SocketAddr,
+    folder: TempDir,
+    control_process: Option<Child>,
+    router_process: Option<Child>,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.kill_control();
+        self.kill_router();
+    }
+}
+
+/// A configuration with a route of each kind.
+pub fn configuration(version: u64) -> String {
+    let route = |name: &str, kind: &str, more: &str| {
+        format!(
+            r#"{{"name":"{name}","host":"shop.example","pathPrefix":"/{name}/","kind":"{kind}","timeoutMs":2000,"sloMs":500,"priority":1,"service":"app","attempts":2,{more}"sticky":false}}"#
+        )
+    };
+    let routes = [
+        route("safe", "idempotent", ""),
+        route("once", "non_idempotent", ""),
+        route("public", "idempotent", r#""public":true,"#),
+        route("stream", "streaming", ""),
+        route("resumable", "streaming", r#""resumable":true,"#),
+    ];
+    format!(
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"app","healthPath":"/healthz","maxConns":50}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4096,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"one","apiKeys":["key-one"]}},{{"name":"two","apiKeys":["key-two"]}}]}}"#,
+        routes.join(",")
+    )
+}
+
+impl Fleet {
+    pub async fn start() -> Fleet {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        // Processes of test runs beside this one differ in their numbers.
+        let net = (std::process::id() % 250 + 1) as u8;
+        let address = |last: u32| Ipv4Addr::new(127, 9, net, (number * 2 + last) as u8);
+        let (control, router) = (address(1), address(2));
+        let folder = TempDir::new().unwrap();
+        write_settings(&folder, control, router);
+        let mut fleet = Fleet {
+            front: (router, FRONT).into(),
+            ready: (router, READY).into(),
+            control: (control, CONTROL).into(),
+            folder,
+            control_process: None,
+            router_process: None,
+        };
+        fleet.start_control();
+        fleet.start_router();
+        fleet.wait_listening(fleet.control).await;
+        fleet.wait_listening(fleet.front).await;
+        fleet
+    }
+
+    fn spawn(&self, role: &str) -> Child {
+        Command::new(env!("CARGO_BIN_EXE_bramblecrank"))
+            .args(["--log-level", "warn", role, "--settings"])
+            .arg(self.folder.path().join(format!("{role}.yaml")))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap()
+    }
+
+    pub fn start_control(&mut self) {
+        self.control_process = Some(self.spawn("control"));
+    }
+
+    pub fn start_router(&mut self) {
+        self.router_process = Some(self.spawn("router"));
+    }
+
+    pub fn kill_control(&mut self) {
+        kill_child(&mut self.control_process);
+    }
+
+    pub fn kill_router(&mut self) {
+        kill_child(&mut self.router_process);
+    }
+
+    pub fn terminate_router(&self) {
+        self.signal_router(Signal::SIGTERM);
+    }
+
+    pub fn hang_up_router(&self) {
+        self.signal_router(Signal::SIGHUP);
+    }
+
+    fn signal_router(&self, signal: Signal) {
+        let pid = self.router_process.as_ref().unwrap().id() as i32;
+        kill(Pid::from_raw(pid), signal).unwrap();
+    }
+
+    /// Waits until the router ends by itself, without an error.
+    pub async fn wait_router_end(&mut self) {
+        loop {
+            let router = self.router_process.as_mut().unwrap();
+            if let Some(status) = router.try_wait().unwrap() {
+                assert!(status.success(), "{status}");
+                return;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    async fn wait_listening(&self, address: SocketAddr) {
+        while tokio::net::TcpStream::connect(address).await.is_err() {
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Waits until the router says that it takes requests.
+    pub async fn wait_ready(&self) {
+        self.wait_listening(self.ready).await;
+        while call(self.ready, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").await.status != 200 {
+            tokio::time::sleep(PAUSE).await;
+        }
+        self.settle().await;
+    }
+
+    /// Waits until the router has heard what the control host knows now: a
+    /// configuration sent after it has come.
+    pub async fn settle(&self) {
+        let document = self.read_configuration().await;
+        let (head, rest) = document.split_once(',').unwrap();
+        let version: u64 = head.rsplit(':').next().unwrap().parse().unwrap();
+        let next = version + 1;
+        let probe = format!("/probe-{next}/");
+        let route = format!(
+            r#"{{"name":"probe-{next}","host":"probe.example","pathPrefix":"{probe}","kind":"idempotent","timeoutMs":2000,"service":"app","public":true}},"#
+        );
+        let text = rest.replacen("[", &format!("[{route}"), 1);
+        self.configure(&format!("{{\"version\":{next},{text}")).await;
+        let asked = format!(
+            "GET {probe} HTTP/1.1\r\nHost: probe.example\r\nBramblecrank-Deadline-Ms: 1\r\n\r\n"
+        );
+        while call(self.front, &asked).await.status == 404 {
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    async fn control_call(&self, method: &str, path: &str, body: &str) -> Answer {
+        self.wait_listening(self.control).await;
+        let head = format!("{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Type: application/json");
+        let length = body.len();
+        let text = format!("{head}\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{body}");
+        call(self.control, &text).await
+    }
+
+    pub async fn put_configuration(&self, text: &str) -> u16 {
+        self.control_call("PUT", "/config", text).await.status
+    }
+
+    /// Sends a configuration until it is acknowledged.
+    pub async fn configure(&self, text: &str) {
+        loop {
+            match self.put_configuration(text).await {
+                200 => return,
+                503 => tokio::time::sleep(PAUSE).await,
+                status => panic!("a sound configuration got {status}"),
+            }
+        }
+    }
+
+    /// Asks until the newest configuration is known for sure.
+    pub async fn read_configuration(&self) -> String {
+        loop {
+            let answer = self.control_call("GET", "/config", "").await;
+            match answer.status {
+                200 => return answer.body,
+                503 => tokio::time::sleep(PAUSE).await,
+                status => panic!("a read got {status}"),
+            }
+        }
+    }
+
+    pub async fn register(&self, replica: &Replica, state: &str, sequence: u64) {
+        let body = format!(
+            r#"{{"service":"app","address":"{}","zone":"a","version":"v1","slots":6,"state":"{state}","warmupLeftMs":0,"callSeq":{sequence}}}"#,
+            replica.address
+        );
+        let path = format!("/replicas/{}", replica.id);
+        assert_eq!(self.control_call("PUT", &path, &body).await.status, 200);
+    }
+
+    pub async fn deregister(&self, replica: &Replica) {
+        let path = format!("/replicas/{}", replica.id);
+        assert_eq!(self.control_call("DELETE", &path, "").await.status, 200);
+    }
+}
+
+fn kill_child(child: &mut Option<Child>) {
+    if let Some(mut child) = child.take() {
+        // It may have ended by itself.
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
+fn write_settings(folder: &TempDir, control: Ipv4Addr, router: Ipv4Addr) {
+    let host = |name: &str, address: Ipv4Addr| {
+        format!(
+            "host:\n  name: {name}\n  hall: a\n  peer: \"{address}:{PEER}\"\n  \
+             seeds: [\"{control}:{CONTROL}\"]\n  seed_port: {PEER}\n  heartbeats: control\n\
+             operator: \"{address}:{OPERATOR}\"\n"
+        )
+    };
+    let data = folder.path().join("data");
+    let control_text = format!(
+        "{}platform: \"{control}:{CONTROL}\"\ndata: {}\nfound_with_seeds: true\n\
+         tolerated_losses: 0\nwait_for_disk: true\n",
+        host("control", control),
+        data.display()
+    );
+    let router_text = format!(
+        "{}listen: \"{router}:{FRONT}\"\ngateway:\n  ready: \"{router}:{READY}\"\n  \
+         stop_takes_ms: 300\n  stop_within_s: 8\n",
+        host("router", router)
+    );
+    std::fs::write(folder.path().join("control.yaml"), control_text).unwrap();
+    std::fs::write(folder.path().join("router.yaml"), router_text).unwrap();
+}
--- /dev/null
+++ b/tests/platform/http.rs
@@ -0,0 +1,83 @@
+//! A client that writes requests as text, so that bad ones can be written too.
+
+use std::net::SocketAddr;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// An answer, as far as it came.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: String,
+    /// Whether the body came to its end.
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut headers = self.headers.iter();
+        headers.find(|(n, _)| n == name).map(|(_, value)| value.as_str())
+    }
+}
+
+/// Opens a connection and writes `text`.
+pub async fn open(to: SocketAddr, text: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    stream
+}
+
+/// Sends a request and reads the answer.
+pub async fn call(to: SocketAddr, text: &str) -> Answer {
+    let mut stream = open(to, text).await;
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        if let Some(answer) = parse(&bytes, false) {
+            return answer;
+        }
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => break,
+            Ok(size) => bytes.extend_from_slice(&buffer[..size]),
+        }
+    }
+    parse(&bytes, true)
+        .unwrap_or_else(|| panic!("no answer: {:?}", String::from_utf8_lossy(&bytes)))
+}
+
+/// The answer in `bytes`; none while more must come.
+fn parse(bytes: &[u8], ended: bool) -> Option<Answer> {
+    let text = String::from_utf8_lossy(bytes);
+    let (head, rest) = text.split_once("\r\n\r\n")?;
+    let mut lines = head.lines();
+    let status = lines.next()?.split(' ').nth(1)?.parse().ok()?;
+    let headers: Vec<_> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_string()))
+        .collect();
+    let header = |name: &str| headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.clone());
+    let (body, whole) = match header("content-length") {
+        Some(length) => {
+            let length: usize = length.parse().ok()?;
+            (rest.chars().take(length).collect(), rest.len() >= length)
+        }
+        None => chunked(rest),
+    };
+    (whole || ended).then_some(Answer { status, headers, body, whole })
+}
+
+fn chunked(mut rest: &str) -> (String, bool) {
+    let mut body = String::new();
+    while let Some((size, after)) = rest.split_once("\r\n") {
+        let Ok(size) = usize::from_str_radix(size.trim(), 16) else { break };
+        if size == 0 {
+            return (body, true);
+        }
+        let Some(chunk) = after.get(..size) else { break };
+        body.push_str(chunk);
+        rest = after.get(size + 2..).unwrap_or_default();
+    }
+    (body, false)
+}
--- /dev/null
+++ b/tests/platform/replica.rs
@@ -0,0 +1,219 @@
+//! A stand-in for a replica, which can misbehave in the ways the protocol names.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What a replica does with every request.
+#[derive(Clone, Debug)]
+pub enum Behaviour {
+    /// Runs and answers it.
+    Answer,
+    /// Runs it, and answers after a while.
+    Slow(Duration),
+    /// Rejects it as not run.
+    Full,
+    /// Runs it and answers with an error.
+    Fail,
+    /// Runs it and resets the connection.
+    RunAndReset,
+    /// Runs it and never answers.
+    Hang,
+    /// Answers with another request's id.
+    OtherId,
+    /// Answers without its signature.
+    Unsealed,
+    /// Closes in the middle of the answer.
+    CutShort,
+    /// Breaks a stream off behind its second event, in the middle of the next.
+    BreakStream,
+}
+
+/// A request as the replica got it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub method: String,
+    pub path: String,
+    pub headers: Vec<(String, String)>,
+    pub body: String,
+}
+
+impl Seen {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut headers = self.headers.iter();
+        headers.find(|(n, _)| n == name).map(|(_, value)| value.as_str())
+    }
+
+    pub fn id(&self) -> String {
+        self.header("bramblecrank-attempt-id").unwrap_or_default().to_string()
+    }
+}
+
+#[derive(Default)]
+struct State {
+    seen: Mutex<Vec<Seen>>,
+    left: AtomicUsize,
+}
+
+/// A replica that listens.
+#[derive(Clone)]
+pub struct Replica {
+    pub id: String,
+    pub address: SocketAddr,
+    state: Arc<State>,
+}
+
+impl Replica {
+    pub async fn start(id: &str, behaviour: Behaviour) -> Replica {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let replica = Replica { id: id.into(), address, state: Arc::default() };
+        let serving = replica.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let replica = serving.clone();
+                let behaviour = behaviour.clone();
+                tokio::spawn(async move { replica.serve(stream, behaviour).await });
+            }
+        });
+        replica
+    }
+
+    /// The requests that it ran.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.state.seen.lock().unwrap().clone()
+    }
+
+    /// Requests whose caller left before the answer.
+    pub fn left(&self) -> usize {
+        self.state.left.load(Ordering::Relaxed)
+    }
+
+    /// Waits until something is so; a test that waits in vain hangs no longer
+    /// than its runner allows.
+    pub async fn wait_for(&self, is_so: impl Fn(&Replica) -> bool) {
+        while !is_so(self) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn serve(&self, mut stream: TcpStream, behaviour: Behaviour) {
+        while let Some(seen) = read_request(&mut stream).await {
+            let expected = seen.header("bramblecrank-expect-replica").map(str::to_string);
+            if expected.is_some_and(|id| id != self.id) {
+                write(&mut stream, &self.head(421, &seen.id(), "Content-Length: 0\r\n")).await;
+                continue;
+            }
+            if let Behaviour::Full = behaviour {
+                let headers = "Bramblecrank-Not-Executed: 1\r\nContent-Length: 0\r\n";
+                write(&mut stream, &self.head(503, &seen.id(), headers)).await;
+                continue;
+            }
+            self.state.seen.lock().unwrap().push(seen.clone());
+            if !self.answer(&mut stream, &seen, &behaviour).await {
+                return;
+            }
+        }
+    }
+
+    fn head(&self, status: u16, id: &str, headers: &str) -> String {
+        format!(
+            "HTTP/1.1 {status} X\r\nBramblecrank-Attempt-Id: {id}\r\n\
+             Bramblecrank-Replica-Seal: seal-{}\r\n{headers}\r\n",
+            self.id
+        )
+    }
+
+    /// Answers; false when the connection is over.
+    async fn answer(&self, stream: &mut TcpStream, seen: &Seen, behaviour: &Behaviour) -> bool {
+        let id = seen.id();
+        let body = format!("answer to {id}");
+        let length = format!("Content-Length: {}\r\n", body.len());
+        match behaviour {
+            Behaviour::Answer => write(stream, &(self.head(200, &id, &length) + &body)).await,
+            Behaviour::Slow(time) => {
+                tokio::time::sleep(*time).await;
+                write(stream, &(self.head(200, &id, &length) + &body)).await
+            }
+            Behaviour::Fail => write(stream, &self.head(500, &id, "Content-Length: 0\r\n")).await,
+            Behaviour::OtherId => {
+                write(stream, &(self.head(200, "another", &length) + &body)).await
+            }
+            Behaviour::Unsealed => {
+                let head = self.head(200, &id, &length).replace("Replica-Seal", "Replica-Sort");
+                write(stream, &(head + &body)).await
+            }
+            Behaviour::CutShort => {
+                write(stream, &(self.head(200, &id, "Content-Length: 99\r\n") + &body)).await;
+                false
+            }
+            Behaviour::RunAndReset | Behaviour::Full => {
+                let _ = stream.set_zero_linger();
+                false
+            }
+            Behaviour::Hang => {
+                let mut byte = [0];
+                // Only the caller's leaving ends it.
+                let _ = stream.read(&mut byte).await;
+                self.state.left.fetch_add(1, Ordering::Relaxed);
+                false
+            }
+            Behaviour::BreakStream => {
+                let after: u32 =
+                    seen.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+                let headers = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+                let mut text = self.head(200, &id, headers);
+                for event in [after + 1, after + 2] {
+                    text += &chunk(&format!("id: {event}\ndata: x\n\n"));
+                }
+                text += &chunk(&format!("id: {}\nda", after + 3));
+                write(stream, &text).await;
+                false
+            }
+        }
+    }
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+async fn write(stream: &mut TcpStream, text: &str) -> bool {
+    stream.write_all(text.as_bytes()).await.is_ok()
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<Seen> {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4_096];
+    let head_end = loop {
+        if let Some(at) = bytes.windows(4).position(|four| four == b"\r\n\r\n") {
+            break at;
+        }
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return None,
+            Ok(size) => bytes.extend_from_slice(&buffer[..size]),
+        }
+    };
+    let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
+    let mut lines = head.lines();
+    let mut words = lines.next()?.split(' ');
+    let (method, path) = (words.next()?.to_string(), words.next()?.to_string());
+    let headers: Vec<_> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_string()))
+        .collect();
+    let length = headers.iter().find(|(name, _)| name == "content-length");
+    let length: usize = length.and_then(|(_, value)| value.parse().ok()).unwrap_or(0);
+    while bytes.len() < head_end + 4 + length {
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return None,
+            Ok(size) => bytes.extend_from_slice(&buffer[..size]),
+        }
+    }
+    let body = String::from_utf8_lossy(&bytes[head_end + 4..]).into_owned();
+    Some(Seen { method, path, headers, body })
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -2,6 +2,9 @@
 
 use std::path::Path;
 
+use bramblecrank::gateway::BudgetRules;
+use bramblecrank::placement::PlacementRules;
+use bramblecrank::settings::GatewaySettings;
 use bramblecrank::site::SampleSite;
 use serde_json::Value;
 
@@ -19,6 +22,17 @@
     }
 }
 
+fn gateway() -> GatewaySettings {
+    GatewaySettings {
+        ready: ([127, 0, 0, 1], 1).into(),
+        metrics: None,
+        retry_budget: BudgetRules::default(),
+        least_routers: 1,
+        stop_takes_ms: 1,
+        stop_within_s: 1.0,
+    }
+}
+
 #[test]
 fn every_field_stands_on_the_page() {
     let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/SETTINGS.md");
@@ -35,7 +49,25 @@
     ] {
         fields(&value, &mut names);
     }
-    names.extend(["remove_customers".into(), "remove_endpoints".into()]);
+    for value in [
+        serde_json::to_value(gateway()).unwrap(),
+        serde_json::to_value(PlacementRules::default()).unwrap(),
+    ] {
+        fields(&value, &mut names);
+    }
+    let left_out_by_default = [
+        "remove_customers",
+        "remove_endpoints",
+        "seed_port",
+        "heartbeats",
+        "found_with_seeds",
+        "tolerated_losses",
+        "wait_for_disk",
+        "platform",
+        "placement",
+        "gateway",
+    ];
+    names.extend(left_out_by_default.map(String::from));
     for name in names {
         let found = [format!("`{name}`"), format!(".{name}`"), format!("`{name}[]")];
         assert!(found.iter().any(|f| page.contains(f)), "'{name}' is not on docs/SETTINGS.md");
