Guess an engine's reading rate by how many engines there are now

Ruled out: copies, large prompts. Change: the guess follows registrations and weighs less with each observation. The test failed first: all four requests at one engine.

--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -16,6 +16,8 @@
 pub const FIXED_MS: f64 = 55.0;
 /// Weight of what was learnt before, at each new observation.
 const MEMORY: f64 = 0.97;
+/// Milliseconds of observations that the guess of the reading rate counts for.
+const GUESS_MS: f64 = 1_000.0;
 /// How far learning may move the reading rate from its start.
 const RATE_RANGE: (f64, f64) = (0.4, 4.0);
 /// Part of the engine's memory that kept parts and running requests may fill.
@@ -46,6 +48,7 @@
     start_rate: f64,
     reading_share: f64,
     busy_until: f64,
+    guess_ms: f64,
     learnt_units: f64,
     learnt_ms: f64,
     failures: u32,
@@ -74,9 +77,9 @@
             start_rate: rate,
             reading_share,
             busy_until: 0.0,
-            // The guess counts as much as a few observations.
-            learnt_units: rate * 1_000.0,
-            learnt_ms: 1_000.0,
+            guess_ms: GUESS_MS,
+            learnt_units: 0.0,
+            learnt_ms: 0.0,
             failures: 0,
             left_out_until: 0,
         }
@@ -87,10 +90,17 @@
         self.reading_share = share;
     }
 
+    /// A better guess of the tokens read in a millisecond: it depends on how many
+    /// engines there are, which register one after the other.
+    pub fn set_guess(&mut self, rate: f64) {
+        self.start_rate = rate;
+    }
+
     /// Tokens read in a millisecond, as learnt.
     pub fn rate(&self) -> f64 {
         let (low, high) = RATE_RANGE;
-        let learnt = self.learnt_units / self.learnt_ms;
+        let guessed_units = self.start_rate * self.guess_ms;
+        let learnt = (self.learnt_units + guessed_units) / (self.learnt_ms + self.guess_ms);
         learnt.clamp(self.start_rate * low, self.start_rate * high)
     }
 
@@ -191,6 +201,7 @@
         let idle_before = begun.since == self.head_since;
         let fixed = if idle_before { FIXED_MS } else { 0.0 };
         let took = (now.saturating_sub(self.head_since) as f64 - fixed).max(1.0);
+        self.guess_ms *= MEMORY;
         self.learnt_units = self.learnt_units * MEMORY + begun.units;
         self.learnt_ms = self.learnt_ms * MEMORY + took;
         self.head_since = now;
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -147,6 +147,7 @@
                 copy_ms_per_token: info.copy_ms_per_token,
                 open: true,
             });
+            known.model.set_guess(info.rate);
             known.open = true;
         }
         self.engines.retain(|_, engine| engine.open || engine.model.requests() > 0);
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -188,6 +188,24 @@
     assert!(matches!(none, FromPlacer::Unknown { seq: 3 }));
 }
 
+/// The first engine to register is alone for a moment, and the guess of its rate
+/// is the whole fleet's.
+#[test]
+fn engines_that_register_one_after_the_other_are_taken_for_equally_fast() {
+    let mut placer = Placer::new(PlacementRules::default());
+    placer.set_engines(vec![EngineInfo { rate: 400.0, ..engine("a") }]);
+    placer.set_engines(["a", "b"].map(engine).into());
+    for seq in 1..40 {
+        place(&mut placer, 0, request(seq, &seq.to_string(), seq, 500));
+    }
+    let mut counts = std::collections::BTreeMap::new();
+    for seq in 100..104 {
+        let big = PlacementRequest { objective_ms: 60_000, ..request(seq, "x", seq, 500) };
+        *counts.entry(endpoint(place(&mut placer, 0, big))).or_insert(0) += 1;
+    }
+    assert_eq!(counts.into_values().collect::<Vec<_>>(), [2, 2]);
+}
+
 #[test]
 fn parts_unused_for_longest_give_way_from_their_ends() {
     let mut cache = PartCache::default();
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -151,6 +151,13 @@
         self.settle().await;
     }
 
+    /// Waits until the router says that it takes no more requests.
+    pub async fn wait_not_ready(&self) {
+        while call(self.ready, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").await.status != 503 {
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
     /// Waits until the router has heard what the control host knows now: a
     /// configuration sent after it has come.
     pub async fn settle(&self) {
