--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -120,8 +120,15 @@
     }
 
     fn signal_router(&self, signal: Signal) {
-        let pid = self.router_process.as_ref().unwrap().id() as i32;
-        kill(Pid::from_raw(pid), signal).unwrap();
+        kill(Pid::from_raw(self.router_pid() as i32), signal).unwrap();
+    }
+
+    pub fn router_pid(&self) -> u32 {
+        self.router_process.as_ref().unwrap().id()
+    }
+
+    pub fn control_pid(&self) -> u32 {
+        self.control_process.as_ref().unwrap().id()
     }
 
     /// Waits until the router ends by itself, without an error.
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -29,6 +29,8 @@
     Unsealed,
     /// Closes in the middle of the answer.
     CutShort,
+    /// Streams so many events, with a pause before each.
+    Stream { events: u32, pause: Duration },
     /// Breaks a stream off behind its second event, in the middle of the next.
     BreakStream,
 }
@@ -162,6 +164,15 @@
                 self.state.left.fetch_add(1, Ordering::Relaxed);
                 false
             }
+            Behaviour::Stream { events, pause } => {
+                let headers = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+                let mut open = write(stream, &self.head(200, &id, headers)).await;
+                for event in 1..=*events {
+                    tokio::time::sleep(*pause).await;
+                    open &= write(stream, &chunk(&format!("id: {event}\ndata: x\n\n"))).await;
+                }
+                open && write(stream, "0\r\n\r\n").await
+            }
             Behaviour::BreakStream => {
                 let after: u32 =
                     seen.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
