--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,6 +11,7 @@
 mod endpoints;
 mod events;
 mod exchange;
+mod overload;
 mod request;
 mod server;
 mod state;
@@ -25,5 +26,6 @@
 };
 pub use endpoints::{Endpoints, Failure};
 pub use events::EventSplitter;
+pub use overload::{Overload, OverloadRules};
 pub use server::run;
 pub use state::Gateway;
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -2,7 +2,8 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use axum::http::{Request, Response};
@@ -42,16 +43,21 @@
     driver: AbortHandle,
     keep: Duration,
     idle_since: Instant,
+    open: Arc<AtomicUsize>,
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
+        self.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
 impl Connection {
-    async fn open(address: SocketAddr) -> Result<Connection, SendError> {
+    async fn open(
+        address: SocketAddr,
+        open: Arc<AtomicUsize>,
+    ) -> Result<Connection, SendError> {
         let not_sent = |error: &dyn std::fmt::Display| SendError::NotSent(error.to_string());
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = match connect {
@@ -70,7 +76,8 @@
             }
         });
         let idle_since = Instant::now();
-        Ok(Connection { sender, driver: task.abort_handle(), keep: IDLE, idle_since })
+        open.fetch_add(1, Ordering::Relaxed);
+        Ok(Connection { sender, driver: task.abort_handle(), keep: IDLE, idle_since, open })
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -112,12 +119,28 @@
 }
 
 /// Kept connections by endpoint.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Connections {
+    /// Connections that may be open; beyond them none is kept.
+    most: usize,
+    open: Arc<AtomicUsize>,
     idle: Mutex<HashMap<String, Vec<Connection>>>,
 }
 
 impl Connections {
+    /// No connections yet, and at most so many that are kept.
+    pub fn new(most: usize) -> Connections {
+        Connections { most, open: Arc::default(), idle: Mutex::default() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, Vec<Connection>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_full(&self) -> bool {
+        self.open.load(Ordering::Relaxed) >= self.most
+    }
+
     /// Sends a request to an endpoint, on a kept connection where one is usable.
     pub async fn send(
         &self,
@@ -133,7 +156,10 @@
                 Err((error, _)) => return Err(error),
             }
         }
-        let mut fresh = Connection::open(address).await?;
+        if self.is_full() {
+            self.lock().clear();
+        }
+        let mut fresh = Connection::open(address, self.open.clone()).await?;
         match fresh.send(request).await {
             Ok(response) => Ok((response, fresh)),
             Err((error, _)) => Err(error),
@@ -141,7 +167,7 @@
     }
 
     fn take(&self, endpoint: &str) -> Option<Connection> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = self.lock();
         let kept = idle.get_mut(endpoint)?;
         while let Some(connection) = kept.pop() {
             if connection.is_usable() {
@@ -153,11 +179,11 @@
 
     /// Keeps a connection whose answer has been read to its end.
     pub fn keep(&self, endpoint: &str, mut connection: Connection) {
-        if connection.keep.is_zero() || connection.sender.is_closed() {
+        if connection.keep.is_zero() || connection.sender.is_closed() || self.is_full() {
             return;
         }
         connection.idle_since = Instant::now();
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = self.lock();
         let kept = match idle.get_mut(endpoint) {
             Some(kept) => kept,
             None => idle.entry(endpoint.to_string()).or_default(),
@@ -170,6 +196,6 @@
 
     /// Closes the kept connections of an endpoint.
     pub fn forget(&self, endpoint: &str) {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(endpoint);
+        self.lock().remove(endpoint);
     }
 }
--- /dev/null
+++ b/src/gateway/overload.rs
@@ -0,0 +1,112 @@
+//! When a router has more to do than its processor and descriptors bear.
+//!
+//! Requests wait at every step for the event loop, and answers of other hosts
+//! seem late to it. So it sheds load in two steps: it is not ready for new
+//! connections, which the platform then gives to others; and if that is not
+//! enough, it refuses new requests at once, so that callers come back through
+//! another router.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Limits of a router's own load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct OverloadRules {
+    /// Milliseconds of lag of the event loop from which on new connections
+    /// should go elsewhere.
+    pub unready_lag_ms: u64,
+    /// Milliseconds of lag below which they may come again.
+    pub ready_lag_ms: u64,
+    /// Milliseconds of lag from which on new requests are refused.
+    pub refuse_lag_ms: u64,
+    /// Descriptors that the process may hold open.
+    pub descriptors: usize,
+}
+
+impl Default for OverloadRules {
+    fn default() -> Self {
+        OverloadRules {
+            unready_lag_ms: 25,
+            ready_lag_ms: 8,
+            refuse_lag_ms: 60,
+            descriptors: 8_192,
+        }
+    }
+}
+
+/// Descriptors kept back for files, feeds and sessions, in hundredths.
+const RESERVED_PERCENT: usize = 10;
+/// Of the connections that callers may hold, the part from which on new ones
+/// should go elsewhere, in hundredths.
+const CROWDED_PERCENT: usize = 80;
+
+impl OverloadRules {
+    /// Connections that callers may hold: each may need one to an endpoint.
+    pub fn caller_connections(&self) -> usize {
+        (self.descriptors - self.descriptors * RESERVED_PERCENT / 100) / 2
+    }
+}
+
+/// What a router takes on, given its load.
+#[derive(Clone, Copy, Debug)]
+pub struct Overload {
+    rules: OverloadRules,
+    lag: Duration,
+    connections: usize,
+    unready: bool,
+}
+
+impl Overload {
+    /// An idle router.
+    pub fn new(rules: OverloadRules) -> Overload {
+        Overload { rules, lag: Duration::ZERO, connections: 0, unready: false }
+    }
+
+    /// Takes in the lag of the event loop; returns whether readiness changed.
+    pub fn set_lag(&mut self, lag: Duration) -> bool {
+        self.lag = lag;
+        let limit = if self.unready { self.rules.ready_lag_ms } else { self.rules.unready_lag_ms };
+        let unready = lag >= Duration::from_millis(limit) || self.is_crowded();
+        std::mem::replace(&mut self.unready, unready) != unready
+    }
+
+    /// A caller connects; false where no more connections can be held.
+    pub fn connect(&mut self) -> bool {
+        if self.connections >= self.rules.caller_connections() {
+            return false;
+        }
+        self.connections += 1;
+        true
+    }
+
+    /// A caller's connection has closed.
+    pub fn disconnect(&mut self) {
+        self.connections = self.connections.saturating_sub(1);
+    }
+
+    fn is_crowded(&self) -> bool {
+        self.connections * 100 >= self.rules.caller_connections() * CROWDED_PERCENT
+    }
+
+    /// Whether new connections should come here.
+    pub fn is_ready(&self) -> bool {
+        !self.unready
+    }
+
+    /// Whether new requests are refused.
+    pub fn refuses(&self) -> bool {
+        self.lag >= Duration::from_millis(self.rules.refuse_lag_ms)
+    }
+
+    /// Connections that callers hold.
+    pub fn connections(&self) -> usize {
+        self.connections
+    }
+
+    /// The lag last taken in.
+    pub fn lag(&self) -> Duration {
+        self.lag
+    }
+}
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -33,6 +33,8 @@
     NoRouting,
     /// A planned stop takes no more requests.
     Stopping,
+    /// This router has more to do than it bears.
+    Overloaded,
     /// No route fits.
     NoRoute,
     /// The key is missing or unknown.
@@ -65,6 +67,7 @@
         match self {
             Refusal::NoRouting
             | Refusal::Stopping
+            | Refusal::Overloaded
             | Refusal::NoEndpoint
             | Refusal::NotExecuted
             | Refusal::TooLate { .. }
@@ -83,7 +86,11 @@
     fn closes(self) -> bool {
         matches!(
             self,
-            Refusal::Stopping | Refusal::BodyTooLarge | Refusal::BodyTooSlow | Refusal::BodyBroken
+            Refusal::Stopping
+                | Refusal::Overloaded
+                | Refusal::BodyTooLarge
+                | Refusal::BodyTooSlow
+                | Refusal::BodyBroken
         )
     }
 
@@ -92,6 +99,7 @@
         match self {
             Refusal::NoRouting => "no_routing",
             Refusal::Stopping => "stopping",
+            Refusal::Overloaded => "overloaded",
             Refusal::NoRoute => "no_route",
             Refusal::UnknownKey => "unknown_key",
             Refusal::BodyTooLarge => "body_too_large",
@@ -113,6 +121,8 @@
         if self.status() == StatusCode::SERVICE_UNAVAILABLE {
             let seconds = match self {
                 Refusal::TooLate { retry_after_ms } => f64::from(retry_after_ms) / 1_000.0,
+                // Another router can take it at once.
+                Refusal::Overloaded => 0.0,
                 _ => RETRY_AFTER_S,
             };
             let after = HeaderValue::from_str(&format!("{seconds}"));
@@ -246,6 +256,9 @@
     if gateway.is_refusing() {
         return Err(Refusal::Stopping);
     }
+    if gateway.with_overload(|overload| overload.refuses()) {
+        return Err(Refusal::Overloaded);
+    }
     let routing = gateway.documents.current().ok_or(Refusal::NoRouting)?;
     let (parts, body) = request.into_parts();
     let route = find_route(&routing, &parts).ok_or(Refusal::NoRoute)?.clone();
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -17,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::dialect::Dialect;
+use super::overload::Overload;
 use super::request;
 use super::state::{Gateway, follow_registry};
 use crate::error::{NetSnafu, Result};
@@ -89,7 +90,9 @@
 }
 
 async fn ready(State(gateway): State<Arc<Gateway>>) -> StatusCode {
-    let ready = !gateway.stop.is_cancelled() && gateway.documents.current().is_some();
+    let knows_routing = gateway.documents.current().is_some();
+    let takes_more = gateway.with_overload(|overload| overload.is_ready());
+    let ready = !gateway.stop.is_cancelled() && knows_routing && takes_more;
     match ready {
         true => StatusCode::OK,
         false => StatusCode::SERVICE_UNAVAILABLE,
@@ -105,6 +108,8 @@
 async fn accept(gateway: Arc<Gateway>, listener: TcpListener, closing: CancellationToken) {
     loop {
         match listener.accept().await {
+            // Closed unread: the caller may try any request again elsewhere.
+            Ok((stream, _)) if !gateway.with_overload(Overload::connect) => drop(stream),
             Ok((stream, from)) => {
                 tokio::spawn(serve_connection(gateway.clone(), stream, from, closing.clone()));
             }
@@ -145,6 +150,7 @@
     if let Err(error) = served {
         log::debug!("gateway: connection from {from}: {error}");
     }
+    gateway.with_overload(Overload::disconnect);
 }
 
 /// The smallest buffer that the HTTP library takes, in bytes.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,8 +9,10 @@
 use super::connections::Connections;
 use super::dialect::Dialect;
 use super::endpoints::{Endpoints, Failure};
+use super::overload::Overload;
 use crate::dispatch::Millis;
 use crate::feed::Subscriptions;
+use crate::loop_lag::LoopLag;
 use crate::peer::Peers;
 use crate::placement::{Ending, LocalPlacer, Placements, Reservation};
 use crate::registry::{EndpointState, SharedRegistry};
@@ -44,6 +46,7 @@
     pub stop: CancellationToken,
     pub(super) endpoints: Mutex<Endpoints>,
     pub(super) budgets: Mutex<RetryBudgets>,
+    overload: Arc<Mutex<Overload>>,
     refusing: AtomicBool,
     in_flight: AtomicUsize,
     next_number: AtomicU64,
@@ -62,7 +65,10 @@
         let feeds = Subscriptions::start(peers.clone(), documents.clone(), registry.clone());
         let hall = settings.host.hall.clone();
         let local = LocalPlacer::new(peers.me, peers.clock, documents.clone(), registry.clone());
-        let placements = Placements::start(peers.clone(), feeds.clone(), local, hall);
+        let overload = Arc::new(Mutex::new(Overload::new(rules.overload)));
+        let lag = watch_lag(overload.clone());
+        let most_connections = rules.overload.caller_connections();
+        let placements = Placements::start(peers.clone(), feeds.clone(), local, hall, lag);
         let budgets = RetryBudgets::new(rules.retry_budget, 1);
         Arc::new(Gateway {
             settings,
@@ -73,11 +79,12 @@
             feeds,
             placements,
             dialect,
-            connections: Connections::default(),
+            connections: Connections::new(most_connections),
             metrics: GatewayMetrics::default(),
             stop,
             endpoints: Mutex::default(),
             budgets: Mutex::new(budgets),
+            overload,
             refusing: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             next_number: AtomicU64::new(1),
@@ -99,6 +106,11 @@
         f(&mut self.budgets.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Works on what this router takes on.
+    pub(super) fn with_overload<T>(&self, f: impl FnOnce(&mut Overload) -> T) -> T {
+        f(&mut self.overload.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// A number for a request, for the log.
     pub(super) fn next_number(&self) -> u64 {
         self.next_number.fetch_add(1, Ordering::Relaxed)
@@ -134,6 +146,20 @@
     }
 }
 
+fn watch_lag(overload: Arc<Mutex<Overload>>) -> LoopLag {
+    LoopLag::start(move |lag| {
+        let mut overload = overload.lock().unwrap_or_else(PoisonError::into_inner);
+        if overload.set_lag(lag) {
+            log::info!(
+                "gateway: {} for new connections: event loop {} ms late, {} connections of callers",
+                if overload.is_ready() { "ready" } else { "not ready" },
+                lag.as_millis(),
+                overload.connections(),
+            );
+        }
+    })
+}
+
 /// A request that is being served; a planned stop waits until it is dropped.
 pub(super) struct Presence(Arc<Gateway>);
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod host_list;
 pub mod http;
 pub mod load;
+pub mod loop_lag;
 pub mod member;
 pub mod operator;
 pub mod peer;
--- a/src/placement/client.rs
+++ b/src/placement/client.rs
@@ -13,12 +13,17 @@
 use super::message::{Ending, FromPlacer, PlacementRequest, Refusal, ToPlacer};
 use crate::error::Result;
 use crate::feed::Subscriptions;
+use crate::loop_lag::LoopLag;
 use crate::member::View;
 use crate::peer::Peers;
 use crate::wire::{BatchSender, BatchWriter, HostId, Open, Role};
 
 /// How long a placer may take to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
+/// How often the lag of the event loop is added to that.
+const LAG_PATIENCE: u32 = 4;
+/// Lag of the event loop from which on silence says nothing about a placer.
+const OWN_FAULT_LAG: Duration = Duration::from_millis(10);
 /// How long to wait before a lost session is opened again.
 const PAUSE: Duration = Duration::from_millis(200);
 /// Answers in a row that may fail to come before a placer is passed over.
@@ -64,6 +69,7 @@
     local: Arc<LocalPlacer>,
     placers: Mutex<BTreeMap<HostId, Placer>>,
     next_seq: AtomicU64,
+    lag: LoopLag,
 }
 
 /// A place at an endpoint, given back when dropped.
@@ -123,6 +129,7 @@
         feeds: Arc<Subscriptions>,
         local: LocalPlacer,
         hall: String,
+        lag: LoopLag,
     ) -> Arc<Placements> {
         let placements = Arc::new(Placements {
             peers,
@@ -131,6 +138,7 @@
             local: Arc::new(local),
             placers: Mutex::default(),
             next_seq: AtomicU64::new(1),
+            lag,
         });
         tokio::spawn(follow_view(placements.clone()));
         placements
@@ -161,7 +169,10 @@
         let (sender, answer) = oneshot::channel();
         lock(&session.waiting).insert(seq, sender);
         session.out.send(ToPlacer::Place(request).into()).ok()?;
-        let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
+        // A router that is behind its own work takes longer to see an answer.
+        let lag = self.lag.get();
+        let patience = ANSWER_TIMEOUT + lag * LAG_PATIENCE;
+        let answer = tokio::time::timeout(patience, answer).await;
         lock(&session.waiting).remove(&seq);
         match answer {
             Ok(Ok(answer)) => {
@@ -170,7 +181,9 @@
             }
             Ok(Err(_)) => None,
             Err(_) => {
-                self.note_silence(host);
+                if lag < OWN_FAULT_LAG {
+                    self.note_silence(host);
+                }
                 // An answer that comes yet would hold a place for nobody.
                 let done = ToPlacer::Done { seq, ending: Ending::Abandoned };
                 let _ = session.out.send(done.into());
@@ -224,8 +237,10 @@
     fn note_silence(&self, host: HostId) {
         if let Some(placer) = lock(&self.placers).get_mut(&host) {
             placer.silent += 1;
-            if placer.silent >= TOLERATED_SILENCE {
-                placer.passed_over_until = tokio::time::Instant::now() + PASSED_OVER;
+            let now = tokio::time::Instant::now();
+            let known = placer.passed_over_until > now;
+            if placer.silent >= TOLERATED_SILENCE && !known {
+                placer.passed_over_until = now + PASSED_OVER;
                 log::info!("placement: control host {host} is silent, passed over");
             }
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -8,7 +8,7 @@
 use snafu::ResultExt;
 
 use crate::error::{Error, FileSnafu, Result};
-use crate::gateway::BudgetRules;
+use crate::gateway::{BudgetRules, OverloadRules};
 use crate::placement::PlacementRules;
 use crate::wire::HostId;
 
@@ -111,6 +111,9 @@
     /// Bound on requests sent again, for all routers together.
     #[serde(default)]
     pub retry_budget: BudgetRules,
+    /// When this router has more to do than it bears.
+    #[serde(default)]
+    pub overload: OverloadRules,
     /// Routers that share the retry budget, at least; more where more are heard of.
     #[serde(default = "default_least_routers")]
     pub least_routers: usize,
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use bramblecrank::gateway::BudgetRules;
+use bramblecrank::gateway::{BudgetRules, OverloadRules};
 use bramblecrank::placement::PlacementRules;
 use bramblecrank::settings::GatewaySettings;
 use bramblecrank::site::SampleSite;
@@ -27,6 +27,7 @@
         ready: ([127, 0, 0, 1], 1).into(),
         metrics: None,
         retry_budget: BudgetRules::default(),
+        overload: OverloadRules::default(),
         least_routers: 1,
         stop_takes_ms: 1,
         stop_within_s: 1.0,
