Tell a placer that takes over what routers know; rather late than underserved

Cause 1: after each change of the leader the new placer takes every engine for idle and empty; 25 to 50 million tokens of shared parts were read again (the dearest price) and engines were overcommitted.

Cause 2: the share cut everyone above it to the same wait, and refused who was far below it as soon as engines were busy.

The test of engines that register one after the other asked for one customer far above its share; it now asks for a customer each, and asserts the same.

--- a/benches/gateway.rs
+++ b/benches/gateway.rs
@@ -68,7 +68,7 @@
 }
 
 async fn load(fleet: &Fleet, name: &str, seconds: u32, prompt_tokens: u32) {
-    let before = [fleet.router_pid(), fleet.control_pid()].map(processor_seconds);
+    let before = fleet.process_ids().map(processor_seconds);
     let began = Instant::now();
     let mut calls = Vec::new();
     let total = seconds * PER_SECOND;
@@ -83,7 +83,7 @@
     for call in calls {
         answered += u32::from(call.await.unwrap() == 200);
     }
-    let after = [fleet.router_pid(), fleet.control_pid()].map(processor_seconds);
+    let after = fleet.process_ids().map(processor_seconds);
     let each = |at: usize| (after[at] - before[at]) * 1_000.0 / f64::from(total);
     println!(
         "{name}: {total} requests, {answered} answered; router {:.3} ms, control host {:.3} ms each",
@@ -103,7 +103,7 @@
     }
     fleet.configure(&configuration()).await;
     fleet.wait_ready().await;
-    println!("router is process {}", fleet.router_pid());
+    println!("router is process {}", fleet.process_ids()[0]);
     load(&fleet, "streams", seconds, 2_000).await;
     // Nothing of this size can be in time.
     load(&fleet, "refused", seconds, 4_000_000).await;
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -54,10 +54,7 @@
 }
 
 impl Connection {
-    async fn open(
-        address: SocketAddr,
-        open: Arc<AtomicUsize>,
-    ) -> Result<Connection, SendError> {
+    async fn open(address: SocketAddr, open: Arc<AtomicUsize>) -> Result<Connection, SendError> {
         let not_sent = |error: &dyn std::fmt::Display| SendError::NotSent(error.to_string());
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = match connect {
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -27,12 +27,7 @@
 
 impl Default for OverloadRules {
     fn default() -> Self {
-        OverloadRules {
-            unready_lag_ms: 8,
-            ready_lag_ms: 3,
-            refuse_lag_ms: 40,
-            descriptors: 8_192,
-        }
+        OverloadRules { unready_lag_ms: 8, ready_lag_ms: 3, refuse_lag_ms: 40, descriptors: 8_192 }
     }
 }
 
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -146,3 +146,34 @@
         }
     }
 }
+
+#[test]
+fn a_router_behind_its_work_sheds_load_in_two_steps() {
+    let rules = OverloadRules::default();
+    let ms = std::time::Duration::from_millis;
+    let mut overload = Overload::new(rules);
+    assert!(!overload.set_lag(ms(rules.unready_lag_ms - 1)));
+    assert!(overload.is_ready() && !overload.refuses());
+    assert!(overload.set_lag(ms(rules.unready_lag_ms)));
+    assert!(!overload.is_ready() && !overload.refuses());
+    overload.set_lag(ms(rules.refuse_lag_ms));
+    assert!(overload.refuses());
+    // Below the limit that made it unready it waits until it is calm again.
+    assert!(!overload.set_lag(ms(rules.unready_lag_ms - 1)));
+    assert!(!overload.is_ready() && !overload.refuses());
+    assert!(overload.set_lag(ms(rules.ready_lag_ms - 1)));
+    assert!(overload.is_ready());
+}
+
+#[test]
+fn callers_connections_leave_descriptors_for_endpoints() {
+    let rules = OverloadRules { descriptors: 100, ..OverloadRules::default() };
+    let mut overload = Overload::new(rules);
+    assert_eq!((1..=100).filter(|_| overload.connect()).count(), 45);
+    overload.set_lag(std::time::Duration::ZERO);
+    assert!(!overload.is_ready(), "crowded");
+    (0..20).for_each(|_| overload.disconnect());
+    assert!(overload.connect());
+    overload.set_lag(std::time::Duration::ZERO);
+    assert!(overload.is_ready());
+}
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -12,6 +12,7 @@
 mod client;
 mod engine;
 mod engines;
+mod knowledge;
 mod local;
 mod message;
 mod placer;
@@ -22,6 +23,9 @@
 
 pub use client::{Placed, Placements, Reservation};
 pub use local::LocalPlacer;
-pub use message::{Ending, FromPlacer, PlacementRequest, Refusal, ToPlacer};
+pub use message::{
+    Ending, FromPlacer, KeptParts, Knowledge, OpenRequest, PlacementRequest, PromptParts, Refusal,
+    ToPlacer,
+};
 pub use placer::{Decision, EngineInfo, PlacementRules, Placer};
 pub use server::{PlacementSession, serve};
--- a/src/placement/client.rs
+++ b/src/placement/client.rs
@@ -9,6 +9,7 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
+use super::knowledge::{Memory, Told};
 use super::local::LocalPlacer;
 use super::message::{Ending, FromPlacer, PlacementRequest, Refusal, ToPlacer};
 use crate::error::Result;
@@ -68,6 +69,9 @@
     hall: String,
     local: Arc<LocalPlacer>,
     placers: Mutex<BTreeMap<HostId, Placer>>,
+    memory: Mutex<Memory>,
+    /// The placer asked last, which knows all that this router knows.
+    informed: Mutex<Option<HostId>>,
     next_seq: AtomicU64,
     lag: LoopLag,
 }
@@ -80,33 +84,17 @@
     /// The id of an endpoint from which it should copy prompt parts.
     pub copy_from: Option<String>,
     seq: u64,
-    holder: Holder,
+    placements: Arc<Placements>,
     ending: Ending,
     begun: bool,
 }
 
-/// Who keeps a reservation.
-#[derive(Clone, Debug)]
-enum Holder {
-    Session(BatchSender<ToPlacer>),
-    Local(Arc<LocalPlacer>),
-}
-
-impl Holder {
-    fn tell(&self, message: ToPlacer) {
-        match self {
-            // A session that has closed has given everything back.
-            Holder::Session(out) => drop(out.send(message.into())),
-            Holder::Local(placer) => placer.tell(message),
-        }
-    }
-}
-
 impl Reservation {
     /// The first event came.
     pub fn begun(&mut self) {
         if !std::mem::replace(&mut self.begun, true) {
-            self.holder.tell(ToPlacer::Begun { seq: self.seq });
+            let told = lock(&self.placements.memory).begun(self.seq);
+            self.placements.tell(&told, &ToPlacer::Begun { seq: self.seq });
         }
     }
 
@@ -118,7 +106,8 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.holder.tell(ToPlacer::Done { seq: self.seq, ending: self.ending });
+        let told = lock(&self.placements.memory).ended(self.seq);
+        self.placements.tell(&told, &ToPlacer::Done { seq: self.seq, ending: self.ending });
     }
 }
 
@@ -137,6 +126,8 @@
             hall,
             local: Arc::new(local),
             placers: Mutex::default(),
+            memory: Mutex::default(),
+            informed: Mutex::default(),
             next_seq: AtomicU64::new(1),
             lag,
         });
@@ -147,16 +138,63 @@
     /// Asks where a request goes: the leader's host, so that one decides for
     /// all; out of its reach another one, first of the same data hall; and this
     /// router's own placer where none answers.
-    pub async fn place(&self, mut request: PlacementRequest) -> Placed {
+    pub async fn place(self: &Arc<Self>, mut request: PlacementRequest) -> Placed {
         let seq = self.next_seq.fetch_add(1, Ordering::Relaxed);
         request.seq = seq;
         if let Some((host, session)) = self.session()
             && let Some(answer) = self.ask(host, &session, request.clone()).await
         {
-            return placed(answer, seq, Holder::Session(session.out));
+            return self.placed(answer, &request, Told::Host(host));
+        }
+        let answer = self.local.place(request.clone(), self.feeds.routers());
+        self.placed(answer, &request, Told::Local)
+    }
+
+    fn placed(
+        self: &Arc<Self>,
+        answer: FromPlacer,
+        request: &PlacementRequest,
+        by: Told,
+    ) -> Placed {
+        match answer {
+            FromPlacer::Go { endpoint, copy_from, .. } => {
+                lock(&self.memory).placed(request, &endpoint, by);
+                let placements = self.clone();
+                let seq = request.seq;
+                let ending = Ending::Abandoned;
+                let begun = false;
+                Placed::At(Reservation { endpoint, copy_from, seq, placements, ending, begun })
+            }
+            FromPlacer::Refuse { refusal, .. } => Placed::Refused(refusal),
+            FromPlacer::Unknown { .. } => Placed::Alone,
+        }
+    }
+
+    /// Passes on what became of an open request. A session that has closed has
+    /// given everything back.
+    fn tell(&self, told: &[Told], message: &ToPlacer) {
+        for placer in told {
+            match placer {
+                Told::Local => self.local.tell(message.clone()),
+                Told::Host(host) => {
+                    let placers = lock(&self.placers);
+                    let session = placers.get(host).and_then(|p| p.session.as_ref());
+                    if let Some(session) = session {
+                        let _ = session.out.send(message.clone().into());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Tells a placer that was not asked last what this router knows.
+    fn inform(&self, host: HostId, session: &Session) {
+        let mut informed = lock(&self.informed);
+        if informed.replace(host) != Some(host) {
+            let knowledge = lock(&self.memory).tell(host);
+            // A session that has closed is noticed by its reader.
+            let _ = session.out.send(ToPlacer::Known(knowledge).into());
         }
-        let answer = self.local.place(request, self.feeds.routers());
-        placed(answer, seq, Holder::Local(self.local.clone()))
     }
 
     async fn ask(
@@ -165,6 +203,7 @@
         session: &Session,
         request: PlacementRequest,
     ) -> Option<FromPlacer> {
+        self.inform(host, session);
         let seq = request.seq;
         let (sender, answer) = oneshot::channel();
         lock(&session.waiting).insert(seq, sender);
@@ -251,6 +290,11 @@
             placer.session = session;
             placer.silent = 0;
         }
+        // A new session starts from nothing.
+        let mut informed = lock(&self.informed);
+        if *informed == Some(host) {
+            *informed = None;
+        }
     }
 }
 
@@ -258,21 +302,6 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn placed(answer: FromPlacer, seq: u64, holder: Holder) -> Placed {
-    match answer {
-        FromPlacer::Go { endpoint, copy_from, .. } => Placed::At(Reservation {
-            endpoint,
-            copy_from,
-            seq,
-            holder,
-            ending: Ending::Abandoned,
-            begun: false,
-        }),
-        FromPlacer::Refuse { refusal, .. } => Placed::Refused(refusal),
-        FromPlacer::Unknown { .. } => Placed::Alone,
-    }
-}
-
 async fn follow_view(all: Arc<Placements>) {
     let mut view = all.peers.watch();
     loop {
--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -149,7 +149,7 @@
     /// Whether it can take one more request of this size.
     pub fn has_room(&self, tokens: u64) -> bool {
         let requests = self.pending.len() + self.running.len();
-        let memory = (self.memory_tokens as f64 * USABLE_MEMORY) as u64;
+        let memory = self.usable_memory();
         let fits = requests == 0 || self.running_tokens + tokens <= memory;
         requests < self.slots as usize && fits
     }
@@ -183,11 +183,28 @@
         self.pending.push_back(Pending { key, parts: parts.to_vec(), units, since: now });
         self.running.insert(key, tokens);
         self.running_tokens += tokens;
-        let memory = (self.memory_tokens as f64 * USABLE_MEMORY) as u64;
+        let memory = self.usable_memory();
         // What runs shares its parts with what is kept.
         self.cache.touch(parts, memory);
     }
 
+    /// Prompt parts were read here, as another placer decided.
+    pub fn keep(&mut self, parts: &[(u64, u32)]) {
+        self.cache.touch(parts, self.usable_memory());
+        self.cache.set_read(parts);
+    }
+
+    /// A request runs here that another placer sent.
+    pub fn adopt_running(&mut self, key: RequestKey, parts: &[(u64, u32)], tokens: u64) {
+        self.keep(parts);
+        self.running.insert(key, tokens);
+        self.running_tokens += tokens;
+    }
+
+    fn usable_memory(&self) -> u64 {
+        (self.memory_tokens as f64 * USABLE_MEMORY) as u64
+    }
+
     /// The first event of a request came.
     pub fn begun(&mut self, now: Millis, key: RequestKey) {
         let Some(at) = self.pending.iter().position(|p| p.key == key) else { return };
--- /dev/null
+++ b/src/placement/knowledge.rs
@@ -0,0 +1,100 @@
+//! What a router remembers of its own placements.
+//!
+//! A placer that takes over knows neither what engines have still to read nor
+//! what they keep. Each router tells it its own part of both before it asks the
+//! first time, so that nothing is read again that some engine keeps, and no
+//! engine is taken for idle.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::message::{KeptParts, Knowledge, OpenRequest, PlacementRequest, PromptParts};
+use crate::wire::HostId;
+
+/// Prompt parts that are remembered, those used last.
+const MOST_KEPT: usize = 256;
+
+/// Who was told of an open request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// The placer of a control host.
+    Host(HostId),
+    /// This router's own placer.
+    Local,
+}
+
+#[derive(Clone, Debug)]
+struct Open {
+    request: OpenRequest,
+    told: Vec<Told>,
+}
+
+/// Open requests and kept prompt parts.
+#[derive(Clone, Debug, Default)]
+pub struct Memory {
+    open: BTreeMap<u64, Open>,
+    kept: BTreeMap<u64, KeptParts>,
+    last_use: HashMap<(u64, String), u64>,
+    uses: u64,
+}
+
+impl Memory {
+    /// A request was placed at an endpoint.
+    pub fn placed(&mut self, request: &PlacementRequest, endpoint: &str, by: Told) {
+        let open = OpenRequest {
+            seq: request.seq,
+            endpoint: endpoint.to_string(),
+            parts: request.parts.clone(),
+            prompt_tokens: request.prompt_tokens,
+            output_tokens: request.output_tokens,
+            begun: false,
+        };
+        self.open.insert(request.seq, Open { request: open, told: vec![by] });
+    }
+
+    /// The first event of a request came; returns who is to be told.
+    pub fn begun(&mut self, seq: u64) -> Vec<Told> {
+        let Some(open) = self.open.get_mut(&seq) else { return Vec::new() };
+        open.request.begun = true;
+        let told = open.told.clone();
+        let endpoint = open.request.endpoint.clone();
+        // The last part is the request's own; few ask for it again.
+        let shared = open.request.parts.len().saturating_sub(1);
+        let parts = open.request.parts[..shared].to_vec();
+        self.keep(endpoint, parts);
+        told
+    }
+
+    /// A request has ended; returns who is to be told.
+    pub fn ended(&mut self, seq: u64) -> Vec<Told> {
+        self.open.remove(&seq).map(|open| open.told).unwrap_or_default()
+    }
+
+    fn keep(&mut self, endpoint: String, parts: PromptParts) {
+        let Some((last, _)) = parts.last() else { return };
+        let key = (*last, endpoint.clone());
+        self.uses += 1;
+        if let Some(before) = self.last_use.insert(key, self.uses) {
+            self.kept.remove(&before);
+        }
+        self.kept.insert(self.uses, KeptParts { endpoint, parts });
+        if self.kept.len() > MOST_KEPT
+            && let Some((_, oldest)) = self.kept.pop_first()
+            && let Some((last, _)) = oldest.parts.last()
+        {
+            self.last_use.remove(&(*last, oldest.endpoint));
+        }
+    }
+
+    /// All that `placer` does not know yet; from now on it is told.
+    pub fn tell(&mut self, placer: HostId) -> Knowledge {
+        let told = Told::Host(placer);
+        let mut open = Vec::new();
+        for entry in self.open.values_mut() {
+            if !entry.told.contains(&told) {
+                entry.told.push(told);
+            }
+            open.push(entry.request.clone());
+        }
+        Knowledge { open, kept: self.kept.values().cloned().collect() }
+    }
+}
--- a/src/placement/message.rs
+++ b/src/placement/message.rs
@@ -2,6 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Ids and lengths of a prompt's parts, in order, in tokens.
+pub type PromptParts = Vec<(u64, u32)>;
+
 /// A request that wants an engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlacementRequest {
@@ -11,8 +14,8 @@
     pub service: String,
     /// Whose it is; empty where customers are not told apart.
     pub customer: String,
-    /// Ids and lengths of the prompt's parts, in order, in tokens.
-    pub parts: Vec<(u64, u32)>,
+    /// The prompt's parts.
+    pub parts: PromptParts,
     /// Length of the prompt in tokens.
     pub prompt_tokens: u32,
     /// Most tokens of output.
@@ -38,9 +41,46 @@
     Abandoned,
 }
 
+/// A placed request that has not ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenRequest {
+    /// Number of the request, unique within the router's life.
+    pub seq: u64,
+    /// Where it was placed.
+    pub endpoint: String,
+    /// The prompt's parts.
+    pub parts: PromptParts,
+    /// Length of the prompt in tokens.
+    pub prompt_tokens: u32,
+    /// Most tokens of output.
+    pub output_tokens: u32,
+    /// Whether its first event has come.
+    pub begun: bool,
+}
+
+/// Leading prompt parts that an endpoint has read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptParts {
+    /// The endpoint.
+    pub endpoint: String,
+    /// The parts.
+    pub parts: PromptParts,
+}
+
+/// What a router knows from placements that others decided.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Knowledge {
+    /// Its requests that have not ended.
+    pub open: Vec<OpenRequest>,
+    /// What endpoints read, used last at the end.
+    pub kept: Vec<KeptParts>,
+}
+
 /// What a router tells a placer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ToPlacer {
+    /// What earlier placements left, before the first request.
+    Known(Knowledge),
     /// A request wants an engine.
     Place(PlacementRequest),
     /// The first event of a placed request came.
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::engine::{EngineModel, FIXED_MS, RequestKey};
-use super::message::{Ending, FromPlacer, PlacementRequest, Refusal, ToPlacer};
+use super::message::{Ending, FromPlacer, Knowledge, PlacementRequest, Refusal, ToPlacer};
 use super::shares::Shares;
 use crate::dispatch::Millis;
 use crate::wire::HostId;
@@ -33,7 +33,8 @@
     pub reading_weight: f64,
     /// How much dearer copying prompt parts counts than waiting.
     pub copying_weight: f64,
-    /// Part of its objective that a customer above its share may count on.
+    /// Part of its objective that a customer at its share may count on; it falls
+    /// with the square of what it was served over its share.
     pub above_share: f64,
     /// Milliseconds kept back from each objective, for what the model misses.
     pub margin_ms: f64,
@@ -42,6 +43,11 @@
     pub never_in_time_wait: f64,
     /// The same for a request that was refused once already.
     pub returned_wait: f64,
+    /// The same for a customer that got less than `underserved` of what it is owed:
+    /// it is rather late than refused.
+    pub underserved_wait: f64,
+    /// Part of what a customer is owed below which it is underserved.
+    pub underserved: f64,
 }
 
 impl Default for PlacementRules {
@@ -54,6 +60,8 @@
             margin_ms: 60.0,
             never_in_time_wait: 0.35,
             returned_wait: 1.5,
+            underserved_wait: 1.0,
+            underserved: 0.5,
         }
     }
 }
@@ -156,6 +164,7 @@
     /// Takes a message from a router.
     pub fn receive(&mut self, now: Millis, router: HostId, message: ToPlacer) -> Option<Decision> {
         match message {
+            ToPlacer::Known(knowledge) => self.learn(now, router, knowledge),
             ToPlacer::Place(request) => return Some(self.place(now, router, &request)),
             ToPlacer::Begun { seq } => {
                 if let Some(engine) = self.engine_of((router, seq)) {
@@ -176,6 +185,28 @@
         None
     }
 
+    /// Takes in what a router knows from placements that others decided.
+    fn learn(&mut self, now: Millis, router: HostId, knowledge: Knowledge) {
+        for kept in &knowledge.kept {
+            if let Some(engine) = self.engines.get_mut(&kept.endpoint) {
+                engine.model.keep(&kept.parts);
+            }
+        }
+        for open in knowledge.open {
+            let key = (router, open.seq);
+            if self.placed.contains_key(&key) {
+                continue;
+            }
+            let Some(engine) = self.engines.get_mut(&open.endpoint) else { continue };
+            let tokens = u64::from(open.prompt_tokens) + u64::from(open.output_tokens);
+            match open.begun {
+                true => engine.model.adopt_running(key, &open.parts, tokens),
+                false => engine.model.place(now, key, &open.parts, open.prompt_tokens, 0, tokens),
+            }
+            self.placed.insert(key, open.endpoint);
+        }
+    }
+
     fn engine_of(&mut self, key: RequestKey) -> Option<&mut Engine> {
         let id = self.placed.get(&key)?;
         self.engines.get_mut(id)
@@ -198,7 +229,8 @@
             return decide(FromPlacer::Unknown { seq }, 0.0, 0.0);
         };
         let Choice { backlog_ms, own_ms, copy, .. } = choice;
-        let allowed = self.allowed_backlog(request, own_ms, ratio);
+        let fulfilment = self.shares.fulfilment(&request.customer);
+        let allowed = self.allowed_backlog(request, own_ms, ratio, fulfilment);
         if backlog_ms > allowed {
             let (least, most) = RETRY_MS;
             let retry_after_ms = (backlog_ms - allowed + own_ms).clamp(least, most) as u32;
@@ -249,16 +281,25 @@
     }
 
     /// Milliseconds of others' prompts that a request may wait for.
-    fn allowed_backlog(&self, request: &PlacementRequest, own_ms: f64, ratio: f64) -> f64 {
+    fn allowed_backlog(
+        &self,
+        request: &PlacementRequest,
+        own_ms: f64,
+        ratio: f64,
+        fulfilment: f64,
+    ) -> f64 {
         let rules = &self.rules;
         let objective = f64::from(request.objective_ms);
         let left = objective - own_ms - FIXED_MS - rules.margin_ms;
         let allowed = left.max(objective * rules.never_in_time_wait);
         if ratio > SHARE_TOLERANCE {
-            return allowed.min(objective * rules.above_share);
+            return allowed.min(objective * rules.above_share / (ratio * ratio));
+        }
+        if request.returned {
+            return allowed.max(objective * rules.returned_wait);
         }
-        match request.returned {
-            true => allowed.max(objective * rules.returned_wait),
+        match fulfilment < rules.underserved {
+            true => allowed.max(objective * rules.underserved_wait),
             false => allowed,
         }
     }
--- a/src/placement/shares.rs
+++ b/src/placement/shares.rs
@@ -78,6 +78,17 @@
         }
     }
 
+    /// What a customer was served, over the lesser of what it asked and what an
+    /// equal division gives: 1 where it got what it is owed.
+    pub fn fulfilment(&self, customer: &str) -> f64 {
+        let Some(account) = self.accounts.get(customer) else { return 1.0 };
+        let owed = (account.asked as f64).min(self.level());
+        match owed > 0.0 {
+            true => account.served as f64 / owed,
+            false => 1.0,
+        }
+    }
+
     /// The most that any customer gets when all that was served is divided
     /// max-min by what was asked.
     fn level(&self) -> f64 {
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -3,6 +3,7 @@
 use proptest::prelude::*;
 
 use super::cache::PartCache;
+use super::knowledge::{Memory, Told};
 use super::shares::{Shares, WINDOW_MS};
 use super::*;
 use crate::wire::HostId;
@@ -200,7 +201,9 @@
     }
     let mut counts = std::collections::BTreeMap::new();
     for seq in 100..104 {
-        let big = PlacementRequest { objective_ms: 60_000, ..request(seq, "x", seq, 500) };
+        // Each of a customer of its own, so that no share is exceeded.
+        let customer = seq.to_string();
+        let big = PlacementRequest { objective_ms: 60_000, ..request(seq, &customer, seq, 500) };
         *counts.entry(endpoint(place(&mut placer, 0, big))).or_insert(0) += 1;
     }
     assert_eq!(counts.into_values().collect::<Vec<_>>(), [2, 2]);
@@ -287,3 +290,69 @@
         prop_assert!(placed);
     }
 }
+
+/// What routers remember lets a placer that takes over find what engines keep
+/// and have still to read.
+#[test]
+fn a_placer_that_takes_over_knows_what_routers_know() {
+    let mut memory = Memory::default();
+    let mut first = placer(&["a", "b", "c"]);
+    let kept = request(1, "x", 7, 500);
+    let home = endpoint(place(&mut first, 0, kept.clone()));
+    memory.placed(&kept, &home, Told::Host(HostId(8)));
+    assert_eq!(memory.begun(1), [Told::Host(HostId(8))]);
+    memory.ended(1);
+    let waiting = request(2, "x", 9, 30_000);
+    let busy = if home == "a" { "b" } else { "a" };
+    memory.placed(&waiting, busy, Told::Host(HostId(8)));
+
+    let mut second = placer(&["a", "b", "c"]);
+    let knowledge = memory.tell(HostId(9));
+    assert!(second.receive(0, ROUTER, ToPlacer::Known(knowledge.clone())).is_none());
+    let next = second.receive(0, ROUTER, ToPlacer::Place(request(3, "x", 7, 500))).unwrap();
+    assert_eq!(next.answer, FromPlacer::Go { seq: 3, endpoint: home, copy_from: None });
+    assert!(next.own_ms < 100.0, "10,000 shared tokens are kept there: {} ms", next.own_ms);
+    let alone = PlacementRequest {
+        avoid: ["a", "b", "c"].into_iter().filter(|id| *id != busy).map(String::from).collect(),
+        objective_ms: 60_000,
+        ..request(4, "x", 11, 500)
+    };
+    let behind = second.receive(0, ROUTER, ToPlacer::Place(alone)).unwrap();
+    assert!(behind.backlog_ms > 500.0, "40,000 tokens wait there: {} ms", behind.backlog_ms);
+
+    // Both are told how it ends, and hearing it twice changes nothing.
+    second.receive(0, ROUTER, ToPlacer::Known(knowledge));
+    assert_eq!(memory.ended(2), [Told::Host(HostId(8)), Told::Host(HostId(9))]);
+    second.receive(1, ROUTER, ToPlacer::Done { seq: 2, ending: Ending::Served });
+    let after = PlacementRequest { objective_ms: 60_000, ..request(5, "x", 12, 500) };
+    assert!(second.receive(1, ROUTER, ToPlacer::Place(after)).is_some());
+}
+
+#[test]
+fn a_router_remembers_a_bounded_number_of_prompt_parts() {
+    let mut memory = Memory::default();
+    for seq in 1..2_000 {
+        memory.placed(&request(seq, "x", seq, 500), "a", Told::Local);
+        memory.begun(seq);
+        memory.ended(seq);
+    }
+    let knowledge = memory.tell(HostId(9));
+    assert!(knowledge.open.is_empty());
+    assert_eq!(knowledge.kept.len(), 256);
+    assert_eq!(knowledge.kept.last().unwrap().parts, [(1_999, 10_000)]);
+}
+
+#[test]
+fn an_underserved_customer_is_rather_late_than_refused() {
+    let mut placer = placer(&["a"]);
+    // One that was served far above its share fills the engine.
+    let mut seq = 0;
+    let mut refused = false;
+    while !refused {
+        seq += 1;
+        let answer = place(&mut placer, 0, request(seq, "large", seq, 500));
+        refused = matches!(answer, FromPlacer::Refuse { .. });
+    }
+    let small = request(1_000, "small", 1_000, 15_000);
+    assert!(matches!(place(&mut placer, 0, small), FromPlacer::Go { .. }));
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -61,6 +61,18 @@
     assert!(left <= 2_000, "the route's timeout bounds the deadline, not {left}");
 }
 
+#[tokio::test]
+async fn a_stream_comes_whole_and_in_order() {
+    let behaviour = Behaviour::Stream { events: 5, pause: Duration::from_millis(2) };
+    let (fleet, _replicas) = fleet_with(&[behaviour]).await;
+    for id in ["s1", "s2"] {
+        let answer = call(fleet.front, &post("/stream/x", id, "")).await;
+        assert_eq!((answer.status, answer.whole), (200, true));
+        let events: String = (1..=5).map(|n| format!("id: {n}\ndata: x\n\n")).collect();
+        assert_eq!(answer.body, events);
+    }
+}
+
 #[tokio::test]
 async fn bad_requests_get_the_error_that_names_them() {
     let (fleet, replicas) = fleet_with(&[Behaviour::Answer]).await;
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -120,15 +120,13 @@
     }
 
     fn signal_router(&self, signal: Signal) {
-        kill(Pid::from_raw(self.router_pid() as i32), signal).unwrap();
+        let [router, _] = self.process_ids();
+        kill(Pid::from_raw(router as i32), signal).unwrap();
     }
 
-    pub fn router_pid(&self) -> u32 {
-        self.router_process.as_ref().unwrap().id()
-    }
-
-    pub fn control_pid(&self) -> u32 {
-        self.control_process.as_ref().unwrap().id()
+    /// Of the router and of the control host.
+    pub fn process_ids(&self) -> [u32; 2] {
+        [&self.router_process, &self.control_process].map(|child| child.as_ref().unwrap().id())
     }
 
     /// Waits until the router ends by itself, without an error.
