Encode a routing table once for all feeds; decode it only where it is newer

Cause: a configuration of 1,750 routes was cloned and encoded for each of 62 subscribers on the leader's host, which also places requests, and decoded eight times on each router. The bytes still travel eight times; listed as open.

--- a/src/feed.rs
+++ b/src/feed.rs
@@ -7,10 +7,11 @@
 mod publish;
 mod subscribe;
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::registry::Registration;
-use crate::routing::RoutingTable;
 use crate::wire::HostId;
 
 pub use publish::publish;
@@ -20,7 +21,12 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FeedMessage {
     /// A routing table that was agreed on.
-    Routing(Box<RoutingTable>),
+    Routing {
+        /// Its version, so that who has it need not decode it again.
+        version: u64,
+        /// The table, encoded once for all subscribers.
+        encoded: Arc<[u8]>,
+    },
     /// Endpoints, all of them at first and then those that changed.
     Endpoints(Vec<Registration>),
     /// How many routers the sender hears of.
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -55,7 +55,10 @@
                 FeedMessage::Routers(now)
             }
             Ok(()) = routing.changed() => match routing.borrow_and_update().clone() {
-                Some(routing) => FeedMessage::Routing(Box::new(routing.table.clone())),
+                Some(routing) => FeedMessage::Routing {
+                    version: routing.table.version,
+                    encoded: routing.encoded(),
+                },
                 None => continue,
             },
         };
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -68,7 +68,11 @@
 
     fn heard(&self, from: HostId, message: FeedMessage) {
         match message {
-            FeedMessage::Routing(table) => self.documents.adopt_table(*table),
+            FeedMessage::Routing { version, encoded } => {
+                if let Err(error) = self.documents.adopt_encoded(version, &encoded) {
+                    log::error!("feed: routing version {version} of host {from}: {error}");
+                }
+            }
             FeedMessage::Endpoints(endpoints) => {
                 endpoints.into_iter().for_each(|endpoint| self.registry.merge(endpoint));
             }
--- a/src/routing/documents.rs
+++ b/src/routing/documents.rs
@@ -1,11 +1,12 @@
 //! The document in force in this process, compiled for look-ups.
 
 use std::collections::HashMap;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use tokio::sync::watch;
 
 use super::model::{CustomerKeys, Document, Route, RoutingTable, ServicePool};
+use crate::error::{Error, Result};
 
 /// A routing table with indexes.
 #[derive(Debug, Default)]
@@ -15,6 +16,7 @@
     by_host: HashMap<String, Vec<usize>>,
     by_key: HashMap<String, usize>,
     by_service: HashMap<String, usize>,
+    encoded: OnceLock<Arc<[u8]>>,
 }
 
 impl Routing {
@@ -33,7 +35,13 @@
         }
         let services = table.services.iter().enumerate();
         let by_service = services.map(|(at, service)| (service.name.clone(), at)).collect();
-        Routing { table, by_host, by_key, by_service }
+        Routing { table, by_host, by_key, by_service, encoded: OnceLock::new() }
+    }
+
+    /// The table as it travels between hosts, encoded at the first use.
+    pub fn encoded(&self) -> Arc<[u8]> {
+        let encode = || postcard::to_stdvec(&self.table).expect("a table of plain values").into();
+        self.encoded.get_or_init(encode).clone()
     }
 
     /// The route with the longest prefix of `path` among those of `host`.
@@ -81,6 +89,17 @@
         self.current.subscribe()
     }
 
+    /// Puts a table in force that another host has encoded, if it is newer; only
+    /// then it is decoded.
+    pub fn adopt_encoded(&self, version: u64, encoded: &[u8]) -> Result<()> {
+        if self.current().is_some_and(|current| current.table.version >= version) {
+            return Ok(());
+        }
+        let table = postcard::from_bytes(encoded).map_err(|source| Error::Frame { source })?;
+        self.adopt_table(table);
+        Ok(())
+    }
+
     /// Puts an agreed document in force, if it is newer.
     pub fn adopt(&self, document: Arc<Document>) {
         self.adopt_table(document.table.clone());
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -80,3 +80,16 @@
     documents.adopt_table(table(7, vec![]));
     assert_eq!(documents.current().unwrap().table.version, 7);
 }
+
+#[test]
+fn an_encoded_table_comes_into_force_if_it_is_newer() {
+    let sent = Routing::new(table(5, vec![route("a", "x", "/p/")]));
+    let documents = Documents::default();
+    documents.adopt_encoded(5, &sent.encoded()).unwrap();
+    assert_eq!(documents.current().unwrap().table, sent.table);
+    // Who has the version does not look at the bytes again.
+    assert!(documents.adopt_encoded(5, b"").is_ok());
+    assert!(documents.adopt_encoded(4, b"").is_ok());
+    assert!(documents.adopt_encoded(6, b"").is_err());
+    assert_eq!(documents.current().unwrap().table.version, 5);
+}
