Wait for engines at the placer, in order of latest start; shares of what engines are meant to do

Change: a queue for each engine in order of latest start, of which 60 ms are sent ahead; what a customer gets beyond its share of what engines are meant to do goes last; prompts overtaken in the order of arrival count as read; a misdirected answer takes an engine out for good; lateness of engines is observed and fades; rates are learnt faster; a question that its caller leaves is taken back.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -138,6 +138,9 @@
     let exchange = call.gateway.connections.send(&endpoint.id, address, request);
     match tokio::time::timeout(patience(call), exchange).await {
         Ok(Ok((response, connection))) => {
+            if response.status() == StatusCode::MISDIRECTED_REQUEST {
+                ticket.set_ending(Ending::Replaced);
+            }
             check_head(call, endpoint, &response)?;
             Ok(Opened { response, connection, ticket })
         }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -23,6 +23,9 @@
 const MAX_SENDS: usize = 4;
 /// Time left below which a request is not sent any more.
 const LEAST_REMAINING: Duration = Duration::from_millis(10);
+/// A caller that waits for so much less than its route allows, in milliseconds,
+/// has been here before: connecting takes less, coming back takes longer.
+const FIRST_WITHIN_MS: u64 = 40;
 /// When to come back if nothing better is known, in seconds.
 const RETRY_AFTER_S: f64 = 0.25;
 
@@ -211,7 +214,7 @@
     fn placement_request(&self, tried: &[String]) -> PlacementRequest {
         let objective = Duration::from_millis(self.route.objective_ms);
         let left = objective.saturating_sub(self.arrived.elapsed());
-        let full = self.head.deadline_ms.is_none_or(|ms| ms >= self.route.timeout_ms);
+        let waited = self.head.deadline_ms.map_or(0, |ms| self.route.timeout_ms.saturating_sub(ms));
         PlacementRequest {
             seq: 0,
             service: self.service.clone(),
@@ -221,7 +224,7 @@
             output_tokens: self.head.output_tokens,
             objective_ms: left.as_millis() as u32,
             remaining_ms: self.remaining().as_millis() as u32,
-            returned: !full || !tried.is_empty(),
+            returned: waited > FIRST_WITHIN_MS || !tried.is_empty(),
             avoid: tried.to_vec(),
         }
     }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -3,12 +3,14 @@
 //! Reading prompts is what engines have least of, so each engine is modelled by
 //! the prompts that it has still to read and by the prompt parts that it keeps.
 //! A request goes where its first event comes first, counting what is kept
-//! there; one that cannot make its objective anywhere is refused at once, with
-//! the time at which it could. Customers above their fair share leave room for
+//! there, and waits in order of its latest start until the engine is about to run
+//! dry; one that cannot make its objective anywhere is refused at once, with the
+//! time at which it could. Customers above their fair share leave room for
 //! the others. One placer decides for all routers that reach it; see
 //! `docs/DISPATCH.md`.
 
 mod cache;
+mod choice;
 mod client;
 mod engine;
 mod engines;
@@ -16,6 +18,8 @@
 mod local;
 mod message;
 mod placer;
+mod queue;
+mod rules;
 mod server;
 mod shares;
 #[cfg(test)]
@@ -27,5 +31,6 @@
     Ending, FromPlacer, KeptParts, Knowledge, OpenRequest, PlacementRequest, PromptParts, Refusal,
     ToPlacer,
 };
-pub use placer::{Decision, EngineInfo, PlacementRules, Placer};
+pub use placer::{Decision, EngineInfo, Placer};
+pub use rules::PlacementRules;
 pub use server::{PlacementSession, serve};
--- a/src/placement/client.rs
+++ b/src/placement/client.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::oneshot;
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
 use super::knowledge::{Memory, Told};
@@ -29,6 +29,8 @@
 const PAUSE: Duration = Duration::from_millis(200);
 /// Answers in a row that may fail to come before a placer is passed over.
 const TOLERATED_SILENCE: u32 = 2;
+/// Placers that are asked before a router decides for itself.
+const PLACERS_ASKED: usize = 2;
 /// How long a silent placer is passed over.
 const PASSED_OVER: Duration = Duration::from_millis(700);
 
@@ -43,7 +45,7 @@
     Alone,
 }
 
-type Waiting = Arc<Mutex<HashMap<u64, oneshot::Sender<FromPlacer>>>>;
+type Waiting = Arc<Mutex<HashMap<u64, mpsc::UnboundedSender<FromPlacer>>>>;
 
 #[derive(Clone, Debug)]
 struct Session {
@@ -111,6 +113,38 @@
     }
 }
 
+/// A request that a placer was asked to place. Dropped before it is answered, it
+/// is taken back: a place that comes later would be held for nobody.
+struct Question<'a> {
+    session: &'a Session,
+    seq: u64,
+    answers: mpsc::UnboundedReceiver<FromPlacer>,
+    is_open: bool,
+}
+
+impl Question<'_> {
+    /// Asks; none where the session has closed.
+    fn ask(session: &Session, request: PlacementRequest) -> Option<Question<'_>> {
+        let seq = request.seq;
+        let (sender, answers) = mpsc::unbounded_channel();
+        lock(&session.waiting).insert(seq, sender);
+        let question = Question { session, seq, answers, is_open: true };
+        session.out.send(ToPlacer::Place(request).into()).ok()?;
+        Some(question)
+    }
+}
+
+impl Drop for Question<'_> {
+    fn drop(&mut self) {
+        lock(&self.session.waiting).remove(&self.seq);
+        if self.is_open {
+            let done = ToPlacer::Done { seq: self.seq, ending: Ending::Abandoned };
+            // A session that has closed has given everything back.
+            let _ = self.session.out.send(done.into());
+        }
+    }
+}
+
 impl Placements {
     /// Opens a session with every control host in view.
     pub fn start(
@@ -139,13 +173,18 @@
     /// all; out of its reach another one, first of the same data hall; and this
     /// router's own placer where none answers.
     pub async fn place(self: &Arc<Self>, mut request: PlacementRequest) -> Placed {
-        let seq = self.next_seq.fetch_add(1, Ordering::Relaxed);
-        request.seq = seq;
-        if let Some((host, session)) = self.session()
-            && let Some(answer) = self.ask(host, &session, request.clone()).await
-        {
-            return self.placed(answer, &request, Told::Host(host));
+        let asked = tokio::time::Instant::now();
+        let objective_ms = request.objective_ms;
+        for _ in 0..PLACERS_ASKED {
+            let Some((host, session)) = self.session() else { break };
+            request.seq = self.next_seq.fetch_add(1, Ordering::Relaxed);
+            if let Some(answer) = self.ask(host, &session, request.clone()).await {
+                return self.placed(answer, &request, Told::Host(host));
+            }
+            let spent = asked.elapsed().as_millis() as u32;
+            request.objective_ms = objective_ms.saturating_sub(spent);
         }
+        request.seq = self.next_seq.fetch_add(1, Ordering::Relaxed);
         let answer = self.local.place(request.clone(), self.feeds.routers());
         self.placed(answer, &request, Told::Local)
     }
@@ -166,7 +205,7 @@
                 Placed::At(Reservation { endpoint, copy_from, seq, placements, ending, begun })
             }
             FromPlacer::Refuse { refusal, .. } => Placed::Refused(refusal),
-            FromPlacer::Unknown { .. } => Placed::Alone,
+            FromPlacer::Queued { .. } | FromPlacer::Unknown { .. } => Placed::Alone,
         }
     }
 
@@ -204,29 +243,29 @@
         request: PlacementRequest,
     ) -> Option<FromPlacer> {
         self.inform(host, session);
-        let seq = request.seq;
-        let (sender, answer) = oneshot::channel();
-        lock(&session.waiting).insert(seq, sender);
-        session.out.send(ToPlacer::Place(request).into()).ok()?;
+        let mut question = Question::ask(session, request)?;
         // A router that is behind its own work takes longer to see an answer.
         let lag = self.lag.get();
-        let patience = ANSWER_TIMEOUT + lag * LAG_PATIENCE;
-        let answer = tokio::time::timeout(patience, answer).await;
-        lock(&session.waiting).remove(&seq);
-        match answer {
-            Ok(Ok(answer)) => {
-                self.note_answer(host);
-                Some(answer)
-            }
-            Ok(Err(_)) => None,
-            Err(_) => {
-                if lag < OWN_FAULT_LAG {
-                    self.note_silence(host);
+        let mut patience = ANSWER_TIMEOUT + lag * LAG_PATIENCE;
+        loop {
+            let answer = tokio::time::timeout(patience, question.answers.recv()).await;
+            match answer {
+                Ok(Some(FromPlacer::Queued { within_ms, .. })) => {
+                    self.note_answer(host);
+                    patience += Duration::from_millis(within_ms.into());
+                }
+                Ok(Some(answer)) => {
+                    self.note_answer(host);
+                    question.is_open = false;
+                    return Some(answer);
+                }
+                Ok(None) => return None,
+                Err(_) => {
+                    if lag < OWN_FAULT_LAG {
+                        self.note_silence(host);
+                    }
+                    return None;
                 }
-                // An answer that comes yet would hold a place for nobody.
-                let done = ToPlacer::Done { seq, ending: Ending::Abandoned };
-                let _ = session.out.send(done.into());
-                None
             }
         }
     }
@@ -280,6 +319,10 @@
             let known = placer.passed_over_until > now;
             if placer.silent >= TOLERATED_SILENCE && !known {
                 placer.passed_over_until = now + PASSED_OVER;
+                // What waits there is asked elsewhere at once.
+                if let Some(session) = &placer.session {
+                    lock(&session.waiting).clear();
+                }
                 log::info!("placement: control host {host} is silent, passed over");
             }
         }
@@ -330,6 +373,7 @@
     let (out, batch) = BatchWriter::immediate(Some(all.peers.sent.clone()));
     let writing = tokio::spawn(batch.run(writer, || std::future::ready(())));
     let waiting = Waiting::default();
+    let _unanswered = Unanswered(waiting.clone());
     all.set_session(host, Some(Session { out, waiting: waiting.clone() }));
     let lost = loop {
         match reader.next::<Vec<FromPlacer>>().await {
@@ -341,14 +385,18 @@
     Err(lost)
 }
 
+/// What waits for answers of a session learns when it ends, however it ends.
+struct Unanswered(Waiting);
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        lock(&self.0).clear();
+    }
+}
+
 fn deliver(waiting: &Waiting, answers: Vec<FromPlacer>) {
     for answer in answers {
-        let seq = match &answer {
-            FromPlacer::Go { seq, .. }
-            | FromPlacer::Refuse { seq, .. }
-            | FromPlacer::Unknown { seq } => *seq,
-        };
-        if let Some(sender) = lock(waiting).remove(&seq) {
+        if let Some(sender) = lock(waiting).get(&answer.seq()) {
             // The request may have been given up.
             let _ = sender.send(answer);
         }
--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -4,6 +4,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use super::cache::PartCache;
+use super::queue::Pace;
 use crate::dispatch::Millis;
 use crate::wire::HostId;
 
@@ -17,13 +18,23 @@
 /// Weight of what was learnt before, at each new observation.
 const MEMORY: f64 = 0.97;
 /// Milliseconds of observations that the guess of the reading rate counts for.
-const GUESS_MS: f64 = 1_000.0;
+const GUESS_MS: f64 = 250.0;
+/// Weight of the newest observation in the lateness of an engine.
+const LATENESS_PART: f64 = 0.2;
+/// Milliseconds in which the lateness of an engine halves by itself.
+const LATENESS_HALF_LIFE_MS: f64 = 200.0;
 /// How far learning may move the reading rate from its start.
 const RATE_RANGE: (f64, f64) = (0.4, 4.0);
 /// Part of the engine's memory that kept parts and running requests may fill.
 const USABLE_MEMORY: f64 = 0.92;
 /// Shortest and longest time for which a failing engine is left out.
 const LEFT_OUT_MS: (Millis, Millis) = (400, 5_000);
+/// Milliseconds within which requests may arrive in another order than they were
+/// sent in: the way through a router behind its work, or a copy of prompt parts.
+const OVERTAKEN_MS: Millis = 150;
+/// Milliseconds beyond twice the time that a prompt should take after which its
+/// engine is taken for stalled.
+const STALL_MS: f64 = 250.0;
 /// Failures in a row after which an engine is left out.
 const TOLERATED: u32 = 2;
 
@@ -33,6 +44,8 @@
     parts: Vec<(u64, u32)>,
     units: f64,
     since: Millis,
+    /// When its prompt should have been read, on the clock.
+    read_by: f64,
 }
 
 /// One engine as a placer sees it.
@@ -41,13 +54,16 @@
     slots: u32,
     memory_tokens: u64,
     pending: VecDeque<Pending>,
-    head_since: Millis,
+    head_since: f64,
     running: HashMap<RequestKey, u64>,
     running_tokens: u64,
     cache: PartCache,
     start_rate: f64,
     reading_share: f64,
-    busy_until: f64,
+    /// When all that was sent should have been read, on the clock.
+    read_until: f64,
+    lateness_ms: f64,
+    lateness_at: Millis,
     guess_ms: f64,
     learnt_units: f64,
     learnt_ms: f64,
@@ -70,13 +86,15 @@
             slots,
             memory_tokens,
             pending: VecDeque::new(),
-            head_since: 0,
+            head_since: 0.0,
             running: HashMap::new(),
             running_tokens: 0,
             cache: PartCache::default(),
             start_rate: rate,
             reading_share,
-            busy_until: 0.0,
+            read_until: 0.0,
+            lateness_ms: 0.0,
+            lateness_at: 0,
             guess_ms: GUESS_MS,
             learnt_units: 0.0,
             learnt_ms: 0.0,
@@ -108,7 +126,7 @@
     pub fn backlog_ms(&self, now: Millis) -> f64 {
         let Some(head) = self.pending.front() else { return 0.0 };
         let rate = self.rate();
-        let spent = now.saturating_sub(self.head_since) as f64;
+        let spent = now as f64 - self.head_since;
         let head_ms = head.units / rate;
         let behind: f64 = self.pending.iter().skip(1).map(|p| p.units).sum();
         // A head that is overdue says that the engine is slower than thought.
@@ -119,19 +137,20 @@
         head_left + behind / rate
     }
 
-    /// Milliseconds until an engine that reads only for its share of the time
-    /// would have read all that was placed here.
-    pub fn paced_backlog_ms(&self, now: Millis) -> f64 {
-        self.backlog_ms(now).max(self.busy_until - now as f64)
-    }
-
-    /// Milliseconds that reading a prompt takes here, when `copied` of its tokens
-    /// come from another engine.
-    pub fn own_ms(&self, parts: &[(u64, u32)], prompt_tokens: u32, copied: u32) -> f64 {
-        self.own_units(parts, prompt_tokens, copied) / self.rate()
+    /// How fast it reads, and what it has still to read.
+    pub fn pace(&self, now: Millis) -> Pace {
+        let ms_per_unit = 1.0 / self.rate();
+        Pace {
+            ms_per_unit,
+            paced_ms_per_unit: ms_per_unit / self.reading_share,
+            backlog_ms: self.backlog_ms(now),
+            lateness_ms: self.lateness_ms(now),
+        }
     }
 
-    fn own_units(&self, parts: &[(u64, u32)], prompt_tokens: u32, copied: u32) -> f64 {
+    /// The cost of reading a prompt here, in tokens of an empty context, when
+    /// `copied` of its tokens come from another engine.
+    pub fn own_units(&self, parts: &[(u64, u32)], prompt_tokens: u32, copied: u32) -> f64 {
         let cached = (self.cache.matched(parts) + copied).min(prompt_tokens);
         reading_units(cached, prompt_tokens - cached)
     }
@@ -159,33 +178,41 @@
         now < self.left_out_until
     }
 
+    /// Whether the prompt that it reads takes so long that something is wrong.
+    pub fn is_stalled(&self, now: Millis) -> bool {
+        let Some(head) = self.pending.front() else { return false };
+        let spent = now as f64 - self.head_since;
+        spent > 2.0 * head.units / self.rate() + FIXED_MS + STALL_MS
+    }
+
     /// Requests placed here that have not ended.
     pub fn requests(&self) -> usize {
         self.running.len()
     }
 
-    /// A request is placed here.
-    pub fn place(
+    /// A request will be read here: its parts count as kept from now on.
+    pub fn reserve(&mut self, parts: &[(u64, u32)]) {
+        let memory = self.usable_memory();
+        self.cache.touch(parts, memory);
+    }
+
+    /// A request of `units` is sent here.
+    pub fn send(
         &mut self,
         now: Millis,
         key: RequestKey,
         parts: &[(u64, u32)],
-        prompt_tokens: u32,
-        copied: u32,
+        units: f64,
         tokens: u64,
     ) {
-        let units = self.own_units(parts, prompt_tokens, copied);
-        let paced = units / self.rate() / self.reading_share;
-        self.busy_until = self.busy_until.max(now as f64) + paced;
         if self.pending.is_empty() {
-            self.head_since = now;
+            self.head_since = now as f64;
         }
-        self.pending.push_back(Pending { key, parts: parts.to_vec(), units, since: now });
+        self.read_until = self.read_until.max(now as f64) + units / self.rate();
+        let read_by = self.read_until;
+        self.pending.push_back(Pending { key, parts: parts.to_vec(), units, since: now, read_by });
         self.running.insert(key, tokens);
         self.running_tokens += tokens;
-        let memory = self.usable_memory();
-        // What runs shares its parts with what is kept.
-        self.cache.touch(parts, memory);
     }
 
     /// Prompt parts were read here, as another placer decided.
@@ -212,16 +239,53 @@
         self.failures = 0;
         self.left_out_until = 0;
         self.cache.set_read(&begun.parts);
-        if at != 0 {
-            return;
+        // Its prompt had been read some time before its first event.
+        let read_at = now as f64 - FIXED_MS;
+        self.note_lateness(now, read_at - begun.read_by);
+        let overtaken = self.drop_overtaken(&begun, at);
+        if at == 0 {
+            let took = (read_at - self.head_since).max(1.0);
+            self.guess_ms *= MEMORY;
+            self.learnt_units = self.learnt_units * MEMORY + begun.units;
+            self.learnt_ms = self.learnt_ms * MEMORY + took;
+        }
+        if at == 0 || overtaken {
+            self.start_head(read_at);
+        }
+    }
+
+    /// Engines read in the order of arrival: what was sent well before a request
+    /// that has begun has been read too, or never came. Its router may be cut off
+    /// and cannot say so.
+    fn drop_overtaken(&mut self, begun: &Pending, at: usize) -> bool {
+        let before = self.pending.len();
+        let mut index = 0;
+        self.pending.retain(|pending| {
+            index += 1;
+            index > at || pending.since + OVERTAKEN_MS > begun.since
+        });
+        self.pending.len() < before
+    }
+
+    /// The engine has more to do than was sent from here, or is slower than thought.
+    fn note_lateness(&mut self, now: Millis, late_ms: f64) {
+        let before = self.lateness_ms(now);
+        self.lateness_ms = before + (late_ms.max(0.0) - before) * LATENESS_PART;
+        self.lateness_at = now;
+    }
+
+    /// Milliseconds by which prompts are read later than planned. It fades: an
+    /// engine that gets nothing for it could not show that it is over.
+    fn lateness_ms(&self, now: Millis) -> f64 {
+        let passed = now.saturating_sub(self.lateness_at) as f64;
+        self.lateness_ms * 0.5_f64.powf(passed / LATENESS_HALF_LIFE_MS)
+    }
+
+    /// The engine goes on to the next prompt, at `at` or when it was sent.
+    fn start_head(&mut self, at: f64) {
+        if let Some(head) = self.pending.front() {
+            self.head_since = at.max(head.since as f64);
         }
-        let idle_before = begun.since == self.head_since;
-        let fixed = if idle_before { FIXED_MS } else { 0.0 };
-        let took = (now.saturating_sub(self.head_since) as f64 - fixed).max(1.0);
-        self.guess_ms *= MEMORY;
-        self.learnt_units = self.learnt_units * MEMORY + begun.units;
-        self.learnt_ms = self.learnt_ms * MEMORY + took;
-        self.head_since = now;
     }
 
     /// A request has ended, however.
@@ -232,7 +296,7 @@
         if let Some(at) = self.pending.iter().position(|p| p.key == key) {
             self.pending.remove(at);
             if at == 0 {
-                self.head_since = now;
+                self.start_head(now as f64);
             }
         }
     }
--- a/src/placement/message.rs
+++ b/src/placement/message.rs
@@ -37,6 +37,8 @@
     Served,
     /// The endpoint could not be reached, failed or broke off.
     Failed,
+    /// Another endpoint answers at its address: it is gone for good.
+    Replaced,
     /// Its caller left, or it was sent elsewhere.
     Abandoned,
 }
@@ -124,6 +126,13 @@
         /// The id of an endpoint from which it should copy prompt parts.
         copy_from: Option<String>,
     },
+    /// It waits; the placer answers again.
+    Queued {
+        /// The request's number.
+        seq: u64,
+        /// Milliseconds within which the next answer comes.
+        within_ms: u32,
+    },
     /// It cannot be served in time.
     Refuse {
         /// The request's number.
@@ -137,3 +146,15 @@
         seq: u64,
     },
 }
+
+impl FromPlacer {
+    /// The number of the request that it is about.
+    pub fn seq(&self) -> u64 {
+        match self {
+            FromPlacer::Go { seq, .. }
+            | FromPlacer::Queued { seq, .. }
+            | FromPlacer::Refuse { seq, .. }
+            | FromPlacer::Unknown { seq } => *seq,
+        }
+    }
+}
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -2,69 +2,24 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
-
+use super::choice::{Choice, Chooser, Engine, Standing, memory_tokens};
 use super::engine::{EngineModel, FIXED_MS, RequestKey};
 use super::message::{Ending, FromPlacer, Knowledge, PlacementRequest, Refusal, ToPlacer};
+use super::queue::{Planned, Queue, Unsent};
+use super::rules::PlacementRules;
 use super::shares::Shares;
 use crate::dispatch::Millis;
 use crate::wire::HostId;
 
-/// Ratio of service received to share from which on a customer is above it.
-const SHARE_TOLERANCE: f64 = 1.002;
-/// Milliseconds to begin a copy.
-const COPY_SETUP_MS: f64 = 5.0;
-/// Fewer tokens are read again rather than copied.
-const LEAST_COPY: u32 = 500;
 /// Shortest and longest time to come back after, in milliseconds.
 const RETRY_MS: (f64, f64) = (60.0, 3_000.0);
-
-/// What the placer aims at. The defaults are the measured ones, see
-/// `docs/DISPATCH.md`.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct PlacementRules {
-    /// Part of their time that engines may spend on reading prompts; the rest
-    /// keeps running streams from slowing down.
-    pub reading_share: f64,
-    /// How much dearer reading a prompt counts than waiting for others': what is
-    /// read twice is lost to all.
-    pub reading_weight: f64,
-    /// How much dearer copying prompt parts counts than waiting.
-    pub copying_weight: f64,
-    /// Part of its objective that a customer at its share may count on; it falls
-    /// with the square of what it was served over its share.
-    pub above_share: f64,
-    /// Milliseconds kept back from each objective, for what the model misses.
-    pub margin_ms: f64,
-    /// Part of its objective that a request which can never be in time may wait
-    /// for others.
-    pub never_in_time_wait: f64,
-    /// The same for a request that was refused once already.
-    pub returned_wait: f64,
-    /// The same for a customer that got less than `underserved` of what it is owed:
-    /// it is rather late than refused.
-    pub underserved_wait: f64,
-    /// Part of what a customer is owed below which it is underserved.
-    pub underserved: f64,
-}
-
-impl Default for PlacementRules {
-    fn default() -> Self {
-        PlacementRules {
-            reading_share: 0.72,
-            reading_weight: 1.6,
-            copying_weight: 14.0,
-            above_share: 0.2,
-            margin_ms: 60.0,
-            never_in_time_wait: 0.35,
-            returned_wait: 1.5,
-            underserved_wait: 1.0,
-            underserved: 0.5,
-        }
-    }
-}
+/// Shortest and longest time after which queues are looked at again, in
+/// milliseconds: a finer step costs more than it gains, and an engine that
+/// stalls should not be noticed much later.
+const POLL_MS: (f64, f64) = (2.0, 25.0);
+/// Milliseconds beyond the moment that a request was promised after which its
+/// router need not wait for the placer any more.
+const PROMISE_SLACK_MS: f64 = 100.0;
 
 /// What is known of an engine from its registration and the routing.
 #[derive(Clone, Debug, PartialEq)]
@@ -99,31 +54,7 @@
     pub ratio: f64,
 }
 
-#[derive(Clone, Debug)]
-struct Engine {
-    service: String,
-    model: EngineModel,
-    copy_ms_per_token: Option<f64>,
-    open: bool,
-}
-
-/// An engine for a request, and what it would cost there.
-struct Choice<'a> {
-    id: &'a str,
-    copy: Option<PartCopy<'a>>,
-    backlog_ms: f64,
-    own_ms: f64,
-}
-
-/// Prompt parts to be copied from another engine.
-#[derive(Clone, Copy)]
-struct PartCopy<'a> {
-    from: &'a str,
-    tokens: u32,
-    ms: f64,
-}
-
-/// Decides for all routers where requests go.
+/// Decides for all routers where requests go, and when.
 #[derive(Clone, Debug, Default)]
 pub struct Placer {
     rules: PlacementRules,
@@ -144,7 +75,7 @@
         self.engines.values_mut().for_each(|e| e.model.set_reading_share(rules.reading_share));
     }
 
-    /// The engines that take work now. Others keep what they have.
+    /// The engines that take work now. Others keep what was sent to them.
     pub fn set_engines(&mut self, engines: Vec<EngineInfo>) {
         self.engines.values_mut().for_each(|engine| engine.open = false);
         let reading_share = self.rules.reading_share;
@@ -152,37 +83,68 @@
             let known = self.engines.entry(info.id).or_insert_with(|| Engine {
                 service: info.service,
                 model: EngineModel::new(info.slots, info.memory_tokens, info.rate, reading_share),
+                queue: Queue::default(),
                 copy_ms_per_token: info.copy_ms_per_token,
                 open: true,
+                is_gone: false,
             });
             known.model.set_guess(info.rate);
             known.open = true;
         }
-        self.engines.retain(|_, engine| engine.open || engine.model.requests() > 0);
+        let has_work = |engine: &Engine| engine.model.requests() > 0 || !engine.queue.all_sent();
+        self.engines.retain(|_, engine| engine.open || has_work(engine));
     }
 
-    /// Takes a message from a router.
-    pub fn receive(&mut self, now: Millis, router: HostId, message: ToPlacer) -> Option<Decision> {
+    /// What all engines are meant to do in a second, in units of service; 0 where that
+    /// is not known.
+    pub fn set_nominal(&mut self, units_per_second: u64) {
+        self.shares.set_nominal(units_per_second);
+    }
+
+    /// Takes a message from a router; returns what routers are to be told.
+    pub fn receive(&mut self, now: Millis, router: HostId, message: ToPlacer) -> Vec<Decision> {
         match message {
             ToPlacer::Known(knowledge) => self.learn(now, router, knowledge),
-            ToPlacer::Place(request) => return Some(self.place(now, router, &request)),
+            ToPlacer::Place(request) => return self.place(now, router, request),
             ToPlacer::Begun { seq } => {
                 if let Some(engine) = self.engine_of((router, seq)) {
                     engine.model.begun(now, (router, seq));
                 }
             }
-            ToPlacer::Done { seq, ending } => {
-                let key = (router, seq);
-                if let Some(engine) = self.engine_of(key) {
-                    if ending == Ending::Failed {
-                        engine.model.failed(now);
-                    }
-                    engine.model.ended(now, key);
-                }
-                self.placed.remove(&key);
+            ToPlacer::Done { seq, ending } => self.done(now, (router, seq), ending),
+        }
+        self.poll(now)
+    }
+
+    /// Sends what engines have come to, and finds other engines for what waits at
+    /// one that has failed; to be called again after `next_poll_ms`.
+    pub fn poll(&mut self, now: Millis) -> Vec<Decision> {
+        let mut decisions = self.move_from_unfit(now);
+        let ahead = self.rules.send_ahead_ms;
+        for (id, engine) in &mut self.engines {
+            while !engine.queue.all_sent() && engine.model.backlog_ms(now) <= ahead {
+                decisions.extend(send_next(now, id, engine));
             }
         }
-        None
+        decisions
+    }
+
+    /// Milliseconds until an engine should be sent more; none while nothing waits.
+    pub fn next_poll_ms(&self, now: Millis) -> Option<f64> {
+        let ahead = self.rules.send_ahead_ms;
+        let waiting = self.engines.values().filter(|engine| !engine.queue.all_sent());
+        let due = waiting.map(|engine| engine.model.backlog_ms(now) - ahead);
+        let (least, most) = POLL_MS;
+        due.min_by(f64::total_cmp).map(|ms| ms.clamp(least, most))
+    }
+
+    /// A router is gone, and all its requests with it.
+    pub fn lost(&mut self, now: Millis, router: HostId) {
+        self.placed.retain(|key, _| key.0 != router);
+        for engine in self.engines.values_mut() {
+            engine.model.drop_router(now, router);
+            engine.queue.remove_router(router);
+        }
     }
 
     /// Takes in what a router knows from placements that others decided.
@@ -198,159 +160,151 @@
                 continue;
             }
             let Some(engine) = self.engines.get_mut(&open.endpoint) else { continue };
-            let tokens = u64::from(open.prompt_tokens) + u64::from(open.output_tokens);
+            let tokens = memory_tokens(&open.parts, open.prompt_tokens, open.output_tokens);
             match open.begun {
                 true => engine.model.adopt_running(key, &open.parts, tokens),
-                false => engine.model.place(now, key, &open.parts, open.prompt_tokens, 0, tokens),
+                false => {
+                    let units = engine.model.own_units(&open.parts, open.prompt_tokens, 0);
+                    let latest_start = now as f64;
+                    let sent = Planned { key, units, latest_start, unsent: None };
+                    engine.queue.insert(0, sent);
+                    engine.model.reserve(&open.parts);
+                    engine.model.send(now, key, &open.parts, units, tokens);
+                }
             }
             self.placed.insert(key, open.endpoint);
         }
     }
 
+    fn done(&mut self, now: Millis, key: RequestKey, ending: Ending) {
+        if let Some(engine) = self.engine_of(key)
+            && !engine.queue.remove_unsent(key)
+        {
+            match ending {
+                Ending::Failed => engine.model.failed(now),
+                Ending::Replaced => engine.is_gone = true,
+                Ending::Served | Ending::Abandoned => {}
+            }
+            engine.model.ended(now, key);
+        }
+        self.placed.remove(&key);
+    }
+
     fn engine_of(&mut self, key: RequestKey) -> Option<&mut Engine> {
         let id = self.placed.get(&key)?;
         self.engines.get_mut(id)
     }
 
-    /// A router is gone, and all its requests with it.
-    pub fn lost(&mut self, now: Millis, router: HostId) {
-        self.placed.retain(|key, _| key.0 != router);
-        self.engines.values_mut().for_each(|engine| engine.model.drop_router(now, router));
+    fn place(&mut self, now: Millis, router: HostId, request: PlacementRequest) -> Vec<Decision> {
+        let units = units(&request);
+        let customer = request.customer.clone();
+        self.shares.asked(now, &customer, units);
+        let key = (router, request.seq);
+        for engine in self.engines.values_mut() {
+            engine.queue.advance(now, engine.model.pace(now));
+        }
+        if let Err(refused) = self.enqueue(now, key, request) {
+            return vec![refused];
+        }
+        self.shares.served(now, &customer, units);
+        let mut decisions = self.poll(now);
+        decisions.extend(self.still_waiting(now, key));
+        decisions
     }
 
-    fn place(&mut self, now: Millis, router: HostId, request: &PlacementRequest) -> Decision {
+    /// Puts a request into the queue of the best engine, or refuses it.
+    fn enqueue(
+        &mut self,
+        now: Millis,
+        key: RequestKey,
+        request: PlacementRequest,
+    ) -> Result<(), Decision> {
         let seq = request.seq;
-        let units = units(request);
-        self.shares.asked(now, &request.customer, units);
-        let ratio = self.shares.ratio(&request.customer);
-        let decide =
-            |answer, backlog_ms, own_ms| Decision { router, answer, backlog_ms, own_ms, ratio };
-        let Some(choice) = self.choose(now, request) else {
-            return decide(FromPlacer::Unknown { seq }, 0.0, 0.0);
+        let standing = Standing {
+            ratio: self.shares.ratio(&request.customer),
+            fulfilment: self.shares.fulfilment(&request.customer),
+        };
+        let chooser = Chooser { rules: &self.rules, engines: &self.engines, now };
+        let Some(choice) = chooser.choose(&request, standing) else {
+            let answer = FromPlacer::Unknown { seq };
+            let ratio = standing.ratio;
+            return Err(Decision { router: key.0, answer, backlog_ms: 0.0, own_ms: 0.0, ratio });
         };
-        let Choice { backlog_ms, own_ms, copy, .. } = choice;
-        let fulfilment = self.shares.fulfilment(&request.customer);
-        let allowed = self.allowed_backlog(request, own_ms, ratio, fulfilment);
-        if backlog_ms > allowed {
-            let (least, most) = RETRY_MS;
-            let retry_after_ms = (backlog_ms - allowed + own_ms).clamp(least, most) as u32;
-            let refusal = Refusal {
-                retry_after_ms,
-                backlog_ms: backlog_ms as u32,
-                allowed_ms: allowed as u32,
-                own_ms: own_ms as u32,
-                share_percent: (ratio * 100.0) as u32,
-            };
-            return decide(FromPlacer::Refuse { seq, refusal }, backlog_ms, own_ms);
+        if !choice.is_allowed() {
+            return Err(refuse(key, &choice, standing));
         }
-        let endpoint = choice.id.to_string();
-        let copy_from = copy.map(|copy| copy.from.to_string());
-        let copied = copy.map_or(0, |copy| copy.tokens);
-        let tokens = memory_tokens(request);
-        if let Some(engine) = self.engines.get_mut(&endpoint) {
-            let key = (router, seq);
-            let parts = &request.parts;
-            engine.model.place(now, key, parts, request.prompt_tokens, copied, tokens);
-            self.placed.insert(key, endpoint.clone());
+        let Choice { units, latest_start, position, .. } = choice;
+        let limit = latest_start.max(now as f64 + choice.allowed_ms);
+        let copy_from = choice.copy.map(|copy| copy.from.to_string());
+        let id = choice.id.to_string();
+        if let Some(engine) = self.engines.get_mut(&id) {
+            engine.model.reserve(&request.parts);
+            let unsent = Some(Unsent { request, copy_from, limit });
+            let planned = Planned { key, units, latest_start, unsent };
+            engine.queue.insert(position.index, planned);
+            self.placed.insert(key, id);
         }
-        self.shares.served(now, &request.customer, units);
-        decide(FromPlacer::Go { seq, endpoint, copy_from }, backlog_ms, own_ms)
+        Ok(())
     }
 
-    /// The engine that has read most of a prompt.
-    fn copy_source(&self, now: Millis, request: &PlacementRequest) -> Option<(&str, u32)> {
-        let able = |engine: &&Engine| {
-            engine.open && engine.copy_ms_per_token.is_some() && !engine.model.is_left_out(now)
-        };
-        let sources = self.engines.iter().filter(|(_, engine)| able(engine));
-        let read = sources.map(|(id, engine)| (id.as_str(), engine.model.copyable(&request.parts)));
-        read.max_by_key(|(_, tokens)| *tokens).filter(|(_, tokens)| *tokens > 0)
+    /// Tells a router that its request waits, and for how long at most.
+    fn still_waiting(&self, now: Millis, key: RequestKey) -> Option<Decision> {
+        let engine = self.engines.get(self.placed.get(&key)?)?;
+        let waiting = engine.queue.unsent(key)?;
+        let within_ms = (waiting.limit - now as f64).max(0.0) + PROMISE_SLACK_MS;
+        let answer = FromPlacer::Queued { seq: key.1, within_ms: within_ms as u32 };
+        let (router, backlog_ms) = (key.0, engine.model.backlog_ms(now));
+        Some(Decision { router, answer, backlog_ms, own_ms: 0.0, ratio: 0.0 })
     }
 
-    /// What an engine should copy from the source, if that is worth it.
-    fn copy_for<'a>(
-        &self,
-        request: &PlacementRequest,
-        engine: &Engine,
-        source: Option<(&'a str, u32)>,
-    ) -> Option<PartCopy<'a>> {
-        let (from, read) = source?;
-        let tokens = read.checked_sub(engine.model.matched(&request.parts))?;
-        let ms = COPY_SETUP_MS + f64::from(tokens) * engine.copy_ms_per_token?;
-        (tokens >= LEAST_COPY).then_some(PartCopy { from, tokens, ms })
+    /// Finds other engines for all that waits at engines that have failed, stalled
+    /// or left.
+    fn move_from_unfit(&mut self, now: Millis) -> Vec<Decision> {
+        let unfit = |engine: &&mut Engine| !engine.queue.all_sent() && engine.is_unfit(now);
+        let engines = self.engines.values_mut().filter(unfit);
+        let moved: Vec<_> = engines.flat_map(|engine| engine.queue.take_unsent()).collect();
+        let moves = moved.into_iter().map(|planned| self.move_one(now, planned));
+        moves.filter_map(Result::err).collect()
     }
 
-    /// Milliseconds of others' prompts that a request may wait for.
-    fn allowed_backlog(
-        &self,
-        request: &PlacementRequest,
-        own_ms: f64,
-        ratio: f64,
-        fulfilment: f64,
-    ) -> f64 {
-        let rules = &self.rules;
-        let objective = f64::from(request.objective_ms);
-        let left = objective - own_ms - FIXED_MS - rules.margin_ms;
-        let allowed = left.max(objective * rules.never_in_time_wait);
-        if ratio > SHARE_TOLERANCE {
-            return allowed.min(objective * rules.above_share / (ratio * ratio));
-        }
-        if request.returned {
-            return allowed.max(objective * rules.returned_wait);
-        }
-        match fulfilment < rules.underserved {
-            true => allowed.max(objective * rules.underserved_wait),
-            false => allowed,
-        }
-    }
-
-    /// The engine at which the request's first event comes first, with the
-    /// reading of its own prompt counted dearer.
-    fn choose(&self, now: Millis, request: &PlacementRequest) -> Option<Choice<'_>> {
-        let tokens = memory_tokens(request);
-        let fits = |(id, engine): &(&String, &Engine)| {
-            engine.open && engine.service == request.service && !request.avoid.contains(id)
-        };
-        let mut best: Option<(bool, f64, u64, Choice<'_>)> = None;
-        let affinity = request.parts.first().map_or(0, |part| part.0);
-        let source = self.copy_source(now, request);
-        for (id, engine) in self.engines.iter().filter(fits) {
-            let unfit = engine.model.is_left_out(now) || !engine.model.has_room(tokens);
-            let backlog_ms = engine.model.paced_backlog_ms(now);
-            let copy = self.copy_for(request, engine, source);
-            let copied = copy.map_or(0, |copy| copy.tokens);
-            let copy_ms = copy.map_or(0.0, |copy| copy.ms);
-            let read_ms = engine.model.own_ms(&request.parts, request.prompt_tokens, copied);
-            let own_ms = read_ms + copy_ms;
-            let rules = &self.rules;
-            let score =
-                backlog_ms + rules.reading_weight * read_ms + rules.copying_weight * copy_ms;
-            let rank = rank(affinity, id);
-            let better = best.as_ref().is_none_or(|(unfit_best, score_best, rank_best, _)| {
-                (unfit, score, rank) < (*unfit_best, *score_best, *rank_best)
-            });
-            if better {
-                best = Some((unfit, score, rank, Choice { id, copy, backlog_ms, own_ms }));
-            }
-        }
-        best.map(|(.., choice)| choice)
+    fn move_one(&mut self, now: Millis, planned: Planned) -> Result<(), Decision> {
+        let Planned { key, latest_start, unsent, .. } = planned;
+        let Some(Unsent { mut request, .. }) = unsent else { return Ok(()) };
+        self.placed.remove(&key);
+        // Of its objective as much is left as it was short of its latest start.
+        let left_ms = (latest_start - now as f64).max(0.0) as u32;
+        request.objective_ms = request.objective_ms.min(left_ms + 2 * FIXED_MS as u32);
+        self.enqueue(now, key, request)
     }
 }
 
-/// Units of service: tokens read once, tokens made twice.
-fn units(request: &PlacementRequest) -> u64 {
-    u64::from(request.prompt_tokens) + 2 * u64::from(request.output_tokens)
+/// Sends the next request that waits for an engine.
+fn send_next(now: Millis, id: &str, engine: &mut Engine) -> Option<Decision> {
+    let (key, units, Unsent { request, copy_from, .. }) = engine.queue.send_next()?;
+    let backlog_ms = engine.model.backlog_ms(now);
+    let own_ms = units / engine.model.rate();
+    let PlacementRequest { parts, prompt_tokens, output_tokens, .. } = &request;
+    let tokens = memory_tokens(parts, *prompt_tokens, *output_tokens);
+    engine.model.send(now, key, parts, units, tokens);
+    let answer = FromPlacer::Go { seq: key.1, endpoint: id.to_string(), copy_from };
+    Some(Decision { router: key.0, answer, backlog_ms, own_ms, ratio: 0.0 })
 }
 
-/// Memory that a request takes until it ends, in tokens.
-fn memory_tokens(request: &PlacementRequest) -> u64 {
-    u64::from(request.prompt_tokens) + u64::from(request.output_tokens)
+fn refuse(key: RequestKey, choice: &Choice<'_>, standing: Standing) -> Decision {
+    let (least, most) = RETRY_MS;
+    let (backlog_ms, allowed_ms, own_ms) = (choice.position.wait_ms, choice.allowed_ms, choice.own_ms);
+    let refusal = Refusal {
+        retry_after_ms: (backlog_ms - allowed_ms + own_ms).clamp(least, most) as u32,
+        backlog_ms: backlog_ms as u32,
+        allowed_ms: allowed_ms as u32,
+        own_ms: own_ms as u32,
+        share_percent: (standing.ratio * 100.0) as u32,
+    };
+    let answer = FromPlacer::Refuse { seq: key.1, refusal };
+    Decision { router: key.0, answer, backlog_ms, own_ms, ratio: standing.ratio }
 }
 
-/// Where equal choices go: the same for every placer, so that a new one finds
-/// kept parts where the one before left them.
-fn rank(affinity: u64, id: &str) -> u64 {
-    let mut key = affinity.to_be_bytes().to_vec();
-    key.extend_from_slice(id.as_bytes());
-    xxh3_64(&key)
+/// Units of service: tokens read once, tokens made twice.
+fn units(request: &PlacementRequest) -> u64 {
+    u64::from(request.prompt_tokens) + 2 * u64::from(request.output_tokens)
 }
--- /dev/null
+++ b/src/placement/rules.rs
@@ -0,0 +1,57 @@
+//! What the placer aims at.
+
+use serde::{Deserialize, Serialize};
+
+/// What the placer aims at. The defaults are the measured ones, see
+/// `docs/DISPATCH.md`.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PlacementRules {
+    /// Part of their time that engines may spend on reading prompts; the rest
+    /// keeps running streams from slowing down.
+    pub reading_share: f64,
+    /// How much dearer reading a prompt counts than waiting for others': what is
+    /// read twice is lost to all.
+    pub reading_weight: f64,
+    /// How much dearer copying prompt parts counts than waiting.
+    pub copying_weight: f64,
+    /// Part of its objective that a customer at its share may count on; it falls
+    /// with the square of what it was served over its share.
+    pub above_share: f64,
+    /// Milliseconds kept back from each objective, for what the model misses.
+    pub margin_ms: f64,
+    /// Part of its objective that a request which can never be in time may wait
+    /// for others.
+    pub never_in_time_wait: f64,
+    /// The same for a request that was refused once already.
+    pub returned_wait: f64,
+    /// The same for a customer that got less than `underserved` of what it is owed:
+    /// it is rather late than refused.
+    pub underserved_wait: f64,
+    /// Part of what a customer is owed below which it is underserved.
+    pub underserved: f64,
+    /// Milliseconds of reading that an engine is sent ahead, so that it does not run
+    /// dry while it is told what comes next; infinite where all is sent at once.
+    pub send_ahead_ms: f64,
+    /// Milliseconds by which a request may be delayed beyond its latest start by one
+    /// that goes ahead of it: a part of `margin_ms`.
+    pub overtaking_ms: f64,
+}
+
+impl Default for PlacementRules {
+    fn default() -> Self {
+        PlacementRules {
+            reading_share: 0.72,
+            reading_weight: 1.6,
+            copying_weight: 14.0,
+            above_share: 0.2,
+            margin_ms: 60.0,
+            never_in_time_wait: 0.35,
+            returned_wait: 1.5,
+            underserved_wait: 1.0,
+            underserved: 0.5,
+            send_ahead_ms: 60.0,
+            overtaking_ms: 30.0,
+        }
+    }
+}
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::broadcast::error::RecvError;
@@ -9,7 +10,8 @@
 
 use super::engines::engines_of;
 use super::message::{FromPlacer, ToPlacer};
-use super::placer::{PlacementRules, Placer};
+use super::placer::{Decision, Placer};
+use super::rules::PlacementRules;
 use crate::clock::Clock;
 use crate::peer::PeerReader;
 use crate::registry::SharedRegistry;
@@ -85,7 +87,12 @@
         let (_, mut changes) = self.registry.subscribe();
         self.learn_engines();
         loop {
+            let poll_ms = self.placer.next_poll_ms(self.clock.now());
             tokio::select! {
+                () = poll_after(poll_ms) => {
+                    let decisions = self.placer.poll(self.clock.now());
+                    self.answer(decisions);
+                }
                 event = inbox.recv() => match event {
                     Some(event) => self.event(event),
                     None => return,
@@ -103,6 +110,7 @@
         if let Some(routing) = self.documents.current() {
             let engines = self.registry.read(|registry| engines_of(&routing, registry));
             self.placer.set_engines(engines);
+            self.placer.set_nominal(routing.table.limits.tokens_per_second);
         }
     }
 
@@ -133,13 +141,24 @@
     }
 
     fn receive(&mut self, router: HostId, message: ToPlacer) {
-        let Some(decision) = self.placer.receive(self.clock.now(), router, message) else {
-            return;
-        };
-        log::debug!("placement: {decision:?}");
-        if let Some((_, out)) = self.sessions.get(&router) {
-            // A session that has just closed is noticed by its reader.
-            let _ = out.send(decision.answer.into());
+        let decisions = self.placer.receive(self.clock.now(), router, message);
+        self.answer(decisions);
+    }
+
+    fn answer(&self, decisions: Vec<Decision>) {
+        for decision in decisions {
+            log::debug!("placement: {decision:?}");
+            if let Some((_, out)) = self.sessions.get(&decision.router) {
+                // A session that has just closed is noticed by its reader.
+                let _ = out.send(decision.answer.into());
+            }
         }
     }
 }
+
+async fn poll_after(ms: Option<f64>) {
+    match ms {
+        Some(ms) => tokio::time::sleep(Duration::from_secs_f64(ms / 1_000.0)).await,
+        None => std::future::pending().await,
+    }
+}
--- a/src/placement/shares.rs
+++ b/src/placement/shares.rs
@@ -27,9 +27,18 @@
 pub struct Shares {
     accounts: HashMap<String, Account>,
     events: VecDeque<Event>,
+    /// Units that are to be divided in a window; none where that is not known.
+    nominal: Option<f64>,
 }
 
 impl Shares {
+    /// What the engines are meant to do in a second, in units; customers are owed
+    /// equal parts of it, also where engines happen to do more.
+    pub fn set_nominal(&mut self, units_per_second: u64) {
+        let in_window = units_per_second as f64 * WINDOW_MS as f64 / 1_000.0;
+        self.nominal = (units_per_second > 0).then_some(in_window);
+    }
+
     /// A customer asks for `units`.
     pub fn asked(&mut self, now: Millis, customer: &str, units: u64) {
         self.record(now, customer, units, false);
@@ -89,10 +98,20 @@
         }
     }
 
-    /// The most that any customer gets when all that was served is divided
-    /// max-min by what was asked.
+    /// The most that any customer is owed: what an equal division, max-min by what
+    /// was asked, gives of all that was served, or of what engines are meant to do
+    /// where that is less.
     fn level(&self) -> f64 {
-        let mut left: f64 = self.accounts.values().map(|a| a.served as f64).sum();
+        let served: f64 = self.accounts.values().map(|a| a.served as f64).sum();
+        let of_served = self.level_of(served);
+        match self.nominal {
+            Some(nominal) => of_served.min(self.level_of(nominal)),
+            None => of_served,
+        }
+    }
+
+    fn level_of(&self, total: f64) -> f64 {
+        let mut left = total;
         let mut asked: Vec<_> = self.accounts.values().map(|a| a.asked.max(a.served)).collect();
         asked.sort_unstable();
         let mut customers = asked.len();
