Introduce hosts to each other at once; look for others and elect sooner after a start

Change: who hears a newcomer introduces itself to it at once; who knows nobody calls its seeds after 50 ms, then doubled up to 500 ms; the first election is waited for 200 to 400 ms, doubled up to the usual (votes are asked for in advance, so that a host that comes back disturbs no leader).

--- a/src/agree/replica.rs
+++ b/src/agree/replica.rs
@@ -18,6 +18,10 @@
 /// Shortest silence of a leader after which a store stands for election; the
 /// longest is twice that.
 pub const ELECTION_MS: Millis = 700;
+/// The same for the first attempt after a start, doubled with each further one:
+/// where all were stopped at once nobody leads, and where somebody does, a vote is
+/// not given. Two heartbeats of a leader fit in.
+const FIRST_ELECTION_MS: Millis = 200;
 /// Most entries in one message.
 const MAX_ENTRIES: usize = 512;
 
@@ -120,6 +124,8 @@
     round: u64,
     heard_leader: Option<Millis>,
     election_at: Millis,
+    /// Elections that were waited for since the start.
+    waits: u32,
     heartbeat_at: Millis,
     rng: SmallRng,
     out: Output,
@@ -156,6 +162,7 @@
             round: 0,
             heard_leader: None,
             election_at: 0,
+            waits: 0,
             heartbeat_at: 0,
             rng: SmallRng::seed_from_u64(seed),
             out: Output::default(),
@@ -358,7 +365,12 @@
 
     /// Restarts the election timer, at random so that split votes end.
     fn rest(&mut self, now: Millis) {
-        self.election_at = now + self.rng.random_range(ELECTION_MS..2 * ELECTION_MS);
+        let least = match self.heard_leader {
+            Some(_) => ELECTION_MS,
+            None => (FIRST_ELECTION_MS << self.waits.min(4)).min(ELECTION_MS),
+        };
+        self.waits += 1;
+        self.election_at = now + self.rng.random_range(least..2 * least);
     }
 
     fn follow(&mut self, now: Millis, term: u64, leader: Option<StoreId>) {
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -12,6 +12,8 @@
 
 /// Milliseconds between two heartbeats.
 pub const HEARTBEAT_MS: Millis = 500;
+/// The same at first, while no other host has been heard; doubled each time.
+pub const FIRST_HEARTBEAT_MS: Millis = 50;
 /// Milliseconds of silence after which a host is suspected.
 pub const SUSPECT_MS: Millis = 1_600;
 /// Milliseconds for which a host that refused a connection is avoided.
@@ -103,10 +105,11 @@
     }
 
     /// A heartbeat arrived. Those of earlier incarnations are ignored, and brief
-    /// ones of hosts that have not yet said the whole.
-    pub fn heard(&mut self, now: Millis, beat: Beat) {
+    /// ones of hosts that have not yet said the whole. Returns where this host
+    /// should be introduced at once: to one that has just started.
+    pub fn heard(&mut self, now: Millis, beat: Beat) -> Option<SocketAddr> {
         match beat {
-            Beat::Whole(beat) => self.heard_whole(now, beat),
+            Beat::Whole(beat) => return self.heard_whole(now, beat),
             Beat::Brief { host, incarnation, version, draining } => {
                 let known = self.members.get_mut(&host);
                 if let Some(member) = known.filter(|m| m.beat.incarnation == incarnation) {
@@ -116,11 +119,12 @@
                 }
             }
         }
+        None
     }
 
-    fn heard_whole(&mut self, now: Millis, beat: Heartbeat) {
+    fn heard_whole(&mut self, now: Millis, beat: Heartbeat) -> Option<SocketAddr> {
         if beat.host == self.me.host {
-            return;
+            return None;
         }
         if let Some(address) = beat.also {
             self.add_seed(address);
@@ -131,7 +135,7 @@
         let is_late =
             |m: &Member| m.beat.incarnation > beat.incarnation && now < m.heard + SUSPECT_MS;
         if known.is_some_and(is_late) {
-            return;
+            return None;
         }
         let restarted = known.is_none_or(|m| m.beat.incarnation != beat.incarnation);
         let avoid_until = match known {
@@ -140,9 +144,21 @@
         };
         // A newcomer must learn of this host too.
         self.greet |= restarted;
+        let newcomer = (restarted && self.exchanges_with(beat.role)).then_some(beat.peer);
         let host = beat.host;
         let member = Member { beat, heard: now, avoid_until };
         self.members.insert(host, member);
+        newcomer
+    }
+
+    /// What introduces this host to a newcomer.
+    pub fn introduction(&self) -> Beat {
+        Beat::Whole(self.me.clone())
+    }
+
+    /// Whether no other host has been heard yet.
+    pub fn is_alone(&self) -> bool {
+        self.members.is_empty()
     }
 
     fn add_seed(&mut self, address: SocketAddr) {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -15,7 +15,7 @@
 
 use crate::clock::{Clock, epoch_ms};
 use crate::error::{NetSnafu, Result};
-use crate::member::{HEARTBEAT_MS, Table, View};
+use crate::member::{FIRST_HEARTBEAT_MS, HEARTBEAT_MS, Table, View};
 use crate::settings::HostSettings;
 use crate::wire::{
     Beat, FrameReader, Heartbeat, HostId, Open, Role, SentBytes, UDP_HEADER, write_frame,
@@ -193,27 +193,35 @@
 }
 
 async fn send_heartbeats(peers: Arc<Peers>, udp: Arc<UdpSocket>) {
-    let mut interval = tokio::time::interval(Duration::from_millis(HEARTBEAT_MS));
+    let mut pause_ms = FIRST_HEARTBEAT_MS;
     loop {
-        interval.tick().await;
         let now = peers.clock.now();
-        let (beat, targets) = peers.with_table(|t| {
+        let (beat, targets, alone) = peers.with_table(|t| {
             t.tick(now);
-            t.beat()
+            let (beat, targets) = t.beat();
+            (beat, targets, t.is_alone())
         });
-        let Ok(datagram) = postcard::to_stdvec(&beat) else {
+        let next = tokio::time::Instant::now() + Duration::from_millis(pause_ms);
+        pause_ms = if alone { (pause_ms * 2).min(HEARTBEAT_MS) } else { HEARTBEAT_MS };
+        send_beat(&peers, &udp, &beat, targets).await;
+        tokio::time::sleep_until(next).await;
+    }
+}
+
+async fn send_beat(peers: &Peers, udp: &UdpSocket, beat: &Beat, targets: Vec<SocketAddr>) {
+    let datagram = match postcard::to_stdvec(beat) {
+        Ok(datagram) => datagram,
+        Err(error) => return log::error!("member: a heartbeat cannot be encoded: {error}"),
+    };
+    let view = peers.view();
+    for target in targets {
+        let host = view.live.iter().chain(&view.suspected).find(|m| m.peer == target);
+        if host.is_some_and(|m| peers.links.is_cut(m.host)) {
             continue;
-        };
-        let view = peers.view();
-        for target in targets {
-            let host = view.live.iter().chain(&view.suspected).find(|m| m.peer == target);
-            if host.is_some_and(|m| peers.links.is_cut(m.host)) {
-                continue;
-            }
-            // A lost heartbeat is made good by the next one.
-            if udp.send_to(&datagram, target).await.is_ok() {
-                peers.sent.add(datagram.len() as u64 + UDP_HEADER);
-            }
+        }
+        // A lost heartbeat is made good by the next one.
+        if udp.send_to(&datagram, target).await.is_ok() {
+            peers.sent.add(datagram.len() as u64 + UDP_HEADER);
         }
     }
 }
@@ -232,7 +240,10 @@
             continue;
         }
         let now = peers.clock.now();
-        peers.with_table(|t| t.heard(now, beat));
+        let introduce = peers.with_table(|t| Some((t.heard(now, beat)?, t.introduction())));
+        if let Some((newcomer, introduction)) = introduce {
+            send_beat(&peers, &udp, &introduction, vec![newcomer]).await;
+        }
     }
 }
 
