Rank surplus by equal parts, owed work first; refuse what returns as the rest; remember endpoints

Cause: windows after closing faults and cuts were full of requests that were late by design: whoever returned could wait for 1.5 objectives, and pushed all others late.

--- a/src/control.rs
+++ b/src/control.rs
@@ -22,7 +22,7 @@
 use crate::feed::{self, Subscriptions};
 use crate::peer::{Incoming, Peers};
 use crate::placement::{self, PlacementSession};
-use crate::registry::SharedRegistry;
+use crate::registry::{SharedRegistry, saved};
 use crate::routing::Documents;
 use crate::settings::ControlSettings;
 use crate::spread::{self, Configs};
@@ -97,6 +97,8 @@
     let configs = Arc::new(Configs::default());
     let documents = Arc::new(Documents::default());
     let registry = Arc::new(SharedRegistry::default());
+    registry.remember(saved::load(&settings.data));
+    tokio::spawn(saved::keep_saved(registry.clone(), settings.data.clone()));
     let (handle, driver) =
         driver::start(&settings, peers.clone(), configs.clone(), documents.clone(), disk, found)?;
     let placement = placement::serve(
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -29,6 +29,9 @@
     },
     /// Endpoints, all of them at first and then those that changed.
     Endpoints(Vec<Registration>),
+    /// Endpoints that took work before the sender restarted and that it has not heard
+    /// since.
+    Remembered(Vec<Registration>),
     /// How many routers the sender hears of.
     Routers(u32),
     /// Who leads the agreement, as the sender knows it.
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -34,6 +34,10 @@
     let mut routers = 0;
     let (known, mut changes) = registry.subscribe();
     write(&mut writer, &sent, FeedMessage::Endpoints(known)).await?;
+    let remembered: Vec<_> = registry.read(|r| r.remembered().cloned().collect());
+    if !remembered.is_empty() {
+        write(&mut writer, &sent, FeedMessage::Remembered(remembered)).await?;
+    }
     loop {
         let next = tokio::select! {
             changed = changes.recv() => match changed {
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -76,6 +76,7 @@
             FeedMessage::Endpoints(endpoints) => {
                 endpoints.into_iter().for_each(|endpoint| self.registry.merge(endpoint));
             }
+            FeedMessage::Remembered(endpoints) => self.registry.remember(endpoints),
             FeedMessage::Routers(routers) => {
                 self.routers.store(routers as usize, Ordering::Relaxed);
             }
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -13,9 +13,11 @@
 
 /// Ratio of service received to share from which on a customer is above it.
 const SHARE_TOLERANCE: f64 = 1.002;
-/// Milliseconds by which requests beyond their customer's share are put off in the
+/// Service over an equal part below which being served less says no more.
+const LEAST_RELATIVE: f64 = 0.25;
+/// Milliseconds by which requests beyond what their customer is owed are put off in the
 /// order of an engine's queue: longer than any objective.
-const BEYOND_SHARE_MS: f64 = 60_000.0;
+const BEYOND_OWED_MS: f64 = 60_000.0;
 /// Milliseconds to begin a copy.
 const COPY_SETUP_MS: f64 = 5.0;
 /// Fewer tokens are read again rather than copied.
@@ -58,11 +60,14 @@
     pub ratio: f64,
     /// Service received over what it is owed.
     pub fulfilment: f64,
+    /// Service received over what an equal division of all service gives, also of
+    /// what engines do beyond what they are meant to.
+    pub relative: f64,
 }
 
 impl Standing {
-    /// Whether it has had its share.
-    fn is_above(&self) -> bool {
+    /// Whether it has had what it is owed.
+    pub fn is_above(&self) -> bool {
         self.ratio > SHARE_TOLERANCE
     }
 }
@@ -157,15 +162,17 @@
         let own_ms = read_ms + copy_ms;
         let in_time_ms = self.in_time_ms(request, own_ms);
         let latest_start = match standing.is_above() {
-            // What a customer gets beyond its share delays nobody within his.
-            true => now + in_time_ms + BEYOND_SHARE_MS,
+            // What a customer gets beyond what it is owed delays no other.
+            true => now + in_time_ms + BEYOND_OWED_MS,
             false => now + in_time_ms,
         };
         let pace = engine.model.pace(self.now);
         let tolerance = rules.overtaking_ms;
         let position = engine.queue.position(self.now, pace, latest_start, units, tolerance);
         let allowed_ms = self.allowed_ms(request, in_time_ms, standing);
-        let score = engine.queue.wait_ms(pace) + rules.reading_weight * read_ms + rules.copying_weight * copy_ms;
+        let score = engine.queue.wait_ms(pace)
+            + rules.reading_weight * read_ms
+            + rules.copying_weight * copy_ms;
         let choice = Choice { id, copy, position, units, allowed_ms, own_ms, latest_start };
         (choice, score)
     }
@@ -182,14 +189,14 @@
     fn allowed_ms(&self, request: &PlacementRequest, in_time_ms: f64, standing: Standing) -> f64 {
         let rules = self.rules;
         let objective = f64::from(request.objective_ms);
-        let Standing { ratio, fulfilment } = standing;
         if standing.is_above() {
-            return in_time_ms.min(objective * rules.above_share / (ratio * ratio));
+            let relative = standing.relative.max(LEAST_RELATIVE);
+            return in_time_ms.min(objective * rules.above_share / (relative * relative));
         }
         if request.returned {
             return in_time_ms.max(objective * rules.returned_wait);
         }
-        match fulfilment < rules.underserved {
+        match standing.fulfilment < rules.underserved {
             true => in_time_ms.max(objective * rules.underserved_wait),
             false => in_time_ms,
         }
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -223,6 +223,7 @@
         let standing = Standing {
             ratio: self.shares.ratio(&request.customer),
             fulfilment: self.shares.fulfilment(&request.customer),
+            relative: self.shares.relative(&request.customer),
         };
         let chooser = Chooser { rules: &self.rules, engines: &self.engines, now };
         let Some(choice) = chooser.choose(&request, standing) else {
@@ -234,7 +235,8 @@
             return Err(refuse(key, &choice, standing));
         }
         let Choice { units, latest_start, position, .. } = choice;
-        let limit = latest_start.max(now as f64 + choice.allowed_ms);
+        let promised = latest_start.max(now as f64 + choice.allowed_ms);
+        let limit = if standing.is_above() { f64::INFINITY } else { promised };
         let copy_from = choice.copy.map(|copy| copy.from.to_string());
         let id = choice.id.to_string();
         if let Some(engine) = self.engines.get_mut(&id) {
@@ -251,7 +253,8 @@
     fn still_waiting(&self, now: Millis, key: RequestKey) -> Option<Decision> {
         let engine = self.engines.get(self.placed.get(&key)?)?;
         let waiting = engine.queue.unsent(key)?;
-        let within_ms = (waiting.limit - now as f64).max(0.0) + PROMISE_SLACK_MS;
+        let objective = f64::from(waiting.request.objective_ms);
+        let within_ms = (waiting.limit - now as f64).clamp(0.0, objective) + PROMISE_SLACK_MS;
         let answer = FromPlacer::Queued { seq: key.1, within_ms: within_ms as u32 };
         let (router, backlog_ms) = (key.0, engine.model.backlog_ms(now));
         Some(Decision { router, answer, backlog_ms, own_ms: 0.0, ratio: 0.0 })
@@ -292,7 +295,8 @@
 
 fn refuse(key: RequestKey, choice: &Choice<'_>, standing: Standing) -> Decision {
     let (least, most) = RETRY_MS;
-    let (backlog_ms, allowed_ms, own_ms) = (choice.position.wait_ms, choice.allowed_ms, choice.own_ms);
+    let (backlog_ms, allowed_ms, own_ms) =
+        (choice.position.wait_ms, choice.allowed_ms, choice.own_ms);
     let refusal = Refusal {
         retry_after_ms: (backlog_ms - allowed_ms + own_ms).clamp(least, most) as u32,
         backlog_ms: backlog_ms as u32,
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -18,6 +18,8 @@
 use crate::routing::Documents;
 use crate::wire::{BatchSender, BatchWriter, HostId, SentBytes};
 
+/// How often the engines are looked up even where no change was told.
+const LEARN_AGAIN: Duration = Duration::from_secs(1);
 /// Messages that may wait for the placer.
 const INBOX: usize = 4_096;
 enum Event {
@@ -85,7 +87,7 @@
     async fn run(mut self, mut inbox: mpsc::Receiver<Event>) {
         let mut routing = self.documents.watch();
         let (_, mut changes) = self.registry.subscribe();
-        self.learn_engines();
+        let mut again = tokio::time::interval(LEARN_AGAIN);
         loop {
             let poll_ms = self.placer.next_poll_ms(self.clock.now());
             tokio::select! {
@@ -102,6 +104,8 @@
                     Err(RecvError::Closed) => return,
                 },
                 Ok(()) = routing.changed() => self.learn_engines(),
+                // What is only remembered is forgotten without a change.
+                _ = again.tick() => self.learn_engines(),
             }
         }
     }
--- a/src/placement/shares.rs
+++ b/src/placement/shares.rs
@@ -98,18 +98,32 @@
         }
     }
 
+    /// What a customer was served, over what an equal division of all that was
+    /// served gives, whatever engines are meant to do.
+    pub fn relative(&self, customer: &str) -> f64 {
+        let Some(account) = self.accounts.get(customer) else { return 0.0 };
+        let level = self.level_of_served();
+        match level > 0.0 {
+            true => account.served as f64 / level,
+            false => 0.0,
+        }
+    }
+
     /// The most that any customer is owed: what an equal division, max-min by what
     /// was asked, gives of all that was served, or of what engines are meant to do
     /// where that is less.
     fn level(&self) -> f64 {
-        let served: f64 = self.accounts.values().map(|a| a.served as f64).sum();
-        let of_served = self.level_of(served);
+        let of_served = self.level_of_served();
         match self.nominal {
             Some(nominal) => of_served.min(self.level_of(nominal)),
             None => of_served,
         }
     }
 
+    fn level_of_served(&self) -> f64 {
+        self.level_of(self.accounts.values().map(|a| a.served as f64).sum())
+    }
+
     fn level_of(&self, total: f64) -> f64 {
         let mut left = total;
         let mut asked: Vec<_> = self.accounts.values().map(|a| a.asked.max(a.served)).collect();
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -4,6 +4,7 @@
 //! rise, its state only goes forward (ready, leaving, gone), and an id never
 //! comes back. So every process may learn from every other, in any order.
 
+pub mod saved;
 mod shared;
 mod table;
 #[cfg(test)]
--- /dev/null
+++ b/src/registry/saved.rs
@@ -0,0 +1,94 @@
+//! Endpoints on the disk of a control host, for the time after a restart.
+//!
+//! Endpoints say what they are every second or so. A control host that has lost
+//! its memory would know them one after the other; from its disk it knows at once
+//! whom it knew before. Nothing depends on the file: it may be missing, old or
+//! damaged, and what it names is believed for a moment only.
+
+use std::fs::File;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+use tokio::sync::broadcast::error::RecvError;
+
+use super::{EndpointState, Registration, SharedRegistry};
+use crate::error::{FileSnafu, Result};
+
+/// Name of the file in the data folder.
+const FILE: &str = "endpoints";
+/// How long to wait for further changes before the file is written.
+const SETTLE: Duration = Duration::from_millis(250);
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Saved {
+    checksum: u32,
+    endpoints: Vec<u8>,
+}
+
+/// Reads the endpoints that took work when the file was written.
+pub fn load(folder: &Path) -> Vec<Registration> {
+    let path = folder.join(FILE);
+    let bytes = match std::fs::read(&path) {
+        Ok(bytes) => bytes,
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => return Vec::new(),
+        Err(error) => {
+            log::warn!("registry: saved endpoints cannot be read: {error}");
+            return Vec::new();
+        }
+    };
+    match decode(&bytes) {
+        Some(endpoints) => endpoints,
+        None => {
+            log::warn!("registry: saved endpoints are damaged, {} bytes passed over", bytes.len());
+            Vec::new()
+        }
+    }
+}
+
+fn decode(bytes: &[u8]) -> Option<Vec<Registration>> {
+    let saved: Saved = postcard::from_bytes(bytes).ok()?;
+    let intact = crc32fast::hash(&saved.endpoints) == saved.checksum;
+    intact.then(|| postcard::from_bytes(&saved.endpoints).ok())?
+}
+
+/// Writes the endpoints that take work, in place of those written before.
+pub fn save(folder: &Path, endpoints: &[Registration]) -> Result<()> {
+    let path = folder.join(FILE);
+    let new = folder.join(format!("{FILE}.new"));
+    let endpoints = postcard::to_stdvec(endpoints).map_err(std::io::Error::other);
+    let endpoints = endpoints.context(FileSnafu { path: &path })?;
+    let saved = Saved { checksum: crc32fast::hash(&endpoints), endpoints };
+    let bytes = postcard::to_stdvec(&saved).map_err(std::io::Error::other);
+    let bytes = bytes.context(FileSnafu { path: &path })?;
+    let mut file = File::create(&new).context(FileSnafu { path: &new })?;
+    file.write_all(&bytes).context(FileSnafu { path: &new })?;
+    file.sync_all().context(FileSnafu { path: &new })?;
+    std::fs::rename(&new, &path).context(FileSnafu { path: &path })
+}
+
+/// Writes the file whenever the endpoints that take work have changed.
+pub async fn keep_saved(registry: Arc<SharedRegistry>, folder: PathBuf) {
+    let (_, mut changes) = registry.subscribe();
+    loop {
+        match changes.recv().await {
+            Ok(_) | Err(RecvError::Lagged(_)) => {}
+            Err(RecvError::Closed) => return,
+        }
+        tokio::time::sleep(SETTLE).await;
+        changes = changes.resubscribe();
+        let ready = |r: &&Registration| r.state == EndpointState::Ready;
+        let endpoints: Vec<_> = registry.read(|r| r.all().filter(ready).cloned().collect());
+        let folder = folder.clone();
+        // A slow disk holds up nothing but this.
+        let written = tokio::task::spawn_blocking(move || save(&folder, &endpoints)).await;
+        match written {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => log::warn!("registry: endpoints cannot be saved: {error}"),
+            Err(error) => log::error!("registry: saving endpoints ended early: {error}"),
+        }
+    }
+}
--- a/src/registry/shared.rs
+++ b/src/registry/shared.rs
@@ -1,6 +1,7 @@
 //! A registry shared by the tasks of a process, which hear of its changes.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use tokio::sync::broadcast;
 
@@ -9,6 +10,10 @@
 /// Changes that a slow listener may be behind before it must start over.
 const BACKLOG: usize = 1_024;
 
+/// How long endpoints are remembered: two of their heartbeats, which come every 1.2 s
+/// on the platform. One that left meanwhile gets nothing new after that.
+const REMEMBERED_FOR: Duration = Duration::from_millis(2_500);
+
 /// A registry and its changes.
 #[derive(Debug)]
 pub struct SharedRegistry {
@@ -40,6 +45,21 @@
         }
     }
 
+    /// Takes in endpoints that took work before a restart, for as long as it may take
+    /// them to say so themselves.
+    pub fn remember(self: &Arc<Self>, endpoints: Vec<Registration>) {
+        log::info!("registry: {} endpoints are remembered", endpoints.len());
+        self.read_mut(|registry| registry.remember(endpoints));
+        let registry = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(REMEMBERED_FOR).await;
+            let unheard = registry.read_mut(Registry::forget_remembered);
+            if unheard > 0 {
+                log::info!("registry: {unheard} remembered endpoints were not heard, forgotten");
+            }
+        });
+    }
+
     fn read_mut<T>(&self, f: impl FnOnce(&mut Registry) -> T) -> T {
         f(&mut self.registry.lock().unwrap_or_else(PoisonError::into_inner))
     }
--- a/src/registry/table.rs
+++ b/src/registry/table.rs
@@ -67,6 +67,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     endpoints: BTreeMap<String, Registration>,
+    /// Endpoints that took work before this host restarted, and have not been heard
+    /// since.
+    remembered: BTreeMap<String, Registration>,
     gone: std::collections::VecDeque<String>,
 }
 
@@ -74,6 +77,7 @@
     /// Takes in what an endpoint said, directly or through another process.
     /// Returns what is known now if it differs in what routing looks at.
     pub fn merge(&mut self, news: Registration) -> Option<Registration> {
+        self.remembered.remove(&news.id);
         let Some(known) = self.endpoints.get_mut(&news.id) else {
             if news.state == EndpointState::Gone {
                 self.remember_gone(&news.id);
@@ -106,9 +110,27 @@
         }
     }
 
+    /// Takes in endpoints that took work before a restart. They count as ready until
+    /// they say something else, or are forgotten.
+    pub fn remember(&mut self, endpoints: Vec<Registration>) {
+        let unheard = endpoints.into_iter().filter(|e| !self.endpoints.contains_key(&e.id));
+        let unheard: Vec<_> = unheard.filter(|e| e.state == EndpointState::Ready).collect();
+        self.remembered.extend(unheard.into_iter().map(|e| (e.id.clone(), e)));
+    }
+
+    /// Endpoints that are remembered and were not heard since; returns their number.
+    pub fn forget_remembered(&mut self) -> usize {
+        std::mem::take(&mut self.remembered).len()
+    }
+
+    /// Endpoints that are only remembered.
+    pub fn remembered(&self) -> impl Iterator<Item = &Registration> {
+        self.remembered.values()
+    }
+
     /// One endpoint.
     pub fn get(&self, id: &str) -> Option<&Registration> {
-        self.endpoints.get(id)
+        self.endpoints.get(id).or_else(|| self.remembered.get(id))
     }
 
     /// All endpoints, those that are gone included.
@@ -120,6 +142,6 @@
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Registration> {
         let is_ready =
             move |r: &&Registration| r.state == EndpointState::Ready && r.service == service;
-        self.endpoints.values().filter(is_ready)
+        self.endpoints.values().chain(self.remembered.values()).filter(is_ready)
     }
 }
