Test queues, standing of customers, remembered endpoints and introductions

Change: tests of the queue and its pace, of what is owed and of surplus, of overtaken prompts, of engines that are gone, of saved endpoints.

--- a/src/member/tests.rs
+++ b/src/member/tests.rs
@@ -154,3 +154,22 @@
         }
     }
 }
+
+#[test]
+fn a_newcomer_is_introduced_to_once_for_each_start() {
+    let mut old = Table::new(beat(1, 1), vec![], HeartbeatScope::All);
+    let mut new = Table::new(beat(2, 1), vec![], HeartbeatScope::All);
+    assert!(new.is_alone());
+    assert_eq!(old.heard(0, new.introduction()), Some(beat(2, 1).peer));
+    assert_eq!(new.heard(0, old.introduction()), Some(beat(1, 1).peer));
+    assert!(!new.is_alone());
+    // Each knows the other now, so the exchange ends.
+    assert_eq!(old.heard(0, new.introduction()), None);
+    assert_eq!(old.heard(1, Beat::Whole(beat(2, 2))), Some(beat(2, 2).peer));
+}
+
+#[test]
+fn routers_that_exchange_no_heartbeats_do_not_introduce_themselves() {
+    let mut table = Table::new(beat(1, 1), vec![], HeartbeatScope::Control);
+    assert_eq!(table.heard(0, Beat::Whole(beat(2, 1))), None);
+}
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -1,5 +1,8 @@
 //! Decisions of the placer.
 
+mod queue;
+mod standing;
+
 use proptest::prelude::*;
 
 use super::cache::PartCache;
@@ -21,8 +24,14 @@
     }
 }
 
+/// A placer that sends everything at once, so that each answer is final.
 fn placer(engines: &[&str]) -> Placer {
-    let mut placer = Placer::new(PlacementRules::default());
+    let rules = PlacementRules { send_ahead_ms: f64::INFINITY, ..PlacementRules::default() };
+    placer_with(rules, engines)
+}
+
+fn placer_with(rules: PlacementRules, engines: &[&str]) -> Placer {
+    let mut placer = Placer::new(rules);
     placer.set_engines(engines.iter().map(|id| engine(id)).collect());
     placer
 }
@@ -43,7 +52,17 @@
 }
 
 fn place(placer: &mut Placer, now: u64, request: PlacementRequest) -> FromPlacer {
-    placer.receive(now, ROUTER, ToPlacer::Place(request)).unwrap().answer
+    decide(placer, now, request).answer
+}
+
+/// The decision on this request.
+fn decide(placer: &mut Placer, now: u64, request: PlacementRequest) -> Decision {
+    let seq = request.seq;
+    let decisions = placer.receive(now, ROUTER, ToPlacer::Place(request));
+    let mut own = decisions.into_iter().filter(|decision| decision.answer.seq() == seq);
+    let decision = own.next().expect("each request is answered at once");
+    assert_eq!(own.next(), None, "a request is answered once");
+    decision
 }
 
 fn endpoint(answer: FromPlacer) -> String {
@@ -193,7 +212,7 @@
 /// is the whole fleet's.
 #[test]
 fn engines_that_register_one_after_the_other_are_taken_for_equally_fast() {
-    let mut placer = Placer::new(PlacementRules::default());
+    let mut placer = placer(&[]);
     placer.set_engines(vec![EngineInfo { rate: 400.0, ..engine("a") }]);
     placer.set_engines(["a", "b"].map(engine).into());
     for seq in 1..40 {
@@ -270,7 +289,7 @@
                     let customer = if part % 2 == 0 { "x" } else { "y" };
                     let request = request(seq.into(), customer, part.into(), tokens.into());
                     let placed = placer.receive(now, ROUTER, ToPlacer::Place(request));
-                    prop_assert!(placed.is_some());
+                    prop_assert_eq!(placed.len(), 1);
                 }
                 Step::Begun(seq) => {
                     placer.receive(now, ROUTER, ToPlacer::Begun { seq: seq.into() });
@@ -308,8 +327,8 @@
 
     let mut second = placer(&["a", "b", "c"]);
     let knowledge = memory.tell(HostId(9));
-    assert!(second.receive(0, ROUTER, ToPlacer::Known(knowledge.clone())).is_none());
-    let next = second.receive(0, ROUTER, ToPlacer::Place(request(3, "x", 7, 500))).unwrap();
+    assert!(second.receive(0, ROUTER, ToPlacer::Known(knowledge.clone())).is_empty());
+    let next = decide(&mut second, 0, request(3, "x", 7, 500));
     assert_eq!(next.answer, FromPlacer::Go { seq: 3, endpoint: home, copy_from: None });
     assert!(next.own_ms < 100.0, "10,000 shared tokens are kept there: {} ms", next.own_ms);
     let alone = PlacementRequest {
@@ -317,7 +336,7 @@
         objective_ms: 60_000,
         ..request(4, "x", 11, 500)
     };
-    let behind = second.receive(0, ROUTER, ToPlacer::Place(alone)).unwrap();
+    let behind = decide(&mut second, 0, alone);
     assert!(behind.backlog_ms > 500.0, "40,000 tokens wait there: {} ms", behind.backlog_ms);
 
     // Both are told how it ends, and hearing it twice changes nothing.
@@ -325,7 +344,7 @@
     assert_eq!(memory.ended(2), [Told::Host(HostId(8)), Told::Host(HostId(9))]);
     second.receive(1, ROUTER, ToPlacer::Done { seq: 2, ending: Ending::Served });
     let after = PlacementRequest { objective_ms: 60_000, ..request(5, "x", 12, 500) };
-    assert!(second.receive(1, ROUTER, ToPlacer::Place(after)).is_some());
+    decide(&mut second, 1, after);
 }
 
 #[test]
--- /dev/null
+++ b/src/placement/tests/standing.rs
@@ -0,0 +1,45 @@
+//! Customers that have had what they are owed, and those that have not.
+
+use super::*;
+
+#[test]
+fn what_engines_are_meant_to_do_bounds_what_is_owed() {
+    let mut shares = Shares::default();
+    for customer in ["a", "b"] {
+        shares.asked(0, customer, 10_000);
+        shares.served(0, customer, 4_000);
+    }
+    assert_eq!(shares.ratio("a"), 1.0);
+    // 1,000 a second are 4,000 in a window, 2,000 for each.
+    shares.set_nominal(1_000);
+    assert_eq!(shares.ratio("a"), 2.0);
+    assert_eq!(shares.relative("a"), 1.0);
+    // Where engines do less than that, what they do is divided.
+    shares.set_nominal(100_000);
+    assert_eq!(shares.ratio("a"), 1.0);
+}
+
+/// Both ask for more than they are owed; the one that got less of the surplus may
+/// wait longer for it.
+#[test]
+fn surplus_goes_to_who_got_less_of_it() {
+    let mut placer = placer(&["a"]);
+    placer.set_nominal(1_000);
+    let ask = |seq, customer| PlacementRequest {
+        parts: vec![(seq, 500)],
+        prompt_tokens: 500,
+        ..request(seq, customer, seq, 1)
+    };
+    for seq in 0..15 {
+        let now = seq * 100;
+        let customer = if seq < 12 { "much" } else { "little" };
+        endpoint(place(&mut placer, now, ask(seq, customer)));
+        serve(&mut placer, now + 70, seq);
+    }
+    // The engine gets much to read.
+    let big =
+        PlacementRequest { parts: vec![(100, 9_000)], prompt_tokens: 9_000, ..ask(100, "other") };
+    place(&mut placer, 1_500, big);
+    assert!(matches!(place(&mut placer, 1_501, ask(20, "much")), FromPlacer::Refuse { .. }));
+    assert!(matches!(place(&mut placer, 1_501, ask(21, "little")), FromPlacer::Go { .. }));
+}
--- a/src/registry/tests.rs
+++ b/src/registry/tests.rs
@@ -74,3 +74,37 @@
         prop_assert_eq!(learn(news), learn(shuffled));
     }
 }
+
+#[test]
+fn what_is_remembered_counts_until_it_speaks_or_is_forgotten() {
+    let mut registry = Registry::default();
+    registry.merge(said("left", 3, EndpointState::Leaving));
+    let remembered = ["left", "quiet", "back", "leaving"];
+    registry.remember(remembered.map(|id| said(id, 2, EndpointState::Ready)).into());
+    assert_eq!(registry.ready("llm").count(), 3, "one had said that it leaves");
+    assert!(registry.merge(said("back", 3, EndpointState::Ready)).is_some());
+    assert!(registry.merge(said("leaving", 3, EndpointState::Leaving)).is_some());
+    assert_eq!(registry.ready("llm").count(), 2);
+    assert_eq!(registry.get("quiet").unwrap().sequence, 2);
+    assert_eq!(registry.forget_remembered(), 1);
+    let ready: Vec<_> = registry.ready("llm").map(|r| r.id.as_str()).collect();
+    assert_eq!(ready, ["back"]);
+}
+
+#[test]
+fn saved_endpoints_are_found_again_and_damage_is_passed_over() {
+    let folder = tempfile::tempdir().unwrap();
+    assert!(saved::load(folder.path()).is_empty());
+    let endpoints = vec![said("a", 2, EndpointState::Ready), said("b", 7, EndpointState::Ready)];
+    saved::save(folder.path(), &endpoints[..1]).unwrap();
+    saved::save(folder.path(), &endpoints).unwrap();
+    assert_eq!(saved::load(folder.path()), endpoints);
+    let path = folder.path().join("endpoints");
+    let mut bytes = std::fs::read(&path).unwrap();
+    let last = bytes.len() - 1;
+    bytes[last] ^= 1;
+    std::fs::write(&path, &bytes).unwrap();
+    assert!(saved::load(folder.path()).is_empty());
+    std::fs::write(&path, &bytes[..last / 2]).unwrap();
+    assert!(saved::load(folder.path()).is_empty());
+}
