--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -120,8 +120,7 @@
 
 impl<'a> Chooser<'a> {
     /// The engine at which the request's first event comes first, with the
-    /// reading of its own prompt counted dearer; one at which it is in time goes
-    /// before one at which it is not.
+    /// reading of its own prompt counted dearer.
     pub fn choose(&self, request: &PlacementRequest, standing: Standing) -> Option<Choice<'a>> {
         let tokens = memory_tokens(&request.parts, request.prompt_tokens, request.output_tokens);
         let affinity = request.parts.first().map_or(0, |part| part.0);
@@ -129,12 +128,12 @@
         let fits = |(id, engine): &(&String, &Engine)| {
             engine.takes_work() && engine.service == request.service && !request.avoid.contains(id)
         };
-        let mut best: Option<((bool, bool, bool, f64, u64), Choice<'a>)> = None;
+        let mut best: Option<((bool, bool, f64, u64), Choice<'a>)> = None;
         for (id, engine) in self.engines.iter().filter(fits) {
             let (choice, score) = self.at(id, engine, request, standing, source);
             let unfit = engine.is_unfit(self.now);
             let full = !engine.model.has_room(tokens);
-            let order = (unfit, !choice.is_allowed(), full, score, rank(affinity, id));
+            let order = (unfit, full, score, rank(affinity, id));
             if best.as_ref().is_none_or(|(best_order, _)| order < *best_order) {
                 best = Some((order, choice));
             }
