Send at once again: holding requests back is worth nothing; drop what waited for returns

Change: the queue only plans; no waiting answers, no polling, no moving of what waits; one decision for a request as before. returned_wait is removed with the field that said who returns, and remaining_ms, which nothing read. What stays: a question that its caller leaves is taken back, a lost session asks another placer.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -23,9 +23,6 @@
 const MAX_SENDS: usize = 4;
 /// Time left below which a request is not sent any more.
 const LEAST_REMAINING: Duration = Duration::from_millis(10);
-/// A caller that waits for so much less than its route allows, in milliseconds,
-/// has been here before: connecting takes less, coming back takes longer.
-const FIRST_WITHIN_MS: u64 = 40;
 /// When to come back if nothing better is known, in seconds.
 const RETRY_AFTER_S: f64 = 0.25;
 
@@ -214,7 +211,6 @@
     fn placement_request(&self, tried: &[String]) -> PlacementRequest {
         let objective = Duration::from_millis(self.route.objective_ms);
         let left = objective.saturating_sub(self.arrived.elapsed());
-        let waited = self.head.deadline_ms.map_or(0, |ms| self.route.timeout_ms.saturating_sub(ms));
         PlacementRequest {
             seq: 0,
             service: self.service.clone(),
@@ -223,8 +219,6 @@
             prompt_tokens: self.head.prompt_tokens,
             output_tokens: self.head.output_tokens,
             objective_ms: left.as_millis() as u32,
-            remaining_ms: self.remaining().as_millis() as u32,
-            returned: waited > FIRST_WITHIN_MS || !tried.is_empty(),
             avoid: tried.to_vec(),
         }
     }
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -30,7 +30,7 @@
     pub service: String,
     /// What was sent to it, and what it keeps.
     pub model: EngineModel,
-    /// What will be sent to it.
+    /// What it is to read.
     pub queue: Queue,
     /// Milliseconds to copy the memory of one token from another engine; none
     /// where engines cannot.
@@ -47,7 +47,7 @@
         self.open && !self.is_gone
     }
 
-    /// Whether requests that wait for it should go elsewhere.
+    /// Whether requests should go elsewhere.
     pub fn is_unfit(&self, now: Millis) -> bool {
         !self.takes_work() || self.model.is_left_out(now) || self.model.is_stalled(now)
     }
@@ -166,8 +166,7 @@
             false => now + in_time_ms,
         };
         let pace = engine.model.pace(self.now);
-        let tolerance = rules.overtaking_ms;
-        let position = engine.queue.position(self.now, pace, latest_start, units, tolerance);
+        let position = engine.queue.position(pace, latest_start);
         let allowed_ms = self.allowed_ms(request, in_time_ms, standing);
         let score = engine.queue.wait_ms(pace)
             + rules.reading_weight * read_ms
@@ -192,9 +191,6 @@
             let relative = standing.relative.max(LEAST_RELATIVE);
             return in_time_ms.min(objective * rules.above_share / (relative * relative));
         }
-        if request.returned {
-            return in_time_ms.max(objective * rules.returned_wait);
-        }
         match standing.fulfilment < rules.underserved {
             true => in_time_ms.max(objective * rules.underserved_wait),
             false => in_time_ms,
@@ -223,7 +219,7 @@
         let (from, read) = source?;
         let tokens = read.checked_sub(engine.model.matched(&request.parts))?;
         let ms = COPY_SETUP_MS + f64::from(tokens) * engine.copy_ms_per_token?;
-        (tokens >= LEAST_COPY).then(|| PartCopy { from, tokens, ms })
+        (tokens >= LEAST_COPY).then_some(PartCopy { from, tokens, ms })
     }
 }
 
--- a/src/placement/client.rs
+++ b/src/placement/client.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
 use super::knowledge::{Memory, Told};
@@ -45,7 +45,7 @@
     Alone,
 }
 
-type Waiting = Arc<Mutex<HashMap<u64, mpsc::UnboundedSender<FromPlacer>>>>;
+type Waiting = Arc<Mutex<HashMap<u64, oneshot::Sender<FromPlacer>>>>;
 
 #[derive(Clone, Debug)]
 struct Session {
@@ -118,7 +118,7 @@
 struct Question<'a> {
     session: &'a Session,
     seq: u64,
-    answers: mpsc::UnboundedReceiver<FromPlacer>,
+    answer: oneshot::Receiver<FromPlacer>,
     is_open: bool,
 }
 
@@ -126,9 +126,9 @@
     /// Asks; none where the session has closed.
     fn ask(session: &Session, request: PlacementRequest) -> Option<Question<'_>> {
         let seq = request.seq;
-        let (sender, answers) = mpsc::unbounded_channel();
+        let (sender, answer) = oneshot::channel();
         lock(&session.waiting).insert(seq, sender);
-        let question = Question { session, seq, answers, is_open: true };
+        let question = Question { session, seq, answer, is_open: true };
         session.out.send(ToPlacer::Place(request).into()).ok()?;
         Some(question)
     }
@@ -205,7 +205,7 @@
                 Placed::At(Reservation { endpoint, copy_from, seq, placements, ending, begun })
             }
             FromPlacer::Refuse { refusal, .. } => Placed::Refused(refusal),
-            FromPlacer::Queued { .. } | FromPlacer::Unknown { .. } => Placed::Alone,
+            FromPlacer::Unknown { .. } => Placed::Alone,
         }
     }
 
@@ -246,26 +246,19 @@
         let mut question = Question::ask(session, request)?;
         // A router that is behind its own work takes longer to see an answer.
         let lag = self.lag.get();
-        let mut patience = ANSWER_TIMEOUT + lag * LAG_PATIENCE;
-        loop {
-            let answer = tokio::time::timeout(patience, question.answers.recv()).await;
-            match answer {
-                Ok(Some(FromPlacer::Queued { within_ms, .. })) => {
-                    self.note_answer(host);
-                    patience += Duration::from_millis(within_ms.into());
-                }
-                Ok(Some(answer)) => {
-                    self.note_answer(host);
-                    question.is_open = false;
-                    return Some(answer);
-                }
-                Ok(None) => return None,
-                Err(_) => {
-                    if lag < OWN_FAULT_LAG {
-                        self.note_silence(host);
-                    }
-                    return None;
+        let patience = ANSWER_TIMEOUT + lag * LAG_PATIENCE;
+        match tokio::time::timeout(patience, &mut question.answer).await {
+            Ok(Ok(answer)) => {
+                self.note_answer(host);
+                question.is_open = false;
+                Some(answer)
+            }
+            Ok(Err(_)) => None,
+            Err(_) => {
+                if lag < OWN_FAULT_LAG {
+                    self.note_silence(host);
                 }
+                None
             }
         }
     }
@@ -396,7 +389,7 @@
 
 fn deliver(waiting: &Waiting, answers: Vec<FromPlacer>) {
     for answer in answers {
-        if let Some(sender) = lock(waiting).get(&answer.seq()) {
+        if let Some(sender) = lock(waiting).remove(&answer.seq()) {
             // The request may have been given up.
             let _ = sender.send(answer);
         }
--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -139,10 +139,8 @@
 
     /// How fast it reads, and what it has still to read.
     pub fn pace(&self, now: Millis) -> Pace {
-        let ms_per_unit = 1.0 / self.rate();
         Pace {
-            ms_per_unit,
-            paced_ms_per_unit: ms_per_unit / self.reading_share,
+            ms_per_unit: 1.0 / (self.rate() * self.reading_share),
             backlog_ms: self.backlog_ms(now),
             lateness_ms: self.lateness_ms(now),
         }
--- a/src/placement/local.rs
+++ b/src/placement/local.rs
@@ -1,8 +1,7 @@
 //! A router's own placer, for the time when it reaches no control host.
 //!
 //! It knows only this router's requests, so it reads for no more than this
-//! router's part of the engines' time, and a little more: others may be idle. It
-//! decides at once and holds nothing back, since it knows too little to do better.
+//! router's part of the engines' time, and a little more: others may be idle.
 
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -46,16 +45,13 @@
         let engines = self.registry.read(|registry| engines_of(&routing, registry));
         let all = PlacementRules::default();
         let part = (GENEROSITY / routers.max(1) as f64).min(1.0);
-        let reading_share = all.reading_share * part;
-        let send_ahead_ms = f64::INFINITY;
-        let rules = PlacementRules { reading_share, send_ahead_ms, ..all };
+        let rules = PlacementRules { reading_share: all.reading_share * part, ..all };
         let mut placer = self.placer.lock().unwrap_or_else(PoisonError::into_inner);
         placer.set_rules(rules);
         placer.set_engines(engines);
         placer.set_nominal(routing.table.limits.tokens_per_second);
-        let decisions = placer.receive(self.clock.now(), self.me, ToPlacer::Place(request));
-        let answers = decisions.into_iter().map(|decision| decision.answer);
-        answers.filter(|answer| answer.seq() == seq).last().unwrap_or(FromPlacer::Unknown { seq })
+        let decision = placer.receive(self.clock.now(), self.me, ToPlacer::Place(request));
+        decision.map_or(FromPlacer::Unknown { seq }, |decision| decision.answer)
     }
 
     /// Tells of a placed request.
--- a/src/placement/message.rs
+++ b/src/placement/message.rs
@@ -22,10 +22,6 @@
     pub output_tokens: u32,
     /// Milliseconds in which its first event is in time, from now on.
     pub objective_ms: u32,
-    /// Milliseconds that its caller still waits.
-    pub remaining_ms: u32,
-    /// Whether it was refused before and came back.
-    pub returned: bool,
     /// Endpoints that it must not go to.
     pub avoid: Vec<String>,
 }
@@ -126,13 +122,6 @@
         /// The id of an endpoint from which it should copy prompt parts.
         copy_from: Option<String>,
     },
-    /// It waits; the placer answers again.
-    Queued {
-        /// The request's number.
-        seq: u64,
-        /// Milliseconds within which the next answer comes.
-        within_ms: u32,
-    },
     /// It cannot be served in time.
     Refuse {
         /// The request's number.
@@ -152,7 +141,6 @@
     pub fn seq(&self) -> u64 {
         match self {
             FromPlacer::Go { seq, .. }
-            | FromPlacer::Queued { seq, .. }
             | FromPlacer::Refuse { seq, .. }
             | FromPlacer::Unknown { seq } => *seq,
         }
--- a/src/placement/rules.rs
+++ b/src/placement/rules.rs
@@ -23,19 +23,11 @@
     /// Part of its objective that a request which can never be in time may wait
     /// for others.
     pub never_in_time_wait: f64,
-    /// The same for a request that was refused once already.
-    pub returned_wait: f64,
     /// The same for a customer that got less than `underserved` of what it is owed:
     /// it is rather late than refused.
     pub underserved_wait: f64,
     /// Part of what a customer is owed below which it is underserved.
     pub underserved: f64,
-    /// Milliseconds of reading that an engine is sent ahead, so that it does not run
-    /// dry while it is told what comes next; infinite where all is sent at once.
-    pub send_ahead_ms: f64,
-    /// Milliseconds by which a request may be delayed beyond its latest start by one
-    /// that goes ahead of it: a part of `margin_ms`.
-    pub overtaking_ms: f64,
 }
 
 impl Default for PlacementRules {
@@ -47,11 +39,8 @@
             above_share: 0.05,
             margin_ms: 100.0,
             never_in_time_wait: 0.35,
-            returned_wait: 0.0,
             underserved_wait: 1.0,
             underserved: 0.5,
-            send_ahead_ms: 60.0,
-            overtaking_ms: 30.0,
         }
     }
 }
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -10,7 +10,7 @@
 
 use super::engines::engines_of;
 use super::message::{FromPlacer, ToPlacer};
-use super::placer::{Decision, Placer};
+use super::placer::Placer;
 use super::rules::PlacementRules;
 use crate::clock::Clock;
 use crate::peer::PeerReader;
@@ -89,12 +89,7 @@
         let (_, mut changes) = self.registry.subscribe();
         let mut again = tokio::time::interval(LEARN_AGAIN);
         loop {
-            let poll_ms = self.placer.next_poll_ms(self.clock.now());
             tokio::select! {
-                () = poll_after(poll_ms) => {
-                    let decisions = self.placer.poll(self.clock.now());
-                    self.answer(decisions);
-                }
                 event = inbox.recv() => match event {
                     Some(event) => self.event(event),
                     None => return,
@@ -145,24 +140,13 @@
     }
 
     fn receive(&mut self, router: HostId, message: ToPlacer) {
-        let decisions = self.placer.receive(self.clock.now(), router, message);
-        self.answer(decisions);
-    }
-
-    fn answer(&self, decisions: Vec<Decision>) {
-        for decision in decisions {
-            log::debug!("placement: {decision:?}");
-            if let Some((_, out)) = self.sessions.get(&decision.router) {
-                // A session that has just closed is noticed by its reader.
-                let _ = out.send(decision.answer.into());
-            }
+        let Some(decision) = self.placer.receive(self.clock.now(), router, message) else {
+            return;
+        };
+        log::debug!("placement: {decision:?}");
+        if let Some((_, out)) = self.sessions.get(&router) {
+            // A session that has just closed is noticed by its reader.
+            let _ = out.send(decision.answer.into());
         }
     }
 }
-
-async fn poll_after(ms: Option<f64>) {
-    match ms {
-        Some(ms) => tokio::time::sleep(Duration::from_secs_f64(ms / 1_000.0)).await,
-        None => std::future::pending().await,
-    }
-}
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -24,14 +24,8 @@
     }
 }
 
-/// A placer that sends everything at once, so that each answer is final.
 fn placer(engines: &[&str]) -> Placer {
-    let rules = PlacementRules { send_ahead_ms: f64::INFINITY, ..PlacementRules::default() };
-    placer_with(rules, engines)
-}
-
-fn placer_with(rules: PlacementRules, engines: &[&str]) -> Placer {
-    let mut placer = Placer::new(rules);
+    let mut placer = Placer::new(PlacementRules::default());
     placer.set_engines(engines.iter().map(|id| engine(id)).collect());
     placer
 }
@@ -45,8 +39,6 @@
         prompt_tokens: 10_000 + own_tokens,
         output_tokens: 100,
         objective_ms: 800,
-        remaining_ms: 10_000,
-        returned: false,
         avoid: vec![],
     }
 }
@@ -55,14 +47,8 @@
     decide(placer, now, request).answer
 }
 
-/// The decision on this request.
 fn decide(placer: &mut Placer, now: u64, request: PlacementRequest) -> Decision {
-    let seq = request.seq;
-    let decisions = placer.receive(now, ROUTER, ToPlacer::Place(request));
-    let mut own = decisions.into_iter().filter(|decision| decision.answer.seq() == seq);
-    let decision = own.next().expect("each request is answered at once");
-    assert_eq!(own.next(), None, "a request is answered once");
-    decision
+    placer.receive(now, ROUTER, ToPlacer::Place(request)).expect("each request is answered")
 }
 
 fn endpoint(answer: FromPlacer) -> String {
@@ -212,7 +198,7 @@
 /// is the whole fleet's.
 #[test]
 fn engines_that_register_one_after_the_other_are_taken_for_equally_fast() {
-    let mut placer = placer(&[]);
+    let mut placer = Placer::new(PlacementRules::default());
     placer.set_engines(vec![EngineInfo { rate: 400.0, ..engine("a") }]);
     placer.set_engines(["a", "b"].map(engine).into());
     for seq in 1..40 {
@@ -289,7 +275,7 @@
                     let customer = if part % 2 == 0 { "x" } else { "y" };
                     let request = request(seq.into(), customer, part.into(), tokens.into());
                     let placed = placer.receive(now, ROUTER, ToPlacer::Place(request));
-                    prop_assert_eq!(placed.len(), 1);
+                    prop_assert!(placed.is_some());
                 }
                 Step::Begun(seq) => {
                     placer.receive(now, ROUTER, ToPlacer::Begun { seq: seq.into() });
@@ -327,7 +313,7 @@
 
     let mut second = placer(&["a", "b", "c"]);
     let knowledge = memory.tell(HostId(9));
-    assert!(second.receive(0, ROUTER, ToPlacer::Known(knowledge.clone())).is_empty());
+    assert!(second.receive(0, ROUTER, ToPlacer::Known(knowledge.clone())).is_none());
     let next = decide(&mut second, 0, request(3, "x", 7, 500));
     assert_eq!(next.answer, FromPlacer::Go { seq: 3, endpoint: home, copy_from: None });
     assert!(next.own_ms < 100.0, "10,000 shared tokens are kept there: {} ms", next.own_ms);
--- a/src/placement/tests/queue.rs
+++ b/src/placement/tests/queue.rs
@@ -1,137 +1,76 @@
-//! What waits for an engine, and in which order it is sent.
+//! What an engine is to read, and what is seen of it.
 
 use super::super::choice::memory_tokens;
 use super::super::engine::EngineModel;
-use super::super::queue::{Pace, Planned, Queue, Unsent};
+use super::super::queue::{Pace, Planned, Queue};
 use super::*;
 
-const PACE: Pace =
-    Pace { ms_per_unit: 1.0, paced_ms_per_unit: 1.0, backlog_ms: 0.0, lateness_ms: 0.0 };
+const PACE: Pace = Pace { ms_per_unit: 2.0, backlog_ms: 0.0, lateness_ms: 0.0 };
 
-fn planned(seq: u64, units: f64, latest_start: f64, limit: f64) -> Planned {
-    let unsent = Unsent { request: request(seq, "x", seq, 1), copy_from: None, limit };
-    Planned { key: (ROUTER, seq), units, latest_start, unsent: Some(unsent) }
-}
-
-/// Holds back all but a little.
-fn holding_placer(engines: &[&str]) -> Placer {
-    let rules = PlacementRules { send_ahead_ms: 20.0, ..PlacementRules::default() };
-    placer_with(rules, engines)
-}
-
-/// A request with a prompt of its own.
-fn own(seq: u64, customer: &str, tokens: u32, objective_ms: u32) -> PlacementRequest {
-    PlacementRequest {
-        parts: vec![(seq, tokens)],
-        prompt_tokens: tokens,
-        objective_ms,
-        ..request(seq, customer, seq, 1)
+fn queue(latest_starts: &[f64]) -> Queue {
+    let mut queue = Queue::default();
+    for (index, latest_start) in latest_starts.iter().enumerate() {
+        queue.insert(index, Planned { units: 100.0, latest_start: *latest_start });
     }
-}
-
-fn sent(decisions: Vec<Decision>) -> Vec<u64> {
-    let go = |d: &Decision| matches!(d.answer, FromPlacer::Go { .. }).then(|| d.answer.seq());
-    decisions.iter().filter_map(go).collect()
+    queue
 }
 
 #[test]
 fn who_must_start_early_goes_ahead_of_those_that_may_wait() {
-    let mut queue = Queue::default();
-    queue.insert(0, planned(1, 100.0, 400.0, 400.0));
-    queue.insert(1, planned(2, 100.0, 400.0, 400.0));
-    let early = queue.position(0, PACE, 150.0, 10.0, 0.0);
+    let queue = queue(&[400.0, 400.0]);
+    let early = queue.position(PACE, 150.0);
     assert_eq!((early.index, early.wait_ms), (0, 0.0));
-    let late = queue.position(0, PACE, 500.0, 10.0, 0.0);
-    assert_eq!((late.index, late.wait_ms), (2, 200.0));
-}
-
-#[test]
-fn nobody_is_made_late_by_who_goes_ahead() {
-    let mut queue = Queue::default();
-    queue.insert(0, planned(1, 100.0, 400.0, 400.0));
-    // Starts after 100 ms and must start by then.
-    queue.insert(1, planned(2, 100.0, 400.0, 100.0));
-    let behind = queue.position(0, PACE, 150.0, 10.0, 0.0);
-    assert_eq!((behind.index, behind.wait_ms), (2, 200.0));
-    let tolerated = queue.position(0, PACE, 150.0, 10.0, 10.0);
-    assert_eq!(tolerated.index, 0);
+    let late = queue.position(PACE, 500.0);
+    assert_eq!((late.index, late.wait_ms), (2, 400.0));
+    assert_eq!(queue.wait_ms(PACE), 400.0);
 }
 
 #[test]
-fn what_was_sent_counts_at_the_pace_of_reading() {
-    let pace = Pace { paced_ms_per_unit: 2.0, ..PACE };
-    let mut queue = Queue::default();
-    queue.insert(0, planned(1, 100.0, 0.0, 0.0));
-    queue.insert(1, planned(2, 100.0, 0.0, 0.0));
-    queue.advance(1_000, pace);
-    assert_eq!(queue.wait_ms(pace), 400.0, "what is not sent cannot have been read");
-    assert_eq!(queue.send_next().map(|(key, ..)| key.1), Some(1));
-    queue.advance(1_100, pace);
-    assert_eq!(queue.wait_ms(pace), 300.0);
-    assert_eq!(queue.send_next().map(|(key, ..)| key.1), Some(2));
-    assert!(queue.all_sent());
-    queue.advance(2_000, pace);
-    assert_eq!(queue.wait_ms(pace), 0.0);
+fn nobody_goes_ahead_of_what_was_sent_at_full_speed() {
+    let pace = Pace { backlog_ms: 120.0, lateness_ms: 5.0, ..PACE };
+    let queue = queue(&[400.0, 400.0]);
+    assert_eq!(queue.position(pace, 150.0).wait_ms, 125.0);
+    assert_eq!(queue.position(pace, 500.0).wait_ms, 405.0);
 }
 
 #[test]
-fn a_held_request_is_told_to_wait_and_sent_when_the_engine_has_come_to_it() {
-    let mut placer = holding_placer(&["a"]);
-    assert_eq!(sent(placer.receive(0, ROUTER, ToPlacer::Place(own(1, "x", 5_000, 900)))), [1]);
-    let second = decide(&mut placer, 0, own(2, "y", 5_000, 900)).answer;
-    let FromPlacer::Queued { within_ms, .. } = second else { panic!("{second:?}") };
-    assert!(within_ms > 0);
-    let wait = placer.next_poll_ms(0).expect("one waits");
-    assert!(sent(placer.poll(1)).is_empty());
-    let at = (wait.ceil() as u64).max(100);
-    assert_eq!(sent(placer.poll(at)), [2]);
-    assert_eq!(placer.next_poll_ms(at), None);
+fn prompts_count_until_they_are_read_at_the_pace_of_the_engine() {
+    let mut queue = queue(&[0.0, 0.0]);
+    queue.advance(100, PACE);
+    assert_eq!(queue.wait_ms(PACE), 300.0);
+    queue.advance(300, PACE);
+    assert_eq!(queue.wait_ms(PACE), 100.0);
+    // Idle time is not saved up.
+    queue.advance(2_000, PACE);
+    queue.insert(0, Planned { units: 100.0, latest_start: 0.0 });
+    assert_eq!(queue.wait_ms(PACE), 200.0);
 }
 
+/// An engine whose queue long prompts with long objectives fill has room for a short
+/// one with a short objective.
 #[test]
-fn a_short_objective_is_served_first_though_it_came_last() {
-    let mut placer = holding_placer(&["a"]);
-    for seq in 1..=3 {
-        place(&mut placer, 0, own(seq, &seq.to_string(), 5_000, 1_200));
-    }
-    place(&mut placer, 1, own(4, "short", 500, 400));
-    let mut order = vec![1];
-    for now in 2..1_000 {
-        order.extend(sent(placer.poll(now)));
-        // Each is read 100 ms after the one before.
-        if let Some(read) = now.checked_sub(100).filter(|ms| ms % 100 == 0) {
-            order.get(read as usize / 100).copied().into_iter().for_each(|seq| {
-                serve(&mut placer, now, seq);
-            });
+fn a_short_prompt_is_taken_where_long_ones_wait() {
+    let mut placer = placer(&["a"]);
+    let own = |seq: u64, tokens, objective_ms| PlacementRequest {
+        parts: vec![(seq, tokens)],
+        prompt_tokens: tokens,
+        objective_ms,
+        ..request(seq, &seq.to_string(), seq, 1)
+    };
+    let mut seq = 0;
+    loop {
+        seq += 1;
+        let answer = place(&mut placer, 0, own(seq, 1_000, 800));
+        if matches!(answer, FromPlacer::Refuse { .. }) {
+            break;
         }
     }
-    assert_eq!(order, [1, 4, 2, 3]);
-}
-
-#[test]
-fn a_request_that_its_caller_leaves_gives_up_its_turn() {
-    let mut placer = holding_placer(&["a"]);
-    for seq in 1..=3 {
-        place(&mut placer, 0, own(seq, "x", 5_000, 1_200));
+    // All was read at full speed but for a little, and is paced for longer.
+    for read in 1..seq {
+        placer.receive(20 * read + 60, ROUTER, ToPlacer::Begun { seq: read });
     }
-    placer.receive(1, ROUTER, ToPlacer::Done { seq: 2, ending: Ending::Abandoned });
-    let order: Vec<_> = (2..1_000).flat_map(|now| sent(placer.poll(now))).collect();
-    assert_eq!(order, [3]);
-}
-
-#[test]
-fn what_waits_at_an_engine_that_leaves_goes_elsewhere() {
-    let mut placer = holding_placer(&["a", "b"]);
-    let busy = endpoint(place(&mut placer, 0, own(1, "x", 5_000, 1_200)));
-    let other = other_than(&busy);
-    let bound = PlacementRequest { avoid: other.clone(), ..own(2, "x", 5_000, 1_200) };
-    assert!(matches!(place(&mut placer, 0, bound.clone()), FromPlacer::Queued { .. }));
-    let free = PlacementRequest { avoid: vec![], ..own(3, "x", 5_000, 1_200) };
-    place(&mut placer, 0, free);
-    placer.set_engines(other.iter().map(|id| engine(id)).collect());
-    let moved = placer.poll(1);
-    // It may go to no other engine, and is told so.
-    assert!(moved.iter().any(|d| d.answer == FromPlacer::Unknown { seq: 2 }));
+    let now = 20 * seq + 60;
+    assert!(matches!(place(&mut placer, now, own(100, 500, 400)), FromPlacer::Go { .. }));
 }
 
 /// A router that is cut off cannot say that its prompts were read.
