Follow the member table's new answer in the slopes example

Cause: hearing a heartbeat now returns whom to introduce oneself to, and the example used it as a value. Conclusion: no behaviour is touched.

--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -157,7 +157,9 @@
     title("Members: processor time a heartbeat heard, and a view");
     for hosts in [10u32, 50, 200, 340] {
         let mut table = Members::new(beat(0), vec![], Default::default());
-        (1..hosts).for_each(|h| table.heard(0, Beat::Whole(beat(h))));
+        for host in 1..hosts {
+            table.heard(0, Beat::Whole(beat(host)));
+        }
         let start = Instant::now();
         for round in 0..200 {
             for h in 1..hosts {
