--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -17,11 +17,14 @@
 pub const FIXED_MS: f64 = 55.0;
 /// Weight of what was learnt before, at each new observation.
 const MEMORY: f64 = 0.97;
-/// Milliseconds of observations that the guess of the reading rate counts for.
+/// Milliseconds of observations that the guess of the reading rate counts for: some
+/// four prompts, after which what was seen weighs more.
 const GUESS_MS: f64 = 250.0;
-/// Weight of the newest observation in the lateness of an engine.
+/// Weight of the newest observation in the lateness of an engine: five prompts are
+/// remembered. Chosen, not measured.
 const LATENESS_PART: f64 = 0.2;
-/// Milliseconds in which the lateness of an engine halves by itself.
+/// Milliseconds in which the lateness of an engine halves by itself: within an
+/// objective it is tried again. Chosen; without it an engine once late stayed unused.
 const LATENESS_HALF_LIFE_MS: f64 = 200.0;
 /// How far learning may move the reading rate from its start.
 const RATE_RANGE: (f64, f64) = (0.4, 4.0);
@@ -31,9 +34,10 @@
 const LEFT_OUT_MS: (Millis, Millis) = (400, 5_000);
 /// Milliseconds within which requests may arrive in another order than they were
 /// sent in: the way through a router behind its work, or a copy of prompt parts.
+/// Routers refuse from 40 ms of lag on; three times that and a copy.
 const OVERTAKEN_MS: Millis = 150;
 /// Milliseconds beyond twice the time that a prompt should take after which its
-/// engine is taken for stalled.
+/// engine is taken for stalled: less than the shortest objective seen. Chosen.
 const STALL_MS: f64 = 250.0;
 /// Failures in a row after which an engine is left out.
 const TOLERATED: u32 = 2;
