--- a/src/control/documents.rs
+++ b/src/control/documents.rs
@@ -8,7 +8,7 @@
 use crate::config::Refusal;
 use crate::registry::Registration;
 use crate::routing::Document;
-use crate::wire::HostId;
+use crate::wire::{HostId, Role};
 
 /// Why an operator's call cannot be answered here now.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -43,7 +43,11 @@
         }
         match self.handle.propose(Command::Replace(Box::new(document))).await? {
             Reply::Replaced(in_force) => {
-                log::info!("control: document {version} taken, {in_force} is in force");
+                let routers = self.live_routers();
+                log::info!(
+                    "control: document {version} taken, {in_force} is in force, \
+                     {routers} routers are live"
+                );
                 Ok(in_force)
             }
             Reply::Changed(_) | Reply::Claimed(_) | Reply::Settled => Err(Unanswered::Unsure),
@@ -57,6 +61,11 @@
         Ok(document)
     }
 
+    /// Routers that this host hears.
+    fn live_routers(&self) -> usize {
+        self.peers.view().with_role(Role::Router).count()
+    }
+
     /// What this host counts, in the text format of metrics.
     pub fn render_metrics(&self) -> String {
         let version = self.documents.current().map_or(0, |routing| routing.table.version);
@@ -68,6 +77,8 @@
             ("leads", u64::from(leadership.leads)),
             ("members", leadership.hosts.len() as u64),
             ("endpoints", endpoints as u64),
+            ("live_routers", self.live_routers() as u64),
+            ("unknown_heartbeats", self.peers.unknown_heartbeats()),
             ("sent_bytes", self.peers.sent.get()),
         ];
         crate::telemetry::render_gauges("bramblecrank_control", &figures)
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -108,6 +108,8 @@
         feeds.retain(|host, feed| {
             let same = controls.get(host).is_some_and(|m| m.incarnation == feed.incarnation);
             if !same {
+                let why = if controls.contains_key(host) { "restarted" } else { "suspected" };
+                log::info!("feed: ended, control host {host} is {why}");
                 feed.task.abort();
                 all.lost(*host);
             }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -233,11 +233,13 @@
 /// Serves one request.
 pub(super) async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
     let stopping = gateway.stop.is_cancelled();
-    let metrics = gateway.metrics.clone();
-    let mut response = match admit(gateway, request).await {
+    let (parts, body) = request.into_parts();
+    let head = gateway.dialect.read_call(&parts.headers);
+    let id = head.id.clone();
+    let mut response = match admit(&gateway, parts, head, body).await {
         Ok(call) => run(Arc::new(call)).await,
         Err(refusal) => {
-            metrics.outcomes.with_label_values(&["", refusal.name()]).inc();
+            note_refusal(&gateway, id.as_deref(), refusal);
             refusal.into_response()
         }
     };
@@ -247,7 +249,24 @@
     response
 }
 
-async fn admit(gateway: Arc<Gateway>, request: Request<Incoming>) -> Result<Call, Refusal> {
+/// Counts and logs a request that is refused before it has found its service.
+fn note_refusal(gateway: &Gateway, id: Option<&str>, refusal: Refusal) {
+    gateway.metrics.outcomes.with_label_values(&["", refusal.name()]).inc();
+    log::info!(
+        "gateway: request ({}) refused: {}, routing version {}, {} control hosts followed",
+        id.unwrap_or_default(),
+        refusal.name(),
+        gateway.routing_version(),
+        gateway.feeds.open_feeds(),
+    );
+}
+
+async fn admit(
+    gateway: &Arc<Gateway>,
+    parts: Parts,
+    head: CallHead,
+    body: Incoming,
+) -> Result<Call, Refusal> {
     let arrived = Instant::now();
     let presence = gateway.enter();
     if gateway.is_refusing() {
@@ -257,9 +276,7 @@
         return Err(Refusal::Overloaded);
     }
     let routing = gateway.documents.current().ok_or(Refusal::NoRouting)?;
-    let (parts, body) = request.into_parts();
     let route = find_route(&routing, &parts).ok_or(Refusal::NoRoute)?.clone();
-    let head = gateway.dialect.read_call(&parts.headers);
     let customer = find_customer(&routing, &route, &head)?;
     let timeout = Duration::from_millis(route.timeout_ms);
     let deadline = head.deadline_ms.map_or(timeout, Duration::from_millis);
@@ -288,7 +305,7 @@
         arrived,
         limit,
         _presence: presence,
-        gateway,
+        gateway: gateway.clone(),
     })
 }
 
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -79,7 +79,7 @@
 async fn serve_readiness(gateway: &Arc<Gateway>) -> Result<()> {
     let app = axum::Router::new()
         .route("/ready", get(ready))
-        .route("/metrics", get(async |State(g): State<Arc<Gateway>>| g.metrics.render()))
+        .route("/metrics", get(async |State(g): State<Arc<Gateway>>| g.render_metrics()))
         .with_state(gateway.clone());
     let never = CancellationToken::new();
     crate::http::serve(gateway.rules.ready, app.clone(), &never).await?;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -111,6 +111,19 @@
         f(&mut self.overload.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// The version of the routing in force; 0 before the first.
+    pub(super) fn routing_version(&self) -> u64 {
+        self.documents.current().map_or(0, |routing| routing.table.version)
+    }
+
+    /// All metrics in the text format.
+    pub(super) fn render_metrics(&self) -> String {
+        let version = i64::try_from(self.routing_version()).unwrap_or(i64::MAX);
+        self.metrics.routing_version.set(version);
+        self.metrics.open_feeds.set(self.feeds.open_feeds() as i64);
+        self.metrics.render()
+    }
+
     /// A number for a request, for the log.
     pub(super) fn next_number(&self) -> u64 {
         self.next_number.fetch_add(1, Ordering::Relaxed)
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -80,13 +80,22 @@
     members: BTreeMap<HostId, Member>,
     turn: usize,
     greet: bool,
+    unknown_heartbeats: u64,
     scope: HeartbeatScope,
 }
 
 impl Table {
     /// A table that knows only this host and where to look for others.
     pub fn new(me: Heartbeat, seeds: Vec<SocketAddr>, scope: HeartbeatScope) -> Table {
-        Table { me, seeds, members: BTreeMap::new(), turn: 0, greet: true, scope }
+        Table {
+            me,
+            seeds,
+            members: BTreeMap::new(),
+            turn: 0,
+            greet: true,
+            unknown_heartbeats: 0,
+            scope,
+        }
     }
 
     /// This host's number.
@@ -112,10 +121,13 @@
             Beat::Whole(beat) => return self.heard_whole(now, beat),
             Beat::Brief { host, incarnation, version, draining } => {
                 let known = self.members.get_mut(&host);
-                if let Some(member) = known.filter(|m| m.beat.incarnation == incarnation) {
-                    member.beat.version = version;
-                    member.beat.draining = draining;
-                    member.heard = now;
+                match known.filter(|m| m.beat.incarnation == incarnation) {
+                    Some(member) => {
+                        member.beat.version = version;
+                        member.beat.draining = draining;
+                        member.heard = now;
+                    }
+                    None => self.unknown_heartbeats += 1,
                 }
             }
         }
@@ -151,6 +163,11 @@
         newcomer
     }
 
+    /// Brief heartbeats of hosts that have not said the whole, since the start.
+    pub fn unknown_heartbeats(&self) -> u64 {
+        self.unknown_heartbeats
+    }
+
     /// What introduces this host to a newcomer.
     pub fn introduction(&self) -> Beat {
         Beat::Whole(self.me.clone())
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -130,6 +130,11 @@
         self.with_table(Table::set_draining);
     }
 
+    /// Brief heartbeats of hosts that have not said the whole, since the start.
+    pub fn unknown_heartbeats(&self) -> u64 {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner).unknown_heartbeats()
+    }
+
     /// A connection to a host failed.
     pub fn avoid(&self, host: HostId) {
         let now = self.clock.now();
@@ -240,6 +245,7 @@
             continue;
         }
         let now = peers.clock.now();
+        log_if_unknown(&peers, &beat);
         let introduce = peers.with_table(|t| Some((t.heard(now, beat)?, t.introduction())));
         if let Some((newcomer, introduction)) = introduce {
             send_beat(&peers, &udp, &introduction, vec![newcomer]).await;
@@ -247,6 +253,16 @@
     }
 }
 
+/// A heartbeat that is dropped for want of the whole leaves a trace.
+fn log_if_unknown(peers: &Peers, beat: &Beat) {
+    let Beat::Brief { host, incarnation, .. } = beat else { return };
+    let view = peers.view();
+    let mut known = view.live.iter().chain(&view.suspected);
+    if !known.any(|m| m.host == *host && m.incarnation == *incarnation) {
+        log::info!("member: host {host} is not known, incarnation {incarnation}");
+    }
+}
+
 async fn refresh_view(peers: Arc<Peers>) {
     let mut interval = tokio::time::interval(VIEW_INTERVAL);
     loop {
--- a/src/telemetry/gateway.rs
+++ b/src/telemetry/gateway.rs
@@ -18,6 +18,8 @@
     pub first_answer: HistogramVec,
     /// The routing version in force.
     pub routing_version: IntGauge,
+    /// Control hosts whose feeds are open.
+    pub open_feeds: IntGauge,
 }
 
 impl Default for GatewayMetrics {
@@ -40,6 +42,7 @@
             resumed: counter("resumed_total", "Streams taken up elsewhere.", &["service"])?,
             first_answer: HistogramVec::new(seconds, &["service"])?,
             routing_version: IntGauge::new(name("routing_version"), "Version in force.")?,
+            open_feeds: IntGauge::new(name("open_feeds"), "Control hosts that are followed.")?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.outcomes.clone()))?;
@@ -47,6 +50,7 @@
         registry.register(Box::new(metrics.resumed.clone()))?;
         registry.register(Box::new(metrics.first_answer.clone()))?;
         registry.register(Box::new(metrics.routing_version.clone()))?;
+        registry.register(Box::new(metrics.open_feeds.clone()))?;
         Ok(metrics)
     }
 
