Ask for the whole where a brief heartbeat says nothing: hosts that restart are known at once

Control hosts that restart do not; they dropped the routers' brief heartbeats and had no way to say so, until the routers' next whole one, up to 5 s later. Meanwhile routers heard nothing, suspected them and ended their feeds, so acknowledged versions were not in force.

Change: the answer to a brief heartbeat of an unknown start is a question that also introduces who asks; it is answered by the whole. Both know each other after one heartbeat and 1.5 round trips.

Ruled out: the agreement (all control hosts have each version in force within 2 ms), half-open connections (plain kills show the gap too).

--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -113,27 +113,42 @@
         self.me.draining = true;
     }
 
-    /// A heartbeat arrived. Those of earlier incarnations are ignored, and brief
-    /// ones of hosts that have not yet said the whole. Returns where this host
-    /// should be introduced at once: to one that has just started.
-    pub fn heard(&mut self, now: Millis, beat: Beat) -> Option<SocketAddr> {
+    /// A heartbeat arrived from an address. Those of earlier incarnations are ignored.
+    /// Returns what to answer at once, and where: this host introduces itself to
+    /// whoever has just started or does not know it, and asks for the whole where a
+    /// brief one says nothing.
+    pub fn heard(
+        &mut self,
+        now: Millis,
+        from: SocketAddr,
+        beat: Beat,
+    ) -> Option<(SocketAddr, Beat)> {
         match beat {
-            Beat::Whole(beat) => return self.heard_whole(now, beat),
+            Beat::Whole(beat) => {
+                let newcomer = self.heard_whole(now, beat)?;
+                Some((newcomer, self.introduction()))
+            }
             Beat::Brief { host, incarnation, version, draining } => {
                 let known = self.members.get_mut(&host);
-                match known.filter(|m| m.beat.incarnation == incarnation) {
-                    Some(member) => {
-                        member.beat.version = version;
-                        member.beat.draining = draining;
-                        member.heard = now;
-                    }
-                    None => self.unknown_heartbeats += 1,
-                }
+                let Some(member) = known.filter(|m| m.beat.incarnation == incarnation) else {
+                    self.unknown_heartbeats += 1;
+                    return Some((from, Beat::Ask(self.me.clone())));
+                };
+                member.beat.version = version;
+                member.beat.draining = draining;
+                member.heard = now;
+                None
+            }
+            Beat::Ask(beat) => {
+                let asker = beat.peer;
+                self.heard_whole(now, beat);
+                Some((asker, self.introduction()))
             }
         }
-        None
     }
 
+    /// Returns the address of a host that has just started, if this one exchanges
+    /// heartbeats with it.
     fn heard_whole(&mut self, now: Millis, beat: Heartbeat) -> Option<SocketAddr> {
         if beat.host == self.me.host {
             return None;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -234,32 +234,31 @@
 async fn receive_heartbeats(peers: Arc<Peers>, udp: Arc<UdpSocket>) {
     let mut buffer = vec![0; MAX_OPEN];
     loop {
-        let Ok((size, _)) = udp.recv_from(&mut buffer).await else {
+        let Ok((size, from)) = udp.recv_from(&mut buffer).await else {
             continue;
         };
         let Ok(beat) = postcard::from_bytes::<Beat>(&buffer[..size]) else {
             log::warn!("member: dropped a malformed datagram of {size} bytes");
             continue;
         };
-        if peers.links.is_cut_from(beat.host()) {
+        let sender = beat.host();
+        if peers.links.is_cut_from(sender) {
             continue;
         }
         let now = peers.clock.now();
-        log_if_unknown(&peers, &beat);
-        let introduce = peers.with_table(|t| Some((t.heard(now, beat)?, t.introduction())));
-        if let Some((newcomer, introduction)) = introduce {
-            send_beat(&peers, &udp, &introduction, vec![newcomer]).await;
+        let answer = peers.with_table(|t| t.heard(now, from, beat));
+        if let Some((to, answer)) = answer.filter(|_| !peers.links.is_cut(sender)) {
+            log_answer(sender, &answer);
+            send_beat(&peers, &udp, &answer, vec![to]).await;
         }
     }
 }
 
-/// A heartbeat that is dropped for want of the whole leaves a trace.
-fn log_if_unknown(peers: &Peers, beat: &Beat) {
-    let Beat::Brief { host, incarnation, .. } = beat else { return };
-    let view = peers.view();
-    let mut known = view.live.iter().chain(&view.suspected);
-    if !known.any(|m| m.host == *host && m.incarnation == *incarnation) {
-        log::info!("member: host {host} is not known, incarnation {incarnation}");
+fn log_answer(to: HostId, answer: &Beat) {
+    match answer {
+        Beat::Ask(_) => log::info!("member: host {to} is not known, asked for the whole"),
+        Beat::Whole(_) => log::info!("member: introduced to host {to}"),
+        Beat::Brief { .. } => {}
     }
 }
 
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -64,8 +64,8 @@
     pub also: Option<SocketAddr>,
 }
 
-/// A heartbeat datagram. Most are brief; the whole is said to newcomers and now
-/// and then.
+/// A heartbeat datagram. Most are brief; the whole is said to newcomers, now and
+/// then, and to whoever asks for it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Beat {
     /// All that a host says of itself.
@@ -81,13 +81,16 @@
         /// Whether it is in a planned stop.
         draining: bool,
     },
+    /// The answer to a brief heartbeat that says nothing to its receiver, which has
+    /// not heard the whole from that start of the sender: who asks for it.
+    Ask(Heartbeat),
 }
 
 impl Beat {
     /// Who sent it.
     pub fn host(&self) -> HostId {
         match self {
-            Beat::Whole(beat) => beat.host,
+            Beat::Whole(beat) | Beat::Ask(beat) => beat.host,
             Beat::Brief { host, .. } => *host,
         }
     }
