--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -166,7 +166,7 @@
                 let host = HostId(h);
                 let incarnation = 1_796_205_361_634;
                 let brief = Beat::Brief { host, incarnation, version: 1, draining: false };
-                table.heard(round, beat(host).peer, brief);
+                table.heard(round, beat(h).peer, brief);
             }
         }
         let beats = f64::from(hosts - 1) * 200.0;
