Serve a router that restarts with its clock set back

Session numbers begin with the time of day at the router's start. A router that restarted with its clock set back joined with a lower number than its lost session; the dispatcher dropped the join, and from then on every request of that session, and the router was not told. The test failed first.

--- a/src/dispatch/dispatcher/session.rs
+++ b/src/dispatch/dispatcher/session.rs
@@ -30,7 +30,10 @@
         takeover: bool,
         leads: Vec<(CustomerId, u64)>,
     ) {
-        if self.sessions.get(&router).is_some_and(|s| s.number >= session) {
+        // Numbers begin with the time of day at the router's start. After a session
+        // is lost the next may be lower, where the clock was set back.
+        let is_late = |s: &Session| s.lost_at.is_none() && s.number >= session;
+        if self.sessions.get(&router).is_some_and(is_late) {
             return;
         }
         if takeover && self.sessions.is_empty() {
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -339,6 +339,16 @@
     assert!(bench.dispatcher.snapshot().waiting.is_empty());
 }
 
+#[test]
+fn a_router_that_restarts_with_its_clock_set_back_is_served() {
+    let mut bench = Bench::new(config(&[1], &[(0, 1)], 10));
+    bench.join(ROUTER, 9, HallSet::ALL, false, vec![]);
+    bench.dispatcher.lost(bench.now, ROUTER, 9);
+    // Session numbers begin with the time of day at the start of the process.
+    bench.join(ROUTER, 1, HallSet::ALL, false, vec![]);
+    assert_eq!(grants(&bench.want(0, 1)), [(0, 1, 0)]);
+}
+
 #[test]
 fn a_dispatcher_that_takes_over_waits_and_keeps_the_order() {
     let mut bench = Bench::new(config(&[1, 1], &[(0, 1)], 10));
