Answer reads also when the leader's own disk commits

The test failed first.

Of the incident's class: what waits presumes that something else will wake it.

--- a/src/agree/replica.rs
+++ b/src/agree/replica.rs
@@ -238,6 +238,8 @@
             self.durable = index;
             if self.role == Role::Leader {
                 self.advance_commit();
+                // Where no other store acknowledges anything, nothing else would.
+                self.answer_reads();
             }
         }
         self.take_output()
--- a/src/agree/tests.rs
+++ b/src/agree/tests.rs
@@ -459,6 +459,21 @@
     panic!("the read was never answered");
 }
 
+#[test]
+fn a_read_that_comes_before_a_lone_leader_has_its_first_entry_on_disk_is_answered() {
+    let mut group = Group::new(1, 11);
+    let store = group.stores.get_mut(&StoreId(1)).unwrap();
+    let replica = store.replica.as_mut().unwrap();
+    let elected = (0..10_000).find(|now| {
+        replica.tick(*now);
+        replica.role() == Role::Leader
+    });
+    let out = replica.read(elected.unwrap(), 5).unwrap();
+    assert!(out.reads.is_empty(), "its own term has committed nothing yet");
+    let (index, term) = replica.last_entry();
+    assert_eq!(replica.synced(index, term).reads, [5]);
+}
+
 #[test]
 fn a_snapshot_that_covers_nothing_new_is_not_written() {
     let mut group = Group::new(3, 5);
