Feeds end with their connection, not with a suspicion; deny only by the newest routing

- Routers ended a feed when its host was suspected, that is silent in datagrams, though the feed worked.
Now a feed ends with its own connection, when its host restarts, or when the host is heard again and the feed said nothing meanwhile (it may hang on a dead connection).
Which to open and end is decided without I/O in feed/following.rs.
- That a route or key does not exist is final for a caller.
A router says so only while a live control host that hears the leader tells it every change; otherwise it answers 503 with when to come back (routing_unconfirmed).
Weighed against an acknowledgement that waits for the routers in touch: control hosts that have just restarted do not know how many there are, so it would have waited for nobody.
- The number of routers told by control hosts, by which retry budgets are divided, fell to 1 after they restarted and rose router by router; each router took a larger part meanwhile.
It now rises at once and falls after 10 s.
- A feed says who leads before the routing.

--- a/src/feed.rs
+++ b/src/feed.rs
@@ -1,11 +1,15 @@
 //! What control hosts tell every router, and each other, as it changes: the
 //! routing in force, endpoints, and who leads.
 //!
-//! A subscriber keeps one connection to each control host in view. What it
+//! A subscriber keeps one connection to each control host that it knows. What it
 //! learns merges in any order, so a lost connection costs nothing but time.
 
+mod following;
+mod news;
 mod publish;
 mod subscribe;
+#[cfg(test)]
+mod tests;
 
 use std::sync::Arc;
 
--- /dev/null
+++ b/src/feed/news.rs
@@ -0,0 +1,87 @@
+//! What control hosts last said of the fleet, without I/O.
+
+use std::collections::BTreeMap;
+
+use crate::dispatch::Millis;
+use crate::wire::HostId;
+
+/// Milliseconds for which a smaller number of routers is not believed. A control
+/// host that restarts hears routers one after the other, and each router would take
+/// a larger part of what they share; the longest window of those bounds is 10 s.
+const FALL_AFTER_MS: Millis = 10_000;
+
+/// What one control host last said.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct HostNews {
+    term: u64,
+    leader: Option<HostId>,
+    routers: usize,
+}
+
+/// What the control hosts with an open feed last said.
+#[derive(Clone, Debug, Default)]
+pub struct News {
+    hosts: BTreeMap<HostId, HostNews>,
+    routers: usize,
+    falls_at: Option<Millis>,
+}
+
+impl News {
+    /// A feed was opened.
+    pub fn opened(&mut self, from: HostId) {
+        self.hosts.insert(from, HostNews::default());
+    }
+
+    /// A feed has ended: what it said may not hold any more.
+    pub fn lost(&mut self, from: HostId) {
+        self.hosts.remove(&from);
+    }
+
+    /// A control host said who leads, if it knows, and in which term.
+    pub fn set_leader(&mut self, from: HostId, term: u64, leader: Option<HostId>) {
+        if let Some(news) = self.hosts.get_mut(&from) {
+            news.term = term;
+            news.leader = leader;
+        }
+    }
+
+    /// A control host said how many routers it hears.
+    pub fn set_routers(&mut self, now: Millis, from: HostId, routers: usize) {
+        if let Some(news) = self.hosts.get_mut(&from) {
+            news.routers = routers;
+        }
+        self.settle_routers(now);
+    }
+
+    /// Control hosts with an open feed.
+    pub fn open_feeds(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// The leader of the highest term that a control host names which `is_live`.
+    pub fn leader(&self, is_live: impl Fn(HostId) -> bool) -> Option<HostId> {
+        let live = self.hosts.iter().filter(|(host, _)| is_live(**host));
+        let named = live.filter_map(|(_, news)| Some((news.term, news.leader?)));
+        named.max_by_key(|(term, _)| *term).map(|(_, leader)| leader)
+    }
+
+    /// The most routers that a control host hears; 1 before any has said so. It
+    /// rises at once and falls after [`FALL_AFTER_MS`].
+    pub fn routers(&mut self, now: Millis) -> usize {
+        self.settle_routers(now);
+        self.routers.max(1)
+    }
+
+    fn settle_routers(&mut self, now: Millis) {
+        // Without a feed nothing is known of any change.
+        let told = self.hosts.values().map(|news| news.routers).max().filter(|n| *n > 0);
+        let told = told.unwrap_or(self.routers);
+        if told >= self.routers {
+            self.routers = told;
+            self.falls_at = None;
+        } else if now >= *self.falls_at.get_or_insert(now + FALL_AFTER_MS) {
+            self.routers = told;
+            self.falls_at = None;
+        }
+    }
+}
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -39,14 +39,10 @@
         write(&mut writer, &sent, FeedMessage::Remembered(remembered)).await?;
     }
     loop {
+        // In this order: whoever has a routing knows who leads, so that it can tell
+        // whether the routing is the newest.
         let next = tokio::select! {
-            changed = changes.recv() => match changed {
-                Ok(endpoint) => FeedMessage::Endpoints(vec![endpoint]),
-                Err(RecvError::Lagged(_)) => {
-                    FeedMessage::Endpoints(registry.read(|r| r.all().cloned().collect()))
-                }
-                Err(RecvError::Closed) => return Ok(()),
-            },
+            biased;
             Ok(()) = leadership.changed() => {
                 let known = leadership.borrow_and_update();
                 FeedMessage::Leader { term: known.term, leader: known.leader }
@@ -65,6 +61,13 @@
                 },
                 None => continue,
             },
+            changed = changes.recv() => match changed {
+                Ok(endpoint) => FeedMessage::Endpoints(vec![endpoint]),
+                Err(RecvError::Lagged(_)) => {
+                    FeedMessage::Endpoints(registry.read(|r| r.all().cloned().collect()))
+                }
+                Err(RecvError::Closed) => return Ok(()),
+            },
         };
         write(&mut writer, &sent, next).await?;
     }
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -1,29 +1,27 @@
-//! The subscribers' side: one task for each control host in view.
+//! The subscribers' side: one task for each control host that is known.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use tokio::task::JoinHandle;
+use tokio_util::task::AbortOnDropHandle;
 
 use super::FeedMessage;
+use super::following::{Following, Step};
+use super::news::News;
 use crate::error::Result;
 use crate::peer::Peers;
 use crate::registry::SharedRegistry;
 use crate::routing::Documents;
-use crate::wire::{HostId, Open, Role};
+use crate::wire::{HostId, Open};
 
 /// How long to wait before a lost feed is opened again.
-const PAUSE: Duration = Duration::from_millis(200);
-
-/// What a control host last said of the leader.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct LeaderNews {
-    term: u64,
-    leader: Option<HostId>,
-}
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+/// The same at most; doubled each time that no connection comes about. A host that
+/// is heard again after a suspicion is called at once.
+const MAX_PAUSE: Duration = Duration::from_secs(2);
 
 /// The feeds that a process follows.
 #[derive(Debug)]
@@ -31,39 +29,45 @@
     peers: Arc<Peers>,
     documents: Arc<Documents>,
     registry: Arc<SharedRegistry>,
-    leaders: Mutex<BTreeMap<HostId, LeaderNews>>,
-    routers: AtomicUsize,
+    news: Mutex<News>,
 }
 
 impl Subscriptions {
-    /// Follows every control host in view but this one.
+    /// Follows every control host that is known but this one.
     pub fn start(
         peers: Arc<Peers>,
         documents: Arc<Documents>,
         registry: Arc<SharedRegistry>,
     ) -> Arc<Subscriptions> {
-        let leaders = Mutex::default();
-        let routers = AtomicUsize::new(1);
-        let all = Arc::new(Subscriptions { peers, documents, registry, leaders, routers });
+        let all = Arc::new(Subscriptions { peers, documents, registry, news: Mutex::default() });
         tokio::spawn(follow_view(all.clone()));
         all
     }
 
-    /// The leader that the newest news in view names.
+    /// The leader that the newest news of a live control host names.
     pub fn leader(&self) -> Option<HostId> {
-        let leaders = self.leaders.lock().unwrap_or_else(PoisonError::into_inner);
-        let named = leaders.values().filter(|news| news.leader.is_some());
-        named.max_by_key(|news| news.term).and_then(|news| news.leader)
+        let view = self.peers.view();
+        self.news().leader(|host| view.get(host).is_some())
+    }
+
+    /// Whether the routing in force here is the newest, but for what is on its way: a
+    /// live control host that hears the leader tells every change.
+    pub fn is_current(&self) -> bool {
+        self.leader().is_some()
     }
 
     /// Routers in the fleet, as far as control hosts last said.
     pub fn routers(&self) -> usize {
-        self.routers.load(Ordering::Relaxed)
+        self.news().routers(self.peers.clock.now())
     }
 
     /// Control hosts whose feeds are open.
     pub fn open_feeds(&self) -> usize {
-        self.leaders.lock().unwrap_or_else(PoisonError::into_inner).len()
+        self.news().open_feeds()
+    }
+
+    fn news(&self) -> MutexGuard<'_, News> {
+        self.news.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn heard(&self, from: HostId, message: FeedMessage) {
@@ -78,48 +82,42 @@
             }
             FeedMessage::Remembered(endpoints) => self.registry.remember(endpoints),
             FeedMessage::Routers(routers) => {
-                self.routers.store(routers as usize, Ordering::Relaxed);
-            }
-            FeedMessage::Leader { term, leader } => {
-                let mut leaders = self.leaders.lock().unwrap_or_else(PoisonError::into_inner);
-                leaders.insert(from, LeaderNews { term, leader });
+                let now = self.peers.clock.now();
+                self.news().set_routers(now, from, routers as usize);
             }
+            FeedMessage::Leader { term, leader } => self.news().set_leader(from, term, leader),
         }
     }
-
-    fn lost(&self, from: HostId) {
-        self.leaders.lock().unwrap_or_else(PoisonError::into_inner).remove(&from);
-    }
 }
 
-/// A feed task, and the start of the control host that it was opened to.
+/// A feed task; it ends when this is dropped.
 struct Feed {
-    incarnation: u64,
-    task: JoinHandle<()>,
+    delivered: Arc<AtomicU64>,
+    _task: AbortOnDropHandle<()>,
 }
 
 async fn follow_view(all: Arc<Subscriptions>) {
     let mut view = all.peers.watch();
+    let mut following = Following::default();
     let mut feeds: BTreeMap<HostId, Feed> = BTreeMap::new();
     loop {
         let now = view.borrow_and_update().clone();
-        let controls = now.with_role(Role::Control).filter(|m| m.host != all.peers.me);
-        let controls: BTreeMap<_, _> = controls.map(|m| (m.host, m)).collect();
-        feeds.retain(|host, feed| {
-            let same = controls.get(host).is_some_and(|m| m.incarnation == feed.incarnation);
-            if !same {
-                let why = if controls.contains_key(host) { "restarted" } else { "suspected" };
-                log::info!("feed: ended, control host {host} is {why}");
-                feed.task.abort();
-                all.lost(*host);
+        let delivered =
+            |host| feeds.get(&host).map_or(0, |feed: &Feed| feed.delivered.load(Ordering::Relaxed));
+        for step in following.adopt(all.peers.me, &now, delivered) {
+            match step {
+                Step::End(host, reason) => {
+                    log::info!("feed: ended, control host {host} {reason}");
+                    feeds.remove(&host);
+                    all.news().lost(host);
+                }
+                Step::Open(host, address) => {
+                    let delivered = Arc::new(AtomicU64::new(0));
+                    let task = follow(all.clone(), host, address, delivered.clone());
+                    let _task = AbortOnDropHandle::new(tokio::spawn(task));
+                    feeds.insert(host, Feed { delivered, _task });
+                }
             }
-            same
-        });
-        for (host, member) in controls {
-            feeds.entry(host).or_insert_with(|| Feed {
-                incarnation: member.incarnation,
-                task: tokio::spawn(follow(all.clone(), host, member.peer)),
-            });
         }
         if view.changed().await.is_err() {
             return;
@@ -127,22 +125,40 @@
     }
 }
 
-async fn follow(all: Arc<Subscriptions>, host: HostId, address: SocketAddr) {
+async fn follow(
+    all: Arc<Subscriptions>,
+    host: HostId,
+    address: SocketAddr,
+    delivered: Arc<AtomicU64>,
+) {
+    let mut pause = FIRST_PAUSE;
     loop {
-        if let Err(error) = read_feed(&all, host, address).await {
+        let before = delivered.load(Ordering::Relaxed);
+        if let Err(error) = read_feed(&all, host, address, &delivered).await {
             log::warn!("feed: lost control host {host}: {error}");
         }
-        all.lost(host);
-        tokio::time::sleep(PAUSE).await;
+        all.news().lost(host);
+        if delivered.load(Ordering::Relaxed) > before {
+            pause = FIRST_PAUSE;
+        }
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(MAX_PAUSE);
     }
 }
 
-async fn read_feed(all: &Subscriptions, host: HostId, address: SocketAddr) -> Result<()> {
+async fn read_feed(
+    all: &Subscriptions,
+    host: HostId,
+    address: SocketAddr,
+    delivered: &AtomicU64,
+) -> Result<()> {
     let open = Open::Feed { host: all.peers.me };
     let (mut reader, _writer) = all.peers.connect(address, &open).await?;
     log::info!("feed: follows control host {host}");
+    all.news().opened(host);
     loop {
         let message = reader.next::<FeedMessage>().await?;
+        delivered.fetch_add(1, Ordering::Relaxed);
         all.heard(host, message);
     }
 }
--- /dev/null
+++ b/src/feed/tests.rs
@@ -0,0 +1,115 @@
+mod connection;
+
+use super::following::{Following, Reason, Step};
+use super::news::News;
+use crate::member::View;
+use crate::wire::{Heartbeat, HostId, Role};
+
+const ME: HostId = HostId(1);
+const CONTROL: HostId = HostId(2);
+const OTHER: HostId = HostId(3);
+
+fn beat(host: HostId, incarnation: u64) -> Heartbeat {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 7_000 + host.0 as u16));
+    Heartbeat {
+        host,
+        incarnation,
+        role: if host == ME { Role::Router } else { Role::Control },
+        hall: "a".into(),
+        peer: address,
+        operator: address,
+        version: 0,
+        draining: false,
+        also: None,
+    }
+}
+
+fn live(incarnation: u64) -> View {
+    View { live: vec![beat(ME, 1), beat(CONTROL, incarnation)], suspected: vec![] }
+}
+
+fn suspected(incarnation: u64) -> View {
+    View { live: vec![beat(ME, 1)], suspected: vec![beat(CONTROL, incarnation)] }
+}
+
+fn open() -> Step {
+    Step::Open(CONTROL, beat(CONTROL, 1).peer)
+}
+
+#[test]
+fn a_feed_that_delivers_outlives_a_suspicion() {
+    let mut following = Following::default();
+    assert_eq!(following.adopt(ME, &live(1), |_| 0), [open()]);
+    assert_eq!(following.adopt(ME, &suspected(1), |_| 5), []);
+    assert_eq!(following.adopt(ME, &suspected(1), |_| 6), []);
+    assert_eq!(following.adopt(ME, &live(1), |_| 6), []);
+    // The next suspicion counts anew.
+    assert_eq!(following.adopt(ME, &suspected(1), |_| 6), []);
+    let silent = [Step::End(CONTROL, Reason::Silent), open()];
+    assert_eq!(following.adopt(ME, &live(1), |_| 6), silent);
+}
+
+#[test]
+fn a_feed_is_opened_anew_where_its_host_has_restarted() {
+    let mut following = Following::default();
+    following.adopt(ME, &live(1), |_| 0);
+    let restarted = [Step::End(CONTROL, Reason::Restarted), open()];
+    assert_eq!(following.adopt(ME, &live(2), |_| 5), restarted);
+    assert_eq!(following.adopt(ME, &live(2), |_| 5), []);
+}
+
+#[test]
+fn a_feed_ends_when_its_host_is_forgotten() {
+    let mut following = Following::default();
+    following.adopt(ME, &live(1), |_| 0);
+    let alone = View { live: vec![beat(ME, 1)], suspected: vec![] };
+    let forgotten = [Step::End(CONTROL, Reason::Forgotten)];
+    assert_eq!(following.adopt(ME, &alone, |_| 0), forgotten);
+}
+
+#[test]
+fn the_leader_of_the_highest_term_named_by_a_live_host_counts() {
+    let mut news = News::default();
+    [CONTROL, OTHER].iter().for_each(|host| news.opened(*host));
+    news.set_leader(CONTROL, 3, Some(CONTROL));
+    news.set_leader(OTHER, 4, Some(OTHER));
+    assert_eq!(news.leader(|_| true), Some(OTHER));
+    assert_eq!(news.leader(|host| host != OTHER), Some(CONTROL));
+    news.set_leader(OTHER, 5, None);
+    assert_eq!(news.leader(|_| true), Some(CONTROL));
+    news.lost(CONTROL);
+    assert_eq!(news.leader(|_| true), None);
+    // What comes from a feed that has ended says nothing.
+    news.set_leader(CONTROL, 6, Some(CONTROL));
+    assert_eq!(news.leader(|_| true), None);
+}
+
+#[test]
+fn control_hosts_that_restart_do_not_make_the_fleet_look_small() {
+    let mut news = News::default();
+    assert_eq!(news.routers(0), 1);
+    news.opened(CONTROL);
+    news.set_routers(0, CONTROL, 9);
+    assert_eq!(news.routers(0), 9);
+    // It restarts and hears one router after the other.
+    news.lost(CONTROL);
+    assert_eq!(news.routers(1_000), 9);
+    news.opened(CONTROL);
+    for heard in 1..9 {
+        news.set_routers(1_000 + heard, CONTROL, heard as usize);
+        assert_eq!(news.routers(1_000 + heard), 9);
+    }
+    assert_eq!(news.routers(11_000), 9, "ten seconds after the first smaller number");
+    assert_eq!(news.routers(11_001), 8);
+    news.set_routers(12_000, CONTROL, 20);
+    assert_eq!(news.routers(12_000), 20, "more count at once");
+}
+
+#[test]
+fn routers_that_no_control_host_hears_keep_the_last_number() {
+    let mut news = News::default();
+    news.opened(CONTROL);
+    news.set_routers(0, CONTROL, 9);
+    news.lost(CONTROL);
+    assert_eq!(news.routers(60_000), 9);
+}
--- /dev/null
+++ b/src/feed/tests/connection.rs
@@ -0,0 +1,113 @@
+//! A subscriber and a control host over real sockets.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, watch};
+
+use super::super::{Subscriptions, publish};
+use crate::control::Leadership;
+use crate::peer::{Incoming, Peers};
+use crate::registry::SharedRegistry;
+use crate::routing::{Documents, RoutingTable};
+use crate::settings::{HeartbeatScope, HostSettings};
+use crate::wire::{HostId, Open, Role};
+
+const PEER_PORT: u16 = 7_400;
+const PAUSE: Duration = Duration::from_millis(20);
+/// What does not come in this time does not come at all.
+const NEVER: Duration = Duration::from_secs(60);
+
+/// An address that other test runs on this machine do not use.
+fn address(last: u8) -> SocketAddr {
+    let net = (std::process::id() % 250 + 1) as u8;
+    (Ipv4Addr::new(127, 8, net, last), PEER_PORT).into()
+}
+
+async fn start(
+    role: Role,
+    last: u8,
+    seeds: Vec<SocketAddr>,
+) -> (Arc<Peers>, mpsc::Receiver<Incoming>) {
+    let peer = address(last);
+    let settings = HostSettings {
+        name: format!("host-{last}"),
+        id: None,
+        hall: "a".into(),
+        peer,
+        seeds,
+        seed_port: None,
+        heartbeats: HeartbeatScope::Control,
+    };
+    Peers::start(&settings, role, peer).await.unwrap()
+}
+
+async fn wait_until(is_so: impl Fn() -> bool) {
+    let waiting = async {
+        while !is_so() {
+            tokio::time::sleep(PAUSE).await;
+        }
+    };
+    tokio::time::timeout(NEVER, waiting).await.expect("it comes about");
+}
+
+/// Publishes to whoever subscribes, as a control host that leads.
+async fn serve(
+    peers: Arc<Peers>,
+    mut incoming: mpsc::Receiver<Incoming>,
+    documents: Arc<Documents>,
+) {
+    let leads = Leadership {
+        term: 1,
+        leader: Some(peers.me),
+        leads: true,
+        founded: true,
+        hosts: vec![(peers.me, peers.address)],
+    };
+    let leadership = watch::Sender::new(leads);
+    while let Some(Incoming { open, writer, .. }) = incoming.recv().await {
+        assert!(matches!(open, Open::Feed { .. }));
+        let registry = Arc::new(SharedRegistry::default());
+        let (leadership, view) = (leadership.subscribe(), peers.watch());
+        let sent = peers.sent.clone();
+        tokio::spawn(publish(documents.clone(), registry, leadership, view, sent, writer));
+    }
+}
+
+fn table(version: u64) -> RoutingTable {
+    RoutingTable { version, ..RoutingTable::default() }
+}
+
+/// A control host that publishes, a router that follows it, and the routing of each.
+async fn fleet(first: u8) -> ([Arc<Peers>; 2], [Arc<Documents>; 2], Arc<Subscriptions>) {
+    let (control, incoming) = start(Role::Control, first, vec![]).await;
+    let published = Arc::new(Documents::default());
+    tokio::spawn(serve(control.clone(), incoming, published.clone()));
+    let (router, _) = start(Role::Router, first + 1, vec![address(first)]).await;
+    let followed = Arc::new(Documents::default());
+    let registry = Arc::new(SharedRegistry::default());
+    let feeds = Subscriptions::start(router.clone(), followed.clone(), registry);
+    published.adopt_table(table(1));
+    wait_until(|| version(&followed) == 1).await;
+    ([control, router], [published, followed], feeds)
+}
+
+fn version(documents: &Documents) -> u64 {
+    documents.current().map_or(0, |routing| routing.table.version)
+}
+
+#[tokio::test]
+async fn a_version_comes_into_force_though_heartbeats_are_lost() {
+    let ([control, router], [published, followed], feeds) = fleet(1).await;
+    assert!(feeds.is_current());
+    control.links.set(vec![router.me], vec![], vec![]);
+    let suspects = |host: HostId| router.view().suspected.iter().any(|m| m.host == host);
+    wait_until(|| suspects(control.me)).await;
+    assert!(!feeds.is_current(), "who is not heard may be cut off");
+    published.adopt_table(table(2));
+    wait_until(|| version(&followed) == 2).await;
+    assert!(suspects(control.me), "it was not heard meanwhile");
+    control.links.set(vec![], vec![], vec![]);
+    wait_until(|| feeds.is_current()).await;
+}
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -39,6 +39,8 @@
     NoRoute,
     /// The key is missing or unknown.
     UnknownKey,
+    /// No route or key fits, and the routing here may not be the newest.
+    RoutingUnconfirmed,
     /// The body is too large.
     BodyTooLarge,
     /// The body did not come in time.
@@ -66,6 +68,7 @@
     fn status(self) -> StatusCode {
         match self {
             Refusal::NoRouting
+            | Refusal::RoutingUnconfirmed
             | Refusal::Stopping
             | Refusal::Overloaded
             | Refusal::NoEndpoint
@@ -102,6 +105,7 @@
             Refusal::Overloaded => "overloaded",
             Refusal::NoRoute => "no_route",
             Refusal::UnknownKey => "unknown_key",
+            Refusal::RoutingUnconfirmed => "routing_unconfirmed",
             Refusal::BodyTooLarge => "body_too_large",
             Refusal::BodyTooSlow => "body_too_slow",
             Refusal::BodyBroken => "body_broken",
@@ -239,6 +243,7 @@
     let mut response = match admit(&gateway, parts, head, body).await {
         Ok(call) => run(Arc::new(call)).await,
         Err(refusal) => {
+            let refusal = confirm(&gateway, refusal);
             note_refusal(&gateway, id.as_deref(), refusal);
             refusal.into_response()
         }
@@ -249,6 +254,17 @@
     response
 }
 
+/// That a route or key does not exist is final for a caller, so it is said only where
+/// the routing is known to be the newest; elsewhere the caller may ask again.
+fn confirm(gateway: &Gateway, refusal: Refusal) -> Refusal {
+    match refusal {
+        Refusal::NoRoute | Refusal::UnknownKey if !gateway.feeds.is_current() => {
+            Refusal::RoutingUnconfirmed
+        }
+        refusal => refusal,
+    }
+}
+
 /// Counts and logs a request that is refused before it has found its service.
 fn note_refusal(gateway: &Gateway, id: Option<&str>, refusal: Refusal) {
     gateway.metrics.outcomes.with_label_values(&["", refusal.name()]).inc();
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -93,6 +93,29 @@
     assert_eq!(served, ["r4", "r7"]);
 }
 
+#[tokio::test]
+async fn a_router_that_may_be_behind_says_so_instead_of_denying_a_route() {
+    let (mut fleet, replicas) = fleet_with(&[Behaviour::Answer]).await;
+    let wrong_key = request("GET", "/safe/x", "r1", "Api-Key: new\r\n", "");
+    fleet.kill_control();
+    // Until the router has seen its feed end, it knows no better.
+    while call(fleet.front, &get("/new/x", "r2")).await.status == 404 {}
+    let answer = call(fleet.front, &get("/new/x", "r3")).await;
+    assert_eq!((answer.status, answer.body.as_str()), (503, "routing_unconfirmed"));
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(call(fleet.front, &wrong_key).await.status, 503);
+    assert_eq!(
+        call(fleet.front, &get("/safe/x", "r4")).await.status,
+        200,
+        "it serves what it knows"
+    );
+    assert_eq!(replicas[0].seen().len(), 1);
+    fleet.start_control();
+    fleet.settle().await;
+    assert_eq!(call(fleet.front, &get("/new/x", "r5")).await.status, 404);
+    assert_eq!(call(fleet.front, &wrong_key).await.status, 401);
+}
+
 #[tokio::test]
 async fn before_any_configuration_requests_are_refused_and_not_denied() {
     let fleet = Fleet::start().await;
