--- a/src/feed/news.rs
+++ b/src/feed/news.rs
@@ -76,10 +76,9 @@
         // Without a feed nothing is known of any change.
         let told = self.hosts.values().map(|news| news.routers).max().filter(|n| *n > 0);
         let told = told.unwrap_or(self.routers);
-        if told >= self.routers {
-            self.routers = told;
-            self.falls_at = None;
-        } else if now >= *self.falls_at.get_or_insert(now + FALL_AFTER_MS) {
+        let is_believed =
+            told >= self.routers || now >= *self.falls_at.get_or_insert(now + FALL_AFTER_MS);
+        if is_believed {
             self.routers = told;
             self.falls_at = None;
         }
