Answer reads of the configuration by the leader or not at all

An operator who applies a difference against it undoes what stands.

config get and config history are now answered by the leader after a majority has confirmed it, passed on to it once by others, or fail with the word to ask again. A router that has no configuration yet says so.

--- a/src/operator/control.rs
+++ b/src/operator/control.rs
@@ -1,8 +1,10 @@
 //! A control host's side of operators' calls.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tonic::metadata::MetadataValue;
 use tonic::{Request, Response, Status};
 
 use super::proto::operator_server::{Operator, OperatorServer};
@@ -14,6 +16,9 @@
 
 /// How long a proposal may take before it is called uncertain.
 const PROPOSE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Marks a read that another control host has passed on: two hosts that each take the
+/// other for the leader must not pass it back and forth.
+const FORWARDED: &str = "forwarded";
 /// Longest operation name.
 const MAX_OPERATION: usize = 64;
 
@@ -90,7 +95,42 @@
     Ok(changes)
 }
 
+/// Where the newest accepted configuration is known for sure.
+enum Newest {
+    /// Here: this host leads, and a majority has confirmed it.
+    Here,
+    /// At the operator port of the leader.
+    At(SocketAddr),
+}
+
+/// The call, marked so that it is passed on once only.
+fn forward<T>(request: Request<T>) -> Request<T> {
+    let mut forwarded = Request::new(request.into_inner());
+    forwarded.metadata_mut().insert(FORWARDED, MetadataValue::from_static("1"));
+    forwarded
+}
+
+fn unsure(error: crate::error::Error) -> Status {
+    Status::unavailable(format!("the leader does not answer: {error}"))
+}
+
 impl Service {
+    /// Other hosts lag, and one that has just started knows only its last snapshot: a
+    /// read is answered by the leader, or by an error that says to ask again.
+    async fn confirm_newest<T>(&self, request: &Request<T>) -> Result<Newest, Status> {
+        let no_majority = || Status::unavailable("no majority of control hosts is in reach");
+        let read = tokio::time::timeout(PROPOSE_TIMEOUT, self.0.handle.read()).await;
+        match read {
+            Ok(Ok(())) => Ok(Newest::Here),
+            Ok(Err(NoLeader::Elsewhere(host))) if !request.metadata().contains_key(FORWARDED) => {
+                let view = self.0.peers.view();
+                let leader = view.get(host).filter(|m| m.host != self.0.peers.me);
+                leader.map(|m| Newest::At(m.operator)).ok_or_else(no_majority)
+            }
+            Ok(Err(_)) | Err(_) => Err(no_majority()),
+        }
+    }
+
     async fn apply_here(
         &self,
         request: &proto::ApplyRequest,
@@ -154,22 +194,31 @@
 
     async fn get(
         &self,
-        _: Request<proto::GetRequest>,
+        request: Request<proto::GetRequest>,
     ) -> Result<Response<proto::GetReply>, Status> {
-        // On the leader this is the newest accepted; elsewhere it may lag.
-        let read = tokio::time::timeout(PROPOSE_TIMEOUT, self.0.handle.read()).await;
-        if matches!(read, Err(_) | Ok(Err(NoLeader::Uncertain))) {
-            return Err(Status::unavailable("no majority of control hosts is in reach"));
+        match self.confirm_newest(&request).await? {
+            Newest::Here => view::get_reply(&self.0.configs.current()).map(Response::new),
+            Newest::At(leader) => {
+                let mut client = client::connect(leader).await.map_err(unsure)?;
+                client.get(forward(request)).await
+            }
         }
-        view::get_reply(&self.0.configs.current()).map(Response::new)
     }
 
     async fn history(
         &self,
         request: Request<proto::HistoryRequest>,
     ) -> Result<Response<proto::HistoryReply>, Status> {
-        let most = view::most(request.get_ref());
-        Ok(Response::new(view::history_reply(self.0.configs.recent(most))))
+        match self.confirm_newest(&request).await? {
+            Newest::Here => {
+                let most = view::most(request.get_ref());
+                Ok(Response::new(view::history_reply(self.0.configs.recent(most))))
+            }
+            Newest::At(leader) => {
+                let mut client = client::connect(leader).await.map_err(unsure)?;
+                client.history(forward(request)).await
+            }
+        }
     }
 
     async fn status(
--- a/src/operator/router.rs
+++ b/src/operator/router.rs
@@ -37,7 +37,12 @@
         &self,
         _: Request<proto::GetRequest>,
     ) -> Result<Response<proto::GetReply>, Status> {
-        view::get_reply(&self.0.config()).map(Response::new)
+        let config = self.0.config();
+        // A router says what is in force here; before the first, that is nothing.
+        if config.version == 0 {
+            return Err(Status::unavailable("no configuration is in force here yet"));
+        }
+        view::get_reply(&config).map(Response::new)
     }
 
     async fn history(
--- a/tests/scenarios/steps.rs
+++ b/tests/scenarios/steps.rs
@@ -478,6 +478,36 @@
     w.replies = futures_util::future::join_all(race).await;
 }
 
+/// The version that a control host answers a read with; none where it is not sure.
+async fn read_version(w: &mut FleetWorld, control: u16) -> Option<u64> {
+    let operator = w.fleet().site.control_operator(control - 1);
+    let mut client = connect(operator).await.ok()?;
+    let reply = client.get(proto::GetRequest {}).await.ok()?;
+    Some(reply.into_inner().version)
+}
+
+#[then(regex = r"^control host (\d+) is not sure of the newest configuration$")]
+async fn not_sure(w: &mut FleetWorld, control: u16) {
+    // It answers other calls, so that a missing answer is not a missing process.
+    let operator = w.fleet().site.control_operator(control - 1);
+    until("the control host answers", async || w.fleet().status(operator).await.is_some()).await;
+    assert_eq!(read_version(w, control).await, None);
+}
+
+#[then(
+    regex = r"^every read at control host (\d+) is version (\d+) or not sure, until one is sure$"
+)]
+async fn reads_are_newest(w: &mut FleetWorld, control: u16, version: u64) {
+    until("a read is sure", async || match read_version(w, control).await {
+        Some(read) => {
+            assert_eq!(read, version, "an older version was read");
+            true
+        }
+        None => false,
+    })
+    .await;
+}
+
 #[then(regex = r"^one wins and the others are told that version (\d+) stands$")]
 async fn one_wins(w: &mut FleetWorld, version: u64) {
     let won = w.replies.iter().filter(|r| r.result() == Applied::Accepted);
