A soak of the real programs: three control hosts, two routers, faults by seed, checks without timings

Kills, stand-stills and planned stops in series and overlapping, while the configuration changes, callers keep their connections and replicas register. Each check is tried on a history that breaks it.

--- a/tests/platform/http.rs
+++ b/tests/platform/http.rs
@@ -32,19 +32,22 @@
 /// Sends a request and reads the answer.
 pub async fn call(to: SocketAddr, text: &str) -> Answer {
     let mut stream = open(to, text).await;
+    read_answer(&mut stream).await.expect("the connection ended without an answer")
+}
+
+/// Reads one answer; none where the connection ends before its head is whole.
+pub async fn read_answer(stream: &mut TcpStream) -> Option<Answer> {
     let mut bytes = Vec::new();
     let mut buffer = [0; 4_096];
     loop {
         if let Some(answer) = parse(&bytes, false) {
-            return answer;
+            return Some(answer);
         }
         match stream.read(&mut buffer).await {
-            Ok(0) | Err(_) => break,
+            Ok(0) | Err(_) => return parse(&bytes, true),
             Ok(size) => bytes.extend_from_slice(&buffer[..size]),
         }
     }
-    parse(&bytes, true)
-        .unwrap_or_else(|| panic!("no answer: {:?}", String::from_utf8_lossy(&bytes)))
 }
 
 /// The answer in `bytes`; none while more must come.
--- /dev/null
+++ b/tests/soak/checks.rs
@@ -0,0 +1,93 @@
+//! Each check of the soak fails on a history in which its promise is broken.
+
+use std::time::{Duration, Instant};
+
+use crate::history::{Acknowledged, Call, History, Read, Sighting};
+
+fn after(start: Instant, ms: u64) -> Instant {
+    start + Duration::from_millis(ms)
+}
+
+fn answered(id: &str, once: bool, status: u16, body: &str) -> Call {
+    Call { id: id.into(), once, answer: Some((status, body.into(), true)) }
+}
+
+fn sighting(start: Instant, at: u64, version: u64, knows: bool) -> Sighting {
+    let (asked, answered) = (after(start, at), after(start, at + 1));
+    Sighting { router: 0, life: 1, asked, answered, version, knows }
+}
+
+/// A history in which every promise is kept.
+fn sound() -> (History, Instant) {
+    let start = Instant::now();
+    let mut history = History::default();
+    history.sent.insert(1, "one".into());
+    history.sent.insert(2, "two".into());
+    history.acknowledged.push(Acknowledged { version: 1, at: after(start, 10) });
+    history.acknowledged.push(Acknowledged { version: 2, at: after(start, 20) });
+    history.reads.push(Read { asked: after(start, 15), version: 1, text: "one".into() });
+    history.reads.push(Read { asked: after(start, 15), version: 2, text: "two".into() });
+    history.calls.push(answered("a", true, 200, "answer to a"));
+    history.calls.push(answered("b", true, 503, ""));
+    history.calls.push(Call { id: "c".into(), once: true, answer: None });
+    history.calls.push(answered("d", false, 200, "answer to d"));
+    history.runs = ["a", "c", "d", "d"].map(String::from).to_vec();
+    history.sightings.push(sighting(start, 30, 2, false));
+    history.sightings.push(sighting(start, 40, 2, true));
+    history.sightings.push(Sighting { life: 2, ..sighting(start, 50, 2, false) });
+    (history, start)
+}
+
+fn breaks(change: impl FnOnce(&mut History, Instant)) -> usize {
+    let (mut history, start) = sound();
+    assert_eq!(history.broken(), Vec::<String>::new());
+    change(&mut history, start);
+    history.broken().len()
+}
+
+#[test]
+fn a_read_that_is_older_than_what_was_acknowledged_is_caught() {
+    let read = |start| Read { asked: after(start, 21), version: 1, text: "one".into() };
+    assert_eq!(breaks(|h, start| h.reads.push(read(start))), 1);
+}
+
+#[test]
+fn a_version_that_reads_otherwise_than_it_was_sent_is_caught() {
+    assert_eq!(breaks(|h, _| h.reads[1].text = "too".into()), 1);
+}
+
+#[test]
+fn a_sound_change_that_is_refused_is_caught() {
+    assert_eq!(breaks(|h, _| h.refused_changes.push("refused".into())), 1);
+}
+
+#[test]
+fn an_answer_to_another_request_is_caught() {
+    assert_eq!(breaks(|h, _| h.calls[0] = answered("a", true, 200, "answer to d")), 1);
+}
+
+#[test]
+fn an_answer_that_is_not_whole_is_caught() {
+    let part = Some((200, "answer to a".to_string(), false));
+    assert_eq!(breaks(|h, _| h.calls[0].answer = part), 1);
+}
+
+#[test]
+fn a_promise_of_no_run_that_is_false_is_caught() {
+    assert_eq!(breaks(|h, _| h.runs.push("b".into())), 1);
+}
+
+#[test]
+fn a_second_run_of_what_may_run_once_is_caught() {
+    assert_eq!(breaks(|h, _| h.runs.push("c".into())), 1);
+}
+
+#[test]
+fn a_run_that_nobody_asked_for_is_caught() {
+    assert_eq!(breaks(|h, _| h.runs.push("z".into())), 1);
+}
+
+#[test]
+fn a_router_that_goes_back_is_caught() {
+    assert_eq!(breaks(|h, start| h.sightings.push(sighting(start, 60, 1, false))), 1);
+}
--- /dev/null
+++ b/tests/soak/faults.rs
@@ -0,0 +1,95 @@
+//! Faults by seed, in series and overlapping.
+
+use std::ops::Range;
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::fleet::{CONTROLS, Fleet, ROUTERS, router};
+
+/// Milliseconds from one fault to the next.
+const PAUSE_MS: Range<u64> = 200..1_500;
+/// Milliseconds for which a process is down.
+const DOWN_MS: Range<u64> = 50..900;
+/// Milliseconds for which a process stands still, past the time of suspicion at most.
+const STILL_MS: Range<u64> = 200..2_500;
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    AllControls,
+    OneControl,
+    ControlStandsStill,
+    ControlStops,
+    OneRouter,
+    RouterStandsStill,
+    RouterStops,
+    AllControlsAndARouter,
+    Everything,
+}
+
+const FAULTS: [Fault; 9] = [
+    Fault::AllControls,
+    Fault::OneControl,
+    Fault::ControlStandsStill,
+    Fault::ControlStops,
+    Fault::OneRouter,
+    Fault::RouterStandsStill,
+    Fault::RouterStops,
+    Fault::AllControlsAndARouter,
+    Fault::Everything,
+];
+
+/// Brings faults about for a while; all processes run afterwards.
+pub async fn happen(fleet: &Fleet, seed: u64, time: Duration) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let start = Instant::now();
+    while start.elapsed() < time {
+        let fault = FAULTS[rng.random_range(0..FAULTS.len())];
+        println!("{:6} ms {fault:?}", start.elapsed().as_millis());
+        bring(fleet, &mut rng, fault).await;
+        pause(&mut rng, PAUSE_MS).await;
+    }
+}
+
+async fn pause(rng: &mut SmallRng, ms: Range<u64>) {
+    tokio::time::sleep(Duration::from_millis(rng.random_range(ms))).await;
+}
+
+async fn bring(fleet: &Fleet, rng: &mut SmallRng, fault: Fault) {
+    let a_control = rng.random_range(0..CONTROLS);
+    let a_router = router(rng.random_range(0..ROUTERS));
+    let controls: Vec<_> = (0..CONTROLS).collect();
+    match fault {
+        Fault::AllControls => restart(fleet, rng, &controls).await,
+        Fault::OneControl => restart(fleet, rng, &[a_control]).await,
+        Fault::OneRouter => restart(fleet, rng, &[a_router]).await,
+        Fault::AllControlsAndARouter => {
+            restart(fleet, rng, &[&controls[..], &[a_router]].concat()).await;
+        }
+        Fault::Everything => {
+            restart(fleet, rng, &(0..CONTROLS + ROUTERS).collect::<Vec<_>>()).await;
+        }
+        Fault::ControlStandsStill => stand_still(fleet, rng, a_control).await,
+        Fault::RouterStandsStill => stand_still(fleet, rng, a_router).await,
+        Fault::ControlStops => stop(fleet, a_control).await,
+        Fault::RouterStops => stop(fleet, a_router).await,
+    }
+}
+
+async fn restart(fleet: &Fleet, rng: &mut SmallRng, hosts: &[usize]) {
+    hosts.iter().for_each(|host| fleet.kill(*host));
+    pause(rng, DOWN_MS).await;
+    hosts.iter().for_each(|host| fleet.spawn(*host));
+}
+
+async fn stand_still(fleet: &Fleet, rng: &mut SmallRng, host: usize) {
+    fleet.pause(host);
+    pause(rng, STILL_MS).await;
+    fleet.resume(host);
+}
+
+async fn stop(fleet: &Fleet, host: usize) {
+    fleet.stop(host).await;
+    fleet.spawn(host);
+}
--- /dev/null
+++ b/tests/soak/history.rs
@@ -0,0 +1,143 @@
+//! What callers, operators and replicas saw, and the promises that it must keep. No
+//! check asks how long anything took, so a busy machine does not change a verdict.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+/// A change of the configuration that was acknowledged.
+#[derive(Clone, Copy, Debug)]
+pub struct Acknowledged {
+    pub version: u64,
+    pub at: Instant,
+}
+
+/// A read of the configuration that was answered.
+#[derive(Clone, Debug)]
+pub struct Read {
+    pub asked: Instant,
+    pub version: u64,
+    pub text: String,
+}
+
+/// A caller's request.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub id: String,
+    /// Whether it may run once only.
+    pub once: bool,
+    /// Status, body, and whether the body came to its end; none where the connection
+    /// ended first.
+    pub answer: Option<(u16, String, bool)>,
+}
+
+/// Whether a router knew the route that a version had added.
+#[derive(Clone, Copy, Debug)]
+pub struct Sighting {
+    pub router: usize,
+    /// Counts the starts of its process.
+    pub life: u32,
+    pub asked: Instant,
+    pub answered: Instant,
+    pub version: u64,
+    pub knows: bool,
+}
+
+/// All that was seen.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    pub sent: BTreeMap<u64, String>,
+    pub acknowledged: Vec<Acknowledged>,
+    pub refused_changes: Vec<String>,
+    pub reads: Vec<Read>,
+    pub calls: Vec<Call>,
+    pub sightings: Vec<Sighting>,
+    /// Ids of requests that replicas ran, once for each run.
+    pub runs: Vec<String>,
+}
+
+impl History {
+    /// Every promise that was broken, in words.
+    pub fn broken(&self) -> Vec<String> {
+        let mut broken = self.refused_changes.clone();
+        broken.extend(self.older_reads());
+        broken.extend(self.changed_texts());
+        broken.extend(self.wrong_answers());
+        broken.extend(self.false_promises());
+        broken.extend(self.doubled_runs());
+        broken.extend(self.unasked_runs());
+        broken.extend(self.routers_gone_back());
+        broken
+    }
+
+    /// The newest version acknowledged before a moment.
+    fn newest_before(&self, moment: Instant) -> u64 {
+        let before = self.acknowledged.iter().filter(|a| a.at < moment);
+        before.map(|a| a.version).max().unwrap_or(0)
+    }
+
+    fn older_reads(&self) -> impl Iterator<Item = String> {
+        self.reads.iter().filter_map(|read| {
+            let newest = self.newest_before(read.asked);
+            let text = format!("read version {} after {newest} was acknowledged", read.version);
+            (read.version < newest).then_some(text)
+        })
+    }
+
+    fn changed_texts(&self) -> impl Iterator<Item = String> {
+        let changed = |read: &&Read| self.sent.get(&read.version) != Some(&read.text);
+        self.reads.iter().filter(changed).map(|r| format!("version {} reads otherwise", r.version))
+    }
+
+    fn wrong_answers(&self) -> impl Iterator<Item = String> {
+        self.calls.iter().filter_map(|call| {
+            let (status, body, whole) = call.answer.as_ref()?;
+            let right = *whole && *body == format!("answer to {}", call.id);
+            (*status == 200 && !right).then(|| format!("{} got {body:?}, whole {whole}", call.id))
+        })
+    }
+
+    fn false_promises(&self) -> impl Iterator<Item = String> {
+        let run: BTreeSet<_> = self.runs.iter().collect();
+        self.calls.iter().filter_map(move |call| {
+            let (status, ..) = call.answer.as_ref()?;
+            let promised = call.once && matches!(status, 408 | 421 | 429 | 503);
+            (promised && run.contains(&call.id)).then(|| format!("{} ran after all", call.id))
+        })
+    }
+
+    fn doubled_runs(&self) -> impl Iterator<Item = String> {
+        let mut runs: BTreeMap<&str, u32> = BTreeMap::new();
+        self.runs.iter().for_each(|id| *runs.entry(id).or_default() += 1);
+        self.calls.iter().filter(|call| call.once).filter_map(move |call| {
+            let count = *runs.get(call.id.as_str())?;
+            (count > 1).then(|| format!("{} ran {count} times", call.id))
+        })
+    }
+
+    fn unasked_runs(&self) -> impl Iterator<Item = String> {
+        let asked: BTreeSet<_> = self.calls.iter().map(|call| &call.id).collect();
+        let unasked = self.runs.iter().filter(move |id| !asked.contains(id));
+        unasked.map(|id| format!("{id} ran and nobody had asked"))
+    }
+
+    fn routers_gone_back(&self) -> impl Iterator<Item = String> {
+        self.sightings.iter().filter(|s| !s.knows).filter_map(|later| {
+            let same = |s: &&Sighting| s.router == later.router && s.life == later.life;
+            let before = |s: &&Sighting| s.knows && s.answered < later.asked;
+            let known =
+                self.sightings.iter().filter(same).filter(before).map(|s| s.version).max()?;
+            let text = format!("router {} knew {known}, then not {}", later.router, later.version);
+            (known >= later.version).then_some(text)
+        })
+    }
+
+    /// Longest time from an acknowledgement to the first router's answer that knows the
+    /// version or a later one, in milliseconds; for the report only.
+    pub fn longest_unknown_ms(&self) -> u128 {
+        let lag = |s: &Sighting| {
+            let acknowledged = self.acknowledged.iter().find(|a| a.version == s.version)?;
+            Some(s.asked.checked_duration_since(acknowledged.at)?.as_millis())
+        };
+        self.sightings.iter().filter(|s| !s.knows).filter_map(lag).max().unwrap_or(0)
+    }
+}
