Show by a test that each table reaches each router from every control host (red); say how long routers were behind in the soak

Traced: a configuration that grows by 1,750 routes in a burst silences every placer for some 150 ms, since each control host sends the whole table to each router. The test counts the bytes: 272 KB where 136 KB would do.

The soak measured from the acknowledgement of the newest version, which says little; it now measures from the first version that a router missed.

--- a/src/feed/tests/connection.rs
+++ b/src/feed/tests/connection.rs
@@ -10,7 +10,7 @@
 use crate::control::Leadership;
 use crate::peer::{Incoming, Peers};
 use crate::registry::SharedRegistry;
-use crate::routing::{Documents, RoutingTable};
+use crate::routing::{Documents, Route, RouteKind, RoutingTable, Target};
 use crate::settings::{HeartbeatScope, HostSettings};
 use crate::wire::{HostId, Open, Role};
 
@@ -111,3 +111,50 @@
     control.links.set(vec![], vec![], vec![]);
     wait_until(|| feeds.is_current()).await;
 }
+
+/// A table of so many routes that it weighs more than all else that is sent.
+fn large_table(version: u64) -> RoutingTable {
+    let route = |n: usize| Route {
+        name: format!("route-{n}"),
+        host: "shop.example".into(),
+        prefix: format!("/a-long-prefix-of-route-{n}/"),
+        kind: RouteKind::Repeatable,
+        timeout_ms: 1_000,
+        objective_ms: 100,
+        pause_objective_ms: 0,
+        priority: 1,
+        targets: vec![Target { service: "app".into(), weight: 1 }],
+        attempts: 2,
+        public: false,
+        resumable: false,
+    };
+    RoutingTable { version, routes: (0..2_000).map(route).collect(), ..table(version) }
+}
+
+#[tokio::test]
+async fn a_large_table_is_sent_to_a_router_once() {
+    let controls = [start(Role::Control, 11, vec![]).await, start(Role::Control, 12, vec![]).await];
+    let published = [Arc::new(Documents::default()), Arc::new(Documents::default())];
+    let mut hosts = Vec::new();
+    for ((control, incoming), documents) in controls.into_iter().zip(&published) {
+        tokio::spawn(serve(control.clone(), incoming, documents.clone()));
+        hosts.push(control);
+    }
+    let (router, _) = start(Role::Router, 13, vec![address(11), address(12)]).await;
+    let followed = Arc::new(Documents::default());
+    let registry = Arc::new(SharedRegistry::default());
+    let feeds = Subscriptions::start(router, followed.clone(), registry);
+    wait_until(|| feeds.open_feeds() == 2).await;
+    let weight = postcard::to_stdvec(&large_table(1)).unwrap().len() as u64;
+    for documents in &published {
+        documents.adopt_table(large_table(1));
+    }
+    wait_until(|| version(&followed) == 1).await;
+    // Both know that it has come once both have said the next, small one.
+    for documents in &published {
+        documents.adopt_table(table(2));
+    }
+    wait_until(|| version(&followed) == 2).await;
+    let sent: u64 = hosts.iter().map(|host| host.sent.get()).sum();
+    assert!(sent < weight * 3 / 2, "{sent} bytes sent, {weight} would do");
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -28,7 +28,7 @@
 
 use actors::Stage;
 use fleet::{CONTROLS, Fleet, ROUTERS};
-use history::History;
+use history::{History, Says};
 use replica::{Behaviour, Replica};
 
 /// Callers of each router.
@@ -127,7 +127,7 @@
     let newest = stage.history.lock().unwrap().acknowledged.last().map(|a| a.version);
     let Some(version) = newest else { return false };
     for number in 0..ROUTERS {
-        if actors::sight(stage, number, version).await != Some(true) {
+        if actors::sight(stage, number, version).await != Some(Says::Knows) {
             return false;
         }
     }
@@ -150,9 +150,10 @@
         let answers = history.calls.iter().filter_map(|c| c.answer.as_ref());
         answers.filter(|(status, ..)| *status == wanted).count()
     };
+    let (behind, denying) = history.behind_ms();
     println!(
         "{} changes, {} reads, {} calls: {} answered, {} refused, {} unknown, {} without an \
-         answer; a router denied an acknowledged route after {} ms at most",
+         answer; a router was behind for {behind} ms at most, and denied routes for {denying} ms",
         history.acknowledged.len(),
         history.reads.len(),
         history.calls.len(),
@@ -160,6 +161,5 @@
         status(503),
         status(502) + status(504),
         history.calls.iter().filter(|c| c.answer.is_none()).count(),
-        history.longest_unknown_ms(),
     );
 }
--- a/tests/soak/actors.rs
+++ b/tests/soak/actors.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::fleet::{CONTROLS, Fleet, ROUTERS, router};
-use crate::history::{Acknowledged, Call, History, Read, Sighting};
+use crate::history::{Acknowledged, Call, History, Read, Says, Sighting};
 use crate::http::{Answer, read_answer};
 use crate::replica::Replica;
 
@@ -188,7 +188,7 @@
 }
 
 /// Asks one router for the route of a version. Nothing is to run: the time is over.
-pub async fn sight(stage: &Stage, number: usize, version: u64) -> Option<bool> {
+pub async fn sight(stage: &Stage, number: usize, version: u64) -> Option<Says> {
     let life = stage.fleet.life(router(number));
     let asked = Instant::now();
     let text = format!(
@@ -200,14 +200,14 @@
     if stage.fleet.life(router(number)) != life {
         return None;
     }
-    // A router that may be behind says nothing either way.
-    let knows = match (answer.status, answer.body.as_str()) {
-        (_, "routing_unconfirmed" | "no_routing" | "stopping" | "overloaded") => return None,
-        (status, _) => status != 404,
+    let says = match (answer.status, answer.body.as_str()) {
+        (404, _) => Says::Denies,
+        (_, "routing_unconfirmed" | "no_routing" | "stopping" | "overloaded") => Says::Unsure,
+        _ => Says::Knows,
     };
-    let number = Sighting { router: number, life, asked, answered, version, knows };
-    stage.note(|h| h.sightings.push(number));
-    Some(knows)
+    let sighting = Sighting { router: number, life, asked, answered, version, says };
+    stage.note(|h| h.sightings.push(sighting));
+    Some(says)
 }
 
 /// Asks one router for the newest acknowledged route, again and again.
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::history::{Acknowledged, Call, History, Read, Sighting};
+use crate::history::{Acknowledged, Call, History, Read, Says, Sighting};
 
 fn after(start: Instant, ms: u64) -> Instant {
     start + Duration::from_millis(ms)
@@ -12,9 +12,9 @@
     Call { id: id.into(), once, answer: Some((status, body.into(), true)) }
 }
 
-fn sighting(start: Instant, at: u64, version: u64, knows: bool) -> Sighting {
+fn sighting(start: Instant, at: u64, version: u64, says: Says) -> Sighting {
     let (asked, answered) = (after(start, at), after(start, at + 1));
-    Sighting { router: 0, life: 1, asked, answered, version, knows }
+    Sighting { router: 0, life: 1, asked, answered, version, says }
 }
 
 /// A history in which every promise is kept.
@@ -32,9 +32,9 @@
     history.calls.push(Call { id: "c".into(), once: true, answer: None });
     history.calls.push(answered("d", false, 200, "answer to d"));
     history.runs = ["a", "c", "d", "d"].map(String::from).to_vec();
-    history.sightings.push(sighting(start, 30, 2, false));
-    history.sightings.push(sighting(start, 40, 2, true));
-    history.sightings.push(Sighting { life: 2, ..sighting(start, 50, 2, false) });
+    history.sightings.push(sighting(start, 30, 2, Says::Denies));
+    history.sightings.push(sighting(start, 40, 2, Says::Knows));
+    history.sightings.push(Sighting { life: 2, ..sighting(start, 50, 2, Says::Denies) });
     (history, start)
 }
 
@@ -87,7 +87,18 @@
     assert_eq!(breaks(|h, _| h.runs.push("z".into())), 1);
 }
 
+#[test]
+fn a_router_is_behind_from_the_first_version_that_it_missed() {
+    let (mut history, start) = sound();
+    for (version, at) in [(3, 100), (4, 200), (5, 300)] {
+        history.acknowledged.push(Acknowledged { version, at: after(start, at) });
+    }
+    history.sightings.push(sighting(start, 350, 5, Says::Denies));
+    history.sightings.push(sighting(start, 400, 5, Says::Unsure));
+    assert_eq!(history.behind_ms(), (300, 250));
+}
+
 #[test]
 fn a_router_that_goes_back_is_caught() {
-    assert_eq!(breaks(|h, start| h.sightings.push(sighting(start, 60, 1, false))), 1);
+    assert_eq!(breaks(|h, start| h.sightings.push(sighting(start, 60, 1, Says::Denies))), 1);
 }
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -30,7 +30,16 @@
     pub answer: Option<(u16, String, bool)>,
 }
 
-/// Whether a router knew the route that a version had added.
+/// What a router says of a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Says {
+    Knows,
+    /// It may be behind, or takes nothing now.
+    Unsure,
+    Denies,
+}
+
+/// What a router said of the route that a version had added.
 #[derive(Clone, Copy, Debug)]
 pub struct Sighting {
     pub router: usize,
@@ -39,7 +48,7 @@
     pub asked: Instant,
     pub answered: Instant,
     pub version: u64,
-    pub knows: bool,
+    pub says: Says,
 }
 
 /// All that was seen.
@@ -121,9 +130,9 @@
     }
 
     fn routers_gone_back(&self) -> impl Iterator<Item = String> {
-        self.sightings.iter().filter(|s| !s.knows).filter_map(|later| {
+        self.sightings.iter().filter(|s| s.says == Says::Denies).filter_map(|later| {
             let same = |s: &&Sighting| s.router == later.router && s.life == later.life;
-            let before = |s: &&Sighting| s.knows && s.answered < later.asked;
+            let before = |s: &&Sighting| s.says == Says::Knows && s.answered < later.asked;
             let known =
                 self.sightings.iter().filter(same).filter(before).map(|s| s.version).max()?;
             let text = format!("router {} knew {known}, then not {}", later.router, later.version);
@@ -131,13 +140,25 @@
         })
     }
 
-    /// Longest time from an acknowledgement to the first router's answer that knows the
-    /// version or a later one, in milliseconds; for the report only.
-    pub fn longest_unknown_ms(&self) -> u128 {
-        let lag = |s: &Sighting| {
-            let acknowledged = self.acknowledged.iter().find(|a| a.version == s.version)?;
-            Some(s.asked.checked_duration_since(acknowledged.at)?.as_millis())
+    /// For how long a router was behind at most, in milliseconds, and that while it
+    /// denied routes instead of saying that it may be behind; for the report only.
+    pub fn behind_ms(&self) -> (u128, u128) {
+        let behind = |later: &Sighting| {
+            let same = |s: &&Sighting| s.router == later.router && s.life == later.life;
+            let before = self.sightings.iter().filter(same).filter(|s| s.answered < later.asked);
+            let known = before.filter(|s| s.says == Says::Knows).map(|s| s.version).max()?;
+            let mut missed = self.acknowledged.iter().filter(|a| a.version > known);
+            let since = later.asked.checked_duration_since(missed.next()?.at)?;
+            Some(since.as_millis())
+        };
+        let longest = |unsure: bool| {
+            let not_known = self.sightings.iter().filter(|s| match s.says {
+                Says::Knows => false,
+                Says::Unsure => unsure,
+                Says::Denies => true,
+            });
+            not_known.filter_map(behind).max().unwrap_or(0)
         };
-        self.sightings.iter().filter(|s| !s.knows).filter_map(lag).max().unwrap_or(0)
+        (longest(true), longest(false))
     }
 }
