One fixture for routes in tests; drop an accessor that only a test used

The large table of the feed's test wrote the route of the routing tests again; both now take testing::route. The member table's introduced_as had one caller, the virtual network of its tests, which reads the introduction instead.

Behaviour is the same and no assertion changed.

--- a/src/feed/tests/connection.rs
+++ b/src/feed/tests/connection.rs
@@ -10,8 +10,9 @@
 use crate::control::Leadership;
 use crate::peer::{Incoming, Peers};
 use crate::registry::SharedRegistry;
-use crate::routing::{Documents, Route, RouteKind, RoutingTable, Target};
+use crate::routing::{Documents, RoutingTable};
 use crate::settings::{HeartbeatScope, HostSettings};
+use crate::testing::route;
 use crate::wire::{HostId, Open, Role};
 
 const PEER_PORT: u16 = 7_400;
@@ -114,21 +115,9 @@
 
 /// A table of so many routes that it weighs more than all else that is sent.
 fn large_table(version: u64) -> RoutingTable {
-    let route = |n: usize| Route {
-        name: format!("route-{n}"),
-        host: "shop.example".into(),
-        prefix: format!("/a-long-prefix-of-route-{n}/"),
-        kind: RouteKind::Repeatable,
-        timeout_ms: 1_000,
-        objective_ms: 100,
-        pause_objective_ms: 0,
-        priority: 1,
-        targets: vec![Target { service: "app".into(), weight: 1 }],
-        attempts: 2,
-        public: false,
-        resumable: false,
-    };
-    RoutingTable { version, routes: (0..2_000).map(route).collect(), ..table(version) }
+    let numbered =
+        |n| route(&format!("route-{n}"), "shop.example", &format!("/a-long-prefix-of-route-{n}/"));
+    RoutingTable { version, routes: (0..2_000).map(numbered).collect(), ..table(version) }
 }
 
 #[tokio::test]
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -178,11 +178,6 @@
         newcomer
     }
 
-    /// What this host says of itself.
-    pub fn introduced_as(&self) -> &Heartbeat {
-        &self.me
-    }
-
     /// Brief heartbeats of hosts that have not said the whole, since the start.
     pub fn unknown_heartbeats(&self) -> u64 {
         self.unknown_heartbeats
--- a/src/member/tests/network.rs
+++ b/src/member/tests/network.rs
@@ -155,8 +155,10 @@
     /// Whether `host` takes the present process of `other` for live.
     pub fn knows(&self, host: u32, other: u32) -> bool {
         let view = self.processes[&host].table.view(self.now);
-        let incarnation = |n: u32| self.processes[&n].table.introduced_as().incarnation;
-        view.get(HostId(other)).is_some_and(|m| m.incarnation == incarnation(other))
+        let Beat::Whole(present) = self.processes[&other].table.introduction() else {
+            panic!("an introduction says the whole");
+        };
+        view.get(HostId(other)).is_some_and(|m| m.incarnation == present.incarnation)
     }
 
     /// Pairs of a router and a control host of which one does not know the other.
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -1,23 +1,7 @@
 use std::sync::Arc;
 
 use super::*;
-
-fn route(name: &str, host: &str, prefix: &str) -> Route {
-    Route {
-        name: name.into(),
-        host: host.into(),
-        prefix: prefix.into(),
-        kind: RouteKind::Repeatable,
-        timeout_ms: 1_000,
-        objective_ms: 100,
-        pause_objective_ms: 0,
-        priority: 1,
-        targets: vec![Target { service: "app".into(), weight: 1 }],
-        attempts: 2,
-        public: false,
-        resumable: false,
-    }
-}
+use crate::testing::route;
 
 fn table(version: u64, routes: Vec<Route>) -> RoutingTable {
     let service = ServicePool { name: "app".into(), max_connections: 10, engine: None };
