Send a routing table to a router once: announce versions, ask one control host

At 295 routers and five control hosts it is 1,475 tables a version.

Change: control hosts announce the version only. A router asks one of them; the leader, which also places requests, only where nobody else has announced it within 150 ms (followers learn of a commit within 100 ms). A host that is silent for 500 ms or leaves is replaced by another. A router that knows of a newer version than its own says 503 routing_unconfirmed, not 404 or 401.

a_large_table_is_sent_to_a_router_once was red and passes; new tests for who is asked and for a host that announces and never sends. Sockets and waits of such tests moved to testing.rs, without a change of what they assert.

Ruled out: a table from a hashed host of its own for each router, which needs all hosts to agree on the list of hosts.

--- a/src/control.rs
+++ b/src/control.rs
@@ -20,7 +20,7 @@
 
 use crate::error::{Error, Result};
 use crate::feed::{self, Subscriptions};
-use crate::peer::{Incoming, Peers};
+use crate::peer::{Incoming, PeerReader, Peers};
 use crate::placement::{self, PlacementSession};
 use crate::registry::{SharedRegistry, saved};
 use crate::routing::Documents;
@@ -166,7 +166,7 @@
                 tokio::spawn(control.placement.clone().attach(router, session, reader, writer));
             }
             Open::Feed { host } => {
-                tokio::spawn(publish_feed(control.clone(), host, writer));
+                tokio::spawn(publish_feed(control.clone(), host, reader, writer));
             }
             Open::Claims { router } => {
                 tokio::spawn(serve::take_claims(control.clone(), router, reader, writer));
@@ -176,13 +176,19 @@
     }
 }
 
-async fn publish_feed(control: Arc<Control>, host: HostId, writer: OwnedWriteHalf) {
+async fn publish_feed(
+    control: Arc<Control>,
+    host: HostId,
+    reader: PeerReader,
+    writer: OwnedWriteHalf,
+) {
     let published = feed::publish(
         control.documents.clone(),
         control.registry.clone(),
         control.handle.leadership.clone(),
         control.peers.watch(),
         control.peers.sent.clone(),
+        reader,
         writer,
     );
     if let Err(error) = published.await {
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -2,12 +2,15 @@
 //! routing in force, endpoints, and who leads.
 //!
 //! A subscriber keeps one connection to each control host that it knows. What it
-//! learns merges in any order, so a lost connection costs nothing but time.
+//! learns merges in any order, so a lost connection costs nothing but time. Of a
+//! routing table every control host tells the version only; a subscriber asks one of
+//! them for the table.
 
 mod following;
 mod news;
 mod publish;
 mod subscribe;
+mod table_fetch;
 #[cfg(test)]
 mod tests;
 
@@ -24,7 +27,9 @@
 /// One message of a feed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FeedMessage {
-    /// A routing table that was agreed on.
+    /// The version of the routing table that the sender holds.
+    RoutingVersion(u64),
+    /// A routing table that was agreed on, for a subscriber that asked.
     Routing {
         /// Its version, so that who has it need not decode it again.
         version: u64,
@@ -46,3 +51,10 @@
         leader: Option<HostId>,
     },
 }
+
+/// What a subscriber asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FeedRequest {
+    /// The newest routing table.
+    Routing,
+}
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -5,28 +5,36 @@
 
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::broadcast::error::RecvError;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
+use tokio_util::task::AbortOnDropHandle;
 
-use super::FeedMessage;
+use super::{FeedMessage, FeedRequest};
 use crate::control::Leadership;
 use crate::error::{Result, RpcSnafu};
 use crate::member::View;
+use crate::peer::PeerReader;
 use crate::registry::SharedRegistry;
 use crate::routing::Documents;
 use crate::wire::{Role, SentBytes, write_frame};
 
 /// How long a subscriber may take to read one message.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Requests of one subscriber that may wait; one at a time is usual.
+const REQUESTS: usize = 4;
 
-/// Tells one subscriber everything, and then each change, until it leaves.
+/// Tells one subscriber everything, and then each change, until it leaves. Routing
+/// tables are sent when it asks.
 pub async fn publish(
     documents: Arc<Documents>,
     registry: Arc<SharedRegistry>,
     mut leadership: watch::Receiver<Leadership>,
     mut view: watch::Receiver<Arc<View>>,
     sent: SentBytes,
+    reader: PeerReader,
     mut writer: OwnedWriteHalf,
 ) -> Result<()> {
+    let (requests, mut asked) = mpsc::channel(REQUESTS);
+    let _reading = AbortOnDropHandle::new(tokio::spawn(read_requests(reader, requests)));
     let mut routing = documents.watch();
     routing.mark_changed();
     leadership.mark_changed();
@@ -55,11 +63,16 @@
                 FeedMessage::Routers(now)
             }
             Ok(()) = routing.changed() => match routing.borrow_and_update().clone() {
-                Some(routing) => FeedMessage::Routing {
+                Some(routing) => FeedMessage::RoutingVersion(routing.table.version),
+                None => continue,
+            },
+            request = asked.recv() => match (request, documents.current()) {
+                (Some(FeedRequest::Routing), Some(routing)) => FeedMessage::Routing {
                     version: routing.table.version,
                     encoded: routing.encoded(),
                 },
-                None => continue,
+                (Some(FeedRequest::Routing), None) => continue,
+                (None, _) => return Ok(()),
             },
             changed = changes.recv() => match changed {
                 Ok(endpoint) => FeedMessage::Endpoints(vec![endpoint]),
@@ -73,6 +86,18 @@
     }
 }
 
+/// Reads what the subscriber asks for until its connection ends.
+async fn read_requests(mut reader: PeerReader, requests: mpsc::Sender<FeedRequest>) {
+    // The end of the connection ends the feed too, which says so.
+    while let Ok(batch) = reader.next::<Vec<FeedRequest>>().await {
+        for request in batch {
+            if requests.send(request).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
 async fn write(writer: &mut OwnedWriteHalf, sent: &SentBytes, message: FeedMessage) -> Result<()> {
     let written = write_frame(writer, &message);
     match tokio::time::timeout(WRITE_TIMEOUT, written).await {
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -1,21 +1,24 @@
 //! The subscribers' side: one task for each control host that is known.
 
 use std::collections::BTreeMap;
+use std::future::ready;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use tokio_util::task::AbortOnDropHandle;
 
-use super::FeedMessage;
 use super::following::{Following, Step};
 use super::news::News;
+use super::table_fetch::{Next, TableFetch};
+use super::{FeedMessage, FeedRequest};
 use crate::error::Result;
 use crate::peer::Peers;
 use crate::registry::SharedRegistry;
 use crate::routing::Documents;
-use crate::wire::{HostId, Open};
+use crate::wire::{BatchSender, BatchWriter, HostId, Open};
 
 /// How long to wait before a lost feed is opened again.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
@@ -30,6 +33,15 @@
     documents: Arc<Documents>,
     registry: Arc<SharedRegistry>,
     news: Mutex<News>,
+    tables: Mutex<Tables>,
+    tables_changed: Notify,
+}
+
+/// Where routing tables are to be had.
+#[derive(Debug, Default)]
+struct Tables {
+    fetch: TableFetch,
+    requests: BTreeMap<HostId, BatchSender<FeedRequest>>,
 }
 
 impl Subscriptions {
@@ -39,8 +51,16 @@
         documents: Arc<Documents>,
         registry: Arc<SharedRegistry>,
     ) -> Arc<Subscriptions> {
-        let all = Arc::new(Subscriptions { peers, documents, registry, news: Mutex::default() });
+        let all = Arc::new(Subscriptions {
+            peers,
+            documents,
+            registry,
+            news: Mutex::default(),
+            tables: Mutex::default(),
+            tables_changed: Notify::new(),
+        });
         tokio::spawn(follow_view(all.clone()));
+        tokio::spawn(fetch_tables(all.clone()));
         all
     }
 
@@ -53,7 +73,12 @@
     /// Whether the routing in force here is the newest, but for what is on its way: a
     /// live control host that hears the leader tells every change.
     pub fn is_current(&self) -> bool {
-        self.leader().is_some()
+        self.leader().is_some() && !self.tables().fetch.is_behind(self.held())
+    }
+
+    /// The version of the routing in force here; 0 before the first.
+    fn held(&self) -> u64 {
+        self.documents.current().map_or(0, |routing| routing.table.version)
     }
 
     /// Routers in the fleet, as far as control hosts last said.
@@ -70,12 +95,43 @@
         self.news.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn tables(&self) -> MutexGuard<'_, Tables> {
+        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn opened(&self, host: HostId, requests: BatchSender<FeedRequest>) {
+        self.news().opened(host);
+        self.tables().requests.insert(host, requests);
+    }
+
+    fn lost(&self, host: HostId) {
+        self.news().lost(host);
+        let mut tables = self.tables();
+        tables.requests.remove(&host);
+        tables.fetch.lost(host);
+        self.tables_changed.notify_one();
+    }
+
+    fn ask_for_table(&self, host: HostId, held: u64) {
+        log::info!("feed: asks control host {host} for a routing newer than version {held}");
+        if let Some(requests) = self.tables().requests.get(&host) {
+            // A feed that has closed is noticed by its reader.
+            let _ = requests.send(FeedRequest::Routing.into());
+        }
+    }
+
     fn heard(&self, from: HostId, message: FeedMessage) {
         match message {
+            FeedMessage::RoutingVersion(version) => {
+                self.tables().fetch.announced(from, version);
+                self.tables_changed.notify_one();
+            }
             FeedMessage::Routing { version, encoded } => {
                 if let Err(error) = self.documents.adopt_encoded(version, &encoded) {
                     log::error!("feed: routing version {version} of host {from}: {error}");
                 }
+                self.tables().fetch.delivered(from);
+                self.tables_changed.notify_one();
             }
             FeedMessage::Endpoints(endpoints) => {
                 endpoints.into_iter().for_each(|endpoint| self.registry.merge(endpoint));
@@ -90,6 +146,23 @@
     }
 }
 
+/// Asks for the newest routing table whenever it is not in force here.
+async fn fetch_tables(all: Arc<Subscriptions>) {
+    loop {
+        let (now, held, leader) = (all.peers.clock.now(), all.held(), all.leader());
+        let next = all.tables().fetch.next(now, held, leader);
+        match next {
+            Next::Nothing => all.tables_changed.notified().await,
+            Next::Wait(wait_ms) => {
+                let wait = Duration::from_millis(wait_ms);
+                // Elapsed or told: either way it looks again.
+                let _ = tokio::time::timeout(wait, all.tables_changed.notified()).await;
+            }
+            Next::Ask(host) => all.ask_for_table(host, held),
+        }
+    }
+}
+
 /// A feed task; it ends when this is dropped.
 struct Feed {
     delivered: Arc<AtomicU64>,
@@ -109,7 +182,7 @@
                 Step::End(host, reason) => {
                     log::info!("feed: ended, control host {host} {reason}");
                     feeds.remove(&host);
-                    all.news().lost(host);
+                    all.lost(host);
                 }
                 Step::Open(host, address) => {
                     let delivered = Arc::new(AtomicU64::new(0));
@@ -137,7 +210,7 @@
         if let Err(error) = read_feed(&all, host, address, &delivered).await {
             log::warn!("feed: lost control host {host}: {error}");
         }
-        all.news().lost(host);
+        all.lost(host);
         if delivered.load(Ordering::Relaxed) > before {
             pause = FIRST_PAUSE;
         }
@@ -153,9 +226,12 @@
     delivered: &AtomicU64,
 ) -> Result<()> {
     let open = Open::Feed { host: all.peers.me };
-    let (mut reader, _writer) = all.peers.connect(address, &open).await?;
+    let (mut reader, writer) = all.peers.connect(address, &open).await?;
+    let (requests, batch) = BatchWriter::immediate(Some(all.peers.sent.clone()));
+    // The writing half stays open for as long as the reader works.
+    let _writing = AbortOnDropHandle::new(tokio::spawn(batch.run(writer, || ready(()))));
     log::info!("feed: follows control host {host}");
-    all.news().opened(host);
+    all.opened(host, requests);
     loop {
         let message = reader.next::<FeedMessage>().await?;
         delivered.fetch_add(1, Ordering::Relaxed);
--- a/src/feed/tests.rs
+++ b/src/feed/tests.rs
@@ -1,4 +1,5 @@
 mod connection;
+mod table_fetch;
 
 use super::following::{Following, Reason, Step};
 use super::news::News;
--- a/src/feed/tests/connection.rs
+++ b/src/feed/tests/connection.rs
@@ -1,57 +1,16 @@
 //! A subscriber and a control host over real sockets.
 
-use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::sync::{mpsc, watch};
 
-use super::super::{Subscriptions, publish};
+use super::super::{FeedMessage, Subscriptions, publish};
 use crate::control::Leadership;
 use crate::peer::{Incoming, Peers};
 use crate::registry::SharedRegistry;
 use crate::routing::{Documents, RoutingTable};
-use crate::settings::{HeartbeatScope, HostSettings};
-use crate::testing::route;
-use crate::wire::{HostId, Open, Role};
-
-const PEER_PORT: u16 = 7_400;
-const PAUSE: Duration = Duration::from_millis(20);
-/// What does not come in this time does not come at all.
-const NEVER: Duration = Duration::from_secs(60);
-
-/// An address that other test runs on this machine do not use.
-fn address(last: u8) -> SocketAddr {
-    let net = (std::process::id() % 250 + 1) as u8;
-    (Ipv4Addr::new(127, 8, net, last), PEER_PORT).into()
-}
-
-async fn start(
-    role: Role,
-    last: u8,
-    seeds: Vec<SocketAddr>,
-) -> (Arc<Peers>, mpsc::Receiver<Incoming>) {
-    let peer = address(last);
-    let settings = HostSettings {
-        name: format!("host-{last}"),
-        id: None,
-        hall: "a".into(),
-        peer,
-        seeds,
-        seed_port: None,
-        heartbeats: HeartbeatScope::Control,
-    };
-    Peers::start(&settings, role, peer).await.unwrap()
-}
-
-async fn wait_until(is_so: impl Fn() -> bool) {
-    let waiting = async {
-        while !is_so() {
-            tokio::time::sleep(PAUSE).await;
-        }
-    };
-    tokio::time::timeout(NEVER, waiting).await.expect("it comes about");
-}
+use crate::testing::{peer_address as address, route, start_peers as start, wait_until};
+use crate::wire::{HostId, Open, Role, write_frame};
 
 /// Publishes to whoever subscribes, as a control host that leads.
 async fn serve(
@@ -67,12 +26,12 @@
         hosts: vec![(peers.me, peers.address)],
     };
     let leadership = watch::Sender::new(leads);
-    while let Some(Incoming { open, writer, .. }) = incoming.recv().await {
+    while let Some(Incoming { open, reader, writer }) = incoming.recv().await {
         assert!(matches!(open, Open::Feed { .. }));
         let registry = Arc::new(SharedRegistry::default());
         let (leadership, view) = (leadership.subscribe(), peers.watch());
         let sent = peers.sent.clone();
-        tokio::spawn(publish(documents.clone(), registry, leadership, view, sent, writer));
+        tokio::spawn(publish(documents.clone(), registry, leadership, view, sent, reader, writer));
     }
 }
 
@@ -147,3 +106,31 @@
     let sent: u64 = hosts.iter().map(|host| host.sent.get()).sum();
     assert!(sent < weight * 3 / 2, "{sent} bytes sent, {weight} would do");
 }
+
+#[tokio::test]
+async fn a_table_is_had_from_the_host_that_is_left() {
+    let (first, first_incoming) = start(Role::Control, 21, vec![]).await;
+    let (second, second_incoming) = start(Role::Control, 22, vec![]).await;
+    let documents = [Arc::new(Documents::default()), Arc::new(Documents::default())];
+    // The first announces versions and never sends a table.
+    tokio::spawn(announce(first_incoming, 3));
+    tokio::spawn(serve(second, second_incoming, documents[1].clone()));
+    let (router, _) = start(Role::Router, 23, vec![address(21), address(22)]).await;
+    let followed = Arc::new(Documents::default());
+    let registry = Arc::new(SharedRegistry::default());
+    let feeds = Subscriptions::start(router, followed.clone(), registry);
+    wait_until(|| feeds.open_feeds() == 2).await;
+    documents[1].adopt_table(table(2));
+    wait_until(|| version(&followed) == 2).await;
+    assert!(!feeds.is_current(), "a newer version is announced");
+    drop(first);
+}
+
+/// Announces a version to whoever subscribes, and says nothing else.
+async fn announce(mut incoming: mpsc::Receiver<Incoming>, version: u64) {
+    let mut open = Vec::new();
+    while let Some(Incoming { mut writer, .. }) = incoming.recv().await {
+        write_frame(&mut writer, &FeedMessage::RoutingVersion(version)).await.unwrap();
+        open.push(writer);
+    }
+}
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -1,9 +1,58 @@
 //! What tests of several slices share.
 
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
 use proptest::prelude::ProptestConfig;
 use proptest::test_runner::RngSeed;
+use tokio::sync::mpsc;
 
+use crate::peer::{Incoming, Peers};
 use crate::routing::{Route, RouteKind, Target};
+use crate::settings::{HeartbeatScope, HostSettings};
+use crate::wire::Role;
+
+const PEER_PORT: u16 = 7_400;
+const PAUSE: Duration = Duration::from_millis(20);
+/// What does not come in this time does not come at all.
+const NEVER: Duration = Duration::from_secs(60);
+
+/// The address of a host of a test; each test has numbers of its own. Other test runs
+/// on this machine do not use it.
+pub fn peer_address(last: u8) -> SocketAddr {
+    let net = (std::process::id() % 250 + 1) as u8;
+    (Ipv4Addr::new(127, 8, net, last), PEER_PORT).into()
+}
+
+/// A host's place among its peers, over real sockets.
+pub async fn start_peers(
+    role: Role,
+    last: u8,
+    seeds: Vec<SocketAddr>,
+) -> (Arc<Peers>, mpsc::Receiver<Incoming>) {
+    let peer = peer_address(last);
+    let settings = HostSettings {
+        name: format!("host-{last}"),
+        id: None,
+        hall: "a".into(),
+        peer,
+        seeds,
+        seed_port: None,
+        heartbeats: HeartbeatScope::Control,
+    };
+    Peers::start(&settings, role, peer).await.unwrap()
+}
+
+/// Waits for something that must come about.
+pub async fn wait_until(is_so: impl Fn() -> bool) {
+    let waiting = async {
+        while !is_so() {
+            tokio::time::sleep(PAUSE).await;
+        }
+    };
+    tokio::time::timeout(NEVER, waiting).await.expect("it comes about");
+}
 
 /// A fixed seed, so that every run gives the same verdict. `PROPERTY_CASES` and
 /// `PROPERTY_SEED` explore further.
