Choose by chance between endpoints with nothing under way

Cause: ties went to the highest hash, the same on every router; with 295 routers that see one request a second each, nearly every choice is a tie.

Change: equal endpoints are ranked by a random number drawn for each request; prompts keep their affinity. Test: 1,000 idle routers spread over five endpoints.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -24,7 +24,7 @@
     AnswerHead, CallHead, Dialect, Forwarding, NativeDialect, PromptPart, prompt_parts, set_header,
     text, token_counts,
 };
-pub use endpoints::{Endpoints, Failure};
+pub use endpoints::{Endpoints, Failure, Preference};
 pub use events::EventSplitter;
 pub use overload::{Overload, OverloadRules};
 pub use server::run;
--- a/src/gateway/endpoints.rs
+++ b/src/gateway/endpoints.rs
@@ -19,6 +19,15 @@
 /// Failures in a row after which an endpoint is avoided, where one may be chance.
 const TOLERATED: u32 = 2;
 
+/// What decides between endpoints that seem equal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Preference {
+    /// What a request has in common with others, whose prompt parts an engine keeps.
+    Affinity(u64),
+    /// A random number, drawn for each request.
+    Random(u64),
+}
+
 /// How a request failed at an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -48,15 +57,16 @@
 }
 
 impl Endpoints {
-    /// Chooses among `ready`, leaving out those in `tried`. Requests with the
-    /// same `affinity` go to the same few endpoints as long as these have no more
-    /// to do than others; all else goes where least is under way.
+    /// Chooses among `ready`, leaving out those in `tried`. Requests with the same
+    /// affinity go to the same few endpoints as long as these have no more to do than
+    /// others; all else goes where least is under way, ties by a random number: most
+    /// of hundreds of routers have nothing under way, and must not agree on one.
     pub fn choose<'a>(
         &self,
         now: Millis,
         ready: impl Iterator<Item = &'a Registration>,
         tried: &[String],
-        affinity: Option<u64>,
+        preference: Preference,
     ) -> Option<&'a Registration> {
         let usable = |r: &&Registration| {
             let replaced = self.seen.get(&r.id).is_some_and(|s| s.replaced);
@@ -67,21 +77,25 @@
         if usable.iter().any(|r| calm(r)) {
             usable.retain(|r| calm(r));
         }
-        if let Some(affinity) = affinity {
+        if let Preference::Affinity(affinity) = preference {
             usable.sort_by_cached_key(|r| std::cmp::Reverse(rank(affinity, &r.id)));
             usable.truncate(PREFERRED);
         }
-        usable.into_iter().min_by_key(|r| self.load(r, affinity))
+        usable.into_iter().min_by_key(|r| self.load(r, preference))
     }
 
-    fn load(&self, endpoint: &Registration, affinity: Option<u64>) -> (u64, u64) {
-        let spread = rank(affinity.unwrap_or_default(), &endpoint.id);
-        let Some(seen) = self.seen.get(&endpoint.id) else {
-            return (0, spread);
-        };
-        match affinity {
-            Some(_) => (seen.prompt_tokens, spread),
-            None => (u64::from(seen.in_flight) * 1_000 / u64::from(endpoint.slots.max(1)), spread),
+    fn load(&self, endpoint: &Registration, preference: Preference) -> (u64, u64) {
+        let seen = self.seen.get(&endpoint.id);
+        match preference {
+            Preference::Affinity(affinity) => {
+                let tokens = seen.map_or(0, |seen| seen.prompt_tokens);
+                (tokens, rank(affinity, &endpoint.id))
+            }
+            Preference::Random(tie) => {
+                let in_flight = seen.map_or(0, |seen| u64::from(seen.in_flight));
+                let by_slot = in_flight * 1_000 / u64::from(endpoint.slots.max(1));
+                (by_slot, rank(tie, &endpoint.id))
+            }
         }
     }
 
@@ -139,8 +153,8 @@
 
 /// Rendezvous hashing: where requests of one kind go stays the same as endpoints
 /// come and go.
-fn rank(affinity: u64, id: &str) -> u64 {
-    let mut key = affinity.to_be_bytes().to_vec();
+fn rank(seed: u64, id: &str) -> u64 {
+    let mut key = seed.to_be_bytes().to_vec();
     key.extend_from_slice(id.as_bytes());
     xxh3_64(&key)
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::dialect::CallHead;
+use super::endpoints::Preference;
 use super::exchange::{self, Attempt};
 use super::state::{Gateway, Presence};
 use crate::placement::{self, Placed, PlacementRequest, Reservation};
@@ -175,9 +176,12 @@
         self.limit.saturating_duration_since(Instant::now())
     }
 
-    /// What a request has in common with others that should go where it goes.
-    pub fn affinity(&self) -> Option<u64> {
-        self.head.parts.first().map(|part| part.id)
+    /// What decides between equal endpoints: the shared part of a prompt, else chance.
+    fn preference(&self) -> Preference {
+        match self.head.parts.first() {
+            Some(part) => Preference::Affinity(part.id),
+            None => Preference::Random(rand::rng().random()),
+        }
     }
 
     /// Chooses an endpoint that was not tried before.
@@ -185,8 +189,8 @@
         let now = self.gateway.now();
         self.gateway.registry.read(|registry| {
             let ready = registry.ready(&self.service);
-            let affinity = self.affinity();
-            self.gateway.with_endpoints(|e| e.choose(now, ready, tried, affinity).cloned())
+            let preference = self.preference();
+            self.gateway.with_endpoints(|e| e.choose(now, ready, tried, preference).cloned())
         })
     }
 
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -18,18 +18,47 @@
     }
 }
 
+/// Any number will do where only one endpoint fits.
+const ANY: Preference = Preference::Random(0);
+
+#[test]
+fn routers_with_nothing_under_way_do_not_agree_on_one_endpoint() {
+    let ready = ["a", "b", "c", "d", "e"].map(endpoint);
+    let mut chosen = std::collections::BTreeMap::new();
+    for router in 0..1_000 {
+        let preference = Preference::Random(router);
+        let idle = Endpoints::default();
+        let id = &idle.choose(0, ready.iter(), &[], preference).unwrap().id;
+        *chosen.entry(id.clone()).or_insert(0) += 1;
+    }
+    assert!(chosen.values().all(|n| (150..250).contains(n)), "{chosen:?}");
+}
+
+#[test]
+fn requests_with_the_same_prompt_go_to_the_same_endpoint() {
+    let ready = ["a", "b", "c", "d", "e"].map(endpoint);
+    let choose = |affinity| {
+        let idle = Endpoints::default();
+        let chosen = idle.choose(0, ready.iter(), &[], Preference::Affinity(affinity));
+        chosen.unwrap().id.clone()
+    };
+    for affinity in 0..20 {
+        assert_eq!(choose(affinity), choose(affinity));
+    }
+}
+
 #[test]
 fn the_least_loaded_endpoint_that_was_not_tried_is_chosen() {
     let ready = [endpoint("a"), endpoint("b"), endpoint("c")];
     let mut endpoints = Endpoints::default();
     endpoints.begin("a", 0);
     endpoints.begin("b", 0);
-    let chosen = endpoints.choose(0, ready.iter(), &[], None).unwrap();
+    let chosen = endpoints.choose(0, ready.iter(), &[], ANY).unwrap();
     assert_eq!(chosen.id, "c");
-    let chosen = endpoints.choose(0, ready.iter(), &["c".into(), "a".into()], None).unwrap();
+    let chosen = endpoints.choose(0, ready.iter(), &["c".into(), "a".into()], ANY).unwrap();
     assert_eq!(chosen.id, "b");
     let tried = ["a", "b", "c"].map(String::from);
-    assert!(endpoints.choose(0, ready.iter(), &tried, None).is_none());
+    assert!(endpoints.choose(0, ready.iter(), &tried, ANY).is_none());
 }
 
 #[test]
@@ -39,10 +68,10 @@
     endpoints.begin("b", 0);
     let avoided = endpoints.failed(0, "a", Failure::Unreachable);
     assert!(avoided > 0);
-    assert_eq!(endpoints.choose(0, ready.iter(), &[], None).unwrap().id, "b");
-    assert_eq!(endpoints.choose(avoided, ready.iter(), &[], None).unwrap().id, "a");
+    assert_eq!(endpoints.choose(0, ready.iter(), &[], ANY).unwrap().id, "b");
+    assert_eq!(endpoints.choose(avoided, ready.iter(), &[], ANY).unwrap().id, "a");
     // The only one left is used even so.
-    assert_eq!(endpoints.choose(0, ready[..1].iter(), &[], None).unwrap().id, "a");
+    assert_eq!(endpoints.choose(0, ready[..1].iter(), &[], ANY).unwrap().id, "a");
 }
 
 #[test]
@@ -50,7 +79,7 @@
     let ready = [endpoint("a")];
     let mut endpoints = Endpoints::default();
     endpoints.failed(0, "a", Failure::Replaced);
-    assert!(endpoints.choose(1_000_000, ready.iter(), &[], None).is_none());
+    assert!(endpoints.choose(1_000_000, ready.iter(), &[], ANY).is_none());
 }
 
 #[test]
