--- /dev/null
+++ b/benches/placer.rs
@@ -0,0 +1,121 @@
+//! Processor time of one placement, by the number of engines and of customers.
+//!
+//! `cargo bench --bench placer`. A placer without I/O on a clock of its own: prompts of
+//! three kinds arrive, begin and end at a steady rate, until engines keep many prompt
+//! parts; then placements are timed, each with its beginning and its end.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use bramblecrank::placement::{
+    Ending, EngineInfo, FromPlacer, PlacementRequest, PlacementRules, Placer, ToPlacer,
+};
+use bramblecrank::wire::HostId;
+
+/// Requests before the clock starts, for each engine.
+const WARM_UP: u64 = 60;
+/// Requests that are timed.
+const TIMED: u64 = 3_000;
+/// Engines' tokens read in a millisecond.
+const RATE: f64 = 51.1;
+/// Routers that ask in turn.
+const ROUTERS: u64 = 295;
+/// Shared parts of each kind of prompt.
+const SHARED: u64 = 60;
+/// Milliseconds from a placement to its first event, and from there to its end.
+const BEGINS_MS: u64 = 150;
+const ENDS_MS: u64 = 500;
+/// Tokens of the shared and of the own part of a prompt, and made, by kind.
+const KINDS: [(u32, u32, u32); 3] = [(13_300, 3_720, 120), (6_300, 2_890, 56), (350, 1_110, 176)];
+
+fn engine(number: u64) -> EngineInfo {
+    EngineInfo {
+        id: format!("i-{number:08x}"),
+        service: "llm".into(),
+        slots: 12,
+        memory_tokens: 472_528,
+        rate: RATE,
+        copy_ms_per_token: Some(0.002),
+    }
+}
+
+fn request(seq: u64, customers: u64) -> PlacementRequest {
+    let kind = seq % 3;
+    let (shared, own, made) = KINDS[kind as usize];
+    let spread = |n: u64| n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+    let shared_id = 1 + kind * SHARED + spread(seq) % SHARED;
+    PlacementRequest {
+        seq,
+        service: "llm".into(),
+        customer: format!("customer-{}", spread(seq + 7) % customers),
+        parts: vec![(shared_id, shared), (1_000_000 + seq, own)],
+        prompt_tokens: shared + own,
+        output_tokens: made,
+        objective_ms: 1_000,
+        avoid: vec![],
+    }
+}
+
+/// A placer under a steady load of about half of what its engines read.
+struct Load {
+    placer: Placer,
+    engines: u64,
+    customers: u64,
+    seq: u64,
+    open: VecDeque<(u64, u64)>,
+    begun: VecDeque<(u64, u64)>,
+    placed: u64,
+}
+
+impl Load {
+    fn start(engines: u64, customers: u64) -> Load {
+        let mut placer = Placer::new(PlacementRules::default());
+        placer.set_engines((0..engines).map(engine).collect());
+        let (open, begun) = Default::default();
+        Load { placer, engines, customers, seq: 0, open, begun, placed: 0 }
+    }
+
+    fn router(seq: u64) -> HostId {
+        HostId((1 + seq % ROUTERS) as u32)
+    }
+
+    fn step(&mut self) {
+        self.seq += 1;
+        // Four requests a second and engine.
+        let now = self.seq * 250 / self.engines;
+        while let Some((at, seq)) = self.open.pop_front_if(|(at, _)| *at <= now) {
+            self.placer.receive(now, Self::router(seq), ToPlacer::Begun { seq });
+            self.begun.push_back((at + ENDS_MS, seq));
+        }
+        while let Some((_, seq)) = self.begun.pop_front_if(|(at, _)| *at <= now) {
+            let done = ToPlacer::Done { seq, ending: Ending::Served };
+            self.placer.receive(now, Self::router(seq), done);
+        }
+        let request = request(self.seq, self.customers);
+        let router = Self::router(self.seq);
+        let decision = self.placer.receive(now, router, ToPlacer::Place(request));
+        if let Some(FromPlacer::Go { seq, .. }) = decision.map(|d| d.answer) {
+            self.open.push_back((now + BEGINS_MS, seq));
+            self.placed += 1;
+        }
+    }
+}
+
+fn measure(engines: u64, customers: u64) -> (Duration, u64) {
+    let mut load = Load::start(engines, customers);
+    (0..engines * WARM_UP).for_each(|_| load.step());
+    let placed = load.placed;
+    let began = Instant::now();
+    (0..TIMED).for_each(|_| load.step());
+    (began.elapsed() / TIMED as u32, (load.placed - placed) * 100 / TIMED)
+}
+
+fn main() {
+    println!("engines customers us/placement placed%");
+    for (engines, customers) in
+        [(30, 60), (100, 60), (320, 60), (1_200, 60), (1_200, 1_900), (1_200, 19_000)]
+    {
+        let (each, placed) = measure(engines, customers);
+        println!("{engines:7} {customers:9} {:12.2} {placed:7}", each.as_secs_f64() * 1e6);
+    }
+}
