Place a request without walking all engines' memories: an index of prompt parts

Cause: at the peaks the placer was behind its own work.

Change, no policy: an index from parts to the engines that keep them; what an engine has still to read as moments on the clock, worked out when its requests change; engines by number; one sort for a customer's standing. The choice is exact as before; only ties go by a hash of the id made once.

New property test: the index against a plain model of each engine's memory.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -9,7 +9,6 @@
 //! the others. One placer decides for all routers that reach it; see
 //! `docs/DISPATCH.md`.
 
-mod cache;
 mod choice;
 mod client;
 mod engine;
@@ -17,6 +16,7 @@
 mod knowledge;
 mod local;
 mod message;
+mod parts;
 mod placer;
 mod queue;
 mod rules;
@@ -24,6 +24,7 @@
 mod shares;
 #[cfg(test)]
 mod tests;
+mod timing;
 
 pub use client::{Placed, Placements, Reservation};
 pub use local::LocalPlacer;
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -1,18 +1,18 @@
 //! Where a request goes: the engine, the place in its queue, and what it should
 //! copy from another engine.
 
-use std::collections::BTreeMap;
-
+use slab::Slab;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::engine::{EngineModel, FIXED_MS};
+use super::engine::{EngineModel, FIXED_MS, reading_units};
 use super::message::PlacementRequest;
+use super::parts::{EngineNumber, Match};
+use super::placer::EngineInfo;
 use super::queue::{Position, Queue};
 use super::rules::PlacementRules;
+use super::shares::Standing;
 use crate::dispatch::Millis;
 
-/// Ratio of service received to share from which on a customer is above it.
-const SHARE_TOLERANCE: f64 = 1.002;
 /// Service over an equal part below which being served less says no more.
 const LEAST_RELATIVE: f64 = 0.25;
 /// Milliseconds by which requests beyond what their customer is owed are put off in the
@@ -26,6 +26,10 @@
 /// An engine as the placer plans it.
 #[derive(Clone, Debug)]
 pub struct Engine {
+    /// The endpoint's id.
+    pub id: String,
+    /// A hash of the id, from which the order of equal engines comes.
+    hash: u64,
     /// Its service.
     pub service: String,
     /// What was sent to it, and what it keeps.
@@ -42,6 +46,20 @@
 }
 
 impl Engine {
+    /// An idle engine that is ready.
+    pub fn new(info: EngineInfo, reading_share: f64) -> Engine {
+        Engine {
+            hash: xxh3_64(info.id.as_bytes()),
+            id: info.id,
+            service: info.service,
+            model: EngineModel::new(info.slots, info.memory_tokens, info.rate, reading_share),
+            queue: Queue::default(),
+            copy_ms_per_token: info.copy_ms_per_token,
+            open: true,
+            is_gone: false,
+        }
+    }
+
     /// Whether it may get requests at all.
     pub fn takes_work(&self) -> bool {
         self.open && !self.is_gone
@@ -53,42 +71,32 @@
     }
 }
 
-/// What a customer got so far.
-#[derive(Clone, Copy, Debug)]
-pub struct Standing {
-    /// Service received over its share.
-    pub ratio: f64,
-    /// Service received over what it is owed.
-    pub fulfilment: f64,
-    /// Service received over what an equal division of all service gives, also of
-    /// what engines do beyond what they are meant to.
-    pub relative: f64,
-}
-
-impl Standing {
-    /// Whether it has had what it is owed.
-    pub fn is_above(&self) -> bool {
-        self.ratio > SHARE_TOLERANCE
-    }
-}
-
 /// Prompt parts to be copied from another engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PartCopy<'a> {
-    /// That engine's id.
-    pub from: &'a str,
+pub struct PartCopy {
+    /// That engine.
+    pub from: EngineNumber,
     /// Their tokens.
     pub tokens: u32,
     ms: f64,
 }
 
+/// What reading a prompt costs at an engine.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    copy: Option<PartCopy>,
+    copy_ms: f64,
+    units: f64,
+    read_ms: f64,
+}
+
 /// An engine for a request, and what it would cost there.
 #[derive(Clone, Copy, Debug)]
-pub struct Choice<'a> {
-    /// The engine's id.
-    pub id: &'a str,
+pub struct Choice {
+    /// The engine.
+    pub engine: EngineNumber,
     /// What it should copy.
-    pub copy: Option<PartCopy<'a>>,
+    pub copy: Option<PartCopy>,
     /// The place in its queue.
     pub position: Position,
     /// The cost of reading the prompt, in tokens of an empty context.
@@ -101,63 +109,79 @@
     pub latest_start: f64,
 }
 
-impl Choice<'_> {
+impl Choice {
     /// Whether it need not wait for longer than it may.
     pub fn is_allowed(&self) -> bool {
         self.position.wait_ms <= self.allowed_ms
     }
 }
 
+/// How an engine compares with others; the least comes first. Equal ones go by
+/// [`Chooser::rank`].
+type Order = (bool, bool, f64);
+
 /// What choices are made from.
 pub struct Chooser<'a> {
     /// What to aim at.
     pub rules: &'a PlacementRules,
-    /// All engines by id.
-    pub engines: &'a BTreeMap<String, Engine>,
+    /// All engines.
+    pub engines: &'a Slab<Engine>,
+    /// What each keeps of the request's prompt, by its number.
+    pub found: &'a [Match],
     /// Milliseconds on the placer's clock.
     pub now: Millis,
 }
 
-impl<'a> Chooser<'a> {
-    /// The engine at which the request's first event comes first, with the
-    /// reading of its own prompt counted dearer.
-    pub fn choose(&self, request: &PlacementRequest, standing: Standing) -> Option<Choice<'a>> {
+impl Chooser<'_> {
+    /// The engine at which the request's first event comes first, with the reading of
+    /// its own prompt counted dearer: all that waits there counts, not only what goes
+    /// before it.
+    pub fn best(&self, request: &PlacementRequest) -> Option<EngineNumber> {
         let tokens = memory_tokens(&request.parts, request.prompt_tokens, request.output_tokens);
-        let affinity = request.parts.first().map_or(0, |part| part.0);
-        let source = self.copy_source(request);
-        let fits = |(id, engine): &(&String, &Engine)| {
-            engine.takes_work() && engine.service == request.service && !request.avoid.contains(id)
+        let source = self.copy_source();
+        let fits = |(_, engine): &(EngineNumber, &Engine)| {
+            engine.takes_work()
+                && engine.service == request.service
+                && !request.avoid.contains(&engine.id)
         };
-        let mut best: Option<((bool, bool, f64, u64), Choice<'a>)> = None;
-        for (id, engine) in self.engines.iter().filter(fits) {
-            let (choice, score) = self.at(id, engine, request, standing, source);
-            let unfit = engine.is_unfit(self.now);
-            let full = !engine.model.has_room(tokens);
-            let order = (unfit, full, score, rank(affinity, id));
-            if best.as_ref().is_none_or(|(best_order, _)| order < *best_order) {
-                best = Some((order, choice));
+        let mut best: Option<(Order, EngineNumber)> = None;
+        for (number, engine) in self.engines.iter().filter(fits) {
+            let reading = self.reading(number, engine, request, source);
+            let score = engine.queue.wait_ms(self.now, engine.model.pace(self.now))
+                + self.rules.reading_weight * reading.read_ms
+                + self.rules.copying_weight * reading.copy_ms;
+            let order = (engine.is_unfit(self.now), !engine.model.has_room(tokens), score);
+            let is_better = best.is_none_or(|(best_order, best_number)| {
+                order < best_order
+                    || order == best_order
+                        && self.rank(request, number) < self.rank(request, best_number)
+            });
+            if is_better {
+                best = Some((order, number));
             }
         }
-        best.map(|(_, choice)| choice)
+        best.map(|(_, number)| number)
     }
 
-    /// What a request would cost at an engine, and how that compares with others:
-    /// all that waits there counts, not only what goes before it.
-    fn at(
+    /// Where equal choices go: the same for every placer, so that a new one finds
+    /// kept parts where the one before left them.
+    fn rank(&self, request: &PlacementRequest, number: EngineNumber) -> u64 {
+        let affinity = request.parts.first().map_or(0, |part| part.0);
+        let hash = self.engines.get(number).map_or(0, |engine| engine.hash);
+        xxh3_64(&(affinity ^ hash).to_be_bytes())
+    }
+
+    /// What a request would cost at an engine whose queue was advanced to now.
+    pub fn at(
         &self,
-        id: &'a str,
-        engine: &Engine,
+        number: EngineNumber,
         request: &PlacementRequest,
         standing: Standing,
-        source: Option<(&'a str, u32)>,
-    ) -> (Choice<'a>, f64) {
-        let rules = self.rules;
+    ) -> Option<Choice> {
+        let engine = self.engines.get(number)?;
         let now = self.now as f64;
-        let copy = self.copy_for(request, engine, source);
-        let copied = copy.map_or(0, |copy| copy.tokens);
-        let copy_ms = copy.map_or(0.0, |copy| copy.ms);
-        let units = engine.model.own_units(&request.parts, request.prompt_tokens, copied);
-        let read_ms = units / engine.model.rate();
+        let Reading { copy, copy_ms, units, read_ms } =
+            self.reading(number, engine, request, self.copy_source());
         let own_ms = read_ms + copy_ms;
         let in_time_ms = self.in_time_ms(request, own_ms);
         let latest_start = match standing.is_above() {
@@ -165,14 +189,25 @@
             true => now + in_time_ms + BEYOND_OWED_MS,
             false => now + in_time_ms,
         };
-        let pace = engine.model.pace(self.now);
-        let position = engine.queue.position(pace, latest_start);
+        let position = engine.queue.position(engine.model.pace(self.now), latest_start);
         let allowed_ms = self.allowed_ms(request, in_time_ms, standing);
-        let score = engine.queue.wait_ms(pace)
-            + rules.reading_weight * read_ms
-            + rules.copying_weight * copy_ms;
-        let choice = Choice { id, copy, position, units, allowed_ms, own_ms, latest_start };
-        (choice, score)
+        Some(Choice { engine: number, copy, position, units, allowed_ms, own_ms, latest_start })
+    }
+
+    fn reading(
+        &self,
+        number: EngineNumber,
+        engine: &Engine,
+        request: &PlacementRequest,
+        source: Option<(EngineNumber, u32)>,
+    ) -> Reading {
+        let kept = self.found.get(number).map_or(0, |found| found.kept);
+        let copy = copy_for(engine, kept, source);
+        let copied = copy.map_or(0, |copy| copy.tokens);
+        let cached = (kept + copied).min(request.prompt_tokens);
+        let units = reading_units(cached, request.prompt_tokens - cached);
+        let copy_ms = copy.map_or(0.0, |copy| copy.ms);
+        Reading { copy, copy_ms, units, read_ms: units / engine.model.rate() }
     }
 
     /// Milliseconds after which a request should begin to be read. One that cannot
@@ -197,30 +232,33 @@
         }
     }
 
-    /// The engine that has read most of a prompt.
-    fn copy_source(&self, request: &PlacementRequest) -> Option<(&'a str, u32)> {
-        let able = |engine: &&Engine| {
+    /// The engine that has read most of the prompt; of equal ones the last by id.
+    fn copy_source(&self) -> Option<(EngineNumber, u32)> {
+        let able = |engine: &Engine| {
             engine.takes_work()
                 && engine.copy_ms_per_token.is_some()
                 && !engine.model.is_left_out(self.now)
         };
-        let sources = self.engines.iter().filter(|(_, engine)| able(engine));
-        let read = sources.map(|(id, engine)| (id.as_str(), engine.model.copyable(&request.parts)));
-        read.max_by_key(|(_, tokens)| *tokens).filter(|(_, tokens)| *tokens > 0)
+        let mut source: Option<(u32, &Engine, EngineNumber)> = None;
+        for (number, engine) in self.engines {
+            let read = self.found.get(number).map_or(0, |found| found.read);
+            let is_more = read > 0
+                && source.is_none_or(|(most, last, _)| (read, &engine.id) > (most, &last.id));
+            if is_more && able(engine) {
+                source = Some((read, engine, number));
+            }
+        }
+        source.map(|(read, _, number)| (number, read))
     }
+}
 
-    /// What an engine should copy from the source, if that is worth it.
-    fn copy_for(
-        &self,
-        request: &PlacementRequest,
-        engine: &Engine,
-        source: Option<(&'a str, u32)>,
-    ) -> Option<PartCopy<'a>> {
-        let (from, read) = source?;
-        let tokens = read.checked_sub(engine.model.matched(&request.parts))?;
-        let ms = COPY_SETUP_MS + f64::from(tokens) * engine.copy_ms_per_token?;
-        (tokens >= LEAST_COPY).then_some(PartCopy { from, tokens, ms })
-    }
+/// What an engine that keeps `kept` tokens should copy from the source, if that is
+/// worth it.
+fn copy_for(engine: &Engine, kept: u32, source: Option<(EngineNumber, u32)>) -> Option<PartCopy> {
+    let (from, read) = source?;
+    let tokens = read.checked_sub(kept)?;
+    let ms = COPY_SETUP_MS + f64::from(tokens) * engine.copy_ms_per_token?;
+    (tokens >= LEAST_COPY).then_some(PartCopy { from, tokens, ms })
 }
 
 /// Memory that a request takes until it ends, in tokens, beside the parts of its
@@ -230,11 +268,3 @@
     let shared: u32 = shared.iter().map(|(_, tokens)| *tokens).sum();
     u64::from(prompt_tokens.saturating_sub(shared)) + u64::from(output_tokens)
 }
-
-/// Where equal choices go: the same for every placer, so that a new one finds
-/// kept parts where the one before left them.
-fn rank(affinity: u64, id: &str) -> u64 {
-    let mut key = affinity.to_be_bytes().to_vec();
-    key.extend_from_slice(id.as_bytes());
-    xxh3_64(&key)
-}
--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -1,10 +1,10 @@
-//! A model of one engine: what it has still to read, what it keeps, how fast it
-//! reads.
+//! A model of one engine: what it has still to read, and how fast it reads.
 
 use std::collections::{HashMap, VecDeque};
 
-use super::cache::PartCache;
+use super::message::PromptParts;
 use super::queue::Pace;
+use super::timing::Timing;
 use crate::dispatch::Millis;
 use crate::wire::HostId;
 
@@ -26,6 +26,8 @@
 /// Milliseconds in which the lateness of an engine halves by itself: within an
 /// objective it is tried again. Chosen; without it an engine once late stayed unused.
 const LATENESS_HALF_LIFE_MS: f64 = 200.0;
+/// Less lateness than this counts as none, in milliseconds.
+const LEAST_LATENESS_MS: f64 = 0.01;
 /// How far learning may move the reading rate from its start.
 const RATE_RANGE: (f64, f64) = (0.4, 4.0);
 /// Part of the engine's memory that kept parts and running requests may fill.
@@ -36,16 +38,13 @@
 /// sent in: the way through a router behind its work, or a copy of prompt parts.
 /// Routers refuse from 40 ms of lag on; three times that and a copy.
 const OVERTAKEN_MS: Millis = 150;
-/// Milliseconds beyond twice the time that a prompt should take after which its
-/// engine is taken for stalled: less than the shortest objective seen. Chosen.
-const STALL_MS: f64 = 250.0;
 /// Failures in a row after which an engine is left out.
 const TOLERATED: u32 = 2;
 
 #[derive(Clone, Debug)]
 struct Pending {
     key: RequestKey,
-    parts: Vec<(u64, u32)>,
+    parts: PromptParts,
     units: f64,
     since: Millis,
     /// When its prompt should have been read, on the clock.
@@ -61,7 +60,6 @@
     head_since: f64,
     running: HashMap<RequestKey, u64>,
     running_tokens: u64,
-    cache: PartCache,
     start_rate: f64,
     reading_share: f64,
     /// When all that was sent should have been read, on the clock.
@@ -71,13 +69,16 @@
     guess_ms: f64,
     learnt_units: f64,
     learnt_ms: f64,
+    /// What follows from the prompts to be read and the rate.
+    timing: Timing,
+    rate: f64,
     failures: u32,
     left_out_until: Millis,
 }
 
 /// The cost of reading `uncached` tokens behind `cached` ones, in tokens of an
 /// empty context.
-fn reading_units(cached: u32, uncached: u32) -> f64 {
+pub fn reading_units(cached: u32, uncached: u32) -> f64 {
     let context = f64::from(cached) + f64::from(uncached) / 2.0;
     f64::from(uncached) * (1.0 + context / ATTENTION_TOKENS)
 }
@@ -93,7 +94,6 @@
             head_since: 0.0,
             running: HashMap::new(),
             running_tokens: 0,
-            cache: PartCache::default(),
             start_rate: rate,
             reading_share,
             read_until: 0.0,
@@ -102,6 +102,8 @@
             guess_ms: GUESS_MS,
             learnt_units: 0.0,
             learnt_ms: 0.0,
+            timing: Timing::default(),
+            rate,
             failures: 0,
             left_out_until: 0,
         }
@@ -116,29 +118,27 @@
     /// engines there are, which register one after the other.
     pub fn set_guess(&mut self, rate: f64) {
         self.start_rate = rate;
+        self.refresh();
     }
 
     /// Tokens read in a millisecond, as learnt.
     pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
+    /// Works out what follows from the prompts to be read and from what was learnt.
+    fn refresh(&mut self) {
         let (low, high) = RATE_RANGE;
         let guessed_units = self.start_rate * self.guess_ms;
         let learnt = (self.learnt_units + guessed_units) / (self.learnt_ms + self.guess_ms);
-        learnt.clamp(self.start_rate * low, self.start_rate * high)
+        self.rate = learnt.clamp(self.start_rate * low, self.start_rate * high);
+        let units = self.pending.iter().map(|p| p.units);
+        self.timing = Timing::new(self.head_since, self.rate, units);
     }
 
     /// Milliseconds until all that was placed here has been read.
     pub fn backlog_ms(&self, now: Millis) -> f64 {
-        let Some(head) = self.pending.front() else { return 0.0 };
-        let rate = self.rate();
-        let spent = now as f64 - self.head_since;
-        let head_ms = head.units / rate;
-        let behind: f64 = self.pending.iter().skip(1).map(|p| p.units).sum();
-        // A head that is overdue says that the engine is slower than thought.
-        let head_left = match spent <= head_ms + FIXED_MS {
-            true => (head_ms - spent).max(0.0),
-            false => (spent - head_ms - FIXED_MS) / 2.0,
-        };
-        head_left + behind / rate
+        self.timing.backlog_ms(now)
     }
 
     /// How fast it reads, and what it has still to read.
@@ -150,23 +150,6 @@
         }
     }
 
-    /// The cost of reading a prompt here, in tokens of an empty context, when
-    /// `copied` of its tokens come from another engine.
-    pub fn own_units(&self, parts: &[(u64, u32)], prompt_tokens: u32, copied: u32) -> f64 {
-        let cached = (self.cache.matched(parts) + copied).min(prompt_tokens);
-        reading_units(cached, prompt_tokens - cached)
-    }
-
-    /// Tokens of a prompt that are kept here, or will be when it is read.
-    pub fn matched(&self, parts: &[(u64, u32)]) -> u32 {
-        self.cache.matched(parts)
-    }
-
-    /// Tokens of a prompt that another engine can copy from here.
-    pub fn copyable(&self, parts: &[(u64, u32)]) -> u32 {
-        self.cache.copyable(parts)
-    }
-
     /// Whether it can take one more request of this size.
     pub fn has_room(&self, tokens: u64) -> bool {
         let requests = self.pending.len() + self.running.len();
@@ -182,9 +165,7 @@
 
     /// Whether the prompt that it reads takes so long that something is wrong.
     pub fn is_stalled(&self, now: Millis) -> bool {
-        let Some(head) = self.pending.front() else { return false };
-        let spent = now as f64 - self.head_since;
-        spent > 2.0 * head.units / self.rate() + FIXED_MS + STALL_MS
+        self.timing.is_stalled(now)
     }
 
     /// Requests placed here that have not ended.
@@ -192,12 +173,6 @@
         self.running.len()
     }
 
-    /// A request will be read here: its parts count as kept from now on.
-    pub fn reserve(&mut self, parts: &[(u64, u32)]) {
-        let memory = self.usable_memory();
-        self.cache.touch(parts, memory);
-    }
-
     /// A request of `units` is sent here.
     pub fn send(
         &mut self,
@@ -210,37 +185,30 @@
         if self.pending.is_empty() {
             self.head_since = now as f64;
         }
-        self.read_until = self.read_until.max(now as f64) + units / self.rate();
+        self.read_until = self.read_until.max(now as f64) + units / self.rate;
         let read_by = self.read_until;
         self.pending.push_back(Pending { key, parts: parts.to_vec(), units, since: now, read_by });
-        self.running.insert(key, tokens);
-        self.running_tokens += tokens;
-    }
-
-    /// Prompt parts were read here, as another placer decided.
-    pub fn keep(&mut self, parts: &[(u64, u32)]) {
-        self.cache.touch(parts, self.usable_memory());
-        self.cache.set_read(parts);
+        self.refresh();
+        self.adopt_running(key, tokens);
     }
 
-    /// A request runs here that another placer sent.
-    pub fn adopt_running(&mut self, key: RequestKey, parts: &[(u64, u32)], tokens: u64) {
-        self.keep(parts);
+    /// A request runs here whose prompt has been read.
+    pub fn adopt_running(&mut self, key: RequestKey, tokens: u64) {
         self.running.insert(key, tokens);
         self.running_tokens += tokens;
     }
 
-    fn usable_memory(&self) -> u64 {
+    /// Tokens that kept parts and running requests may fill.
+    pub fn usable_memory(&self) -> u64 {
         (self.memory_tokens as f64 * USABLE_MEMORY) as u64
     }
 
-    /// The first event of a request came.
-    pub fn begun(&mut self, now: Millis, key: RequestKey) {
-        let Some(at) = self.pending.iter().position(|p| p.key == key) else { return };
-        let Some(begun) = self.pending.remove(at) else { return };
+    /// The first event of a request came; returns the prompt parts that were read.
+    pub fn begun(&mut self, now: Millis, key: RequestKey) -> Option<PromptParts> {
+        let at = self.pending.iter().position(|p| p.key == key)?;
+        let begun = self.pending.remove(at)?;
         self.failures = 0;
         self.left_out_until = 0;
-        self.cache.set_read(&begun.parts);
         // Its prompt had been read some time before its first event.
         let read_at = now as f64 - FIXED_MS;
         self.note_lateness(now, read_at - begun.read_by);
@@ -254,6 +222,8 @@
         if at == 0 || overtaken {
             self.start_head(read_at);
         }
+        self.refresh();
+        Some(begun.parts)
     }
 
     /// Engines read in the order of arrival: what was sent well before a request
@@ -279,6 +249,9 @@
     /// Milliseconds by which prompts are read later than planned. It fades: an
     /// engine that gets nothing for it could not show that it is over.
     fn lateness_ms(&self, now: Millis) -> f64 {
+        if self.lateness_ms < LEAST_LATENESS_MS {
+            return 0.0;
+        }
         let passed = now.saturating_sub(self.lateness_at) as f64;
         self.lateness_ms * 0.5_f64.powf(passed / LATENESS_HALF_LIFE_MS)
     }
@@ -300,6 +273,7 @@
             if at == 0 {
                 self.start_head(now as f64);
             }
+            self.refresh();
         }
     }
 
--- /dev/null
+++ b/src/placement/parts.rs
@@ -0,0 +1,158 @@
+//! Which prompt parts engines keep: by engine, in order of their last use, and by part,
+//! so that finding them does not cost a look at each engine.
+
+use std::collections::{BTreeMap, HashMap};
+
+/// An engine's number at its placer.
+pub type EngineNumber = usize;
+
+/// How much of one prompt an engine keeps.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Match {
+    /// Tokens of the leading parts that it keeps, or will when they are read.
+    pub kept: u32,
+    /// Tokens of the leading parts that it has read, so that others can copy them.
+    pub read: u32,
+    kept_parts: usize,
+    read_parts: usize,
+}
+
+/// An engine that keeps a part.
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    engine: EngineNumber,
+    read: bool,
+}
+
+/// The prompt parts that all engines keep.
+#[derive(Clone, Debug, Default)]
+pub struct PartIndex {
+    caches: Vec<PartCache>,
+    /// Holders of each part, in order of their numbers.
+    holders: HashMap<u64, Vec<Holder>>,
+}
+
+impl PartIndex {
+    /// An engine has read the parts, or is about to: it keeps them, and those that it
+    /// has not used for longest give way beyond `capacity` tokens.
+    pub fn touch(&mut self, engine: EngineNumber, parts: &[(u64, u32)], capacity: u64) {
+        if self.caches.len() <= engine {
+            self.caches.resize_with(engine + 1, PartCache::default);
+        }
+        let cache = &mut self.caches[engine];
+        for part in cache.touch(parts) {
+            let holders = self.holders.entry(part).or_default();
+            if let Err(at) = holders.binary_search_by_key(&engine, |holder| holder.engine) {
+                holders.insert(at, Holder { engine, read: false });
+            }
+        }
+        while let Some(part) = cache.give_way(capacity) {
+            drop_holder(&mut self.holders, engine, part);
+        }
+    }
+
+    /// An engine has read the parts that it keeps of these.
+    pub fn set_read(&mut self, engine: EngineNumber, parts: &[(u64, u32)]) {
+        for (part, _) in parts {
+            let Some(holders) = self.holders.get_mut(part) else { continue };
+            if let Ok(at) = holders.binary_search_by_key(&engine, |holder| holder.engine) {
+                holders[at].read = true;
+            }
+        }
+    }
+
+    /// An engine is gone.
+    pub fn forget(&mut self, engine: EngineNumber) {
+        let Some(cache) = self.caches.get_mut(engine) else { return };
+        while let Some(part) = cache.give_way(0) {
+            drop_holder(&mut self.holders, engine, part);
+        }
+    }
+
+    /// Tokens of the leading parts that one engine keeps.
+    pub fn kept(&self, engine: EngineNumber, parts: &[(u64, u32)]) -> u32 {
+        self.caches.get(engine).map_or(0, |cache| cache.kept_tokens(parts))
+    }
+
+    /// How much of a prompt each engine keeps; `found` has a place for each engine.
+    pub fn find(&self, parts: &[(u64, u32)], found: &mut [Match]) {
+        found.fill(Match::default());
+        for (before, (part, tokens)) in parts.iter().enumerate() {
+            let holders = self.holders.get(part).map_or(&[][..], Vec::as_slice);
+            for holder in holders {
+                let Some(found) = found.get_mut(holder.engine) else { continue };
+                if found.kept_parts == before {
+                    found.kept_parts += 1;
+                    found.kept += tokens;
+                }
+                if holder.read && found.read_parts == before {
+                    found.read_parts += 1;
+                    found.read += tokens;
+                }
+            }
+        }
+    }
+}
+
+fn drop_holder(holders: &mut HashMap<u64, Vec<Holder>>, engine: EngineNumber, part: u64) {
+    let Some(of_part) = holders.get_mut(&part) else { return };
+    if let Ok(at) = of_part.binary_search_by_key(&engine, |holder| holder.engine) {
+        of_part.remove(at);
+    }
+    if of_part.is_empty() {
+        holders.remove(&part);
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Kept {
+    tokens: u32,
+    used: u64,
+}
+
+/// The prompt parts that one engine keeps, in order of their last use.
+#[derive(Clone, Debug, Default)]
+struct PartCache {
+    kept: HashMap<u64, Kept>,
+    by_use: BTreeMap<u64, u64>,
+    tokens: u64,
+    uses: u64,
+}
+
+impl PartCache {
+    fn kept_tokens(&self, parts: &[(u64, u32)]) -> u32 {
+        let kept = parts.iter().take_while(|(id, _)| self.kept.contains_key(id));
+        kept.map(|(_, tokens)| *tokens).sum()
+    }
+
+    /// Keeps the parts; returns those that were not kept before.
+    fn touch(&mut self, parts: &[(u64, u32)]) -> Vec<u64> {
+        let mut new = Vec::new();
+        // Later parts are useless without earlier ones, so those go first.
+        for (id, tokens) in parts.iter().rev() {
+            self.uses += 1;
+            let kept = Kept { tokens: *tokens, used: self.uses };
+            match self.kept.insert(*id, kept) {
+                Some(before) => {
+                    self.by_use.remove(&before.used);
+                    self.tokens -= u64::from(before.tokens);
+                }
+                None => new.push(*id),
+            }
+            self.by_use.insert(self.uses, *id);
+            self.tokens += u64::from(*tokens);
+        }
+        new
+    }
+
+    /// Drops the part unused for longest while there are more than `capacity` tokens.
+    fn give_way(&mut self, capacity: u64) -> Option<u64> {
+        if self.tokens <= capacity {
+            return None;
+        }
+        let (_, id) = self.by_use.pop_first()?;
+        let gone = self.kept.remove(&id)?;
+        self.tokens -= u64::from(gone.tokens);
+        Some(id)
+    }
+}
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -1,13 +1,16 @@
 //! The placer of a fleet, as a state machine without I/O.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 
-use super::choice::{Choice, Chooser, Engine, Standing, memory_tokens};
-use super::engine::{EngineModel, RequestKey};
+use slab::Slab;
+
+use super::choice::{Choice, Chooser, Engine, memory_tokens};
+use super::engine::{RequestKey, reading_units};
 use super::message::{Ending, FromPlacer, Knowledge, PlacementRequest, Refusal, ToPlacer};
-use super::queue::{Planned, Queue};
+use super::parts::{EngineNumber, Match, PartIndex};
+use super::queue::Planned;
 use super::rules::PlacementRules;
-use super::shares::Shares;
+use super::shares::{Shares, Standing};
 use crate::dispatch::Millis;
 use crate::wire::HostId;
 
@@ -50,8 +53,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct Placer {
     rules: PlacementRules,
-    engines: BTreeMap<String, Engine>,
-    placed: HashMap<RequestKey, String>,
+    engines: Slab<Engine>,
+    numbers: HashMap<String, EngineNumber>,
+    parts: PartIndex,
+    /// What each engine keeps of the prompt that is being placed, by its number.
+    found: Vec<Match>,
+    placed: HashMap<RequestKey, EngineNumber>,
     shares: Shares,
 }
 
@@ -64,26 +71,41 @@
     /// What to aim at from now on.
     pub fn set_rules(&mut self, rules: PlacementRules) {
         self.rules = rules;
-        self.engines.values_mut().for_each(|e| e.model.set_reading_share(rules.reading_share));
+        for (_, engine) in &mut self.engines {
+            engine.model.set_reading_share(rules.reading_share);
+        }
     }
 
     /// The engines that take work now. Others keep what was sent to them.
     pub fn set_engines(&mut self, engines: Vec<EngineInfo>) {
-        self.engines.values_mut().for_each(|engine| engine.open = false);
-        let reading_share = self.rules.reading_share;
+        for (_, engine) in &mut self.engines {
+            engine.open = false;
+        }
         for info in engines {
-            let known = self.engines.entry(info.id).or_insert_with(|| Engine {
-                service: info.service,
-                model: EngineModel::new(info.slots, info.memory_tokens, info.rate, reading_share),
-                queue: Queue::default(),
-                copy_ms_per_token: info.copy_ms_per_token,
-                open: true,
-                is_gone: false,
-            });
-            known.model.set_guess(info.rate);
-            known.open = true;
+            match self.numbers.get(&info.id) {
+                Some(number) => {
+                    let known = &mut self.engines[*number];
+                    known.model.set_guess(info.rate);
+                    known.open = true;
+                }
+                None => {
+                    let id = info.id.clone();
+                    let engine = Engine::new(info, self.rules.reading_share);
+                    self.numbers.insert(id, self.engines.insert(engine));
+                }
+            }
         }
-        self.engines.retain(|_, engine| engine.open || engine.model.requests() > 0);
+        let (parts, numbers) = (&mut self.parts, &mut self.numbers);
+        self.engines.retain(|number, engine| {
+            let stays = engine.open || engine.model.requests() > 0;
+            if !stays {
+                parts.forget(number);
+                numbers.remove(&engine.id);
+            }
+            stays
+        });
+        let most = self.numbers.values().max().map_or(0, |number| number + 1);
+        self.found.resize(most, Match::default());
     }
 
     /// What all engines are meant to do in a second, in units of service; 0 where that
@@ -97,11 +119,7 @@
         match message {
             ToPlacer::Known(knowledge) => self.learn(now, router, knowledge),
             ToPlacer::Place(request) => return Some(self.place(now, router, request)),
-            ToPlacer::Begun { seq } => {
-                if let Some(engine) = self.engine_of((router, seq)) {
-                    engine.model.begun(now, (router, seq));
-                }
-            }
+            ToPlacer::Begun { seq } => self.begun(now, (router, seq)),
             ToPlacer::Done { seq, ending } => self.done(now, (router, seq), ending),
         }
         None
@@ -110,67 +128,74 @@
     /// A router is gone, and all its requests with it.
     pub fn lost(&mut self, now: Millis, router: HostId) {
         self.placed.retain(|key, _| key.0 != router);
-        self.engines.values_mut().for_each(|engine| engine.model.drop_router(now, router));
+        for (_, engine) in &mut self.engines {
+            engine.model.drop_router(now, router);
+        }
     }
 
     /// Takes in what a router knows from placements that others decided.
     fn learn(&mut self, now: Millis, router: HostId, knowledge: Knowledge) {
         for kept in &knowledge.kept {
-            if let Some(engine) = self.engines.get_mut(&kept.endpoint) {
-                engine.model.keep(&kept.parts);
+            if let Some(number) = self.numbers.get(&kept.endpoint).copied() {
+                self.keep(number, &kept.parts);
+                self.parts.set_read(number, &kept.parts);
             }
         }
         for open in knowledge.open {
             let key = (router, open.seq);
+            let Some(number) = self.numbers.get(&open.endpoint).copied() else { continue };
             if self.placed.contains_key(&key) {
                 continue;
             }
-            let Some(engine) = self.engines.get_mut(&open.endpoint) else { continue };
             let tokens = memory_tokens(&open.parts, open.prompt_tokens, open.output_tokens);
-            match open.begun {
-                true => engine.model.adopt_running(key, &open.parts, tokens),
-                false => {
-                    let units = engine.model.own_units(&open.parts, open.prompt_tokens, 0);
-                    engine.queue.insert(0, Planned { units, latest_start: now as f64 });
-                    engine.model.reserve(&open.parts);
-                    engine.model.send(now, key, &open.parts, units, tokens);
-                }
+            let cached = self.parts.kept(number, &open.parts).min(open.prompt_tokens);
+            self.keep(number, &open.parts);
+            let engine = &mut self.engines[number];
+            if open.begun {
+                self.parts.set_read(number, &open.parts);
+                engine.model.adopt_running(key, tokens);
+            } else {
+                let units = reading_units(cached, open.prompt_tokens - cached);
+                engine.queue.insert(0, Planned { units, latest_start: now as f64 });
+                engine.model.send(now, key, &open.parts, units, tokens);
             }
-            self.placed.insert(key, open.endpoint);
+            self.placed.insert(key, number);
         }
     }
 
-    fn done(&mut self, now: Millis, key: RequestKey, ending: Ending) {
-        if let Some(engine) = self.engine_of(key) {
-            match ending {
-                Ending::Failed => engine.model.failed(now),
-                Ending::Replaced => engine.is_gone = true,
-                Ending::Served | Ending::Abandoned => {}
-            }
-            engine.model.ended(now, key);
+    /// An engine has read the parts, or is about to.
+    fn keep(&mut self, number: EngineNumber, parts: &[(u64, u32)]) {
+        let capacity = self.engines[number].model.usable_memory();
+        self.parts.touch(number, parts, capacity);
+    }
+
+    fn begun(&mut self, now: Millis, key: RequestKey) {
+        let Some(number) = self.placed.get(&key).copied() else { return };
+        let engine = &mut self.engines[number];
+        // What it has read by now was read at the pace known before.
+        engine.queue.advance(now, engine.model.pace(now));
+        if let Some(parts) = engine.model.begun(now, key) {
+            self.parts.set_read(number, &parts);
         }
-        self.placed.remove(&key);
     }
 
-    fn engine_of(&mut self, key: RequestKey) -> Option<&mut Engine> {
-        let id = self.placed.get(&key)?;
-        self.engines.get_mut(id)
+    fn done(&mut self, now: Millis, key: RequestKey, ending: Ending) {
+        let Some(number) = self.placed.remove(&key) else { return };
+        let engine = &mut self.engines[number];
+        match ending {
+            Ending::Failed => engine.model.failed(now),
+            Ending::Replaced => engine.is_gone = true,
+            Ending::Served | Ending::Abandoned => {}
+        }
+        engine.model.ended(now, key);
     }
 
     fn place(&mut self, now: Millis, router: HostId, request: PlacementRequest) -> Decision {
         let key = (router, request.seq);
         let units = units(&request);
         self.shares.asked(now, &request.customer, units);
-        for engine in self.engines.values_mut() {
-            engine.queue.advance(now, engine.model.pace(now));
-        }
-        let standing = Standing {
-            ratio: self.shares.ratio(&request.customer),
-            fulfilment: self.shares.fulfilment(&request.customer),
-            relative: self.shares.relative(&request.customer),
-        };
-        let chooser = Chooser { rules: &self.rules, engines: &self.engines, now };
-        let Some(choice) = chooser.choose(&request, standing) else {
+        let standing = self.shares.standing(&request.customer);
+        let Some(choice) = self.choose(now, &request, standing) else {
             let answer = FromPlacer::Unknown { seq: key.1 };
             return Decision {
                 router,
@@ -183,54 +208,49 @@
         if !choice.is_allowed() {
             return refuse(key, &choice, standing);
         }
+        let id = |number: EngineNumber| self.engines[number].id.clone();
         let answer = FromPlacer::Go {
             seq: key.1,
-            endpoint: choice.id.to_string(),
-            copy_from: choice.copy.map(|copy| copy.from.to_string()),
+            endpoint: id(choice.engine),
+            copy_from: choice.copy.map(|copy| id(copy.from)),
         };
-        let (backlog_ms, own_ms) = (choice.position.wait_ms, choice.own_ms);
-        let placement = Placement::of(&choice);
-        self.commit(now, key, &request, placement);
+        self.commit(now, key, &request, &choice);
         self.shares.served(now, &request.customer, units);
+        let (backlog_ms, own_ms) = (choice.position.wait_ms, choice.own_ms);
         Decision { router, answer, backlog_ms, own_ms, ratio: standing.ratio }
     }
 
-    /// A request goes to an engine.
-    fn commit(
+    fn choose(
         &mut self,
         now: Millis,
-        key: RequestKey,
         request: &PlacementRequest,
-        placement: Placement,
-    ) {
-        let Placement { endpoint, index, planned } = placement;
-        if let Some(engine) = self.engines.get_mut(&endpoint) {
-            let PlacementRequest { parts, prompt_tokens, output_tokens, .. } = request;
-            let tokens = memory_tokens(parts, *prompt_tokens, *output_tokens);
-            engine.queue.insert(index, planned);
-            engine.model.reserve(parts);
-            engine.model.send(now, key, parts, planned.units, tokens);
-            self.placed.insert(key, endpoint);
-        }
+        standing: Standing,
+    ) -> Option<Choice> {
+        self.parts.find(&request.parts, &mut self.found);
+        let number = self.chooser(now).best(request)?;
+        let engine = &mut self.engines[number];
+        engine.queue.advance(now, engine.model.pace(now));
+        self.chooser(now).at(number, request, standing)
     }
-}
 
-/// What of a choice is kept.
-struct Placement {
-    endpoint: String,
-    index: usize,
-    planned: Planned,
-}
+    fn chooser(&self, now: Millis) -> Chooser<'_> {
+        Chooser { rules: &self.rules, engines: &self.engines, found: &self.found, now }
+    }
 
-impl Placement {
-    fn of(choice: &Choice<'_>) -> Placement {
-        let Choice { id, position, units, latest_start, .. } = *choice;
-        let planned = Planned { units, latest_start };
-        Placement { endpoint: id.to_string(), index: position.index, planned }
+    /// A request goes to an engine.
+    fn commit(&mut self, now: Millis, key: RequestKey, request: &PlacementRequest, to: &Choice) {
+        let PlacementRequest { parts, prompt_tokens, output_tokens, .. } = request;
+        let tokens = memory_tokens(parts, *prompt_tokens, *output_tokens);
+        let planned = Planned { units: to.units, latest_start: to.latest_start };
+        self.keep(to.engine, parts);
+        let engine = &mut self.engines[to.engine];
+        engine.queue.insert(to.position.index, planned);
+        engine.model.send(now, key, parts, planned.units, tokens);
+        self.placed.insert(key, to.engine);
     }
 }
 
-fn refuse(key: RequestKey, choice: &Choice<'_>, standing: Standing) -> Decision {
+fn refuse(key: RequestKey, choice: &Choice, standing: Standing) -> Decision {
     let (least, most) = RETRY_MS;
     let (backlog_ms, allowed_ms, own_ms) =
         (choice.position.wait_ms, choice.allowed_ms, choice.own_ms);
--- a/src/placement/queue.rs
+++ b/src/placement/queue.rs
@@ -72,12 +72,16 @@
         }
     }
 
-    /// Milliseconds until all has been read.
-    pub fn wait_ms(&self, pace: Pace) -> f64 {
-        self.wait_for(self.units, pace)
+    /// Milliseconds until all will have been read, seen from `now`, which may be later
+    /// than the queue was advanced to.
+    pub fn wait_ms(&self, now: Millis, pace: Pace) -> f64 {
+        let passed = now.saturating_sub(self.advanced_at) as f64;
+        let paced = (self.units - self.read).max(0.0) * pace.ms_per_unit - passed;
+        paced.max(0.0).max(pace.backlog_ms) + pace.lateness_ms
     }
 
-    /// The first place at which all behind it may start later.
+    /// The first place at which all behind it may start later, in a queue that was
+    /// advanced to now.
     pub fn position(&self, pace: Pace, latest_start: f64) -> Position {
         let mut index = self.planned.len();
         let mut before = self.units;
--- a/src/placement/shares.rs
+++ b/src/placement/shares.rs
@@ -7,6 +7,37 @@
 /// Length of the window in milliseconds.
 pub const WINDOW_MS: Millis = 4_000;
 
+/// Ratio of service received to share from which on a customer is above it.
+const SHARE_TOLERANCE: f64 = 1.002;
+
+/// What a customer got so far.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Standing {
+    /// Service received over its share: over what an equal division of all that was
+    /// served gives to those who ask for more. Above 1, it has had its share.
+    pub ratio: f64,
+    /// Service received over the lesser of what it asked and what an equal division
+    /// gives: 1 where it got what it is owed.
+    pub fulfilment: f64,
+    /// Service received over what an equal division of all service gives, also of
+    /// what engines do beyond what they are meant to.
+    pub relative: f64,
+}
+
+impl Default for Standing {
+    /// Of a customer that has asked for nothing.
+    fn default() -> Standing {
+        Standing { ratio: 0.0, fulfilment: 1.0, relative: 0.0 }
+    }
+}
+
+impl Standing {
+    /// Whether it has had what it is owed.
+    pub fn is_above(&self) -> bool {
+        self.ratio > SHARE_TOLERANCE
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Account {
     asked: u64,
@@ -76,65 +107,54 @@
         }
     }
 
-    /// What a customer was served, over what an equal division of all that was
-    /// served gives to those who ask for more: above 1, it has had its share.
-    pub fn ratio(&self, customer: &str) -> f64 {
-        self.served_over(customer, self.level())
-    }
-
-    /// What a customer was served, over the lesser of what it asked and what an
-    /// equal division gives: 1 where it got what it is owed.
-    pub fn fulfilment(&self, customer: &str) -> f64 {
-        let Some(account) = self.accounts.get(customer) else { return 1.0 };
-        let owed = (account.asked as f64).min(self.level());
-        match owed > 0.0 {
-            true => account.served as f64 / owed,
-            false => 1.0,
+    /// What a customer got so far.
+    pub fn standing(&self, customer: &str) -> Standing {
+        let Some(account) = self.accounts.get(customer) else { return Standing::default() };
+        let levels = self.levels();
+        let served = account.served as f64;
+        let over = |level: f64| if level > 0.0 { served / level } else { 0.0 };
+        let owed = (account.asked as f64).min(levels.owed);
+        Standing {
+            ratio: over(levels.owed),
+            fulfilment: if owed > 0.0 { served / owed } else { 1.0 },
+            relative: over(levels.served),
         }
     }
 
-    /// What a customer was served, over what an equal division of all that was
-    /// served gives, whatever engines are meant to do.
-    pub fn relative(&self, customer: &str) -> f64 {
-        self.served_over(customer, self.level_of_served())
-    }
-
-    fn served_over(&self, customer: &str, level: f64) -> f64 {
-        let Some(account) = self.accounts.get(customer) else { return 0.0 };
-        match level > 0.0 {
-            true => account.served as f64 / level,
-            false => 0.0,
-        }
-    }
-
-    /// The most that any customer is owed: what an equal division, max-min by what
-    /// was asked, gives of all that was served, or of what engines are meant to do
-    /// where that is less.
-    fn level(&self) -> f64 {
-        let of_served = self.level_of_served();
-        match self.nominal {
-            Some(nominal) => of_served.min(self.level_of(nominal)),
-            None => of_served,
-        }
+    fn levels(&self) -> Levels {
+        let mut demands: Vec<_> =
+            self.accounts.values().map(|a| a.asked.max(a.served) as f64).collect();
+        demands.sort_unstable_by(f64::total_cmp);
+        let served = level_of(self.accounts.values().map(|a| a.served as f64).sum(), &demands);
+        let owed = match self.nominal {
+            Some(nominal) => served.min(level_of(nominal, &demands)),
+            None => served,
+        };
+        Levels { served, owed }
     }
+}
 
-    fn level_of_served(&self) -> f64 {
-        self.level_of(self.accounts.values().map(|a| a.served as f64).sum())
-    }
+/// The most that any customer gets of a division in equal parts, max-min by what was
+/// asked.
+#[derive(Clone, Copy, Debug)]
+struct Levels {
+    /// Of all that was served.
+    served: f64,
+    /// Of what engines are meant to do, or of all that was served where that is less.
+    owed: f64,
+}
 
-    fn level_of(&self, total: f64) -> f64 {
-        let mut left = total;
-        let mut asked: Vec<_> = self.accounts.values().map(|a| a.asked.max(a.served)).collect();
-        asked.sort_unstable();
-        let mut customers = asked.len();
-        for demand in asked {
-            let level = left / customers as f64;
-            if demand as f64 >= level {
-                return level;
-            }
-            left -= demand as f64;
-            customers -= 1;
+/// The level at which `total` is divided among demands in rising order.
+fn level_of(total: f64, demands: &[f64]) -> f64 {
+    let mut left = total;
+    let mut customers = demands.len();
+    for demand in demands {
+        let level = left / customers as f64;
+        if *demand >= level {
+            return level;
         }
-        f64::INFINITY
+        left -= demand;
+        customers -= 1;
     }
+    f64::INFINITY
 }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -1,12 +1,13 @@
 //! Decisions of the placer.
 
+mod parts;
 mod queue;
 mod standing;
 
 use proptest::prelude::*;
 
-use super::cache::PartCache;
 use super::knowledge::{Memory, Told};
+use super::parts::{Match, PartIndex};
 use super::shares::{Shares, WINDOW_MS};
 use super::*;
 use crate::wire::HostId;
@@ -216,14 +217,21 @@
 
 #[test]
 fn parts_unused_for_longest_give_way_from_their_ends() {
-    let mut cache = PartCache::default();
-    cache.touch(&[(1, 100), (2, 100)], 300);
-    cache.touch(&[(3, 100), (4, 100)], 300);
-    assert_eq!(cache.matched(&[(1, 100), (2, 100)]), 100);
-    assert_eq!(cache.matched(&[(3, 100), (4, 100)]), 200);
-    assert_eq!(cache.copyable(&[(3, 100)]), 0);
-    cache.set_read(&[(3, 100), (4, 100)]);
-    assert_eq!(cache.copyable(&[(3, 100), (4, 100)]), 200);
+    let mut index = PartIndex::default();
+    index.touch(0, &[(1, 100), (2, 100)], 300);
+    index.touch(0, &[(3, 100), (4, 100)], 300);
+    assert_eq!(index.kept(0, &[(1, 100), (2, 100)]), 100);
+    assert_eq!(index.kept(0, &[(3, 100), (4, 100)]), 200);
+    assert_eq!(tokens_found(&index, &[(3, 100)]), [(100, 0)]);
+    index.set_read(0, &[(3, 100), (4, 100)]);
+    assert_eq!(tokens_found(&index, &[(3, 100), (4, 100)]), [(200, 200)]);
+}
+
+/// Tokens that one engine keeps and has read.
+fn tokens_found(index: &PartIndex, parts: &[(u64, u32)]) -> [(u32, u32); 1] {
+    let mut found = [Match::default()];
+    index.find(parts, &mut found);
+    found.map(|found| (found.kept, found.read))
 }
 
 #[test]
@@ -234,11 +242,11 @@
         shares.served(0, customer, served);
     }
     // 900 served: a gets its 100, b and c could have 400 each.
-    assert!((shares.ratio("a") - 0.25).abs() < 1e-9);
-    assert!((shares.ratio("b") - 1.25).abs() < 1e-9);
-    assert!((shares.ratio("c") - 0.75).abs() < 1e-9);
+    assert!((shares.standing("a").ratio - 0.25).abs() < 1e-9);
+    assert!((shares.standing("b").ratio - 1.25).abs() < 1e-9);
+    assert!((shares.standing("c").ratio - 0.75).abs() < 1e-9);
     shares.asked(WINDOW_MS, "a", 1);
-    assert_eq!(shares.ratio("b"), 0.0);
+    assert_eq!(shares.standing("b").ratio, 0.0);
 }
 
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/src/placement/tests/parts.rs
@@ -0,0 +1,97 @@
+//! The index of prompt parts against a plain model of each engine's memory.
+
+use proptest::prelude::*;
+
+use super::super::parts::{Match, PartIndex};
+
+const ENGINES: usize = 3;
+const CAPACITY: u64 = 50;
+
+/// One engine's parts, the one used last at the end: id, tokens, whether it was read.
+type Plain = Vec<(u64, u32, bool)>;
+
+fn touch(plain: &mut Plain, parts: &[(u64, u32)]) {
+    for (id, tokens) in parts.iter().rev() {
+        let read = plain.iter().any(|kept| kept.0 == *id && kept.2);
+        plain.retain(|kept| kept.0 != *id);
+        plain.push((*id, *tokens, read));
+    }
+    while plain.iter().map(|kept| u64::from(kept.1)).sum::<u64>() > CAPACITY {
+        plain.remove(0);
+    }
+}
+
+fn leading(plain: &Plain, parts: &[(u64, u32)], read: bool) -> u32 {
+    let keeps = |id: u64| plain.iter().any(|kept| kept.0 == id && (kept.2 || !read));
+    parts.iter().take_while(|(id, _)| keeps(*id)).map(|(_, tokens)| *tokens).sum()
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Touch(usize, Vec<u64>),
+    Read(usize, Vec<u64>),
+    Forget(usize),
+}
+
+fn prompt() -> impl Strategy<Value = Vec<u64>> {
+    proptest::collection::vec(0u64..8, 1..4)
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        5 => (0..ENGINES, prompt()).prop_map(|(engine, parts)| Step::Touch(engine, parts)),
+        3 => (0..ENGINES, prompt()).prop_map(|(engine, parts)| Step::Read(engine, parts)),
+        1 => (0..ENGINES).prop_map(Step::Forget),
+    ]
+}
+
+/// Parts with their tokens, each once.
+fn with_tokens(ids: &[u64]) -> Vec<(u64, u32)> {
+    let mut parts: Vec<(u64, u32)> = Vec::new();
+    for id in ids {
+        if parts.iter().all(|(known, _)| known != id) {
+            parts.push((*id, 5 + *id as u32));
+        }
+    }
+    parts
+}
+
+proptest! {
+    #![proptest_config(crate::testing::property(128))]
+
+    #[test]
+    fn the_index_finds_what_each_engine_keeps(
+        steps in proptest::collection::vec(step(), 0..60),
+        asked in prompt(),
+    ) {
+        let mut index = PartIndex::default();
+        let mut plain: [Plain; ENGINES] = Default::default();
+        for step in steps {
+            match step {
+                Step::Touch(engine, ids) => {
+                    let parts = with_tokens(&ids);
+                    index.touch(engine, &parts, CAPACITY);
+                    touch(&mut plain[engine], &parts);
+                }
+                Step::Read(engine, ids) => {
+                    index.set_read(engine, &with_tokens(&ids));
+                    for kept in plain[engine].iter_mut().filter(|kept| ids.contains(&kept.0)) {
+                        kept.2 = true;
+                    }
+                }
+                Step::Forget(engine) => {
+                    index.forget(engine);
+                    plain[engine].clear();
+                }
+            }
+        }
+        let parts = with_tokens(&asked);
+        let mut found = [Match::default(); ENGINES];
+        index.find(&parts, &mut found);
+        for (engine, plain) in plain.iter().enumerate() {
+            prop_assert_eq!(found[engine].kept, leading(plain, &parts, false));
+            prop_assert_eq!(found[engine].read, leading(plain, &parts, true));
+            prop_assert_eq!(index.kept(engine, &parts), leading(plain, &parts, false));
+        }
+    }
+}
--- a/src/placement/tests/queue.rs
+++ b/src/placement/tests/queue.rs
@@ -22,7 +22,7 @@
     assert_eq!((early.index, early.wait_ms), (0, 0.0));
     let late = queue.position(PACE, 500.0);
     assert_eq!((late.index, late.wait_ms), (2, 400.0));
-    assert_eq!(queue.wait_ms(PACE), 400.0);
+    assert_eq!(queue.wait_ms(0, PACE), 400.0);
 }
 
 #[test]
@@ -37,13 +37,14 @@
 fn prompts_count_until_they_are_read_at_the_pace_of_the_engine() {
     let mut queue = queue(&[0.0, 0.0]);
     queue.advance(100, PACE);
-    assert_eq!(queue.wait_ms(PACE), 300.0);
+    assert_eq!(queue.wait_ms(100, PACE), 300.0);
+    assert_eq!(queue.wait_ms(300, PACE), 100.0, "seen from later, not advanced");
     queue.advance(300, PACE);
-    assert_eq!(queue.wait_ms(PACE), 100.0);
+    assert_eq!(queue.wait_ms(300, PACE), 100.0);
     // Idle time is not saved up.
     queue.advance(2_000, PACE);
     queue.insert(0, Planned { units: 100.0, latest_start: 0.0 });
-    assert_eq!(queue.wait_ms(PACE), 200.0);
+    assert_eq!(queue.wait_ms(2_000, PACE), 200.0);
 }
 
 /// An engine whose queue long prompts with long objectives fill has room for a short
--- a/src/placement/tests/standing.rs
+++ b/src/placement/tests/standing.rs
@@ -9,14 +9,14 @@
         shares.asked(0, customer, 10_000);
         shares.served(0, customer, 4_000);
     }
-    assert_eq!(shares.ratio("a"), 1.0);
+    assert_eq!(shares.standing("a").ratio, 1.0);
     // 1,000 a second are 4,000 in a window, 2,000 for each.
     shares.set_nominal(1_000);
-    assert_eq!(shares.ratio("a"), 2.0);
-    assert_eq!(shares.relative("a"), 1.0);
+    assert_eq!(shares.standing("a").ratio, 2.0);
+    assert_eq!(shares.standing("a").relative, 1.0);
     // Where engines do less than that, what they do is divided.
     shares.set_nominal(100_000);
-    assert_eq!(shares.ratio("a"), 1.0);
+    assert_eq!(shares.standing("a").ratio, 1.0);
 }
 
 /// Both ask for more than they are owed; the one that got less of the surplus may
