Hand new connections over to other routers of the hall where one is behind its work

Cause: the platform hashes a client to one router of its hall, and its retries to one more, so one large customer's 800 requests a second meet 0.12 of a core while 58 routers beside it are at 2 %.

Ruled out: sending callers back (their one retry meets the next crowded router, which is the same for all of a customer's requests: all refusals lay on three routers of 59); fewer cycles (the profile of a stream is flat, the dearest function has 3 %).

Change: a router whose event loop is 4 ms late, or that serves 100 requests itself, passes the bytes of new connections on, unread, to another router, which serves one request on each. Which routers there are it asks a control host when it needs them; one is asked at random and says no if it is busy, in a planned stop, or holds an older routing. Whoever gets no yes serves the connection itself. An answer that is lost with the other router before it began is a 502, which promises nothing. Meanwhile answers close their connections, since what comes next on those could not be handed over.

Tests with real processes: the whole answer to its own request, streams, a taker that is lost before and in its answer, nobody that takes, a caller that leaves. One of them failed once among 25 others, since the second router said busy there: its limits and the time for an answer are settings now, which the tests set.

--- a/src/control.rs
+++ b/src/control.rs
@@ -171,7 +171,9 @@
             Open::Claims { router } => {
                 tokio::spawn(serve::take_claims(control.clone(), router, reader, writer));
             }
-            Open::Dispatch { .. } => log::warn!("peer: a control host does not dispatch"),
+            open @ (Open::Dispatch { .. } | Open::Caller { .. }) => {
+                log::warn!("peer: a control host takes no connection {open:?}");
+            }
         }
     }
 }
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -14,6 +14,7 @@
 #[cfg(test)]
 mod tests;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -43,6 +44,8 @@
     Remembered(Vec<Registration>),
     /// How many routers the sender hears of.
     Routers(u32),
+    /// Routers of one data hall, for a subscriber that asked.
+    Neighbours(Vec<Neighbour>),
     /// Who leads the agreement, as the sender knows it.
     Leader {
         /// The term.
@@ -53,8 +56,22 @@
 }
 
 /// What a subscriber asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FeedRequest {
     /// The newest routing table.
     Routing,
+    /// The routers of a data hall.
+    Neighbours {
+        /// The data hall.
+        hall: String,
+    },
+}
+
+/// A router of the same data hall.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Neighbour {
+    /// The router.
+    pub host: HostId,
+    /// Where peers reach it.
+    pub peer: SocketAddr,
 }
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::task::AbortOnDropHandle;
 
-use super::{FeedMessage, FeedRequest};
+use super::{FeedMessage, FeedRequest, Neighbour};
 use crate::control::Leadership;
 use crate::error::{Result, RpcSnafu};
 use crate::member::View;
@@ -66,13 +66,18 @@
                 Some(routing) => FeedMessage::RoutingVersion(routing.table.version),
                 None => continue,
             },
-            request = asked.recv() => match (request, documents.current()) {
-                (Some(FeedRequest::Routing), Some(routing)) => FeedMessage::Routing {
-                    version: routing.table.version,
-                    encoded: routing.encoded(),
+            request = asked.recv() => match request {
+                Some(FeedRequest::Routing) => match documents.current() {
+                    Some(routing) => FeedMessage::Routing {
+                        version: routing.table.version,
+                        encoded: routing.encoded(),
+                    },
+                    None => continue,
                 },
-                (Some(FeedRequest::Routing), None) => continue,
-                (None, _) => return Ok(()),
+                Some(FeedRequest::Neighbours { hall }) => {
+                    FeedMessage::Neighbours(neighbours(&view.borrow(), &hall))
+                }
+                None => return Ok(()),
             },
             changed = changes.recv() => match changed {
                 Ok(endpoint) => FeedMessage::Endpoints(vec![endpoint]),
@@ -86,6 +91,12 @@
     }
 }
 
+/// The routers of a data hall that take requests.
+fn neighbours(view: &View, hall: &str) -> Vec<Neighbour> {
+    let of_hall = view.with_role(Role::Router).filter(|m| m.hall == hall && !m.draining);
+    of_hall.map(|m| Neighbour { host: m.host, peer: m.peer }).collect()
+}
+
 /// Reads what the subscriber asks for until its connection ends.
 async fn read_requests(mut reader: PeerReader, requests: mpsc::Sender<FeedRequest>) {
     // The end of the connection ends the feed too, which says so.
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -13,7 +13,7 @@
 use super::following::{Following, Step};
 use super::news::News;
 use super::table_fetch::{Next, TableFetch};
-use super::{FeedMessage, FeedRequest};
+use super::{FeedMessage, FeedRequest, Neighbour};
 use crate::error::Result;
 use crate::peer::Peers;
 use crate::registry::SharedRegistry;
@@ -35,6 +35,7 @@
     news: Mutex<News>,
     tables: Mutex<Tables>,
     tables_changed: Notify,
+    neighbours: Mutex<Arc<Vec<Neighbour>>>,
 }
 
 /// Where routing tables are to be had.
@@ -58,6 +59,7 @@
             news: Mutex::default(),
             tables: Mutex::default(),
             tables_changed: Notify::new(),
+            neighbours: Mutex::default(),
         });
         tokio::spawn(follow_view(all.clone()));
         tokio::spawn(fetch_tables(all.clone()));
@@ -112,6 +114,30 @@
         self.tables_changed.notify_one();
     }
 
+    /// The other routers of this one's data hall, as last told.
+    pub fn neighbours(&self) -> Arc<Vec<Neighbour>> {
+        self.neighbours.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Asks a control host for the routers of a data hall, the leader only where there
+    /// is no other: it has most to do.
+    pub fn ask_for_neighbours(&self, hall: &str) {
+        let leader = self.leader();
+        let tables = self.tables();
+        let asked = tables.requests.iter().min_by_key(|(host, _)| Some(**host) == leader);
+        if let Some((_, requests)) = asked {
+            let request = FeedRequest::Neighbours { hall: hall.to_string() };
+            // A feed that has closed is noticed by its reader.
+            let _ = requests.send(request.into());
+        }
+    }
+
+    fn adopt_neighbours(&self, mut routers: Vec<Neighbour>) {
+        routers.retain(|router| router.host != self.peers.me);
+        let known = Arc::new(routers);
+        *self.neighbours.lock().unwrap_or_else(PoisonError::into_inner) = known;
+    }
+
     fn ask_for_table(&self, host: HostId, held: u64) {
         log::info!("feed: asks control host {host} for a routing newer than version {held}");
         if let Some(requests) = self.tables().requests.get(&host) {
@@ -136,6 +162,7 @@
             FeedMessage::Endpoints(endpoints) => {
                 endpoints.into_iter().for_each(|endpoint| self.registry.merge(endpoint));
             }
+            FeedMessage::Neighbours(routers) => self.adopt_neighbours(routers),
             FeedMessage::Remembered(endpoints) => self.registry.remember(endpoints),
             FeedMessage::Routers(routers) => {
                 let now = self.peers.clock.now();
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,6 +11,8 @@
 mod endpoints;
 mod events;
 mod exchange;
+mod handover;
+mod neighbours;
 mod overload;
 mod request;
 mod server;
@@ -26,6 +28,7 @@
 };
 pub use endpoints::{Endpoints, Failure, Preference};
 pub use events::EventSplitter;
+pub use neighbours::Neighbours;
 pub use overload::{Overload, OverloadRules};
 pub use server::run;
 pub use state::Gateway;
--- /dev/null
+++ b/src/gateway/handover.rs
@@ -0,0 +1,233 @@
+//! Handing callers' connections over between routers of a data hall.
+//!
+//! The platform may send one large customer's connections through one router, while the
+//! others have time to spare. A router behind its work passes the bytes of a new
+//! connection on to another router, unread, which serves one request on it: that costs
+//! a fraction of serving it. The other router must hold a routing at least as new, so
+//! that callers never see an older one than before.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use super::overload::Overload;
+use super::server::{KeepAlive, serve_requests};
+use super::state::Gateway;
+use crate::error::{Result, RpcSnafu};
+use crate::feed::Neighbour;
+use crate::peer::Incoming;
+use crate::wire::{Open, write_frame};
+
+/// Routers that are asked before a connection is served here.
+const ASKED: usize = 2;
+/// How long a caller that connects may send nothing before its connection is served
+/// here, with the bounds that hold here.
+const FIRST_BYTES: Duration = Duration::from_secs(1);
+/// How long the other router may take to begin an answer: it ends requests by itself
+/// when their time is over, so this bounds only a router that hangs. Chosen.
+const FIRST_ANSWER: Duration = Duration::from_secs(15);
+/// How long bytes for the other router may stay unacknowledged.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(2_000);
+/// Bytes that are passed on at once, at most.
+const PIECE: usize = 4 << 10;
+/// What a caller gets whose request may have run at a router that was lost.
+const ANSWER_LOST: &[u8] =
+    b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
+/// Whether a router takes a caller's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HandoverAnswer {
+    /// It serves one request on it.
+    Taken,
+    /// It has no time to spare.
+    Busy,
+    /// It is in a planned stop.
+    Stopping,
+    /// Its routing is older than the asker's.
+    Behind,
+}
+
+impl HandoverAnswer {
+    fn name(self) -> &'static str {
+        match self {
+            HandoverAnswer::Taken => "taken",
+            HandoverAnswer::Busy => "busy",
+            HandoverAnswer::Stopping => "stopping",
+            HandoverAnswer::Behind => "behind",
+        }
+    }
+}
+
+/// A connection to the router that takes a caller.
+type Taker = (BufReader<OwnedReadHalf>, OwnedWriteHalf);
+
+/// Hands a new connection over where this router is behind its work. Returns it if it
+/// is to be served here.
+pub(super) async fn hand_over(
+    gateway: &Arc<Gateway>,
+    caller: TcpStream,
+    closing: &CancellationToken,
+) -> Option<TcpStream> {
+    if !gateway.hands_over() || gateway.is_refusing() {
+        return Some(caller);
+    }
+    let has_sent = tokio::time::timeout(FIRST_BYTES, caller.readable());
+    let has_sent = tokio::select! {
+        sent = has_sent => matches!(sent, Ok(Ok(()))),
+        () = closing.cancelled() => false,
+    };
+    if !has_sent {
+        return Some(caller);
+    }
+    let _presence = gateway.enter_handing_over();
+    for _ in 0..ASKED {
+        let Some(neighbour) = choose(gateway) else { break };
+        match ask(gateway, neighbour).await {
+            Ok(taker) => {
+                pass_on(gateway, caller, taker, neighbour).await;
+                return None;
+            }
+            Err(error) => {
+                log::debug!("gateway: router {} takes no connection: {error}", neighbour.host);
+                let now = gateway.now();
+                gateway.with_neighbours(|neighbours| neighbours.refused(now, neighbour.host));
+            }
+        }
+    }
+    Some(caller)
+}
+
+fn choose(gateway: &Gateway) -> Option<Neighbour> {
+    let now = gateway.now();
+    if gateway.with_neighbours(|neighbours| neighbours.renew(now)) {
+        gateway.feeds.ask_for_neighbours(&gateway.settings.host.hall);
+    }
+    let known = gateway.feeds.neighbours();
+    let random = rand::rng().random();
+    gateway.with_neighbours(|neighbours| neighbours.choose(now, &known, random))
+}
+
+async fn ask(gateway: &Gateway, neighbour: Neighbour) -> Result<Taker> {
+    let open = Open::Caller { router: gateway.peers.me, version: gateway.routing_version() };
+    let asking = async {
+        let (mut reader, writer) = gateway.peers.connect(neighbour.peer, &open).await?;
+        let answer = reader.next::<HandoverAnswer>().await?;
+        Ok::<_, crate::error::Error>((answer, reader, writer))
+    };
+    let patience = Duration::from_millis(gateway.rules.overload.hand_over_answer_ms);
+    let Ok(asked) = tokio::time::timeout(patience, asking).await else {
+        gateway.metrics.handed_over.with_label_values(&["silent"]).inc();
+        return RpcSnafu { message: "it says nothing" }.fail();
+    };
+    let (answer, reader, writer) = asked?;
+    gateway.metrics.handed_over.with_label_values(&[answer.name()]).inc();
+    match answer {
+        HandoverAnswer::Taken => Ok((reader.into_inner(), writer)),
+        refused => RpcSnafu { message: format!("it is {}", refused.name()) }.fail(),
+    }
+}
+
+/// Passes bytes both ways until the answer is whole or either side leaves.
+async fn pass_on(gateway: &Gateway, caller: TcpStream, taker: Taker, neighbour: Neighbour) {
+    let (answers, requests) = taker;
+    // Without it a router that falls silent is noticed later.
+    let socket = socket2::SockRef::from(requests.as_ref());
+    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+    let (read, mut write) = caller.into_split();
+    let passed = tokio::select! {
+        passed = pass_answer(answers, &mut write) => passed,
+        () = pass_request(read, requests) => return,
+    };
+    if passed == 0 {
+        log::info!("gateway: an answer was lost at router {}", neighbour.host);
+        gateway.metrics.handed_over.with_label_values(&["lost"]).inc();
+        // A caller that has left needs none.
+        let _ = write.write_all(ANSWER_LOST).await;
+    }
+}
+
+/// Returns once the caller has left.
+async fn pass_request(mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+    let mut piece = vec![0; PIECE];
+    loop {
+        let read = match from.read(&mut piece).await {
+            Ok(0) | Err(_) => return,
+            Ok(read) => read,
+        };
+        if to.write_all(&piece[..read]).await.is_err() {
+            // The other direction notices that the router has left.
+            return std::future::pending().await;
+        }
+    }
+}
+
+/// Returns the bytes passed on until the router has closed, or the caller has left.
+async fn pass_answer(mut from: BufReader<OwnedReadHalf>, to: &mut OwnedWriteHalf) -> usize {
+    let mut passed = 0;
+    let mut piece = vec![0; PIECE];
+    loop {
+        let reading = from.read(&mut piece);
+        let read = match passed {
+            0 => tokio::time::timeout(FIRST_ANSWER, reading).await.unwrap_or(Ok(0)),
+            _ => reading.await,
+        };
+        let read = match read {
+            Ok(0) | Err(_) => return passed,
+            Ok(read) => read,
+        };
+        passed += read;
+        if to.write_all(&piece[..read]).await.is_err() {
+            return passed;
+        }
+    }
+}
+
+/// Takes connections that other routers hand over.
+pub(super) async fn take_callers(gateway: Arc<Gateway>, mut incoming: mpsc::Receiver<Incoming>) {
+    while let Some(connection) = incoming.recv().await {
+        match connection.open {
+            Open::Caller { version, .. } => {
+                tokio::spawn(take(gateway.clone(), connection, version));
+            }
+            open => log::warn!("peer: a gateway takes no connection {open:?}"),
+        }
+    }
+}
+
+async fn take(gateway: Arc<Gateway>, connection: Incoming, version: u64) {
+    let Incoming { reader, mut writer, .. } = connection;
+    let answer = answer(&gateway, version);
+    if let Err(error) = write_frame(&mut writer, &answer).await {
+        log::debug!("gateway: a router that hands over has left: {error}");
+    } else if answer == HandoverAnswer::Taken {
+        let io = tokio::io::join(reader.into_inner(), writer);
+        let never = CancellationToken::new();
+        serve_requests(&gateway, io, KeepAlive::OneRequest, &never).await;
+    }
+    if answer == HandoverAnswer::Taken {
+        gateway.with_overload(Overload::disconnect);
+    }
+}
+
+/// Where it is taken, the connection counts from here on.
+fn answer(gateway: &Gateway, version: u64) -> HandoverAnswer {
+    if gateway.stop.is_cancelled() {
+        return HandoverAnswer::Stopping;
+    }
+    if gateway.routing_version() < version {
+        return HandoverAnswer::Behind;
+    }
+    let serving = gateway.serving();
+    let takes = |overload: &mut Overload| overload.takes_over(serving) && overload.connect();
+    match gateway.with_overload(takes) {
+        true => HandoverAnswer::Taken,
+        false => HandoverAnswer::Busy,
+    }
+}
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -1,10 +1,10 @@
 //! When a router has more to do than its processor and descriptors bear.
 //!
 //! Requests wait at every step for the event loop, and answers of other hosts
-//! seem late to it. So it sheds load in two steps: it is not ready for new
-//! connections, which the platform then gives to others; and if that is not
-//! enough, it refuses new requests at once, so that callers come back through
-//! another router.
+//! seem late to it. So it sheds load in three steps: it hands new connections over to
+//! other routers; it is not ready for more, which the platform then gives to others;
+//! and if that is not enough, it refuses new requests at once, so that callers come
+//! back through another router.
 
 use std::time::Duration;
 
@@ -14,6 +14,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct OverloadRules {
+    /// Milliseconds of lag of the event loop from which on new connections are handed
+    /// over to other routers; at half of it no more.
+    pub hand_over_lag_ms: u64,
+    /// The same by requests that this router serves itself: a burst of one customer
+    /// is there before the lag shows it.
+    pub hand_over_requests: usize,
+    /// Milliseconds that another router may take to say whether it takes a connection:
+    /// several round trips within a data hall.
+    pub hand_over_answer_ms: u64,
     /// Milliseconds of lag of the event loop from which on new connections
     /// should go elsewhere.
     pub unready_lag_ms: u64,
@@ -27,7 +36,17 @@
 
 impl Default for OverloadRules {
     fn default() -> Self {
-        OverloadRules { unready_lag_ms: 8, ready_lag_ms: 3, refuse_lag_ms: 40, descriptors: 8_192 }
+        OverloadRules {
+            hand_over_lag_ms: 4,
+            // Streams of some 40 events that last a second: 0.12 cores bear 50 to 60
+            // (docs/CAPACITY.md), 0.25 cores twice as many.
+            hand_over_requests: 100,
+            hand_over_answer_ms: 60,
+            unready_lag_ms: 8,
+            ready_lag_ms: 3,
+            refuse_lag_ms: 40,
+            descriptors: 8_192,
+        }
     }
 }
 
@@ -51,17 +70,22 @@
     lag: Duration,
     connections: usize,
     unready: bool,
+    handing_over: bool,
 }
 
 impl Overload {
     /// An idle router.
     pub fn new(rules: OverloadRules) -> Overload {
-        Overload { rules, lag: Duration::ZERO, connections: 0, unready: false }
+        let handing_over = rules.hand_over_lag_ms == 0;
+        Overload { rules, lag: Duration::ZERO, connections: 0, unready: false, handing_over }
     }
 
     /// Takes in the lag of the event loop; returns whether readiness changed.
     pub fn set_lag(&mut self, lag: Duration) -> bool {
         self.lag = lag;
+        let hand_over = Duration::from_millis(self.rules.hand_over_lag_ms);
+        let from = if self.handing_over { hand_over / 2 } else { hand_over };
+        self.handing_over = lag >= from;
         let limit = if self.unready { self.rules.ready_lag_ms } else { self.rules.unready_lag_ms };
         let unready = lag >= Duration::from_millis(limit) || self.is_crowded();
         std::mem::replace(&mut self.unready, unready) != unready
@@ -90,6 +114,18 @@
         !self.unready
     }
 
+    /// Whether new connections are handed over to other routers, while this one serves
+    /// so many requests itself.
+    pub fn hands_over(&self, serving: usize) -> bool {
+        self.handing_over || serving >= self.rules.hand_over_requests
+    }
+
+    /// Whether connections that other routers hand over are taken, while this one serves
+    /// so many requests itself.
+    pub fn takes_over(&self, serving: usize) -> bool {
+        !self.hands_over(serving) && !self.unready
+    }
+
     /// Whether new requests are refused.
     pub fn refuses(&self) -> bool {
         self.lag >= Duration::from_millis(self.rules.refuse_lag_ms)
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -252,7 +252,8 @@
             refusal.into_response()
         }
     };
-    if stopping {
+    // What comes next on this connection could not be handed over.
+    if stopping || gateway.hands_over() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,7 +1,6 @@
 //! The gateway's process: callers' connections, readiness, planned stop.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,16 +11,17 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use snafu::ResultExt;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use super::dialect::Dialect;
+use super::handover::{hand_over, take_callers};
 use super::overload::Overload;
 use super::request;
 use super::state::{Gateway, follow_registry};
 use crate::error::{NetSnafu, Result};
-use crate::peer::{Incoming, Peers};
+use crate::peer::Peers;
 use crate::settings::{GatewaySettings, RouterSettings};
 use crate::wire::Role;
 
@@ -41,8 +41,8 @@
 ) -> Result<()> {
     settings.check()?;
     let (peers, incoming) = Peers::start(&settings.host, Role::Router, settings.operator).await?;
-    tokio::spawn(refuse_peers(incoming));
     let gateway = Gateway::new(settings, rules, peers, dialect, stop.clone());
+    tokio::spawn(take_callers(gateway.clone(), incoming));
     tokio::spawn(follow_registry(gateway.clone()));
     serve_readiness(&gateway).await?;
     let listen = gateway.settings.listen;
@@ -99,19 +99,13 @@
     }
 }
 
-async fn refuse_peers(mut incoming: mpsc::Receiver<Incoming>) {
-    while let Some(Incoming { open, .. }) = incoming.recv().await {
-        log::warn!("peer: a gateway takes no connection {open:?}");
-    }
-}
-
 async fn accept(gateway: Arc<Gateway>, listener: TcpListener, closing: CancellationToken) {
     loop {
         match listener.accept().await {
             // Closed unread: the caller may try any request again elsewhere.
             Ok((stream, _)) if !gateway.with_overload(Overload::connect) => drop(stream),
-            Ok((stream, from)) => {
-                tokio::spawn(serve_connection(gateway.clone(), stream, from, closing.clone()));
+            Ok((stream, _)) => {
+                tokio::spawn(serve_caller(gateway.clone(), stream, closing.clone()));
             }
             Err(error) => {
                 log::warn!("gateway: accept failed: {error}");
@@ -121,14 +115,32 @@
     }
 }
 
-async fn serve_connection(
-    gateway: Arc<Gateway>,
-    stream: TcpStream,
-    from: SocketAddr,
-    closing: CancellationToken,
-) {
+async fn serve_caller(gateway: Arc<Gateway>, stream: TcpStream, closing: CancellationToken) {
     // Without it events wait for the caller's delayed acknowledgements.
     let _ = stream.set_nodelay(true);
+    if let Some(stream) = hand_over(&gateway, stream, &closing).await {
+        serve_requests(&gateway, stream, KeepAlive::UntilIdle, &closing).await;
+    }
+    gateway.with_overload(Overload::disconnect);
+}
+
+/// How many requests may come on one connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum KeepAlive {
+    /// One; its answer says so.
+    OneRequest,
+    /// As many as come, until it has been idle for long.
+    UntilIdle,
+}
+
+/// Serves what comes on a caller's connection, until it ends or `closing` says that it
+/// should end once it is idle.
+pub(super) async fn serve_requests(
+    gateway: &Arc<Gateway>,
+    io: impl AsyncRead + AsyncWrite + Unpin + Send,
+    keep_alive: KeepAlive,
+    closing: &CancellationToken,
+) {
     let limits = gateway.documents.current().map(|r| r.table.limits.clone()).unwrap_or_default();
     let service = service_fn(|call| {
         let gateway = gateway.clone();
@@ -136,9 +148,10 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
+        .keep_alive(keep_alive == KeepAlive::UntilIdle)
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(io), service);
     tokio::pin!(connection);
     let served = tokio::select! {
         served = connection.as_mut() => served,
@@ -148,9 +161,8 @@
         }
     };
     if let Err(error) = served {
-        log::debug!("gateway: connection from {from}: {error}");
+        log::debug!("gateway: a caller's connection: {error}");
     }
-    gateway.with_overload(Overload::disconnect);
 }
 
 /// The smallest buffer that the HTTP library takes, in bytes.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,6 +9,7 @@
 use super::connections::Connections;
 use super::dialect::Dialect;
 use super::endpoints::{Endpoints, Failure};
+use super::neighbours::Neighbours;
 use super::overload::Overload;
 use crate::dispatch::Millis;
 use crate::feed::Subscriptions;
@@ -47,8 +48,10 @@
     pub(super) endpoints: Mutex<Endpoints>,
     pub(super) budgets: Mutex<RetryBudgets>,
     overload: Arc<Mutex<Overload>>,
+    neighbours: Mutex<Neighbours>,
     refusing: AtomicBool,
     in_flight: AtomicUsize,
+    handing_over: AtomicUsize,
     next_number: AtomicU64,
 }
 
@@ -85,8 +88,10 @@
             endpoints: Mutex::default(),
             budgets: Mutex::new(budgets),
             overload,
+            neighbours: Mutex::default(),
             refusing: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
+            handing_over: AtomicUsize::new(0),
             next_number: AtomicU64::new(1),
         })
     }
@@ -111,6 +116,11 @@
         f(&mut self.overload.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Works on what is known of the other routers of the data hall.
+    pub(super) fn with_neighbours<T>(&self, f: impl FnOnce(&mut Neighbours) -> T) -> T {
+        f(&mut self.neighbours.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// The version of the routing in force; 0 before the first.
     pub(super) fn routing_version(&self) -> u64 {
         self.documents.current().map_or(0, |routing| routing.table.version)
@@ -148,21 +158,49 @@
         self.refusing.store(true, Ordering::Relaxed);
     }
 
-    /// Requests that are being served.
+    /// Requests that are being served, here or by a router that took them over.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Requests that this router serves itself.
+    pub(super) fn serving(&self) -> usize {
+        self.in_flight().saturating_sub(self.handing_over.load(Ordering::Relaxed))
+    }
+
+    /// Whether callers' new connections should be handed over to other routers.
+    pub(super) fn hands_over(&self) -> bool {
+        let serving = self.serving();
+        self.with_overload(|overload| overload.hands_over(serving))
+    }
+
+    /// A request is served here.
     pub(super) fn enter(self: &Arc<Self>) -> Presence {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
-        Presence(self.clone())
+        Presence { gateway: self.clone(), hands_over: false }
+    }
+
+    /// A request is handed over to another router.
+    pub(super) fn enter_handing_over(self: &Arc<Self>) -> Presence {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        self.handing_over.fetch_add(1, Ordering::Relaxed);
+        Presence { gateway: self.clone(), hands_over: true }
     }
 }
 
 fn watch_lag(overload: Arc<Mutex<Overload>>) -> LoopLag {
     LoopLag::start(move |lag| {
         let mut overload = overload.lock().unwrap_or_else(PoisonError::into_inner);
-        if overload.set_lag(lag) {
+        let handed_over = overload.hands_over(0);
+        let readiness_changed = overload.set_lag(lag);
+        if overload.hands_over(0) != handed_over {
+            log::info!(
+                "gateway: new connections are {}: event loop {} ms late",
+                if handed_over { "served here" } else { "handed over" },
+                lag.as_millis(),
+            );
+        }
+        if readiness_changed {
             log::info!(
                 "gateway: {} for new connections: event loop {} ms late, {} connections of callers",
                 if overload.is_ready() { "ready" } else { "not ready" },
@@ -173,12 +211,18 @@
     })
 }
 
-/// A request that is being served; a planned stop waits until it is dropped.
-pub(super) struct Presence(Arc<Gateway>);
+/// A request under way; a planned stop waits until it is dropped.
+pub(super) struct Presence {
+    gateway: Arc<Gateway>,
+    hands_over: bool,
+}
 
 impl Drop for Presence {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.gateway.in_flight.fetch_sub(1, Ordering::Relaxed);
+        if self.hands_over {
+            self.gateway.handing_over.fetch_sub(1, Ordering::Relaxed);
+        }
     }
 }
 
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -2,8 +2,11 @@
 
 use proptest::prelude::*;
 
+use super::neighbours::{REFUSED_MS, RENEW_MS};
 use super::*;
+use crate::feed::Neighbour;
 use crate::registry::{EndpointState, Registration};
+use crate::wire::HostId;
 
 fn endpoint(id: &str) -> Registration {
     Registration {
@@ -194,6 +197,57 @@
     assert!(overload.is_ready());
 }
 
+#[test]
+fn a_router_hands_over_before_it_is_not_ready_and_takes_nothing_meanwhile() {
+    let rules = OverloadRules::default();
+    let ms = std::time::Duration::from_millis;
+    let mut overload = Overload::new(rules);
+    overload.set_lag(ms(rules.hand_over_lag_ms - 1));
+    assert!(!overload.hands_over(0) && overload.takes_over(0));
+    overload.set_lag(ms(rules.hand_over_lag_ms));
+    assert!(overload.hands_over(0) && !overload.takes_over(0) && overload.is_ready());
+    // It goes on until it is well below.
+    overload.set_lag(ms(rules.hand_over_lag_ms - 1));
+    assert!(overload.hands_over(0));
+    overload.set_lag(ms(rules.hand_over_lag_ms / 2 - 1));
+    assert!(!overload.hands_over(0) && overload.takes_over(0));
+    // What it serves counts at once.
+    let many = rules.hand_over_requests;
+    assert!(!overload.hands_over(many - 1) && overload.takes_over(many - 1));
+    assert!(overload.hands_over(many) && !overload.takes_over(many));
+    // One whose limit is 0 hands over all that comes, also before it was measured.
+    let all = OverloadRules { hand_over_lag_ms: 0, ..rules };
+    assert!(Overload::new(all).hands_over(0));
+}
+
+fn neighbour(host: u32) -> Neighbour {
+    Neighbour { host: HostId(host), peer: ([127, 0, 0, 1], 7_000 + host as u16).into() }
+}
+
+#[test]
+fn a_router_that_said_no_is_not_asked_again_for_a_while() {
+    let known = [neighbour(1), neighbour(2)];
+    let mut neighbours = Neighbours::default();
+    assert_eq!(neighbours.choose(0, &[], 7), None);
+    let chosen: Vec<_> = (0..2).filter_map(|n| neighbours.choose(0, &known, n)).collect();
+    assert_eq!(chosen, known, "every one may be asked");
+    neighbours.refused(0, HostId(1));
+    for random in 0..4 {
+        assert_eq!(neighbours.choose(REFUSED_MS - 1, &known, random), Some(known[1]));
+    }
+    neighbours.refused(1, HostId(2));
+    assert_eq!(neighbours.choose(2, &known, 0), None);
+    assert_eq!(neighbours.choose(REFUSED_MS, &known, 0), Some(known[0]));
+}
+
+#[test]
+fn the_list_of_routers_is_asked_for_again_after_a_while() {
+    let mut neighbours = Neighbours::default();
+    assert!(neighbours.renew(5));
+    assert!(!neighbours.renew(6));
+    assert!(neighbours.renew(5 + RENEW_MS));
+}
+
 #[test]
 fn callers_connections_leave_descriptors_for_endpoints() {
     let rules = OverloadRules { descriptors: 100, ..OverloadRules::default() };
--- a/src/router.rs
+++ b/src/router.rs
@@ -114,7 +114,8 @@
             | Open::Join(_)
             | Open::Feed { .. }
             | Open::Place { .. }
-            | Open::Claims { .. } => {
+            | Open::Claims { .. }
+            | Open::Caller { .. } => {
                 log::warn!("peer: a router takes no such connection");
             }
         }
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -76,6 +76,11 @@
         self.limit = limit;
     }
 
+    /// The stream behind the last value that was read.
+    pub fn into_inner(self) -> R {
+        self.inner
+    }
+
     /// The next value. Fails when the peer has closed, or sends too much or
     /// something else. Not cancel-safe: own the reader in one task.
     pub async fn next<T: DeserializeOwned>(&mut self) -> Result<T> {
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -138,6 +138,14 @@
         /// Who asks.
         host: HostId,
     },
+    /// A router behind its work hands a caller's connection over; its bytes follow the
+    /// answer.
+    Caller {
+        /// The router.
+        router: HostId,
+        /// The version of its routing; the other must hold one at least as new.
+        version: u64,
+    },
     /// A router sends run-once claims; answers come back on the connection.
     Claims {
         /// The router.
@@ -152,7 +160,7 @@
             Open::Dispatch { router, .. } | Open::Claims { router } => Some(*router),
             Open::Pull { host, .. } | Open::Agree { host, .. } => Some(*host),
             Open::Feed { host } => Some(*host),
-            Open::Place { router, .. } => Some(*router),
+            Open::Place { router, .. } | Open::Caller { router, .. } => Some(*router),
             Open::Join(newcomer) => Some(newcomer.host),
             Open::Identify => None,
         }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -3,6 +3,8 @@
 
 #[path = "platform/fleet.rs"]
 mod fleet;
+#[path = "platform/handover.rs"]
+mod handover;
 #[path = "platform/http.rs"]
 mod http;
 #[path = "platform/replica.rs"]
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -1,4 +1,4 @@
-//! One control host and one router as separate processes, each on a loopback
+//! One control host and one or two routers as separate processes, each on a loopback
 //! address of its own, as on machines of their own.
 
 use std::net::{Ipv4Addr, SocketAddr};
@@ -22,7 +22,13 @@
 const FRONT: u16 = 8_703;
 const READY: u16 = 8_704;
 
-/// Each fleet of a test run has two loopback addresses of its own.
+/// Settings of a router that hands over all that comes.
+const HANDS_OVER: &str = "  overload:\n    hand_over_lag_ms: 0\n    hand_over_answer_ms: 600000\n";
+/// Settings of a router that takes what is handed over, however busy the machine is.
+const TAKES_ALL: &str = "  overload:\n    hand_over_lag_ms: 600000\n    \
+                         unready_lag_ms: 600000\n    refuse_lag_ms: 600000\n";
+
+/// Each fleet of a test run has three loopback addresses of its own.
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
 pub struct Fleet {
@@ -32,12 +38,16 @@
     folder: TempDir,
     control_process: Option<Child>,
     router_process: Option<Child>,
+    /// Where the second router takes requests, if there is one.
+    pub neighbour: SocketAddr,
+    neighbour_process: Option<Child>,
 }
 
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.kill_control();
         self.kill_router();
+        self.kill_neighbour();
     }
 }
 
@@ -66,10 +76,10 @@
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         // Processes of test runs beside this one differ in their numbers.
         let net = (std::process::id() % 250 + 1) as u8;
-        let address = |last: u32| Ipv4Addr::new(127, 9, net, (number * 2 + last) as u8);
-        let (control, router) = (address(1), address(2));
+        let address = |last: u32| Ipv4Addr::new(127, 9, net, (number * 3 + last) as u8);
+        let (control, router, neighbour) = (address(1), address(2), address(3));
         let folder = TempDir::new().unwrap();
-        write_settings(&folder, control, router);
+        write_settings(&folder, control, router, neighbour);
         let mut fleet = Fleet {
             front: (router, FRONT).into(),
             ready: (router, READY).into(),
@@ -77,6 +87,8 @@
             folder,
             control_process: None,
             router_process: None,
+            neighbour: (neighbour, FRONT).into(),
+            neighbour_process: None,
         };
         fleet.start_control();
         fleet.start_router();
@@ -85,10 +97,11 @@
         fleet
     }
 
-    fn spawn(&self, role: &str) -> Child {
+    fn spawn(&self, name: &str) -> Child {
+        let role = if name == "control" { "control" } else { "router" };
         Command::new(env!("CARGO_BIN_EXE_bramblecrank"))
             .args(["--log-level", "warn", role, "--settings"])
-            .arg(self.folder.path().join(format!("{role}.yaml")))
+            .arg(self.folder.path().join(format!("{name}.yaml")))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .spawn()
@@ -103,6 +116,34 @@
         self.router_process = Some(self.spawn("router"));
     }
 
+    /// Starts a second router in the same data hall.
+    pub async fn start_neighbour(&mut self) {
+        self.neighbour_process = Some(self.spawn("neighbour"));
+        self.wait_listening(self.neighbour).await;
+    }
+
+    pub fn kill_neighbour(&mut self) {
+        kill_child(&mut self.neighbour_process);
+    }
+
+    /// Starts the router again as one that hands over all that comes, however long the
+    /// other one takes to answer.
+    pub async fn restart_router_handing_over(&mut self) {
+        self.kill_router();
+        let path = self.folder.path().join("router.yaml");
+        let text = std::fs::read_to_string(&path).unwrap();
+        std::fs::write(path, format!("{text}{HANDS_OVER}")).unwrap();
+        self.start_router();
+        self.wait_ready().await;
+    }
+
+    /// A figure of the first router's metrics; 0 where it is not there.
+    pub async fn metric(&self, name: &str) -> u64 {
+        let answer = call(self.ready, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n").await;
+        let line = answer.body.lines().find_map(|line| line.strip_prefix(name)).map(str::trim);
+        line.map_or(0, |value| value.parse().unwrap())
+    }
+
     pub fn kill_control(&mut self) {
         kill_child(&mut self.control_process);
     }
@@ -246,7 +287,7 @@
     }
 }
 
-fn write_settings(folder: &TempDir, control: Ipv4Addr, router: Ipv4Addr) {
+fn write_settings(folder: &TempDir, control: Ipv4Addr, router: Ipv4Addr, neighbour: Ipv4Addr) {
     let host = |name: &str, address: Ipv4Addr| {
         format!(
             "host:\n  name: {name}\n  hall: a\n  peer: \"{address}:{PEER}\"\n  \
@@ -261,11 +302,15 @@
         host("control", control),
         data.display()
     );
-    let router_text = format!(
-        "{}listen: \"{router}:{FRONT}\"\ngateway:\n  ready: \"{router}:{READY}\"\n  \
-         stop_takes_ms: 300\n  stop_within_s: 8\n",
-        host("router", router)
-    );
+    let router_text = |name: &str, address: Ipv4Addr| {
+        format!(
+            "{}listen: \"{address}:{FRONT}\"\ngateway:\n  ready: \"{address}:{READY}\"\n  \
+             stop_takes_ms: 300\n  stop_within_s: 8\n",
+            host(name, address)
+        )
+    };
     std::fs::write(folder.path().join("control.yaml"), control_text).unwrap();
-    std::fs::write(folder.path().join("router.yaml"), router_text).unwrap();
+    std::fs::write(folder.path().join("router.yaml"), router_text("router", router)).unwrap();
+    let neighbour_text = router_text("neighbour", neighbour) + TAKES_ALL;
+    std::fs::write(folder.path().join("neighbour.yaml"), neighbour_text).unwrap();
 }
--- /dev/null
+++ b/tests/platform/handover.rs
@@ -0,0 +1,97 @@
+//! A router that hands callers' connections over to another one of its data hall.
+
+use std::time::Duration;
+
+use super::fleet::Fleet;
+use super::http::{call, open, read_answer};
+use super::replica::{Behaviour, Replica};
+use super::{fleet_with, get, post};
+
+const PAUSE: Duration = Duration::from_millis(20);
+const TAKEN: &str = r#"bramblecrank_gateway_handed_over_total{answer="taken"}"#;
+
+/// A fleet whose first router hands over all that comes to a second one.
+async fn fleet_of_two(behaviour: Behaviour) -> (Fleet, Vec<Replica>) {
+    let (mut fleet, replicas) = fleet_with(&[behaviour]).await;
+    fleet.start_neighbour().await;
+    fleet.restart_router_handing_over().await;
+    // The other router is known, and has a routing, once it takes a connection.
+    while fleet.metric(TAKEN).await == 0 {
+        call(fleet.front, &get("/safe/x", "before")).await;
+        tokio::time::sleep(PAUSE).await;
+    }
+    (fleet, replicas)
+}
+
+fn runs(replicas: &[Replica], id: &str) -> usize {
+    let seen = replicas.iter().flat_map(|replica| replica.seen());
+    seen.filter(|request| request.header("bramblecrank-attempt-id") == Some(id)).count()
+}
+
+#[tokio::test]
+async fn a_request_that_is_handed_over_gets_its_own_whole_answer() {
+    let (fleet, replicas) = fleet_of_two(Behaviour::Answer).await;
+    let before = fleet.metric(TAKEN).await;
+    for number in 0..5 {
+        let id = format!("h{number}");
+        let answer = call(fleet.front, &post("/once/x", &id, "the body")).await;
+        assert_eq!((answer.status, answer.whole), (200, true));
+        assert_eq!(answer.body, format!("answer to {id}"));
+        assert_eq!(answer.header("bramblecrank-replica-seal"), Some("seal-i-0"));
+        assert_eq!(runs(&replicas, &id), 1);
+    }
+    assert_eq!(fleet.metric(TAKEN).await, before + 5);
+}
+
+#[tokio::test]
+async fn a_stream_that_is_handed_over_comes_whole() {
+    let behaviour = Behaviour::Stream { events: 5, pause: Duration::from_millis(5) };
+    let (fleet, _replicas) = fleet_of_two(behaviour).await;
+    let answer = call(fleet.front, &post("/stream/x", "s1", "")).await;
+    assert_eq!((answer.status, answer.whole), (200, true));
+    let events: String = (1..=5).map(|n| format!("id: {n}\ndata: x\n\n")).collect();
+    assert_eq!(answer.body, events);
+}
+
+#[tokio::test]
+async fn what_nobody_takes_is_served_where_it_came() {
+    let (mut fleet, replicas) = fleet_of_two(Behaviour::Answer).await;
+    fleet.kill_neighbour();
+    let answer = call(fleet.front, &post("/once/x", "alone", "")).await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(runs(&replicas, "alone"), 1);
+}
+
+#[tokio::test]
+async fn a_router_that_is_lost_leaves_no_whole_answer_and_no_second_run() {
+    let behaviour = Behaviour::Stream { events: 200, pause: Duration::from_millis(20) };
+    let (mut fleet, replicas) = fleet_of_two(behaviour).await;
+    let mut caller = open(fleet.front, &post("/stream/x", "lost", "")).await;
+    // Its answer has begun.
+    caller.readable().await.unwrap();
+    fleet.kill_neighbour();
+    let answer = read_answer(&mut caller).await;
+    assert!(answer.is_none_or(|answer| !answer.whole));
+    assert_eq!(runs(&replicas, "lost"), 1);
+}
+
+#[tokio::test]
+async fn a_request_whose_router_is_lost_before_its_answer_gets_an_error_that_promises_nothing() {
+    let (mut fleet, replicas) = fleet_of_two(Behaviour::Hang).await;
+    let mut caller = open(fleet.front, &post("/once/x", "lost", "")).await;
+    replicas[0].wait_for(|replica| runs(std::slice::from_ref(replica), "lost") == 1).await;
+    fleet.kill_neighbour();
+    let answer = read_answer(&mut caller).await.unwrap();
+    assert_eq!((answer.status, answer.whole), (502, true));
+    assert_eq!(runs(&replicas, "lost"), 1);
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_ends_its_run_at_the_replica() {
+    let (fleet, replicas) = fleet_of_two(Behaviour::Hang).await;
+    let before = replicas[0].left();
+    let caller = open(fleet.front, &post("/once/x", "left", "")).await;
+    replicas[0].wait_for(|replica| runs(std::slice::from_ref(replica), "left") == 1).await;
+    drop(caller);
+    replicas[0].wait_for(|replica| replica.left() > before).await;
+}
