--- a/benches/placer.rs
+++ b/benches/placer.rs
@@ -36,6 +36,9 @@
         memory_tokens: 472_528,
         rate: RATE,
         copy_ms_per_token: Some(0.002),
+        cold_per_second: None,
+        call: 1,
+        warmup_ms: 0,
     }
 }
 
@@ -70,7 +73,7 @@
 impl Load {
     fn start(engines: u64, customers: u64) -> Load {
         let mut placer = Placer::new(PlacementRules::default());
-        placer.set_engines((0..engines).map(engine).collect());
+        placer.set_engines(0, (0..engines).map(engine).collect());
         let (open, begun) = Default::default();
         Load { placer, engines, customers, seq: 0, open, begun, placed: 0 }
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,6 +4,7 @@
 mod documents;
 mod driver;
 pub(crate) mod found;
+mod halls;
 mod join;
 mod serve;
 mod state;
@@ -19,7 +20,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::error::{Error, Result};
-use crate::feed::{self, Subscriptions};
+use crate::feed::{self, Publication, Subscriptions};
 use crate::peer::{Incoming, PeerReader, Peers};
 use crate::placement::{self, PlacementSession};
 use crate::registry::{SharedRegistry, saved};
@@ -34,6 +35,7 @@
 
 pub use documents::Unanswered;
 pub use driver::{Handle, Leadership, NoLeader};
+pub use halls::HallOrder;
 pub use join::Joined;
 pub use serve::{Ask, Asked, ClaimAnswer, ClaimRequest, Identity};
 pub use state::{Changed, Command, Reply, State};
@@ -99,8 +101,15 @@
     let registry = Arc::new(SharedRegistry::default());
     registry.remember(saved::load(&settings.data));
     tokio::spawn(saved::keep_saved(registry.clone(), settings.data.clone()));
-    let (handle, driver) =
-        driver::start(&settings, peers.clone(), configs.clone(), documents.clone(), disk, found)?;
+    let (handle, driver) = driver::start(
+        &settings,
+        peers.clone(),
+        configs.clone(),
+        documents.clone(),
+        registry.clone(),
+        disk,
+        found,
+    )?;
     let placement = placement::serve(
         settings.placement,
         peers.clock,
@@ -128,6 +137,8 @@
             control.peers.clone(),
             control.documents.clone(),
             control.registry.clone(),
+            &control.settings.host.hall,
+            Role::Control,
         );
         crate::http::serve(interface.listen, (interface.app)(control.clone()), &stop).await?;
     }
@@ -184,15 +195,14 @@
     reader: PeerReader,
     writer: OwnedWriteHalf,
 ) {
-    let published = feed::publish(
-        control.documents.clone(),
-        control.registry.clone(),
-        control.handle.leadership.clone(),
-        control.peers.watch(),
-        control.peers.sent.clone(),
-        reader,
-        writer,
-    );
+    let publication = Publication {
+        documents: control.documents.clone(),
+        registry: control.registry.clone(),
+        leadership: control.handle.leadership.clone(),
+        view: control.peers.watch(),
+        numbering: control.peers.incarnation,
+    };
+    let published = feed::publish(publication, control.peers.sent.clone(), reader, writer);
     if let Err(error) = published.await {
         log::info!("feed: host {host} follows no longer: {error}");
     }
--- a/src/control/documents.rs
+++ b/src/control/documents.rs
@@ -15,6 +15,8 @@
 pub enum Unanswered {
     /// The document is invalid.
     Invalid(Refusal),
+    /// There is no such data hall.
+    UnknownHall,
     /// Another host leads.
     Elsewhere(HostId),
     /// Nothing can be said for sure; ask again.
@@ -50,7 +52,9 @@
                 );
                 Ok(in_force)
             }
-            Reply::Changed(_) | Reply::Claimed(_) | Reply::Settled => Err(Unanswered::Unsure),
+            Reply::Changed(_) | Reply::Claimed(_) | Reply::Settled | Reply::Halls(_) => {
+                Err(Unanswered::Unsure)
+            }
         }
     }
 
@@ -70,13 +74,15 @@
     pub fn render_metrics(&self) -> String {
         let version = self.documents.current().map_or(0, |routing| routing.table.version);
         let leadership = self.handle.leadership.borrow().clone();
-        let endpoints = self.registry.read(|registry| registry.all().count());
+        let (endpoints, drained) =
+            self.registry.read(|r| (r.all().count(), r.drained().names().count()));
         let figures = [
             ("routing_version", version),
             ("term", leadership.term),
             ("leads", u64::from(leadership.leads)),
             ("members", leadership.hosts.len() as u64),
             ("endpoints", endpoints as u64),
+            ("drained_halls", drained as u64),
             ("live_routers", self.live_routers() as u64),
             ("unknown_heartbeats", self.peers.unknown_heartbeats()),
             ("sent_bytes", self.peers.sent.get()),
@@ -87,6 +93,6 @@
     /// Takes in what an endpoint says of itself. Routers in reach are told at
     /// once.
     pub fn register(&self, registration: Registration) {
-        self.registry.merge(registration);
+        self.registry.merge([registration]);
     }
 }
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -18,6 +18,7 @@
 };
 use crate::error::{NetSnafu, Result};
 use crate::peer::Peers;
+use crate::registry::SharedRegistry;
 use crate::routing::Documents;
 use crate::settings::ControlSettings;
 use crate::spread::Configs;
@@ -189,6 +190,7 @@
     peers: Arc<Peers>,
     configs: Arc<Configs>,
     documents: Arc<Documents>,
+    registry: Arc<SharedRegistry>,
     disk: Disk,
     found: Found,
 ) -> Result<(Handle, JoinHandle<Result<()>>)> {
@@ -209,6 +211,7 @@
         most_voters: settings.most_voters(),
         unsynced: VecDeque::new(),
         documents,
+        registry,
         leadership: status,
         couriers: Couriers::new(peers.clone()),
         peers,
@@ -240,6 +243,7 @@
     peers: Arc<Peers>,
     configs: Arc<Configs>,
     documents: Arc<Documents>,
+    registry: Arc<SharedRegistry>,
     leadership: watch::Sender<Leadership>,
     couriers: Couriers,
     store: StoreId,
@@ -316,6 +320,7 @@
         if let Some(document) = self.state.document() {
             self.documents.adopt(document.clone());
         }
+        self.registry.adopt_drained(self.state.drained().clone());
     }
 
     fn send_messages(&mut self, messages: Vec<Envelope>) {
@@ -522,7 +527,7 @@
     }
 
     fn apply(&mut self, entries: Vec<Entry>) {
-        let before = (self.state.history().config().version, self.state.document_version());
+        let before = self.state.versions();
         for entry in entries {
             self.applied = entry.index;
             let Payload::Data(data) = &entry.payload else {
@@ -540,7 +545,7 @@
                 let _ = waiting.send(answer);
             }
         }
-        if (self.state.history().config().version, self.state.document_version()) != before {
+        if self.state.versions() != before {
             self.publish_state();
         }
     }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -7,6 +7,7 @@
 
 use crate::claim::{Claim, Claimed, Settlement, Table};
 use crate::config::{Change, History, Refusal};
+use crate::registry::DrainedHalls;
 use crate::routing::Document;
 
 /// Operations whose answers are kept for resends.
@@ -42,6 +43,10 @@
     },
     /// Put a whole routing document in force, if its version is the highest.
     Replace(Box<Document>),
+    /// Send nothing more to the endpoints of a data hall.
+    DrainHall(String),
+    /// Send to the endpoints of a data hall again.
+    RestoreHall(String),
 }
 
 /// What became of a change.
@@ -67,6 +72,8 @@
     /// This version of the routing document is in force now; either the one
     /// sent or one at least as high.
     Replaced(u64),
+    /// The data halls that are drained now.
+    Halls(DrainedHalls),
 }
 
 /// The agreed state. Applying a command is deterministic.
@@ -77,6 +84,7 @@
     operations_by_age: VecDeque<String>,
     claims: Table,
     document: Option<Arc<Document>>,
+    drained: DrainedHalls,
 }
 
 impl State {
@@ -95,7 +103,18 @@
         self.document.as_ref()
     }
 
-    /// Its version; 0 while there is none.
+    /// The data halls that operators have drained.
+    pub fn drained(&self) -> &DrainedHalls {
+        &self.drained
+    }
+
+    /// Versions of the configuration, of the routing document and of the drained halls.
+    pub fn versions(&self) -> (u64, u64, u64) {
+        let configuration = self.history.config().version;
+        (configuration, self.document_version(), self.drained.revision())
+    }
+
+    /// The routing document's version; 0 while there is none.
     pub fn document_version(&self) -> u64 {
         self.document.as_ref().map_or(0, |d| d.table.version)
     }
@@ -112,6 +131,14 @@
                 Reply::Settled
             }
             Command::Replace(document) => Reply::Replaced(self.replace(*document)),
+            Command::DrainHall(hall) => {
+                self.drained.drain(&hall);
+                Reply::Halls(self.drained.clone())
+            }
+            Command::RestoreHall(hall) => {
+                self.drained.restore(&hall);
+                Reply::Halls(self.drained.clone())
+            }
         }
     }
 
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -2,13 +2,16 @@
 //! routing in force, endpoints, and who leads.
 //!
 //! A subscriber keeps one connection to each control host that it knows. What it
-//! learns merges in any order, so a lost connection costs nothing but time. Of a
-//! routing table every control host tells the version only; a subscriber asks one of
-//! them for the table.
+//! learns merges in any order, so a lost connection costs nothing but time. What is
+//! large is told by few: of a routing table every control host tells the version only,
+//! and a subscriber asks one of them for the table; endpoints are told by the control
+//! hosts that a subscriber has asked, two for a router ([`sources`]), all for a control
+//! host.
 
 mod following;
 mod news;
 mod publish;
+mod sources;
 mod subscribe;
 mod table_fetch;
 #[cfg(test)]
@@ -19,10 +22,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::registry::Registration;
+use crate::registry::{DrainedHalls, Registration};
 use crate::wire::HostId;
 
-pub use publish::publish;
+pub use publish::{Publication, publish};
 pub use subscribe::Subscriptions;
 
 /// One message of a feed.
@@ -37,8 +40,15 @@
         /// The table, encoded once for all subscribers.
         encoded: Arc<[u8]>,
     },
-    /// Endpoints, all of them at first and then those that changed.
-    Endpoints(Vec<Registration>),
+    /// Endpoints that changed, for a subscriber that asked to be told.
+    Endpoints {
+        /// Whose numbers `upto` is one of: the sender's start.
+        numbering: u64,
+        /// Number of the last change contained.
+        upto: u64,
+        /// The endpoints as they are now.
+        endpoints: Vec<Registration>,
+    },
     /// Endpoints that took work before the sender restarted and that it has not heard
     /// since.
     Remembered(Vec<Registration>),
@@ -53,6 +63,8 @@
         /// The leader's host, where known.
         leader: Option<HostId>,
     },
+    /// The data halls that operators have drained.
+    DrainedHalls(DrainedHalls),
 }
 
 /// What a subscriber asks for.
@@ -65,6 +77,21 @@
         /// The data hall.
         hall: String,
     },
+    /// To be told of endpoints that changed, from now on.
+    Endpoints(EndpointsAfter),
+    /// To be told of endpoints no more.
+    NoEndpoints,
+}
+
+/// Which changes of endpoints a subscriber wants to be told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointsAfter {
+    /// Whose numbers `change` is one of.
+    pub numbering: u64,
+    /// The last change that it was told; 0 for none.
+    pub change: u64,
+    /// Whether it wants to know of endpoints that had gone before.
+    pub with_gone: bool,
 }
 
 /// A router of the same data hall.
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -4,16 +4,16 @@
 use std::time::Duration;
 
 use tokio::net::tcp::OwnedWriteHalf;
-use tokio::sync::broadcast::error::RecvError;
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
-use super::{FeedMessage, FeedRequest, Neighbour};
+use super::{EndpointsAfter, FeedMessage, FeedRequest, Neighbour};
 use crate::control::Leadership;
 use crate::error::{Result, RpcSnafu};
 use crate::member::View;
 use crate::peer::PeerReader;
-use crate::registry::SharedRegistry;
+use crate::registry::{Changes, EndpointState, Registration, SharedRegistry};
 use crate::routing::Documents;
 use crate::wire::{Role, SentBytes, write_frame};
 
@@ -21,18 +21,48 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Requests of one subscriber that may wait; one at a time is usual.
 const REQUESTS: usize = 4;
+/// Endpoints in one message, some 10 KB: what a subscriber that reads slowly holds up.
+const MOST_ENDPOINTS: usize = 256;
+/// How long changes of endpoints gather before a subscriber is told again: thousands
+/// that register within a second come in twenty messages, not in thousands. Short
+/// beside the 2 s in which a leaving endpoint must get no new work.
+const GATHER: Duration = Duration::from_millis(50);
+
+/// What a feed tells of.
+#[derive(Clone, Debug)]
+pub struct Publication {
+    /// The routing in force.
+    pub documents: Arc<Documents>,
+    /// The endpoints.
+    pub registry: Arc<SharedRegistry>,
+    /// Who leads.
+    pub leadership: watch::Receiver<Leadership>,
+    /// The other hosts.
+    pub view: watch::Receiver<Arc<View>>,
+    /// Names the numbers of the registry's changes: this start of the process.
+    pub numbering: u64,
+}
+
+/// How far a subscriber has been told of endpoints.
+#[derive(Clone, Copy, Debug)]
+struct Cursor {
+    /// The last change that it was told.
+    told: u64,
+    /// Endpoints that went before this change are passed over.
+    gone_after: u64,
+    /// When it may be told again.
+    not_before: Instant,
+}
 
 /// Tells one subscriber everything, and then each change, until it leaves. Routing
-/// tables are sent when it asks.
+/// tables and endpoints are sent when it asks.
 pub async fn publish(
-    documents: Arc<Documents>,
-    registry: Arc<SharedRegistry>,
-    mut leadership: watch::Receiver<Leadership>,
-    mut view: watch::Receiver<Arc<View>>,
+    publication: Publication,
     sent: SentBytes,
     reader: PeerReader,
     mut writer: OwnedWriteHalf,
 ) -> Result<()> {
+    let Publication { documents, registry, mut leadership, mut view, numbering } = publication;
     let (requests, mut asked) = mpsc::channel(REQUESTS);
     let _reading = AbortOnDropHandle::new(tokio::spawn(read_requests(reader, requests)));
     let mut routing = documents.watch();
@@ -40,13 +70,15 @@
     leadership.mark_changed();
     view.mark_changed();
     let mut routers = 0;
-    let (known, mut changes) = registry.subscribe();
-    write(&mut writer, &sent, FeedMessage::Endpoints(known)).await?;
-    let remembered: Vec<_> = registry.read(|r| r.remembered().cloned().collect());
-    if !remembered.is_empty() {
-        write(&mut writer, &sent, FeedMessage::Remembered(remembered)).await?;
-    }
+    let mut drained = 0;
+    let mut cursor: Option<Cursor> = None;
+    let mut changes = registry.watch();
+    changes.mark_changed();
     loop {
+        let behind = cursor.filter(|c| c.told < registry.read(|r| r.last_change()));
+        // Who is told of a route is told of the endpoints before.
+        let is_routing_next = routing.has_changed().unwrap_or(false);
+        let due_at = behind.map(|c| if is_routing_next { Instant::now() } else { c.not_before });
         // In this order: whoever has a routing knows who leads, so that it can tell
         // whether the routing is the newest.
         let next = tokio::select! {
@@ -62,6 +94,20 @@
                 }
                 FeedMessage::Routers(now)
             }
+            Ok(()) = changes.changed() => {
+                let now = registry.read(|r| r.drained().clone());
+                if std::mem::replace(&mut drained, now.revision()) == now.revision() {
+                    continue;
+                }
+                FeedMessage::DrainedHalls(now)
+            }
+            () = wait_until(due_at) => {
+                let Some(cursor) = &mut cursor else { continue };
+                let changes = registry.read(|r| r.changes_after(cursor.told, MOST_ENDPOINTS));
+                cursor.advance(&changes);
+                let endpoints = cursor.wanted(changes.endpoints);
+                FeedMessage::Endpoints { numbering, upto: changes.upto, endpoints }
+            }
             Ok(()) = routing.changed() => match routing.borrow_and_update().clone() {
                 Some(routing) => FeedMessage::RoutingVersion(routing.table.version),
                 None => continue,
@@ -77,20 +123,62 @@
                 Some(FeedRequest::Neighbours { hall }) => {
                     FeedMessage::Neighbours(neighbours(&view.borrow(), &hall))
                 }
-                None => return Ok(()),
-            },
-            changed = changes.recv() => match changed {
-                Ok(endpoint) => FeedMessage::Endpoints(vec![endpoint]),
-                Err(RecvError::Lagged(_)) => {
-                    FeedMessage::Endpoints(registry.read(|r| r.all().cloned().collect()))
+                Some(FeedRequest::Endpoints(after)) => {
+                    cursor = Some(Cursor::new(after, numbering, &registry));
+                    let remembered: Vec<_> =
+                        registry.read(|r| r.remembered().cloned().collect());
+                    if remembered.is_empty() {
+                        continue;
+                    }
+                    FeedMessage::Remembered(remembered)
                 }
-                Err(RecvError::Closed) => return Ok(()),
+                Some(FeedRequest::NoEndpoints) => {
+                    cursor = None;
+                    continue;
+                }
+                None => return Ok(()),
             },
         };
         write(&mut writer, &sent, next).await?;
     }
 }
 
+async fn wait_until(due_at: Option<Instant>) {
+    match due_at {
+        // A timer may fire a millisecond late; what is due comes first.
+        Some(due_at) if due_at <= Instant::now() => {}
+        Some(due_at) => tokio::time::sleep_until(due_at).await,
+        None => std::future::pending().await,
+    }
+}
+
+impl Cursor {
+    fn new(after: EndpointsAfter, numbering: u64, registry: &SharedRegistry) -> Cursor {
+        let is_known = after.numbering == numbering;
+        let told = if is_known { after.change } else { 0 };
+        let gone_after = match after.with_gone || is_known {
+            true => 0,
+            false => registry.read(|r| r.last_change()),
+        };
+        Cursor { told, gone_after, not_before: Instant::now() }
+    }
+
+    fn advance(&mut self, changes: &Changes) {
+        // What is left is sent at once; what changes later waits for more.
+        if changes.endpoints.len() < MOST_ENDPOINTS {
+            self.not_before = Instant::now() + GATHER;
+        }
+        self.told = changes.upto;
+    }
+
+    fn wanted(&self, mut endpoints: Vec<Registration>) -> Vec<Registration> {
+        if self.told <= self.gone_after {
+            endpoints.retain(|endpoint| endpoint.state != EndpointState::Gone);
+        }
+        endpoints
+    }
+}
+
 /// The routers of a data hall that take requests.
 fn neighbours(view: &View, hall: &str) -> Vec<Neighbour> {
     let of_hall = view.with_role(Role::Router).filter(|m| m.hall == hall && !m.draining);
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -10,15 +10,16 @@
 use tokio::sync::Notify;
 use tokio_util::task::AbortOnDropHandle;
 
-use super::following::{Following, Step};
+use super::following::{self, Following};
 use super::news::News;
+use super::sources::{Sources, Step};
 use super::table_fetch::{Next, TableFetch};
-use super::{FeedMessage, FeedRequest, Neighbour};
+use super::{EndpointsAfter, FeedMessage, FeedRequest, Neighbour};
 use crate::error::Result;
 use crate::peer::Peers;
 use crate::registry::SharedRegistry;
 use crate::routing::Documents;
-use crate::wire::{BatchSender, BatchWriter, HostId, Open};
+use crate::wire::{BatchSender, BatchWriter, HostId, Open, Role};
 
 /// How long to wait before a lost feed is opened again.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
@@ -35,7 +36,11 @@
     news: Mutex<News>,
     tables: Mutex<Tables>,
     tables_changed: Notify,
+    sources: Mutex<Sources>,
+    /// The last change of endpoints that each control host told, and whose numbers.
+    told: Mutex<BTreeMap<HostId, (u64, u64)>>,
     neighbours: Mutex<Arc<Vec<Neighbour>>>,
+    role: Role,
 }
 
 /// Where routing tables are to be had.
@@ -46,12 +51,15 @@
 }
 
 impl Subscriptions {
-    /// Follows every control host that is known but this one.
+    /// Follows every control host that is known but this one, as a host of `role`.
     pub fn start(
         peers: Arc<Peers>,
         documents: Arc<Documents>,
         registry: Arc<SharedRegistry>,
+        hall: &str,
+        role: Role,
     ) -> Arc<Subscriptions> {
+        let sources = Mutex::new(Sources::new(peers.me, hall, role));
         let all = Arc::new(Subscriptions {
             peers,
             documents,
@@ -59,7 +67,10 @@
             news: Mutex::default(),
             tables: Mutex::default(),
             tables_changed: Notify::new(),
+            sources,
+            told: Mutex::default(),
             neighbours: Mutex::default(),
+            role,
         });
         tokio::spawn(follow_view(all.clone()));
         tokio::spawn(fetch_tables(all.clone()));
@@ -94,16 +105,20 @@
     }
 
     fn news(&self) -> MutexGuard<'_, News> {
-        self.news.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.news)
     }
 
     fn tables(&self) -> MutexGuard<'_, Tables> {
-        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.tables)
     }
 
     fn opened(&self, host: HostId, requests: BatchSender<FeedRequest>) {
         self.news().opened(host);
         self.tables().requests.insert(host, requests);
+        let hall = self.peers.view().known(host).map(|m| m.hall.clone()).unwrap_or_default();
+        let leader = self.leader();
+        let steps = lock(&self.sources).opened(host, &hall, leader);
+        self.change_sources(steps);
     }
 
     fn lost(&self, host: HostId) {
@@ -111,12 +126,36 @@
         let mut tables = self.tables();
         tables.requests.remove(&host);
         tables.fetch.lost(host);
+        drop(tables);
         self.tables_changed.notify_one();
+        let leader = self.leader();
+        let steps = lock(&self.sources).lost(host, leader);
+        self.change_sources(steps);
+    }
+
+    /// Asks control hosts to tell of endpoints, or to tell no more.
+    fn change_sources(&self, steps: Vec<Step>) {
+        for step in steps {
+            let (host, request) = match step {
+                Step::Ask(host) => (host, FeedRequest::Endpoints(self.endpoints_after(host))),
+                Step::Leave(host) => (host, FeedRequest::NoEndpoints),
+            };
+            log::info!("feed: control host {host} is asked: {request:?}");
+            if let Some(requests) = self.tables().requests.get(&host) {
+                // A feed that has closed is noticed by its reader.
+                let _ = requests.send(request.into());
+            }
+        }
+    }
+
+    fn endpoints_after(&self, host: HostId) -> EndpointsAfter {
+        let (numbering, change) = lock(&self.told).get(&host).copied().unwrap_or_default();
+        EndpointsAfter { numbering, change, with_gone: self.role == Role::Control }
     }
 
     /// The other routers of this one's data hall, as last told.
     pub fn neighbours(&self) -> Arc<Vec<Neighbour>> {
-        self.neighbours.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        lock(&self.neighbours).clone()
     }
 
     /// Asks a control host for the routers of a data hall, the leader only where there
@@ -135,7 +174,7 @@
     fn adopt_neighbours(&self, mut routers: Vec<Neighbour>) {
         routers.retain(|router| router.host != self.peers.me);
         let known = Arc::new(routers);
-        *self.neighbours.lock().unwrap_or_else(PoisonError::into_inner) = known;
+        *lock(&self.neighbours) = known;
     }
 
     fn ask_for_table(&self, host: HostId, held: u64) {
@@ -159,9 +198,11 @@
                 self.tables().fetch.delivered(from);
                 self.tables_changed.notify_one();
             }
-            FeedMessage::Endpoints(endpoints) => {
-                endpoints.into_iter().for_each(|endpoint| self.registry.merge(endpoint));
+            FeedMessage::Endpoints { numbering, upto, endpoints } => {
+                self.registry.merge(endpoints);
+                lock(&self.told).insert(from, (numbering, upto));
             }
+            FeedMessage::DrainedHalls(drained) => self.registry.adopt_drained(drained),
             FeedMessage::Neighbours(routers) => self.adopt_neighbours(routers),
             FeedMessage::Remembered(endpoints) => self.registry.remember(endpoints),
             FeedMessage::Routers(routers) => {
@@ -173,6 +214,10 @@
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Asks for the newest routing table whenever it is not in force here.
 async fn fetch_tables(all: Arc<Subscriptions>) {
     loop {
@@ -206,12 +251,12 @@
             |host| feeds.get(&host).map_or(0, |feed: &Feed| feed.delivered.load(Ordering::Relaxed));
         for step in following.adopt(all.peers.me, &now, delivered) {
             match step {
-                Step::End(host, reason) => {
+                following::Step::End(host, reason) => {
                     log::info!("feed: ended, control host {host} {reason}");
                     feeds.remove(&host);
                     all.lost(host);
                 }
-                Step::Open(host, address) => {
+                following::Step::Open(host, address) => {
                     let delivered = Arc::new(AtomicU64::new(0));
                     let task = follow(all.clone(), host, address, delivered.clone());
                     let _task = AbortOnDropHandle::new(tokio::spawn(task));
--- a/src/feed/tests.rs
+++ b/src/feed/tests.rs
@@ -1,4 +1,5 @@
 mod connection;
+mod sources;
 mod table_fetch;
 
 use super::following::{Following, Reason, Step};
--- a/src/feed/tests/connection.rs
+++ b/src/feed/tests/connection.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::{mpsc, watch};
 
-use super::super::{FeedMessage, Subscriptions, publish};
+use super::super::{FeedMessage, Publication, Subscriptions, publish};
 use crate::control::Leadership;
 use crate::peer::{Incoming, Peers};
 use crate::registry::SharedRegistry;
@@ -29,9 +29,14 @@
     while let Some(Incoming { open, reader, writer }) = incoming.recv().await {
         assert!(matches!(open, Open::Feed { .. }));
         let registry = Arc::new(SharedRegistry::default());
-        let (leadership, view) = (leadership.subscribe(), peers.watch());
-        let sent = peers.sent.clone();
-        tokio::spawn(publish(documents.clone(), registry, leadership, view, sent, reader, writer));
+        let publication = Publication {
+            documents: documents.clone(),
+            registry,
+            leadership: leadership.subscribe(),
+            view: peers.watch(),
+            numbering: peers.incarnation,
+        };
+        tokio::spawn(publish(publication, peers.sent.clone(), reader, writer));
     }
 }
 
@@ -47,7 +52,7 @@
     let (router, _) = start(Role::Router, first + 1, vec![address(first)]).await;
     let followed = Arc::new(Documents::default());
     let registry = Arc::new(SharedRegistry::default());
-    let feeds = Subscriptions::start(router.clone(), followed.clone(), registry);
+    let feeds = Subscriptions::start(router.clone(), followed.clone(), registry, "a", Role::Router);
     published.adopt_table(table(1));
     wait_until(|| version(&followed) == 1).await;
     ([control, router], [published, followed], feeds)
@@ -91,7 +96,7 @@
     let (router, _) = start(Role::Router, 13, vec![address(11), address(12)]).await;
     let followed = Arc::new(Documents::default());
     let registry = Arc::new(SharedRegistry::default());
-    let feeds = Subscriptions::start(router, followed.clone(), registry);
+    let feeds = Subscriptions::start(router, followed.clone(), registry, "a", Role::Router);
     wait_until(|| feeds.open_feeds() == 2).await;
     let weight = postcard::to_stdvec(&large_table(1)).unwrap().len() as u64;
     for documents in &published {
@@ -118,7 +123,7 @@
     let (router, _) = start(Role::Router, 23, vec![address(21), address(22)]).await;
     let followed = Arc::new(Documents::default());
     let registry = Arc::new(SharedRegistry::default());
-    let feeds = Subscriptions::start(router, followed.clone(), registry);
+    let feeds = Subscriptions::start(router, followed.clone(), registry, "a", Role::Router);
     wait_until(|| feeds.open_feeds() == 2).await;
     documents[1].adopt_table(table(2));
     wait_until(|| version(&followed) == 2).await;
--- a/src/gateway/endpoints.rs
+++ b/src/gateway/endpoints.rs
@@ -3,12 +3,13 @@
 //! No health answer decides: what counts is how the requests went that were
 //! sent. An endpoint that fails is avoided for a while, longer each time.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::dispatch::Millis;
 use crate::registry::Registration;
+use crate::wire::HostId;
 
 /// Shortest time for which an endpoint is avoided after a failure.
 const AVOID_MS: Millis = 300;
@@ -18,6 +19,9 @@
 const PREFERRED: usize = 2;
 /// Failures in a row after which an endpoint is avoided, where one may be chance.
 const TOLERATED: u32 = 2;
+/// Milliseconds in which requests to a cold endpoint are counted: what it bears is a
+/// rate of a second.
+const SENT_WINDOW_MS: Millis = 1_000;
 
 /// What decides between endpoints that seem equal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +52,33 @@
     failures: u32,
     avoid_until: Millis,
     replaced: bool,
+    /// When requests were sent to it in the last second.
+    sent: VecDeque<Millis>,
+}
+
+/// This router's part of what cold endpoints of a service bear.
+///
+/// Routers do not ask each other. Where a part is less than one request a second, some
+/// routers, drawn by hash for each endpoint, may send one, and the others none.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdPart {
+    /// Requests a second that a cold endpoint bears from all routers together; none
+    /// where it bears as many as a warm one.
+    pub per_second: Option<f64>,
+    /// Routers that share them.
+    pub routers: usize,
+    /// This router.
+    pub router: HostId,
+}
+
+impl ColdPart {
+    /// Requests a second that this router may send to a cold endpoint; none for as many
+    /// as it likes.
+    fn allowance(&self, id: &str) -> Option<usize> {
+        let part = self.per_second? / self.routers.max(1) as f64;
+        let drawn = rank(u64::from(self.router.0), id) as f64 / u64::MAX as f64;
+        Some(part as usize + usize::from(drawn < part.fract()))
+    }
 }
 
 /// What this router has seen of each endpoint.
@@ -67,10 +98,14 @@
         ready: impl Iterator<Item = &'a Registration>,
         tried: &[String],
         preference: Preference,
+        cold: ColdPart,
     ) -> Option<&'a Registration> {
         let usable = |r: &&Registration| {
             let replaced = self.seen.get(&r.id).is_some_and(|s| s.replaced);
-            !replaced && !tried.contains(&r.id) && r.address.is_some()
+            !replaced
+                && !tried.contains(&r.id)
+                && r.address.is_some()
+                && !self.is_too_cold(now, r, cold)
         };
         let mut usable: Vec<_> = ready.filter(usable).collect();
         let calm = |r: &Registration| self.seen.get(&r.id).is_none_or(|s| s.avoid_until <= now);
@@ -99,9 +134,24 @@
         }
     }
 
+    /// Whether an endpoint is cold and was sent this router's part of what it bears.
+    fn is_too_cold(&self, now: Millis, endpoint: &Registration, cold: ColdPart) -> bool {
+        if endpoint.warmup_ms == 0 {
+            return false;
+        }
+        let Some(allowance) = cold.allowance(&endpoint.id) else { return false };
+        let lately = |at: &&Millis| **at + SENT_WINDOW_MS > now;
+        let sent = self.seen.get(&endpoint.id).map_or(0, |s| s.sent.iter().filter(lately).count());
+        sent >= allowance
+    }
+
     /// A request was sent.
-    pub fn begin(&mut self, id: &str, prompt_tokens: u32) {
+    pub fn begin(&mut self, now: Millis, id: &str, prompt_tokens: u32) {
         let seen = self.seen.entry(id.to_string()).or_default();
+        while seen.sent.front().is_some_and(|at| at + SENT_WINDOW_MS <= now) {
+            seen.sent.pop_front();
+        }
+        seen.sent.push_back(now);
         seen.in_flight += 1;
         seen.prompt_tokens += u64::from(prompt_tokens);
     }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -13,11 +13,11 @@
 use tokio::time::Instant;
 
 use super::dialect::CallHead;
-use super::endpoints::Preference;
+use super::endpoints::{ColdPart, Preference};
 use super::exchange::{self, Attempt};
 use super::state::{Gateway, Presence};
 use crate::placement::{self, Placed, PlacementRequest, Reservation};
-use crate::registry::{EndpointState, Registration};
+use crate::registry::Registration;
 use crate::routing::{Route, Routing};
 
 /// Endpoints to which one request is sent at most when none has taken it.
@@ -157,6 +157,7 @@
     pub route: Route,
     pub service: String,
     pub is_engine: bool,
+    pub cold_per_second: Option<f64>,
     pub customer: Option<String>,
     pub head: CallHead,
     pub parts: Parts,
@@ -187,10 +188,15 @@
     /// Chooses an endpoint that was not tried before.
     pub fn choose(&self, tried: &[String]) -> Option<Registration> {
         let now = self.gateway.now();
+        let cold = ColdPart {
+            per_second: self.cold_per_second,
+            routers: self.gateway.feeds.routers(),
+            router: self.gateway.peers.me,
+        };
         self.gateway.registry.read(|registry| {
             let ready = registry.ready(&self.service);
             let preference = self.preference();
-            self.gateway.with_endpoints(|e| e.choose(now, ready, tried, preference).cloned())
+            self.gateway.with_endpoints(|e| e.choose(now, ready, tried, preference, cold).cloned())
         })
     }
 
@@ -201,8 +207,8 @@
             match self.gateway.placements.place(self.placement_request(tried)).await {
                 Placed::At(reservation) => {
                     let id = &reservation.endpoint;
-                    let endpoint = self.gateway.registry.read(|r| r.get(id).cloned());
-                    if let Some(endpoint) = endpoint.filter(|e| e.state == EndpointState::Ready) {
+                    let endpoint = self.gateway.registry.read(|r| r.get_ready(id).cloned());
+                    if let Some(endpoint) = endpoint {
                         return Place::At(Box::new(endpoint), Some(reservation));
                     }
                 }
@@ -313,9 +319,10 @@
         budgets.request(now, &service);
     });
     let number = gateway.next_number();
-    let is_engine = routing.service(&service).is_some_and(|s| s.engine.is_some());
+    let pool = routing.service(&service);
     Ok(Call {
-        is_engine,
+        is_engine: pool.is_some_and(|pool| pool.engine.is_some()),
+        cold_per_second: pool.and_then(|pool| pool.cold_per_second),
         number,
         route,
         service,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,6 +20,7 @@
 use crate::routing::Documents;
 use crate::settings::{GatewaySettings, RouterSettings};
 use crate::telemetry::GatewayMetrics;
+use crate::wire::Role;
 
 /// A gateway and all that its parts share.
 pub struct Gateway {
@@ -65,8 +66,14 @@
     ) -> Arc<Gateway> {
         let documents = Arc::new(Documents::default());
         let registry = Arc::new(SharedRegistry::default());
-        let feeds = Subscriptions::start(peers.clone(), documents.clone(), registry.clone());
         let hall = settings.host.hall.clone();
+        let feeds = Subscriptions::start(
+            peers.clone(),
+            documents.clone(),
+            registry.clone(),
+            &hall,
+            Role::Router,
+        );
         let local = LocalPlacer::new(peers.me, peers.clock, documents.clone(), registry.clone());
         let overload = Arc::new(Mutex::new(Overload::new(rules.overload)));
         let lag = watch_lag(overload.clone());
@@ -243,7 +250,8 @@
         prompt_tokens: u32,
         reservation: Option<Reservation>,
     ) -> Ticket {
-        gateway.with_endpoints(|e| e.begin(endpoint, prompt_tokens));
+        let now = gateway.now();
+        gateway.with_endpoints(|e| e.begin(now, endpoint, prompt_tokens));
         let endpoint = endpoint.to_string();
         Ticket { gateway: gateway.clone(), endpoint, prompt_tokens, begun: false, reservation }
     }
@@ -283,16 +291,15 @@
 
 /// Closes kept connections to endpoints that take no more work.
 pub(super) async fn follow_registry(gateway: Arc<Gateway>) {
-    use tokio::sync::broadcast::error::RecvError;
-    let (_, mut changes) = gateway.registry.subscribe();
-    loop {
-        match changes.recv().await {
-            Ok(endpoint) if endpoint.state != EndpointState::Ready => {
-                gateway.connections.forget(&endpoint.id);
-                gateway.with_endpoints(|e| e.forget(&endpoint.id));
-            }
-            Ok(_) | Err(RecvError::Lagged(_)) => {}
-            Err(RecvError::Closed) => return,
+    let mut watch = gateway.registry.watch();
+    let mut seen = 0;
+    while watch.changed().await.is_ok() {
+        let changes = gateway.registry.read(|r| r.changes_after(seen, usize::MAX));
+        seen = changes.upto;
+        let left = changes.endpoints.iter().filter(|e| e.state != EndpointState::Ready);
+        for endpoint in left {
+            gateway.connections.forget(&endpoint.id);
+            gateway.with_endpoints(|e| e.forget(&endpoint.id));
         }
     }
 }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -2,6 +2,7 @@
 
 use proptest::prelude::*;
 
+use super::endpoints::ColdPart;
 use super::neighbours::{REFUSED_MS, RENEW_MS};
 use super::*;
 use crate::feed::Neighbour;
@@ -23,6 +24,8 @@
 
 /// Any number will do where only one endpoint fits.
 const ANY: Preference = Preference::Random(0);
+/// Cold endpoints bear as many requests as others.
+const ANY_COLD: ColdPart = ColdPart { per_second: None, routers: 1, router: HostId(1) };
 
 #[test]
 fn routers_with_nothing_under_way_do_not_agree_on_one_endpoint() {
@@ -31,7 +34,7 @@
     for router in 0..1_000 {
         let preference = Preference::Random(router);
         let idle = Endpoints::default();
-        let id = &idle.choose(0, ready.iter(), &[], preference).unwrap().id;
+        let id = &idle.choose(0, ready.iter(), &[], preference, ANY_COLD).unwrap().id;
         *chosen.entry(id.clone()).or_insert(0) += 1;
     }
     assert!(chosen.values().all(|n| (150..250).contains(n)), "{chosen:?}");
@@ -42,7 +45,7 @@
     let ready = ["a", "b", "c", "d", "e"].map(endpoint);
     let choose = |affinity| {
         let idle = Endpoints::default();
-        let chosen = idle.choose(0, ready.iter(), &[], Preference::Affinity(affinity));
+        let chosen = idle.choose(0, ready.iter(), &[], Preference::Affinity(affinity), ANY_COLD);
         chosen.unwrap().id.clone()
     };
     for affinity in 0..20 {
@@ -54,27 +57,28 @@
 fn the_least_loaded_endpoint_that_was_not_tried_is_chosen() {
     let ready = [endpoint("a"), endpoint("b"), endpoint("c")];
     let mut endpoints = Endpoints::default();
-    endpoints.begin("a", 0);
-    endpoints.begin("b", 0);
-    let chosen = endpoints.choose(0, ready.iter(), &[], ANY).unwrap();
+    endpoints.begin(0, "a", 0);
+    endpoints.begin(0, "b", 0);
+    let chosen = endpoints.choose(0, ready.iter(), &[], ANY, ANY_COLD).unwrap();
     assert_eq!(chosen.id, "c");
-    let chosen = endpoints.choose(0, ready.iter(), &["c".into(), "a".into()], ANY).unwrap();
+    let chosen =
+        endpoints.choose(0, ready.iter(), &["c".into(), "a".into()], ANY, ANY_COLD).unwrap();
     assert_eq!(chosen.id, "b");
     let tried = ["a", "b", "c"].map(String::from);
-    assert!(endpoints.choose(0, ready.iter(), &tried, ANY).is_none());
+    assert!(endpoints.choose(0, ready.iter(), &tried, ANY, ANY_COLD).is_none());
 }
 
 #[test]
 fn an_endpoint_that_cannot_be_reached_is_avoided_and_tried_again() {
     let ready = [endpoint("a"), endpoint("b")];
     let mut endpoints = Endpoints::default();
-    endpoints.begin("b", 0);
+    endpoints.begin(0, "b", 0);
     let avoided = endpoints.failed(0, "a", Failure::Unreachable);
     assert!(avoided > 0);
-    assert_eq!(endpoints.choose(0, ready.iter(), &[], ANY).unwrap().id, "b");
-    assert_eq!(endpoints.choose(avoided, ready.iter(), &[], ANY).unwrap().id, "a");
+    assert_eq!(endpoints.choose(0, ready.iter(), &[], ANY, ANY_COLD).unwrap().id, "b");
+    assert_eq!(endpoints.choose(avoided, ready.iter(), &[], ANY, ANY_COLD).unwrap().id, "a");
     // The only one left is used even so.
-    assert_eq!(endpoints.choose(0, ready[..1].iter(), &[], ANY).unwrap().id, "a");
+    assert_eq!(endpoints.choose(0, ready[..1].iter(), &[], ANY, ANY_COLD).unwrap().id, "a");
 }
 
 #[test]
@@ -82,7 +86,7 @@
     let ready = [endpoint("a")];
     let mut endpoints = Endpoints::default();
     endpoints.failed(0, "a", Failure::Replaced);
-    assert!(endpoints.choose(1_000_000, ready.iter(), &[], ANY).is_none());
+    assert!(endpoints.choose(1_000_000, ready.iter(), &[], ANY, ANY_COLD).is_none());
 }
 
 #[test]
@@ -260,3 +264,40 @@
     overload.set_lag(std::time::Duration::ZERO);
     assert!(overload.is_ready());
 }
+
+#[test]
+fn all_routers_together_send_a_cold_endpoint_what_it_bears() {
+    let mut cold = endpoint("cold");
+    cold.warmup_ms = 3_000;
+    for routers in [1, 5, 63, 300] {
+        let mut sent = 0;
+        for router in 0..routers {
+            let router = HostId(router as u32);
+            let part = ColdPart { per_second: Some(20.0), routers, router };
+            let mut endpoints = Endpoints::default();
+            for now in 0..1_000 {
+                let ready = std::iter::once(&cold);
+                if endpoints.choose(now, ready, &[], ANY, part).is_some() {
+                    endpoints.begin(now, "cold", 0);
+                    sent += 1;
+                }
+            }
+        }
+        assert!((10..=30).contains(&sent), "{routers} routers sent {sent}");
+    }
+}
+
+#[test]
+fn a_cold_endpoint_gets_more_a_second_later_and_a_warm_one_at_once() {
+    let mut cold = endpoint("a");
+    cold.warmup_ms = 3_000;
+    let part = ColdPart { per_second: Some(1.0), routers: 1, router: HostId(1) };
+    let mut endpoints = Endpoints::default();
+    endpoints.begin(10, "a", 0);
+    let choose = |now, endpoint: &Registration| {
+        endpoints.choose(now, std::iter::once(endpoint), &[], ANY, part).is_some()
+    };
+    assert!(!choose(1_009, &cold));
+    assert!(choose(1_010, &cold));
+    assert!(choose(11, &endpoint("a")));
+}
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -59,6 +59,11 @@
         self.live.iter().find(|m| m.host == host)
     }
 
+    /// A member, live or suspected.
+    pub fn known(&self, host: HostId) -> Option<&Heartbeat> {
+        self.get(host).or_else(|| self.suspected.iter().find(|m| m.host == host))
+    }
+
     /// Live members with a role.
     pub fn with_role(&self, role: Role) -> impl Iterator<Item = &Heartbeat> {
         self.live.iter().filter(move |m| m.role == role)
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -25,6 +25,7 @@
 #[cfg(test)]
 mod tests;
 mod timing;
+mod warmth;
 
 pub use client::{Placed, Placements, Reservation};
 pub use local::LocalPlacer;
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -11,6 +11,7 @@
 use super::queue::{Position, Queue};
 use super::rules::PlacementRules;
 use super::shares::Standing;
+use super::warmth::Warmth;
 use crate::dispatch::Millis;
 
 /// Service over an equal part below which being served less says no more.
@@ -43,12 +44,17 @@
     pub open: bool,
     /// Whether a router found another endpoint at its address.
     pub is_gone: bool,
+    /// How much it may be sent while it is cold.
+    pub warmth: Warmth,
 }
 
 impl Engine {
     /// An idle engine that is ready.
-    pub fn new(info: EngineInfo, reading_share: f64) -> Engine {
+    pub fn new(now: Millis, info: EngineInfo, reading_share: f64) -> Engine {
+        let mut warmth = Warmth::default();
+        warmth.learn(now, info.cold_per_second, info.call, info.warmup_ms);
         Engine {
+            warmth,
             hash: xxh3_64(info.id.as_bytes()),
             id: info.id,
             service: info.service,
@@ -140,9 +146,7 @@
         let tokens = memory_tokens(&request.parts, request.prompt_tokens, request.output_tokens);
         let source = self.copy_source();
         let fits = |(_, engine): &(EngineNumber, &Engine)| {
-            engine.takes_work()
-                && engine.service == request.service
-                && !request.avoid.contains(&engine.id)
+            is_candidate(engine, request) && !engine.warmth.is_full(self.now, self.rules.cold_part)
         };
         let mut best: Option<(Order, EngineNumber)> = None;
         for (number, engine) in self.engines.iter().filter(fits) {
@@ -163,6 +167,15 @@
         best.map(|(_, number)| number)
     }
 
+    /// Milliseconds until an engine may be sent more, where all that the request could
+    /// go to are cold and have been sent what they bear; none where there is no engine.
+    pub fn until_one_is_free(&self, request: &PlacementRequest) -> Option<Millis> {
+        let engines = self.engines.iter().map(|(_, engine)| engine);
+        let candidates = engines.filter(|engine| is_candidate(engine, request));
+        let free = candidates.filter_map(|e| e.warmth.next_at(self.now, self.rules.cold_part));
+        free.min().map(|at| at.saturating_sub(self.now))
+    }
+
     /// Where equal choices go: the same for every placer, so that a new one finds
     /// kept parts where the one before left them.
     fn rank(&self, request: &PlacementRequest, number: EngineNumber) -> u64 {
@@ -252,6 +265,11 @@
     }
 }
 
+/// Whether a request could go to an engine at all.
+fn is_candidate(engine: &Engine, request: &PlacementRequest) -> bool {
+    engine.takes_work() && engine.service == request.service && !request.avoid.contains(&engine.id)
+}
+
 /// What an engine that keeps `kept` tokens should copy from the source, if that is
 /// worth it.
 fn copy_for(engine: &Engine, kept: u32, source: Option<(EngineNumber, u32)>) -> Option<PartCopy> {
--- a/src/placement/engines.rs
+++ b/src/placement/engines.rs
@@ -31,6 +31,9 @@
         memory_tokens: engine.memory_tokens,
         rate,
         copy_ms_per_token: engine.copy_ms_per_token,
+        cold_per_second: service.cold_per_second,
+        call: endpoint.sequence,
+        warmup_ms: endpoint.warmup_ms,
     };
     ready.into_iter().map(info).collect()
 }
--- a/src/placement/local.rs
+++ b/src/placement/local.rs
@@ -45,12 +45,15 @@
         let engines = self.registry.read(|registry| engines_of(&routing, registry));
         let all = PlacementRules::default();
         let part = (GENEROSITY / routers.max(1) as f64).min(1.0);
-        let rules = PlacementRules { reading_share: all.reading_share * part, ..all };
+        // No router knows what others send to a cold engine, so none sends it anything.
+        let rules =
+            PlacementRules { reading_share: all.reading_share * part, cold_part: 0.0, ..all };
         let mut placer = self.placer.lock().unwrap_or_else(PoisonError::into_inner);
         placer.set_rules(rules);
-        placer.set_engines(engines);
+        let now = self.clock.now();
+        placer.set_engines(now, engines);
         placer.set_nominal(routing.table.limits.tokens_per_second);
-        let decision = placer.receive(self.clock.now(), self.me, ToPlacer::Place(request));
+        let decision = placer.receive(now, self.me, ToPlacer::Place(request));
         decision.map_or(FromPlacer::Unknown { seq }, |decision| decision.answer)
     }
 
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -32,6 +32,13 @@
     /// Milliseconds to copy the memory of one token from another engine; none
     /// where engines cannot.
     pub copy_ms_per_token: Option<f64>,
+    /// Requests a second that it bears while it is cold; none where it bears as many
+    /// as ever.
+    pub cold_per_second: Option<f64>,
+    /// Number of its call that said what follows.
+    pub call: u64,
+    /// Milliseconds for which it is still cold.
+    pub warmup_ms: u64,
 }
 
 /// An answer to a router, with what decided it.
@@ -77,7 +84,7 @@
     }
 
     /// The engines that take work now. Others keep what was sent to them.
-    pub fn set_engines(&mut self, engines: Vec<EngineInfo>) {
+    pub fn set_engines(&mut self, now: Millis, engines: Vec<EngineInfo>) {
         for (_, engine) in &mut self.engines {
             engine.open = false;
         }
@@ -86,11 +93,12 @@
                 Some(number) => {
                     let known = &mut self.engines[*number];
                     known.model.set_guess(info.rate);
+                    known.warmth.learn(now, info.cold_per_second, info.call, info.warmup_ms);
                     known.open = true;
                 }
                 None => {
                     let id = info.id.clone();
-                    let engine = Engine::new(info, self.rules.reading_share);
+                    let engine = Engine::new(now, info, self.rules.reading_share);
                     self.numbers.insert(id, self.engines.insert(engine));
                 }
             }
@@ -196,14 +204,12 @@
         self.shares.asked(now, &request.customer, units);
         let standing = self.shares.standing(&request.customer);
         let Some(choice) = self.choose(now, &request, standing) else {
-            let answer = FromPlacer::Unknown { seq: key.1 };
-            return Decision {
-                router,
-                answer,
-                backlog_ms: 0.0,
-                own_ms: 0.0,
-                ratio: standing.ratio,
+            let answer = match self.chooser(now).until_one_is_free(&request) {
+                Some(wait_ms) => refuse_for_cold(key.1, wait_ms, standing),
+                None => FromPlacer::Unknown { seq: key.1 },
             };
+            let (backlog_ms, own_ms) = (0.0, 0.0);
+            return Decision { router, answer, backlog_ms, own_ms, ratio: standing.ratio };
         };
         if !choice.is_allowed() {
             return refuse(key, &choice, standing);
@@ -246,6 +252,7 @@
         let engine = &mut self.engines[to.engine];
         engine.queue.insert(to.position.index, planned);
         engine.model.send(now, key, parts, planned.units, tokens);
+        engine.warmth.sent(now);
         self.placed.insert(key, to.engine);
     }
 }
@@ -265,6 +272,18 @@
     Decision { router: key.0, answer, backlog_ms, own_ms, ratio: standing.ratio }
 }
 
+/// All engines are cold and have been sent what they bear: when one may get more.
+fn refuse_for_cold(seq: u64, wait_ms: Millis, standing: Standing) -> FromPlacer {
+    let (least, most) = RETRY_MS;
+    let refusal = Refusal {
+        retry_after_ms: (wait_ms as f64).clamp(least, most) as u32,
+        backlog_ms: wait_ms as u32,
+        share_percent: (standing.ratio * 100.0) as u32,
+        ..Refusal::default()
+    };
+    FromPlacer::Refuse { seq, refusal }
+}
+
 /// Units of service: tokens read once, tokens made twice.
 fn units(request: &PlacementRequest) -> u64 {
     u64::from(request.prompt_tokens) + 2 * u64::from(request.output_tokens)
--- a/src/placement/rules.rs
+++ b/src/placement/rules.rs
@@ -28,6 +28,8 @@
     pub underserved_wait: f64,
     /// Part of what a customer is owed below which it is underserved.
     pub underserved: f64,
+    /// Part of what cold engines bear that this placer may send them.
+    pub cold_part: f64,
 }
 
 impl Default for PlacementRules {
@@ -41,6 +43,7 @@
             never_in_time_wait: 0.35,
             underserved_wait: 1.0,
             underserved: 0.5,
+            cold_part: 1.0,
         }
     }
 }
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use tokio::net::tcp::OwnedWriteHalf;
-use tokio::sync::broadcast::error::RecvError;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use super::engines::engines_of;
 use super::message::{FromPlacer, ToPlacer};
@@ -20,6 +20,9 @@
 
 /// How often the engines are looked up even where no change was told.
 const LEARN_AGAIN: Duration = Duration::from_secs(1);
+/// The shortest time between two looks: a look goes through all engines, of which
+/// thousands may register within a second.
+const LEARN_INTERVAL: Duration = Duration::from_millis(20);
 /// Messages that may wait for the placer.
 const INBOX: usize = 4_096;
 enum Event {
@@ -86,21 +89,30 @@
 impl Task {
     async fn run(mut self, mut inbox: mpsc::Receiver<Event>) {
         let mut routing = self.documents.watch();
-        let (_, mut changes) = self.registry.subscribe();
-        let mut again = tokio::time::interval(LEARN_AGAIN);
+        let mut changes = self.registry.watch();
+        let mut learnt_at = Instant::now();
+        let mut learn_at = learnt_at;
+        // Whether a change is about to be learnt.
+        let mut soon = false;
         loop {
             tokio::select! {
                 event = inbox.recv() => match event {
                     Some(event) => self.event(event),
                     None => return,
                 },
-                changed = changes.recv() => match changed {
-                    Ok(_) | Err(RecvError::Lagged(_)) => self.learn_engines(),
-                    Err(RecvError::Closed) => return,
-                },
-                Ok(()) = routing.changed() => self.learn_engines(),
-                // What is only remembered is forgotten without a change.
-                _ = again.tick() => self.learn_engines(),
+                Ok(()) = changes.changed(), if !soon => {
+                    soon = true;
+                    learn_at = learn_at.min(learnt_at + LEARN_INTERVAL);
+                }
+                Ok(()) = routing.changed() => learn_at = Instant::now(),
+                () = tokio::time::sleep_until(learn_at) => {
+                    changes.mark_unchanged();
+                    self.learn_engines();
+                    learnt_at = Instant::now();
+                    // What is only remembered is forgotten without a change.
+                    learn_at = learnt_at + LEARN_AGAIN;
+                    soon = false;
+                }
             }
         }
     }
@@ -108,7 +120,7 @@
     fn learn_engines(&mut self) {
         if let Some(routing) = self.documents.current() {
             let engines = self.registry.read(|registry| engines_of(&routing, registry));
-            self.placer.set_engines(engines);
+            self.placer.set_engines(self.clock.now(), engines);
             self.placer.set_nominal(routing.table.limits.tokens_per_second);
         }
     }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -3,6 +3,7 @@
 mod parts;
 mod queue;
 mod standing;
+mod warmth;
 
 use proptest::prelude::*;
 
@@ -22,12 +23,15 @@
         memory_tokens: 500_000,
         rate: 50.0,
         copy_ms_per_token: Some(0.002),
+        cold_per_second: None,
+        call: 1,
+        warmup_ms: 0,
     }
 }
 
 fn placer(engines: &[&str]) -> Placer {
     let mut placer = Placer::new(PlacementRules::default());
-    placer.set_engines(engines.iter().map(|id| engine(id)).collect());
+    placer.set_engines(0, engines.iter().map(|id| engine(id)).collect());
     placer
 }
 
@@ -188,9 +192,9 @@
     let mut placer = placer(&["a", "b"]);
     let home = endpoint(place(&mut placer, 0, request(1, "x", 7, 500)));
     let left = other_than(&home);
-    placer.set_engines(left.iter().map(|id| engine(id)).collect());
+    placer.set_engines(0, left.iter().map(|id| engine(id)).collect());
     assert_eq!(endpoint(place(&mut placer, 1, request(2, "x", 7, 500))), left[0]);
-    placer.set_engines(vec![]);
+    placer.set_engines(0, vec![]);
     let none = place(&mut placer, 2, request(3, "x", 7, 500));
     assert!(matches!(none, FromPlacer::Unknown { seq: 3 }));
 }
@@ -200,8 +204,8 @@
 #[test]
 fn engines_that_register_one_after_the_other_are_taken_for_equally_fast() {
     let mut placer = Placer::new(PlacementRules::default());
-    placer.set_engines(vec![EngineInfo { rate: 400.0, ..engine("a") }]);
-    placer.set_engines(["a", "b"].map(engine).into());
+    placer.set_engines(0, vec![EngineInfo { rate: 400.0, ..engine("a") }]);
+    placer.set_engines(0, ["a", "b"].map(engine).into());
     for seq in 1..40 {
         place(&mut placer, 0, request(seq, &seq.to_string(), seq, 500));
     }
--- /dev/null
+++ b/src/placement/tests/warmth.rs
@@ -0,0 +1,98 @@
+//! Engines that are cold.
+
+use super::*;
+
+/// What the users' cold engines bear, and what their rule allows in any second.
+const BORNE: f64 = 6.1;
+const ALLOWED: usize = 14;
+
+fn cold_engine(id: &str, call: u64, warmup_ms: u64) -> EngineInfo {
+    EngineInfo { cold_per_second: Some(BORNE), call, warmup_ms, ..engine(id) }
+}
+
+/// A prompt that is read in 2 ms.
+fn short(seq: u64) -> PlacementRequest {
+    let parts = vec![(seq, 100)];
+    PlacementRequest { parts, prompt_tokens: 100, output_tokens: 10, ..request(seq, "x", 0, 0) }
+}
+
+/// Places a short prompt every 10 ms, each answered at once; returns when each endpoint
+/// was sent something.
+fn play(placer: &mut Placer, from: u64, until: u64) -> Vec<(u64, String)> {
+    let mut sent = Vec::new();
+    for now in (from..until).step_by(10) {
+        let seq = now + 1;
+        if let FromPlacer::Go { endpoint, .. } = place(placer, now, short(seq)) {
+            serve(placer, now, seq);
+            sent.push((now, endpoint));
+        }
+    }
+    sent
+}
+
+fn most_in_a_second(sent: &[(u64, String)], id: &str) -> usize {
+    let times: Vec<_> = sent.iter().filter(|(_, to)| to == id).map(|(at, _)| *at).collect();
+    let within = |from: &u64| times.iter().filter(|at| (*from..from + 1_000).contains(at)).count();
+    times.iter().map(within).max().unwrap_or(0)
+}
+
+#[test]
+fn an_engine_that_returns_cold_to_a_busy_fleet_is_sent_what_it_bears() {
+    let mut placer = Placer::new(PlacementRules::default());
+    placer.set_engines(0, vec![cold_engine("back", 1, 3_000)]);
+    let sent = play(&mut placer, 0, 6_000);
+    let cold: Vec<_> = sent.iter().filter(|(at, _)| *at < 3_000).cloned().collect();
+    let most = most_in_a_second(&cold, "back");
+    assert!(most as f64 <= BORNE, "{most} in a second");
+    assert!(cold.len() >= 15, "it serves what it bears: {} in 3 s", cold.len());
+    assert!(most_in_a_second(&sent, "back") > ALLOWED, "warm it bears what it is sent");
+}
+
+#[test]
+fn requests_go_to_warm_engines_while_others_are_cold() {
+    let mut placer = Placer::new(PlacementRules::default());
+    placer.set_engines(0, vec![cold_engine("back", 1, 3_000), cold_engine("warm", 1, 0)]);
+    let sent = play(&mut placer, 0, 1_000);
+    assert_eq!(sent.len(), 100, "none is refused");
+    assert!(most_in_a_second(&sent, "back") as f64 <= BORNE);
+}
+
+#[test]
+fn what_an_engine_was_sent_before_it_turned_cold_counts() {
+    let mut placer = Placer::new(PlacementRules::default());
+    placer.set_engines(0, vec![cold_engine("a", 1, 0)]);
+    let warm = play(&mut placer, 0, 500);
+    assert_eq!(warm.len(), 50);
+    placer.set_engines(500, vec![cold_engine("a", 2, 3_000)]);
+    assert_eq!(play(&mut placer, 500, 1_400), [], "it was sent more than it bears");
+    assert!(!play(&mut placer, 1_400, 2_000).is_empty());
+}
+
+#[test]
+fn who_is_refused_for_cold_engines_is_told_when_one_may_be_sent_more() {
+    let mut placer = Placer::new(PlacementRules::default());
+    placer.set_engines(0, vec![cold_engine("a", 1, 3_000)]);
+    assert_eq!(play(&mut placer, 0, 100).len(), 6);
+    match place(&mut placer, 100, short(9_999)) {
+        FromPlacer::Refuse { refusal, .. } => assert_eq!(refusal.retry_after_ms, 900),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_router_that_decides_alone_sends_cold_engines_nothing() {
+    let rules = PlacementRules { cold_part: 0.0, ..PlacementRules::default() };
+    let mut placer = Placer::new(rules);
+    placer.set_engines(0, vec![cold_engine("a", 1, 3_000)]);
+    assert_eq!(play(&mut placer, 0, 2_990), []);
+    assert!(!play(&mut placer, 3_000, 3_100).is_empty());
+}
+
+#[test]
+fn news_told_again_does_not_make_an_engine_cold_for_longer() {
+    let mut placer = Placer::new(PlacementRules::default());
+    for now in (0..3_000).step_by(1_000) {
+        placer.set_engines(now, vec![cold_engine("a", 1, 3_000)]);
+    }
+    assert_eq!(play(&mut placer, 3_000, 3_500).len(), 50);
+}
--- /dev/null
+++ b/src/placement/warmth.rs
@@ -0,0 +1,66 @@
+//! How much an engine is sent while it is cold.
+//!
+//! An engine that has just started, or whose data hall has just been taken back, bears a
+//! few requests a second and falls over at many. It answers the load of a hall that
+//! returns while all others are busy: every request finds its engines idle. All requests
+//! of the last second are counted, also those of the time before it turned cold.
+
+use std::collections::VecDeque;
+
+use crate::dispatch::Millis;
+
+/// Milliseconds in which requests are counted: the rate is one of a second.
+const WINDOW_MS: f64 = 1_000.0;
+
+/// What one engine was sent lately, and until when it is cold.
+#[derive(Clone, Debug, Default)]
+pub struct Warmth {
+    /// Requests a second that it bears while it is cold; none where it bears as many as
+    /// ever.
+    per_second: Option<f64>,
+    cold_until: Millis,
+    /// What it said last: the number of its call, and for how many milliseconds it
+    /// would be cold.
+    said: Option<(u64, u64)>,
+    sent: VecDeque<Millis>,
+}
+
+impl Warmth {
+    /// The engine bears so many requests a second while it is cold, and said with the
+    /// call of this number for how many milliseconds it will be. What it said before
+    /// says nothing new.
+    pub fn learn(&mut self, now: Millis, per_second: Option<f64>, call: u64, warmup_ms: u64) {
+        self.per_second = per_second;
+        if self.said.replace((call, warmup_ms)) != Some((call, warmup_ms)) {
+            self.cold_until = now + warmup_ms;
+        }
+    }
+
+    /// Whether it must be sent nothing more now by a placer that may use `part` of what
+    /// it bears.
+    pub fn is_full(&self, now: Millis, part: f64) -> bool {
+        self.next_at(now, part).is_some_and(|at| at > now)
+    }
+
+    /// When it may be sent the next request; none where nothing holds it back, and the
+    /// end of its being cold where this placer may send nothing before.
+    pub fn next_at(&self, now: Millis, part: f64) -> Option<Millis> {
+        let per_second = self.per_second.filter(|_| now < self.cold_until)? * part;
+        if per_second <= 0.0 {
+            return Some(self.cold_until);
+        }
+        let most = per_second.max(1.0) as usize;
+        let window_ms = (WINDOW_MS / per_second.min(1.0)) as Millis;
+        let counted = self.sent.iter().rev().nth(most - 1)?;
+        Some((counted + window_ms).min(self.cold_until))
+    }
+
+    /// It was sent a request.
+    pub fn sent(&mut self, now: Millis) {
+        let Some(per_second) = self.per_second else { return };
+        self.sent.push_back(now);
+        while self.sent.len() > per_second.max(1.0) as usize {
+            self.sent.pop_front();
+        }
+    }
+}
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -4,11 +4,13 @@
 //! rise, its state only goes forward (ready, leaving, gone), and an id never
 //! comes back. So every process may learn from every other, in any order.
 
+mod halls;
 pub mod saved;
 mod shared;
 mod table;
 #[cfg(test)]
 mod tests;
 
+pub use halls::DrainedHalls;
 pub use shared::SharedRegistry;
-pub use table::{EndpointState, Registration, Registry};
+pub use table::{Changes, EndpointState, Registration, Registry};
--- a/src/registry/saved.rs
+++ b/src/registry/saved.rs
@@ -11,12 +11,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use snafu::ResultExt;
-use tokio::sync::broadcast::error::RecvError;
-
 use super::{EndpointState, Registration, SharedRegistry};
 use crate::error::{FileSnafu, Result};
 use crate::store::sealed;
+use snafu::ResultExt;
 
 /// Name of the file in the data folder.
 const FILE: &str = "endpoints";
@@ -56,14 +54,10 @@
 
 /// Writes the file whenever the endpoints that take work have changed.
 pub async fn keep_saved(registry: Arc<SharedRegistry>, folder: PathBuf) {
-    let (_, mut changes) = registry.subscribe();
-    loop {
-        match changes.recv().await {
-            Ok(_) | Err(RecvError::Lagged(_)) => {}
-            Err(RecvError::Closed) => return,
-        }
+    let mut changes = registry.watch();
+    while changes.changed().await.is_ok() {
         tokio::time::sleep(SETTLE).await;
-        changes = changes.resubscribe();
+        changes.mark_unchanged();
         let ready = |r: &&Registration| r.state == EndpointState::Ready;
         let endpoints: Vec<_> = registry.read(|r| r.all().filter(ready).cloned().collect());
         let folder = folder.clone();
--- a/src/registry/shared.rs
+++ b/src/registry/shared.rs
@@ -3,13 +3,12 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::broadcast;
+use tokio::sync::watch;
 
-use super::{Registration, Registry};
-
-/// Changes that a slow listener may be behind before it must start over.
-const BACKLOG: usize = 1_024;
+use super::{DrainedHalls, Registration, Registry};
 
+/// Endpoints that a log line about many names at most.
+const MOST_NAMED: usize = 8;
 /// How long endpoints are remembered: two of their heartbeats, which come every 1.2 s
 /// on the platform. One that left meanwhile gets nothing new after that.
 const REMEMBERED_FOR: Duration = Duration::from_millis(2_500);
@@ -18,30 +17,38 @@
 #[derive(Debug)]
 pub struct SharedRegistry {
     registry: Mutex<Registry>,
-    changes: broadcast::Sender<Registration>,
+    /// Number of the last change.
+    changes: watch::Sender<u64>,
 }
 
 impl Default for SharedRegistry {
     fn default() -> Self {
-        SharedRegistry { registry: Mutex::default(), changes: broadcast::Sender::new(BACKLOG) }
+        SharedRegistry { registry: Mutex::default(), changes: watch::Sender::new(0) }
     }
 }
 
 impl SharedRegistry {
-    /// Takes in what an endpoint said; tells listeners what differs now.
-    pub fn merge(&self, news: Registration) {
-        let changed = self.read_mut(|registry| registry.merge(news));
-        if let Some(now) = changed {
-            log::info!(
-                "registry: endpoint {} of {} at {:?} is {:?}, call {}",
-                now.id,
-                now.service,
-                now.address,
-                now.state,
-                now.sequence
-            );
-            // Nobody may be listening.
-            let _ = self.changes.send(now);
+    /// Takes in what endpoints said; tells listeners if something differs now.
+    pub fn merge(&self, news: impl IntoIterator<Item = Registration>) {
+        let changed: Vec<_> = self.read_mut(|registry| {
+            news.into_iter().filter_map(|endpoint| registry.merge(endpoint)).collect()
+        });
+        let describe = |e: &Registration| {
+            let (id, service, state) = (&e.id, &e.service, e.state);
+            format!("{id} of {service} is {state:?}, call {}, cold {} ms", e.sequence, e.warmup_ms)
+        };
+        let named: Vec<_> = changed.iter().take(MOST_NAMED).map(describe).collect();
+        if !named.is_empty() {
+            log::info!("registry: {} endpoints changed: {}", changed.len(), named.join("; "));
+        }
+    }
+
+    /// Adopts newer orders about data halls.
+    pub fn adopt_drained(&self, drained: DrainedHalls) {
+        let names = drained.names().collect::<Vec<_>>().join(", ");
+        let revision = drained.revision();
+        if self.read_mut(|registry| registry.adopt_drained(drained)) {
+            log::info!("registry: drained data halls are [{names}], revision {revision}");
         }
     }
 
@@ -60,8 +67,13 @@
         });
     }
 
+    /// Works on the registry, and tells listeners of its last change.
     fn read_mut<T>(&self, f: impl FnOnce(&mut Registry) -> T) -> T {
-        f(&mut self.registry.lock().unwrap_or_else(PoisonError::into_inner))
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let result = f(&mut registry);
+        let last = registry.last_change();
+        self.changes.send_if_modified(|told| std::mem::replace(told, last) != last);
+        result
     }
 
     /// Looks at the registry.
@@ -69,9 +81,8 @@
         f(&self.registry.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Everything that is known, and from then on each change.
-    pub fn subscribe(&self) -> (Vec<Registration>, broadcast::Receiver<Registration>) {
-        let changes = self.changes.subscribe();
-        (self.read(|registry| registry.all().cloned().collect()), changes)
+    /// Tells of each change, by its number.
+    pub fn watch(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
     }
 }
--- a/src/registry/tests.rs
+++ b/src/registry/tests.rs
@@ -108,3 +108,97 @@
     std::fs::write(&path, &bytes[..last / 2]).unwrap();
     assert!(saved::load(folder.path()).is_empty());
 }
+
+fn drained(halls: &[&str]) -> DrainedHalls {
+    let mut drained = DrainedHalls::default();
+    halls.iter().for_each(|hall| drained.drain(hall));
+    drained
+}
+
+#[test]
+fn endpoints_of_a_drained_hall_get_no_new_work() {
+    let mut registry = Registry::default();
+    registry.merge(said("a1", 1, EndpointState::Ready));
+    registry.merge(Registration { hall: "b".into(), ..said("b1", 1, EndpointState::Ready) });
+    assert!(registry.adopt_drained(drained(&["a"])));
+    let ready: Vec<_> = registry.ready("llm").map(|r| r.id.as_str()).collect();
+    assert_eq!(ready, ["b1"]);
+    assert!(registry.get_ready("a1").is_none());
+    assert!(registry.get("a1").is_some(), "what runs there ends there");
+    registry.merge(said("a2", 1, EndpointState::Ready));
+    assert!(registry.get_ready("a2").is_none(), "nor those that come later");
+}
+
+#[test]
+fn an_older_order_about_halls_changes_nothing() {
+    let mut registry = Registry::default();
+    let mut newer = drained(&["a", "b"]);
+    newer.restore("b");
+    assert!(registry.adopt_drained(newer));
+    assert!(!registry.adopt_drained(drained(&["a", "b"])));
+    assert!(!registry.drained().contains("b"));
+}
+
+#[test]
+fn an_order_given_twice_is_one_order() {
+    let mut halls = drained(&["a"]);
+    let once = halls.clone();
+    halls.drain("a");
+    halls.restore("b");
+    assert_eq!(halls, once);
+}
+
+#[test]
+fn endpoints_of_a_hall_taken_back_count_as_cold_until_they_say_twice_that_they_are_not() {
+    let mut registry = Registry::default();
+    registry.merge(said("e", 7, EndpointState::Ready));
+    let mut halls = drained(&["a"]);
+    registry.adopt_drained(halls.clone());
+    halls.restore("a");
+    registry.adopt_drained(halls);
+    assert!(registry.get("e").unwrap().warmup_ms > 0);
+    // The first may have been sent before it turned cold.
+    registry.merge(said("e", 8, EndpointState::Ready));
+    assert!(registry.get("e").unwrap().warmup_ms > 0);
+    assert!(registry.merge(said("e", 9, EndpointState::Ready)).is_some(), "others hear of it");
+    assert_eq!(registry.get("e").unwrap().warmup_ms, 0);
+}
+
+#[test]
+fn an_endpoint_that_turns_cold_again_is_news() {
+    let mut registry = Registry::default();
+    let cold = |sequence, warmup_ms| Registration {
+        warmup_ms,
+        ..said("e", sequence, EndpointState::Ready)
+    };
+    registry.merge(cold(1, 900));
+    assert!(registry.merge(cold(2, 300)).is_none());
+    assert!(registry.merge(cold(3, 3_000)).is_some(), "it starts anew");
+    assert!(registry.merge(cold(4, 0)).is_some());
+}
+
+/// A listener that reads a part now and then ends with what the registry knows, however
+/// far it was behind, and reads each endpoint once for many changes of it.
+#[test]
+fn changes_are_read_in_parts_and_each_endpoint_once() {
+    let mut registry = Registry::default();
+    for round in 1..=100 {
+        for id in 0..50 {
+            let slots = round as u32;
+            let state = EndpointState::Ready;
+            registry.merge(Registration { slots, ..said(&id.to_string(), round, state) });
+        }
+    }
+    assert_eq!(registry.last_change(), 5_000);
+    let mut told = 0;
+    let mut read = Vec::new();
+    while told < registry.last_change() {
+        let changes = registry.changes_after(told, 7);
+        assert!(changes.endpoints.len() <= 7);
+        told = changes.upto;
+        read.extend(changes.endpoints);
+    }
+    assert_eq!(read.len(), 50);
+    assert!(read.iter().all(|endpoint| endpoint.slots == 100));
+    assert!(registry.changes_after(told, 7).endpoints.is_empty());
+}
--- a/src/routing/model.rs
+++ b/src/routing/model.rs
@@ -89,6 +89,9 @@
     pub max_connections: u32,
     /// Set where the endpoints are model engines.
     pub engine: Option<Engine>,
+    /// Requests a second that a cold endpoint bears from all routers together; none
+    /// where it bears as many as a warm one.
+    pub cold_per_second: Option<f64>,
 }
 
 /// A customer and the keys by which its callers are known.
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -4,7 +4,12 @@
 use crate::testing::route;
 
 fn table(version: u64, routes: Vec<Route>) -> RoutingTable {
-    let service = ServicePool { name: "app".into(), max_connections: 10, engine: None };
+    let service = ServicePool {
+        name: "app".into(),
+        max_connections: 10,
+        engine: None,
+        cold_per_second: None,
+    };
     RoutingTable { version, routes, services: vec![service], ..RoutingTable::default() }
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -155,6 +155,9 @@
     /// Where operators and endpoints of the platform connect, where there are any.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub platform: Option<SocketAddr>,
+    /// Names of the data halls, those included in which no host is known yet.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub halls: Vec<String>,
     /// Peer addresses of the other control hosts.
     #[serde(default)]
     pub control: Vec<SocketAddr>,
--- a/src/site/plan.rs
+++ b/src/site/plan.rs
@@ -227,6 +227,7 @@
     pub fn control(&self, n: u16) -> ControlSettings {
         let name = format!("control-{}", n + 1);
         ControlSettings {
+            halls: Vec::new(),
             host: self.host(name.clone(), FIRST_CONTROL + n, n, self.at(port::CONTROL_PEER, n)),
             operator: self.control_operator(n),
             data: self.data.join(name),
