hall drain, hall restore: the order for operators

In the schema, on the command line and in the status of each control host; any control host takes it and passes it to the leader once.

--- a/src/bin/bramblecrank/app.rs
+++ b/src/bin/bramblecrank/app.rs
@@ -61,6 +61,11 @@
         leaving: bool,
         to: Vec<SocketAddr>,
     },
+    OrderHall {
+        hall: String,
+        drained: bool,
+        to: Vec<SocketAddr>,
+    },
     StopHost {
         to: SocketAddr,
     },
@@ -134,6 +139,10 @@
             Task::Explain { request: text(m, "request"), to: address(m), json: flag(m, "json") }
         }
         "load" => load(m),
+        "hall" => {
+            let (verb, m) = sub(m);
+            Task::OrderHall { hall: text(m, "name"), drained: verb == "drain", to: addresses(m) }
+        }
         "site" => Task::Site {
             site: match text(m, "name").as_str() {
                 "bangkok" => SampleSite::Bangkok,
--- a/src/bin/bramblecrank/clap_app.rs
+++ b/src/bin/bramblecrank/clap_app.rs
@@ -54,6 +54,7 @@
         .subcommand(check())
         .subcommand(config())
         .subcommand(endpoint())
+        .subcommand(hall())
         .subcommand(host())
         .subcommand(explain())
         .subcommand(load())
@@ -207,6 +208,24 @@
         .subcommand(Command::new("restore").about("Gives it work again").arg(name()).arg(to()))
 }
 
+fn hall() -> Command {
+    let name = || Arg::new("name").required(true).help("The data hall's name");
+    let order = |verb: &'static str, about: &'static str| {
+        Command::new(verb).about(about).arg(name()).arg(to())
+    };
+    Command::new("hall")
+        .about("Takes data halls out and back in")
+        .long_about(
+            "Takes a data hall's registered endpoints out and back in. What runs there ends \
+             there; nothing new is sent to it, also after control hosts were restarted. An \
+             order may be sent again.\n\nExample:\n  bramblecrank hall drain perak-a --to \
+             10.1.0.41:7255",
+        )
+        .subcommand_required(true)
+        .subcommand(order("drain", "Gives its endpoints no new work"))
+        .subcommand(order("restore", "Gives its endpoints work again"))
+}
+
 fn host() -> Command {
     let ids = |name: &'static str, help: &'static str| {
         Arg::new(name)
--- a/src/bin/bramblecrank/operate.rs
+++ b/src/bin/bramblecrank/operate.rs
@@ -27,6 +27,7 @@
             let request = proto::ApplyRequest { leaving, ..request(None, None) };
             report_applied(&to, request, false).await
         }
+        Task::OrderHall { hall, drained, to } => order_hall(hall, drained, &to).await,
         Task::StopHost { to } => {
             let mut client = operator::connect(to).await?;
             client.stop(proto::StopRequest {}).await.map_err(refused)?;
@@ -180,6 +181,9 @@
         if let Some(group) = &s.group {
             notes.push(format!("{} of term {}, store {}", group.state, group.term, group.store));
         }
+        if !s.drained_halls.is_empty() {
+            notes.push(format!("drained data halls: {}", list(&s.drained_halls)));
+        }
         notes.extend(s.dispatchers.iter().map(|d| {
             format!(
                 "dispatches {} ({} waiting, {}/{} running)",
@@ -213,7 +217,28 @@
     json!({"host": s.host, "role": s.role, "hall": s.hall, "version": s.version,
         "in_force_since_ms": s.in_force_since_ms, "stale": s.stale, "group": group,
         "hosts": s.hosts.iter().filter(|h| h.live).map(|h| h.host).collect::<Vec<_>>(),
-        "dispatchers": s.dispatchers.iter().map(dispatcher).collect::<Vec<_>>()})
+        "dispatchers": s.dispatchers.iter().map(dispatcher).collect::<Vec<_>>(),
+        "drained_halls": s.drained_halls})
+}
+
+async fn order_hall(hall: String, drained: bool, to: &[SocketAddr]) -> Result<()> {
+    let mut said = "no control host answered".to_string();
+    for address in to {
+        let Ok(mut client) = operator::connect(*address).await else { continue };
+        let request = proto::OrderHallRequest { hall: hall.clone(), drained };
+        match client.order_hall(request).await {
+            Ok(reply) => {
+                println!("drained data halls: {}", list(&reply.get_ref().drained_halls));
+                return Ok(());
+            }
+            Err(status) => said = status.message().to_string(),
+        }
+    }
+    rpc(said)
+}
+
+fn list(names: &[String]) -> String {
+    if names.is_empty() { "none".to_string() } else { names.join(", ") }
 }
 
 async fn replace_control(host: u32, old_store: String, to: &[SocketAddr]) -> Result<()> {
--- a/src/operator/control.rs
+++ b/src/operator/control.rs
@@ -11,7 +11,7 @@
 use super::{client, proto, view};
 use crate::agree::{GroupMember, StoreId};
 use crate::config::{Change, Document};
-use crate::control::{Changed, Command, Control, NoLeader, Reply};
+use crate::control::{Changed, Command, Control, HallOrder, NoLeader, Reply, Unanswered};
 use crate::wire::{HostId, Role};
 
 /// How long a proposal may take before it is called uncertain.
@@ -114,6 +114,10 @@
     Status::unavailable(format!("the leader does not answer: {error}"))
 }
 
+fn undecided() -> Status {
+    Status::unavailable("no control host decided; send the order again")
+}
+
 impl Service {
     /// Other hosts lag, and one that has just started knows only its last snapshot: a
     /// read is answered by the leader, or by an error that says to ask again.
@@ -240,6 +244,7 @@
             hosts: view::hosts(&control.peers),
             group,
             dispatchers: Vec::new(),
+            drained_halls: view::drained_halls(&control.registry),
         }))
     }
 
@@ -285,6 +290,30 @@
         Ok(Response::new(proto::ReplaceControlReply { accepted, message }))
     }
 
+    async fn order_hall(
+        &self,
+        request: Request<proto::OrderHallRequest>,
+    ) -> Result<Response<proto::OrderHallReply>, Status> {
+        let proto::OrderHallRequest { hall, drained } = request.get_ref().clone();
+        let order = if drained { HallOrder::Drain } else { HallOrder::Restore };
+        match self.0.order_hall(order, &hall).await {
+            Ok(halls) => {
+                let drained_halls = halls.names().map(str::to_string).collect();
+                Ok(Response::new(proto::OrderHallReply { drained_halls }))
+            }
+            Err(Unanswered::Elsewhere(host)) if !request.metadata().contains_key(FORWARDED) => {
+                let view = self.0.peers.view();
+                let leader = view.get(host).ok_or_else(undecided)?.operator;
+                let mut client = client::connect(leader).await.map_err(unsure)?;
+                client.order_hall(forward(request)).await
+            }
+            Err(Unanswered::UnknownHall) => {
+                Err(Status::not_found(format!("no data hall is called '{hall}'")))
+            }
+            Err(_) => Err(undecided()),
+        }
+    }
+
     async fn stop(
         &self,
         _: Request<proto::StopRequest>,
--- a/src/operator/generated.rs
+++ b/src/operator/generated.rs
@@ -135,6 +135,9 @@
     pub group: ::core::option::Option<GroupStatus>,
     #[prost(message, repeated, tag = "9")]
     pub dispatchers: ::prost::alloc::vec::Vec<DispatcherStatus>,
+    /// The data halls that are drained, as the asked host knows.
+    #[prost(string, repeated, tag = "10")]
+    pub drained_halls: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HostStatus {
@@ -237,6 +240,20 @@
     #[prost(string, tag = "2")]
     pub message: ::prost::alloc::string::String,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OrderHallRequest {
+    #[prost(string, tag = "1")]
+    pub hall: ::prost::alloc::string::String,
+    /// Whether its endpoints get no new work; what runs there ends there.
+    #[prost(bool, tag = "2")]
+    pub drained: bool,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OrderHallReply {
+    /// The data halls that are drained now.
+    #[prost(string, repeated, tag = "1")]
+    pub drained_halls: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StopRequest {}
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -487,6 +504,31 @@
                 );
             self.inner.unary(req, path, codec).await
         }
+        /// Drains a data hall or takes it back. Any control host takes it; the leader
+        /// decides. An order sent again changes nothing.
+        pub async fn order_hall(
+            &mut self,
+            request: impl tonic::IntoRequest<super::OrderHallRequest>,
+        ) -> std::result::Result<tonic::Response<super::OrderHallReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/bramblecrank.operator.v1.Operator/OrderHall",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(
+                    GrpcMethod::new("bramblecrank.operator.v1.Operator", "OrderHall"),
+                );
+            self.inner.unary(req, path, codec).await
+        }
         /// Begins a planned stop of the asked host.
         pub async fn stop(
             &mut self,
@@ -582,6 +624,12 @@
             tonic::Response<super::ReplaceControlReply>,
             tonic::Status,
         >;
+        /// Drains a data hall or takes it back. Any control host takes it; the leader
+        /// decides. An order sent again changes nothing.
+        async fn order_hall(
+            &self,
+            request: tonic::Request<super::OrderHallRequest>,
+        ) -> std::result::Result<tonic::Response<super::OrderHallReply>, tonic::Status>;
         /// Begins a planned stop of the asked host.
         async fn stop(
             &self,
@@ -929,6 +977,51 @@
                     };
                     Box::pin(fut)
                 }
+                "/bramblecrank.operator.v1.Operator/OrderHall" => {
+                    #[allow(non_camel_case_types)]
+                    struct OrderHallSvc<T: Operator>(pub Arc<T>);
+                    impl<
+                        T: Operator,
+                    > tonic::server::UnaryService<super::OrderHallRequest>
+                    for OrderHallSvc<T> {
+                        type Response = super::OrderHallReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::OrderHallRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operator>::order_hall(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = OrderHallSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/bramblecrank.operator.v1.Operator/Stop" => {
                     #[allow(non_camel_case_types)]
                     struct StopSvc<T: Operator>(pub Arc<T>);
--- a/src/operator/router.rs
+++ b/src/operator/router.rs
@@ -81,6 +81,7 @@
             hosts: view::hosts(&router.peers),
             group: None,
             dispatchers,
+            drained_halls: Vec::new(),
         }))
     }
 
@@ -108,6 +109,13 @@
         Err(Status::failed_precondition("ask a control host"))
     }
 
+    async fn order_hall(
+        &self,
+        _: Request<proto::OrderHallRequest>,
+    ) -> Result<Response<proto::OrderHallReply>, Status> {
+        Err(Status::failed_precondition("ask a control host"))
+    }
+
     async fn stop(
         &self,
         _: Request<proto::StopRequest>,
--- a/src/operator/view.rs
+++ b/src/operator/view.rs
@@ -5,6 +5,7 @@
 use super::proto;
 use crate::config::{Change, Config, Delta, Document};
 use crate::peer::Peers;
+use crate::registry::SharedRegistry;
 use crate::wire::{Heartbeat, Role};
 
 /// Most history entries in one answer.
@@ -32,6 +33,11 @@
     live.chain(view.suspected.iter().map(|m| status(m, false))).collect()
 }
 
+/// The data halls that are drained.
+pub(super) fn drained_halls(registry: &SharedRegistry) -> Vec<String> {
+    registry.read(|registry| registry.drained().names().map(str::to_string).collect())
+}
+
 pub(super) fn get_reply(config: &Config) -> Result<proto::GetReply, Status> {
     let document = serde_saphyr::to_string(&Document::of(config));
     let document = document.map_err(|e| Status::internal(e.to_string()))?;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -3,6 +3,8 @@
 
 #[path = "platform/fleet.rs"]
 mod fleet;
+#[path = "platform/halls.rs"]
+mod halls;
 #[path = "platform/handover.rs"]
 mod handover;
 #[path = "platform/http.rs"]
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -265,14 +265,41 @@
     }
 
     pub async fn register(&self, replica: &Replica, state: &str, sequence: u64) {
+        self.register_in("a", replica, state, sequence).await;
+    }
+
+    /// Registers a replica in a data hall.
+    pub async fn register_in(&self, hall: &str, replica: &Replica, state: &str, sequence: u64) {
         let body = format!(
-            r#"{{"service":"app","address":"{}","zone":"a","version":"v1","slots":6,"state":"{state}","warmupLeftMs":0,"callSeq":{sequence}}}"#,
+            r#"{{"service":"app","address":"{}","zone":"{hall}","version":"v1","slots":6,"state":"{state}","warmupLeftMs":0,"callSeq":{sequence}}}"#,
             replica.address
         );
         let path = format!("/replicas/{}", replica.id);
         assert_eq!(self.control_call("PUT", &path, &body).await.status, 200);
     }
 
+    /// Runs an operator's command against the control host; returns whether it
+    /// succeeded and what it printed.
+    pub async fn command(&self, arguments: &[&str]) -> (bool, String) {
+        let operator = SocketAddr::new(self.control.ip(), OPERATOR);
+        self.wait_listening(operator).await;
+        let mut command = Command::new(env!("CARGO_BIN_EXE_bramblecrank"));
+        let output = command.args(arguments).arg("--to").arg(operator.to_string()).output();
+        let output = output.unwrap();
+        let text = [output.stdout, output.stderr].concat();
+        (output.status.success(), String::from_utf8_lossy(&text).into_owned())
+    }
+
+    /// Sends an order about a data hall until it is answered for sure.
+    pub async fn order_hall(&self, method: &str, hall: &str) -> u16 {
+        loop {
+            match self.control_call(method, &format!("/evacuate/{hall}"), "").await.status {
+                503 => tokio::time::sleep(PAUSE).await,
+                status => return status,
+            }
+        }
+    }
+
     pub async fn deregister(&self, replica: &Replica) {
         let path = format!("/replicas/{}", replica.id);
         assert_eq!(self.control_call("DELETE", &path, "").await.status, 200);
