Tell control hosts first-hand news only; count sent bytes by what they are for

Cause: a control host passed on to every other one what a third had told it, so with 27 of them each endpoint was sent 27 x 26 times, more than to all routers. Now two tell a control host all they know, as they do a router, and the others what endpoints said to themselves. Who tells whom is chosen 100 ms after feeds opened and then kept: a test over real sockets showed four of six control hosts telling one router everything while its feeds opened. What a host only remembers goes to subscribers that know nothing yet. Sending a heartbeat no longer searches all hosts once for each of them.

New on the metrics of a control host: sent bytes by traffic (heartbeats, agreement, routing, endpoints, placement, other).

--- a/src/control.rs
+++ b/src/control.rs
@@ -28,7 +28,7 @@
 use crate::settings::ControlSettings;
 use crate::spread::{self, Configs};
 use crate::store::{Disk, Found};
-use crate::wire::{HostId, Open, Role};
+use crate::wire::{HostId, Open, Role, Traffic};
 
 /// How long to wait for a disk that refuses to be opened.
 const DISK_PAUSE: Duration = Duration::from_millis(200);
@@ -115,7 +115,7 @@
         peers.clock,
         documents.clone(),
         registry.clone(),
-        peers.sent.clone(),
+        peers.sent.of(Traffic::Placement),
     );
     let control = Arc::new(Control {
         placement,
--- a/src/control/courier.rs
+++ b/src/control/courier.rs
@@ -9,7 +9,7 @@
 
 use crate::agree::{Envelope, GroupMember, StoreId};
 use crate::peer::Peers;
-use crate::wire::{HostId, Open, write_frame};
+use crate::wire::{HostId, Open, Traffic, write_frame};
 
 /// Messages that may wait for one host; more are dropped, as by a network.
 const OUTBOX: usize = 1_024;
@@ -80,7 +80,7 @@
         };
         let written = tokio::time::timeout(WRITE_TIMEOUT, write_frame(writer, &batch)).await;
         match written {
-            Ok(Ok(bytes)) => peers.sent.add(bytes),
+            Ok(Ok(bytes)) => peers.sent.of(Traffic::Agreement).add(bytes),
             Ok(Err(_)) | Err(_) => connection = None,
         }
     }
--- a/src/control/documents.rs
+++ b/src/control/documents.rs
@@ -6,9 +6,9 @@
 use super::driver::NoLeader;
 use super::state::{Command, Reply};
 use crate::config::Refusal;
-use crate::registry::Registration;
+use crate::registry::{Hearing, Registration};
 use crate::routing::Document;
-use crate::wire::{HostId, Role};
+use crate::wire::{HostId, Role, Traffic};
 
 /// Why an operator's call cannot be answered here now.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -87,12 +87,19 @@
             ("unknown_heartbeats", self.peers.unknown_heartbeats()),
             ("sent_bytes", self.peers.sent.get()),
         ];
+        let sent = Traffic::ALL.map(|traffic| (traffic.name(), self.sent_for(traffic)));
         crate::telemetry::render_gauges("bramblecrank_control", &figures)
+            + &crate::telemetry::render_gauges("bramblecrank_control_sent_bytes", &sent)
+    }
+
+    /// Bytes that this host has sent for one kind of traffic.
+    fn sent_for(&self, traffic: Traffic) -> u64 {
+        self.peers.sent.of(traffic).get_own()
     }
 
     /// Takes in what an endpoint says of itself. Routers in reach are told at
     /// once.
     pub fn register(&self, registration: Registration) {
-        self.registry.merge([registration]);
+        self.registry.merge([registration], Hearing::FirstHand);
     }
 }
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -5,8 +5,8 @@
 //! learns merges in any order, so a lost connection costs nothing but time. What is
 //! large is told by few: of a routing table every control host tells the version only,
 //! and a subscriber asks one of them for the table; endpoints are told by the control
-//! hosts that a subscriber has asked, two for a router ([`sources`]), all for a control
-//! host.
+//! hosts that a subscriber has asked: two tell it all that they know, and every control
+//! host tells the others what endpoints said to itself ([`sources`]).
 
 mod following;
 mod news;
@@ -22,7 +22,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::registry::{DrainedHalls, Registration};
+use crate::registry::{DrainedHalls, Registration, Scope};
 use crate::wire::HostId;
 
 pub use publish::{Publication, publish};
@@ -90,6 +90,8 @@
     pub numbering: u64,
     /// The last change that it was told; 0 for none.
     pub change: u64,
+    /// Which changes it wants.
+    pub scope: Scope,
     /// Whether it wants to know of endpoints that had gone before.
     pub with_gone: bool,
 }
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -13,9 +13,9 @@
 use crate::error::{Result, RpcSnafu};
 use crate::member::View;
 use crate::peer::PeerReader;
-use crate::registry::{Changes, EndpointState, Registration, SharedRegistry};
+use crate::registry::{Changes, EndpointState, Registration, Scope, SharedRegistry};
 use crate::routing::Documents;
-use crate::wire::{Role, SentBytes, write_frame};
+use crate::wire::{Role, SentBytes, Traffic, write_frame};
 
 /// How long a subscriber may take to read one message.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -50,6 +50,7 @@
     told: u64,
     /// Endpoints that went before this change are passed over.
     gone_after: u64,
+    scope: Scope,
     /// When it may be told again.
     not_before: Instant,
 }
@@ -103,9 +104,13 @@
             }
             () = wait_until(due_at) => {
                 let Some(cursor) = &mut cursor else { continue };
-                let changes = registry.read(|r| r.changes_after(cursor.told, MOST_ENDPOINTS));
+                let changes = registry
+                    .read(|r| r.changes_after(cursor.told, MOST_ENDPOINTS, cursor.scope));
                 cursor.advance(&changes);
                 let endpoints = cursor.wanted(changes.endpoints);
+                if endpoints.is_empty() {
+                    continue;
+                }
                 FeedMessage::Endpoints { numbering, upto: changes.upto, endpoints }
             }
             Ok(()) = routing.changed() => match routing.borrow_and_update().clone() {
@@ -125,12 +130,12 @@
                 }
                 Some(FeedRequest::Endpoints(after)) => {
                     cursor = Some(Cursor::new(after, numbering, &registry));
-                    let remembered: Vec<_> =
-                        registry.read(|r| r.remembered().cloned().collect());
-                    if remembered.is_empty() {
-                        continue;
+                    // Who was told before knows what the sender only remembers.
+                    let remembered = registry.read(|r| r.remembered().cloned().collect());
+                    match after.numbering {
+                        0 => FeedMessage::Remembered(remembered),
+                        _ => continue,
                     }
-                    FeedMessage::Remembered(remembered)
                 }
                 Some(FeedRequest::NoEndpoints) => {
                     cursor = None;
@@ -160,7 +165,7 @@
             true => 0,
             false => registry.read(|r| r.last_change()),
         };
-        Cursor { told, gone_after, not_before: Instant::now() }
+        Cursor { told, gone_after, scope: after.scope, not_before: Instant::now() }
     }
 
     fn advance(&mut self, changes: &Changes) {
@@ -198,9 +203,13 @@
 }
 
 async fn write(writer: &mut OwnedWriteHalf, sent: &SentBytes, message: FeedMessage) -> Result<()> {
+    let traffic = match message {
+        FeedMessage::Endpoints { .. } | FeedMessage::Remembered(_) => Traffic::Endpoints,
+        _ => Traffic::Routing,
+    };
     let written = write_frame(writer, &message);
     match tokio::time::timeout(WRITE_TIMEOUT, written).await {
-        Ok(bytes) => sent.add(bytes?),
+        Ok(bytes) => sent.of(traffic).add(bytes?),
         Err(_) => return RpcSnafu { message: "a subscriber reads nothing" }.fail(),
     }
     Ok(())
--- a/src/feed/sources.rs
+++ b/src/feed/sources.rs
@@ -1,14 +1,17 @@
 //! Which control hosts tell a subscriber of endpoints, without I/O.
 //!
-//! Were every router told by every control host, the bytes of a control host would grow
-//! with routers times endpoints, as many times over as there are control hosts. Two are
-//! enough for a router: one of its own data hall, which it reaches when the hall is cut
-//! off, and one of another, which hears what the first may not.
+//! Were everybody told everything by every control host, the bytes of a control host
+//! would grow with hosts times endpoints, as many times over as there are control hosts.
+//! Two that tell all they know are enough: one of the subscriber's own data hall, which
+//! it reaches when the hall is cut off, and one of another, which hears what the first
+//! may not. Control hosts also tell each other what endpoints said to themselves, so that
+//! any may lead at once.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::registry::Scope;
 use crate::wire::{HostId, Role};
 
 /// Control hosts that tell one router of endpoints.
@@ -17,8 +20,8 @@
 /// A step towards being told by the right control hosts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
-    /// Ask to be told.
-    Ask(HostId),
+    /// Ask to be told of these changes.
+    Ask(HostId, Scope),
     /// Ask to be told no more.
     Leave(HostId),
 }
@@ -31,52 +34,59 @@
     role: Role,
     /// The data hall of each control host whose feed is open.
     open: BTreeMap<HostId, String>,
-    asked: BTreeSet<HostId>,
+    asked: BTreeMap<HostId, Scope>,
 }
 
 impl Sources {
     /// None yet, for the host `me`.
     pub fn new(me: HostId, hall: &str, role: Role) -> Sources {
-        let (open, asked) = (BTreeMap::new(), BTreeSet::new());
+        let (open, asked) = (BTreeMap::new(), BTreeMap::new());
         Sources { me, hall: hall.to_string(), role, open, asked }
     }
 
     /// The feed of a control host was opened.
-    pub fn opened(&mut self, host: HostId, hall: &str, leader: Option<HostId>) -> Vec<Step> {
+    pub fn opened(&mut self, host: HostId, hall: &str) {
         self.open.insert(host, hall.to_string());
         self.asked.remove(&host);
-        self.settle(leader)
     }
 
     /// The feed of a control host has ended.
-    pub fn lost(&mut self, host: HostId, leader: Option<HostId>) -> Vec<Step> {
+    pub fn lost(&mut self, host: HostId) {
         self.open.remove(&host);
         self.asked.remove(&host);
-        self.settle(leader)
     }
 
-    fn settle(&mut self, leader: Option<HostId>) -> Vec<Step> {
-        let wanted = match self.role {
+    /// Works out whom to ask now.
+    pub fn settle(&mut self, leader: Option<HostId>) -> Vec<Step> {
+        let best = self.best(leader);
+        let scope = |host: &HostId| match (best.contains(host), self.role) {
+            (true, _) => Some(Scope::All),
             // An endpoint calls one control host, and any may come to lead.
-            Role::Control => self.open.keys().copied().collect(),
-            Role::Router => self.best(leader),
+            (false, Role::Control) => Some(Scope::FirstHand),
+            (false, Role::Router) => None,
         };
-        let left = self.asked.difference(&wanted).map(|host| Step::Leave(*host));
-        let new = wanted.difference(&self.asked).map(|host| Step::Ask(*host));
-        let steps = left.chain(new).collect();
+        let wanted = self.open.keys().filter_map(|host| Some((*host, scope(host)?)));
+        let wanted: BTreeMap<_, _> = wanted.collect();
+        let left = self.asked.keys().filter(|host| !wanted.contains_key(host));
+        let left = left.map(|host| Step::Leave(*host));
+        let new = wanted.iter().filter(|(host, scope)| self.asked.get(host) != Some(scope));
+        let steps = left.chain(new.map(|(host, scope)| Step::Ask(*host, *scope))).collect();
         self.asked = wanted;
         steps
     }
 
     /// The best source, and the best of another data hall beside it. The leader, which
-    /// has most to do, comes last, and each router has an order of its own.
+    /// has most to do, comes last; who was asked stays, since a new one tells everything
+    /// again; and each subscriber has an order of its own.
     fn best(&self, leader: Option<HostId>) -> BTreeSet<HostId> {
-        let rank =
-            |host: HostId| xxh3_64(&(u64::from(self.me.0) << 32 | u64::from(host.0)).to_be_bytes());
+        let rank = |(host, hall): &(&HostId, &String)| {
+            let is_new = self.asked.get(host) != Some(&Scope::All);
+            let leads = is_new && Some(**host) == leader;
+            let seed = u64::from(self.me.0) << 32 | u64::from(host.0);
+            (leads, **hall != self.hall, is_new, xxh3_64(&seed.to_be_bytes()))
+        };
         let mut order: Vec<_> = self.open.iter().collect();
-        order.sort_by_key(|(host, hall)| {
-            (Some(**host) == leader, **hall != self.hall, rank(**host))
-        });
+        order.sort_by_key(rank);
         let Some((first, hall)) = order.first() else { return BTreeSet::new() };
         let elsewhere = order.iter().find(|(_, other)| other != hall);
         let second = elsewhere.or(order.get(SOURCES - 1));
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -17,7 +17,7 @@
 use super::{EndpointsAfter, FeedMessage, FeedRequest, Neighbour};
 use crate::error::Result;
 use crate::peer::Peers;
-use crate::registry::SharedRegistry;
+use crate::registry::{Hearing, Scope, SharedRegistry};
 use crate::routing::Documents;
 use crate::wire::{BatchSender, BatchWriter, HostId, Open, Role};
 
@@ -26,6 +26,9 @@
 /// The same at most; doubled each time that no connection comes about. A host that
 /// is heard again after a suspicion is called at once.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
+/// How long feeds may go on opening before it is chosen who tells of endpoints: a few
+/// times what a connection between data halls takes.
+const SOURCES_SETTLE: Duration = Duration::from_millis(100);
 
 /// The feeds that a process follows.
 #[derive(Debug)]
@@ -37,6 +40,7 @@
     tables: Mutex<Tables>,
     tables_changed: Notify,
     sources: Mutex<Sources>,
+    sources_changed: Notify,
     /// The last change of endpoints that each control host told, and whose numbers.
     told: Mutex<BTreeMap<HostId, (u64, u64)>>,
     neighbours: Mutex<Arc<Vec<Neighbour>>>,
@@ -68,12 +72,14 @@
             tables: Mutex::default(),
             tables_changed: Notify::new(),
             sources,
+            sources_changed: Notify::new(),
             told: Mutex::default(),
             neighbours: Mutex::default(),
             role,
         });
         tokio::spawn(follow_view(all.clone()));
         tokio::spawn(fetch_tables(all.clone()));
+        tokio::spawn(choose_sources(all.clone()));
         all
     }
 
@@ -116,9 +122,8 @@
         self.news().opened(host);
         self.tables().requests.insert(host, requests);
         let hall = self.peers.view().known(host).map(|m| m.hall.clone()).unwrap_or_default();
-        let leader = self.leader();
-        let steps = lock(&self.sources).opened(host, &hall, leader);
-        self.change_sources(steps);
+        lock(&self.sources).opened(host, &hall);
+        self.sources_changed.notify_one();
     }
 
     fn lost(&self, host: HostId) {
@@ -128,16 +133,19 @@
         tables.fetch.lost(host);
         drop(tables);
         self.tables_changed.notify_one();
-        let leader = self.leader();
-        let steps = lock(&self.sources).lost(host, leader);
-        self.change_sources(steps);
+        lock(&self.sources).lost(host);
+        self.settle_sources();
     }
 
     /// Asks control hosts to tell of endpoints, or to tell no more.
-    fn change_sources(&self, steps: Vec<Step>) {
+    fn settle_sources(&self) {
+        let leader = self.leader();
+        let steps = lock(&self.sources).settle(leader);
         for step in steps {
             let (host, request) = match step {
-                Step::Ask(host) => (host, FeedRequest::Endpoints(self.endpoints_after(host))),
+                Step::Ask(host, scope) => {
+                    (host, FeedRequest::Endpoints(self.endpoints_after(host, scope)))
+                }
                 Step::Leave(host) => (host, FeedRequest::NoEndpoints),
             };
             log::info!("feed: control host {host} is asked: {request:?}");
@@ -148,9 +156,9 @@
         }
     }
 
-    fn endpoints_after(&self, host: HostId) -> EndpointsAfter {
+    fn endpoints_after(&self, host: HostId, scope: Scope) -> EndpointsAfter {
         let (numbering, change) = lock(&self.told).get(&host).copied().unwrap_or_default();
-        EndpointsAfter { numbering, change, with_gone: self.role == Role::Control }
+        EndpointsAfter { numbering, change, scope, with_gone: self.role == Role::Control }
     }
 
     /// The other routers of this one's data hall, as last told.
@@ -199,7 +207,7 @@
                 self.tables_changed.notify_one();
             }
             FeedMessage::Endpoints { numbering, upto, endpoints } => {
-                self.registry.merge(endpoints);
+                self.registry.merge(endpoints, Hearing::SecondHand);
                 lock(&self.told).insert(from, (numbering, upto));
             }
             FeedMessage::DrainedHalls(drained) => self.registry.adopt_drained(drained),
@@ -235,6 +243,16 @@
     }
 }
 
+/// Chooses who tells of endpoints when feeds have opened. Hosts that start together open
+/// their feeds within moments, and the first to do so must not have to tell everybody.
+async fn choose_sources(all: Arc<Subscriptions>) {
+    loop {
+        all.sources_changed.notified().await;
+        tokio::time::sleep(SOURCES_SETTLE).await;
+        all.settle_sources();
+    }
+}
+
 /// A feed task; it ends when this is dropped.
 struct Feed {
     delivered: Arc<AtomicU64>,
--- a/src/feed/tests/connection.rs
+++ b/src/feed/tests/connection.rs
@@ -7,16 +7,22 @@
 use super::super::{FeedMessage, Publication, Subscriptions, publish};
 use crate::control::Leadership;
 use crate::peer::{Incoming, Peers};
-use crate::registry::SharedRegistry;
+use crate::registry::{EndpointState, Hearing, Registration, Scope, SharedRegistry};
 use crate::routing::{Documents, RoutingTable};
 use crate::testing::{peer_address as address, route, start_peers as start, wait_until};
-use crate::wire::{HostId, Open, Role, write_frame};
+use crate::wire::{HostId, Open, Role, Traffic, write_frame};
+
+/// Publishes to whoever subscribes, as a control host that leads and knows no endpoint.
+async fn serve(peers: Arc<Peers>, incoming: mpsc::Receiver<Incoming>, documents: Arc<Documents>) {
+    serve_endpoints(peers, incoming, documents, Arc::default()).await;
+}
 
 /// Publishes to whoever subscribes, as a control host that leads.
-async fn serve(
+async fn serve_endpoints(
     peers: Arc<Peers>,
     mut incoming: mpsc::Receiver<Incoming>,
     documents: Arc<Documents>,
+    registry: Arc<SharedRegistry>,
 ) {
     let leads = Leadership {
         term: 1,
@@ -28,10 +34,9 @@
     let leadership = watch::Sender::new(leads);
     while let Some(Incoming { open, reader, writer }) = incoming.recv().await {
         assert!(matches!(open, Open::Feed { .. }));
-        let registry = Arc::new(SharedRegistry::default());
         let publication = Publication {
             documents: documents.clone(),
-            registry,
+            registry: registry.clone(),
             leadership: leadership.subscribe(),
             view: peers.watch(),
             numbering: peers.incarnation,
@@ -139,3 +144,47 @@
         open.push(writer);
     }
 }
+
+/// Endpoints of one service, each heard by the control host itself.
+fn registered(endpoints: u32) -> Arc<SharedRegistry> {
+    let registry = SharedRegistry::default();
+    let endpoint = |number: u32| Registration {
+        id: format!("i-{number:010}"),
+        service: "service".into(),
+        address: Some(([10, 0, 0, 1], 8_080).into()),
+        hall: "hall".into(),
+        slots: 32,
+        state: EndpointState::Ready,
+        warmup_ms: 0,
+        sequence: 1,
+    };
+    registry.merge((0..endpoints).map(endpoint), Hearing::FirstHand);
+    Arc::new(registry)
+}
+
+/// Six control hosts know the same endpoints: two tell a router, whatever their number.
+#[tokio::test]
+async fn a_router_is_told_of_thousands_of_endpoints_by_two_control_hosts() {
+    const ENDPOINTS: u32 = 3_000;
+    let mut hosts = Vec::new();
+    for number in 61..67 {
+        let (control, incoming) = start(Role::Control, number, vec![]).await;
+        let endpoints = registered(ENDPOINTS);
+        tokio::spawn(serve_endpoints(control.clone(), incoming, Arc::default(), endpoints));
+        hosts.push(control);
+    }
+    let seeds = (61..67).map(address).collect();
+    let (router, _) = start(Role::Router, 67, seeds).await;
+    let registry = Arc::new(SharedRegistry::default());
+    let feeds = Subscriptions::start(router, Arc::default(), registry.clone(), "a", Role::Router);
+    wait_until(|| feeds.open_feeds() == hosts.len()).await;
+    wait_until(|| registry.read(|r| r.ready("service").count()) == ENDPOINTS as usize).await;
+    let told: Vec<_> =
+        hosts.iter().map(|host| host.sent.of(Traffic::Endpoints).get_own()).collect();
+    let whole = postcard::to_stdvec(
+        &registered(ENDPOINTS).read(|r| r.changes_after(0, usize::MAX, Scope::All)).endpoints,
+    )
+    .unwrap()
+    .len() as u64;
+    assert!(told.iter().sum::<u64>() < whole * 3, "{told:?} bytes, {whole} at once");
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,7 +16,7 @@
 use crate::loop_lag::LoopLag;
 use crate::peer::Peers;
 use crate::placement::{Ending, LocalPlacer, Placements, Reservation};
-use crate::registry::{EndpointState, SharedRegistry};
+use crate::registry::{EndpointState, Scope, SharedRegistry};
 use crate::routing::Documents;
 use crate::settings::{GatewaySettings, RouterSettings};
 use crate::telemetry::GatewayMetrics;
@@ -294,7 +294,7 @@
     let mut watch = gateway.registry.watch();
     let mut seen = 0;
     while watch.changed().await.is_ok() {
-        let changes = gateway.registry.read(|r| r.changes_after(seen, usize::MAX));
+        let changes = gateway.registry.read(|r| r.changes_after(seen, usize::MAX, Scope::All));
         seen = changes.upto;
         let left = changes.endpoints.iter().filter(|e| e.state != EndpointState::Ready);
         for endpoint in left {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -2,7 +2,7 @@
 
 mod link;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -18,7 +18,7 @@
 use crate::member::{FIRST_HEARTBEAT_MS, HEARTBEAT_MS, Table, View};
 use crate::settings::HostSettings;
 use crate::wire::{
-    Beat, FrameReader, Heartbeat, HostId, Open, Role, SentBytes, UDP_HEADER, write_frame,
+    Beat, FrameReader, Heartbeat, HostId, Open, Role, SentBytes, Traffic, UDP_HEADER, write_frame,
 };
 
 pub use link::Links;
@@ -219,14 +219,14 @@
         Err(error) => return log::error!("member: a heartbeat cannot be encoded: {error}"),
     };
     let view = peers.view();
-    for target in targets {
-        let host = view.live.iter().chain(&view.suspected).find(|m| m.peer == target);
-        if host.is_some_and(|m| peers.links.is_cut(m.host)) {
-            continue;
-        }
+    let known = view.live.iter().chain(&view.suspected);
+    let cut = known.filter(|m| peers.links.is_cut(m.host)).map(|m| m.peer);
+    let cut: HashSet<SocketAddr> = cut.collect();
+    let heartbeats = peers.sent.of(Traffic::Heartbeats);
+    for target in targets.into_iter().filter(|target| !cut.contains(target)) {
         // A lost heartbeat is made good by the next one.
         if udp.send_to(&datagram, target).await.is_ok() {
-            peers.sent.add(datagram.len() as u64 + UDP_HEADER);
+            heartbeats.add(datagram.len() as u64 + UDP_HEADER);
         }
     }
 }
--- a/src/placement/client.rs
+++ b/src/placement/client.rs
@@ -17,7 +17,7 @@
 use crate::loop_lag::LoopLag;
 use crate::member::View;
 use crate::peer::Peers;
-use crate::wire::{BatchSender, BatchWriter, HostId, Open, Role};
+use crate::wire::{BatchSender, BatchWriter, HostId, Open, Role, Traffic};
 
 /// How long a placer may take to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
@@ -363,7 +363,7 @@
     let number = all.next_seq.fetch_add(1, Ordering::Relaxed);
     let open = Open::Place { router: all.peers.me, session: number };
     let (mut reader, writer) = all.peers.connect(address, &open).await?;
-    let (out, batch) = BatchWriter::immediate(Some(all.peers.sent.clone()));
+    let (out, batch) = BatchWriter::immediate(Some(all.peers.sent.of(Traffic::Placement)));
     let writing = tokio::spawn(batch.run(writer, || std::future::ready(())));
     let waiting = Waiting::default();
     let _unanswered = Unanswered(waiting.clone());
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -13,4 +13,4 @@
 
 pub use halls::DrainedHalls;
 pub use shared::SharedRegistry;
-pub use table::{Changes, EndpointState, Registration, Registry};
+pub use table::{Changes, EndpointState, Hearing, Registration, Registry, Scope};
--- a/src/registry/shared.rs
+++ b/src/registry/shared.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::watch;
 
-use super::{DrainedHalls, Registration, Registry};
+use super::{DrainedHalls, Hearing, Registration, Registry};
 
 /// Endpoints that a log line about many names at most.
 const MOST_NAMED: usize = 8;
@@ -29,9 +29,9 @@
 
 impl SharedRegistry {
     /// Takes in what endpoints said; tells listeners if something differs now.
-    pub fn merge(&self, news: impl IntoIterator<Item = Registration>) {
+    pub fn merge(&self, news: impl IntoIterator<Item = Registration>, hearing: Hearing) {
         let changed: Vec<_> = self.read_mut(|registry| {
-            news.into_iter().filter_map(|endpoint| registry.merge(endpoint)).collect()
+            news.into_iter().filter_map(|endpoint| registry.merge(endpoint, hearing)).collect()
         });
         let describe = |e: &Registration| {
             let (id, service, state) = (&e.id, &e.service, e.state);
--- a/src/registry/table.rs
+++ b/src/registry/table.rs
@@ -79,11 +79,32 @@
     said: Registration,
     /// Number of the change that was its last.
     change: u64,
+    /// Whether the endpoint itself said that change here.
+    first_hand: bool,
     /// Before this call nothing that it says of being warm is believed: it may have
     /// been under way since before its data hall was taken back.
     sure_from: u64,
 }
 
+/// From whom news of an endpoint came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hearing {
+    /// The endpoint called here.
+    FirstHand,
+    /// Another process passed it on.
+    SecondHand,
+}
+
+/// Which changes a listener wants.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Scope {
+    /// All of them.
+    #[default]
+    All,
+    /// Those that endpoints themselves said here.
+    FirstHand,
+}
+
 /// Endpoints that changed, in the order of their last changes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Changes {
@@ -111,10 +132,11 @@
 impl Registry {
     /// Takes in what an endpoint said, directly or through another process.
     /// Returns what is known now if it differs in what routing looks at.
-    pub fn merge(&mut self, news: Registration) -> Option<Registration> {
+    pub fn merge(&mut self, news: Registration, hearing: Hearing) -> Option<Registration> {
+        let first_hand = hearing == Hearing::FirstHand;
         self.remembered.remove(&news.id);
         let Some(known) = self.endpoints.get_mut(&news.id) else {
-            let known = Known { said: news.clone(), change: 0, sure_from: 0 };
+            let known = Known { said: news.clone(), change: 0, first_hand, sure_from: 0 };
             self.endpoints.insert(news.id.clone(), known);
             return Some(self.changed(news));
         };
@@ -131,7 +153,11 @@
         }
         known.said.state = state;
         let now = known.said.clone();
-        now.differs_from(&before).then(|| self.changed(now))
+        if !now.differs_from(&before) {
+            return None;
+        }
+        known.first_hand = first_hand;
+        Some(self.changed(now))
     }
 
     /// An endpoint has changed to `now`: gives the change a number.
@@ -164,14 +190,15 @@
     }
 
     /// The first `most` endpoints that changed after change `after`.
-    pub fn changes_after(&self, after: u64, most: usize) -> Changes {
+    pub fn changes_after(&self, after: u64, most: usize, scope: Scope) -> Changes {
         let mut changes = Changes { upto: self.last_change, endpoints: Vec::new() };
         for (number, id) in self.by_change.range(after + 1..) {
             if changes.endpoints.len() == most {
                 break;
             }
             changes.upto = *number;
-            changes.endpoints.extend(self.endpoints.get(id).map(|known| known.said.clone()));
+            let known = self.endpoints.get(id).filter(|k| k.first_hand || scope == Scope::All);
+            changes.endpoints.extend(known.map(|known| known.said.clone()));
         }
         changes
     }
--- a/src/registry/tests.rs
+++ b/src/registry/tests.rs
@@ -1,5 +1,6 @@
 use proptest::prelude::*;
 
+use super::Hearing::{FirstHand, SecondHand};
 use super::*;
 
 fn said(id: &str, sequence: u64, state: EndpointState) -> Registration {
@@ -18,28 +19,28 @@
 #[test]
 fn a_late_heartbeat_does_not_bring_a_leaving_endpoint_back() {
     let mut registry = Registry::default();
-    assert!(registry.merge(said("e", 3, EndpointState::Ready)).is_some());
-    assert!(registry.merge(said("e", 5, EndpointState::Leaving)).is_some());
-    assert!(registry.merge(said("e", 4, EndpointState::Ready)).is_none());
-    assert!(registry.merge(said("e", 9, EndpointState::Ready)).is_none());
+    assert!(registry.merge(said("e", 3, EndpointState::Ready), FirstHand).is_some());
+    assert!(registry.merge(said("e", 5, EndpointState::Leaving), FirstHand).is_some());
+    assert!(registry.merge(said("e", 4, EndpointState::Ready), FirstHand).is_none());
+    assert!(registry.merge(said("e", 9, EndpointState::Ready), FirstHand).is_none());
     assert_eq!(registry.ready("llm").count(), 0);
 }
 
 #[test]
 fn an_endpoint_that_is_gone_never_returns() {
     let mut registry = Registry::default();
-    registry.merge(Registration::gone("e"));
-    assert!(registry.merge(said("e", 9, EndpointState::Ready)).is_none());
+    registry.merge(Registration::gone("e"), FirstHand);
+    assert!(registry.merge(said("e", 9, EndpointState::Ready), FirstHand).is_none());
     assert_eq!(registry.get("e").unwrap().state, EndpointState::Gone);
 }
 
 #[test]
 fn heartbeats_that_change_nothing_are_not_passed_on() {
     let mut registry = Registry::default();
-    registry.merge(said("e", 1, EndpointState::Ready));
-    assert!(registry.merge(said("e", 2, EndpointState::Ready)).is_none());
+    registry.merge(said("e", 1, EndpointState::Ready), FirstHand);
+    assert!(registry.merge(said("e", 2, EndpointState::Ready), FirstHand).is_none());
     let moved = Registration { slots: 32, ..said("e", 3, EndpointState::Ready) };
-    assert_eq!(registry.merge(moved).unwrap().slots, 32);
+    assert_eq!(registry.merge(moved, FirstHand).unwrap().slots, 32);
 }
 
 fn any_registration() -> impl Strategy<Value = Registration> {
@@ -66,7 +67,7 @@
         let learn = |news: Vec<Registration>| {
             let mut registry = Registry::default();
             for said in news {
-                registry.merge(said);
+                registry.merge(said, FirstHand);
             }
             let state = |r: &Registration| (r.id.clone(), r.state);
             registry.all().map(state).collect::<Vec<_>>()
@@ -78,12 +79,12 @@
 #[test]
 fn what_is_remembered_counts_until_it_speaks_or_is_forgotten() {
     let mut registry = Registry::default();
-    registry.merge(said("left", 3, EndpointState::Leaving));
+    registry.merge(said("left", 3, EndpointState::Leaving), FirstHand);
     let remembered = ["left", "quiet", "back", "leaving"];
     registry.remember(remembered.map(|id| said(id, 2, EndpointState::Ready)).into());
     assert_eq!(registry.ready("llm").count(), 3, "one had said that it leaves");
-    assert!(registry.merge(said("back", 3, EndpointState::Ready)).is_some());
-    assert!(registry.merge(said("leaving", 3, EndpointState::Leaving)).is_some());
+    assert!(registry.merge(said("back", 3, EndpointState::Ready), FirstHand).is_some());
+    assert!(registry.merge(said("leaving", 3, EndpointState::Leaving), FirstHand).is_some());
     assert_eq!(registry.ready("llm").count(), 2);
     assert_eq!(registry.get("quiet").unwrap().sequence, 2);
     assert_eq!(registry.forget_remembered(), 1);
@@ -118,14 +119,15 @@
 #[test]
 fn endpoints_of_a_drained_hall_get_no_new_work() {
     let mut registry = Registry::default();
-    registry.merge(said("a1", 1, EndpointState::Ready));
-    registry.merge(Registration { hall: "b".into(), ..said("b1", 1, EndpointState::Ready) });
+    registry.merge(said("a1", 1, EndpointState::Ready), FirstHand);
+    registry
+        .merge(Registration { hall: "b".into(), ..said("b1", 1, EndpointState::Ready) }, FirstHand);
     assert!(registry.adopt_drained(drained(&["a"])));
     let ready: Vec<_> = registry.ready("llm").map(|r| r.id.as_str()).collect();
     assert_eq!(ready, ["b1"]);
     assert!(registry.get_ready("a1").is_none());
     assert!(registry.get("a1").is_some(), "what runs there ends there");
-    registry.merge(said("a2", 1, EndpointState::Ready));
+    registry.merge(said("a2", 1, EndpointState::Ready), FirstHand);
     assert!(registry.get_ready("a2").is_none(), "nor those that come later");
 }
 
@@ -151,16 +153,19 @@
 #[test]
 fn endpoints_of_a_hall_taken_back_count_as_cold_until_they_say_twice_that_they_are_not() {
     let mut registry = Registry::default();
-    registry.merge(said("e", 7, EndpointState::Ready));
+    registry.merge(said("e", 7, EndpointState::Ready), FirstHand);
     let mut halls = drained(&["a"]);
     registry.adopt_drained(halls.clone());
     halls.restore("a");
     registry.adopt_drained(halls);
     assert!(registry.get("e").unwrap().warmup_ms > 0);
     // The first may have been sent before it turned cold.
-    registry.merge(said("e", 8, EndpointState::Ready));
+    registry.merge(said("e", 8, EndpointState::Ready), FirstHand);
     assert!(registry.get("e").unwrap().warmup_ms > 0);
-    assert!(registry.merge(said("e", 9, EndpointState::Ready)).is_some(), "others hear of it");
+    assert!(
+        registry.merge(said("e", 9, EndpointState::Ready), FirstHand).is_some(),
+        "others hear of it"
+    );
     assert_eq!(registry.get("e").unwrap().warmup_ms, 0);
 }
 
@@ -171,10 +176,10 @@
         warmup_ms,
         ..said("e", sequence, EndpointState::Ready)
     };
-    registry.merge(cold(1, 900));
-    assert!(registry.merge(cold(2, 300)).is_none());
-    assert!(registry.merge(cold(3, 3_000)).is_some(), "it starts anew");
-    assert!(registry.merge(cold(4, 0)).is_some());
+    registry.merge(cold(1, 900), FirstHand);
+    assert!(registry.merge(cold(2, 300), FirstHand).is_none());
+    assert!(registry.merge(cold(3, 3_000), FirstHand).is_some(), "it starts anew");
+    assert!(registry.merge(cold(4, 0), FirstHand).is_some());
 }
 
 /// A listener that reads a part now and then ends with what the registry knows, however
@@ -186,19 +191,37 @@
         for id in 0..50 {
             let slots = round as u32;
             let state = EndpointState::Ready;
-            registry.merge(Registration { slots, ..said(&id.to_string(), round, state) });
+            registry
+                .merge(Registration { slots, ..said(&id.to_string(), round, state) }, FirstHand);
         }
     }
     assert_eq!(registry.last_change(), 5_000);
     let mut told = 0;
     let mut read = Vec::new();
     while told < registry.last_change() {
-        let changes = registry.changes_after(told, 7);
+        let changes = registry.changes_after(told, 7, Scope::All);
         assert!(changes.endpoints.len() <= 7);
         told = changes.upto;
         read.extend(changes.endpoints);
     }
     assert_eq!(read.len(), 50);
     assert!(read.iter().all(|endpoint| endpoint.slots == 100));
-    assert!(registry.changes_after(told, 7).endpoints.is_empty());
+    assert!(registry.changes_after(told, 7, Scope::All).endpoints.is_empty());
+}
+
+#[test]
+fn who_wants_first_hand_news_is_not_told_what_others_passed_on() {
+    let mut registry = Registry::default();
+    registry.merge(said("here", 1, EndpointState::Ready), FirstHand);
+    registry.merge(said("elsewhere", 1, EndpointState::Ready), SecondHand);
+    let ids = |registry: &Registry, scope| {
+        let changes = registry.changes_after(0, 10, scope);
+        assert_eq!(changes.upto, registry.last_change());
+        changes.endpoints.into_iter().map(|e| e.id).collect::<Vec<_>>()
+    };
+    assert_eq!(ids(&registry, Scope::All), ["here", "elsewhere"]);
+    assert_eq!(ids(&registry, Scope::FirstHand), ["here"]);
+    // It calls here the next time.
+    registry.merge(said("elsewhere", 2, EndpointState::Leaving), FirstHand);
+    assert_eq!(ids(&registry, Scope::FirstHand), ["here", "elsewhere"]);
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -10,7 +10,7 @@
 mod tests;
 
 pub use frame::{
-    BatchSender, BatchWriter, FrameReader, MAX_FRAME, Patient, SentBytes, TCP_HEADER, UDP_HEADER,
-    write_frame,
+    BatchSender, BatchWriter, FrameReader, MAX_FRAME, Patient, SentBytes, TCP_HEADER, Traffic,
+    UDP_HEADER, write_frame,
 };
 pub use message::*;
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -22,19 +22,74 @@
 const BATCH_INTERVAL: Duration = Duration::from_millis(2);
 const LENGTH_BYTES: usize = 4;
 
-/// Counts bytes sent to peers, headers included.
+/// What bytes between hosts are sent for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Traffic {
+    /// Heartbeats.
+    Heartbeats,
+    /// Messages of the agreement.
+    Agreement,
+    /// Routing tables and their versions, who leads, and the numbers of routers.
+    Routing,
+    /// Endpoints that changed.
+    Endpoints,
+    /// Requests for places, and places.
+    Placement,
+    /// All else.
+    #[default]
+    Other,
+}
+
+impl Traffic {
+    /// Every kind, in the order of the counters.
+    pub const ALL: [Traffic; 6] = [
+        Traffic::Heartbeats,
+        Traffic::Agreement,
+        Traffic::Routing,
+        Traffic::Endpoints,
+        Traffic::Placement,
+        Traffic::Other,
+    ];
+
+    /// The name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Traffic::Heartbeats => "heartbeats",
+            Traffic::Agreement => "agreement",
+            Traffic::Routing => "routing",
+            Traffic::Endpoints => "endpoints",
+            Traffic::Placement => "placement",
+            Traffic::Other => "other",
+        }
+    }
+}
+
+/// Counts bytes sent to peers, headers included, by what they are sent for.
 #[derive(Clone, Debug, Default)]
-pub struct SentBytes(Arc<AtomicU64>);
+pub struct SentBytes {
+    counters: Arc<[AtomicU64; Traffic::ALL.len()]>,
+    traffic: Traffic,
+}
 
 impl SentBytes {
+    /// The same counters, for bytes that are sent for `traffic`.
+    pub fn of(&self, traffic: Traffic) -> SentBytes {
+        SentBytes { counters: self.counters.clone(), traffic }
+    }
+
     /// Adds `bytes`.
     pub fn add(&self, bytes: u64) {
-        self.0.fetch_add(bytes, Ordering::Relaxed);
+        self.counters[self.traffic as usize].fetch_add(bytes, Ordering::Relaxed);
     }
 
     /// The bytes counted so far.
     pub fn get(&self) -> u64 {
-        self.0.load(Ordering::Relaxed)
+        self.counters.iter().map(|counter| counter.load(Ordering::Relaxed)).sum()
+    }
+
+    /// The bytes counted so far for this traffic alone.
+    pub fn get_own(&self) -> u64 {
+        self.counters[self.traffic as usize].load(Ordering::Relaxed)
     }
 }
 
