Keep apart what a control host was told first-hand and in all

Cause, found by reading: a subscriber that went over from first-hand news of a host to all of its news named the last change that it had been told, and so would never have been told the second-hand ones before it. The last change is kept for each scope, and messages say of which they are.

--- a/src/feed.rs
+++ b/src/feed.rs
@@ -46,6 +46,8 @@
         numbering: u64,
         /// Number of the last change contained.
         upto: u64,
+        /// Which changes up to it were told.
+        scope: Scope,
         /// The endpoints as they are now.
         endpoints: Vec<Registration>,
     },
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -111,7 +111,8 @@
                 if endpoints.is_empty() {
                     continue;
                 }
-                FeedMessage::Endpoints { numbering, upto: changes.upto, endpoints }
+                let (upto, scope) = (changes.upto, cursor.scope);
+                FeedMessage::Endpoints { numbering, upto, scope, endpoints }
             }
             Ok(()) = routing.changed() => match routing.borrow_and_update().clone() {
                 Some(routing) => FeedMessage::RoutingVersion(routing.table.version),
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -41,8 +41,9 @@
     tables_changed: Notify,
     sources: Mutex<Sources>,
     sources_changed: Notify,
-    /// The last change of endpoints that each control host told, and whose numbers.
-    told: Mutex<BTreeMap<HostId, (u64, u64)>>,
+    /// Whose numbers each control host uses, and the last change of endpoints that it
+    /// told; of each scope for itself, since the one leaves out what the other contains.
+    told: Mutex<BTreeMap<(HostId, Scope), (u64, u64)>>,
     neighbours: Mutex<Arc<Vec<Neighbour>>>,
     role: Role,
 }
@@ -157,7 +158,7 @@
     }
 
     fn endpoints_after(&self, host: HostId, scope: Scope) -> EndpointsAfter {
-        let (numbering, change) = lock(&self.told).get(&host).copied().unwrap_or_default();
+        let (numbering, change) = lock(&self.told).get(&(host, scope)).copied().unwrap_or_default();
         EndpointsAfter { numbering, change, scope, with_gone: self.role == Role::Control }
     }
 
@@ -206,9 +207,9 @@
                 self.tables().fetch.delivered(from);
                 self.tables_changed.notify_one();
             }
-            FeedMessage::Endpoints { numbering, upto, endpoints } => {
+            FeedMessage::Endpoints { numbering, upto, scope, endpoints } => {
                 self.registry.merge(endpoints, Hearing::SecondHand);
-                lock(&self.told).insert(from, (numbering, upto));
+                lock(&self.told).insert((from, scope), (numbering, upto));
             }
             FeedMessage::DrainedHalls(drained) => self.registry.adopt_drained(drained),
             FeedMessage::Neighbours(routers) => self.adopt_neighbours(routers),
--- a/src/registry/table.rs
+++ b/src/registry/table.rs
@@ -96,7 +96,7 @@
 }
 
 /// Which changes a listener wants.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Scope {
     /// All of them.
     #[default]
