Split request.rs and driver.rs by duty; cut three circles of files

Circles cut: gateway handover/server, placement choice/placer (EngineInfo stands with the engines), engine/timing (the time to a first event stands with timing). No behaviour changes.

--- a/src/control.rs
+++ b/src/control.rs
@@ -5,6 +5,7 @@
 mod driver;
 pub(crate) mod found;
 mod halls;
+mod handle;
 mod join;
 mod serve;
 mod state;
@@ -34,8 +35,8 @@
 const DISK_PAUSE: Duration = Duration::from_millis(200);
 
 pub use documents::Unanswered;
-pub use driver::{Handle, Leadership, NoLeader};
 pub use halls::HallOrder;
+pub use handle::{Handle, Leadership, NoLeader};
 pub use join::Joined;
 pub use serve::{Ask, Asked, ClaimAnswer, ClaimRequest, Identity};
 pub use state::{Changed, Command, Reply, State};
--- a/src/control/documents.rs
+++ b/src/control/documents.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::Control;
-use super::driver::NoLeader;
+use super::handle::NoLeader;
 use super::state::{Command, Reply};
 use crate::config::Refusal;
 use crate::registry::{Hearing, Registration};
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -1,7 +1,7 @@
 //! Drives the agreement: disk, network and state around the state machine.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,10 +11,10 @@
 use tokio::task::JoinHandle;
 
 use super::courier::Couriers;
-use super::state::{Command, Reply, State};
+use super::handle::{DriverStatus, Event, Handle, Leadership, NoLeader, ReplyTo};
+use super::state::{Command, State};
 use crate::agree::{
-    Entry, Envelope, GroupMember, NotLeader, Output, Payload, Persist, Replica, Role, Status,
-    StoreId,
+    Entry, Envelope, GroupMember, NotLeader, Output, Payload, Persist, Replica, Role, StoreId,
 };
 use crate::error::{NetSnafu, Result};
 use crate::peer::Peers;
@@ -23,87 +23,12 @@
 use crate::settings::ControlSettings;
 use crate::spread::Configs;
 use crate::store::{Disk, DiskWriter, Found};
-use crate::wire::HostId;
 
 /// Events taken together, so that they share one sync.
 const MAX_BATCH: usize = 1_024;
 /// Events that may wait.
 const INBOX: usize = 8_192;
 
-/// There is no leader here to decide; the one elsewhere, where known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NoLeader {
-    /// Another host leads.
-    Elsewhere(HostId),
-    /// No leader is known.
-    Unknown,
-    /// The leader was lost on the way: the command may be accepted or not.
-    Uncertain,
-}
-
-type ReplyTo = oneshot::Sender<Result<Reply, NoLeader>>;
-
-enum Event {
-    Receive { envelope: Envelope, host: HostId, peer: SocketAddr },
-    Propose(Command, ReplyTo),
-    Read(oneshot::Sender<Result<(), NoLeader>>),
-    Found(Vec<GroupMember>),
-    Let { newcomer: GroupMember, reply: oneshot::Sender<Result<bool, NoLeader>> },
-    Join { newcomer: GroupMember, reply: oneshot::Sender<Result<bool, NoLeader>> },
-    Status(oneshot::Sender<DriverStatus>),
-    Look(Box<dyn FnOnce(&State) + Send>, oneshot::Sender<NoLeader>),
-}
-
-/// The agreement's state for reports.
-#[derive(Clone, Debug)]
-pub struct DriverStatus {
-    /// Of the state machine.
-    pub replica: Status,
-    /// How far each store's log matches, on the leader.
-    pub matched: BTreeMap<StoreId, u64>,
-    /// Claims held.
-    pub claims: usize,
-}
-
-/// Asks the agreement.
-#[derive(Clone, Debug)]
-pub struct Handle {
-    /// This host's store.
-    pub store: StoreId,
-    /// Who leads, as this store knows it.
-    pub leadership: watch::Receiver<Leadership>,
-    events: mpsc::Sender<Event>,
-}
-
-/// Who leads the agreement, as one store knows it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Leadership {
-    /// The term.
-    pub term: u64,
-    /// The leader's host, where known.
-    pub leader: Option<HostId>,
-    /// Whether this store leads.
-    pub leads: bool,
-    /// Whether this store belongs to a group.
-    pub founded: bool,
-    /// The hosts of the group, with their peer addresses.
-    pub hosts: Vec<(HostId, SocketAddr)>,
-}
-
-impl Leadership {
-    fn of(replica: &Replica) -> Leadership {
-        let members = replica.members();
-        let leader = members.iter().find(|m| Some(m.store) == replica.leader());
-        Leadership {
-            term: replica.term(),
-            leader: leader.map(|m| m.host),
-            leads: replica.role() == Role::Leader,
-            founded: replica.is_founded(),
-            hosts: members.iter().map(|m| (m.host, m.peer)).collect(),
-        }
-    }
-}
-
 /// Messages that promise what the disk has not yet taken.
 struct Unsynced {
     job: u64,
@@ -111,79 +36,6 @@
     last_entry: (u64, u64),
 }
 
-impl Handle {
-    /// Proposes a command and waits for its reply.
-    pub async fn propose(&self, command: Command) -> Result<Reply, NoLeader> {
-        let (sender, receiver) = oneshot::channel();
-        self.send(Event::Propose(command, sender)).await;
-        receiver.await.unwrap_or(Err(NoLeader::Uncertain))
-    }
-
-    /// Waits until all that was accepted before now has been applied here, on
-    /// the leader.
-    pub async fn read(&self) -> Result<(), NoLeader> {
-        let (sender, receiver) = oneshot::channel();
-        self.send(Event::Read(sender)).await;
-        receiver.await.unwrap_or(Err(NoLeader::Uncertain))
-    }
-
-    /// A message from another store, and the host that holds it.
-    pub async fn receive(&self, envelope: Envelope, host: HostId, peer: SocketAddr) {
-        self.send(Event::Receive { envelope, host, peer }).await;
-    }
-
-    /// Founds a new group, unless this store belongs to one.
-    pub async fn found(&self, members: Vec<GroupMember>) {
-        self.send(Event::Found(members)).await;
-    }
-
-    /// Lets a store into the group; false while another change is under way.
-    pub async fn let_in(&self, newcomer: GroupMember) -> Result<bool, NoLeader> {
-        let (reply, receiver) = oneshot::channel();
-        self.send(Event::Let { newcomer, reply }).await;
-        receiver.await.unwrap_or(Err(NoLeader::Uncertain))
-    }
-
-    /// Lets a store in that asks to join; false while another change is under
-    /// way.
-    pub async fn join(&self, newcomer: GroupMember) -> Result<bool, NoLeader> {
-        let (reply, receiver) = oneshot::channel();
-        self.send(Event::Join { newcomer, reply }).await;
-        receiver.await.unwrap_or(Err(NoLeader::Uncertain))
-    }
-
-    /// The agreement's state.
-    pub async fn status(&self) -> Option<DriverStatus> {
-        let (sender, receiver) = oneshot::channel();
-        self.send(Event::Status(sender)).await;
-        receiver.await.ok()
-    }
-
-    /// Looks at the state as applied here, if this store leads as far as it
-    /// knows. Others lag by a heartbeat, a new leader by a little.
-    pub async fn look<T: Send + 'static>(
-        &self,
-        f: impl FnOnce(&State) -> T + Send + 'static,
-    ) -> Result<T, NoLeader> {
-        let (sender, receiver) = oneshot::channel();
-        let (refuse, refused) = oneshot::channel();
-        let look = move |state: &State| {
-            // The asker may have left.
-            let _ = sender.send(f(state));
-        };
-        self.send(Event::Look(Box::new(look), refuse)).await;
-        match receiver.await {
-            Ok(seen) => Ok(seen),
-            Err(_) => Err(refused.await.unwrap_or(NoLeader::Unknown)),
-        }
-    }
-
-    async fn send(&self, event: Event) {
-        // When the driver has stopped, the answer's channel closes.
-        let _ = self.events.send(event).await;
-    }
-}
-
 /// Starts the driver on what was found on disk.
 pub(super) fn start(
     settings: &ControlSettings,
--- a/src/control/join.rs
+++ b/src/control/join.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::Control;
-use super::driver::NoLeader;
+use super::handle::NoLeader;
 use crate::agree::GroupMember;
 use crate::error::Result;
 use crate::wire::{HostId, Open, Role, write_frame};
--- a/src/control/serve.rs
+++ b/src/control/serve.rs
@@ -7,7 +7,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 
 use super::Control;
-use super::driver::NoLeader;
+use super::handle::NoLeader;
 use super::state::{Command, Reply};
 use crate::agree::{Envelope, StoreId};
 use crate::claim::{Claim, Claimed, Settlement};
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,6 +6,7 @@
 //! may be sent to another one; what it may have run only where that is allowed.
 
 mod budget;
+mod callers;
 mod connections;
 mod dialect;
 mod endpoints;
@@ -14,6 +15,7 @@
 mod handover;
 mod neighbours;
 mod overload;
+mod refusal;
 mod request;
 mod server;
 mod state;
@@ -26,7 +28,7 @@
     AnswerHead, CallHead, Dialect, Forwarding, NativeDialect, PromptPart, prompt_parts, set_header,
     text, token_counts,
 };
-pub use endpoints::{Endpoints, Failure, Preference};
+pub use endpoints::{ColdPart, Endpoints, Failure, Preference};
 pub use events::EventSplitter;
 pub use neighbours::Neighbours;
 pub use overload::{Overload, OverloadRules};
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -17,8 +17,8 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
+use super::callers::{KeepAlive, serve_requests};
 use super::overload::Overload;
-use super::server::{KeepAlive, serve_requests};
 use super::state::Gateway;
 use crate::error::{Result, RpcSnafu};
 use crate::feed::Neighbour;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -15,6 +15,7 @@
 use super::dialect::CallHead;
 use super::endpoints::{ColdPart, Preference};
 use super::exchange::{self, Attempt};
+use super::refusal::Refusal;
 use super::state::{Gateway, Presence};
 use crate::placement::{self, Placed, PlacementRequest, Reservation};
 use crate::registry::Registration;
@@ -24,121 +25,6 @@
 const MAX_SENDS: usize = 4;
 /// Time left below which a request is not sent any more.
 const LEAST_REMAINING: Duration = Duration::from_millis(10);
-/// When to come back if nothing better is known, in seconds.
-const RETRY_AFTER_S: f64 = 0.25;
-
-/// Why the gateway itself ends a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Refusal {
-    /// No routing is known here yet.
-    NoRouting,
-    /// A planned stop takes no more requests.
-    Stopping,
-    /// This router has more to do than it bears.
-    Overloaded,
-    /// No route fits.
-    NoRoute,
-    /// The key is missing or unknown.
-    UnknownKey,
-    /// No route or key fits, and the routing here may not be the newest.
-    RoutingUnconfirmed,
-    /// The body is too large.
-    BodyTooLarge,
-    /// The body did not come in time.
-    BodyTooSlow,
-    /// The body broke off.
-    BodyBroken,
-    /// No endpoint of the service is known to take work.
-    NoEndpoint,
-    /// Endpoints were asked and none ran it.
-    NotExecuted,
-    /// It cannot be served in time.
-    TooLate {
-        /// Milliseconds after which to come back.
-        retry_after_ms: u32,
-    },
-    /// Time ran out before it was sent.
-    TimedOutUnsent,
-    /// Time ran out after it was sent.
-    TimedOut,
-    /// It may have run, and its answer is lost.
-    AnswerLost,
-}
-
-impl Refusal {
-    fn status(self) -> StatusCode {
-        match self {
-            Refusal::NoRouting
-            | Refusal::RoutingUnconfirmed
-            | Refusal::Stopping
-            | Refusal::Overloaded
-            | Refusal::NoEndpoint
-            | Refusal::NotExecuted
-            | Refusal::TooLate { .. }
-            | Refusal::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
-            Refusal::NoRoute => StatusCode::NOT_FOUND,
-            Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
-            Refusal::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Refusal::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
-            Refusal::BodyBroken => StatusCode::BAD_REQUEST,
-            Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-            Refusal::AnswerLost => StatusCode::BAD_GATEWAY,
-        }
-    }
-
-    /// Whether the rest of the caller's connection cannot be used any more.
-    fn closes(self) -> bool {
-        matches!(
-            self,
-            Refusal::Stopping
-                | Refusal::Overloaded
-                | Refusal::BodyTooLarge
-                | Refusal::BodyTooSlow
-                | Refusal::BodyBroken
-        )
-    }
-
-    /// The name used in logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Refusal::NoRouting => "no_routing",
-            Refusal::Stopping => "stopping",
-            Refusal::Overloaded => "overloaded",
-            Refusal::NoRoute => "no_route",
-            Refusal::UnknownKey => "unknown_key",
-            Refusal::RoutingUnconfirmed => "routing_unconfirmed",
-            Refusal::BodyTooLarge => "body_too_large",
-            Refusal::BodyTooSlow => "body_too_slow",
-            Refusal::BodyBroken => "body_broken",
-            Refusal::NoEndpoint => "no_endpoint",
-            Refusal::NotExecuted => "not_executed",
-            Refusal::TooLate { .. } => "too_late",
-            Refusal::TimedOutUnsent => "timed_out_unsent",
-            Refusal::TimedOut => "timed_out",
-            Refusal::AnswerLost => "answer_lost",
-        }
-    }
-
-    fn into_response(self) -> Response<Body> {
-        let mut response = Response::new(Body::from(self.name()));
-        *response.status_mut() = self.status();
-        let headers = response.headers_mut();
-        if self.status() == StatusCode::SERVICE_UNAVAILABLE {
-            let seconds = match self {
-                Refusal::TooLate { retry_after_ms } => f64::from(retry_after_ms) / 1_000.0,
-                // Another router can take it at once.
-                Refusal::Overloaded => 0.0,
-                _ => RETRY_AFTER_S,
-            };
-            let after = HeaderValue::from_str(&format!("{seconds}"));
-            headers.insert(header::RETRY_AFTER, after.expect("a number is a legal header"));
-        }
-        if self.closes() {
-            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
-        }
-        response
-    }
-}
 
 /// Where a request goes next.
 pub(super) enum Place {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -29,11 +29,12 @@
 mod warmth;
 
 pub use client::{Placed, Placements, Reservation};
+pub use engines::EngineInfo;
 pub use local::LocalPlacer;
 pub use message::{
     Ending, FromPlacer, KeptParts, Knowledge, OpenRequest, PlacementRequest, PromptParts, Refusal,
     ToPlacer,
 };
-pub use placer::{Decision, EngineInfo, Placer};
+pub use placer::{Decision, Placer};
 pub use rules::PlacementRules;
 pub use server::{PlacementSession, serve};
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -4,13 +4,14 @@
 use slab::Slab;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::engine::{EngineModel, FIXED_MS, reading_units};
+use super::engine::{EngineModel, reading_units};
+use super::engines::EngineInfo;
 use super::message::PlacementRequest;
 use super::parts::{EngineNumber, Match};
-use super::placer::EngineInfo;
 use super::queue::{Position, Queue};
 use super::rules::PlacementRules;
 use super::shares::Standing;
+use super::timing::FIXED_MS;
 use super::warmth::Warmth;
 use crate::dispatch::Millis;
 
--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -5,7 +5,7 @@
 use super::message::PromptParts;
 use super::queue::Pace;
 use super::rate::ReadingRate;
-use super::timing::Timing;
+use super::timing::{FIXED_MS, Timing};
 use crate::dispatch::Millis;
 use crate::wire::HostId;
 
@@ -14,8 +14,6 @@
 
 /// Context at which attention makes reading a token twice as dear, in tokens.
 const ATTENTION_TOKENS: f64 = 60_000.0;
-/// Milliseconds to a first event beyond the reading of prompts.
-pub const FIXED_MS: f64 = 55.0;
 /// Weight of what was learnt before, at each new observation.
 const MEMORY: f64 = 0.97;
 /// Weight of the newest observation in the lateness of an engine: five prompts are
--- a/src/placement/engines.rs
+++ b/src/placement/engines.rs
@@ -1,7 +1,6 @@
 //! The engines that take work, as routing and registrations tell.
 
-use super::placer::EngineInfo;
-use crate::registry::Registry;
+use crate::registry::{Registration, Registry};
 use crate::routing::{Routing, ServicePool};
 
 /// Tokens read in a millisecond by an engine of which nothing is known.
@@ -10,6 +9,31 @@
 /// which count all tokens of prompts, kept ones too.
 const RATE_OVER_NOMINAL: f64 = 1.3;
 
+/// What is known of an engine from its registration and the routing.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineInfo {
+    /// The endpoint's id.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Tokens that its memory holds.
+    pub memory_tokens: u64,
+    /// A guess of the tokens that it reads in a millisecond.
+    pub rate: f64,
+    /// Milliseconds to copy the memory of one token from another engine; none
+    /// where engines cannot.
+    pub copy_ms_per_token: Option<f64>,
+    /// Requests a second that it bears while it is cold; none where it bears as many
+    /// as ever.
+    pub cold_per_second: Option<f64>,
+    /// Number of its call that said what follows.
+    pub call: u64,
+    /// Milliseconds for which it is still cold.
+    pub warmup_ms: u64,
+}
+
 /// All engines that take work.
 pub fn engines_of(routing: &Routing, registry: &Registry) -> Vec<EngineInfo> {
     let nominal = routing.table.limits.tokens_per_second as f64 / 1_000.0;
@@ -24,7 +48,7 @@
         true => nominal * RATE_OVER_NOMINAL / ready.len().max(1) as f64,
         false => DEFAULT_RATE,
     };
-    let info = |endpoint: &crate::registry::Registration| EngineInfo {
+    let info = |endpoint: &Registration| EngineInfo {
         id: endpoint.id.clone(),
         service: service.name.clone(),
         slots: endpoint.slots.max(engine.slots),
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -6,6 +6,7 @@
 
 use super::choice::{Choice, Chooser, Engine, memory_tokens};
 use super::engine::{Observation, RequestKey, reading_units};
+use super::engines::EngineInfo;
 use super::message::{Ending, FromPlacer, Knowledge, PlacementRequest, Refusal, ToPlacer};
 use super::parts::{EngineNumber, Match, PartIndex};
 use super::queue::Planned;
@@ -23,31 +24,6 @@
 /// Part by which a service's rate must move before its engines are told.
 const LEAST_MOVE: f64 = 0.05;
 
-/// What is known of an engine from its registration and the routing.
-#[derive(Clone, Debug, PartialEq)]
-pub struct EngineInfo {
-    /// The endpoint's id.
-    pub id: String,
-    /// Its service.
-    pub service: String,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Tokens that its memory holds.
-    pub memory_tokens: u64,
-    /// A guess of the tokens that it reads in a millisecond.
-    pub rate: f64,
-    /// Milliseconds to copy the memory of one token from another engine; none
-    /// where engines cannot.
-    pub copy_ms_per_token: Option<f64>,
-    /// Requests a second that it bears while it is cold; none where it bears as many
-    /// as ever.
-    pub cold_per_second: Option<f64>,
-    /// Number of its call that said what follows.
-    pub call: u64,
-    /// Milliseconds for which it is still cold.
-    pub warmup_ms: u64,
-}
-
 /// An answer to a router, with what decided it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Decision {
--- a/src/placement/timing.rs
+++ b/src/placement/timing.rs
@@ -1,9 +1,10 @@
 //! What an engine has still to read, as moments on the clock: worked out when its
 //! requests change, so that looking at hundreds of engines costs little.
 
-use super::engine::FIXED_MS;
 use crate::dispatch::Millis;
 
+/// Milliseconds to a first event beyond the reading of prompts.
+pub const FIXED_MS: f64 = 55.0;
 /// Milliseconds beyond twice the time that a prompt should take after which its
 /// engine is taken for stalled: less than the shortest objective seen. Chosen.
 const STALL_MS: f64 = 250.0;
