--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -85,3 +85,23 @@
         prop_assert_eq!(restored.history().config(), state.history().config());
     }
 }
+
+#[test]
+fn drained_halls_are_part_of_a_snapshot_and_orders_given_twice_change_nothing() {
+    let mut state = State::default();
+    let drain = || Command::DrainHall("a".into());
+    let Reply::Halls(first) = state.apply(drain()) else { panic!("an order about a hall") };
+    assert!(first.contains("a"));
+    let versions = state.versions();
+    assert_eq!(state.apply(drain()), Reply::Halls(first.clone()));
+    assert_eq!(state.apply(Command::RestoreHall("b".into())), Reply::Halls(first.clone()));
+    assert_eq!(state.versions(), versions, "nothing is told again");
+    let snapshot = postcard::to_stdvec(&state).unwrap();
+    let mut restored: State = postcard::from_bytes(&snapshot).unwrap();
+    assert_eq!(restored.drained(), &first);
+    let Reply::Halls(back) = restored.apply(Command::RestoreHall("a".into())) else {
+        panic!("an order about a hall")
+    };
+    assert!(!back.contains("a"));
+    assert!(back.revision() > first.revision(), "the newer order prevails everywhere");
+}
