--- a/benches/placer.rs
+++ b/benches/placer.rs
@@ -31,9 +31,14 @@
 fn engine(number: u64) -> EngineInfo {
     EngineInfo {
         id: format!("i-{number:08x}"),
+        born: 0,
         service: "llm".into(),
+        version: "v1".into(),
+        hall: "a".into(),
+        region: "r".into(),
         slots: 12,
         memory_tokens: 472_528,
+        tokens_per_event: 4,
         rate: RATE,
         copy_ms_per_token: Some(0.002),
         cold_per_second: None,
@@ -55,6 +60,9 @@
         prompt_tokens: shared + own,
         output_tokens: made,
         objective_ms: 1_000,
+        pause_ms: 0,
+        hall: "a".into(),
+        eligibility: Default::default(),
         avoid: vec![],
     }
 }
--- a/examples/spread.rs
+++ b/examples/spread.rs
@@ -76,6 +76,7 @@
     let address = |n: u16| ([127, 0, 0, 1], FIRST_PORT + n).into();
     let settings = HostSettings {
         seed_port: None,
+        regions: Default::default(),
         heartbeats: Default::default(),
         name: format!("host-{n}"),
         id: Some(HostId((n + 1).into())),
--- a/src/control.rs
+++ b/src/control.rs
@@ -25,6 +25,7 @@
 use crate::peer::{Incoming, PeerReader, Peers};
 use crate::placement::{self, PlacementSession};
 use crate::registry::{SharedRegistry, saved};
+use crate::rollout::SharedRollouts;
 use crate::routing::Documents;
 use crate::settings::ControlSettings;
 use crate::spread::{self, Configs};
@@ -54,6 +55,8 @@
     pub documents: Arc<Documents>,
     /// Endpoints that registered themselves here or elsewhere.
     pub registry: Arc<SharedRegistry>,
+    /// Releases that are rolled out.
+    pub rollouts: Arc<SharedRollouts>,
     /// The placer that runs here.
     pub placement: PlacementSession,
     /// The agreement.
@@ -100,14 +103,18 @@
     let configs = Arc::new(Configs::default());
     let documents = Arc::new(Documents::default());
     let registry = Arc::new(SharedRegistry::default());
+    let rollouts = Arc::new(SharedRollouts::default());
     registry.remember(saved::load(&settings.data));
     tokio::spawn(saved::keep_saved(registry.clone(), settings.data.clone()));
     let (handle, driver) = driver::start(
         &settings,
         peers.clone(),
-        configs.clone(),
-        documents.clone(),
-        registry.clone(),
+        driver::Published {
+            configs: configs.clone(),
+            documents: documents.clone(),
+            registry: registry.clone(),
+            rollouts: rollouts.clone(),
+        },
         disk,
         found,
     )?;
@@ -116,6 +123,7 @@
         peers.clock,
         documents.clone(),
         registry.clone(),
+        settings.host.regions.clone(),
         peers.sent.of(Traffic::Placement),
     );
     let control = Arc::new(Control {
@@ -125,6 +133,7 @@
         configs,
         documents,
         registry,
+        rollouts,
         handle,
         stop: stop.clone(),
     });
@@ -138,6 +147,7 @@
             control.peers.clone(),
             control.documents.clone(),
             control.registry.clone(),
+            control.rollouts.clone(),
             &control.settings.host.hall,
             Role::Control,
         );
@@ -197,8 +207,10 @@
     writer: OwnedWriteHalf,
 ) {
     let publication = Publication {
+        subscriber: host,
         documents: control.documents.clone(),
         registry: control.registry.clone(),
+        rollouts: control.rollouts.clone(),
         leadership: control.handle.leadership.clone(),
         view: control.peers.watch(),
         numbering: control.peers.incarnation,
--- a/src/control/documents.rs
+++ b/src/control/documents.rs
@@ -23,6 +23,12 @@
     Unsure,
 }
 
+/// A reply that belongs to another kind of command: nothing can be said for sure.
+pub(super) fn unexpected(reply: &Reply) -> Unanswered {
+    log::error!("control: a command got the reply of another kind: {reply:?}");
+    Unanswered::Unsure
+}
+
 impl From<NoLeader> for Unanswered {
     fn from(no_leader: NoLeader) -> Self {
         match no_leader {
@@ -52,9 +58,7 @@
                 );
                 Ok(in_force)
             }
-            Reply::Changed(_) | Reply::Claimed(_) | Reply::Settled | Reply::Halls(_) => {
-                Err(Unanswered::Unsure)
-            }
+            other => Err(unexpected(&other)),
         }
     }
 
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -19,6 +19,7 @@
 use crate::error::{NetSnafu, Result};
 use crate::peer::Peers;
 use crate::registry::SharedRegistry;
+use crate::rollout::SharedRollouts;
 use crate::routing::Documents;
 use crate::settings::ControlSettings;
 use crate::spread::Configs;
@@ -36,13 +37,30 @@
     last_entry: (u64, u64),
 }
 
+/// Where the agreed state is published to the other parts of this host.
+pub(super) struct Published {
+    pub configs: Arc<Configs>,
+    pub documents: Arc<Documents>,
+    pub registry: Arc<SharedRegistry>,
+    pub rollouts: Arc<SharedRollouts>,
+}
+
+impl Published {
+    fn adopt(&self, state: &State) {
+        self.configs.replace(state.history().clone());
+        if let Some(document) = state.document() {
+            self.documents.adopt(document.clone());
+        }
+        self.registry.adopt_drained(state.drained().clone());
+        self.rollouts.adopt(state.rollouts().clone());
+    }
+}
+
 /// Starts the driver on what was found on disk.
 pub(super) fn start(
     settings: &ControlSettings,
     peers: Arc<Peers>,
-    configs: Arc<Configs>,
-    documents: Arc<Documents>,
-    registry: Arc<SharedRegistry>,
+    published: Published,
     disk: Disk,
     found: Found,
 ) -> Result<(Handle, JoinHandle<Result<()>>)> {
@@ -62,12 +80,10 @@
         store,
         most_voters: settings.most_voters(),
         unsynced: VecDeque::new(),
-        documents,
-        registry,
+        published,
         leadership: status,
         couriers: Couriers::new(peers.clone()),
         peers,
-        configs,
         disk,
         replica,
         state,
@@ -78,7 +94,7 @@
         reads: BTreeMap::new(),
         next_read: 0,
     };
-    driver.publish_state();
+    driver.published.adopt(&driver.state);
     let task = tokio::spawn(driver.run(events, synced));
     Ok((Handle { store, events: sender, leadership }, task))
 }
@@ -93,9 +109,7 @@
 
 struct Driver {
     peers: Arc<Peers>,
-    configs: Arc<Configs>,
-    documents: Arc<Documents>,
-    registry: Arc<SharedRegistry>,
+    published: Published,
     leadership: watch::Sender<Leadership>,
     couriers: Couriers,
     store: StoreId,
@@ -167,14 +181,6 @@
         });
     }
 
-    fn publish_state(&self) {
-        self.configs.replace(self.state.history().clone());
-        if let Some(document) = self.state.document() {
-            self.documents.adopt(document.clone());
-        }
-        self.registry.adopt_drained(self.state.drained().clone());
-    }
-
     fn send_messages(&mut self, messages: Vec<Envelope>) {
         if !messages.is_empty() {
             self.couriers.send(self.replica.members(), messages);
@@ -352,7 +358,7 @@
             self.state = restore(&snapshot.data);
             self.applied = snapshot.index;
             self.snapshot_at = snapshot.index;
-            self.publish_state();
+            self.published.adopt(&self.state);
         }
         self.apply(out.committed);
         for token in out.reads {
@@ -398,7 +404,7 @@
             }
         }
         if self.state.versions() != before {
-            self.publish_state();
+            self.published.adopt(&self.state);
         }
     }
 
--- a/src/control/halls.rs
+++ b/src/control/halls.rs
@@ -1,7 +1,7 @@
 //! Draining data halls and taking them back.
 
 use super::Control;
-use super::documents::Unanswered;
+use super::documents::{Unanswered, unexpected};
 use super::state::{Command, Reply};
 use crate::registry::DrainedHalls;
 
@@ -39,9 +39,7 @@
                 );
                 Ok(drained)
             }
-            Reply::Changed(_) | Reply::Claimed(_) | Reply::Settled | Reply::Replaced(_) => {
-                Err(Unanswered::Unsure)
-            }
+            other => Err(unexpected(&other)),
         }
     }
 
--- a/src/control/serve.rs
+++ b/src/control/serve.rs
@@ -151,9 +151,14 @@
     };
     match control.handle.propose(command).await {
         Ok(Reply::Claimed(claimed)) => Asked::Claimed(claimed),
-        Ok(Reply::Settled | Reply::Changed(_) | Reply::Replaced(_) | Reply::Halls(_)) => {
-            Asked::Settled
-        }
+        Ok(
+            Reply::Settled
+            | Reply::Changed(_)
+            | Reply::Replaced(_)
+            | Reply::Halls(_)
+            | Reply::Rollout(_)
+            | Reply::Stepped,
+        ) => Asked::Settled,
         Err(no_leader) => elsewhere(no_leader),
     }
 }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -8,6 +8,7 @@
 use crate::claim::{Claim, Claimed, Settlement, Table};
 use crate::config::{Change, History, Refusal};
 use crate::registry::DrainedHalls;
+use crate::rollout::{Order, Ordered, Rollouts, Step};
 use crate::routing::Document;
 
 /// Operations whose answers are kept for resends.
@@ -47,6 +48,10 @@
     DrainHall(String),
     /// Send to the endpoints of a data hall again.
     RestoreHall(String),
+    /// Roll a release of a service out.
+    StartRollout(Order),
+    /// Take a roll-out one step further.
+    StepRollout(Step),
 }
 
 /// What became of a change.
@@ -74,6 +79,10 @@
     Replaced(u64),
     /// The data halls that are drained now.
     Halls(DrainedHalls),
+    /// What became of an order to roll a release out.
+    Rollout(Ordered),
+    /// The step of a roll-out was taken, or was out of date.
+    Stepped,
 }
 
 /// The agreed state. Applying a command is deterministic.
@@ -85,6 +94,7 @@
     claims: Table,
     document: Option<Arc<Document>>,
     drained: DrainedHalls,
+    rollouts: Rollouts,
 }
 
 impl State {
@@ -108,10 +118,17 @@
         &self.drained
     }
 
-    /// Versions of the configuration, of the routing document and of the drained halls.
-    pub fn versions(&self) -> (u64, u64, u64) {
+    /// The roll-outs that operators have ordered.
+    pub fn rollouts(&self) -> &Rollouts {
+        &self.rollouts
+    }
+
+    /// Numbers that rise with what is published: the configuration, the routing document,
+    /// the drained halls and the roll-outs.
+    pub fn versions(&self) -> [u64; 4] {
         let configuration = self.history.config().version;
-        (configuration, self.document_version(), self.drained.revision())
+        let (drained, rollouts) = (self.drained.revision(), self.rollouts.revision());
+        [configuration, self.document_version(), drained, rollouts]
     }
 
     /// The routing document's version; 0 while there is none.
@@ -139,6 +156,11 @@
                 self.drained.restore(&hall);
                 Reply::Halls(self.drained.clone())
             }
+            Command::StartRollout(order) => Reply::Rollout(self.start_rollout(order)),
+            Command::StepRollout(step) => {
+                self.rollouts.step(&step);
+                Reply::Stepped
+            }
         }
     }
 
@@ -151,6 +173,15 @@
         self.document_version()
     }
 
+    fn start_rollout(&mut self, order: Order) -> Ordered {
+        let services = self.document.iter().flat_map(|document| &document.table.services);
+        let is_known = services.into_iter().any(|service| service.name == order.service);
+        match is_known {
+            true => self.rollouts.start(order),
+            false => Ordered::UnknownService,
+        }
+    }
+
     /// An operation's first answer again; otherwise the change is decided now.
     fn change(&mut self, operation: String, base: Option<u64>, changes: Vec<Change>) -> Changed {
         if let Some(first) = self.operations.get(&operation) {
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -23,6 +23,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::registry::{DrainedHalls, Registration, Scope};
+use crate::rollout::{Grants, Report, Rollouts};
 use crate::wire::HostId;
 
 pub use publish::{Publication, publish};
@@ -67,6 +68,11 @@
     },
     /// The data halls that operators have drained.
     DrainedHalls(DrainedHalls),
+    /// The roll-outs that operators have ordered.
+    Rollouts(Rollouts),
+    /// What routers may send to releases that are rolled out, for a while; from the
+    /// leader only.
+    Grants(Grants),
 }
 
 /// What a subscriber asks for.
@@ -83,6 +89,8 @@
     Endpoints(EndpointsAfter),
     /// To be told of endpoints no more.
     NoEndpoints,
+    /// What a router saw of releases that are rolled out; for the leader.
+    RolloutReport(Report),
 }
 
 /// Which changes of endpoints a subscriber wants to be told.
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -14,8 +14,9 @@
 use crate::member::View;
 use crate::peer::PeerReader;
 use crate::registry::{Changes, EndpointState, Registration, Scope, SharedRegistry};
+use crate::rollout::SharedRollouts;
 use crate::routing::Documents;
-use crate::wire::{Role, SentBytes, Traffic, write_frame};
+use crate::wire::{HostId, Role, SentBytes, Traffic, write_frame};
 
 /// How long a subscriber may take to read one message.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -28,13 +29,17 @@
 /// beside the 2 s in which a leaving endpoint must get no new work.
 const GATHER: Duration = Duration::from_millis(50);
 
-/// What a feed tells of.
+/// What a feed tells of, and to whom.
 #[derive(Clone, Debug)]
 pub struct Publication {
+    /// Who follows.
+    pub subscriber: HostId,
     /// The routing in force.
     pub documents: Arc<Documents>,
     /// The endpoints.
     pub registry: Arc<SharedRegistry>,
+    /// Releases that are rolled out.
+    pub rollouts: Arc<SharedRollouts>,
     /// Who leads.
     pub leadership: watch::Receiver<Leadership>,
     /// The other hosts.
@@ -63,13 +68,24 @@
     reader: PeerReader,
     mut writer: OwnedWriteHalf,
 ) -> Result<()> {
-    let Publication { documents, registry, mut leadership, mut view, numbering } = publication;
+    let Publication {
+        subscriber,
+        documents,
+        registry,
+        rollouts,
+        mut leadership,
+        mut view,
+        numbering,
+    } = publication;
     let (requests, mut asked) = mpsc::channel(REQUESTS);
     let _reading = AbortOnDropHandle::new(tokio::spawn(read_requests(reader, requests)));
     let mut routing = documents.watch();
     routing.mark_changed();
     leadership.mark_changed();
     view.mark_changed();
+    let mut table = rollouts.watch();
+    table.mark_changed();
+    let mut offers = rollouts.watch_offers();
     let mut routers = 0;
     let mut drained = 0;
     let mut cursor: Option<Cursor> = None;
@@ -102,6 +118,14 @@
                 }
                 FeedMessage::DrainedHalls(now)
             }
+            Ok(()) = table.changed() => {
+                let now = table.borrow_and_update().clone();
+                if now.revision() == 0 {
+                    continue;
+                }
+                FeedMessage::Rollouts((*now).clone())
+            }
+            Ok(()) = offers.changed() => FeedMessage::Grants(offers.borrow_and_update().clone()),
             () = wait_until(due_at) => {
                 let Some(cursor) = &mut cursor else { continue };
                 let changes = registry
@@ -129,6 +153,10 @@
                 Some(FeedRequest::Neighbours { hall }) => {
                     FeedMessage::Neighbours(neighbours(&view.borrow(), &hall))
                 }
+                Some(FeedRequest::RolloutReport(report)) => {
+                    rollouts.reported(subscriber, report);
+                    continue;
+                }
                 Some(FeedRequest::Endpoints(after)) => {
                     cursor = Some(Cursor::new(after, numbering, &registry));
                     // Who was told before knows what the sender only remembers.
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -18,6 +18,7 @@
 use crate::error::Result;
 use crate::peer::Peers;
 use crate::registry::{Hearing, Scope, SharedRegistry};
+use crate::rollout::{Report, SharedRollouts};
 use crate::routing::Documents;
 use crate::wire::{BatchSender, BatchWriter, HostId, Open, Role};
 
@@ -36,6 +37,7 @@
     peers: Arc<Peers>,
     documents: Arc<Documents>,
     registry: Arc<SharedRegistry>,
+    rollouts: Arc<SharedRollouts>,
     news: Mutex<News>,
     tables: Mutex<Tables>,
     tables_changed: Notify,
@@ -61,6 +63,7 @@
         peers: Arc<Peers>,
         documents: Arc<Documents>,
         registry: Arc<SharedRegistry>,
+        rollouts: Arc<SharedRollouts>,
         hall: &str,
         role: Role,
     ) -> Arc<Subscriptions> {
@@ -69,6 +72,7 @@
             peers,
             documents,
             registry,
+            rollouts,
             news: Mutex::default(),
             tables: Mutex::default(),
             tables_changed: Notify::new(),
@@ -180,6 +184,16 @@
         }
     }
 
+    /// Reports to the leader what this router saw of releases that are rolled out; false
+    /// where no leader is in reach.
+    pub fn report_rollouts(&self, report: Report) -> bool {
+        let leader = self.leader();
+        let tables = self.tables();
+        let requests = leader.and_then(|leader| tables.requests.get(&leader));
+        let report = FeedRequest::RolloutReport(report);
+        requests.is_some_and(|requests| requests.send(report.into()).is_ok())
+    }
+
     fn adopt_neighbours(&self, mut routers: Vec<Neighbour>) {
         routers.retain(|router| router.host != self.peers.me);
         let known = Arc::new(routers);
@@ -212,6 +226,10 @@
                 lock(&self.told).insert((from, scope), (numbering, upto));
             }
             FeedMessage::DrainedHalls(drained) => self.registry.adopt_drained(drained),
+            FeedMessage::Rollouts(rollouts) => self.rollouts.adopt(rollouts),
+            FeedMessage::Grants(grants) => {
+                self.rollouts.adopt_grants(self.peers.clock.now(), grants);
+            }
             FeedMessage::Neighbours(routers) => self.adopt_neighbours(routers),
             FeedMessage::Remembered(endpoints) => self.registry.remember(endpoints),
             FeedMessage::Routers(routers) => {
--- a/src/feed/tests/connection.rs
+++ b/src/feed/tests/connection.rs
@@ -35,8 +35,10 @@
     while let Some(Incoming { open, reader, writer }) = incoming.recv().await {
         assert!(matches!(open, Open::Feed { .. }));
         let publication = Publication {
+            subscriber: HostId(0),
             documents: documents.clone(),
             registry: registry.clone(),
+            rollouts: Arc::default(),
             leadership: leadership.subscribe(),
             view: peers.watch(),
             numbering: peers.incarnation,
@@ -57,7 +59,14 @@
     let (router, _) = start(Role::Router, first + 1, vec![address(first)]).await;
     let followed = Arc::new(Documents::default());
     let registry = Arc::new(SharedRegistry::default());
-    let feeds = Subscriptions::start(router.clone(), followed.clone(), registry, "a", Role::Router);
+    let feeds = Subscriptions::start(
+        router.clone(),
+        followed.clone(),
+        registry,
+        Arc::default(),
+        "a",
+        Role::Router,
+    );
     published.adopt_table(table(1));
     wait_until(|| version(&followed) == 1).await;
     ([control, router], [published, followed], feeds)
@@ -101,7 +110,8 @@
     let (router, _) = start(Role::Router, 13, vec![address(11), address(12)]).await;
     let followed = Arc::new(Documents::default());
     let registry = Arc::new(SharedRegistry::default());
-    let feeds = Subscriptions::start(router, followed.clone(), registry, "a", Role::Router);
+    let feeds =
+        Subscriptions::start(router, followed.clone(), registry, Arc::default(), "a", Role::Router);
     wait_until(|| feeds.open_feeds() == 2).await;
     let weight = postcard::to_stdvec(&large_table(1)).unwrap().len() as u64;
     for documents in &published {
@@ -128,7 +138,8 @@
     let (router, _) = start(Role::Router, 23, vec![address(21), address(22)]).await;
     let followed = Arc::new(Documents::default());
     let registry = Arc::new(SharedRegistry::default());
-    let feeds = Subscriptions::start(router, followed.clone(), registry, "a", Role::Router);
+    let feeds =
+        Subscriptions::start(router, followed.clone(), registry, Arc::default(), "a", Role::Router);
     wait_until(|| feeds.open_feeds() == 2).await;
     documents[1].adopt_table(table(2));
     wait_until(|| version(&followed) == 2).await;
@@ -150,7 +161,9 @@
     let registry = SharedRegistry::default();
     let endpoint = |number: u32| Registration {
         id: format!("i-{number:010}"),
+        born: 0,
         service: "service".into(),
+        version: "v1".into(),
         address: Some(([10, 0, 0, 1], 8_080).into()),
         hall: "hall".into(),
         slots: 32,
@@ -176,7 +189,14 @@
     let seeds = (61..67).map(address).collect();
     let (router, _) = start(Role::Router, 67, seeds).await;
     let registry = Arc::new(SharedRegistry::default());
-    let feeds = Subscriptions::start(router, Arc::default(), registry.clone(), "a", Role::Router);
+    let feeds = Subscriptions::start(
+        router,
+        Arc::default(),
+        registry.clone(),
+        Arc::default(),
+        "a",
+        Role::Router,
+    );
     wait_until(|| feeds.open_feeds() == hosts.len()).await;
     wait_until(|| registry.read(|r| r.ready("service").count()) == ENDPOINTS as usize).await;
     let told: Vec<_> =
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -17,9 +17,11 @@
 use super::exchange::{self, Attempt};
 use super::refusal::Refusal;
 use super::state::{Gateway, Presence};
+use crate::eligibility::{Eligibility, VersionRule};
 use crate::placement::{self, Placed, PlacementRequest, Reservation};
+use crate::region::AllowedRegions;
 use crate::registry::Registration;
-use crate::routing::{Route, Routing};
+use crate::routing::{CustomerKeys, Route, Routing};
 
 /// Endpoints to which one request is sent at most when none has taken it.
 const MAX_SENDS: usize = 4;
@@ -45,6 +47,8 @@
     pub is_engine: bool,
     pub cold_per_second: Option<f64>,
     pub customer: Option<String>,
+    /// Where it may be served.
+    pub regions: AllowedRegions,
     pub head: CallHead,
     pub parts: Parts,
     pub body: Bytes,
@@ -108,6 +112,11 @@
         }
     }
 
+    /// Which endpoints may run it at all.
+    fn eligibility(&self) -> Eligibility {
+        Eligibility { regions: self.regions.clone(), version: VersionRule::Any }
+    }
+
     fn placement_request(&self, tried: &[String]) -> PlacementRequest {
         let objective = Duration::from_millis(self.route.objective_ms);
         let left = objective.saturating_sub(self.arrived.elapsed());
@@ -119,6 +128,9 @@
             prompt_tokens: self.head.prompt_tokens,
             output_tokens: self.head.output_tokens,
             objective_ms: left.as_millis() as u32,
+            pause_ms: self.route.pause_objective_ms as u32,
+            hall: self.gateway.settings.host.hall.clone(),
+            eligibility: self.eligibility(),
             avoid: tried.to_vec(),
         }
     }
@@ -191,6 +203,11 @@
     let routing = gateway.documents.current().ok_or(Refusal::NoRouting)?;
     let route = find_route(&routing, &parts).ok_or(Refusal::NoRoute)?.clone();
     let customer = find_customer(&routing, &route, &head)?;
+    let regions = match customer {
+        Some(customer) => route.regions.and(&customer.regions),
+        None => route.regions.clone(),
+    };
+    let customer = customer.map(|customer| customer.name.clone());
     let timeout = Duration::from_millis(route.timeout_ms);
     let deadline = head.deadline_ms.map_or(timeout, Duration::from_millis);
     let limit = arrived + deadline.min(timeout);
@@ -213,6 +230,7 @@
         route,
         service,
         customer,
+        regions,
         head,
         parts,
         body,
@@ -230,17 +248,17 @@
     routing.route(&host, parts.uri.path())
 }
 
-fn find_customer(
-    routing: &Routing,
+fn find_customer<'a>(
+    routing: &'a Routing,
     route: &Route,
     head: &CallHead,
-) -> Result<Option<String>, Refusal> {
+) -> Result<Option<&'a CustomerKeys>, Refusal> {
     if !routing.needs_keys() {
         return Ok(None);
     }
     let customer = head.key.as_deref().and_then(|key| routing.customer(key));
     match customer {
-        Some(customer) => Ok(Some(customer.name.clone())),
+        Some(customer) => Ok(Some(customer)),
         None if route.public => Ok(None),
         None => Err(Refusal::UnknownKey),
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,6 +17,7 @@
 use crate::peer::Peers;
 use crate::placement::{Ending, LocalPlacer, Placements, Reservation};
 use crate::registry::{EndpointState, Scope, SharedRegistry};
+use crate::rollout::SharedRollouts;
 use crate::routing::Documents;
 use crate::settings::{GatewaySettings, RouterSettings};
 use crate::telemetry::GatewayMetrics;
@@ -34,6 +35,8 @@
     pub documents: Arc<Documents>,
     /// The endpoints.
     pub registry: Arc<SharedRegistry>,
+    /// Releases that are rolled out.
+    pub rollouts: Arc<SharedRollouts>,
     /// What control hosts tell.
     pub feeds: Arc<Subscriptions>,
     /// Where requests for engines go.
@@ -66,15 +69,19 @@
     ) -> Arc<Gateway> {
         let documents = Arc::new(Documents::default());
         let registry = Arc::new(SharedRegistry::default());
+        let rollouts = Arc::new(SharedRollouts::default());
         let hall = settings.host.hall.clone();
         let feeds = Subscriptions::start(
             peers.clone(),
             documents.clone(),
             registry.clone(),
+            rollouts.clone(),
             &hall,
             Role::Router,
         );
-        let local = LocalPlacer::new(peers.me, peers.clock, documents.clone(), registry.clone());
+        let regions = settings.host.regions.clone();
+        let local =
+            LocalPlacer::new(peers.me, peers.clock, documents.clone(), registry.clone(), regions);
         let overload = Arc::new(Mutex::new(Overload::new(rules.overload)));
         let lag = watch_lag(overload.clone());
         let most_connections = rules.overload.caller_connections();
@@ -86,6 +93,7 @@
             peers,
             documents,
             registry,
+            rollouts,
             feeds,
             placements,
             dialect,
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -12,7 +12,9 @@
 fn endpoint(id: &str) -> Registration {
     Registration {
         id: id.into(),
+        born: 0,
         service: "app".into(),
+        version: "v1".into(),
         address: Some(([127, 0, 0, 1], 8_000).into()),
         hall: "a".into(),
         slots: 6,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod delivery;
 pub mod demo;
 pub mod dispatch;
+pub mod eligibility;
 pub mod emulate;
 pub mod error;
 pub mod feed;
@@ -28,8 +29,9 @@
 pub mod operator;
 pub mod peer;
 pub mod placement;
-
+pub mod region;
 pub mod registry;
+pub mod rollout;
 pub mod router;
 pub mod routing;
 pub mod settings;
--- a/src/operator/control.rs
+++ b/src/operator/control.rs
@@ -148,9 +148,7 @@
         let propose = self.0.handle.propose(Command::Change { operation, base, changes });
         match tokio::time::timeout(PROPOSE_TIMEOUT, propose).await {
             Ok(Ok(Reply::Changed(changed))) => Ok(reply(changed)),
-            Ok(Ok(Reply::Claimed(_) | Reply::Settled | Reply::Replaced(_) | Reply::Halls(_))) => {
-                Ok(uncertain())
-            }
+            Ok(Ok(_)) => Ok(uncertain()),
             Ok(Err(no_leader)) => Err(no_leader),
             Err(_) => Err(NoLeader::Uncertain),
         }
--- a/src/placement/engines.rs
+++ b/src/placement/engines.rs
@@ -1,5 +1,6 @@
 //! The engines that take work, as routing and registrations tell.
 
+use crate::region::Regions;
 use crate::registry::{Registration, Registry};
 use crate::routing::{Routing, ServicePool};
 
@@ -14,12 +15,22 @@
 pub struct EngineInfo {
     /// The endpoint's id.
     pub id: String,
+    /// When it started, in milliseconds since the epoch.
+    pub born: u64,
     /// Its service.
     pub service: String,
+    /// The release of its software.
+    pub version: String,
+    /// Its data hall.
+    pub hall: String,
+    /// The region of its data hall.
+    pub region: String,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Tokens that its memory holds.
     pub memory_tokens: u64,
+    /// Tokens in one event of a stream.
+    pub tokens_per_event: u32,
     /// A guess of the tokens that it reads in a millisecond.
     pub rate: f64,
     /// Milliseconds to copy the memory of one token from another engine; none
@@ -35,13 +46,18 @@
 }
 
 /// All engines that take work.
-pub fn engines_of(routing: &Routing, registry: &Registry) -> Vec<EngineInfo> {
+pub fn engines_of(routing: &Routing, registry: &Registry, regions: &Regions) -> Vec<EngineInfo> {
     let nominal = routing.table.limits.tokens_per_second as f64 / 1_000.0;
     let services = routing.table.services.iter();
-    services.flat_map(|service| engines_of_service(service, registry, nominal)).collect()
+    services.flat_map(|service| engines_of_service(service, registry, regions, nominal)).collect()
 }
 
-fn engines_of_service(service: &ServicePool, registry: &Registry, nominal: f64) -> Vec<EngineInfo> {
+fn engines_of_service(
+    service: &ServicePool,
+    registry: &Registry,
+    regions: &Regions,
+    nominal: f64,
+) -> Vec<EngineInfo> {
     let Some(engine) = &service.engine else { return Vec::new() };
     let ready: Vec<_> = registry.ready(&service.name).collect();
     let rate = match nominal > 0.0 {
@@ -50,9 +66,14 @@
     };
     let info = |endpoint: &Registration| EngineInfo {
         id: endpoint.id.clone(),
+        born: endpoint.born,
         service: service.name.clone(),
+        version: endpoint.version.clone(),
+        hall: endpoint.hall.clone(),
+        region: regions.of(&endpoint.hall).to_string(),
         slots: endpoint.slots.max(engine.slots),
         memory_tokens: engine.memory_tokens,
+        tokens_per_event: engine.tokens_per_event,
         rate,
         copy_ms_per_token: engine.copy_ms_per_token,
         cold_per_second: service.cold_per_second,
--- a/src/placement/local.rs
+++ b/src/placement/local.rs
@@ -10,6 +10,7 @@
 use super::placer::Placer;
 use super::rules::PlacementRules;
 use crate::clock::Clock;
+use crate::region::Regions;
 use crate::registry::SharedRegistry;
 use crate::routing::Documents;
 use crate::wire::HostId;
@@ -24,6 +25,7 @@
     clock: Clock,
     documents: Arc<Documents>,
     registry: Arc<SharedRegistry>,
+    regions: Regions,
     placer: Mutex<Placer>,
 }
 
@@ -34,15 +36,16 @@
         clock: Clock,
         documents: Arc<Documents>,
         registry: Arc<SharedRegistry>,
+        regions: Regions,
     ) -> LocalPlacer {
-        LocalPlacer { me, clock, documents, registry, placer: Mutex::default() }
+        LocalPlacer { me, clock, documents, registry, regions, placer: Mutex::default() }
     }
 
     /// Places a request, as one of `routers` that share the engines.
     pub fn place(&self, request: PlacementRequest, routers: usize) -> FromPlacer {
         let seq = request.seq;
         let Some(routing) = self.documents.current() else { return FromPlacer::Unknown { seq } };
-        let engines = self.registry.read(|registry| engines_of(&routing, registry));
+        let engines = self.registry.read(|registry| engines_of(&routing, registry, &self.regions));
         let all = PlacementRules::default();
         let part = (GENEROSITY / routers.max(1) as f64).min(1.0);
         // No router knows what others send to a cold engine, so none sends it anything.
--- a/src/placement/message.rs
+++ b/src/placement/message.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::eligibility::Eligibility;
+
 /// Ids and lengths of a prompt's parts, in order, in tokens.
 pub type PromptParts = Vec<(u64, u32)>;
 
@@ -22,6 +24,12 @@
     pub output_tokens: u32,
     /// Milliseconds in which its first event is in time, from now on.
     pub objective_ms: u32,
+    /// Longest pause between events that is in time, in milliseconds; 0 for none.
+    pub pause_ms: u32,
+    /// The data hall of the router that asks.
+    pub hall: String,
+    /// Endpoints that it may go to.
+    pub eligibility: Eligibility,
     /// Endpoints that it must not go to.
     pub avoid: Vec<String>,
 }
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -14,6 +14,7 @@
 use super::rules::PlacementRules;
 use crate::clock::Clock;
 use crate::peer::PeerReader;
+use crate::region::Regions;
 use crate::registry::SharedRegistry;
 use crate::routing::Documents;
 use crate::wire::{BatchSender, BatchWriter, HostId, SentBytes};
@@ -44,11 +45,18 @@
     clock: Clock,
     documents: Arc<Documents>,
     registry: Arc<SharedRegistry>,
+    regions: Regions,
     sent: SentBytes,
 ) -> PlacementSession {
     let (events, inbox) = mpsc::channel(INBOX);
-    let task =
-        Task { clock, documents, registry, placer: Placer::new(rules), sessions: HashMap::new() };
+    let task = Task {
+        clock,
+        documents,
+        registry,
+        regions,
+        placer: Placer::new(rules),
+        sessions: HashMap::new(),
+    };
     tokio::spawn(task.run(inbox));
     PlacementSession { events, sent }
 }
@@ -82,6 +90,7 @@
     clock: Clock,
     documents: Arc<Documents>,
     registry: Arc<SharedRegistry>,
+    regions: Regions,
     placer: Placer,
     sessions: HashMap<HostId, (u64, BatchSender<FromPlacer>)>,
 }
@@ -119,7 +128,8 @@
 
     fn learn_engines(&mut self) {
         if let Some(routing) = self.documents.current() {
-            let engines = self.registry.read(|registry| engines_of(&routing, registry));
+            let engines =
+                self.registry.read(|registry| engines_of(&routing, registry, &self.regions));
             self.placer.set_engines(self.clock.now(), engines);
             self.placer.set_nominal(routing.table.limits.tokens_per_second);
         }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -19,9 +19,14 @@
 fn engine(id: &str) -> EngineInfo {
     EngineInfo {
         id: id.into(),
+        born: 0,
         service: "llm".into(),
+        version: "v1".into(),
+        hall: "a".into(),
+        region: "r".into(),
         slots: 64,
         memory_tokens: 500_000,
+        tokens_per_event: 4,
         rate: 50.0,
         copy_ms_per_token: Some(0.002),
         cold_per_second: None,
@@ -45,6 +50,9 @@
         prompt_tokens: 10_000 + own_tokens,
         output_tokens: 100,
         objective_ms: 800,
+        pause_ms: 0,
+        hall: "a".into(),
+        eligibility: Default::default(),
         avoid: vec![],
     }
 }
--- a/src/registry/table.rs
+++ b/src/registry/table.rs
@@ -32,10 +32,15 @@
 /// What an endpoint says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
-    /// Its id, new with each start.
+    /// Its id. It may start again under the same one: see `born`.
     pub id: String,
+    /// When it started, in milliseconds since the epoch; 0 where it does not say. The
+    /// higher of two is the later start, which knows nothing of the earlier one.
+    pub born: u64,
     /// The service that it belongs to.
     pub service: String,
+    /// The release of its software; empty where it does not say.
+    pub version: String,
     /// Where it listens; none when only its end is known.
     pub address: Option<SocketAddr>,
     /// Its data hall.
@@ -55,7 +60,9 @@
     pub fn gone(id: &str) -> Registration {
         Registration {
             id: id.to_string(),
+            born: 0,
             service: String::new(),
+            version: String::new(),
             address: None,
             hall: String::new(),
             slots: 0,
--- a/src/registry/tests.rs
+++ b/src/registry/tests.rs
@@ -6,7 +6,9 @@
 fn said(id: &str, sequence: u64, state: EndpointState) -> Registration {
     Registration {
         id: id.into(),
+        born: 0,
         service: "llm".into(),
+        version: "v1".into(),
         address: Some(([127, 0, 0, 1], 8_000).into()),
         hall: "a".into(),
         slots: 64,
--- /dev/null
+++ b/src/rollout/shared.rs
@@ -0,0 +1,116 @@
+//! Roll-outs as the tasks of one process know them.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::watch;
+
+use super::model::Rollouts;
+use super::report::{Grant, Grants, Report};
+use crate::dispatch::Millis;
+use crate::wire::HostId;
+
+/// Reports that may wait for the leader's next decision: some seconds of those of
+/// hundreds of routers. Beyond them the oldest are dropped, as if they were lost.
+const MOST_REPORTS: usize = 8_192;
+
+/// The agreed roll-outs, what the leader has granted, and what routers report to it.
+#[derive(Debug)]
+pub struct SharedRollouts {
+    table: watch::Sender<Arc<Rollouts>>,
+    /// On a router: what it was granted last.
+    granted: Mutex<Granted>,
+    /// On the leader: what it grants.
+    offered: watch::Sender<Grants>,
+    /// On the leader: what routers reported since it decided last.
+    reports: Mutex<VecDeque<(HostId, Report)>>,
+}
+
+#[derive(Debug, Default)]
+struct Granted {
+    grants: Grants,
+    until: Millis,
+}
+
+impl Default for SharedRollouts {
+    fn default() -> Self {
+        SharedRollouts {
+            table: watch::Sender::new(Arc::default()),
+            granted: Mutex::default(),
+            offered: watch::Sender::new(Grants::default()),
+            reports: Mutex::default(),
+        }
+    }
+}
+
+impl SharedRollouts {
+    /// The roll-outs as known here.
+    pub fn table(&self) -> Arc<Rollouts> {
+        self.table.borrow().clone()
+    }
+
+    /// The roll-outs as known here, now and as they change.
+    pub fn watch(&self) -> watch::Receiver<Arc<Rollouts>> {
+        self.table.subscribe()
+    }
+
+    /// Takes a table in, if it is newer.
+    pub fn adopt(&self, rollouts: Rollouts) {
+        self.table.send_if_modified(|known| {
+            let is_newer = rollouts.revision() > known.revision();
+            if is_newer {
+                for rollout in rollouts.all().filter(|r| known.get(&r.order.service) != Some(r)) {
+                    let (service, version) = (&rollout.order.service, &rollout.order.version);
+                    log::info!("rollout: {version} of {service} is in stage {:?}", rollout.stage);
+                }
+                *known = Arc::new(rollouts);
+            }
+            is_newer
+        });
+    }
+
+    /// Takes grants in, unless they come from a leader that was followed by another.
+    pub fn adopt_grants(&self, now: Millis, grants: Grants) {
+        let mut granted = self.granted();
+        if grants.term >= granted.grants.term {
+            granted.until = now + grants.valid_ms;
+            granted.grants = grants;
+        }
+    }
+
+    /// What this process may send to the new release of a service now.
+    pub fn grant(&self, now: Millis, service: &str, number: u64) -> Option<Grant> {
+        let granted = self.granted();
+        let is_this = |grant: &&Grant| grant.service == service && grant.number == number;
+        let grant = granted.grants.services.iter().find(is_this);
+        grant.filter(|_| now < granted.until).cloned()
+    }
+
+    /// The leader grants anew.
+    pub fn offer(&self, grants: Grants) {
+        self.offered.send_replace(grants);
+    }
+
+    /// What the leader grants, each time that it does.
+    pub fn watch_offers(&self) -> watch::Receiver<Grants> {
+        self.offered.subscribe()
+    }
+
+    /// A router reported to this host.
+    pub fn reported(&self, router: HostId, report: Report) {
+        let mut reports = self.reports.lock().unwrap_or_else(PoisonError::into_inner);
+        reports.push_back((router, report));
+        if reports.len() > MOST_REPORTS {
+            reports.pop_front();
+        }
+    }
+
+    /// What was reported since this was asked last.
+    pub fn take_reports(&self) -> VecDeque<(HostId, Report)> {
+        std::mem::take(&mut *self.reports.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn granted(&self) -> MutexGuard<'_, Granted> {
+        self.granted.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/routing/model.rs
+++ b/src/routing/model.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::Refusal;
+use crate::region::AllowedRegions;
 
 /// What may be done twice on a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -53,6 +54,8 @@
     pub public: bool,
     /// Whether a broken stream may be taken up at another endpoint.
     pub resumable: bool,
+    /// Where its requests may be served, cached and stored.
+    pub regions: AllowedRegions,
 }
 
 impl Route {
@@ -103,6 +106,8 @@
     pub keys: Vec<String>,
     /// Rank that goes before the route's, if the customer has one.
     pub priority: Option<u32>,
+    /// Where its requests may be served, cached and stored.
+    pub regions: AllowedRegions,
 }
 
 /// What callers may send and how long they may take.
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -1,3 +1,4 @@
+use crate::region::AllowedRegions;
 use std::sync::Arc;
 
 use super::*;
@@ -15,7 +16,7 @@
 
 fn keys(name: &str, keys: &[&str]) -> CustomerKeys {
     let keys = keys.iter().map(|k| k.to_string()).collect();
-    CustomerKeys { name: name.into(), keys, priority: None }
+    CustomerKeys { name: name.into(), keys, priority: None, regions: AllowedRegions::Anywhere }
 }
 
 #[test]
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,6 +10,8 @@
 use crate::error::{Error, FileSnafu, Result};
 use crate::gateway::{BudgetRules, OverloadRules};
 use crate::placement::PlacementRules;
+use crate::region::Regions;
+use crate::rollout::RolloutRules;
 use crate::wire::HostId;
 
 /// How a router decides who is served next.
@@ -43,6 +45,9 @@
     /// The peer port of every seed, where the list names other ports of theirs.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub seed_port: Option<u16>,
+    /// The region of each data hall, by its name.
+    #[serde(default, skip_serializing_if = "Regions::is_empty")]
+    pub regions: Regions,
     /// With whom heartbeats are exchanged.
     #[serde(default, skip_serializing_if = "HeartbeatScope::is_default")]
     pub heartbeats: HeartbeatScope,
@@ -152,6 +157,9 @@
     /// What the placer here aims at.
     #[serde(default, skip_serializing_if = "is_default")]
     pub placement: PlacementRules,
+    /// Bounds within which a release is rolled out.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub rollout: RolloutRules,
     /// Where operators and endpoints of the platform connect, where there are any.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub platform: Option<SocketAddr>,
--- a/src/site/plan.rs
+++ b/src/site/plan.rs
@@ -202,6 +202,7 @@
             peer,
             seeds,
             seed_port: None,
+            regions: Default::default(),
             heartbeats: HeartbeatScope::All,
         }
     }
@@ -235,6 +236,7 @@
             tolerated_losses: 3,
             wait_for_disk: false,
             placement: Default::default(),
+            rollout: Default::default(),
             platform: None,
             founders: (0..self.controls).map(|n| HostId((FIRST_CONTROL + n).into())).collect(),
             control: (0..self.controls).map(|n| self.at(port::CONTROL_PEER, n)).collect(),
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 
 use crate::peer::{Incoming, Peers};
+use crate::region::AllowedRegions;
 use crate::routing::{Route, RouteKind, Target};
 use crate::settings::{HeartbeatScope, HostSettings};
 use crate::wire::Role;
@@ -39,6 +40,7 @@
         peer,
         seeds,
         seed_port: None,
+        regions: Default::default(),
         heartbeats: HeartbeatScope::Control,
     };
     Peers::start(&settings, role, peer).await.unwrap()
@@ -81,5 +83,6 @@
         attempts: 2,
         public: false,
         resumable: false,
+        regions: AllowedRegions::Anywhere,
     }
 }
