--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -17,7 +17,7 @@
 use super::exchange::{self, Attempt};
 use super::refusal::Refusal;
 use super::state::{Gateway, Presence};
-use crate::eligibility::{Eligibility, VersionRule};
+use crate::eligibility::{Candidate, Eligibility, VersionRule, order_of};
 use crate::placement::{self, Placed, PlacementRequest, Reservation};
 use crate::region::AllowedRegions;
 use crate::registry::Registration;
@@ -84,7 +84,7 @@
             router: self.gateway.peers.me,
         };
         self.gateway.registry.read(|registry| {
-            let ready = registry.ready(&self.service);
+            let ready = registry.ready(&self.service).filter(|e| self.is_eligible(e));
             let preference = self.preference();
             self.gateway.with_endpoints(|e| e.choose(now, ready, tried, preference, cold).cloned())
         })
@@ -98,7 +98,8 @@
                 Placed::At(reservation) => {
                     let id = &reservation.endpoint;
                     let endpoint = self.gateway.registry.read(|r| r.get_ready(id).cloned());
-                    if let Some(endpoint) = endpoint {
+                    // The placer may know an older registration or routing than this router.
+                    if let Some(endpoint) = endpoint.filter(|e| self.is_eligible(e)) {
                         return Place::At(Box::new(endpoint), Some(reservation));
                     }
                 }
@@ -117,6 +118,14 @@
         Eligibility { regions: self.regions.clone(), version: VersionRule::Any }
     }
 
+    /// Whether an endpoint may run it.
+    fn is_eligible(&self, endpoint: &Registration) -> bool {
+        let region = self.gateway.settings.host.regions.of(&endpoint.hall);
+        let candidate =
+            Candidate { region, version: &endpoint.version, order: order_of(&endpoint.id) };
+        self.eligibility().allows(candidate)
+    }
+
     fn placement_request(&self, tried: &[String]) -> PlacementRequest {
         let objective = Duration::from_millis(self.route.objective_ms);
         let left = objective.saturating_sub(self.arrived.elapsed());
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -14,6 +14,7 @@
 use super::timing::FIXED_MS;
 use super::warmth::Warmth;
 use crate::dispatch::Millis;
+use crate::eligibility::{Candidate, order_of};
 
 /// Service over an equal part below which being served less says no more.
 const LEAST_RELATIVE: f64 = 0.25;
@@ -34,6 +35,12 @@
     hash: u64,
     /// Its service.
     pub service: String,
+    /// The release of its software.
+    pub version: String,
+    /// The region of its data hall.
+    pub region: String,
+    /// Its place in the order of [`order_of`] its id.
+    order: u32,
     /// What was sent to it, and how fast it reads.
     pub model: EngineModel,
     /// What it is to read.
@@ -57,8 +64,11 @@
         Engine {
             warmth,
             hash: xxh3_64(info.id.as_bytes()),
+            order: order_of(&info.id),
             id: info.id,
             service: info.service,
+            version: info.version,
+            region: info.region,
             model: EngineModel::new(info.slots, info.memory_tokens, info.rate, reading_share),
             queue: Queue::default(),
             copy_ms_per_token: info.copy_ms_per_token,
@@ -67,6 +77,11 @@
         }
     }
 
+    /// What of it decides whether it is eligible.
+    pub fn candidate(&self) -> Candidate<'_> {
+        Candidate { region: &self.region, version: &self.version, order: self.order }
+    }
+
     /// Whether it may get requests at all.
     pub fn takes_work(&self) -> bool {
         self.open && !self.is_gone
@@ -268,7 +283,10 @@
 
 /// Whether a request could go to an engine at all.
 fn is_candidate(engine: &Engine, request: &PlacementRequest) -> bool {
-    engine.takes_work() && engine.service == request.service && !request.avoid.contains(&engine.id)
+    engine.takes_work()
+        && engine.service == request.service
+        && request.eligibility.allows(engine.candidate())
+        && !request.avoid.contains(&engine.id)
 }
 
 /// What an engine that keeps `kept` tokens should copy from the source, if that is
