Name the protocol's version in datagrams and at the start of connections

Frames between hosts change with releases, and hosts of the release before took what they could not understand for damage, or misread it where the numbers of messages happened to fit. Now a host of another protocol is told apart, counted and logged once in 64 datagrams. The tests failed first: unversioned bytes were decoded.

--- a/src/control/documents.rs
+++ b/src/control/documents.rs
@@ -89,6 +89,7 @@
             ("drained_halls", drained as u64),
             ("live_routers", self.live_routers() as u64),
             ("unknown_heartbeats", self.peers.unknown_heartbeats()),
+            ("other_protocols", self.peers.other_protocols()),
             ("sent_bytes", self.peers.sent.get()),
         ];
         let sent = Traffic::ALL.map(|traffic| (traffic.name(), self.sent_for(traffic)));
--- a/src/error.rs
+++ b/src/error.rs
@@ -50,6 +50,14 @@
         /// What the codec said.
         source: postcard::Error,
     },
+    /// A peer speaks another version of the protocol between hosts.
+    #[snafu(display("it speaks protocol {theirs}, this host {ours}"))]
+    OtherProtocol {
+        /// The peer's version, or how an older message begins.
+        theirs: u8,
+        /// This host's.
+        ours: u8,
+    },
     /// A frame is longer than a peer may send.
     #[snafu(display("frame of {size} bytes exceeds the limit of {limit} bytes"))]
     FrameTooLarge {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,9 +1,12 @@
 //! A process's place among its peers: heartbeats by UDP, connections by TCP.
 
 mod link;
+#[cfg(test)]
+mod tests;
 
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -14,11 +17,12 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::clock::{Clock, epoch_ms};
-use crate::error::{NetSnafu, Result};
+use crate::error::{Error, NetSnafu, Result};
 use crate::member::{FIRST_HEARTBEAT_MS, HEARTBEAT_MS, Table, View};
 use crate::settings::HostSettings;
 use crate::wire::{
-    Beat, FrameReader, Heartbeat, HostId, Open, Role, SentBytes, Traffic, UDP_HEADER, write_frame,
+    Beat, FrameReader, Heartbeat, HostId, Open, Role, SentBytes, Traffic, UDP_HEADER,
+    decode_versioned, encode_versioned, write_payload,
 };
 
 pub use link::Links;
@@ -29,6 +33,9 @@
 const OPEN_TIMEOUT: Duration = Duration::from_secs(5);
 /// The largest opening frame and the largest datagram, in bytes.
 const MAX_OPEN: usize = 4_096;
+/// Of the datagrams that cannot be read, one in so many is logged: some lines a minute
+/// from a fleet in a rolling restart.
+const UNREADABLE_LOGGED: u64 = 64;
 /// How often the view is worked out anew.
 const VIEW_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -63,6 +70,8 @@
     pub sent: SentBytes,
     table: Mutex<Table>,
     view: watch::Sender<Arc<View>>,
+    other_protocols: AtomicU64,
+    unreadable: AtomicU64,
 }
 
 impl Peers {
@@ -100,6 +109,8 @@
             sent: SentBytes::default(),
             table: Mutex::new(table),
             view: watch::Sender::new(first),
+            other_protocols: AtomicU64::new(0),
+            unreadable: AtomicU64::new(0),
         });
         let (sender, incoming) = mpsc::channel(64);
         let udp = Arc::new(udp);
@@ -135,6 +146,27 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner).unknown_heartbeats()
     }
 
+    /// Datagrams and connections of other versions of the protocol, since the start.
+    pub fn other_protocols(&self) -> u64 {
+        self.other_protocols.load(Ordering::Relaxed)
+    }
+
+    fn note_other_protocol(&self, error: &Error) {
+        if matches!(error, Error::OtherProtocol { .. }) {
+            self.other_protocols.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// A datagram could not be read. Hosts of another release send one every half
+    /// second for as long as both run, so few of them are logged.
+    fn note_unreadable(&self, from: SocketAddr, error: &Error) {
+        self.note_other_protocol(error);
+        let dropped = self.unreadable.fetch_add(1, Ordering::Relaxed);
+        if dropped.is_multiple_of(UNREADABLE_LOGGED) {
+            log::warn!("member: dropped a datagram from {from}: {error}, {dropped} before");
+        }
+    }
+
     /// A connection to a host failed.
     pub fn avoid(&self, host: HostId) {
         let now = self.clock.now();
@@ -153,7 +185,7 @@
         let stream = connected.with_context(|_| NetSnafu { what: what() })?;
         stream.set_nodelay(true).with_context(|_| NetSnafu { what: what() })?;
         let (read, mut write) = stream.into_split();
-        let bytes = write_frame(&mut write, open).await?;
+        let bytes = write_payload(&mut write, &encode_versioned(open)?).await?;
         self.sent.add(bytes);
         Ok((FrameReader::new(BufReader::new(read)), write))
     }
@@ -214,7 +246,7 @@
 }
 
 async fn send_beat(peers: &Peers, udp: &UdpSocket, beat: &Beat, targets: Vec<SocketAddr>) {
-    let datagram = match postcard::to_stdvec(beat) {
+    let datagram = match encode_versioned(beat) {
         Ok(datagram) => datagram,
         Err(error) => return log::error!("member: a heartbeat cannot be encoded: {error}"),
     };
@@ -237,9 +269,12 @@
         let Ok((size, from)) = udp.recv_from(&mut buffer).await else {
             continue;
         };
-        let Ok(beat) = postcard::from_bytes::<Beat>(&buffer[..size]) else {
-            log::warn!("member: dropped a malformed datagram of {size} bytes");
-            continue;
+        let beat = match decode_versioned::<Beat>(&buffer[..size]) {
+            Ok(beat) => beat,
+            Err(error) => {
+                peers.note_unreadable(from, &error);
+                continue;
+            }
         };
         let sender = beat.host();
         if peers.links.is_cut_from(sender) {
@@ -294,7 +329,9 @@
     let _ = stream.set_nodelay(true);
     let (read, writer) = stream.into_split();
     let mut reader = FrameReader::with_limit(BufReader::new(read), MAX_OPEN);
-    match tokio::time::timeout(OPEN_TIMEOUT, reader.next::<Open>()).await {
+    let opening = async { decode_versioned::<Open>(&reader.next_payload().await?) };
+    let opened = tokio::time::timeout(OPEN_TIMEOUT, opening).await;
+    match opened {
         Ok(Ok(open)) => {
             if open.sender().is_some_and(|host| peers.links.is_cut_from(host)) {
                 return;
@@ -303,7 +340,10 @@
             // The process is stopping when nobody takes it.
             let _ = sender.send(Incoming { open, reader, writer }).await;
         }
-        Ok(Err(error)) => log::warn!("peer: refused a connection from {from}: {error}"),
+        Ok(Err(error)) => {
+            peers.note_other_protocol(&error);
+            log::warn!("peer: refused a connection from {from}: {error}");
+        }
         Err(_) => log::warn!("peer: closed a silent connection from {from}"),
     }
 }
--- /dev/null
+++ b/src/peer/tests.rs
@@ -0,0 +1,44 @@
+//! Hosts of two releases beside each other.
+
+use std::net::SocketAddr;
+
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpStream, UdpSocket};
+
+use crate::testing::{peer_address, start_peers, wait_until};
+use crate::wire::{Beat, Heartbeat, HostId, Open, PROTOCOL, Role, write_payload};
+
+fn beat(from: SocketAddr) -> Beat {
+    Beat::Whole(Heartbeat {
+        host: HostId(999),
+        incarnation: 1,
+        role: Role::Control,
+        hall: "a".into(),
+        peer: from,
+        operator: from,
+        version: 7,
+        draining: false,
+        also: None,
+    })
+}
+
+/// While a fleet is restarted host by host, those of the release before still say what
+/// they said: nobody believes what it would mean in the new release.
+#[tokio::test]
+async fn a_host_of_another_release_is_not_believed_and_its_connections_are_refused() {
+    let (peers, _incoming) = start_peers(Role::Control, 71, vec![]).await;
+    let older = UdpSocket::bind(peer_address(72)).await.unwrap();
+    let unversioned = postcard::to_stdvec(&beat(peer_address(72))).unwrap();
+    let later = [&[PROTOCOL + 1][..], &unversioned].concat();
+    for datagram in [&unversioned, &later] {
+        older.send_to(datagram, peers.address).await.unwrap();
+    }
+    wait_until(|| peers.other_protocols() == 2).await;
+    assert!(peers.view().known(HostId(999)).is_none());
+
+    let open = postcard::to_stdvec(&Open::Identify).unwrap();
+    let mut connection = TcpStream::connect(peers.address).await.unwrap();
+    write_payload(&mut connection, &open).await.unwrap();
+    assert_eq!(connection.read(&mut [0; 1]).await.unwrap(), 0, "closed without a word");
+    assert_eq!(peers.other_protocols(), 3);
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,15 +2,18 @@
 //!
 //! Heartbeats travel as single UDP datagrams. Everything else travels over TCP
 //! as frames: a four-byte big-endian length, then one postcard value. A frame
-//! holds a batch of messages, so that many small ones share its header.
+//! holds a batch of messages, so that many small ones share its header. Datagrams and the
+//! first frame of a connection name the version of the protocol ([`PROTOCOL`]).
 
 mod frame;
 mod message;
+mod protocol;
 #[cfg(test)]
 mod tests;
 
 pub use frame::{
     BatchSender, BatchWriter, FrameReader, MAX_FRAME, Patient, SentBytes, TCP_HEADER, Traffic,
-    UDP_HEADER, write_frame,
+    UDP_HEADER, write_frame, write_payload,
 };
 pub use message::*;
+pub use protocol::{PROTOCOL, decode_versioned, encode_versioned};
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -100,9 +100,14 @@
     T: Serialize + ?Sized,
 {
     let payload = postcard::to_stdvec(value).map_err(|source| Error::Frame { source })?;
+    write_payload(writer, &payload).await
+}
+
+/// Writes an encoded value as one frame and returns the bytes written.
+pub async fn write_payload<W: AsyncWrite + Unpin>(writer: &mut W, payload: &[u8]) -> Result<u64> {
     let mut frame = Vec::with_capacity(LENGTH_BYTES + payload.len());
     frame.extend_from_slice(&(payload.len() as u32).to_be_bytes());
-    frame.extend_from_slice(&payload);
+    frame.extend_from_slice(payload);
     let written = writer.write_all(&frame).await;
     written.map_err(|source| net("write to a peer", source))?;
     Ok(frame.len() as u64 + TCP_HEADER)
@@ -139,6 +144,12 @@
     /// The next value. Fails when the peer has closed, or sends too much or
     /// something else. Not cancel-safe: own the reader in one task.
     pub async fn next<T: DeserializeOwned>(&mut self) -> Result<T> {
+        let payload = self.next_payload().await?;
+        postcard::from_bytes(&payload).map_err(|source| Error::Frame { source })
+    }
+
+    /// The next value in its encoded form; the same holds as for [`FrameReader::next`].
+    pub async fn next_payload(&mut self) -> Result<Vec<u8>> {
         let mut length = [0; LENGTH_BYTES];
         let read = self.inner.read_exact(&mut length).await;
         read.map_err(|source| net("read from a peer", source))?;
@@ -150,7 +161,7 @@
         let mut payload = Vec::new();
         let body = (&mut self.inner).take(size as u64).read_to_end(&mut payload).await;
         body.map_err(|source| net("read from a peer", source))?;
-        postcard::from_bytes(&payload).map_err(|source| Error::Frame { source })
+        Ok(payload)
     }
 }
 
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -62,3 +62,17 @@
     let got: Vec<ToDispatcher> = FrameReader::new(b).next().await.unwrap();
     assert_eq!(got, [want(1), want(2)]);
 }
+
+#[test]
+fn a_message_of_another_release_is_told_apart_and_not_misread() {
+    let bytes = encode_versioned(&want(1)).unwrap();
+    assert_eq!(decode_versioned::<ToDispatcher>(&bytes).unwrap(), want(1));
+    // Before messages named a version they began with the number of their kind.
+    let unversioned = postcard::to_stdvec(&want(1)).unwrap();
+    let later = [&[PROTOCOL + 1][..], &unversioned].concat();
+    for other in [unversioned, later] {
+        let read = decode_versioned::<ToDispatcher>(&other);
+        assert!(matches!(read, Err(Error::OtherProtocol { ours: PROTOCOL, .. })));
+    }
+    assert!(decode_versioned::<ToDispatcher>(&[]).is_err());
+}
