--- a/src/bin/bramblecrank/command.rs
+++ b/src/bin/bramblecrank/command.rs
@@ -12,7 +12,7 @@
 
 use crate::app::{App, Task};
 use crate::operate;
-use crate::platform::{self, PlatformHeaders};
+use crate::platform;
 
 /// Runs the app in a runtime of its own.
 pub fn run(app: App) -> Result<()> {
@@ -36,7 +36,7 @@
 async fn run_router(settings: RouterSettings) -> Result<()> {
     let stop = stop_on_signal();
     match settings.gateway.clone() {
-        Some(rules) => gateway::run(settings, rules, Arc::new(PlatformHeaders), stop).await,
+        Some(rules) => gateway::run(settings, rules, Arc::new(platform::dialect()), stop).await,
         None => router::run(settings, stop).await,
     }
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -24,10 +24,7 @@
 mod tests;
 
 pub use budget::{BudgetRules, RetryBudgets};
-pub use dialect::{
-    AnswerHead, CallHead, Dialect, Forwarding, NativeDialect, PromptPart, prompt_parts, set_header,
-    text, token_counts,
-};
+pub use dialect::{AnswerHead, CallHead, Dialect, Forwarding, PromptPart};
 pub use endpoints::{ColdPart, Endpoints, Failure, Preference};
 pub use events::EventSplitter;
 pub use neighbours::Neighbours;
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -61,74 +61,104 @@
     pub sealed: bool,
 }
 
-/// Names and formats of heads.
-pub trait Dialect: Send + Sync + 'static {
-    /// Reads a request's head.
-    fn read_call(&self, headers: &HeaderMap) -> CallHead;
-    /// Turns a caller's head into what the endpoint gets: the key goes, what the
-    /// gateway says itself replaces whatever the caller said under those names.
-    fn write_call(&self, headers: &mut HeaderMap, forwarding: &Forwarding<'_>);
-    /// Reads an answer's head.
-    fn read_answer(&self, headers: &HeaderMap) -> AnswerHead;
+/// The names under which heads say things. The formats behind them are the same
+/// everywhere.
+#[derive(Clone, Debug)]
+pub struct Dialect {
+    /// The caller's id for this attempt.
+    pub id: HeaderName,
+    /// The caller's key; endpoints do not see it.
+    pub key: HeaderName,
+    /// Milliseconds that remain.
+    pub deadline: HeaderName,
+    /// Tokens of the prompt, and the most to be made, as `PROMPT,OUTPUT`.
+    pub tokens: HeaderName,
+    /// The prompt's parts, as `ID:TOKENS,...`.
+    pub parts: HeaderName,
+    /// The last event that the caller has.
+    pub last_event: HeaderName,
+    /// The id of the endpoint that is meant.
+    pub endpoint: HeaderName,
+    /// The customer.
+    pub customer: HeaderName,
+    /// An engine from which kept parts should be copied.
+    pub copy_from: HeaderName,
+    /// That the endpoint did not run the request.
+    pub not_executed: HeaderName,
+    /// The proof that an endpoint made the answer, where endpoints give one.
+    pub seal: Option<HeaderName>,
+    /// What callers may not say to endpoints.
+    pub reserved: Vec<HeaderName>,
 }
 
-/// The product's own names.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct NativeDialect;
-
-const ID: HeaderName = HeaderName::from_static("x-request-id");
-const KEY: HeaderName = HeaderName::from_static("x-api-key");
-const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
-const TOKENS: HeaderName = HeaderName::from_static("x-tokens");
-const PARTS: HeaderName = HeaderName::from_static("x-prompt-parts");
-const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
-const ENDPOINT: HeaderName = HeaderName::from_static("x-expect-endpoint");
-const CUSTOMER: HeaderName = HeaderName::from_static("x-customer");
-const COPY_FROM: HeaderName = HeaderName::from_static("x-copy-from");
-const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
+impl Dialect {
+    /// The product's own names.
+    pub fn native() -> Dialect {
+        Dialect {
+            id: HeaderName::from_static("x-request-id"),
+            key: HeaderName::from_static("x-api-key"),
+            deadline: HeaderName::from_static("x-deadline-ms"),
+            tokens: HeaderName::from_static("x-tokens"),
+            parts: HeaderName::from_static("x-prompt-parts"),
+            last_event: HeaderName::from_static("last-event-id"),
+            endpoint: HeaderName::from_static("x-expect-endpoint"),
+            customer: HeaderName::from_static("x-customer"),
+            copy_from: HeaderName::from_static("x-copy-from"),
+            not_executed: HeaderName::from_static("x-not-executed"),
+            seal: None,
+            reserved: Vec::new(),
+        }
+    }
 
-impl Dialect for NativeDialect {
-    fn read_call(&self, headers: &HeaderMap) -> CallHead {
-        let (prompt_tokens, output_tokens) = text(headers, &TOKENS).map_or((0, 0), token_counts);
+    /// Reads a request's head.
+    pub fn read_call(&self, headers: &HeaderMap) -> CallHead {
+        let tokens = text(headers, &self.tokens).map(token_counts);
+        let (prompt_tokens, output_tokens) = tokens.unwrap_or_default();
         CallHead {
-            id: text(headers, &ID).map(str::to_string),
-            key: text(headers, &KEY).map(str::to_string),
-            deadline_ms: text(headers, &DEADLINE).and_then(|t| t.trim().parse().ok()),
+            id: text(headers, &self.id).map(str::to_string),
+            key: text(headers, &self.key).map(str::to_string),
+            deadline_ms: text(headers, &self.deadline).and_then(|t| t.trim().parse().ok()),
             prompt_tokens,
             output_tokens,
-            parts: text(headers, &PARTS).map(prompt_parts).unwrap_or_default(),
-            last_event: text(headers, &LAST_EVENT).map(str::to_string),
+            parts: text(headers, &self.parts).map(prompt_parts).unwrap_or_default(),
+            last_event: text(headers, &self.last_event).map(str::to_string),
         }
     }
 
-    fn write_call(&self, headers: &mut HeaderMap, forwarding: &Forwarding<'_>) {
-        headers.remove(KEY);
-        headers.insert(DEADLINE, HeaderValue::from(forwarding.remaining_ms));
-        set_header(headers, ENDPOINT, Some(forwarding.endpoint));
-        set_header(headers, CUSTOMER, forwarding.customer);
+    /// Turns a caller's head into what the endpoint gets: the key goes, what the
+    /// gateway says itself replaces whatever the caller said under those names.
+    pub fn write_call(&self, headers: &mut HeaderMap, forwarding: &Forwarding<'_>) {
+        headers.remove(&self.key);
+        for name in &self.reserved {
+            headers.remove(name);
+        }
+        headers.insert(&self.deadline, HeaderValue::from(forwarding.remaining_ms));
+        set_header(headers, &self.endpoint, Some(forwarding.endpoint));
+        set_header(headers, &self.customer, forwarding.customer);
         let copy_from = forwarding.copy_from.map(|address| address.to_string());
-        set_header(headers, COPY_FROM, copy_from.as_deref());
+        set_header(headers, &self.copy_from, copy_from.as_deref());
         if forwarding.after_event.is_some() {
-            set_header(headers, LAST_EVENT, forwarding.after_event);
+            set_header(headers, &self.last_event, forwarding.after_event);
         }
     }
 
-    fn read_answer(&self, headers: &HeaderMap) -> AnswerHead {
+    /// Reads an answer's head.
+    pub fn read_answer(&self, headers: &HeaderMap) -> AnswerHead {
         AnswerHead {
-            id: text(headers, &ID).map(str::to_string),
-            not_executed: headers.contains_key(NOT_EXECUTED),
-            sealed: true,
+            id: text(headers, &self.id).map(str::to_string),
+            not_executed: headers.contains_key(&self.not_executed),
+            sealed: self.seal.as_ref().is_none_or(|seal| headers.contains_key(seal)),
         }
     }
 }
 
 /// A header's text, if it is there and is text.
-pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
 /// Sets a header, or removes it where there is nothing to say.
-pub fn set_header(headers: &mut HeaderMap, name: HeaderName, value: Option<&str>) {
+fn set_header(headers: &mut HeaderMap, name: &HeaderName, value: Option<&str>) {
     match value.and_then(|value| HeaderValue::from_str(value).ok()) {
         Some(value) => {
             headers.insert(name, value);
@@ -140,14 +170,14 @@
 }
 
 /// Reads `PROMPT,OUTPUT`.
-pub fn token_counts(text: &str) -> (u32, u32) {
+pub(super) fn token_counts(text: &str) -> (u32, u32) {
     let mut counts = text.split(',').map(|n| n.trim().parse().unwrap_or(0));
     (counts.next().unwrap_or(0), counts.next().unwrap_or(0))
 }
 
 /// Reads `ID:TOKENS,...` with ids in hexadecimal. A part counts as the same only
 /// after the same parts, so each id is mixed with those before it.
-pub fn prompt_parts(text: &str) -> Vec<PromptPart> {
+pub(super) fn prompt_parts(text: &str) -> Vec<PromptPart> {
     let mut before = 0;
     let part = |part: &str| {
         let (id, tokens) = part.trim().split_once(':')?;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -31,7 +31,7 @@
 pub async fn run(
     settings: RouterSettings,
     rules: GatewaySettings,
-    dialect: Arc<dyn Dialect>,
+    dialect: Arc<Dialect>,
     stop: CancellationToken,
 ) -> Result<()> {
     settings.check()?;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -42,7 +42,7 @@
     /// Where requests for engines go.
     pub placements: Arc<Placements>,
     /// Names and formats of heads.
-    pub dialect: Arc<dyn Dialect>,
+    pub dialect: Arc<Dialect>,
     /// Connections to endpoints.
     pub connections: Connections,
     /// Counters.
@@ -64,7 +64,7 @@
         settings: RouterSettings,
         rules: GatewaySettings,
         peers: Arc<Peers>,
-        dialect: Arc<dyn Dialect>,
+        dialect: Arc<Dialect>,
         stop: CancellationToken,
     ) -> Arc<Gateway> {
         let documents = Arc::new(Documents::default());
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -4,6 +4,7 @@
 
 use super::endpoints::ColdPart;
 use super::neighbours::{REFUSED_MS, RENEW_MS};
+use super::dialect::{prompt_parts, token_counts};
 use super::*;
 use crate::feed::Neighbour;
 use crate::registry::{EndpointState, Registration};
@@ -303,3 +304,28 @@
     assert!(choose(1_010, &cold));
     assert!(choose(11, &endpoint("a")));
 }
+
+#[test]
+fn callers_cannot_say_what_only_the_gateway_may_say() {
+    use axum::http::{HeaderMap, HeaderName, HeaderValue};
+
+    let reserved = HeaderName::from_static("x-reserved");
+    let dialect = Dialect { reserved: vec![reserved.clone()], ..Dialect::native() };
+    let mut headers = HeaderMap::new();
+    let names = [&dialect.key, &dialect.endpoint, &dialect.customer, &dialect.copy_from, &reserved];
+    for name in names {
+        headers.insert(name, HeaderValue::from_static("said by the caller"));
+    }
+    let forwarding = Forwarding {
+        remaining_ms: 70,
+        endpoint: "e1",
+        customer: None,
+        copy_from: None,
+        after_event: None,
+    };
+    dialect.write_call(&mut headers, &forwarding);
+    let left: Vec<_> = headers.iter().map(|(name, value)| (name.as_str(), value)).collect();
+    assert_eq!(left.len(), 2, "{left:?}");
+    assert_eq!(headers[&dialect.endpoint], "e1");
+    assert_eq!(headers[&dialect.deadline], "70");
+}
