--- a/src/control.rs
+++ b/src/control.rs
@@ -7,6 +7,7 @@
 mod halls;
 mod handle;
 mod join;
+mod registrations;
 mod serve;
 mod state;
 #[cfg(test)]
@@ -39,6 +40,7 @@
 pub use halls::HallOrder;
 pub use handle::{Handle, Leadership, NoLeader};
 pub use join::Joined;
+pub use registrations::{Heard, judge};
 pub use serve::{Ask, Asked, ClaimAnswer, ClaimRequest, Identity};
 pub use state::{Changed, Command, Reply, State};
 
--- a/src/control/documents.rs
+++ b/src/control/documents.rs
@@ -6,7 +6,6 @@
 use super::handle::NoLeader;
 use super::state::{Command, Reply};
 use crate::config::Refusal;
-use crate::registry::{Hearing, Registration};
 use crate::routing::Document;
 use crate::wire::{HostId, Role, Traffic};
 
@@ -100,10 +99,4 @@
     fn sent_for(&self, traffic: Traffic) -> u64 {
         self.peers.sent.of(traffic).get_own()
     }
-
-    /// Takes in what an endpoint says of itself. Routers in reach are told at
-    /// once.
-    pub fn register(&self, registration: Registration) {
-        self.registry.merge([registration], Hearing::FirstHand);
-    }
 }
--- /dev/null
+++ b/src/control/registrations.rs
@@ -0,0 +1,47 @@
+//! What endpoints say of themselves, where it is first heard.
+
+use super::Control;
+use crate::registry::{Hearing, Registration, Registry};
+use crate::routing::Routing;
+
+/// What became of what was said of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// It is known from now on.
+    Taken,
+    /// No configuration in force names its service: nothing is sent to it, and nothing is
+    /// kept of it.
+    NoService,
+    /// The endpoint of this id belongs to another service: nothing is changed.
+    OtherService,
+}
+
+/// Whether what is said of an endpoint is to be taken in.
+pub fn judge(said: &Registration, registry: &Registry, routing: Option<&Routing>) -> Heard {
+    let known = registry.get(&said.id).filter(|known| !known.service.is_empty());
+    let is_same_service = known.is_some_and(|known| known.service == said.service);
+    if said.address.is_none() || is_same_service {
+        return Heard::Taken;
+    }
+    let is_named = routing.is_none_or(|r| r.table.services.iter().any(|s| s.name == said.service));
+    match known {
+        None if is_named => Heard::Taken,
+        None => Heard::NoService,
+        // An endpoint belongs to one service from its start to its end.
+        Some(known) if is_named && known.born < said.born => Heard::Taken,
+        Some(_) => Heard::OtherService,
+    }
+}
+
+impl Control {
+    /// Takes in what an endpoint says of itself. Routers in reach are told at once.
+    /// Any control host does so by itself: it needs no leader.
+    pub fn register(&self, registration: Registration) -> Heard {
+        let routing = self.documents.current();
+        let heard = self.registry.read(|r| judge(&registration, r, routing.as_deref()));
+        if heard == Heard::Taken {
+            self.registry.merge([registration], Hearing::FirstHand);
+        }
+        heard
+    }
+}
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -1,3 +1,5 @@
+mod registrations;
+
 use proptest::prelude::*;
 
 use super::state::*;
--- /dev/null
+++ b/src/control/tests/registrations.rs
@@ -0,0 +1,65 @@
+//! What is taken in of what is said of endpoints.
+
+use crate::control::{Heard, judge};
+use crate::registry::{EndpointState, Hearing, Registration, Registry};
+use crate::routing::{Routing, RoutingTable, ServicePool};
+
+fn routing(services: &[&str]) -> Routing {
+    let pool = |name: &&str| ServicePool {
+        name: name.to_string(),
+        max_connections: 10,
+        engine: None,
+        cold_per_second: None,
+    };
+    Routing::new(RoutingTable {
+        services: services.iter().map(pool).collect(),
+        ..RoutingTable::default()
+    })
+}
+
+fn said(service: &str, born: u64) -> Registration {
+    Registration {
+        born,
+        service: service.into(),
+        address: Some(([127, 0, 0, 1], 8_000).into()),
+        state: EndpointState::Ready,
+        sequence: 1,
+        ..Registration::gone("e")
+    }
+}
+
+fn known(service: &str, born: u64) -> Registry {
+    let mut registry = Registry::default();
+    registry.merge(said(service, born), Hearing::FirstHand);
+    registry
+}
+
+#[test]
+fn nothing_is_kept_of_a_service_that_no_configuration_names() {
+    let empty = Registry::default();
+    let in_force = routing(&["app"]);
+    assert_eq!(judge(&said("app", 1), &empty, Some(&in_force)), Heard::Taken);
+    assert_eq!(judge(&said("other", 1), &empty, Some(&in_force)), Heard::NoService);
+    assert_eq!(judge(&said("other", 1), &empty, None), Heard::Taken, "none is in force yet");
+}
+
+#[test]
+fn an_endpoint_belongs_to_one_service_from_its_start_to_its_end() {
+    let in_force = routing(&["app", "llm"]);
+    let registry = known("app", 5);
+    let heard = |service, born| judge(&said(service, born), &registry, Some(&in_force));
+    assert_eq!(heard("app", 5), Heard::Taken);
+    assert_eq!(heard("llm", 5), Heard::OtherService);
+    assert_eq!(heard("llm", 4), Heard::OtherService);
+    assert_eq!(heard("llm", 6), Heard::Taken);
+    assert_eq!(heard("other", 6), Heard::OtherService);
+}
+
+#[test]
+fn an_endpoint_whose_service_is_no_longer_named_may_still_leave() {
+    let in_force = routing(&["llm"]);
+    let registry = known("app", 5);
+    let leaves = Registration { state: EndpointState::Leaving, ..said("app", 5) };
+    assert_eq!(judge(&leaves, &registry, Some(&in_force)), Heard::Taken);
+    assert_eq!(judge(&Registration::gone("e"), &registry, Some(&in_force)), Heard::Taken);
+}
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -39,6 +39,7 @@
 /// One connection; closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
+    address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     keep: Duration,
@@ -74,7 +75,14 @@
         });
         let idle_since = Instant::now();
         open.fetch_add(1, Ordering::Relaxed);
-        Ok(Connection { sender, driver: task.abort_handle(), keep: IDLE, idle_since, open })
+        Ok(Connection {
+            address,
+            sender,
+            driver: task.abort_handle(),
+            keep: IDLE,
+            idle_since,
+            open,
+        })
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -145,7 +153,7 @@
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
-        while let Some(mut kept) = self.take(endpoint) {
+        while let Some(mut kept) = self.take(endpoint, address) {
             match kept.send(request).await {
                 Ok(response) => return Ok((response, kept)),
                 // The endpoint had closed it before anything was written.
@@ -163,11 +171,13 @@
         }
     }
 
-    fn take(&self, endpoint: &str) -> Option<Connection> {
+    /// A kept connection to an endpoint where it listens now: one that started again may
+    /// listen elsewhere.
+    fn take(&self, endpoint: &str, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.lock();
         let kept = idle.get_mut(endpoint)?;
         while let Some(connection) = kept.pop() {
-            if connection.is_usable() {
+            if connection.address == address && connection.is_usable() {
                 return Some(connection);
             }
         }
--- a/src/gateway/endpoints.rs
+++ b/src/gateway/endpoints.rs
@@ -47,6 +47,8 @@
 
 #[derive(Clone, Debug, Default)]
 struct Seen {
+    /// The start of the endpoint that was seen. Nothing of it holds of a later one.
+    born: u64,
     in_flight: u32,
     prompt_tokens: u64,
     failures: u32,
@@ -72,6 +74,12 @@
 }
 
 impl ColdPart {
+    /// Of cold engines no part at all: their placer may send them all that they bear.
+    pub fn left_to_placer(self, is_engine: bool) -> ColdPart {
+        let per_second = self.per_second.map(|bears| if is_engine { 0.0 } else { bears });
+        ColdPart { per_second, ..self }
+    }
+
     /// Requests a second that this router may send to a cold endpoint; none for as many
     /// as it likes.
     fn allowance(&self, id: &str) -> Option<usize> {
@@ -101,14 +109,14 @@
         cold: ColdPart,
     ) -> Option<&'a Registration> {
         let usable = |r: &&Registration| {
-            let replaced = self.seen.get(&r.id).is_some_and(|s| s.replaced);
+            let replaced = self.of(r).is_some_and(|s| s.replaced);
             !replaced
                 && !tried.contains(&r.id)
                 && r.address.is_some()
                 && !self.is_too_cold(now, r, cold)
         };
         let mut usable: Vec<_> = ready.filter(usable).collect();
-        let calm = |r: &Registration| self.seen.get(&r.id).is_none_or(|s| s.avoid_until <= now);
+        let calm = |r: &Registration| self.of(r).is_none_or(|s| s.avoid_until <= now);
         if usable.iter().any(|r| calm(r)) {
             usable.retain(|r| calm(r));
         }
@@ -120,7 +128,7 @@
     }
 
     fn load(&self, endpoint: &Registration, preference: Preference) -> (u64, u64) {
-        let seen = self.seen.get(&endpoint.id);
+        let seen = self.of(endpoint);
         match preference {
             Preference::Affinity(affinity) => {
                 let tokens = seen.map_or(0, |seen| seen.prompt_tokens);
@@ -141,13 +149,27 @@
         }
         let Some(allowance) = cold.allowance(&endpoint.id) else { return false };
         let lately = |at: &&Millis| **at + SENT_WINDOW_MS > now;
-        let sent = self.seen.get(&endpoint.id).map_or(0, |s| s.sent.iter().filter(lately).count());
+        let sent = self.of(endpoint).map_or(0, |s| s.sent.iter().filter(lately).count());
         sent >= allowance
     }
 
-    /// A request was sent.
-    pub fn begin(&mut self, now: Millis, id: &str, prompt_tokens: u32) {
+    /// What was seen of an endpoint since it started.
+    fn of(&self, endpoint: &Registration) -> Option<&Seen> {
+        self.seen.get(&endpoint.id).filter(|seen| seen.born == endpoint.born)
+    }
+
+    /// The same, to be changed; none of a start after which a later one was seen.
+    fn seen_of(&mut self, id: &str, born: u64) -> Option<&mut Seen> {
         let seen = self.seen.entry(id.to_string()).or_default();
+        if seen.born < born {
+            *seen = Seen { born, ..Seen::default() };
+        }
+        (seen.born == born).then_some(seen)
+    }
+
+    /// A request was sent to an endpoint that started at `born`.
+    pub fn begin(&mut self, now: Millis, id: &str, born: u64, prompt_tokens: u32) {
+        let Some(seen) = self.seen_of(id, born) else { return };
         while seen.sent.front().is_some_and(|at| at + SENT_WINDOW_MS <= now) {
             seen.sent.pop_front();
         }
@@ -157,30 +179,30 @@
     }
 
     /// Its prompt has been read: the first event came.
-    pub fn begun(&mut self, id: &str, prompt_tokens: u32) {
-        if let Some(seen) = self.seen.get_mut(id) {
+    pub fn begun(&mut self, id: &str, born: u64, prompt_tokens: u32) {
+        if let Some(seen) = self.seen.get_mut(id).filter(|seen| seen.born == born) {
             seen.prompt_tokens = seen.prompt_tokens.saturating_sub(u64::from(prompt_tokens));
         }
     }
 
     /// A request has ended.
-    pub fn end(&mut self, id: &str) {
-        if let Some(seen) = self.seen.get_mut(id) {
+    pub fn end(&mut self, id: &str, born: u64) {
+        if let Some(seen) = self.seen.get_mut(id).filter(|seen| seen.born == born) {
             seen.in_flight = seen.in_flight.saturating_sub(1);
         }
     }
 
     /// A request was answered.
-    pub fn succeeded(&mut self, id: &str) {
-        if let Some(seen) = self.seen.get_mut(id) {
+    pub fn succeeded(&mut self, id: &str, born: u64) {
+        if let Some(seen) = self.seen.get_mut(id).filter(|seen| seen.born == born) {
             seen.failures = 0;
             seen.avoid_until = 0;
         }
     }
 
     /// A request failed; returns for how long the endpoint is avoided.
-    pub fn failed(&mut self, now: Millis, id: &str, failure: Failure) -> Millis {
-        let seen = self.seen.entry(id.to_string()).or_default();
+    pub fn failed(&mut self, now: Millis, id: &str, born: u64, failure: Failure) -> Millis {
+        let Some(seen) = self.seen_of(id, born) else { return 0 };
         seen.failures += 1;
         seen.replaced |= failure == Failure::Replaced;
         let at_once = failure == Failure::Unreachable;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -132,7 +132,7 @@
 ) -> Result<Opened, Attempt> {
     let Some(address) = endpoint.address else { return Err(Attempt::NotSent) };
     let tokens = call.prompt_tokens();
-    let mut ticket = Ticket::new(&call.gateway, &endpoint.id, tokens, reservation);
+    let mut ticket = Ticket::new(&call.gateway, endpoint, tokens, reservation);
     ticket.set_ending(Ending::Failed);
     let request = request_for(call, endpoint, ticket.copy_from(), after_event);
     let exchange = call.gateway.connections.send(&endpoint.id, address, request);
@@ -146,12 +146,12 @@
         }
         Ok(Err(SendError::NotSent(why))) => {
             log::info!("gateway: request {} not sent to {}: {why}", call.number, endpoint.id);
-            call.gateway.note_failure(&endpoint.id, Failure::Unreachable);
+            call.gateway.note_failure(&endpoint.id, endpoint.born, Failure::Unreachable);
             Err(Attempt::NotSent)
         }
         Ok(Err(SendError::Unknown(why))) => Err(unknown(call, endpoint, &why)),
         Err(_) => {
-            call.gateway.note_failure(&endpoint.id, Failure::Failed);
+            call.gateway.note_failure(&endpoint.id, endpoint.born, Failure::Failed);
             log::info!("gateway: request {} got no answer of {}", call.number, endpoint.id);
             Err(Attempt::TimedOut)
         }
@@ -160,7 +160,7 @@
 
 fn unknown(call: &Call, endpoint: &Registration, why: &str) -> Attempt {
     log::info!("gateway: request {} lost its answer at {}: {why}", call.number, endpoint.id);
-    call.gateway.note_failure(&endpoint.id, Failure::Failed);
+    call.gateway.note_failure(&endpoint.id, endpoint.born, Failure::Failed);
     Attempt::Unknown
 }
 
@@ -186,7 +186,7 @@
         let replaced = status == StatusCode::MISDIRECTED_REQUEST;
         let failure = if replaced { Failure::Replaced } else { Failure::Rejected };
         log::info!("gateway: request {} not run by {}: {status}", call.number, endpoint.id);
-        call.gateway.note_failure(&endpoint.id, failure);
+        call.gateway.note_failure(&endpoint.id, endpoint.born, failure);
         return Err(Attempt::NotExecuted);
     }
     if head.id != call.head.id {
@@ -201,7 +201,7 @@
 async fn judge(call: &Arc<Call>, endpoint: &Registration, opened: Opened) -> Attempt {
     let streams = call.route.kind == RouteKind::Streaming;
     if opened.response.status().is_success() && streams {
-        call.gateway.with_endpoints(|e| e.succeeded(&endpoint.id));
+        call.gateway.with_endpoints(|e| e.succeeded(&endpoint.id, endpoint.born));
         return Attempt::Answered(stream::relay(call, opened));
     }
     let Opened { response, connection, mut ticket } = opened;
@@ -234,9 +234,9 @@
     let failed = head.status.is_server_error();
     let response = Response::from_parts(head, Body::from(body));
     if failed {
-        call.gateway.note_failure(&endpoint.id, Failure::Failed);
+        call.gateway.note_failure(&endpoint.id, endpoint.born, Failure::Failed);
         return Attempt::Error(response);
     }
-    call.gateway.with_endpoints(|e| e.succeeded(&endpoint.id));
+    call.gateway.with_endpoints(|e| e.succeeded(&endpoint.id, endpoint.born));
     Attempt::Answered(response)
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use super::dialect::CallHead;
-use super::endpoints::{ColdPart, Preference};
+use super::endpoints::Preference;
 use super::exchange::{self, Attempt};
 use super::refusal::Refusal;
 use super::state::{Gateway, Presence};
@@ -78,11 +78,7 @@
     /// Chooses an endpoint that was not tried before.
     pub fn choose(&self, tried: &[String]) -> Option<Registration> {
         let now = self.gateway.now();
-        let cold = ColdPart {
-            per_second: self.cold_per_second,
-            routers: self.gateway.feeds.routers(),
-            router: self.gateway.peers.me,
-        };
+        let cold = self.gateway.cold_part(self.cold_per_second, self.is_engine);
         self.gateway.registry.read(|registry| {
             let ready = registry.ready(&self.service).filter(|e| self.is_eligible(e));
             let preference = self.preference();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,5 +1,6 @@
 //! What the parts of a gateway share.
 
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -8,7 +9,7 @@
 use super::budget::RetryBudgets;
 use super::connections::Connections;
 use super::dialect::Dialect;
-use super::endpoints::{Endpoints, Failure};
+use super::endpoints::{ColdPart, Endpoints, Failure};
 use super::neighbours::Neighbours;
 use super::overload::Overload;
 use crate::dispatch::Millis;
@@ -16,7 +17,7 @@
 use crate::loop_lag::LoopLag;
 use crate::peer::Peers;
 use crate::placement::{Ending, LocalPlacer, Placements, Reservation};
-use crate::registry::{EndpointState, Scope, SharedRegistry};
+use crate::registry::{EndpointState, Registration, Scope, SharedRegistry};
 use crate::rollout::SharedRollouts;
 use crate::routing::Documents;
 use crate::settings::{GatewaySettings, RouterSettings};
@@ -121,6 +122,12 @@
         f(&mut self.endpoints.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// This router's part of what cold endpoints of a service bear.
+    pub(super) fn cold_part(&self, per_second: Option<f64>, is_engine: bool) -> ColdPart {
+        let routers = self.feeds.routers();
+        ColdPart { per_second, routers, router: self.peers.me }.left_to_placer(is_engine)
+    }
+
     /// Works on the retry budgets.
     pub(super) fn with_budgets<T>(&self, f: impl FnOnce(&mut RetryBudgets) -> T) -> T {
         f(&mut self.budgets.lock().unwrap_or_else(PoisonError::into_inner))
@@ -155,9 +162,9 @@
     }
 
     /// A request failed at an endpoint.
-    pub(super) fn note_failure(&self, id: &str, failure: Failure) {
+    pub(super) fn note_failure(&self, id: &str, born: u64, failure: Failure) {
         let now = self.now();
-        let avoided = self.with_endpoints(|e| e.failed(now, id, failure));
+        let avoided = self.with_endpoints(|e| e.failed(now, id, born, failure));
         if avoided > 0 {
             log::info!("gateway: endpoint {id} avoided for {avoided} ms: {failure:?}");
         }
@@ -246,6 +253,8 @@
     gateway: Arc<Gateway>,
     /// The endpoint's id.
     pub endpoint: String,
+    /// The start of the endpoint that it was sent to.
+    pub born: u64,
     prompt_tokens: u32,
     begun: bool,
     reservation: Option<Reservation>,
@@ -254,21 +263,22 @@
 impl Ticket {
     pub fn new(
         gateway: &Arc<Gateway>,
-        endpoint: &str,
+        endpoint: &Registration,
         prompt_tokens: u32,
         reservation: Option<Reservation>,
     ) -> Ticket {
         let now = gateway.now();
-        gateway.with_endpoints(|e| e.begin(now, endpoint, prompt_tokens));
-        let endpoint = endpoint.to_string();
-        Ticket { gateway: gateway.clone(), endpoint, prompt_tokens, begun: false, reservation }
+        let (endpoint, born) = (endpoint.id.clone(), endpoint.born);
+        gateway.with_endpoints(|e| e.begin(now, &endpoint, born, prompt_tokens));
+        let gateway = gateway.clone();
+        Ticket { gateway, endpoint, born, prompt_tokens, begun: false, reservation }
     }
 
     /// The first part of the answer came.
     pub fn begun(&mut self) {
         if !std::mem::replace(&mut self.begun, true) {
             let tokens = self.prompt_tokens;
-            self.gateway.with_endpoints(|e| e.begun(&self.endpoint, tokens));
+            self.gateway.with_endpoints(|e| e.begun(&self.endpoint, self.born, tokens));
             if let Some(reservation) = &mut self.reservation {
                 reservation.begun();
             }
@@ -292,22 +302,31 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         let tokens = if self.begun { 0 } else { self.prompt_tokens };
-        self.gateway.with_endpoints(|e| e.begun(&self.endpoint, tokens));
-        self.gateway.with_endpoints(|e| e.end(&self.endpoint));
+        self.gateway.with_endpoints(|e| e.begun(&self.endpoint, self.born, tokens));
+        self.gateway.with_endpoints(|e| e.end(&self.endpoint, self.born));
     }
 }
 
-/// Closes kept connections to endpoints that take no more work.
+/// Closes kept connections to endpoints that take no more work, or have started again.
 pub(super) async fn follow_registry(gateway: Arc<Gateway>) {
     let mut watch = gateway.registry.watch();
     let mut seen = 0;
+    let mut starts = HashMap::new();
     while watch.changed().await.is_ok() {
         let changes = gateway.registry.read(|r| r.changes_after(seen, usize::MAX, Scope::All));
         seen = changes.upto;
-        let left = changes.endpoints.iter().filter(|e| e.state != EndpointState::Ready);
-        for endpoint in left {
-            gateway.connections.forget(&endpoint.id);
-            gateway.with_endpoints(|e| e.forget(&endpoint.id));
+        for endpoint in &changes.endpoints {
+            let started = match endpoint.state {
+                EndpointState::Gone => starts.remove(&endpoint.id),
+                _ => starts.insert(endpoint.id.clone(), endpoint.born),
+            };
+            let has_left = endpoint.state != EndpointState::Ready;
+            if has_left || started.is_some_and(|born| born != endpoint.born) {
+                gateway.connections.forget(&endpoint.id);
+            }
+            if has_left {
+                gateway.with_endpoints(|e| e.forget(&endpoint.id));
+            }
         }
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -118,7 +118,8 @@
     async fn resume(&mut self) -> Result<(), BrokenOff> {
         let Some(mut broken) = self.source.take() else { return Err(BrokenOff::Endpoint) };
         let call = self.call.clone();
-        call.gateway.note_failure(&broken.ticket.endpoint, Failure::Failed);
+        let ticket = &broken.ticket;
+        call.gateway.note_failure(&ticket.endpoint, ticket.born, Failure::Failed);
         broken.ticket.set_ending(Ending::Failed);
         drop(broken);
         let Some(splitter) = &mut self.splitter else { return Err(BrokenOff::Endpoint) };
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -31,6 +31,8 @@
 pub struct Engine {
     /// The endpoint's id.
     pub id: String,
+    /// When it started. What was known of an earlier start does not hold of it.
+    pub born: u64,
     /// A hash of the id, from which the order of equal engines comes.
     hash: u64,
     /// Its service.
@@ -66,6 +68,7 @@
             hash: xxh3_64(info.id.as_bytes()),
             order: order_of(&info.id),
             id: info.id,
+            born: info.born,
             service: info.service,
             version: info.version,
             region: info.region,
--- a/src/placement/client.rs
+++ b/src/placement/client.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
-use super::knowledge::{Memory, Told};
+use super::knowledge::{Memory, StartOf, Told};
 use super::local::LocalPlacer;
 use super::message::{Ending, FromPlacer, PlacementRequest, Refusal, ToPlacer};
 use crate::error::Result;
@@ -196,8 +196,9 @@
         by: Told,
     ) -> Placed {
         match answer {
-            FromPlacer::Go { endpoint, copy_from, .. } => {
-                lock(&self.memory).placed(request, &endpoint, by);
+            FromPlacer::Go { endpoint, born, copy_from, .. } => {
+                let at = StartOf { endpoint: &endpoint, born };
+                lock(&self.memory).placed(request, at, by);
                 let placements = self.clone();
                 let seq = request.seq;
                 let ending = Ending::Abandoned;
--- a/src/placement/knowledge.rs
+++ b/src/placement/knowledge.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::message::{KeptParts, Knowledge, OpenRequest, PlacementRequest, PromptParts};
+use super::message::{KeptParts, Knowledge, OpenRequest, PlacementRequest};
 use crate::wire::HostId;
 
 /// Prompt parts that are remembered, those used last.
@@ -28,6 +28,15 @@
     told: Vec<Told>,
 }
 
+/// One start of an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct StartOf<'a> {
+    /// The endpoint's id.
+    pub endpoint: &'a str,
+    /// When it started.
+    pub born: u64,
+}
+
 /// Open requests and kept prompt parts.
 #[derive(Clone, Debug, Default)]
 pub struct Memory {
@@ -39,10 +48,11 @@
 
 impl Memory {
     /// A request was placed at an endpoint.
-    pub fn placed(&mut self, request: &PlacementRequest, endpoint: &str, by: Told) {
+    pub fn placed(&mut self, request: &PlacementRequest, at: StartOf<'_>, by: Told) {
         let open = OpenRequest {
             seq: request.seq,
-            endpoint: endpoint.to_string(),
+            endpoint: at.endpoint.to_string(),
+            born: at.born,
             parts: request.parts.clone(),
             prompt_tokens: request.prompt_tokens,
             output_tokens: request.output_tokens,
@@ -56,11 +66,11 @@
         let Some(open) = self.open.get_mut(&seq) else { return Vec::new() };
         open.request.begun = true;
         let told = open.told.clone();
-        let endpoint = open.request.endpoint.clone();
+        let (endpoint, born) = (open.request.endpoint.clone(), open.request.born);
         // The last part is the request's own; few ask for it again.
         let shared = open.request.parts.len().saturating_sub(1);
         let parts = open.request.parts[..shared].to_vec();
-        self.keep(endpoint, parts);
+        self.keep(KeptParts { endpoint, born, parts });
         told
     }
 
@@ -69,14 +79,14 @@
         self.open.remove(&seq).map(|open| open.told).unwrap_or_default()
     }
 
-    fn keep(&mut self, endpoint: String, parts: PromptParts) {
-        let Some((last, _)) = parts.last() else { return };
-        let key = (*last, endpoint.clone());
+    fn keep(&mut self, read: KeptParts) {
+        let Some((last, _)) = read.parts.last() else { return };
+        let key = (*last, read.endpoint.clone());
         self.uses += 1;
         if let Some(before) = self.last_use.insert(key, self.uses) {
             self.kept.remove(&before);
         }
-        self.kept.insert(self.uses, KeptParts { endpoint, parts });
+        self.kept.insert(self.uses, read);
         if self.kept.len() > MOST_KEPT
             && let Some((_, oldest)) = self.kept.pop_first()
             && let Some((last, _)) = oldest.parts.last()
--- a/src/placement/message.rs
+++ b/src/placement/message.rs
@@ -54,6 +54,8 @@
     pub seq: u64,
     /// Where it was placed.
     pub endpoint: String,
+    /// The start of the endpoint that it was placed at.
+    pub born: u64,
     /// The prompt's parts.
     pub parts: PromptParts,
     /// Length of the prompt in tokens.
@@ -69,6 +71,8 @@
 pub struct KeptParts {
     /// The endpoint.
     pub endpoint: String,
+    /// The start of the endpoint that read them; a later one keeps nothing of them.
+    pub born: u64,
     /// The parts.
     pub parts: PromptParts,
 }
@@ -127,6 +131,8 @@
         seq: u64,
         /// The endpoint's id.
         endpoint: String,
+        /// When the endpoint started, as the placer knows it.
+        born: u64,
         /// The id of an endpoint from which it should copy prompt parts.
         copy_from: Option<String>,
     },
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -81,6 +81,7 @@
             engine.open = false;
         }
         for mut info in engines {
+            self.forget_earlier_start(&info);
             info.rate = self.guess(&info.service, info.rate);
             match self.numbers.get(&info.id) {
                 Some(number) => {
@@ -109,6 +110,30 @@
         self.found.resize(most, Match::default());
     }
 
+    /// Forgets an engine that has started again: what was sent to the earlier start has
+    /// ended, and the new one keeps nothing.
+    fn forget_earlier_start(&mut self, info: &EngineInfo) {
+        let Some(number) = self.numbers.get(&info.id).copied() else { return };
+        if self.engines[number].born == info.born {
+            return;
+        }
+        self.engines.remove(number);
+        self.numbers.remove(&info.id);
+        self.parts.forget(number);
+        self.placed.retain(|_, at| *at != number);
+    }
+
+    /// The number of an engine that has not started again since `born`.
+    fn number_of(&self, endpoint: &str, born: u64) -> Option<EngineNumber> {
+        let number = *self.numbers.get(endpoint)?;
+        (self.engines[number].born == born).then_some(number)
+    }
+
+    /// Part of what cold engines bear that this placer may send them from now on.
+    pub fn set_cold_part(&mut self, part: f64) {
+        self.rules.cold_part = part;
+    }
+
     /// What all engines are meant to do in a second, in units of service; 0 where that
     /// is not known.
     pub fn set_nominal(&mut self, units_per_second: u64) {
@@ -137,14 +162,14 @@
     /// Takes in what a router knows from placements that others decided.
     fn learn(&mut self, now: Millis, router: HostId, knowledge: Knowledge) {
         for kept in &knowledge.kept {
-            if let Some(number) = self.numbers.get(&kept.endpoint).copied() {
+            if let Some(number) = self.number_of(&kept.endpoint, kept.born) {
                 self.keep(number, &kept.parts);
                 self.parts.set_read(number, &kept.parts);
             }
         }
         for open in knowledge.open {
             let key = (router, open.seq);
-            let Some(number) = self.numbers.get(&open.endpoint).copied() else { continue };
+            let Some(number) = self.number_of(&open.endpoint, open.born) else { continue };
             if self.placed.contains_key(&key) {
                 continue;
             }
@@ -240,6 +265,7 @@
         let answer = FromPlacer::Go {
             seq: key.1,
             endpoint: id(choice.engine),
+            born: self.engines[choice.engine].born,
             copy_from: choice.copy.map(|copy| id(copy.from)),
         };
         self.commit(now, key, &request, &choice);
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -3,12 +3,13 @@
 mod parts;
 mod queue;
 mod rate;
+mod reborn;
 mod standing;
 mod warmth;
 
 use proptest::prelude::*;
 
-use super::knowledge::{Memory, Told};
+use super::knowledge::{Memory, StartOf, Told};
 use super::parts::{Match, PartIndex};
 use super::shares::{Shares, WINDOW_MS};
 use super::*;
@@ -72,6 +73,10 @@
     }
 }
 
+fn at(endpoint: &str) -> StartOf<'_> {
+    StartOf { endpoint, born: 0 }
+}
+
 fn serve(placer: &mut Placer, now: u64, seq: u64) {
     placer.receive(now, ROUTER, ToPlacer::Begun { seq });
     placer.receive(now, ROUTER, ToPlacer::Done { seq, ending: Ending::Served });
@@ -325,18 +330,18 @@
     let mut first = placer(&["a", "b", "c"]);
     let kept = request(1, "x", 7, 500);
     let home = endpoint(place(&mut first, 0, kept.clone()));
-    memory.placed(&kept, &home, Told::Host(HostId(8)));
+    memory.placed(&kept, at(&home), Told::Host(HostId(8)));
     assert_eq!(memory.begun(1), [Told::Host(HostId(8))]);
     memory.ended(1);
     let waiting = request(2, "x", 9, 30_000);
     let busy = if home == "a" { "b" } else { "a" };
-    memory.placed(&waiting, busy, Told::Host(HostId(8)));
+    memory.placed(&waiting, at(busy), Told::Host(HostId(8)));
 
     let mut second = placer(&["a", "b", "c"]);
     let knowledge = memory.tell(HostId(9));
     assert!(second.receive(0, ROUTER, ToPlacer::Known(knowledge.clone())).is_none());
     let next = decide(&mut second, 0, request(3, "x", 7, 500));
-    assert_eq!(next.answer, FromPlacer::Go { seq: 3, endpoint: home, copy_from: None });
+    assert_eq!(next.answer, FromPlacer::Go { seq: 3, endpoint: home, born: 0, copy_from: None });
     assert!(next.own_ms < 100.0, "10,000 shared tokens are kept there: {} ms", next.own_ms);
     let alone = PlacementRequest {
         avoid: ["a", "b", "c"].into_iter().filter(|id| *id != busy).map(String::from).collect(),
@@ -358,7 +363,7 @@
 fn a_router_remembers_a_bounded_number_of_prompt_parts() {
     let mut memory = Memory::default();
     for seq in 1..2_000 {
-        memory.placed(&request(seq, "x", seq, 500), "a", Told::Local);
+        memory.placed(&request(seq, "x", seq, 500), at("a"), Told::Local);
         memory.begun(seq);
         memory.ended(seq);
     }
--- /dev/null
+++ b/src/placement/tests/reborn.rs
@@ -0,0 +1,82 @@
+//! Engines that start again under their id.
+
+use super::*;
+
+fn started(id: &str, born: u64) -> EngineInfo {
+    EngineInfo { born, ..engine(id) }
+}
+
+fn placer_of(engines: Vec<EngineInfo>) -> Placer {
+    let mut placer = Placer::new(PlacementRules::default());
+    placer.set_engines(0, engines);
+    placer
+}
+
+/// Milliseconds to read the prompt of a request that shares part 7.
+fn own_ms(placer: &mut Placer, now: u64, seq: u64) -> f64 {
+    let decision = decide(placer, now, request(seq, "x", 7, 500));
+    endpoint(decision.answer);
+    decision.own_ms
+}
+
+#[test]
+fn a_new_start_keeps_no_parts_of_the_earlier_one() {
+    let mut placer = placer_of(vec![started("a", 1)]);
+    let first = own_ms(&mut placer, 0, 1);
+    serve(&mut placer, 300, 1);
+    assert!(own_ms(&mut placer, 1_000, 2) < first / 2.0, "the shared part is kept");
+    serve(&mut placer, 1_100, 2);
+    placer.set_engines(2_000, vec![started("a", 2)]);
+    assert!(own_ms(&mut placer, 2_000, 3) > first / 2.0, "it is to be read again");
+}
+
+#[test]
+fn what_was_sent_to_an_earlier_start_has_ended() {
+    let mut placer = placer_of(vec![started("a", 1)]);
+    for seq in 1..5 {
+        place(&mut placer, 0, request(seq, "x", seq, 500));
+    }
+    placer.set_engines(10, vec![started("a", 2)]);
+    let after = decide(&mut placer, 10, request(9, "x", 9, 500));
+    assert_eq!(after.backlog_ms, 0.0);
+    // The routers say so later, and of the new start that says nothing.
+    for seq in 1..5 {
+        placer.receive(20, ROUTER, ToPlacer::Done { seq, ending: Ending::Failed });
+    }
+    serve(&mut placer, 400, 9);
+    endpoint(place(&mut placer, 400, request(10, "x", 10, 500)));
+}
+
+#[test]
+fn a_new_start_is_used_though_another_endpoint_had_the_earlier_ones_address() {
+    let mut placer = placer_of(vec![started("a", 1)]);
+    place(&mut placer, 0, request(1, "x", 1, 500));
+    placer.receive(1, ROUTER, ToPlacer::Done { seq: 1, ending: Ending::Replaced });
+    let gone = place(&mut placer, 2, request(2, "x", 2, 500));
+    assert!(matches!(gone, FromPlacer::Unknown { .. }), "{gone:?}");
+    placer.set_engines(10, vec![started("a", 2)]);
+    endpoint(place(&mut placer, 10, request(3, "x", 3, 500)));
+}
+
+#[test]
+fn what_a_router_knows_of_an_earlier_start_is_not_believed_of_a_later_one() {
+    let mut memory = Memory::default();
+    let kept = request(1, "x", 7, 500);
+    memory.placed(&kept, StartOf { endpoint: "a", born: 1 }, Told::Local);
+    memory.begun(1);
+    memory.ended(1);
+    memory.placed(&request(2, "x", 9, 30_000), StartOf { endpoint: "a", born: 1 }, Told::Local);
+    let knowledge = memory.tell(HostId(9));
+    let told = |born| {
+        let mut placer = placer_of(vec![started("a", born)]);
+        placer.receive(0, ROUTER, ToPlacer::Known(knowledge.clone()));
+        let asked = PlacementRequest { objective_ms: 60_000, ..request(3, "x", 7, 500) };
+        let decision = decide(&mut placer, 0, asked);
+        (decision.own_ms, decision.backlog_ms)
+    };
+    let (own_ms, backlog_ms) = told(1);
+    let (own_ms_later, backlog_ms_later) = told(2);
+    assert!(own_ms < own_ms_later / 2.0, "{own_ms} and {own_ms_later}");
+    assert!(backlog_ms > 0.0);
+    assert_eq!(backlog_ms_later, 0.0);
+}
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -1,10 +1,12 @@
 //! Endpoints that register themselves with control hosts.
 //!
-//! What is known of an endpoint merges without agreement: its sequence numbers
-//! rise, its state only goes forward (ready, leaving, gone), and an id never
-//! comes back. So every process may learn from every other, in any order.
+//! What is known of an endpoint merges without agreement. Of two starts under one id the
+//! later one counts; within a start sequence numbers rise and the state only goes
+//! forward (ready, leaving, gone). So every process may learn from every other, in any
+//! order.
 
 mod halls;
+mod known;
 pub mod saved;
 mod shared;
 mod table;
--- a/src/registry/halls.rs
+++ b/src/registry/halls.rs
@@ -1,9 +1,13 @@
 //! Data halls that operators have drained: their endpoints get no new work.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
+/// Data halls taken back last that are kept in mind: more are hardly taken back within
+/// the seconds for which their endpoints count as cold.
+const KEPT_RESTORED: usize = 4;
+
 /// The drained data halls. Control hosts agree on them; of two, the one with the higher
 /// revision prevails.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -11,6 +15,9 @@
     /// Rises with each order that changes something.
     revision: u64,
     halls: BTreeSet<String>,
+    /// Halls that were taken back, by the revision of that order. Whoever learns of
+    /// several orders at once learns from this what stood between them.
+    restored: BTreeMap<u64, String>,
 }
 
 impl DrainedHalls {
@@ -18,12 +25,25 @@
     pub fn drain(&mut self, hall: &str) {
         let is_new = self.halls.insert(hall.to_string());
         self.revision += u64::from(is_new);
+        self.restored.retain(|_, restored| restored != hall);
     }
 
     /// Takes a data hall back.
     pub fn restore(&mut self, hall: &str) {
         let was_drained = self.halls.remove(hall);
-        self.revision += u64::from(was_drained);
+        if !was_drained {
+            return;
+        }
+        self.revision += 1;
+        self.restored.insert(self.revision, hall.to_string());
+        while self.restored.len() > KEPT_RESTORED {
+            self.restored.pop_first();
+        }
+    }
+
+    /// Halls taken back by an order after this revision, and not drained again since.
+    pub fn restored_after(&self, revision: u64) -> impl Iterator<Item = &str> {
+        self.restored.range(revision + 1..).map(|(_, hall)| hall.as_str())
     }
 
     /// Whether the endpoints of a data hall get no new work.
--- a/src/registry/shared.rs
+++ b/src/registry/shared.rs
@@ -5,10 +5,13 @@
 
 use tokio::sync::watch;
 
+use super::known::RESTORED_WARMUP_MS;
 use super::{DrainedHalls, Hearing, Registration, Registry};
 
 /// Endpoints that a log line about many names at most.
 const MOST_NAMED: usize = 8;
+/// How long what an endpoint says may be of the time before a data hall was taken back.
+const RESTORED_FOR: Duration = Duration::from_millis(RESTORED_WARMUP_MS);
 /// How long endpoints are remembered: two of their heartbeats, which come every 1.2 s
 /// on the platform. One that left meanwhile gets nothing new after that.
 const REMEMBERED_FOR: Duration = Duration::from_millis(2_500);
@@ -34,8 +37,8 @@
             news.into_iter().filter_map(|endpoint| registry.merge(endpoint, hearing)).collect()
         });
         let describe = |e: &Registration| {
-            let (id, service, state) = (&e.id, &e.service, e.state);
-            format!("{id} of {service} is {state:?}, call {}, cold {} ms", e.sequence, e.warmup_ms)
+            let (id, service, state, call) = (&e.id, &e.service, e.state, e.sequence);
+            format!("{id} of {service} is {state:?}, call {call}, cold {} ms", e.warmup_ms)
         };
         let named: Vec<_> = changed.iter().take(MOST_NAMED).map(describe).collect();
         if !named.is_empty() {
@@ -44,12 +47,18 @@
     }
 
     /// Adopts newer orders about data halls.
-    pub fn adopt_drained(&self, drained: DrainedHalls) {
+    pub fn adopt_drained(self: &Arc<Self>, drained: DrainedHalls) {
         let names = drained.names().collect::<Vec<_>>().join(", ");
         let revision = drained.revision();
-        if self.read_mut(|registry| registry.adopt_drained(drained)) {
-            log::info!("registry: drained data halls are [{names}], revision {revision}");
+        if !self.read_mut(|registry| registry.adopt_drained(drained)) {
+            return;
         }
+        log::info!("registry: drained data halls are [{names}], revision {revision}");
+        let registry = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(RESTORED_FOR).await;
+            registry.read_mut(|registry| registry.forget_restored(revision));
+        });
     }
 
     /// Takes in endpoints that took work before a restart, for as long as it may take
--- a/src/registry/table.rs
+++ b/src/registry/table.rs
@@ -1,23 +1,17 @@
 //! What is known of each endpoint, without I/O.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
 use super::DrainedHalls;
+use super::known::{Known, count_as_cold};
 
 /// Endpoints that are gone are remembered up to this number, so that a late
 /// message does not bring one back.
 const KEPT_GONE: usize = 4_096;
 
-/// Milliseconds for which an endpoint counts as cold after its data hall was taken back:
-/// two of its heartbeats, which come every 1.2 s on the platform.
-const RESTORED_WARMUP_MS: u64 = 2_500;
-/// Calls of an endpoint after which it is believed to be warm again: the first may have
-/// been sent before.
-const SURE_AFTER_CALLS: u64 = 2;
-
 /// How far an endpoint's life has come. The order is that of life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum EndpointState {
@@ -74,25 +68,12 @@
 
     /// Whether others need to hear of the step from `before` to this.
     fn differs_from(&self, before: &Registration) -> bool {
-        let of = |r: &Registration| (r.state, r.address, r.slots, r.warmup_ms > 0);
+        let of = |r: &Registration| (r.born, r.state, r.address, r.slots, r.warmup_ms > 0);
         let is_colder = self.warmup_ms > before.warmup_ms;
         of(self) != of(before) || self.service != before.service || is_colder
     }
 }
 
-/// An endpoint that was heard of.
-#[derive(Clone, Debug)]
-struct Known {
-    said: Registration,
-    /// Number of the change that was its last.
-    change: u64,
-    /// Whether the endpoint itself said that change here.
-    first_hand: bool,
-    /// Before this call nothing that it says of being warm is believed: it may have
-    /// been under way since before its data hall was taken back.
-    sure_from: u64,
-}
-
 /// From whom news of an endpoint came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Hearing {
@@ -134,39 +115,58 @@
     remembered: BTreeMap<String, Registration>,
     gone: std::collections::VecDeque<String>,
     drained: DrainedHalls,
+    /// Data halls taken back a moment ago. What is learnt of their endpoints now may
+    /// have been said before they turned cold.
+    just_restored: BTreeSet<String>,
 }
 
 impl Registry {
     /// Takes in what an endpoint said, directly or through another process.
     /// Returns what is known now if it differs in what routing looks at.
-    pub fn merge(&mut self, news: Registration, hearing: Hearing) -> Option<Registration> {
+    pub fn merge(&mut self, mut news: Registration, hearing: Hearing) -> Option<Registration> {
         let first_hand = hearing == Hearing::FirstHand;
-        self.remembered.remove(&news.id);
-        let Some(known) = self.endpoints.get_mut(&news.id) else {
-            let known = Known { said: news.clone(), change: 0, first_hand, sure_from: 0 };
-            self.endpoints.insert(news.id.clone(), known);
-            return Some(self.changed(news));
-        };
-        if known.said.state == EndpointState::Gone {
+        let is_end = first_hand && news.address.is_none();
+        if is_end && let Some(known) = self.get(&news.id) {
+            // Who says only that it ends means the start that is known.
+            news.born = known.born;
+        }
+        if !self.replaces_remembered(&news) {
             return None;
         }
-        let before = known.said.clone();
-        let state = before.state.max(news.state);
-        if news.address.is_some() && news.sequence > before.sequence {
-            known.said = news;
-            if known.said.sequence < known.sure_from {
-                known.said.warmup_ms = known.said.warmup_ms.max(before.warmup_ms);
+        let is_doubtful = self.just_restored.contains(&news.hall);
+        let Some(known) = self.endpoints.get_mut(&news.id) else {
+            let mut known = Known::new(news, first_hand);
+            if is_doubtful {
+                known.doubt();
             }
+            let now = known.said.clone();
+            self.endpoints.insert(now.id.clone(), known);
+            return Some(self.changed(now));
+        };
+        let before = known.said.clone();
+        if known.hear(news) && is_doubtful {
+            known.doubt();
         }
-        known.said.state = state;
         let now = known.said.clone();
         if !now.differs_from(&before) {
             return None;
         }
         known.first_hand = first_hand;
+        if before.state == EndpointState::Gone {
+            self.gone.retain(|id| *id != now.id);
+        }
         Some(self.changed(now))
     }
 
+    /// Whether news is of no earlier start than what is remembered, which it replaces.
+    fn replaces_remembered(&mut self, news: &Registration) -> bool {
+        if self.remembered.get(&news.id).is_some_and(|before| before.born > news.born) {
+            return false;
+        }
+        self.remembered.remove(&news.id);
+        true
+    }
+
     /// An endpoint has changed to `now`: gives the change a number.
     fn changed(&mut self, now: Registration) -> Registration {
         self.last_change += 1;
@@ -212,26 +212,38 @@
 
     /// Adopts newer orders about data halls; returns whether they are newer. Endpoints
     /// of a hall that is taken back may have turned cold and not yet said so: they
-    /// count as cold until they have said the contrary twice since.
+    /// count as cold until they have said the contrary twice since, those too that are
+    /// learnt of in the next moment.
     pub fn adopt_drained(&mut self, drained: DrainedHalls) -> bool {
         if drained.revision() <= self.drained.revision() {
             return false;
         }
         let before = std::mem::replace(&mut self.drained, drained);
-        let is_back = |hall: &str| before.contains(hall) && !self.drained.contains(hall);
-        let mut back = Vec::new();
-        for known in self.endpoints.values_mut().filter(|known| is_back(&known.said.hall)) {
-            known.sure_from = known.said.sequence + SURE_AFTER_CALLS;
-            known.said.warmup_ms = known.said.warmup_ms.max(RESTORED_WARMUP_MS);
-            back.push(known.said.clone());
+        // Orders may have come together: what stood between them was never seen here.
+        let back: BTreeSet<_> = self.drained.restored_after(before.revision()).collect();
+        self.just_restored.retain(|hall| !self.drained.contains(hall));
+        self.just_restored.extend(back.iter().map(|hall| hall.to_string()));
+        let mut doubted = Vec::new();
+        for known in self.endpoints.values_mut().filter(|k| back.contains(&*k.said.hall)) {
+            known.doubt();
+            doubted.push(known.said.clone());
         }
-        back.into_iter().for_each(|endpoint| {
+        self.remembered.values_mut().filter(|e| back.contains(&*e.hall)).for_each(count_as_cold);
+        doubted.into_iter().for_each(|endpoint| {
             self.changed(endpoint);
         });
         self.last_change += 1;
         true
     }
 
+    /// Since the order of this revision so much time has passed that what endpoints say
+    /// now they say of the time after it.
+    pub fn forget_restored(&mut self, revision: u64) {
+        let (drained, just_restored) = (&self.drained, &mut self.just_restored);
+        let later: BTreeSet<_> = drained.restored_after(revision).collect();
+        just_restored.retain(|hall| later.contains(hall.as_str()));
+    }
+
     /// The data halls whose endpoints get no new work.
     pub fn drained(&self) -> &DrainedHalls {
         &self.drained
@@ -242,7 +254,15 @@
     pub fn remember(&mut self, endpoints: Vec<Registration>) {
         let unheard = endpoints.into_iter().filter(|e| !self.endpoints.contains_key(&e.id));
         let unheard: Vec<_> = unheard.filter(|e| e.state == EndpointState::Ready).collect();
-        self.remembered.extend(unheard.into_iter().map(|e| (e.id.clone(), e)));
+        for mut endpoint in unheard {
+            if self.just_restored.contains(&endpoint.hall) {
+                count_as_cold(&mut endpoint);
+            }
+            let before = self.remembered.get(&endpoint.id).map(|before| before.born);
+            if before.is_none_or(|born| born <= endpoint.born) {
+                self.remembered.insert(endpoint.id.clone(), endpoint);
+            }
+        }
     }
 
     /// Endpoints that are remembered and were not heard since; returns their number.
--- a/src/registry/tests.rs
+++ b/src/registry/tests.rs
@@ -1,3 +1,6 @@
+mod halls;
+mod starts;
+
 use proptest::prelude::*;
 
 use super::Hearing::{FirstHand, SecondHand};
@@ -51,16 +54,17 @@
         Just(EndpointState::Leaving),
         Just(EndpointState::Gone)
     ];
-    (0u8..3, 1u64..20, state).prop_map(|(id, sequence, state)| {
-        let slots = sequence as u32;
-        Registration { slots, ..said(&id.to_string(), sequence, state) }
+    (0u8..3, 0u64..4, 1u64..20, state).prop_map(|(id, born, sequence, state)| {
+        let slots = (born * 100 + sequence) as u32;
+        Registration { slots, born, ..said(&id.to_string(), sequence, state) }
     })
 }
 
 proptest! {
     #![proptest_config(crate::testing::property(128))]
 
-    /// Two processes that heard the same, in any order, agree on who takes work.
+    /// Two processes that heard the same, in any order, agree on who takes work, and on
+    /// what those that have not gone said last.
     #[test]
     fn the_order_of_news_does_not_matter(
         (news, shuffled) in proptest::collection::vec(any_registration(), 0..20)
@@ -71,7 +75,8 @@
             for said in news {
                 registry.merge(said, FirstHand);
             }
-            let state = |r: &Registration| (r.id.clone(), r.state);
+            let slots = |r: &Registration| (r.state != EndpointState::Gone).then_some(r.slots);
+            let state = |r: &Registration| (r.id.clone(), r.born, r.state, slots(r));
             registry.all().map(state).collect::<Vec<_>>()
         };
         prop_assert_eq!(learn(news), learn(shuffled));
--- /dev/null
+++ b/src/registry/tests/starts.rs
@@ -0,0 +1,110 @@
+//! Endpoints that start again under their id.
+
+use super::*;
+
+fn started(born: u64, sequence: u64, state: EndpointState) -> Registration {
+    Registration { born, ..said("e", sequence, state) }
+}
+
+fn ready(registry: &Registry) -> Option<(u64, u64)> {
+    registry.get_ready("e").map(|e| (e.born, e.sequence))
+}
+
+#[test]
+fn a_later_start_takes_work_whatever_the_earlier_one_said() {
+    for end in [EndpointState::Ready, EndpointState::Leaving, EndpointState::Gone] {
+        let mut registry = Registry::default();
+        registry.merge(started(1_000, 50, EndpointState::Ready), FirstHand);
+        registry.merge(started(1_000, 60, end), FirstHand);
+        let again = registry.merge(started(2_000, 1, EndpointState::Ready), FirstHand);
+        assert!(again.is_some(), "others hear of it after {end:?}");
+        assert_eq!(ready(&registry), Some((2_000, 1)));
+    }
+}
+
+#[test]
+fn a_late_heartbeat_of_an_earlier_start_changes_nothing() {
+    let mut registry = Registry::default();
+    registry.merge(started(2_000, 1, EndpointState::Ready), FirstHand);
+    for state in [EndpointState::Ready, EndpointState::Leaving, EndpointState::Gone] {
+        assert_eq!(registry.merge(started(1_000, 90, state), FirstHand), None);
+        assert_eq!(registry.merge(started(1_000, 91, state), SecondHand), None);
+    }
+    assert_eq!(ready(&registry), Some((2_000, 1)));
+}
+
+#[test]
+fn an_end_without_a_start_ends_the_one_that_is_known() {
+    let mut registry = Registry::default();
+    registry.merge(started(1_000, 5, EndpointState::Ready), FirstHand);
+    let end = Registration { born: 1_500, ..Registration::gone("e") };
+    let gone = registry.merge(end, FirstHand).expect("others hear of it");
+    assert_eq!((gone.born, gone.state), (1_000, EndpointState::Gone));
+    assert_eq!(registry.merge(started(1_000, 6, EndpointState::Ready), FirstHand), None);
+    registry.merge(started(1_200, 1, EndpointState::Ready), FirstHand);
+    assert_eq!(ready(&registry), Some((1_200, 1)), "it started before the end was heard");
+}
+
+#[test]
+fn an_end_of_which_no_start_is_known_ends_all_up_to_it() {
+    let mut registry = Registry::default();
+    let end = Registration { born: 1_500, ..Registration::gone("e") };
+    registry.merge(end.clone(), FirstHand);
+    assert_eq!(registry.merge(started(1_400, 9, EndpointState::Ready), FirstHand), None);
+    registry.merge(started(1_600, 1, EndpointState::Ready), FirstHand);
+    assert_eq!(ready(&registry), Some((1_600, 1)));
+    // Another process passes the end on late.
+    assert_eq!(registry.merge(end, SecondHand), None);
+    assert_eq!(ready(&registry), Some((1_600, 1)));
+}
+
+#[test]
+fn a_new_start_is_as_cold_as_it_says() {
+    let mut registry = Registry::default();
+    registry.merge(started(1_000, 7, EndpointState::Ready), FirstHand);
+    let mut halls = drained(&["a"]);
+    registry.adopt_drained(halls.clone());
+    halls.restore("a");
+    registry.adopt_drained(halls.clone());
+    registry.forget_restored(halls.revision());
+    assert!(registry.get("e").unwrap().warmup_ms > 0);
+    registry.merge(started(2_000, 1, EndpointState::Ready), FirstHand);
+    assert_eq!(registry.get("e").unwrap().warmup_ms, 0);
+    let cold = Registration { warmup_ms: 900, ..started(3_000, 1, EndpointState::Ready) };
+    registry.merge(cold, FirstHand);
+    registry.merge(started(3_000, 2, EndpointState::Ready), FirstHand);
+    assert_eq!(registry.get("e").unwrap().warmup_ms, 0, "it says so itself");
+}
+
+#[test]
+fn of_remembered_starts_the_latest_counts() {
+    let mut registry = Registry::default();
+    registry.remember(vec![started(2_000, 4, EndpointState::Ready)]);
+    registry.remember(vec![started(1_000, 90, EndpointState::Ready)]);
+    assert_eq!(registry.merge(started(1_000, 91, EndpointState::Leaving), FirstHand), None);
+    assert_eq!(ready(&registry), Some((2_000, 4)));
+    registry.merge(Registration { born: 9_000, ..Registration::gone("e") }, FirstHand);
+    assert_eq!(ready(&registry), None);
+    registry.merge(started(3_000, 1, EndpointState::Ready), FirstHand);
+    assert_eq!(ready(&registry), Some((3_000, 1)));
+}
+
+/// Those that are gone are forgotten in order; one that started again is not gone.
+#[test]
+fn an_endpoint_that_started_again_is_not_forgotten_with_those_that_are_gone() {
+    let mut registry = Registry::default();
+    registry.merge(started(1_000, 1, EndpointState::Gone), FirstHand);
+    registry.merge(started(2_000, 1, EndpointState::Ready), FirstHand);
+    for number in 0..5_000 {
+        registry.merge(Registration::gone(&format!("other{number}")), FirstHand);
+    }
+    assert_eq!(ready(&registry), Some((2_000, 1)));
+}
+
+#[test]
+fn saved_endpoints_keep_their_start() {
+    let folder = tempfile::tempdir().unwrap();
+    let endpoints = vec![started(1_764_600_000_123, 2, EndpointState::Ready)];
+    saved::save(folder.path(), &endpoints).unwrap();
+    assert_eq!(saved::load(folder.path()), endpoints);
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -9,6 +9,8 @@
 mod handover;
 #[path = "platform/http.rs"]
 mod http;
+#[path = "platform/registrations.rs"]
+mod registrations;
 #[path = "platform/replica.rs"]
 mod replica;
 
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -278,6 +278,29 @@
         assert_eq!(self.control_call("PUT", &path, &body).await.status, 200);
     }
 
+    /// Sends a heartbeat under an id; returns the status of the answer.
+    pub async fn heartbeat(&self, id: &str, body: &str) -> u16 {
+        self.control_call("PUT", &format!("/replicas/{id}"), body).await.status
+    }
+
+    /// The metrics of the control host.
+    pub async fn control_metrics(&self) -> String {
+        self.control_call("GET", "/metrics", "").await.body
+    }
+
+    /// Starts the control host again as one of three with empty disks, of which the
+    /// other two never come: there is no group and nobody leads.
+    pub fn restart_control_without_group(&mut self) {
+        self.kill_control();
+        let path = self.folder.path().join("control.yaml");
+        let text = std::fs::read_to_string(&path).unwrap();
+        let seed = format!("seeds: [\"{}\"", self.control);
+        let others = [4, 5].map(|last| format!("\"127.9.0.{last}:{CONTROL}\"")).join(", ");
+        std::fs::write(&path, text.replace(&seed, &format!("{seed}, {others}"))).unwrap();
+        std::fs::remove_dir_all(self.folder.path().join("data")).unwrap();
+        self.start_control();
+    }
+
     /// Runs an operator's command against the control host; returns whether it
     /// succeeded and what it printed.
     pub async fn command(&self, arguments: &[&str]) -> (bool, String) {
