Send cold engines no more than they bear, whichever placers are asked

The placer of each control host was allowed all that a cold engine bears, and so was none of the accounts of the others: three placers asked within a second, as when routers know no leader and ask the control host of their hall, sent 18 where 6.1 are borne and the users' rule allows 14.1. A router that chose by itself added its drawn part to that.

Now only the placer of the leader's host sends to cold engines, once it has led for 1.7 s: the window of a second, and 0.7 s for which the leader before may not notice that it leads no more. Weighed: an equal part for each placer, one of six requests a second always.

--- a/src/control.rs
+++ b/src/control.rs
@@ -120,9 +120,11 @@
         disk,
         found,
     )?;
+    let leadership = handle.leadership.clone();
     let placement = placement::serve(
         settings.placement,
         peers.clock,
+        move || leadership.borrow().leads,
         documents.clone(),
         registry.clone(),
         settings.host.regions.clone(),
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -12,6 +12,7 @@
 use super::message::{FromPlacer, ToPlacer};
 use super::placer::Placer;
 use super::rules::PlacementRules;
+use super::warmth::ColdTurn;
 use crate::clock::Clock;
 use crate::peer::PeerReader;
 use crate::region::Regions;
@@ -39,10 +40,11 @@
     sent: SentBytes,
 }
 
-/// Starts the placer of a control host.
+/// Starts the placer of a control host; `leads` tells whether that host leads.
 pub fn serve(
     rules: PlacementRules,
     clock: Clock,
+    leads: impl Fn() -> bool + Send + 'static,
     documents: Arc<Documents>,
     registry: Arc<SharedRegistry>,
     regions: Regions,
@@ -55,6 +57,9 @@
         registry,
         regions,
         placer: Placer::new(rules),
+        leads: Box::new(leads),
+        cold_turn: ColdTurn::default(),
+        cold_part: rules.cold_part,
         sessions: HashMap::new(),
     };
     tokio::spawn(task.run(inbox));
@@ -92,6 +97,10 @@
     registry: Arc<SharedRegistry>,
     regions: Regions,
     placer: Placer,
+    leads: Box<dyn Fn() -> bool + Send>,
+    cold_turn: ColdTurn,
+    /// Part of what cold engines bear that the leader's placer may send them.
+    cold_part: f64,
     sessions: HashMap<HostId, (u64, BatchSender<FromPlacer>)>,
 }
 
@@ -162,7 +171,10 @@
     }
 
     fn receive(&mut self, router: HostId, message: ToPlacer) {
-        let Some(decision) = self.placer.receive(self.clock.now(), router, message) else {
+        let now = self.clock.now();
+        self.cold_turn.set_leads(now, (self.leads)());
+        self.placer.set_cold_part(self.cold_part * self.cold_turn.part(now));
+        let Some(decision) = self.placer.receive(now, router, message) else {
             return;
         };
         log::debug!("placement: {decision:?}");
--- a/src/placement/tests/warmth.rs
+++ b/src/placement/tests/warmth.rs
@@ -1,6 +1,8 @@
 //! Engines that are cold.
 
 use super::*;
+use crate::agree::ELECTION_MS;
+use crate::placement::warmth::ColdTurn;
 
 /// What the users' cold engines bear, and what their rule allows in any second.
 const BORNE: f64 = 6.1;
@@ -96,3 +98,60 @@
     }
     assert_eq!(play(&mut placer, 3_000, 3_500).len(), 50);
 }
+
+/// A control host's placer, and since when and until when its host takes itself for the
+/// leader.
+struct Host {
+    placer: Placer,
+    turn: ColdTurn,
+    leads: std::ops::Range<u64>,
+}
+
+impl Host {
+    fn leading(leads: std::ops::Range<u64>) -> Host {
+        let mut placer = Placer::new(PlacementRules::default());
+        placer.set_engines(0, vec![cold_engine("back", 1, 60_000)]);
+        Host { placer, turn: ColdTurn::default(), leads }
+    }
+
+    /// Places a request; returns whether it was sent.
+    fn ask(&mut self, now: u64, seq: u64) -> bool {
+        self.turn.set_leads(now, self.leads.contains(&now));
+        self.placer.set_cold_part(self.turn.part(now));
+        let sent = matches!(place(&mut self.placer, now, short(seq)), FromPlacer::Go { .. });
+        if sent {
+            serve(&mut self.placer, now, seq);
+        }
+        sent
+    }
+}
+
+proptest! {
+    #![proptest_config(crate::testing::property(64))]
+
+    /// Whichever placers are asked, and however long the leader before does not notice
+    /// that it leads no more: together they send a cold engine what it bears.
+    #[test]
+    fn all_placers_together_send_a_cold_engine_what_it_bears(
+        taken_over in 3_000u64..6_000,
+        unnoticed in 0..ELECTION_MS,
+        asked in proptest::collection::vec(0usize..3, 1_000),
+    ) {
+        let mut hosts = [
+            Host::leading(0..taken_over + unnoticed),
+            Host::leading(taken_over..u64::MAX),
+            Host::leading(0..0),
+        ];
+        let mut sent = Vec::new();
+        for (number, host) in asked.into_iter().enumerate() {
+            let now = number as u64 * 10;
+            if hosts[host].ask(now, number as u64 + 1) {
+                sent.push((now, "back".to_string()));
+            }
+        }
+        let most = most_in_a_second(&sent, "back");
+        prop_assert!(most as f64 <= BORNE, "{} in a second", most);
+        prop_assert!(sent.iter().any(|(at, _)| *at < taken_over), "the first one sends");
+        prop_assert!(sent.iter().any(|(at, _)| *at > taken_over + 2_000), "the next one too");
+    }
+}
--- a/src/placement/warmth.rs
+++ b/src/placement/warmth.rs
@@ -7,10 +7,38 @@
 
 use std::collections::VecDeque;
 
+use crate::agree::ELECTION_MS;
 use crate::dispatch::Millis;
 
 /// Milliseconds in which requests are counted: the rate is one of a second.
 const WINDOW_MS: f64 = 1_000.0;
+/// Milliseconds for which a placer whose host has come to lead sends cold engines
+/// nothing: a window in which the one before may have sent them all that they bear, and
+/// the time for which that one may not have noticed that it leads no more.
+const TAKE_OVER_MS: Millis = WINDOW_MS as Millis + ELECTION_MS;
+
+/// Which placer may send to cold engines.
+///
+/// What an engine bears is the sum over all placers, which do not tell each other what
+/// they send. So only the placer of the leader sends, and not before what the leader
+/// before it sent has left the window; all others send cold engines nothing.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ColdTurn {
+    leads_since: Option<Millis>,
+}
+
+impl ColdTurn {
+    /// Whether the placer's host leads now.
+    pub fn set_leads(&mut self, now: Millis, leads: bool) {
+        self.leads_since = leads.then(|| self.leads_since.unwrap_or(now));
+    }
+
+    /// Part of what cold engines bear that the placer may send them.
+    pub fn part(&self, now: Millis) -> f64 {
+        let may = self.leads_since.is_some_and(|since| now >= since + TAKE_OVER_MS);
+        if may { 1.0 } else { 0.0 }
+    }
+}
 
 /// What one engine was sent lately, and until when it is cold.
 #[derive(Clone, Debug, Default)]
