--- a/src/control.rs
+++ b/src/control.rs
@@ -124,7 +124,10 @@
     let placement = placement::serve(
         settings.placement,
         peers.clock,
-        move || leadership.borrow().leads,
+        move || {
+            let known = leadership.borrow();
+            known.leads.then_some(known.term)
+        },
         documents.clone(),
         registry.clone(),
         settings.host.regions.clone(),
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -14,6 +14,7 @@
 use super::rules::PlacementRules;
 use super::warmth::ColdTurn;
 use crate::clock::Clock;
+use crate::dispatch::Millis;
 use crate::peer::PeerReader;
 use crate::region::Regions;
 use crate::registry::SharedRegistry;
@@ -40,11 +41,12 @@
     sent: SentBytes,
 }
 
-/// Starts the placer of a control host; `leads` tells whether that host leads.
+/// Starts the placer of a control host; `leads` tells in which term that host
+/// leads, if it does.
 pub fn serve(
     rules: PlacementRules,
     clock: Clock,
-    leads: impl Fn() -> bool + Send + 'static,
+    leads: impl Fn() -> Option<u64> + Send + 'static,
     documents: Arc<Documents>,
     registry: Arc<SharedRegistry>,
     regions: Regions,
@@ -97,7 +99,7 @@
     registry: Arc<SharedRegistry>,
     regions: Regions,
     placer: Placer,
-    leads: Box<dyn Fn() -> bool + Send>,
+    leads: Box<dyn Fn() -> Option<u64> + Send>,
     cold_turn: ColdTurn,
     /// Part of what cold engines bear that the leader's placer may send them.
     cold_part: f64,
@@ -135,7 +137,14 @@
         }
     }
 
+    /// Whether it is this placer's turn to send to cold engines.
+    fn take_turn(&mut self, now: Millis) {
+        self.cold_turn.set_leads(now, (self.leads)());
+        self.placer.set_cold_part(self.cold_part * self.cold_turn.part(now));
+    }
+
     fn learn_engines(&mut self) {
+        self.take_turn(self.clock.now());
         if let Some(routing) = self.documents.current() {
             let engines =
                 self.registry.read(|registry| engines_of(&routing, registry, &self.regions));
@@ -172,8 +181,7 @@
 
     fn receive(&mut self, router: HostId, message: ToPlacer) {
         let now = self.clock.now();
-        self.cold_turn.set_leads(now, (self.leads)());
-        self.placer.set_cold_part(self.cold_part * self.cold_turn.part(now));
+        self.take_turn(now);
         let Some(decision) = self.placer.receive(now, router, message) else {
             return;
         };
--- a/src/placement/tests/warmth.rs
+++ b/src/placement/tests/warmth.rs
@@ -99,16 +99,15 @@
     assert_eq!(play(&mut placer, 3_000, 3_500).len(), 50);
 }
 
-/// A control host's placer, and since when and until when its host takes itself for the
-/// leader.
+/// A control host's placer, and the terms in which its host takes itself for the leader.
 struct Host {
     placer: Placer,
     turn: ColdTurn,
-    leads: std::ops::Range<u64>,
+    leads: Vec<(u64, std::ops::Range<u64>)>,
 }
 
 impl Host {
-    fn leading(leads: std::ops::Range<u64>) -> Host {
+    fn leading(leads: Vec<(u64, std::ops::Range<u64>)>) -> Host {
         let mut placer = Placer::new(PlacementRules::default());
         placer.set_engines(0, vec![cold_engine("back", 1, 60_000)]);
         Host { placer, turn: ColdTurn::default(), leads }
@@ -116,7 +115,8 @@
 
     /// Places a request; returns whether it was sent.
     fn ask(&mut self, now: u64, seq: u64) -> bool {
-        self.turn.set_leads(now, self.leads.contains(&now));
+        let term = self.leads.iter().find(|(_, during)| during.contains(&now));
+        self.turn.set_leads(now, term.map(|(term, _)| *term));
         self.placer.set_cold_part(self.turn.part(now));
         let sent = matches!(place(&mut self.placer, now, short(seq)), FromPlacer::Go { .. });
         if sent {
@@ -129,18 +129,21 @@
 proptest! {
     #![proptest_config(crate::testing::property(64))]
 
-    /// Whichever placers are asked, and however long the leader before does not notice
-    /// that it leads no more: together they send a cold engine what it bears.
+    /// Whichever placers are asked, also one that led before and leads again, and however
+    /// long a leader does not notice that it leads no more: together they send a cold
+    /// engine what it bears.
     #[test]
     fn all_placers_together_send_a_cold_engine_what_it_bears(
-        taken_over in 3_000u64..6_000,
+        second in 3_000u64..6_000,
+        third in 2_000u64..4_000,
         unnoticed in 0..ELECTION_MS,
-        asked in proptest::collection::vec(0usize..3, 1_000),
+        asked in proptest::collection::vec(0usize..3, 1_400),
     ) {
+        let third = second + third;
         let mut hosts = [
-            Host::leading(0..taken_over + unnoticed),
-            Host::leading(taken_over..u64::MAX),
-            Host::leading(0..0),
+            Host::leading(vec![(1, 0..second + unnoticed), (3, third..u64::MAX)]),
+            Host::leading(vec![(2, second..third + unnoticed)]),
+            Host::leading(vec![]),
         ];
         let mut sent = Vec::new();
         for (number, host) in asked.into_iter().enumerate() {
@@ -151,7 +154,19 @@
         }
         let most = most_in_a_second(&sent, "back");
         prop_assert!(most as f64 <= BORNE, "{} in a second", most);
-        prop_assert!(sent.iter().any(|(at, _)| *at < taken_over), "the first one sends");
-        prop_assert!(sent.iter().any(|(at, _)| *at > taken_over + 2_000), "the next one too");
+        prop_assert!(sent.iter().any(|(at, _)| *at < second), "the first one sends");
+        prop_assert!(sent.iter().any(|(at, _)| *at > third + 2_000), "the last one too");
     }
 }
+
+/// Nobody asks the placer while another one leads, so it does not hear of it.
+#[test]
+fn a_placer_that_leads_again_waits_though_it_was_not_asked_meanwhile() {
+    let mut turn = ColdTurn::default();
+    turn.set_leads(0, Some(1));
+    turn.set_leads(5_000, Some(1));
+    assert_eq!(turn.part(5_000), 1.0);
+    turn.set_leads(6_000, Some(3));
+    assert_eq!(turn.part(6_000), 0.0);
+    assert_eq!(turn.part(8_000), 1.0);
+}
--- a/src/placement/warmth.rs
+++ b/src/placement/warmth.rs
@@ -24,18 +24,21 @@
 /// before it sent has left the window; all others send cold engines nothing.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ColdTurn {
-    leads_since: Option<Millis>,
+    /// The term in which the placer's host leads, and since when.
+    leads: Option<(u64, Millis)>,
 }
 
 impl ColdTurn {
-    /// Whether the placer's host leads now.
-    pub fn set_leads(&mut self, now: Millis, leads: bool) {
-        self.leads_since = leads.then(|| self.leads_since.unwrap_or(now));
+    /// The term in which the placer's host leads now, if it does. Between two terms of
+    /// its own another one may have led.
+    pub fn set_leads(&mut self, now: Millis, term: Option<u64>) {
+        let before = self.leads.filter(|(led, _)| Some(*led) == term);
+        self.leads = before.or(term.map(|term| (term, now)));
     }
 
     /// Part of what cold engines bear that the placer may send them.
     pub fn part(&self, now: Millis) -> f64 {
-        let may = self.leads_since.is_some_and(|since| now >= since + TAKE_OVER_MS);
+        let may = self.leads.is_some_and(|(_, since)| now >= since + TAKE_OVER_MS);
         if may { 1.0 } else { 0.0 }
     }
 }
