--- a/src/control.rs
+++ b/src/control.rs
@@ -7,6 +7,7 @@
 mod halls;
 mod handle;
 mod join;
+mod registrations;
 mod serve;
 mod state;
 #[cfg(test)]
@@ -39,6 +40,7 @@
 pub use halls::HallOrder;
 pub use handle::{Handle, Leadership, NoLeader};
 pub use join::Joined;
+pub use registrations::{Heard, judge};
 pub use serve::{Ask, Asked, ClaimAnswer, ClaimRequest, Identity};
 pub use state::{Changed, Command, Reply, State};
 
@@ -118,9 +120,14 @@
         disk,
         found,
     )?;
+    let leadership = handle.leadership.clone();
     let placement = placement::serve(
         settings.placement,
         peers.clock,
+        move || {
+            let known = leadership.borrow();
+            known.leads.then_some(known.term)
+        },
         documents.clone(),
         registry.clone(),
         settings.host.regions.clone(),
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -12,7 +12,9 @@
 use super::message::{FromPlacer, ToPlacer};
 use super::placer::Placer;
 use super::rules::PlacementRules;
+use super::warmth::ColdTurn;
 use crate::clock::Clock;
+use crate::dispatch::Millis;
 use crate::peer::PeerReader;
 use crate::region::Regions;
 use crate::registry::SharedRegistry;
@@ -39,10 +41,12 @@
     sent: SentBytes,
 }
 
-/// Starts the placer of a control host.
+/// Starts the placer of a control host; `leads` tells in which term that host
+/// leads, if it does.
 pub fn serve(
     rules: PlacementRules,
     clock: Clock,
+    leads: impl Fn() -> Option<u64> + Send + 'static,
     documents: Arc<Documents>,
     registry: Arc<SharedRegistry>,
     regions: Regions,
@@ -55,6 +59,9 @@
         registry,
         regions,
         placer: Placer::new(rules),
+        leads: Box::new(leads),
+        cold_turn: ColdTurn::default(),
+        cold_part: rules.cold_part,
         sessions: HashMap::new(),
     };
     tokio::spawn(task.run(inbox));
@@ -92,6 +99,10 @@
     registry: Arc<SharedRegistry>,
     regions: Regions,
     placer: Placer,
+    leads: Box<dyn Fn() -> Option<u64> + Send>,
+    cold_turn: ColdTurn,
+    /// Part of what cold engines bear that the leader's placer may send them.
+    cold_part: f64,
     sessions: HashMap<HostId, (u64, BatchSender<FromPlacer>)>,
 }
 
@@ -126,7 +137,14 @@
         }
     }
 
+    /// Whether it is this placer's turn to send to cold engines.
+    fn take_turn(&mut self, now: Millis) {
+        self.cold_turn.set_leads(now, (self.leads)());
+        self.placer.set_cold_part(self.cold_part * self.cold_turn.part(now));
+    }
+
     fn learn_engines(&mut self) {
+        self.take_turn(self.clock.now());
         if let Some(routing) = self.documents.current() {
             let engines =
                 self.registry.read(|registry| engines_of(&routing, registry, &self.regions));
@@ -162,7 +180,9 @@
     }
 
     fn receive(&mut self, router: HostId, message: ToPlacer) {
-        let Some(decision) = self.placer.receive(self.clock.now(), router, message) else {
+        let now = self.clock.now();
+        self.take_turn(now);
+        let Some(decision) = self.placer.receive(now, router, message) else {
             return;
         };
         log::debug!("placement: {decision:?}");
