Routers divide requests between releases, and count what each release answers

While a release is rolled out, each router now keeps by itself to the part that the leader granted: error diffusion by route from a random start, so that the sum over many routers is unbiased from the first request on. Without a valid grant the new release gets nothing as long as another takes work; what was rolled back gets nothing in any case, and that is asked again right before a request is written. What the new release cannot take, or failed without the request having to count as run, goes to another release. A broken stream goes on at its own release only, and what goes on at a new one is taken off the next requests of the route. Prompt parts are copied between engines of one service and release only. Each router reports answers by route and release to the leader while a roll-out is under way; what could not be sent is part of the next report.

A count that belonged to a former roll-out was added to the next one's; the test that showed it is here.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,6 +5,7 @@
 //! chosen, and the answer is passed on as it comes. What an endpoint has not run
 //! may be sent to another one; what it may have run only where that is allowed.
 
+mod arrival;
 mod budget;
 mod callers;
 mod connections;
@@ -14,9 +15,12 @@
 mod exchange;
 mod handover;
 mod neighbours;
+mod observed;
 mod overload;
+mod placing;
 mod refusal;
 mod request;
+mod rollouts;
 mod server;
 mod state;
 mod stream;
--- /dev/null
+++ b/src/gateway/arrival.rs
@@ -0,0 +1,125 @@
+//! A request's arrival: its route, its customer and its body.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::http::header;
+use axum::http::request::Parts;
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use rand::RngExt;
+use tokio::time::Instant;
+
+use super::dialect::CallHead;
+use super::refusal::Refusal;
+use super::request::Call;
+use super::state::Gateway;
+use crate::routing::{CustomerKeys, Route, Routing};
+
+/// Reads a request whole and finds where it belongs.
+pub(super) async fn admit(
+    gateway: &Arc<Gateway>,
+    parts: Parts,
+    head: CallHead,
+    body: Incoming,
+) -> Result<Call, Refusal> {
+    let arrived = Instant::now();
+    let presence = gateway.enter();
+    if gateway.is_refusing() {
+        return Err(Refusal::Stopping);
+    }
+    if gateway.with_overload(|overload| overload.refuses()) {
+        return Err(Refusal::Overloaded);
+    }
+    let routing = gateway.documents.current().ok_or(Refusal::NoRouting)?;
+    let route = find_route(&routing, &parts).ok_or(Refusal::NoRoute)?.clone();
+    let customer = find_customer(&routing, &route, &head)?;
+    let regions = match customer {
+        Some(customer) => route.regions.and(&customer.regions),
+        None => route.regions.clone(),
+    };
+    let customer = customer.map(|customer| customer.name.clone());
+    let timeout = Duration::from_millis(route.timeout_ms);
+    let deadline = head.deadline_ms.map_or(timeout, Duration::from_millis);
+    let limit = arrived + deadline.min(timeout);
+    let limits = &routing.table.limits;
+    let body_limit = limit.min(arrived + Duration::from_millis(limits.header_timeout_ms));
+    let body = read_body(body, limits.max_body_bytes, body_limit).await?;
+    let service = pick_service(&route).ok_or(Refusal::NoEndpoint)?;
+    let now = gateway.now();
+    let routers = gateway.feeds.routers().max(gateway.rules.least_routers);
+    gateway.with_budgets(|budgets| {
+        budgets.set_routers(routers);
+        budgets.request(now, &service);
+    });
+    let number = gateway.next_number();
+    let pool = routing.service(&service);
+    Ok(Call {
+        is_engine: pool.is_some_and(|pool| pool.engine.is_some()),
+        cold_per_second: pool.and_then(|pool| pool.cold_per_second),
+        number,
+        route,
+        service,
+        customer,
+        regions,
+        head,
+        parts,
+        body,
+        arrived,
+        limit,
+        turn: Default::default(),
+        _presence: presence,
+        gateway: gateway.clone(),
+    })
+}
+
+fn find_route<'a>(routing: &'a Routing, parts: &Parts) -> Option<&'a Route> {
+    let named = parts.headers.get(header::HOST).and_then(|v| v.to_str().ok());
+    let host = parts.uri.host().or(named)?;
+    let host = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
+    routing.route(&host, parts.uri.path())
+}
+
+fn find_customer<'a>(
+    routing: &'a Routing,
+    route: &Route,
+    head: &CallHead,
+) -> Result<Option<&'a CustomerKeys>, Refusal> {
+    if !routing.needs_keys() {
+        return Ok(None);
+    }
+    let customer = head.key.as_deref().and_then(|key| routing.customer(key));
+    match customer {
+        Some(customer) => Ok(Some(customer)),
+        None if route.public => Ok(None),
+        None => Err(Refusal::UnknownKey),
+    }
+}
+
+/// A target of the route, at random by weight.
+fn pick_service(route: &Route) -> Option<String> {
+    let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
+    if total == 0 {
+        return None;
+    }
+    let mut at = rand::rng().random_range(0..total);
+    for target in &route.targets {
+        let weight = u64::from(target.weight);
+        if at < weight {
+            return Some(target.service.clone());
+        }
+        at -= weight;
+    }
+    None
+}
+
+async fn read_body(body: Incoming, most: usize, until: Instant) -> Result<Bytes, Refusal> {
+    let collected = tokio::time::timeout_at(until, Limited::new(body, most).collect()).await;
+    match collected {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Ok(Err(_)) => Err(Refusal::BodyBroken),
+        Err(_) => Err(Refusal::BodyTooSlow),
+    }
+}
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -32,6 +32,8 @@
 pub enum SendError {
     /// Nothing was written: the request has not run.
     NotSent(String),
+    /// It may not be sent there any more: nothing was written.
+    NotAllowed,
     /// The request may have run.
     Unknown(String),
 }
@@ -138,14 +140,19 @@
         self.open.load(Ordering::Relaxed) >= self.most
     }
 
-    /// Sends a request to an endpoint, on a kept connection where one is usable.
+    /// Sends a request to an endpoint, on a kept connection where one is usable. A new
+    /// one takes a while, so whether it still may be sent is asked right before.
     pub async fn send(
         &self,
         endpoint: &str,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
+        is_allowed: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         while let Some(mut kept) = self.take(endpoint) {
+            if !is_allowed() {
+                return Err(SendError::NotAllowed);
+            }
             match kept.send(request).await {
                 Ok(response) => return Ok((response, kept)),
                 // The endpoint had closed it before anything was written.
@@ -157,6 +164,9 @@
             self.lock().clear();
         }
         let mut fresh = Connection::open(address, self.open.clone()).await?;
+        if !is_allowed() {
+            return Err(SendError::NotAllowed);
+        }
         match fresh.send(request).await {
             Ok(response) => Ok((response, fresh)),
             Err((error, _)) => Err(error),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -13,6 +13,7 @@
 use super::connections::{Connection, SendError};
 use super::dialect::Forwarding;
 use super::endpoints::Failure;
+use super::observed::Observed;
 use super::request::Call;
 use super::state::Ticket;
 use super::stream;
@@ -132,17 +133,44 @@
 ) -> Result<Opened, Attempt> {
     let Some(address) = endpoint.address else { return Err(Attempt::NotSent) };
     let tokens = call.prompt_tokens();
-    let mut ticket = Ticket::new(&call.gateway, &endpoint.id, tokens, reservation);
+    let observed = Observed::new(call, endpoint);
+    let mut ticket = Ticket::new(&call.gateway, &endpoint.id, tokens, reservation, observed);
     ticket.set_ending(Ending::Failed);
     let request = request_for(call, endpoint, ticket.copy_from(), after_event);
-    let exchange = call.gateway.connections.send(&endpoint.id, address, request);
+    match head_of_answer(call, endpoint, address, request, &mut ticket).await {
+        Ok((response, connection)) => Ok(Opened { response, connection, ticket }),
+        Err(attempt) => {
+            ticket.observed.note(&attempt);
+            Err(attempt)
+        }
+    }
+}
+
+async fn head_of_answer(
+    call: &Arc<Call>,
+    endpoint: &Registration,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    ticket: &mut Ticket,
+) -> Result<(Response<Incoming>, Connection), Attempt> {
+    let is_allowed = || call.may_be_sent_to(endpoint);
+    let exchange = call.gateway.connections.send(&endpoint.id, address, request, is_allowed);
     match tokio::time::timeout(patience(call), exchange).await {
         Ok(Ok((response, connection))) => {
             if response.status() == StatusCode::MISDIRECTED_REQUEST {
                 ticket.set_ending(Ending::Replaced);
             }
             check_head(call, endpoint, &response)?;
-            Ok(Opened { response, connection, ticket })
+            Ok((response, connection))
+        }
+        Ok(Err(SendError::NotAllowed)) => {
+            log::info!(
+                "gateway: request {} not sent to {}: no more allowed",
+                call.number,
+                endpoint.id
+            );
+            ticket.set_ending(Ending::Abandoned);
+            Err(Attempt::NotSent)
         }
         Ok(Err(SendError::NotSent(why))) => {
             log::info!("gateway: request {} not sent to {}: {why}", call.number, endpoint.id);
@@ -209,6 +237,7 @@
     if matches!(attempt, Attempt::Answered(_)) {
         ticket.set_ending(Ending::Served);
     }
+    ticket.observed.note(&attempt);
     attempt
 }
 
--- /dev/null
+++ b/src/gateway/observed.rs
@@ -0,0 +1,109 @@
+//! What a request at an endpoint says of the endpoint's release.
+
+use std::sync::Arc;
+
+use tokio::time::Instant;
+
+use super::exchange::Attempt;
+use super::request::Call;
+use super::state::Gateway;
+use crate::registry::Registration;
+use crate::rollout::{Release, Sample, side_of};
+
+/// A request at an endpoint; it counts as open at the endpoint's release until dropped.
+pub(super) struct Observed {
+    gateway: Arc<Gateway>,
+    service: String,
+    /// The endpoint's release.
+    pub version: String,
+    /// Where a release is rolled out: what the request counts for.
+    sample: Option<Sample>,
+    is_cold: bool,
+    sent_at: Instant,
+    has_failed: bool,
+}
+
+impl Observed {
+    /// A request that is about to be sent.
+    pub fn new(call: &Call, endpoint: &Registration) -> Observed {
+        let gateway = call.gateway.clone();
+        let table = gateway.rollouts.table();
+        let rollout = table.get(&call.service).filter(|rollout| !rollout.stage.is_final());
+        let sample = rollout.map(|rollout| Sample {
+            service: call.service.clone(),
+            number: rollout.number,
+            route: call.route.name.clone(),
+            release: side_of(rollout, &endpoint.version),
+        });
+        gateway.with_releases(|releases| {
+            releases.tally.opened(&call.service, &endpoint.version);
+            if let Some(sample) = &sample {
+                releases.tally.sent(sample);
+            }
+        });
+        let observed = Observed {
+            gateway,
+            service: call.service.clone(),
+            version: endpoint.version.clone(),
+            sample,
+            is_cold: endpoint.warmup_ms > 0,
+            sent_at: Instant::now(),
+            has_failed: false,
+        };
+        observed.count("sent");
+        observed
+    }
+
+    /// What came of the attempt, up to its whole answer or to the head of a stream.
+    pub fn note(&mut self, attempt: &Attempt) {
+        match attempt {
+            Attempt::Answered(_) => self.answered(),
+            Attempt::Error(_) | Attempt::Unknown | Attempt::TimedOut => self.failed(),
+            Attempt::NotSent => self.unsent(),
+            Attempt::NotExecuted => {}
+        }
+    }
+
+    /// Its answer began well. What a cold endpoint takes says nothing of its release.
+    pub fn answered(&self) {
+        if let Some(sample) = self.sample.as_ref().filter(|_| !self.is_cold) {
+            let ms = self.sent_at.elapsed().as_secs_f64() * 1_000.0;
+            self.gateway.with_releases(|releases| releases.tally.answered(sample, ms));
+        }
+    }
+
+    /// Its answer is a failure, broke off or never came.
+    pub fn failed(&mut self) {
+        if std::mem::replace(&mut self.has_failed, true) {
+            return;
+        }
+        if let Some(sample) = &self.sample {
+            self.gateway.with_releases(|releases| releases.tally.failed(sample));
+        }
+        self.count("failed");
+    }
+
+    fn unsent(&self) {
+        if let Some(sample) = &self.sample {
+            self.gateway.with_releases(|releases| releases.tally.unsent(sample));
+        }
+        self.count("unsent");
+    }
+
+    fn count(&self, outcome: &str) {
+        if let Some(sample) = &self.sample {
+            let release = match sample.release {
+                Release::New => "new",
+                Release::Old => "old",
+            };
+            let labels = [self.service.as_str(), release, outcome];
+            self.gateway.metrics.rollout_requests.with_label_values(&labels).inc();
+        }
+    }
+}
+
+impl Drop for Observed {
+    fn drop(&mut self) {
+        self.gateway.with_releases(|r| r.tally.closed(&self.service, &self.version));
+    }
+}
--- /dev/null
+++ b/src/gateway/placing.rs
@@ -0,0 +1,129 @@
+//! Finding a place for a request.
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::endpoints::{ColdPart, Preference};
+use super::request::Call;
+use crate::eligibility::{Candidate, Eligibility, order_of};
+use crate::placement::{self, Placed, PlacementRequest, Reservation};
+use crate::registry::Registration;
+
+/// Where a request goes next.
+pub(super) enum Place {
+    /// To this endpoint.
+    At(Box<Registration>, Option<Reservation>),
+    /// No endpoint is known.
+    Nowhere,
+    /// It cannot be served in time.
+    TooLate(placement::Refusal),
+}
+
+impl Call {
+    /// What decides between equal endpoints: the shared part of a prompt, else chance.
+    fn preference(&self) -> Preference {
+        match self.head.parts.first() {
+            Some(part) => Preference::Affinity(part.id),
+            None => Preference::Random(rand::rng().random()),
+        }
+    }
+
+    /// Finds a place for the request. Where the new release of a service has none, another
+    /// may have one.
+    pub async fn place(&self, tried: &[String]) -> Place {
+        let Some(eligibility) = self.eligibility() else { return Place::Nowhere };
+        match self.place_among(&eligibility, tried, false).await {
+            Place::At(endpoint, reservation) => Place::At(endpoint, reservation),
+            other if !self.gives_up_new(&eligibility.version, &other) => other,
+            _ => match self.eligibility() {
+                Some(others) => self.place_among(&others, tried, true).await,
+                None => Place::Nowhere,
+            },
+        }
+    }
+
+    /// Engines are chosen by the placer, all else by what this router has seen.
+    async fn place_among(
+        &self,
+        eligibility: &Eligibility,
+        tried: &[String],
+        asked_before: bool,
+    ) -> Place {
+        if self.is_engine {
+            let mut request = self.placement_request(eligibility, tried);
+            request.asked_before = asked_before;
+            match self.gateway.placements.place(request).await {
+                Placed::At(reservation) => {
+                    let id = &reservation.endpoint;
+                    let endpoint = self.gateway.registry.read(|r| r.get_ready(id).cloned());
+                    // The placer may know an older registration or routing than this
+                    // router, and while it was asked a roll-out may have changed.
+                    if let Some(endpoint) = endpoint.filter(|e| self.may_be_sent_to(e)) {
+                        return Place::At(Box::new(endpoint), Some(reservation));
+                    }
+                }
+                Placed::Refused(refusal) => return Place::TooLate(refusal),
+                Placed::Alone => {}
+            }
+        }
+        match self.choose(tried) {
+            Some(endpoint) => Place::At(Box::new(endpoint), None),
+            None => Place::Nowhere,
+        }
+    }
+
+    /// Chooses an endpoint that was not tried before.
+    fn choose(&self, tried: &[String]) -> Option<Registration> {
+        let eligibility = self.eligibility()?;
+        let now = self.gateway.now();
+        let cold = ColdPart {
+            per_second: self.cold_per_second,
+            routers: self.gateway.feeds.routers(),
+            router: self.gateway.peers.me,
+        };
+        self.gateway.registry.read(|registry| {
+            let ready = registry.ready(&self.service).filter(|e| self.is_eligible(&eligibility, e));
+            let preference = self.preference();
+            self.gateway.with_endpoints(|e| e.choose(now, ready, tried, preference, cold).cloned())
+        })
+    }
+
+    /// Which endpoints may run it now; none where none may.
+    pub(super) fn eligibility(&self) -> Option<Eligibility> {
+        let version = self.version_rule()?;
+        Some(Eligibility { regions: self.regions.clone(), version })
+    }
+
+    /// Whether an endpoint may run it.
+    pub(super) fn is_eligible(&self, eligibility: &Eligibility, endpoint: &Registration) -> bool {
+        let region = self.gateway.settings.host.regions.of(&endpoint.hall);
+        let candidate =
+            Candidate { region, version: &endpoint.version, order: order_of(&endpoint.id) };
+        eligibility.allows(candidate)
+    }
+
+    /// Whether an endpoint is where it may be served.
+    pub(super) fn is_in_region(&self, endpoint: &Registration) -> bool {
+        self.regions.allows(self.gateway.settings.host.regions.of(&endpoint.hall))
+    }
+
+    fn placement_request(&self, eligibility: &Eligibility, tried: &[String]) -> PlacementRequest {
+        let objective = Duration::from_millis(self.route.objective_ms);
+        let left = objective.saturating_sub(self.arrived.elapsed());
+        PlacementRequest {
+            seq: 0,
+            service: self.service.clone(),
+            customer: self.customer.clone().unwrap_or_default(),
+            parts: self.head.parts.iter().map(|part| (part.id, part.tokens)).collect(),
+            prompt_tokens: self.head.prompt_tokens,
+            output_tokens: self.head.output_tokens,
+            objective_ms: left.as_millis() as u32,
+            pause_ms: self.route.pause_objective_ms as u32,
+            hall: self.gateway.settings.host.hall.clone(),
+            eligibility: eligibility.clone(),
+            avoid: tried.to_vec(),
+            asked_before: false,
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/rollouts.rs
@@ -0,0 +1,161 @@
+//! Releases that are rolled out, as this router's requests meet them.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::exchange::Attempt;
+use super::placing::Place;
+use super::request::Call;
+use super::state::Gateway;
+use crate::dispatch::Millis;
+use crate::eligibility::VersionRule;
+use crate::registry::Registration;
+use crate::rollout::{
+    ALL_PERMILLE, Cause, Grant, Release, Rollout, Rollouts, Situation, Splits, Tally, Turn, side_of,
+};
+
+/// How often the leader is told what was seen: several times within the second in which
+/// a bad release has to be found out, and few bytes.
+const REPORT_INTERVAL: Duration = Duration::from_millis(180);
+/// How often a change of a service's part is logged at most, in milliseconds.
+const LOG_INTERVAL_MS: Millis = 1_000;
+
+/// What this router knows of the releases of its services.
+#[derive(Debug, Default)]
+pub(super) struct Releases {
+    splits: Splits,
+    pub tally: Tally,
+    parts: BTreeMap<String, Part>,
+}
+
+/// What goes to a new release, and why, as logged last.
+#[derive(Debug, PartialEq, Eq)]
+struct Part {
+    number: u64,
+    permille: u32,
+    cause: Cause,
+    logged_at: Millis,
+}
+
+impl Releases {
+    /// Logs that another part of a service's requests goes to its new release.
+    fn note_part(&mut self, now: Millis, rollout: &Rollout, grant: Option<&Grant>, cause: Cause) {
+        let permille = grant.map_or(0, |grant| grant.permille);
+        let (number, service) = (rollout.number, &rollout.order.service);
+        let part = Part { number, permille, cause, logged_at: now };
+        if let Some(known) = self.parts.get(service) {
+            let is_same = (known.number, known.permille, known.cause) == (number, permille, cause);
+            let is_new = known.number != number;
+            if is_same || !is_new && now < known.logged_at + LOG_INTERVAL_MS {
+                return;
+            }
+        }
+        let version = &rollout.order.version;
+        log::info!("rollout: {version} of {service} is sent {permille} in 1000: {cause:?}");
+        self.parts.insert(service.clone(), part);
+    }
+}
+
+impl Call {
+    /// Which releases may run it now; none where none may.
+    pub(super) fn version_rule(&self) -> Option<VersionRule> {
+        let offset = rand::rng().random();
+        self.with_situation(|releases, turn, situation| {
+            let (rule, cause) = releases.splits.rule(turn, &self.route.name, offset, situation);
+            if let Some(rollout) = situation.rollout {
+                releases.note_part(self.gateway.now(), rollout, situation.grant, cause);
+            }
+            rule
+        })
+    }
+
+    /// Whether it may be sent to an endpoint, by what is known at this moment.
+    pub(super) fn may_be_sent_to(&self, endpoint: &Registration) -> bool {
+        self.eligibility().is_some_and(|eligibility| self.is_eligible(&eligibility, endpoint))
+    }
+
+    /// The caller is about to get a piece of an answer of this release.
+    pub(super) fn bind(&self, version: &str) {
+        self.turn().bind(version);
+    }
+
+    /// Whether its answer may go on at the release that began it.
+    pub(super) fn may_go_on(&self) -> bool {
+        let offset = rand::rng().random();
+        self.with_situation(|releases, turn, situation| {
+            releases.splits.go_on(turn, &self.route.name, offset, situation)
+        })
+    }
+
+    /// It was sent to an endpoint of a release: where that came to nothing, it goes to
+    /// another.
+    pub(super) fn failed_at(&self, version: &str, attempt: &Attempt) {
+        if matches!(attempt, Attempt::Answered(_)) {
+            return;
+        }
+        if let Some(number) = self.number_of(|rollout| rollout.order.version == version) {
+            self.turn().failed_at_new(number);
+        }
+    }
+
+    /// Whether it was to go to the new release, had no place there, and may have one at
+    /// another. Once all go to the new one, what it could not serve in time is refused as
+    /// always: the others have to run dry.
+    pub(super) fn gives_up_new(&self, rule: &VersionRule, place: &Place) -> bool {
+        let VersionRule::Only { version, .. } = rule else { return false };
+        let number = self.number_of(|r| r.order.version == *version && !r.stage.is_final());
+        let Some(number) = number else { return false };
+        let now = self.gateway.now();
+        let grant = self.gateway.rollouts.grant(now, &self.service, number);
+        let all_go_there = grant.is_some_and(|grant| grant.permille >= ALL_PERMILLE);
+        let is_refused = matches!(place, Place::TooLate(_));
+        !(all_go_there && is_refused) && self.turn().no_place_at_new(number)
+    }
+
+    fn number_of(&self, is_meant: impl Fn(&Rollout) -> bool) -> Option<u64> {
+        let table = self.gateway.rollouts.table();
+        table.get(&self.service).filter(|rollout| is_meant(rollout)).map(|rollout| rollout.number)
+    }
+
+    fn with_situation<T>(
+        &self,
+        f: impl FnOnce(&mut Releases, &mut Turn, &Situation<'_>) -> T,
+    ) -> T {
+        let gateway = &self.gateway;
+        let table = gateway.rollouts.table();
+        let rollout = table.get(&self.service);
+        let grant = rollout.and_then(|rollout| {
+            gateway.rollouts.grant(gateway.now(), &self.service, rollout.number)
+        });
+        let takes_work = |release: Release| {
+            gateway.registry.read(|registry| {
+                let mut ready = registry.ready(&self.service).filter(|e| self.is_in_region(e));
+                ready.any(|e| rollout.is_some_and(|r| side_of(r, &e.version) == release))
+            })
+        };
+        let situation = Situation { rollout, grant: grant.as_ref(), takes_work: &takes_work };
+        let mut turn = self.turn();
+        gateway.with_releases(|releases| f(releases, &mut turn, &situation))
+    }
+
+    fn turn(&self) -> MutexGuard<'_, Turn> {
+        self.turn.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Reports what this router sees to the leader while a release is rolled out.
+pub(super) async fn report(gateway: Arc<Gateway>) {
+    let mut table = gateway.rollouts.watch();
+    let is_under_way = |table: &Arc<Rollouts>| table.all().any(|r| !r.stage.is_final());
+    while table.wait_for(is_under_way).await.is_ok() {
+        let known = gateway.rollouts.table();
+        let report = gateway.with_releases(|releases| releases.tally.take(&known));
+        if !gateway.feeds.report_rollouts(report.clone()) {
+            gateway.with_releases(|releases| releases.tally.put_back(report));
+        }
+        tokio::time::sleep(REPORT_INTERVAL).await;
+    }
+}
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -14,6 +14,7 @@
 use super::dialect::Dialect;
 use super::handover::{hand_over, take_callers};
 use super::overload::Overload;
+use super::rollouts;
 use super::state::{Gateway, follow_registry};
 use crate::error::{NetSnafu, Result};
 use crate::peer::Peers;
@@ -39,6 +40,7 @@
     let gateway = Gateway::new(settings, rules, peers, dialect, stop.clone());
     tokio::spawn(take_callers(gateway.clone(), incoming));
     tokio::spawn(follow_registry(gateway.clone()));
+    tokio::spawn(rollouts::report(gateway.clone()));
     serve_readiness(&gateway).await?;
     let listen = gateway.settings.listen;
     let listener = TcpListener::bind(listen).await;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,7 +10,9 @@
 use super::dialect::Dialect;
 use super::endpoints::{Endpoints, Failure};
 use super::neighbours::Neighbours;
+use super::observed::Observed;
 use super::overload::Overload;
+use super::rollouts::Releases;
 use crate::dispatch::Millis;
 use crate::feed::Subscriptions;
 use crate::loop_lag::LoopLag;
@@ -51,6 +53,7 @@
     pub stop: CancellationToken,
     pub(super) endpoints: Mutex<Endpoints>,
     pub(super) budgets: Mutex<RetryBudgets>,
+    releases: Mutex<Releases>,
     overload: Arc<Mutex<Overload>>,
     neighbours: Mutex<Neighbours>,
     refusing: AtomicBool,
@@ -102,6 +105,7 @@
             stop,
             endpoints: Mutex::default(),
             budgets: Mutex::new(budgets),
+            releases: Mutex::default(),
             overload,
             neighbours: Mutex::default(),
             refusing: AtomicBool::new(false),
@@ -126,6 +130,11 @@
         f(&mut self.budgets.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Works on what is known of releases.
+    pub(super) fn with_releases<T>(&self, f: impl FnOnce(&mut Releases) -> T) -> T {
+        f(&mut self.releases.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Works on what this router takes on.
     pub(super) fn with_overload<T>(&self, f: impl FnOnce(&mut Overload) -> T) -> T {
         f(&mut self.overload.lock().unwrap_or_else(PoisonError::into_inner))
@@ -249,6 +258,8 @@
     prompt_tokens: u32,
     begun: bool,
     reservation: Option<Reservation>,
+    /// What it says of the endpoint's release.
+    pub observed: Observed,
 }
 
 impl Ticket {
@@ -257,11 +268,13 @@
         endpoint: &str,
         prompt_tokens: u32,
         reservation: Option<Reservation>,
+        observed: Observed,
     ) -> Ticket {
         let now = gateway.now();
         gateway.with_endpoints(|e| e.begin(now, endpoint, prompt_tokens));
         let endpoint = endpoint.to_string();
-        Ticket { gateway: gateway.clone(), endpoint, prompt_tokens, begun: false, reservation }
+        let gateway = gateway.clone();
+        Ticket { gateway, endpoint, prompt_tokens, begun: false, reservation, observed }
     }
 
     /// The first part of the answer came.
@@ -269,6 +282,7 @@
         if !std::mem::replace(&mut self.begun, true) {
             let tokens = self.prompt_tokens;
             self.gateway.with_endpoints(|e| e.begun(&self.endpoint, tokens));
+            self.observed.answered();
             if let Some(reservation) = &mut self.reservation {
                 reservation.begun();
             }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -13,7 +13,8 @@
 use super::endpoints::Failure;
 use super::events::EventSplitter;
 use super::exchange::{self, Opened, strip_connection_headers};
-use super::request::{Call, Place};
+use super::placing::Place;
+use super::request::Call;
 use super::state::Ticket;
 use crate::placement::Ending;
 
@@ -50,6 +51,7 @@
     let (mut head, incoming) = response.into_parts();
     strip_connection_headers(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
+    call.bind(&ticket.observed.version);
     let resumes = call.route.resumable && call.route.attempts > 1;
     let relay = Relay {
         call: call.clone(),
@@ -75,6 +77,7 @@
             let Some(source) = &mut self.source else { return Ok(None) };
             let frame = tokio::time::timeout_at(self.call.limit, source.incoming.frame());
             let Ok(frame) = frame.await else {
+                source.ticket.observed.failed();
                 log::info!("gateway: request {} ran out of time", self.call.number);
                 return Err(BrokenOff::TimeUp);
             };
@@ -114,17 +117,19 @@
         rest.filter(|rest| !rest.is_empty())
     }
 
-    /// Takes the stream up behind its last whole event at another endpoint.
+    /// Takes the stream up behind its last whole event at another endpoint of the same
+    /// release: another release may say something else.
     async fn resume(&mut self) -> Result<(), BrokenOff> {
         let Some(mut broken) = self.source.take() else { return Err(BrokenOff::Endpoint) };
         let call = self.call.clone();
         call.gateway.note_failure(&broken.ticket.endpoint, Failure::Failed);
         broken.ticket.set_ending(Ending::Failed);
+        broken.ticket.observed.failed();
         drop(broken);
         let Some(splitter) = &mut self.splitter else { return Err(BrokenOff::Endpoint) };
         splitter.discard_partial();
         let runs = self.tried.len() as u32;
-        if runs >= call.route.attempts || !call.may_repeat() {
+        if runs >= call.route.attempts || !call.may_go_on() || !call.may_repeat() {
             return Err(BrokenOff::Endpoint);
         }
         let Place::At(endpoint, reservation) = call.place(&self.tried).await else {
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,5 +1,7 @@
 //! Decisions of the gateway.
 
+mod rollouts;
+
 use proptest::prelude::*;
 
 use super::endpoints::ColdPart;
--- /dev/null
+++ b/src/gateway/tests/rollouts.rs
@@ -0,0 +1,293 @@
+//! Requests of a router while a release is rolled out, over real sockets.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use axum::http::{Request, StatusCode};
+use tokio::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+
+use super::super::exchange::{self, Attempt};
+use super::super::placing::Place;
+use super::super::request::{Call, run};
+use super::super::rollouts::report;
+use super::*;
+use crate::registry::Hearing;
+use crate::rollout::{Grant, Grants, Order, Release, Report, Rollouts, Stage, Step};
+use crate::settings::{GatewaySettings, HostSettings, RouterSettings};
+use crate::testing::{peer_address, route, start_peers};
+use crate::wire::Role;
+
+/// An endpoint that answers everything with one status.
+struct Answering {
+    address: SocketAddr,
+    served: Arc<AtomicUsize>,
+}
+
+impl Answering {
+    async fn start(status: StatusCode) -> Answering {
+        let served = Arc::new(AtomicUsize::new(0));
+        let counted = served.clone();
+        let answer = move || {
+            counted.fetch_add(1, Ordering::Relaxed);
+            std::future::ready(status)
+        };
+        let listener = tokio::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let app = axum::Router::new().fallback(answer);
+        tokio::spawn(async move { axum::serve(listener, app).await });
+        Answering { address, served }
+    }
+
+    fn served(&self) -> usize {
+        self.served.load(Ordering::Relaxed)
+    }
+}
+
+/// A router that reaches no control host, and the order to roll `v2` out.
+struct Fleet {
+    gateway: Arc<Gateway>,
+    rollouts: Rollouts,
+    term: u64,
+}
+
+impl Fleet {
+    async fn start(host: u8, new: &Answering, old: &Answering) -> Fleet {
+        let (peers, _) = start_peers(Role::Router, host, vec![]).await;
+        let address = peer_address(host);
+        let rules = GatewaySettings {
+            ready: address,
+            metrics: None,
+            retry_budget: BudgetRules::default(),
+            overload: OverloadRules::default(),
+            least_routers: 1,
+            stop_takes_ms: 0,
+            stop_within_s: 1.0,
+        };
+        let settings = RouterSettings {
+            host: HostSettings {
+                name: "router".into(),
+                id: None,
+                hall: "a".into(),
+                peer: address,
+                seeds: vec![],
+                seed_port: None,
+                regions: Default::default(),
+                heartbeats: Default::default(),
+            },
+            listen: address,
+            operator: address,
+            platform: None,
+            dispatch: Default::default(),
+            alone_routers: 1,
+            max_body: 1_000,
+            drain_ms: 0,
+            rehearsal: false,
+            gateway: None,
+        };
+        let stop = CancellationToken::new();
+        let gateway = Gateway::new(settings, rules, peers, Arc::new(NativeDialect), stop);
+        let of = |id: &str, version: &str, answering: &Answering| Registration {
+            version: version.into(),
+            address: Some(answering.address),
+            ..endpoint(id)
+        };
+        let endpoints = [of("new", "v2", new), of("old", "v1", old)];
+        gateway.registry.merge(endpoints, Hearing::SecondHand);
+        let mut rollouts = Rollouts::default();
+        rollouts.start(Order {
+            service: "app".into(),
+            version: "v2".into(),
+            at_ms: 0,
+            duration_ms: 10_000,
+        });
+        gateway.rollouts.adopt(rollouts.clone());
+        Fleet { gateway, rollouts, term: 0 }
+    }
+
+    fn grant(&mut self, permille: u32, valid_ms: u64) {
+        self.term += 1;
+        let grant = Grant { service: "app".into(), number: 1, permille, order_upto: u32::MAX };
+        let grants = Grants { term: self.term, valid_ms, services: vec![grant] };
+        self.gateway.rollouts.adopt_grants(self.gateway.now(), grants);
+    }
+
+    fn step(&mut self, stage: Stage) {
+        self.rollouts.step(&Step { service: "app".into(), number: 1, stage });
+        self.gateway.rollouts.adopt(self.rollouts.clone());
+    }
+
+    fn call(&self) -> Arc<Call> {
+        let (parts, _) = Request::get("http://shop.example/").body(()).unwrap().into_parts();
+        let now = Instant::now();
+        Arc::new(Call {
+            gateway: self.gateway.clone(),
+            number: 1,
+            route: route("all", "shop.example", "/"),
+            service: "app".into(),
+            is_engine: false,
+            cold_per_second: None,
+            customer: None,
+            regions: Default::default(),
+            head: Default::default(),
+            parts,
+            body: Default::default(),
+            arrived: now,
+            limit: now + Duration::from_secs(10),
+            turn: Default::default(),
+            _presence: self.gateway.enter(),
+        })
+    }
+
+    async fn place(&self, call: &Call, tried: &[String]) -> Option<Registration> {
+        match call.place(tried).await {
+            Place::At(endpoint, _) => Some(*endpoint),
+            Place::Nowhere | Place::TooLate(_) => None,
+        }
+    }
+
+    async fn version(&self, call: &Call) -> String {
+        self.place(call, &[]).await.expect("a place").version
+    }
+
+    fn report(&self) -> Report {
+        self.gateway.with_releases(|releases| releases.tally.take(&self.rollouts))
+    }
+}
+
+async fn two(new: StatusCode, old: StatusCode) -> [Answering; 2] {
+    [Answering::start(new).await, Answering::start(old).await]
+}
+
+/// Thousandths of which the first draws almost always come to the new release.
+const MOST: u32 = 999;
+
+/// A call that has drawn the new release.
+async fn drawn(fleet: &Fleet) -> Arc<Call> {
+    loop {
+        let call = fleet.call();
+        if fleet.version(&call).await == "v2" {
+            return call;
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_router_that_is_cut_off_sends_the_new_release_nothing() {
+    let [new, old] = two(StatusCode::OK, StatusCode::OK).await;
+    let mut fleet = Fleet::start(101, &new, &old).await;
+    for _ in 0..50 {
+        assert_eq!(run(fleet.call()).await.status(), StatusCode::OK);
+    }
+    assert_eq!((new.served(), old.served()), (0, 50));
+    // Where no endpoint of another release takes work, callers are served even so.
+    let gone = Registration { state: EndpointState::Leaving, sequence: 2, ..endpoint("old") };
+    fleet.gateway.registry.merge([gone], Hearing::SecondHand);
+    assert_eq!(run(fleet.call()).await.status(), StatusCode::OK);
+    // But not what was found bad.
+    fleet.step(Stage::RolledBack);
+    assert_eq!(run(fleet.call()).await.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(new.served(), 1);
+}
+
+#[tokio::test]
+async fn a_grant_that_ends_takes_back_what_was_drawn_by_it() {
+    let [new, old] = two(StatusCode::OK, StatusCode::OK).await;
+    let mut fleet = Fleet::start(102, &new, &old).await;
+    fleet.grant(MOST, 60_000);
+    let call = drawn(&fleet).await;
+    fleet.grant(MOST, 0);
+    assert_eq!(fleet.version(&call).await, "v1");
+    assert_eq!(run(call).await.status(), StatusCode::OK);
+    assert_eq!((new.served(), old.served()), (0, 1));
+}
+
+#[tokio::test]
+async fn what_waits_while_its_release_is_rolled_back_is_not_sent_there() {
+    let [new, old] = two(StatusCode::OK, StatusCode::OK).await;
+    let mut fleet = Fleet::start(103, &new, &old).await;
+    fleet.grant(1_000, 60_000);
+    let call = fleet.call();
+    let endpoint = fleet.place(&call, &[]).await.unwrap();
+    assert_eq!(endpoint.version, "v2");
+    fleet.step(Stage::RolledBack);
+    let attempt = exchange::attempt(&call, &endpoint, None, false).await;
+    assert!(matches!(attempt, Attempt::NotSent));
+    assert_eq!(new.served(), 0);
+    assert_eq!(run(call).await.status(), StatusCode::OK);
+    assert_eq!((new.served(), old.served()), (0, 1));
+}
+
+#[tokio::test]
+async fn a_request_that_fails_at_the_new_release_is_answered_by_another() {
+    let [new, old] = two(StatusCode::INTERNAL_SERVER_ERROR, StatusCode::OK).await;
+    let mut fleet = Fleet::start(104, &new, &old).await;
+    fleet.grant(MOST, 60_000);
+    let call = drawn(&fleet).await;
+    assert_eq!(run(call).await.status(), StatusCode::OK);
+    assert_eq!((new.served(), old.served()), (1, 1));
+    let report = fleet.report();
+    let of = |release| {
+        let tallies = &report.services[0].tallies;
+        tallies.iter().find(|tally| tally.release == release).unwrap().answers.clone()
+    };
+    let (new, old) = (of(Release::New), of(Release::Old));
+    assert_eq!((new.sent, new.failed, new.took.len()), (1, 1, 0));
+    assert_eq!((old.sent, old.failed, old.took.len()), (1, 0, 1));
+    assert_eq!(report.services[0].open_on_old, 0);
+}
+
+#[tokio::test]
+async fn a_request_for_which_the_new_release_has_no_place_goes_to_another() {
+    let [new, old] = two(StatusCode::OK, StatusCode::OK).await;
+    let mut fleet = Fleet::start(105, &new, &old).await;
+    for permille in [MOST, 1_000] {
+        fleet.grant(permille, 60_000);
+        let call = drawn(&fleet).await;
+        let other = fleet.place(&call, &["new".into()]).await.unwrap();
+        assert_eq!(other.version, "v1");
+    }
+}
+
+#[tokio::test]
+async fn an_answer_goes_on_at_its_own_release_or_not_at_all() {
+    let [new, old] = two(StatusCode::OK, StatusCode::OK).await;
+    let mut fleet = Fleet::start(106, &new, &old).await;
+    fleet.grant(MOST, 60_000);
+    for (version, id) in [("v2", "new"), ("v1", "old")] {
+        let call = fleet.call();
+        call.bind(version);
+        assert_eq!(fleet.version(&call).await, version);
+        assert!(fleet.place(&call, &[id.into()]).await.is_none());
+    }
+    fleet.step(Stage::RolledBack);
+    let call = fleet.call();
+    call.bind("v2");
+    assert!(fleet.place(&call, &[]).await.is_none());
+}
+
+#[tokio::test]
+async fn what_could_not_be_reported_is_kept() {
+    let [new, old] = two(StatusCode::OK, StatusCode::OK).await;
+    let fleet = Fleet::start(107, &new, &old).await;
+    run(fleet.call()).await;
+    // There is no leader, so the first report is put back, before the task waits.
+    let reporting = tokio::spawn(report(fleet.gateway.clone()));
+    tokio::task::yield_now().await;
+    reporting.abort();
+    assert_eq!(fleet.report().services[0].tallies[0].answers.sent, 1);
+}
+
+#[tokio::test]
+async fn a_run_on_an_old_release_is_open_until_its_answer_has_ended() {
+    let [new, old] = two(StatusCode::OK, StatusCode::OK).await;
+    let fleet = Fleet::start(108, &new, &old).await;
+    let call = fleet.call();
+    let endpoint = fleet.place(&call, &[]).await.unwrap();
+    let opened = exchange::open(&call, &endpoint, None, None).await;
+    let opened = opened.unwrap_or_else(|_| panic!("it answers"));
+    assert_eq!(fleet.report().services[0].open_on_old, 1);
+    drop(opened);
+    assert_eq!(fleet.report().services[0].open_on_old, 0);
+}
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -160,13 +160,13 @@
     /// before it.
     pub fn best(&self, request: &PlacementRequest) -> Option<EngineNumber> {
         let tokens = memory_tokens(&request.parts, request.prompt_tokens, request.output_tokens);
-        let source = self.copy_source();
+        let sources = self.copy_sources();
         let fits = |(_, engine): &(EngineNumber, &Engine)| {
             is_candidate(engine, request) && !engine.warmth.is_full(self.now, self.rules.cold_part)
         };
         let mut best: Option<(Order, EngineNumber)> = None;
         for (number, engine) in self.engines.iter().filter(fits) {
-            let reading = self.reading(number, engine, request, source);
+            let reading = self.reading(number, engine, request, source_for(&sources, engine));
             let score = engine.queue.wait_ms(self.now, engine.model.pace(self.now))
                 + self.rules.reading_weight * reading.read_ms
                 + self.rules.copying_weight * reading.copy_ms;
@@ -210,7 +210,7 @@
         let engine = self.engines.get(number)?;
         let now = self.now as f64;
         let Reading { copy, copy_ms, units, read_ms } =
-            self.reading(number, engine, request, self.copy_source());
+            self.reading(number, engine, request, source_for(&self.copy_sources(), engine));
         let own_ms = read_ms + copy_ms;
         let in_time_ms = self.in_time_ms(request, own_ms);
         let latest_start = match standing.is_above() {
@@ -261,26 +261,55 @@
         }
     }
 
-    /// The engine that has read most of the prompt; of equal ones the last by id.
-    fn copy_source(&self) -> Option<(EngineNumber, u32)> {
+    /// Of each release the engine that has read most of the prompt; of equal ones the
+    /// last by id. What one release has read, another cannot use.
+    fn copy_sources(&self) -> Vec<Source<'_>> {
         let able = |engine: &Engine| {
             engine.takes_work()
                 && engine.copy_ms_per_token.is_some()
                 && !engine.model.is_left_out(self.now)
         };
-        let mut source: Option<(u32, &Engine, EngineNumber)> = None;
+        let mut sources: Vec<Source<'_>> = Vec::new();
         for (number, engine) in self.engines {
             let read = self.found.get(number).map_or(0, |found| found.read);
-            let is_more = read > 0
-                && source.is_none_or(|(most, last, _)| (read, &engine.id) > (most, &last.id));
-            if is_more && able(engine) {
-                source = Some((read, engine, number));
+            if read == 0 || !able(engine) {
+                continue;
+            }
+            let source = Source { number, engine, read };
+            match sources.iter_mut().find(|known| known.is_like(engine)) {
+                Some(known) if source.order() > known.order() => *known = source,
+                Some(_) => {}
+                None => sources.push(source),
             }
         }
-        source.map(|(read, _, number)| (number, read))
+        sources
+    }
+}
+
+/// An engine from which prompt parts can be copied.
+struct Source<'a> {
+    number: EngineNumber,
+    engine: &'a Engine,
+    /// Tokens of the prompt that it has read.
+    read: u32,
+}
+
+impl Source<'_> {
+    /// Whether what it has read is of use to an engine.
+    fn is_like(&self, engine: &Engine) -> bool {
+        self.engine.service == engine.service && self.engine.version == engine.version
+    }
+
+    fn order(&self) -> (u32, &str) {
+        (self.read, &self.engine.id)
     }
 }
 
+fn source_for(sources: &[Source<'_>], engine: &Engine) -> Option<(EngineNumber, u32)> {
+    let source = sources.iter().find(|source| source.is_like(engine));
+    source.map(|source| (source.number, source.read))
+}
+
 /// Whether a request could go to an engine at all.
 fn is_candidate(engine: &Engine, request: &PlacementRequest) -> bool {
     engine.takes_work()
--- a/src/placement/message.rs
+++ b/src/placement/message.rs
@@ -32,6 +32,8 @@
     pub eligibility: Eligibility,
     /// Endpoints that it must not go to.
     pub avoid: Vec<String>,
+    /// Whether it was asked for a moment ago with other endpoints, and counts as asked.
+    pub asked_before: bool,
 }
 
 /// How a placed request ended.
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -223,7 +223,9 @@
     fn place(&mut self, now: Millis, router: HostId, request: PlacementRequest) -> Decision {
         let key = (router, request.seq);
         let units = units(&request);
-        self.shares.asked(now, &request.customer, units);
+        if !request.asked_before {
+            self.shares.asked(now, &request.customer, units);
+        }
         let standing = self.shares.standing(&request.customer);
         let Some(choice) = self.choose(now, &request, standing) else {
             let answer = match self.chooser(now).until_one_is_free(&request) {
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -3,6 +3,7 @@
 mod parts;
 mod queue;
 mod rate;
+mod releases;
 mod standing;
 mod warmth;
 
@@ -54,6 +55,7 @@
         hall: "a".into(),
         eligibility: Default::default(),
         avoid: vec![],
+        asked_before: false,
     }
 }
 
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -11,6 +11,8 @@
 mod report;
 mod rules;
 mod shared;
+mod split;
+mod tally;
 #[cfg(test)]
 mod tests;
 
@@ -18,3 +20,5 @@
 pub use report::{AnswerCounts, Grant, Grants, Release, Report, RouteTally, ServiceReport};
 pub use rules::RolloutRules;
 pub use shared::SharedRollouts;
+pub use split::{ALL_PERMILLE, Cause, Situation, Splits, Turn};
+pub use tally::{Sample, Tally, side_of};
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -1,5 +1,8 @@
 //! Orders and their stages.
 
+mod split;
+mod tally;
+
 use super::*;
 
 fn order(version: &str, at_ms: u64) -> Order {
--- /dev/null
+++ b/src/rollout/tests/tally.rs
@@ -0,0 +1,111 @@
+//! What a router counts and reports.
+
+use super::*;
+
+fn sample(route: &str, release: Release) -> Sample {
+    Sample { service: "llm".into(), number: 1, route: route.into(), release }
+}
+
+fn under_way() -> Rollouts {
+    let mut rollouts = Rollouts::default();
+    rollouts.start(order("v2", 0));
+    rollouts
+}
+
+#[test]
+fn what_was_counted_is_reported_once_by_route_and_release() {
+    let mut tally = Tally::default();
+    let new = sample("chat", Release::New);
+    for ms in [100.0, 100.0, 900.0] {
+        tally.sent(&new);
+        tally.answered(&new, ms);
+    }
+    tally.sent(&sample("chat", Release::Old));
+    tally.failed(&sample("chat", Release::Old));
+    let report = tally.take(&under_way());
+    let tallies = &report.services[0].tallies;
+    assert_eq!(tallies.len(), 2);
+    let of = |release| &tallies.iter().find(|t| t.release == release).unwrap().answers;
+    assert_eq!((of(Release::New).sent, of(Release::New).failed), (3, 0));
+    let took = [(AnswerCounts::bucket(100.0), 2), (AnswerCounts::bucket(900.0), 1)];
+    assert_eq!(of(Release::New).took, took);
+    assert_eq!((of(Release::Old).sent, of(Release::Old).failed), (1, 1));
+    assert!(tally.take(&under_way()).services[0].tallies.is_empty());
+}
+
+#[test]
+fn a_report_that_could_not_be_sent_is_part_of_the_next() {
+    let mut tally = Tally::default();
+    let new = sample("chat", Release::New);
+    for _ in 0..1_000 {
+        tally.sent(&new);
+        tally.answered(&new, 100.0);
+        let report = tally.take(&under_way());
+        tally.put_back(report);
+    }
+    let report = tally.take(&under_way());
+    assert_eq!(report.services[0].tallies.len(), 1);
+    assert_eq!(report.services[0].tallies[0].answers.sent, 1_000);
+    assert_eq!(report.services[0].tallies[0].answers.took, [(AnswerCounts::bucket(100.0), 1_000)]);
+}
+
+#[test]
+fn open_requests_on_old_releases_count_also_if_they_began_before_the_order() {
+    let mut tally = Tally::default();
+    for version in ["v1", "v1", "", "v2"] {
+        tally.opened("llm", version);
+    }
+    tally.opened("app", "v1");
+    assert_eq!(tally.take(&under_way()).services[0].open_on_old, 3);
+    for version in ["v1", "v1", ""] {
+        tally.closed("llm", version);
+    }
+    assert_eq!(tally.take(&under_way()).services[0].open_on_old, 0);
+}
+
+#[test]
+fn what_was_never_sent_is_not_counted_as_sent() {
+    let mut tally = Tally::default();
+    tally.sent(&sample("chat", Release::New));
+    tally.unsent(&sample("chat", Release::New));
+    assert!(tally.take(&under_way()).services[0].tallies.is_empty());
+}
+
+#[test]
+fn counts_of_a_former_roll_out_say_nothing_of_the_next() {
+    let mut rollouts = under_way();
+    let mut tally = Tally::default();
+    tally.sent(&sample("chat", Release::New));
+    rollouts.step(&step(&rollouts, Stage::RolledBack));
+    rollouts.start(order("v3", 60_000));
+    let late = tally.clone().take(&under_way());
+    assert!(tally.take(&rollouts).services[0].tallies.is_empty());
+    let number = rollouts.get("llm").unwrap().number;
+    tally.sent(&Sample { number, ..sample("chat", Release::New) });
+    tally.put_back(late);
+    assert_eq!(tally.take(&rollouts).services[0].tallies[0].answers.sent, 1);
+}
+
+#[test]
+fn nothing_is_reported_of_a_roll_out_that_has_ended() {
+    let mut rollouts = under_way();
+    rollouts.step(&step(&rollouts, Stage::RolledBack));
+    assert!(Tally::default().take(&rollouts).services.is_empty());
+}
+
+#[test]
+fn a_report_takes_few_bytes() {
+    let mut tally = Tally::default();
+    for route in ["long-summary", "short-answer", "next-hint"] {
+        for release in [Release::New, Release::Old] {
+            for ms in [40.0, 80.0, 160.0, 320.0] {
+                tally.sent(&sample(route, release));
+                tally.answered(&sample(route, release), ms);
+            }
+        }
+    }
+    let bytes = postcard::to_stdvec(&tally.take(&under_way())).unwrap().len();
+    let idle = postcard::to_stdvec(&tally.take(&under_way())).unwrap().len();
+    println!("a report of three routes takes {bytes} bytes, an empty one {idle}");
+    assert!(bytes <= 256 && idle <= 16, "{bytes}, {idle}");
+}
