A canary is not queued without room; a broken stream stays at its release, with real processes

The placer refuses a request that has an alternative where no endpoint of the new release has room, and the router asks again among the others, once counted in its customer's share.

228 tests of the library and 30 with real processes pass. Not run: scenarios, soak.

--- a/benches/placer.rs
+++ b/benches/placer.rs
@@ -65,6 +65,7 @@
         eligibility: Default::default(),
         avoid: vec![],
         asked_before: false,
+        has_alternative: false,
     }
 }
 
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -33,26 +33,25 @@
     /// may have one.
     pub async fn place(&self, tried: &[String]) -> Place {
         let Some(eligibility) = self.eligibility() else { return Place::Nowhere };
-        match self.place_among(&eligibility, tried, false).await {
+        let mut request = self.placement_request(&eligibility, tried);
+        request.has_alternative = self.is_of_a_part(&eligibility.version);
+        match self.place_among(request, tried).await {
             Place::At(endpoint, reservation) => Place::At(endpoint, reservation),
             other if !self.gives_up_new(&eligibility.version, &other) => other,
             _ => match self.eligibility() {
-                Some(others) => self.place_among(&others, tried, true).await,
+                Some(others) => {
+                    let mut request = self.placement_request(&others, tried);
+                    request.asked_before = true;
+                    self.place_among(request, tried).await
+                }
                 None => Place::Nowhere,
             },
         }
     }
 
     /// Engines are chosen by the placer, all else by what this router has seen.
-    async fn place_among(
-        &self,
-        eligibility: &Eligibility,
-        tried: &[String],
-        asked_before: bool,
-    ) -> Place {
+    async fn place_among(&self, request: PlacementRequest, tried: &[String]) -> Place {
         if self.is_engine {
-            let mut request = self.placement_request(eligibility, tried);
-            request.asked_before = asked_before;
             match self.gateway.placements.place(request).await {
                 Placed::At(reservation) => {
                     let id = &reservation.endpoint;
@@ -124,6 +123,7 @@
             eligibility: eligibility.clone(),
             avoid: tried.to_vec(),
             asked_before: false,
+            has_alternative: false,
         }
     }
 }
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -105,14 +105,22 @@
     /// another. Once all go to the new one, what it could not serve in time is refused as
     /// always: the others have to run dry.
     pub(super) fn gives_up_new(&self, rule: &VersionRule, place: &Place) -> bool {
+        let VersionRule::Only { version, .. } = rule else { return false };
+        let number = self.number_of(|r| r.order.version == *version && !r.stage.is_final());
+        let Some(number) = number else { return false };
+        let is_refused = matches!(place, Place::TooLate(_));
+        let may_leave = !is_refused || self.is_of_a_part(rule);
+        may_leave && self.turn().no_place_at_new(number)
+    }
+
+    /// Whether it is of the part that goes to a new release while others go elsewhere.
+    pub(super) fn is_of_a_part(&self, rule: &VersionRule) -> bool {
         let VersionRule::Only { version, .. } = rule else { return false };
         let number = self.number_of(|r| r.order.version == *version && !r.stage.is_final());
         let Some(number) = number else { return false };
         let now = self.gateway.now();
         let grant = self.gateway.rollouts.grant(now, &self.service, number);
-        let all_go_there = grant.is_some_and(|grant| grant.permille >= ALL_PERMILLE);
-        let is_refused = matches!(place, Place::TooLate(_));
-        !(all_go_there && is_refused) && self.turn().no_place_at_new(number)
+        grant.is_none_or(|grant| grant.permille < ALL_PERMILLE) && !self.turn().is_bound()
     }
 
     fn number_of(&self, is_meant: impl Fn(&Rollout) -> bool) -> Option<u64> {
--- a/src/placement/message.rs
+++ b/src/placement/message.rs
@@ -34,6 +34,8 @@
     pub avoid: Vec<String>,
     /// Whether it was asked for a moment ago with other endpoints, and counts as asked.
     pub asked_before: bool,
+    /// Whether it is rather asked for with other endpoints than queued where none has room.
+    pub has_alternative: bool,
 }
 
 /// How a placed request ended.
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -235,7 +235,8 @@
             let (backlog_ms, own_ms) = (0.0, 0.0);
             return Decision { router, answer, backlog_ms, own_ms, ratio: standing.ratio };
         };
-        if !choice.is_allowed() {
+        let goes_elsewhere = request.has_alternative && !self.has_room(choice.engine, &request);
+        if !choice.is_allowed() || goes_elsewhere {
             return refuse(key, &choice, standing);
         }
         let id = |number: EngineNumber| self.engines[number].id.clone();
@@ -263,6 +264,12 @@
         self.chooser(now).at(number, request, standing)
     }
 
+    fn has_room(&self, engine: EngineNumber, request: &PlacementRequest) -> bool {
+        let PlacementRequest { parts, prompt_tokens, output_tokens, .. } = request;
+        let tokens = memory_tokens(parts, *prompt_tokens, *output_tokens);
+        self.engines.get(engine).is_some_and(|engine| engine.model.has_room(tokens))
+    }
+
     fn chooser(&self, now: Millis) -> Chooser<'_> {
         Chooser { rules: &self.rules, engines: &self.engines, found: &self.found, now }
     }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -56,6 +56,7 @@
         eligibility: Default::default(),
         avoid: vec![],
         asked_before: false,
+        has_alternative: false,
     }
 }
 
--- a/src/placement/tests/releases.rs
+++ b/src/placement/tests/releases.rs
@@ -90,3 +90,15 @@
     assert_eq!(share(true), once);
     assert_ne!(share(false), once);
 }
+
+#[test]
+fn a_request_with_an_alternative_is_not_queued_where_there_is_no_room() {
+    let answer = |has_alternative| {
+        let mut placer = Placer::new(PlacementRules::default());
+        placer.set_engines(0, vec![EngineInfo { slots: 1, ..engine("new") }]);
+        place(&mut placer, 0, request(1, "x", 1, 100));
+        place(&mut placer, 0, PlacementRequest { has_alternative, ..request(2, "x", 1, 100) })
+    };
+    assert!(matches!(answer(true), FromPlacer::Refuse { .. }));
+    assert!(matches!(answer(false), FromPlacer::Go { .. }));
+}
--- a/src/rollout/split.rs
+++ b/src/rollout/split.rs
@@ -33,6 +33,11 @@
         self.bound = Some(version.to_string());
     }
 
+    /// Whether the caller has a piece of an answer.
+    pub fn is_bound(&self) -> bool {
+        self.bound.is_some()
+    }
+
     /// The new release failed it: unless all go there, it goes to another.
     pub fn failed_at_new(&mut self, number: u64) {
         self.drawn = Some((number, Release::Old));
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -9,6 +9,8 @@
 mod handover;
 #[path = "platform/http.rs"]
 mod http;
+#[path = "platform/releases.rs"]
+mod releases;
 #[path = "platform/replica.rs"]
 mod replica;
 
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -270,8 +270,20 @@
 
     /// Registers a replica in a data hall.
     pub async fn register_in(&self, hall: &str, replica: &Replica, state: &str, sequence: u64) {
+        self.register_release("v1", hall, replica, state, sequence).await;
+    }
+
+    /// Registers a replica of a release.
+    pub async fn register_release(
+        &self,
+        version: &str,
+        hall: &str,
+        replica: &Replica,
+        state: &str,
+        sequence: u64,
+    ) {
         let body = format!(
-            r#"{{"service":"app","address":"{}","zone":"{hall}","version":"v1","slots":6,"state":"{state}","warmupLeftMs":0,"callSeq":{sequence}}}"#,
+            r#"{{"service":"app","address":"{}","zone":"{hall}","version":"{version}","slots":6,"state":"{state}","warmupLeftMs":0,"callSeq":{sequence}}}"#,
             replica.address
         );
         let path = format!("/replicas/{}", replica.id);
