--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,7 +11,9 @@
 use super::dialect::Dialect;
 use super::endpoints::{ColdPart, Endpoints, Failure};
 use super::neighbours::Neighbours;
+use super::observed::Observed;
 use super::overload::Overload;
+use super::rollouts::Releases;
 use crate::dispatch::Millis;
 use crate::feed::Subscriptions;
 use crate::loop_lag::LoopLag;
@@ -52,6 +54,7 @@
     pub stop: CancellationToken,
     pub(super) endpoints: Mutex<Endpoints>,
     pub(super) budgets: Mutex<RetryBudgets>,
+    releases: Mutex<Releases>,
     overload: Arc<Mutex<Overload>>,
     neighbours: Mutex<Neighbours>,
     refusing: AtomicBool,
@@ -103,6 +106,7 @@
             stop,
             endpoints: Mutex::default(),
             budgets: Mutex::new(budgets),
+            releases: Mutex::default(),
             overload,
             neighbours: Mutex::default(),
             refusing: AtomicBool::new(false),
@@ -133,6 +137,11 @@
         f(&mut self.budgets.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Works on what is known of releases.
+    pub(super) fn with_releases<T>(&self, f: impl FnOnce(&mut Releases) -> T) -> T {
+        f(&mut self.releases.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Works on what this router takes on.
     pub(super) fn with_overload<T>(&self, f: impl FnOnce(&mut Overload) -> T) -> T {
         f(&mut self.overload.lock().unwrap_or_else(PoisonError::into_inner))
@@ -258,6 +267,8 @@
     prompt_tokens: u32,
     begun: bool,
     reservation: Option<Reservation>,
+    /// What it says of the endpoint's release.
+    pub observed: Observed,
 }
 
 impl Ticket {
@@ -266,12 +277,13 @@
         endpoint: &Registration,
         prompt_tokens: u32,
         reservation: Option<Reservation>,
+        observed: Observed,
     ) -> Ticket {
         let now = gateway.now();
         let (endpoint, born) = (endpoint.id.clone(), endpoint.born);
         gateway.with_endpoints(|e| e.begin(now, &endpoint, born, prompt_tokens));
         let gateway = gateway.clone();
-        Ticket { gateway, endpoint, born, prompt_tokens, begun: false, reservation }
+        Ticket { gateway, endpoint, born, prompt_tokens, begun: false, reservation, observed }
     }
 
     /// The first part of the answer came.
@@ -279,6 +291,7 @@
         if !std::mem::replace(&mut self.begun, true) {
             let tokens = self.prompt_tokens;
             self.gateway.with_endpoints(|e| e.begun(&self.endpoint, self.born, tokens));
+            self.observed.answered();
             if let Some(reservation) = &mut self.reservation {
                 reservation.begun();
             }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,5 +1,7 @@
 //! Decisions of the gateway.
 
+mod rollouts;
+
 use proptest::prelude::*;
 
 use super::dialect::{prompt_parts, token_counts};
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -4,6 +4,7 @@
 mod queue;
 mod rate;
 mod reborn;
+mod releases;
 mod standing;
 mod warmth;
 
@@ -55,6 +56,8 @@
         hall: "a".into(),
         eligibility: Default::default(),
         avoid: vec![],
+        asked_before: false,
+        has_alternative: false,
     }
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -11,6 +11,8 @@
 mod http;
 #[path = "platform/registrations.rs"]
 mod registrations;
+#[path = "platform/releases.rs"]
+mod releases;
 #[path = "platform/replica.rs"]
 mod replica;
 
