Roll a release out: its verdict, its plan, orders and what operators see

Control hosts had the agreed state of roll-outs but nobody ordered one, nobody decided. Now the leader takes routers' reports every 100 ms, weighs the new release's answers against the others' on the same routes in the same moments, grants a part for 600 ms at a time, and proposes the next stage. Orders come by the product's own interface and by the platform's calls, are acknowledged once agreed, and may be sent again.

--- a/src/bin/bramblecrank/app.rs
+++ b/src/bin/bramblecrank/app.rs
@@ -66,6 +66,17 @@
         drained: bool,
         to: Vec<SocketAddr>,
     },
+    StartRollout {
+        service: String,
+        version: String,
+        within_s: f64,
+        to: Vec<SocketAddr>,
+    },
+    RolloutStatus {
+        service: String,
+        to: Vec<SocketAddr>,
+        json: bool,
+    },
     StopHost {
         to: SocketAddr,
     },
@@ -143,6 +154,7 @@
             let (verb, m) = sub(m);
             Task::OrderHall { hall: text(m, "name"), drained: verb == "drain", to: addresses(m) }
         }
+        "rollout" => rollout(m),
         "site" => Task::Site {
             site: match text(m, "name").as_str() {
                 "bangkok" => SampleSite::Bangkok,
@@ -205,6 +217,20 @@
     }
 }
 
+fn rollout(matches: &ArgMatches) -> Task {
+    let (name, m) = sub(matches);
+    let (service, to) = (text(m, "service"), addresses(m));
+    match name {
+        "start" => Task::StartRollout {
+            service,
+            version: text(m, "version"),
+            within_s: m.get_one::<f64>("within").copied().unwrap_or_default(),
+            to,
+        },
+        _ => Task::RolloutStatus { service, to, json: flag(m, "json") },
+    }
+}
+
 fn load(matches: &ArgMatches) -> Task {
     let (name, m) = sub(matches);
     match name {
--- a/src/bin/bramblecrank/clap_app.rs
+++ b/src/bin/bramblecrank/clap_app.rs
@@ -55,6 +55,7 @@
         .subcommand(config())
         .subcommand(endpoint())
         .subcommand(hall())
+        .subcommand(rollout())
         .subcommand(host())
         .subcommand(explain())
         .subcommand(load())
@@ -226,6 +227,30 @@
         .subcommand(order("restore", "Gives its endpoints work again"))
 }
 
+fn rollout() -> Command {
+    let service = || Arg::new("service").required(true).help("The service's name");
+    let version = Arg::new("version").required(true).help("The release, as its endpoints name it");
+    let within = Arg::new("within")
+        .long("within")
+        .required(true)
+        .value_name("SECONDS")
+        .value_parser(value_parser!(f64))
+        .help("Seconds in which it must be decided");
+    let start = Command::new("start").about("Orders a release to be rolled out");
+    let status = Command::new("status").about("Shows the newest roll-out of a service");
+    Command::new("rollout")
+        .about("Rolls a release of a service out")
+        .long_about(
+            "Rolls a release of a service out: a small part of its requests goes to the \
+             release's endpoints first, then all of them, or none if it is bad. The endpoints \
+             of both releases must run. An order may be sent again.\n\nExample:\n  \
+             bramblecrank rollout start llm v2 --within 30 --to 10.1.0.41:7255",
+        )
+        .subcommand_required(true)
+        .subcommand(start.arg(service()).arg(version).arg(within).arg(to()))
+        .subcommand(status.arg(service()).arg(to()).arg(json()))
+}
+
 fn host() -> Command {
     let ids = |name: &'static str, help: &'static str| {
         Arg::new(name)
--- a/src/bin/bramblecrank/operate.rs
+++ b/src/bin/bramblecrank/operate.rs
@@ -11,6 +11,7 @@
 use serde_json::json;
 
 use crate::app::Task;
+use crate::rollout;
 
 /// Carries out an operator's command.
 pub async fn run(task: Task) -> Result<()> {
@@ -28,6 +29,10 @@
             report_applied(&to, request, false).await
         }
         Task::OrderHall { hall, drained, to } => order_hall(hall, drained, &to).await,
+        Task::StartRollout { service, version, within_s, to } => {
+            rollout::start(service, version, within_s, &to).await
+        }
+        Task::RolloutStatus { service, to, json } => rollout::status(&service, &to, json).await,
         Task::StopHost { to } => {
             let mut client = operator::connect(to).await?;
             client.stop(proto::StopRequest {}).await.map_err(refused)?;
@@ -61,7 +66,7 @@
     })
 }
 
-fn rpc<T>(message: impl Into<String>) -> Result<T> {
+pub(crate) fn rpc<T>(message: impl Into<String>) -> Result<T> {
     Err(Error::Rpc { message: message.into() })
 }
 
@@ -184,6 +189,7 @@
         if !s.drained_halls.is_empty() {
             notes.push(format!("drained data halls: {}", list(&s.drained_halls)));
         }
+        notes.extend(s.rollouts.iter().map(rollout::describe));
         notes.extend(s.dispatchers.iter().map(|d| {
             format!(
                 "dispatches {} ({} waiting, {}/{} running)",
@@ -218,7 +224,8 @@
         "in_force_since_ms": s.in_force_since_ms, "stale": s.stale, "group": group,
         "hosts": s.hosts.iter().filter(|h| h.live).map(|h| h.host).collect::<Vec<_>>(),
         "dispatchers": s.dispatchers.iter().map(dispatcher).collect::<Vec<_>>(),
-        "drained_halls": s.drained_halls})
+        "drained_halls": s.drained_halls,
+        "rollouts": s.rollouts.iter().map(rollout::to_json).collect::<Vec<_>>()})
 }
 
 async fn order_hall(hall: String, drained: bool, to: &[SocketAddr]) -> Result<()> {
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,5 +1,6 @@
 //! The control process: one of the hosts that agree on the configuration.
 
+mod conduct;
 mod courier;
 mod documents;
 mod driver;
@@ -7,13 +8,15 @@
 mod halls;
 mod handle;
 mod join;
+mod rollouts;
 mod serve;
 mod state;
 #[cfg(test)]
 mod tests;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tokio::net::tcp::OwnedWriteHalf;
@@ -25,7 +28,7 @@
 use crate::peer::{Incoming, PeerReader, Peers};
 use crate::placement::{self, PlacementSession};
 use crate::registry::{SharedRegistry, saved};
-use crate::rollout::SharedRollouts;
+use crate::rollout::{SharedRollouts, Tally};
 use crate::routing::Documents;
 use crate::settings::ControlSettings;
 use crate::spread::{self, Configs};
@@ -57,6 +60,8 @@
     pub registry: Arc<SharedRegistry>,
     /// Releases that are rolled out.
     pub rollouts: Arc<SharedRollouts>,
+    /// What is shown of those that this host leads, by service.
+    pub rollout_tallies: Mutex<BTreeMap<String, Tally>>,
     /// The placer that runs here.
     pub placement: PlacementSession,
     /// The agreement.
@@ -134,12 +139,14 @@
         documents,
         registry,
         rollouts,
+        rollout_tallies: Mutex::default(),
         handle,
         stop: stop.clone(),
     });
     tokio::spawn(take_connections(control.clone(), incoming));
     tokio::spawn(found::found(control.clone()));
     tokio::spawn(spread::follow_version(control.configs.clone(), control.peers.clone()));
+    tokio::spawn(conduct::conduct(control.clone()));
     tokio::spawn(crate::operator::serve_control(control.clone()));
     if let Some(interface) = interface {
         tokio::spawn(join::keep_joined(control.clone()));
--- /dev/null
+++ b/src/control/conduct.rs
@@ -0,0 +1,227 @@
+//! Conducts roll-outs on the host that leads: takes reports, decides, grants.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::time::MissedTickBehavior;
+
+use super::Control;
+use super::state::Command;
+use crate::clock::epoch_ms;
+use crate::dispatch::Millis;
+use crate::eligibility::order_of;
+use crate::registry::EndpointState;
+use crate::rollout::{
+    Course, Decided, Decision, Grants, Place, Rollout, Rollouts, Stage, Step, Surroundings, Tally,
+};
+use crate::wire::Role;
+
+/// How often it is decided: routers report some times a second.
+const TICK: Duration = Duration::from_millis(100);
+/// Decisions for which a grant that has not changed is not sent again.
+const OFFER_EVERY: u32 = 2;
+/// Milliseconds for which grants hold: two may be lost on the way.
+const VALID_MS: Millis = 600;
+/// Decisions between two log lines about a roll-out of which nothing changes.
+const LOG_EVERY: u32 = 10;
+/// Milliseconds by which clocks of hosts may differ. What the time of day says of an
+/// order's age counts only beyond that, and after a restart.
+const CLOCKS_DIFFER_MS: u64 = 10_000;
+
+#[cfg(test)]
+mod tests;
+
+/// What is shown of the roll-outs that this host leads.
+pub(super) fn tallies(control: &Control) -> MutexGuard<'_, BTreeMap<String, Tally>> {
+    control.rollout_tallies.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// When this host learnt of an order, by its own clock, and the order's age then.
+#[derive(Clone, Copy, Debug)]
+struct Learnt {
+    at: Millis,
+    age: Millis,
+}
+
+/// How old each order is, by the clock of this host.
+#[derive(Debug, Default)]
+struct Ages {
+    learnt: BTreeMap<u64, Learnt>,
+}
+
+impl Ages {
+    /// Takes in which roll-outs are under way. What stood there when this host started
+    /// is as old as the time of day says; any other was ordered just now, but for one
+    /// that this host was much too late to hear of.
+    fn adopt(&mut self, now: Millis, epoch: u64, table: &Rollouts, is_start: bool) {
+        let under_way = || table.all().filter(|rollout| !rollout.stage.is_final());
+        for rollout in under_way() {
+            let said = epoch.saturating_sub(rollout.order.at_ms);
+            let is_believed = is_start || said > CLOCKS_DIFFER_MS;
+            let age = if is_believed { said.min(rollout.order.duration_ms) } else { 0 };
+            self.learnt.entry(rollout.number).or_insert(Learnt { at: now, age });
+        }
+        self.learnt.retain(|number, _| under_way().any(|rollout| rollout.number == *number));
+    }
+
+    fn of(&self, now: Millis, rollout: &Rollout) -> Millis {
+        let learnt = self.learnt.get(&rollout.number);
+        learnt.map_or(0, |learnt| learnt.age + now.saturating_sub(learnt.at))
+    }
+}
+
+/// Conducts roll-outs while this host leads, until the process ends.
+pub(super) async fn conduct(control: Arc<Control>) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut conductor = Conductor::default();
+    let mut is_start = true;
+    loop {
+        ticks.tick().await;
+        let now = control.peers.clock.now();
+        let table = control.rollouts.table();
+        conductor.ages.adopt(now, epoch_ms(), &table, is_start);
+        is_start = false;
+        let reports = control.rollouts.take_reports();
+        let leadership = control.handle.leadership.borrow().clone();
+        if !leadership.leads {
+            conductor.lose();
+            tallies(&control).clear();
+            continue;
+        }
+        conductor.follow(now, &table);
+        for (router, report) in &reports {
+            for service in &report.services {
+                if let Some(course) = conductor.courses.get_mut(&service.service) {
+                    course.take(now, *router, service);
+                }
+            }
+        }
+        conductor.tick(&control, now, leadership.term).await;
+    }
+}
+
+#[derive(Debug, Default)]
+struct Conductor {
+    ages: Ages,
+    courses: BTreeMap<String, Course>,
+    ticks: u32,
+    has_offered: bool,
+}
+
+impl Conductor {
+    /// Another host leads: what was counted here is its no more.
+    fn lose(&mut self) {
+        self.courses.clear();
+        self.has_offered = false;
+    }
+
+    /// Takes in the agreed stages.
+    fn follow(&mut self, now: Millis, table: &Rollouts) {
+        let under_way = |service: &String, course: &Course| {
+            let rollout = table.get(service).filter(|rollout| !rollout.stage.is_final());
+            rollout.is_some_and(|rollout| rollout.number == course.rollout().number)
+        };
+        self.courses.retain(|service, course| under_way(service, course));
+        for rollout in table.all().filter(|rollout| !rollout.stage.is_final()) {
+            let age = self.ages.of(now, rollout);
+            let begin = || Course::new(rollout.clone(), now, age);
+            let course = self.courses.entry(rollout.order.service.clone()).or_insert_with(begin);
+            course.adopt(now, rollout.stage);
+        }
+    }
+
+    async fn tick(&mut self, control: &Control, now: Millis, term: u64) {
+        self.ticks = self.ticks.wrapping_add(1);
+        let mut grants = Grants { term, valid_ms: VALID_MS, services: Vec::new() };
+        let mut steps = Vec::new();
+        let mut has_changed = false;
+        for course in self.courses.values_mut() {
+            let around = surroundings(control, course.rollout());
+            let decided = course.decide(now, &around, &control.settings.rollout);
+            let is_step = matches!(decided.decision, Decision::Step(..));
+            if is_step || decided.is_other_part || self.ticks.is_multiple_of(LOG_EVERY) {
+                log_decided(course, &decided);
+            }
+            has_changed |= is_step || decided.is_other_part;
+            if let Decision::Step(stage, _) = decided.decision {
+                steps.push(step(course.rollout(), stage));
+            }
+            grants.services.extend(decided.grant);
+        }
+        *tallies(control) =
+            self.courses.iter().map(|(name, course)| (name.clone(), course.tally())).collect();
+        self.offer(control, grants, has_changed);
+        for step in steps {
+            let (service, stage) = (step.service.clone(), step.stage);
+            // What is not accepted is decided again at the next tick, by whoever leads.
+            let proposed = control.handle.propose(Command::StepRollout(step));
+            match tokio::time::timeout(TICK * 5, proposed).await {
+                Ok(Ok(_)) => log::info!("rollout: {service} is agreed to be in stage {stage:?}"),
+                Ok(Err(error)) => log::warn!("rollout: {service} to {stage:?}: {error:?}"),
+                Err(_) => log::warn!("rollout: {service} to {stage:?}: no majority answers yet"),
+            }
+        }
+    }
+
+    /// Grants a few times a second while a roll-out is under way, and once nothing more
+    /// after the last.
+    fn offer(&mut self, control: &Control, grants: Grants, has_changed: bool) {
+        let is_due = has_changed || self.ticks.is_multiple_of(OFFER_EVERY);
+        let is_under_way = !self.courses.is_empty();
+        if (is_under_way && is_due) || (!is_under_way && self.has_offered) {
+            control.rollouts.offer(grants);
+            self.has_offered = is_under_way;
+        }
+    }
+}
+
+fn step(rollout: &Rollout, stage: Stage) -> Step {
+    Step { service: rollout.order.service.clone(), number: rollout.number, stage }
+}
+
+/// The service's endpoints and the routers that are heard.
+fn surroundings(control: &Control, rollout: &Rollout) -> Surroundings {
+    let service = &rollout.order.service;
+    let places = control.registry.read(|registry| {
+        let left = registry.all().chain(registry.remembered());
+        let left = left.filter(|e| e.service == *service && e.state != EndpointState::Gone);
+        let place = |e: &crate::registry::Registration| Place {
+            order: order_of(&e.id),
+            is_new: e.version == rollout.order.version,
+            is_ready: registry.get_ready(&e.id).is_some(),
+            is_cold: e.warmup_ms > 0,
+            slots: e.slots,
+        };
+        left.map(place).collect()
+    });
+    let view = control.peers.view();
+    let routers = view.with_role(Role::Router).map(|router| router.host).collect();
+    Surroundings { places, routers }
+}
+
+fn log_decided(course: &Course, decided: &Decided) {
+    let rollout = course.rollout();
+    let (service, version) = (&rollout.order.service, &rollout.order.version);
+    let (now, tally) = (&decided.situation, course.tally());
+    log::info!(
+        "rollout: {version} of {service}, {:?}: {:?} after {} of {} ms; sent {} new, {} old; \
+         failed {} of {} new answers; part {}; evidence {:.2}: {}; places {} new, {} old; \
+         old ones empty: {}",
+        now.stage,
+        decided.decision,
+        now.elapsed_ms,
+        now.duration_ms,
+        tally.sent_new,
+        tally.sent_old,
+        tally.failed_new,
+        now.new_answers,
+        tally.permille,
+        decided.finding.level,
+        decided.finding.what,
+        now.new_places,
+        now.old_places,
+        now.is_old_empty,
+    );
+}
--- a/src/control/documents.rs
+++ b/src/control/documents.rs
@@ -17,6 +17,12 @@
     Invalid(Refusal),
     /// There is no such data hall.
     UnknownHall,
+    /// There is no such service.
+    UnknownService,
+    /// No release of the service was ever ordered to be rolled out.
+    NoRollout,
+    /// Another roll-out of the service is under way.
+    UnderWay,
     /// Another host leads.
     Elsewhere(HostId),
     /// Nothing can be said for sure; ask again.
@@ -94,6 +100,7 @@
         let sent = Traffic::ALL.map(|traffic| (traffic.name(), self.sent_for(traffic)));
         crate::telemetry::render_gauges("bramblecrank_control", &figures)
             + &crate::telemetry::render_gauges("bramblecrank_control_sent_bytes", &sent)
+            + &self.render_rollout_metrics()
     }
 
     /// Bytes that this host has sent for one kind of traffic.
--- /dev/null
+++ b/src/control/rollouts.rs
@@ -0,0 +1,108 @@
+//! Orders to roll a release of a service out, and what became of them.
+
+use std::time::Duration;
+
+use super::Control;
+use super::documents::{Unanswered, unexpected};
+use super::state::{Command, Reply};
+use crate::clock::epoch_ms;
+use crate::config::Refusal;
+use crate::rollout::{Order, Ordered, Rollout, Stage};
+use crate::telemetry::render_gauges;
+
+/// Longest name of a release, in bytes: it stands in every message about its endpoints.
+const MOST_VERSION_BYTES: usize = 64;
+/// Shortest time for a roll-out: less is over before its answers are reported.
+const LEAST_DURATION: Duration = Duration::from_secs(1);
+/// Longest time for a roll-out; more is taken for a mistake in the unit.
+const MOST_DURATION: Duration = Duration::from_secs(7 * 24 * 3_600);
+
+fn refusal(field: &str, problem: &str, remedy: &str) -> Unanswered {
+    Unanswered::Invalid(Refusal {
+        field: field.to_string(),
+        problem: problem.to_string(),
+        remedy: remedy.to_string(),
+    })
+}
+
+fn check(service: &str, version: &str, duration: Duration) -> Result<(), Unanswered> {
+    if service.is_empty() {
+        return Err(refusal("service", "is empty", "name a service"));
+    }
+    let is_legal = |c: char| c.is_ascii_alphanumeric() || "._-+".contains(c);
+    let is_version = !version.is_empty() && version.chars().all(is_legal);
+    if !is_version || version.len() > MOST_VERSION_BYTES {
+        let remedy = "give 1 to 64 letters, digits, dots, dashes, underscores or pluses";
+        return Err(refusal("version", "is not the name of a release", remedy));
+    }
+    if duration < LEAST_DURATION || duration > MOST_DURATION {
+        return Err(refusal("duration", "is too short or too long", "give 1 s to 7 days"));
+    }
+    Ok(())
+}
+
+impl Control {
+    /// Takes an order to roll a release out, which is on the disks of a majority then.
+    /// The same order sent again changes nothing.
+    pub async fn order_rollout(
+        &self,
+        service: &str,
+        version: &str,
+        duration: Duration,
+    ) -> Result<(), Unanswered> {
+        check(service, version, duration)?;
+        // Before the first document no service is known, which is no fault of the order.
+        if self.read_document().await?.is_none() {
+            return Err(Unanswered::Unsure);
+        }
+        let order = Order {
+            service: service.to_string(),
+            version: version.to_string(),
+            at_ms: epoch_ms(),
+            duration_ms: duration.as_millis() as u64,
+        };
+        match self.handle.propose(Command::StartRollout(order)).await? {
+            Reply::Rollout(ordered) => {
+                let seconds = duration.as_secs_f64();
+                log::info!(
+                    "rollout: order of {version} for {service} within {seconds} s: {ordered:?}"
+                );
+                match ordered {
+                    Ordered::Taken => Ok(()),
+                    Ordered::UnderWay => Err(Unanswered::UnderWay),
+                    Ordered::UnknownService => Err(Unanswered::UnknownService),
+                }
+            }
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    /// The newest roll-out of a service, as agreed.
+    pub async fn read_rollout(&self, service: &str) -> Result<Rollout, Unanswered> {
+        self.handle.read().await?;
+        let name = service.to_string();
+        let rollout = self.handle.look(move |state| state.rollouts().get(&name).cloned()).await?;
+        rollout.ok_or(Unanswered::NoRollout)
+    }
+
+    /// Roll-outs under way as this host knows them, and what it counts where it leads.
+    pub(super) fn render_rollout_metrics(&self) -> String {
+        let table = self.rollouts.table();
+        let count = |stage| table.all().filter(|rollout| rollout.stage == stage).count() as u64;
+        let tallies = super::conduct::tallies(self);
+        let sum = |of: fn(&crate::rollout::Tally) -> u64| tallies.values().map(of).sum::<u64>();
+        let figures = [
+            ("canary", count(Stage::Canary)),
+            ("shifting", count(Stage::Shifting)),
+            ("done", count(Stage::Done)),
+            ("rolled_back", count(Stage::RolledBack)),
+            ("led", tallies.len() as u64),
+            ("permille", sum(|tally| u64::from(tally.permille))),
+            ("sent_new", sum(|tally| tally.sent_new)),
+            ("sent_old", sum(|tally| tally.sent_old)),
+            ("failed_new", sum(|tally| tally.failed_new)),
+            ("failed_old", sum(|tally| tally.failed_old)),
+        ];
+        render_gauges("bramblecrank_control_rollouts", &figures)
+    }
+}
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -2,6 +2,8 @@
 
 use super::state::*;
 use crate::config::{Change, Customer};
+use crate::rollout::{Order, Ordered, Stage, Step};
+use crate::routing::{Document, RoutingTable, ServicePool};
 
 fn customer(name: &str) -> Customer {
     serde_saphyr::from_str(&format!("{{name: {name}}}")).unwrap()
@@ -105,3 +107,96 @@
     assert!(!back.contains("a"));
     assert!(back.revision() > first.revision(), "the newer order prevails everywhere");
 }
+
+fn order(service: &str, version: &str) -> Command {
+    let (service, version) = (service.into(), version.into());
+    Command::StartRollout(Order { service, version, at_ms: 1, duration_ms: 12_000 })
+}
+
+fn step(number: u64, stage: Stage) -> Command {
+    Command::StepRollout(Step { service: "llm".into(), number, stage })
+}
+
+/// A state in which there are two services.
+fn with_services() -> State {
+    let service = |name: &str| ServicePool {
+        name: name.into(),
+        max_connections: 10,
+        engine: None,
+        cold_per_second: None,
+    };
+    let services = vec![service("llm"), service("app")];
+    let table = RoutingTable { version: 1, services, ..RoutingTable::default() };
+    let mut state = State::default();
+    state.apply(Command::Replace(Box::new(Document { table, source: b"{}".to_vec() })));
+    state
+}
+
+#[test]
+fn a_release_of_an_unknown_service_changes_nothing() {
+    let mut state = with_services();
+    let versions = state.versions();
+    assert_eq!(state.apply(order("no", "v2")), Reply::Rollout(Ordered::UnknownService));
+    assert_eq!(state.versions(), versions);
+}
+
+#[test]
+fn two_services_are_rolled_out_at_a_time() {
+    let mut state = with_services();
+    assert_eq!(state.apply(order("llm", "v2")), Reply::Rollout(Ordered::Taken));
+    assert_eq!(state.apply(order("app", "v5")), Reply::Rollout(Ordered::Taken));
+    assert_eq!(state.apply(order("app", "v6")), Reply::Rollout(Ordered::UnderWay));
+    let number = state.rollouts().get("llm").unwrap().number;
+    state.apply(step(number, Stage::Shifting));
+    let stage = |service| state.rollouts().get(service).unwrap().stage;
+    assert_eq!((stage("llm"), stage("app")), (Stage::Shifting, Stage::Canary));
+}
+
+#[test]
+fn a_step_of_an_earlier_roll_out_changes_nothing() {
+    let mut state = with_services();
+    state.apply(order("llm", "v2"));
+    let first = state.rollouts().get("llm").unwrap().number;
+    state.apply(step(first, Stage::RolledBack));
+    state.apply(order("llm", "v3"));
+    state.apply(step(first, Stage::Shifting));
+    assert_eq!(state.rollouts().get("llm").unwrap().stage, Stage::Canary);
+}
+
+proptest! {
+    #![proptest_config(crate::testing::property(128))]
+
+    /// Hosts that apply the same log agree on roll-outs, also where one begins with a
+    /// snapshot.
+    #[test]
+    fn roll_outs_follow_from_the_log_alone(
+        log in proptest::collection::vec((0u8..3, 0u8..3, 0u64..6, 0u64..40_000), 0..40),
+        cut in 0usize..40,
+    ) {
+        let command = |(kind, which, number, at_ms): &(u8, u8, u64, u64)| {
+            let service = if which % 2 == 0 { "llm" } else { "app" }.to_string();
+            let stages = [Stage::Shifting, Stage::Done, Stage::RolledBack];
+            match kind {
+                0 => Command::StartRollout(Order {
+                    service,
+                    version: format!("v{which}"),
+                    at_ms: *at_ms,
+                    duration_ms: 12_000,
+                }),
+                _ => Command::StepRollout(Step {
+                    service,
+                    number: *number,
+                    stage: stages[usize::from(*which)],
+                }),
+            }
+        };
+        let (mut one, mut other) = (with_services(), with_services());
+        for (index, entry) in log.iter().enumerate() {
+            if index == cut {
+                other = postcard::from_bytes(&postcard::to_stdvec(&other).unwrap()).unwrap();
+            }
+            prop_assert_eq!(one.apply(command(entry)), other.apply(command(entry)));
+        }
+        prop_assert_eq!(one.rollouts(), other.rollouts());
+    }
+}
--- a/src/operator/control.rs
+++ b/src/operator/control.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use tonic::metadata::MetadataValue;
+use tonic::transport::Channel;
 use tonic::{Request, Response, Status};
 
+use super::proto::operator_client::OperatorClient;
 use super::proto::operator_server::{Operator, OperatorServer};
 use super::{client, proto, view};
 use crate::agree::{GroupMember, StoreId};
@@ -118,6 +120,21 @@
     Status::unavailable("no control host decided; send the order again")
 }
 
+/// Why an order or a question about a roll-out gets no answer, in an operator's words.
+fn rollout_refused(unanswered: &Unanswered, service: &str) -> Status {
+    match unanswered {
+        Unanswered::Invalid(refusal) => Status::invalid_argument(refusal.to_string()),
+        Unanswered::UnknownService => {
+            Status::not_found(format!("no service is called '{service}'"))
+        }
+        Unanswered::NoRollout => Status::not_found(format!("service '{service}' had no roll-out")),
+        Unanswered::UnderWay => Status::failed_precondition(format!(
+            "another roll-out of service '{service}' is under way"
+        )),
+        _ => undecided(),
+    }
+}
+
 impl Service {
     /// Other hosts lag, and one that has just started knows only its last snapshot: a
     /// read is answered by the leader, or by an error that says to ask again.
@@ -135,6 +152,12 @@
         }
     }
 
+    /// A connection to the operator port of the host that leads.
+    async fn leader(&self, host: HostId) -> Result<OperatorClient<Channel>, Status> {
+        let leader = self.0.peers.view().get(host).ok_or_else(undecided)?.operator;
+        client::connect(leader).await.map_err(unsure)
+    }
+
     async fn apply_here(
         &self,
         request: &proto::ApplyRequest,
@@ -243,6 +266,7 @@
             group,
             dispatchers: Vec::new(),
             drained_halls: view::drained_halls(&control.registry),
+            rollouts: control.rollouts.table().all().map(view::rollout).collect(),
         }))
     }
 
@@ -300,9 +324,7 @@
                 Ok(Response::new(proto::OrderHallReply { drained_halls }))
             }
             Err(Unanswered::Elsewhere(host)) if !request.metadata().contains_key(FORWARDED) => {
-                let view = self.0.peers.view();
-                let leader = view.get(host).ok_or_else(undecided)?.operator;
-                let mut client = client::connect(leader).await.map_err(unsure)?;
+                let mut client = self.leader(host).await?;
                 client.order_hall(forward(request)).await
             }
             Err(Unanswered::UnknownHall) => {
@@ -312,6 +334,40 @@
         }
     }
 
+    async fn order_rollout(
+        &self,
+        request: Request<proto::OrderRolloutRequest>,
+    ) -> Result<Response<proto::OrderRolloutReply>, Status> {
+        let proto::OrderRolloutRequest { service, version, within_ms } = request.get_ref().clone();
+        let within = Duration::from_millis(within_ms);
+        match self.0.order_rollout(&service, &version, within).await {
+            Ok(()) => Ok(Response::new(proto::OrderRolloutReply {})),
+            Err(Unanswered::Elsewhere(host)) if !request.metadata().contains_key(FORWARDED) => {
+                let mut client = self.leader(host).await?;
+                client.order_rollout(forward(request)).await
+            }
+            Err(unanswered) => Err(rollout_refused(&unanswered, &service)),
+        }
+    }
+
+    async fn get_rollout(
+        &self,
+        request: Request<proto::GetRolloutRequest>,
+    ) -> Result<Response<proto::GetRolloutReply>, Status> {
+        let service = request.get_ref().service.clone();
+        match self.0.read_rollout(&service).await {
+            Ok(rollout) => {
+                let rollout = Some(view::rollout(&rollout));
+                Ok(Response::new(proto::GetRolloutReply { rollout }))
+            }
+            Err(Unanswered::Elsewhere(host)) if !request.metadata().contains_key(FORWARDED) => {
+                let mut client = self.leader(host).await?;
+                client.get_rollout(forward(request)).await
+            }
+            Err(unanswered) => Err(rollout_refused(&unanswered, &service)),
+        }
+    }
+
     async fn stop(
         &self,
         _: Request<proto::StopRequest>,
--- a/src/operator/generated.rs
+++ b/src/operator/generated.rs
@@ -138,6 +138,9 @@
     /// The data halls that are drained, as the asked host knows.
     #[prost(string, repeated, tag = "10")]
     pub drained_halls: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The newest roll-out of each service, as the asked host knows.
+    #[prost(message, repeated, tag = "11")]
+    pub rollouts: ::prost::alloc::vec::Vec<RolloutStatus>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HostStatus {
@@ -254,6 +257,95 @@
     #[prost(string, repeated, tag = "1")]
     pub drained_halls: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OrderRolloutRequest {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// The release that all its requests are to go to.
+    #[prost(string, tag = "2")]
+    pub version: ::prost::alloc::string::String,
+    /// Milliseconds in which it must be decided.
+    #[prost(uint64, tag = "3")]
+    pub within_ms: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OrderRolloutReply {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct GetRolloutRequest {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct GetRolloutReply {
+    #[prost(message, optional, tag = "1")]
+    pub rollout: ::core::option::Option<RolloutStatus>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RolloutStatus {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub version: ::prost::alloc::string::String,
+    #[prost(enumeration = "rollout_status::Stage", tag = "3")]
+    pub stage: i32,
+    /// When it was ordered, in milliseconds since the epoch.
+    #[prost(uint64, tag = "4")]
+    pub ordered_at_ms: u64,
+    #[prost(uint64, tag = "5")]
+    pub within_ms: u64,
+}
+/// Nested message and enum types in `RolloutStatus`.
+pub mod rollout_status {
+    #[derive(
+        Clone,
+        Copy,
+        Debug,
+        PartialEq,
+        Eq,
+        Hash,
+        PartialOrd,
+        Ord,
+        ::prost::Enumeration
+    )]
+    #[repr(i32)]
+    pub enum Stage {
+        Unspecified = 0,
+        /// A small part of the requests goes to the new release.
+        Canary = 1,
+        /// All requests go to it; what runs on the others ends there.
+        Shifting = 2,
+        /// The others run nothing any more and may stop.
+        Done = 3,
+        /// The new release is bad and gets nothing.
+        RolledBack = 4,
+    }
+    impl Stage {
+        /// String value of the enum field names used in the ProtoBuf definition.
+        ///
+        /// The values are not transformed in any way and thus are considered stable
+        /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+        pub fn as_str_name(&self) -> &'static str {
+            match self {
+                Self::Unspecified => "STAGE_UNSPECIFIED",
+                Self::Canary => "STAGE_CANARY",
+                Self::Shifting => "STAGE_SHIFTING",
+                Self::Done => "STAGE_DONE",
+                Self::RolledBack => "STAGE_ROLLED_BACK",
+            }
+        }
+        /// Creates an enum from field names used in the ProtoBuf definition.
+        pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+            match value {
+                "STAGE_UNSPECIFIED" => Some(Self::Unspecified),
+                "STAGE_CANARY" => Some(Self::Canary),
+                "STAGE_SHIFTING" => Some(Self::Shifting),
+                "STAGE_DONE" => Some(Self::Done),
+                "STAGE_ROLLED_BACK" => Some(Self::RolledBack),
+                _ => None,
+            }
+        }
+    }
+}
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StopRequest {}
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -529,6 +621,61 @@
                 );
             self.inner.unary(req, path, codec).await
         }
+        /// Orders a release of a service to be rolled out. Any control host takes it; the
+        /// leader decides. An order sent again changes nothing.
+        pub async fn order_rollout(
+            &mut self,
+            request: impl tonic::IntoRequest<super::OrderRolloutRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::OrderRolloutReply>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/bramblecrank.operator.v1.Operator/OrderRollout",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(
+                    GrpcMethod::new("bramblecrank.operator.v1.Operator", "OrderRollout"),
+                );
+            self.inner.unary(req, path, codec).await
+        }
+        /// The newest roll-out of a service, as agreed.
+        pub async fn get_rollout(
+            &mut self,
+            request: impl tonic::IntoRequest<super::GetRolloutRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::GetRolloutReply>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/bramblecrank.operator.v1.Operator/GetRollout",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(
+                    GrpcMethod::new("bramblecrank.operator.v1.Operator", "GetRollout"),
+                );
+            self.inner.unary(req, path, codec).await
+        }
         /// Begins a planned stop of the asked host.
         pub async fn stop(
             &mut self,
@@ -630,6 +777,20 @@
             &self,
             request: tonic::Request<super::OrderHallRequest>,
         ) -> std::result::Result<tonic::Response<super::OrderHallReply>, tonic::Status>;
+        /// Orders a release of a service to be rolled out. Any control host takes it; the
+        /// leader decides. An order sent again changes nothing.
+        async fn order_rollout(
+            &self,
+            request: tonic::Request<super::OrderRolloutRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::OrderRolloutReply>,
+            tonic::Status,
+        >;
+        /// The newest roll-out of a service, as agreed.
+        async fn get_rollout(
+            &self,
+            request: tonic::Request<super::GetRolloutRequest>,
+        ) -> std::result::Result<tonic::Response<super::GetRolloutReply>, tonic::Status>;
         /// Begins a planned stop of the asked host.
         async fn stop(
             &self,
@@ -1022,6 +1183,96 @@
                     };
                     Box::pin(fut)
                 }
+                "/bramblecrank.operator.v1.Operator/OrderRollout" => {
+                    #[allow(non_camel_case_types)]
+                    struct OrderRolloutSvc<T: Operator>(pub Arc<T>);
+                    impl<
+                        T: Operator,
+                    > tonic::server::UnaryService<super::OrderRolloutRequest>
+                    for OrderRolloutSvc<T> {
+                        type Response = super::OrderRolloutReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::OrderRolloutRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operator>::order_rollout(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = OrderRolloutSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/bramblecrank.operator.v1.Operator/GetRollout" => {
+                    #[allow(non_camel_case_types)]
+                    struct GetRolloutSvc<T: Operator>(pub Arc<T>);
+                    impl<
+                        T: Operator,
+                    > tonic::server::UnaryService<super::GetRolloutRequest>
+                    for GetRolloutSvc<T> {
+                        type Response = super::GetRolloutReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::GetRolloutRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operator>::get_rollout(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = GetRolloutSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/bramblecrank.operator.v1.Operator/Stop" => {
                     #[allow(non_camel_case_types)]
                     struct StopSvc<T: Operator>(pub Arc<T>);
--- a/src/operator/router.rs
+++ b/src/operator/router.rs
@@ -82,6 +82,7 @@
             group: None,
             dispatchers,
             drained_halls: Vec::new(),
+            rollouts: Vec::new(),
         }))
     }
 
@@ -116,6 +117,20 @@
         Err(Status::failed_precondition("ask a control host"))
     }
 
+    async fn order_rollout(
+        &self,
+        _: Request<proto::OrderRolloutRequest>,
+    ) -> Result<Response<proto::OrderRolloutReply>, Status> {
+        Err(Status::failed_precondition("ask a control host"))
+    }
+
+    async fn get_rollout(
+        &self,
+        _: Request<proto::GetRolloutRequest>,
+    ) -> Result<Response<proto::GetRolloutReply>, Status> {
+        Err(Status::failed_precondition("ask a control host"))
+    }
+
     async fn stop(
         &self,
         _: Request<proto::StopRequest>,
--- a/src/operator/view.rs
+++ b/src/operator/view.rs
@@ -6,6 +6,7 @@
 use crate::config::{Change, Config, Delta, Document};
 use crate::peer::Peers;
 use crate::registry::SharedRegistry;
+use crate::rollout::{Rollout, Stage};
 use crate::wire::{Heartbeat, Role};
 
 /// Most history entries in one answer.
@@ -38,6 +39,24 @@
     registry.read(|registry| registry.drained().names().map(str::to_string).collect())
 }
 
+/// A roll-out as operators see it.
+pub(super) fn rollout(rollout: &Rollout) -> proto::RolloutStatus {
+    use proto::rollout_status::Stage as Shown;
+    let stage = match rollout.stage {
+        Stage::Canary => Shown::Canary,
+        Stage::Shifting => Shown::Shifting,
+        Stage::Done => Shown::Done,
+        Stage::RolledBack => Shown::RolledBack,
+    };
+    proto::RolloutStatus {
+        service: rollout.order.service.clone(),
+        version: rollout.order.version.clone(),
+        stage: stage.into(),
+        ordered_at_ms: rollout.order.at_ms,
+        within_ms: rollout.order.duration_ms,
+    }
+}
+
 pub(super) fn get_reply(config: &Config) -> Result<proto::GetReply, Status> {
     let document = serde_saphyr::to_string(&Document::of(config));
     let document = document.map_err(|e| Status::internal(e.to_string()))?;
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -7,14 +7,20 @@
 //! the other releases' ([`Report`]). A router without a valid grant sends the new release
 //! nothing, so that a host that is cut off holds nothing open.
 
+mod course;
 mod model;
+mod plan;
 mod report;
 mod rules;
 mod shared;
 #[cfg(test)]
 mod tests;
+mod verdict;
 
+pub use course::{Course, Decided, Place, Surroundings, Tally};
 pub use model::{Order, Ordered, Rollout, Rollouts, Stage, Step};
+pub use plan::{Decision, Situation, Why, canary_permille, decide};
 pub use report::{AnswerCounts, Grant, Grants, Release, Report, RouteTally, ServiceReport};
 pub use rules::RolloutRules;
 pub use shared::SharedRollouts;
+pub use verdict::{Finding, Moment, Watch};
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -1,5 +1,11 @@
 //! Orders and their stages.
 
+mod course;
+mod plan;
+mod size;
+mod streams;
+mod verdict;
+
 use super::*;
 
 fn order(version: &str, at_ms: u64) -> Order {
--- /dev/null
+++ b/src/rollout/tests/course.rs
@@ -0,0 +1,181 @@
+//! Whole roll-outs at the host that leads, with generated answers of routers.
+
+use super::streams::{BUSY, MOMENT_MS, Matter, Stream};
+use crate::rollout::{
+    Course, Decision, Order, Place, Rollout, RolloutRules, RouteTally, ServiceReport, Stage,
+    Surroundings, Why,
+};
+use crate::wire::HostId;
+
+const DURATION: u64 = 12_000;
+const ROUTER: HostId = HostId(7);
+
+fn rollout(stage: Stage) -> Rollout {
+    let order =
+        Order { service: "llm".into(), version: "v2".into(), at_ms: 0, duration_ms: DURATION };
+    Rollout { number: 1, order, stage }
+}
+
+fn surroundings() -> Surroundings {
+    let place = |is_new, n: u32| Place {
+        order: n * 1_000,
+        is_new,
+        is_ready: true,
+        is_cold: false,
+        slots: 12,
+    };
+    let old = (0..40).map(|n| place(false, n));
+    let places = old.chain((0..40).map(|n| place(true, n))).collect();
+    Surroundings { places, routers: vec![ROUTER] }
+}
+
+fn report(tallies: Vec<RouteTally>, open_on_old: u32) -> ServiceReport {
+    ServiceReport { service: "llm".into(), number: 1, open_on_old, tallies }
+}
+
+/// How a played roll-out ended.
+#[derive(Debug)]
+struct Ended {
+    stage: Stage,
+    why: Why,
+    at_ms: u64,
+    /// Part of all requests until the deadline that the new release got.
+    exposure: f64,
+}
+
+/// Plays a roll-out to its end, from a stage and a time on.
+fn play(matter: Matter, seed: u64, stage: Stage, from_ms: u64) -> Ended {
+    let rules = RolloutRules::default();
+    let mut course = Course::new(rollout(stage), from_ms, from_ms);
+    let mut stream = Stream::new(&BUSY, matter, 0.0, seed);
+    let per_ms: f64 = BUSY.iter().map(|route| route.per_second / 1_000.0).sum();
+    let mut shifting_since = from_ms;
+    let mut now = from_ms;
+    loop {
+        now += MOMENT_MS;
+        let (tallies, _) = stream.next();
+        let open_on_old = if now > shifting_since + 2_000 { 0 } else { 30 };
+        course.take(now, ROUTER, &report(tallies, open_on_old));
+        let decided = course.decide(now, &surroundings(), &rules);
+        let part = decided.grant.map_or(0, |grant| grant.permille);
+        match decided.decision {
+            Decision::Step(stage, why) if stage.is_final() => {
+                let exposure = course.tally().sent_new as f64 / (per_ms * DURATION as f64);
+                return Ended { stage, why, at_ms: now, exposure };
+            }
+            Decision::Step(stage, _) => {
+                shifting_since = now;
+                course.adopt(now, stage);
+            }
+            Decision::Grant(_) => stream.part = f64::from(part) / 1_000.0,
+        }
+        assert!(now < 2 * DURATION, "no end");
+    }
+}
+
+#[test]
+fn a_good_release_is_done_in_time() {
+    for seed in 0..20 {
+        let ended = play(Matter::Good, seed, Stage::Canary, 0);
+        assert_eq!((ended.stage, ended.why), (Stage::Done, Why::OldEmpty), "{seed}: {ended:?}");
+        assert!(ended.at_ms < DURATION, "{ended:?}");
+    }
+}
+
+#[test]
+fn a_bad_release_gets_less_than_its_share() {
+    let matters = [
+        Matter::Fails { from: 0, part: 0.2 },
+        Matter::Fails { from: 0, part: 1.0 },
+        Matter::Fails { from: 50, part: 0.3 },
+        Matter::Fails { from: 75, part: 0.3 },
+        Matter::FailsOnOneRoute { part: 0.3 },
+        Matter::Slower { from: 0, times: 2.5 },
+        Matter::Slower { from: 70, times: 4.0 },
+    ];
+    for matter in matters {
+        for seed in 0..20 {
+            let ended = play(matter, seed, Stage::Canary, 0);
+            assert_eq!(ended.stage, Stage::RolledBack, "{matter:?} {seed}: {ended:?}");
+            assert!(ended.at_ms < DURATION && ended.exposure < 0.1, "{matter:?}: {ended:?}");
+        }
+    }
+}
+
+#[test]
+fn a_new_leader_goes_on_from_the_canary_stage() {
+    let good = play(Matter::Good, 1, Stage::Canary, 5_000);
+    assert!(good.stage == Stage::Done && good.at_ms < DURATION, "{good:?}");
+    let bad = play(Matter::Fails { from: 0, part: 0.3 }, 1, Stage::Canary, 5_000);
+    assert_eq!(bad.stage, Stage::RolledBack);
+}
+
+#[test]
+fn a_new_leader_goes_on_from_the_shifting_stage() {
+    let good = play(Matter::Good, 1, Stage::Shifting, 9_000);
+    assert!(good.stage == Stage::Done && good.at_ms < DURATION, "{good:?}");
+    let bad = play(Matter::Fails { from: 3, part: 0.3 }, 1, Stage::Shifting, 9_000);
+    assert_eq!(bad.stage, Stage::RolledBack);
+}
+
+#[test]
+fn lost_reports_count_nothing_and_old_ones_keep_no_router_empty() {
+    let mut course = Course::new(rollout(Stage::Shifting), 0, 9_000);
+    let rules = RolloutRules::default();
+    course.take(100, ROUTER, &report(Vec::new(), 0));
+    let decided = course.decide(900, &surroundings(), &rules);
+    assert!(matches!(decided.decision, Decision::Step(Stage::Done, Why::OldEmpty)));
+    let decided = course.decide(1_100, &surroundings(), &rules);
+    assert_eq!(decided.decision, Decision::Grant(1_000), "nothing heard for a second");
+}
+
+#[test]
+fn a_report_about_an_earlier_order_counts_nothing() {
+    let mut course = Course::new(rollout(Stage::Canary), 0, 0);
+    let (tallies, _) = Stream::new(&BUSY, Matter::Good, 0.5, 1).next();
+    course.take(100, ROUTER, &ServiceReport { number: 9, ..report(tallies, 0) });
+    assert_eq!(course.tally().sent_new + course.tally().sent_old, 0);
+}
+
+#[test]
+fn few_endpoints_get_the_small_part_each_at_the_load_of_an_old_one() {
+    let mut course = Course::new(rollout(Stage::Canary), 0, 0);
+    let grant = course.decide(100, &surroundings(), &RolloutRules::default()).grant.unwrap();
+    // 55 of 1,000 requests are those of 2.2 of 40 endpoints.
+    assert_eq!((grant.permille, grant.order_upto), (55, 2_000));
+}
+
+#[test]
+fn endpoints_that_have_just_started_wait_for_the_warm_ones() {
+    let mut around = surroundings();
+    around.places.iter_mut().filter(|place| place.is_new).for_each(|place| place.is_cold = true);
+    let mut course = Course::new(rollout(Stage::Canary), 0, 0);
+    let rules = RolloutRules::default();
+    assert_eq!(course.decide(100, &around, &rules).grant, None);
+    assert!(course.decide(5_000, &around, &rules).grant.is_some(), "none is warm in time");
+}
+
+#[test]
+fn what_is_condemned_once_gets_nothing_until_that_is_agreed() {
+    let rules = RolloutRules::default();
+    let mut course = Course::new(rollout(Stage::Canary), 0, 0);
+    let mut stream = Stream::new(&BUSY, Matter::Fails { from: 0, part: 1.0 }, 0.05, 1);
+    let mut now = 0;
+    while now < 3_000 {
+        now += MOMENT_MS;
+        course.take(now, ROUTER, &report(stream.next().0, 9));
+        if course.decide(now, &surroundings(), &rules).decision
+            == Decision::Step(Stage::RolledBack, Why::Bad)
+        {
+            break;
+        }
+    }
+    stream.matter = Matter::Good;
+    for _ in 0..50 {
+        now += MOMENT_MS;
+        course.take(now, ROUTER, &report(stream.next().0, 9));
+        let decided = course.decide(now, &surroundings(), &rules);
+        assert_eq!(decided.decision, Decision::Step(Stage::RolledBack, Why::Bad));
+        assert_eq!(decided.grant, None);
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -14,6 +14,13 @@
 use crate::rollout::RolloutRules;
 use crate::wire::HostId;
 
+/// Least part of the requests that a release may get until it is judged: with less, no
+/// service has enough answers in time.
+const LEAST_CANARY_SHARE: f64 = 0.01;
+/// Fewest milliseconds in which a bad release can be stopped everywhere: its answers are
+/// reported, the stage is agreed, and grants end.
+const LEAST_ROLLBACK_MS: u64 = 1_000;
+
 /// How a router decides who is served next.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -357,6 +364,15 @@
         if self.snapshot_every == 0 {
             return Err(invalid("snapshot_every", "is zero", "give a number of entries"));
         }
+        let share = self.rollout.canary_share;
+        if !(LEAST_CANARY_SHARE..=1.0).contains(&share) {
+            let remedy = "give a part between 0.01 and 1";
+            return Err(invalid("rollout.canary_share", "is no part of the requests", remedy));
+        }
+        if self.rollout.rollback_ms < LEAST_ROLLBACK_MS {
+            let remedy = "give 1000 or more";
+            return Err(invalid("rollout.rollback_ms", "is less than can be kept", remedy));
+        }
         Ok(())
     }
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -11,6 +11,8 @@
 mod http;
 #[path = "platform/replica.rs"]
 mod replica;
+#[path = "platform/rollouts.rs"]
+mod rollouts;
 
 use std::time::Duration;
 
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -300,6 +300,31 @@
         }
     }
 
+    /// Sends an order to roll a release out until it is answered for sure.
+    pub async fn order_rollout(&self, order: &str) -> u16 {
+        loop {
+            match self.order_rollout_once(order).await {
+                503 => tokio::time::sleep(PAUSE).await,
+                status => return status,
+            }
+        }
+    }
+
+    pub async fn order_rollout_once(&self, order: &str) -> u16 {
+        self.control_call("POST", "/rollouts", order).await.status
+    }
+
+    /// Asks about a service's roll-out until it is answered for sure.
+    pub async fn read_rollout(&self, service: &str) -> Answer {
+        loop {
+            let answer = self.control_call("GET", &format!("/rollouts/{service}"), "").await;
+            match answer.status {
+                503 => tokio::time::sleep(PAUSE).await,
+                _ => return answer,
+            }
+        }
+    }
+
     pub async fn deregister(&self, replica: &Replica) {
         let path = format!("/replicas/{}", replica.id);
         assert_eq!(self.control_call("DELETE", &path, "").await.status, 200);
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -4,6 +4,7 @@
 
 use bramblecrank::gateway::{BudgetRules, OverloadRules};
 use bramblecrank::placement::PlacementRules;
+use bramblecrank::rollout::RolloutRules;
 use bramblecrank::settings::GatewaySettings;
 use bramblecrank::site::SampleSite;
 use serde_json::Value;
@@ -53,6 +54,7 @@
     for value in [
         serde_json::to_value(gateway()).unwrap(),
         serde_json::to_value(PlacementRules::default()).unwrap(),
+        serde_json::to_value(RolloutRules::default()).unwrap(),
     ] {
         fields(&value, &mut names);
     }
