--- a/src/control.rs
+++ b/src/control.rs
@@ -1,5 +1,6 @@
 //! The control process: one of the hosts that agree on the configuration.
 
+mod conduct;
 mod courier;
 mod documents;
 mod driver;
@@ -8,13 +9,15 @@
 mod handle;
 mod join;
 mod registrations;
+mod rollouts;
 mod serve;
 mod state;
 #[cfg(test)]
 mod tests;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tokio::net::tcp::OwnedWriteHalf;
@@ -26,7 +29,7 @@
 use crate::peer::{Incoming, PeerReader, Peers};
 use crate::placement::{self, PlacementSession};
 use crate::registry::{SharedRegistry, saved};
-use crate::rollout::SharedRollouts;
+use crate::rollout::{Progress, SharedRollouts};
 use crate::routing::Documents;
 use crate::settings::ControlSettings;
 use crate::spread::{self, Configs};
@@ -59,6 +62,8 @@
     pub registry: Arc<SharedRegistry>,
     /// Releases that are rolled out.
     pub rollouts: Arc<SharedRollouts>,
+    /// What is shown of those that this host leads, by service.
+    pub rollout_progress: Mutex<BTreeMap<String, Progress>>,
     /// The placer that runs here.
     pub placement: PlacementSession,
     /// The agreement.
@@ -141,12 +146,14 @@
         documents,
         registry,
         rollouts,
+        rollout_progress: Mutex::default(),
         handle,
         stop: stop.clone(),
     });
     tokio::spawn(take_connections(control.clone(), incoming));
     tokio::spawn(found::found(control.clone()));
     tokio::spawn(spread::follow_version(control.configs.clone(), control.peers.clone()));
+    tokio::spawn(conduct::conduct(control.clone()));
     tokio::spawn(crate::operator::serve_control(control.clone()));
     if let Some(interface) = interface {
         tokio::spawn(join::keep_joined(control.clone()));
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -1,7 +1,12 @@
 //! Orders and their stages.
 
+mod course;
+mod plan;
+mod size;
 mod split;
+mod streams;
 mod tally;
+mod verdict;
 
 use super::*;
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -15,6 +15,8 @@
 mod releases;
 #[path = "platform/replica.rs"]
 mod replica;
+#[path = "platform/rollouts.rs"]
+mod rollouts;
 
 use std::time::Duration;
 
