Regions: engines of another region count dearer, copies stay within one, bound requests are refused with their reason

The placer knew no data hall: prompts, and copies of prompt memory, went to whatever engine was idle, in either region. Now an engine of another region counts other_region_cost_ms dearer and the way there is taken off the objective; copies stay in a region unless the settings say that engines have a network of their own; what is bound to regions is copied from none outside them. A router that chooses alone takes its own region's endpoints first. What a newer configuration forbids is not sent again either. A request for which no endpoint is allowed is refused as not run under a name of its own (no_allowed_region), counted, as is what goes to another region.

--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -214,7 +214,7 @@
 }
 
 /// The routers of a data hall that take requests.
-fn neighbours(view: &View, hall: &str) -> Vec<Neighbour> {
+pub(super) fn neighbours(view: &View, hall: &str) -> Vec<Neighbour> {
     let of_hall = view.with_role(Role::Router).filter(|m| m.hall == hall && !m.draining);
     of_hall.map(|m| Neighbour { host: m.host, peer: m.peer }).collect()
 }
--- a/src/feed/tests.rs
+++ b/src/feed/tests.rs
@@ -115,3 +115,18 @@
     news.lost(CONTROL);
     assert_eq!(news.routers(60_000), 9);
 }
+
+/// A connection that is handed over stays in its data hall, and so in its region.
+#[test]
+fn only_routers_of_the_same_hall_are_named_for_handing_over() {
+    let router = |host, hall: &str| Heartbeat {
+        role: Role::Router,
+        hall: hall.into(),
+        ..beat(HostId(host), 1)
+    };
+    let live = vec![router(4, "a"), router(5, "b"), router(6, "a"), beat(CONTROL, 1)];
+    let view = View { live, suspected: vec![router(7, "a")] };
+    let named = super::publish::neighbours(&view, "a");
+    let hosts: Vec<_> = named.iter().map(|neighbour| neighbour.host).collect();
+    assert_eq!(hosts, [HostId(4), HostId(6)]);
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -13,6 +13,7 @@
 mod events;
 mod exchange;
 mod handover;
+mod nearby;
 mod neighbours;
 mod overload;
 mod refusal;
--- a/src/gateway/endpoints.rs
+++ b/src/gateway/endpoints.rs
@@ -108,9 +108,8 @@
                 && !self.is_too_cold(now, r, cold)
         };
         let mut usable: Vec<_> = ready.filter(usable).collect();
-        let calm = |r: &Registration| self.seen.get(&r.id).is_none_or(|s| s.avoid_until <= now);
-        if usable.iter().any(|r| calm(r)) {
-            usable.retain(|r| calm(r));
+        if usable.iter().any(|r| self.is_calm(now, &r.id)) {
+            usable.retain(|r| self.is_calm(now, &r.id));
         }
         if let Preference::Affinity(affinity) = preference {
             usable.sort_by_cached_key(|r| std::cmp::Reverse(rank(affinity, &r.id)));
@@ -119,6 +118,11 @@
         usable.into_iter().min_by_key(|r| self.load(r, preference))
     }
 
+    /// Whether an endpoint is not avoided after failures.
+    pub fn is_calm(&self, now: Millis, id: &str) -> bool {
+        self.seen.get(id).is_none_or(|seen| seen.avoid_until <= now)
+    }
+
     fn load(&self, endpoint: &Registration, preference: Preference) -> (u64, u64) {
         let seen = self.seen.get(&endpoint.id);
         match preference {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -131,6 +131,9 @@
     after_event: Option<&str>,
 ) -> Result<Opened, Attempt> {
     let Some(address) = endpoint.address else { return Err(Attempt::NotSent) };
+    if !call.gateway.is_near(endpoint) {
+        call.gateway.metrics.across.with_label_values(&[&call.service]).inc();
+    }
     let tokens = call.prompt_tokens();
     let mut ticket = Ticket::new(&call.gateway, &endpoint.id, tokens, reservation);
     ticket.set_ending(Ending::Failed);
--- /dev/null
+++ b/src/gateway/nearby.rs
@@ -0,0 +1,62 @@
+//! Regions, as a router minds them: which of its endpoints are near, and where a
+//! request may be served by now.
+
+use super::endpoints::{ColdPart, Endpoints, Preference};
+use super::refusal::Refusal;
+use super::request::Call;
+use super::state::Gateway;
+use crate::dispatch::Millis;
+use crate::region::AllowedRegions;
+use crate::registry::Registration;
+
+impl Endpoints {
+    /// Chooses as [`Endpoints::choose`] does, first among those that are near and calm:
+    /// others are some milliseconds away, behind a link that all traffic shares.
+    pub fn choose_near<'a>(
+        &self,
+        now: Millis,
+        ready: &[&'a Registration],
+        is_near: impl Fn(&Registration) -> bool,
+        tried: &[String],
+        preference: Preference,
+        cold: ColdPart,
+    ) -> Option<&'a Registration> {
+        let near = ready.iter().copied().filter(|e| is_near(e) && self.is_calm(now, &e.id));
+        let nearest = self.choose(now, near, tried, preference, cold);
+        nearest.or_else(|| self.choose(now, ready.iter().copied(), tried, preference, cold))
+    }
+}
+
+impl Gateway {
+    /// Whether an endpoint is in this router's region, as far as regions are known.
+    pub(super) fn is_near(&self, endpoint: &Registration) -> bool {
+        let host = &self.settings.host;
+        host.regions.of(&endpoint.hall) == host.regions.of(&host.hall)
+    }
+}
+
+impl Call {
+    /// Where it may be served. What was allowed when it came bounds it to its end; a
+    /// configuration that came since bounds what is sent again too.
+    pub(super) fn regions_by_now(&self, is_sent_again: bool) -> AllowedRegions {
+        let newest = is_sent_again.then(|| self.gateway.documents.current()).flatten();
+        let Some(newest) = newest else { return self.regions.clone() };
+        let routes = &newest.table.routes;
+        let route = routes.iter().find(|route| route.name == self.route.name);
+        let customers = &newest.table.customers;
+        let customer = self.customer.as_ref();
+        let customer = customer.and_then(|name| customers.iter().find(|c| c.name == *name));
+        let bounds = route.map(|r| &r.regions).into_iter().chain(customer.map(|c| &c.regions));
+        bounds.fold(self.regions.clone(), |allowed, bound| allowed.and(bound))
+    }
+
+    /// Why no endpoint was found for a request that was not sent yet.
+    pub(super) fn why_nowhere(&self) -> Refusal {
+        let is_bound = self.regions != AllowedRegions::Anywhere;
+        let is_ready = || self.gateway.registry.read(|r| r.ready(&self.service).next().is_some());
+        match is_bound && is_ready() {
+            true => Refusal::NoAllowedRegion,
+            false => Refusal::NoEndpoint,
+        }
+    }
+}
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -29,6 +29,8 @@
     BodyBroken,
     /// No endpoint of the service is known to take work.
     NoEndpoint,
+    /// Endpoints of the service take work, but none where the request may be served.
+    NoAllowedRegion,
     /// Endpoints were asked and none ran it.
     NotExecuted,
     /// It cannot be served in time.
@@ -52,6 +54,7 @@
             | Refusal::Stopping
             | Refusal::Overloaded
             | Refusal::NoEndpoint
+            | Refusal::NoAllowedRegion
             | Refusal::NotExecuted
             | Refusal::TooLate { .. }
             | Refusal::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
@@ -90,6 +93,7 @@
             Refusal::BodyTooSlow => "body_too_slow",
             Refusal::BodyBroken => "body_broken",
             Refusal::NoEndpoint => "no_endpoint",
+            Refusal::NoAllowedRegion => "no_allowed_region",
             Refusal::NotExecuted => "not_executed",
             Refusal::TooLate { .. } => "too_late",
             Refusal::TimedOutUnsent => "timed_out_unsent",
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -83,10 +83,15 @@
             routers: self.gateway.feeds.routers(),
             router: self.gateway.peers.me,
         };
+        let eligibility = self.eligibility(tried);
+        let is_near = |endpoint: &Registration| self.gateway.is_near(endpoint);
         self.gateway.registry.read(|registry| {
-            let ready = registry.ready(&self.service).filter(|e| self.is_eligible(e));
+            let ready = registry.ready(&self.service);
+            let ready: Vec<_> = ready.filter(|e| self.is_eligible(&eligibility, e)).collect();
             let preference = self.preference();
-            self.gateway.with_endpoints(|e| e.choose(now, ready, tried, preference, cold).cloned())
+            self.gateway.with_endpoints(|endpoints| {
+                endpoints.choose_near(now, &ready, is_near, tried, preference, cold).cloned()
+            })
         })
     }
 
@@ -99,7 +104,8 @@
                     let id = &reservation.endpoint;
                     let endpoint = self.gateway.registry.read(|r| r.get_ready(id).cloned());
                     // The placer may know an older registration or routing than this router.
-                    if let Some(endpoint) = endpoint.filter(|e| self.is_eligible(e)) {
+                    let eligibility = self.eligibility(tried);
+                    if let Some(endpoint) = endpoint.filter(|e| self.is_eligible(&eligibility, e)) {
                         return Place::At(Box::new(endpoint), Some(reservation));
                     }
                 }
@@ -113,17 +119,18 @@
         }
     }
 
-    /// Which endpoints may run it at all.
-    fn eligibility(&self) -> Eligibility {
-        Eligibility { regions: self.regions.clone(), version: VersionRule::Any }
+    /// Which endpoints may run it at all, after those that were tried.
+    fn eligibility(&self, tried: &[String]) -> Eligibility {
+        let regions = self.regions_by_now(!tried.is_empty());
+        Eligibility { regions, version: VersionRule::Any }
     }
 
     /// Whether an endpoint may run it.
-    fn is_eligible(&self, endpoint: &Registration) -> bool {
+    fn is_eligible(&self, eligibility: &Eligibility, endpoint: &Registration) -> bool {
         let region = self.gateway.settings.host.regions.of(&endpoint.hall);
         let candidate =
             Candidate { region, version: &endpoint.version, order: order_of(&endpoint.id) };
-        self.eligibility().allows(candidate)
+        eligibility.allows(candidate)
     }
 
     fn placement_request(&self, tried: &[String]) -> PlacementRequest {
@@ -139,7 +146,7 @@
             objective_ms: left.as_millis() as u32,
             pause_ms: self.route.pause_objective_ms as u32,
             hall: self.gateway.settings.host.hall.clone(),
-            eligibility: self.eligibility(),
+            eligibility: self.eligibility(tried),
             avoid: tried.to_vec(),
         }
     }
@@ -320,7 +327,12 @@
         }
         let (endpoint, reservation) = match call.place(&progress.tried).await {
             Place::At(endpoint, reservation) => (endpoint, reservation),
-            Place::Nowhere => break,
+            Place::Nowhere => {
+                if progress.tried.is_empty() {
+                    ended = call.why_nowhere();
+                }
+                break;
+            }
             Place::TooLate(refusal) => {
                 log_too_late(&call, &refusal);
                 ended = Refusal::TooLate { retry_after_ms: refusal.retry_after_ms };
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -11,6 +11,7 @@
 
 mod choice;
 mod client;
+mod distance;
 mod engine;
 mod engines;
 mod knowledge;
@@ -29,6 +30,7 @@
 mod warmth;
 
 pub use client::{Placed, Placements, Reservation};
+pub use distance::Distances;
 pub use engines::EngineInfo;
 pub use local::LocalPlacer;
 pub use message::{
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -4,6 +4,7 @@
 use slab::Slab;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::distance::Distances;
 use super::engine::{EngineModel, reading_units};
 use super::engines::EngineInfo;
 use super::message::PlacementRequest;
@@ -150,6 +151,8 @@
     pub engines: &'a Slab<Engine>,
     /// What each keeps of the request's prompt, by its number.
     pub found: &'a [Match],
+    /// What lies between data halls.
+    pub distances: &'a Distances,
     /// Milliseconds on the placer's clock.
     pub now: Millis,
 }
@@ -157,17 +160,24 @@
 impl Chooser<'_> {
     /// The engine at which the request's first event comes first, with the reading of
     /// its own prompt counted dearer: all that waits there counts, not only what goes
-    /// before it.
-    pub fn best(&self, request: &PlacementRequest) -> Option<EngineNumber> {
+    /// before it. Only engines `within` are compared.
+    pub fn best(
+        &self,
+        request: &PlacementRequest,
+        within: impl Fn(&Engine) -> bool,
+    ) -> Option<EngineNumber> {
         let tokens = memory_tokens(&request.parts, request.prompt_tokens, request.output_tokens);
-        let source = self.copy_source();
+        let sources = self.copy_sources(request);
         let fits = |(_, engine): &(EngineNumber, &Engine)| {
-            is_candidate(engine, request) && !engine.warmth.is_full(self.now, self.rules.cold_part)
+            within(engine)
+                && is_candidate(engine, request)
+                && !engine.warmth.is_full(self.now, self.rules.cold_part)
         };
         let mut best: Option<(Order, EngineNumber)> = None;
         for (number, engine) in self.engines.iter().filter(fits) {
-            let reading = self.reading(number, engine, request, source);
+            let reading = self.reading(number, engine, request, &sources);
             let score = engine.queue.wait_ms(self.now, engine.model.pace(self.now))
+                + self.away_cost(request, engine)
                 + self.rules.reading_weight * reading.read_ms
                 + self.rules.copying_weight * reading.copy_ms;
             let order = (engine.is_unfit(self.now), !engine.model.has_room(tokens), score);
@@ -210,8 +220,8 @@
         let engine = self.engines.get(number)?;
         let now = self.now as f64;
         let Reading { copy, copy_ms, units, read_ms } =
-            self.reading(number, engine, request, self.copy_source());
-        let own_ms = read_ms + copy_ms;
+            self.reading(number, engine, request, &self.copy_sources(request));
+        let own_ms = read_ms + copy_ms + self.way_ms(request, engine);
         let in_time_ms = self.in_time_ms(request, own_ms);
         let latest_start = match standing.is_above() {
             // What a customer gets beyond what it is owed delays no other.
@@ -228,9 +238,10 @@
         number: EngineNumber,
         engine: &Engine,
         request: &PlacementRequest,
-        source: Option<(EngineNumber, u32)>,
+        sources: &[CopySource<'_>],
     ) -> Reading {
         let kept = self.found.get(number).map_or(0, |found| found.kept);
+        let source = sources.iter().find(|source| self.may_copy(source, engine));
         let copy = copy_for(engine, kept, source);
         let copied = copy.map_or(0, |copy| copy.tokens);
         let cached = (kept + copied).min(request.prompt_tokens);
@@ -261,26 +272,67 @@
         }
     }
 
-    /// The engine that has read most of the prompt; of equal ones the last by id.
-    fn copy_source(&self) -> Option<(EngineNumber, u32)> {
-        let able = |engine: &Engine| {
-            engine.takes_work()
-                && engine.copy_ms_per_token.is_some()
-                && !engine.model.is_left_out(self.now)
-        };
-        let mut source: Option<(u32, &Engine, EngineNumber)> = None;
+    /// What an engine in another region counts dearer, in milliseconds of waiting.
+    fn away_cost(&self, request: &PlacementRequest, engine: &Engine) -> f64 {
+        match self.distances.is_across(request, engine) {
+            true => self.rules.other_region_cost_ms,
+            false => 0.0,
+        }
+    }
+
+    /// Milliseconds on the way to an engine and back, beyond those within a region.
+    fn way_ms(&self, request: &PlacementRequest, engine: &Engine) -> f64 {
+        match self.distances.is_across(request, engine) {
+            true => self.rules.other_region_way_ms,
+            false => 0.0,
+        }
+    }
+
+    /// The engine of each region that has read most of the prompt; of equal ones the
+    /// last by id. What is bound to regions is copied from none outside them. The most
+    /// read comes first.
+    fn copy_sources(&self, request: &PlacementRequest) -> Vec<CopySource<'_>> {
+        let mut sources: Vec<CopySource<'_>> = Vec::new();
         for (number, engine) in self.engines {
             let read = self.found.get(number).map_or(0, |found| found.read);
-            let is_more = read > 0
-                && source.is_none_or(|(most, last, _)| (read, &engine.id) > (most, &last.id));
-            if is_more && able(engine) {
-                source = Some((read, engine, number));
+            let is_allowed = request.eligibility.regions.allows(&engine.region);
+            if read == 0 || !is_allowed || !self.may_be_copied_from(engine) {
+                continue;
+            }
+            let source = CopySource { region: &engine.region, id: &engine.id, from: number, read };
+            match sources.iter_mut().find(|known| known.region == source.region) {
+                Some(known) if (read, source.id) > (known.read, known.id) => *known = source,
+                Some(_) => {}
+                None => sources.push(source),
             }
         }
-        source.map(|(read, _, number)| (number, read))
+        sources.sort_by_key(|source| std::cmp::Reverse((source.read, source.id)));
+        sources
+    }
+
+    /// Whether an engine may copy from there. The memory of a prompt is thousands of
+    /// times its text: only engines with a network of their own copy between regions.
+    fn may_copy(&self, source: &CopySource<'_>, engine: &Engine) -> bool {
+        self.rules.copies_between_regions || source.region == engine.region
+    }
+
+    fn may_be_copied_from(&self, engine: &Engine) -> bool {
+        engine.takes_work()
+            && engine.copy_ms_per_token.is_some()
+            && !engine.model.is_left_out(self.now)
     }
 }
 
+/// An engine from which parts of a prompt can be copied.
+#[derive(Clone, Copy, Debug)]
+struct CopySource<'a> {
+    region: &'a str,
+    id: &'a str,
+    from: EngineNumber,
+    /// Tokens of the prompt that it has read.
+    read: u32,
+}
+
 /// Whether a request could go to an engine at all.
 fn is_candidate(engine: &Engine, request: &PlacementRequest) -> bool {
     engine.takes_work()
@@ -291,8 +343,8 @@
 
 /// What an engine that keeps `kept` tokens should copy from the source, if that is
 /// worth it.
-fn copy_for(engine: &Engine, kept: u32, source: Option<(EngineNumber, u32)>) -> Option<PartCopy> {
-    let (from, read) = source?;
+fn copy_for(engine: &Engine, kept: u32, source: Option<&CopySource<'_>>) -> Option<PartCopy> {
+    let CopySource { from, read, .. } = *source?;
     let tokens = read.checked_sub(kept)?;
     let ms = COPY_SETUP_MS + f64::from(tokens) * engine.copy_ms_per_token?;
     (tokens >= LEAST_COPY).then_some(PartCopy { from, tokens, ms })
--- a/src/placement/local.rs
+++ b/src/placement/local.rs
@@ -5,6 +5,7 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
+use super::distance::Distances;
 use super::engines::engines_of;
 use super::message::{FromPlacer, PlacementRequest, ToPlacer};
 use super::placer::Placer;
@@ -38,7 +39,9 @@
         registry: Arc<SharedRegistry>,
         regions: Regions,
     ) -> LocalPlacer {
-        LocalPlacer { me, clock, documents, registry, regions, placer: Mutex::default() }
+        let mut placer = Placer::default();
+        placer.set_distances(Distances::new(regions.clone()));
+        LocalPlacer { me, clock, documents, registry, regions, placer: Mutex::new(placer) }
     }
 
     /// Places a request, as one of `routers` that share the engines.
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -5,6 +5,7 @@
 use slab::Slab;
 
 use super::choice::{Choice, Chooser, Engine, memory_tokens};
+use super::distance::Distances;
 use super::engine::{Observation, RequestKey, reading_units};
 use super::engines::EngineInfo;
 use super::message::{Ending, FromPlacer, Knowledge, PlacementRequest, Refusal, ToPlacer};
@@ -50,6 +51,7 @@
     found: Vec<Match>,
     placed: HashMap<RequestKey, EngineNumber>,
     shares: Shares,
+    distances: Distances,
     paces: HashMap<String, ServicePace>,
 }
 
@@ -75,6 +77,11 @@
         }
     }
 
+    /// What lies between data halls.
+    pub fn set_distances(&mut self, distances: Distances) {
+        self.distances = distances;
+    }
+
     /// The engines that take work now. Others keep what was sent to them.
     pub fn set_engines(&mut self, now: Millis, engines: Vec<EngineInfo>) {
         for (_, engine) in &mut self.engines {
@@ -255,14 +262,35 @@
         standing: Standing,
     ) -> Option<Choice> {
         self.parts.find(&request.parts, &mut self.found);
-        let number = self.chooser(now).best(request)?;
+        if self.rules.own_region_first {
+            let distances = self.distances.clone();
+            let near = |engine: &Engine| !distances.is_across(request, engine);
+            let choice = self.choose_within(now, request, standing, near);
+            let is_good =
+                |choice: &Choice| choice.is_allowed() && !self.engines[choice.engine].is_unfit(now);
+            if choice.as_ref().is_some_and(is_good) {
+                return choice;
+            }
+        }
+        self.choose_within(now, request, standing, |_| true)
+    }
+
+    fn choose_within(
+        &mut self,
+        now: Millis,
+        request: &PlacementRequest,
+        standing: Standing,
+        within: impl Fn(&Engine) -> bool,
+    ) -> Option<Choice> {
+        let number = self.chooser(now).best(request, within)?;
         let engine = &mut self.engines[number];
         engine.queue.advance(now, engine.model.pace(now));
         self.chooser(now).at(number, request, standing)
     }
 
     fn chooser(&self, now: Millis) -> Chooser<'_> {
-        Chooser { rules: &self.rules, engines: &self.engines, found: &self.found, now }
+        let Placer { rules, engines, found, distances, .. } = self;
+        Chooser { rules, engines, found, distances, now }
     }
 
     /// A request goes to an engine.
--- a/src/placement/rules.rs
+++ b/src/placement/rules.rs
@@ -26,6 +26,17 @@
     /// The same for a customer that got less than `underserved` of what it is owed:
     /// it is rather late than refused.
     pub underserved_wait: f64,
+    /// Milliseconds of waiting that an engine in another region counts dearer: bytes
+    /// between regions take a narrow link and a price.
+    pub other_region_cost_ms: f64,
+    /// Milliseconds to another region and back.
+    pub other_region_way_ms: f64,
+    /// Whether the engines of another region are left alone as long as one of the
+    /// router's own can be in time.
+    pub own_region_first: bool,
+    /// Whether engines copy prompt parts between regions: only where they have a network
+    /// of their own there. On a link that all traffic shares a copy takes minutes.
+    pub copies_between_regions: bool,
     /// Part of what a customer is owed below which it is underserved.
     pub underserved: f64,
     /// Part of what cold engines bear that this placer may send them.
@@ -42,6 +53,10 @@
             margin_ms: 100.0,
             never_in_time_wait: 0.35,
             underserved_wait: 1.0,
+            other_region_cost_ms: 40.0,
+            other_region_way_ms: 25.0,
+            own_region_first: false,
+            copies_between_regions: false,
             underserved: 0.5,
             cold_part: 1.0,
         }
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use super::distance::Distances;
 use super::engines::engines_of;
 use super::message::{FromPlacer, ToPlacer};
 use super::placer::Placer;
@@ -49,14 +50,9 @@
     sent: SentBytes,
 ) -> PlacementSession {
     let (events, inbox) = mpsc::channel(INBOX);
-    let task = Task {
-        clock,
-        documents,
-        registry,
-        regions,
-        placer: Placer::new(rules),
-        sessions: HashMap::new(),
-    };
+    let mut placer = Placer::new(rules);
+    placer.set_distances(Distances::new(regions.clone()));
+    let task = Task { clock, documents, registry, regions, placer, sessions: HashMap::new() };
     tokio::spawn(task.run(inbox));
     PlacementSession { events, sent }
 }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -3,6 +3,7 @@
 mod parts;
 mod queue;
 mod rate;
+mod regions;
 mod standing;
 mod warmth;
 
--- a/src/telemetry/gateway.rs
+++ b/src/telemetry/gateway.rs
@@ -14,6 +14,8 @@
     pub retries: IntCounterVec,
     /// Streams taken up at another endpoint, by service.
     pub resumed: IntCounterVec,
+    /// Requests sent to an endpoint of another region, by service.
+    pub across: IntCounterVec,
     /// Callers' connections that other routers were asked to take, by their answer.
     pub handed_over: IntCounterVec,
     /// Seconds from arrival to the head of the answer, by service.
@@ -42,6 +44,7 @@
             outcomes: counter("requests_total", "Requests.", &["service", "outcome"])?,
             retries: counter("retries_total", "Requests sent again.", &["service"])?,
             resumed: counter("resumed_total", "Streams taken up elsewhere.", &["service"])?,
+            across: counter("across_total", "Requests sent to another region.", &["service"])?,
             handed_over: counter("handed_over_total", "Connections handed over.", &["answer"])?,
             first_answer: HistogramVec::new(seconds, &["service"])?,
             routing_version: IntGauge::new(name("routing_version"), "Version in force.")?,
@@ -51,6 +54,7 @@
         registry.register(Box::new(metrics.outcomes.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.resumed.clone()))?;
+        registry.register(Box::new(metrics.across.clone()))?;
         registry.register(Box::new(metrics.handed_over.clone()))?;
         registry.register(Box::new(metrics.first_answer.clone()))?;
         registry.register(Box::new(metrics.routing_version.clone()))?;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -9,6 +9,8 @@
 mod handover;
 #[path = "platform/http.rs"]
 mod http;
+#[path = "platform/regions.rs"]
+mod regions;
 #[path = "platform/replica.rs"]
 mod replica;
 
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -73,13 +73,19 @@
 
 impl Fleet {
     pub async fn start() -> Fleet {
+        Fleet::start_in_regions("{}").await
+    }
+
+    /// Starts a fleet that knows these regions of data halls; the hosts stand in hall
+    /// `a`.
+    pub async fn start_in_regions(regions: &str) -> Fleet {
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         // Processes of test runs beside this one differ in their numbers.
         let net = (std::process::id() % 250 + 1) as u8;
         let address = |last: u32| Ipv4Addr::new(127, 9, net, (number * 3 + last) as u8);
         let (control, router, neighbour) = (address(1), address(2), address(3));
         let folder = TempDir::new().unwrap();
-        write_settings(&folder, control, router, neighbour);
+        write_settings(&folder, [control, router, neighbour], regions);
         let mut fleet = Fleet {
             front: (router, FRONT).into(),
             ready: (router, READY).into(),
@@ -314,11 +320,13 @@
     }
 }
 
-fn write_settings(folder: &TempDir, control: Ipv4Addr, router: Ipv4Addr, neighbour: Ipv4Addr) {
+fn write_settings(folder: &TempDir, addresses: [Ipv4Addr; 3], regions: &str) {
+    let [control, router, neighbour] = addresses;
     let host = |name: &str, address: Ipv4Addr| {
         format!(
             "host:\n  name: {name}\n  hall: a\n  peer: \"{address}:{PEER}\"\n  \
-             seeds: [\"{control}:{CONTROL}\"]\n  seed_port: {PEER}\n  heartbeats: control\n\
+             seeds: [\"{control}:{CONTROL}\"]\n  seed_port: {PEER}\n  heartbeats: control\n  \
+             regions: {regions}\n\
              operator: \"{address}:{OPERATOR}\"\n"
         )
     };
