--- a/src/gateway/arrival.rs
+++ b/src/gateway/arrival.rs
@@ -63,6 +63,7 @@
         service,
         customer,
         regions,
+        routing_version: routing.table.version,
         head,
         parts,
         body,
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -77,17 +77,21 @@
         let eligibility = self.eligibility()?;
         let now = self.gateway.now();
         let cold = self.gateway.cold_part(self.cold_per_second, self.is_engine);
+        let is_near = |endpoint: &Registration| self.gateway.is_near(endpoint);
         self.gateway.registry.read(|registry| {
-            let ready = registry.ready(&self.service).filter(|e| self.is_eligible(&eligibility, e));
+            let ready = registry.ready(&self.service);
+            let ready: Vec<_> = ready.filter(|e| self.is_eligible(&eligibility, e)).collect();
             let preference = self.preference();
-            self.gateway.with_endpoints(|e| e.choose(now, ready, tried, preference, cold).cloned())
+            self.gateway.with_endpoints(|endpoints| {
+                endpoints.choose_near(now, &ready, is_near, tried, preference, cold).cloned()
+            })
         })
     }
 
     /// Which endpoints may run it now; none where none may.
     pub(super) fn eligibility(&self) -> Option<Eligibility> {
         let version = self.version_rule()?;
-        Some(Eligibility { regions: self.regions.clone(), version })
+        Some(Eligibility { regions: self.regions_by_now(), version })
     }
 
     /// Whether an endpoint may run it.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -35,8 +35,10 @@
     pub is_engine: bool,
     pub cold_per_second: Option<f64>,
     pub customer: Option<String>,
-    /// Where it may be served.
+    /// Where it may be served, by the routing that it was taken with.
     pub regions: AllowedRegions,
+    /// The version of that routing.
+    pub routing_version: u64,
     pub head: CallHead,
     pub parts: Parts,
     pub body: Bytes,
@@ -128,7 +130,12 @@
         }
         let (endpoint, reservation) = match call.place(&progress.tried).await {
             Place::At(endpoint, reservation) => (endpoint, reservation),
-            Place::Nowhere => break,
+            Place::Nowhere => {
+                if progress.tried.is_empty() {
+                    ended = call.why_nowhere();
+                }
+                break;
+            }
             Place::TooLate(refusal) => {
                 log_too_late(&call, &refusal);
                 ended = Refusal::TooLate { retry_after_ms: refusal.retry_after_ms };
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -11,6 +11,8 @@
 
 mod choice;
 mod client;
+mod copy;
+mod distance;
 mod engine;
 mod engines;
 mod knowledge;
@@ -29,6 +31,7 @@
 mod warmth;
 
 pub use client::{Placed, Placements, Reservation};
+pub use distance::Distances;
 pub use engines::EngineInfo;
 pub use local::LocalPlacer;
 pub use message::{
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -4,6 +4,8 @@
 use slab::Slab;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::copy::{CopySources, PartCopy};
+use super::distance::Distances;
 use super::engine::{EngineModel, reading_units};
 use super::engines::EngineInfo;
 use super::message::PlacementRequest;
@@ -21,11 +23,6 @@
 /// Milliseconds by which requests beyond what their customer is owed are put off in the
 /// order of an engine's queue: longer than any objective.
 const BEYOND_OWED_MS: f64 = 60_000.0;
-/// Milliseconds to begin a copy.
-const COPY_SETUP_MS: f64 = 5.0;
-/// Fewer tokens are read again rather than copied.
-const LEAST_COPY: u32 = 500;
-
 /// An engine as the placer plans it.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -96,16 +93,6 @@
     }
 }
 
-/// Prompt parts to be copied from another engine.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PartCopy {
-    /// That engine.
-    pub from: EngineNumber,
-    /// Their tokens.
-    pub tokens: u32,
-    ms: f64,
-}
-
 /// What reading a prompt costs at an engine.
 #[derive(Clone, Copy, Debug)]
 struct Reading {
@@ -153,6 +140,8 @@
     pub engines: &'a Slab<Engine>,
     /// What each keeps of the request's prompt, by its number.
     pub found: &'a [Match],
+    /// What lies between data halls.
+    pub distances: &'a Distances,
     /// Milliseconds on the placer's clock.
     pub now: Millis,
 }
@@ -160,17 +149,24 @@
 impl Chooser<'_> {
     /// The engine at which the request's first event comes first, with the reading of
     /// its own prompt counted dearer: all that waits there counts, not only what goes
-    /// before it.
-    pub fn best(&self, request: &PlacementRequest) -> Option<EngineNumber> {
+    /// before it. Only engines `within` are compared.
+    pub fn best(
+        &self,
+        request: &PlacementRequest,
+        within: impl Fn(&Engine) -> bool,
+    ) -> Option<EngineNumber> {
         let tokens = memory_tokens(&request.parts, request.prompt_tokens, request.output_tokens);
-        let sources = self.copy_sources();
+        let sources = self.copy_sources(request);
         let fits = |(_, engine): &(EngineNumber, &Engine)| {
-            is_candidate(engine, request) && !engine.warmth.is_full(self.now, self.rules.cold_part)
+            within(engine)
+                && is_candidate(engine, request)
+                && !engine.warmth.is_full(self.now, self.rules.cold_part)
         };
         let mut best: Option<(Order, EngineNumber)> = None;
         for (number, engine) in self.engines.iter().filter(fits) {
-            let reading = self.reading(number, engine, request, source_for(&sources, engine));
+            let reading = self.reading(number, engine, request, &sources);
             let score = engine.queue.wait_ms(self.now, engine.model.pace(self.now))
+                + self.away_cost(request, engine)
                 + self.rules.reading_weight * reading.read_ms
                 + self.rules.copying_weight * reading.copy_ms;
             let order = (engine.is_unfit(self.now), !engine.model.has_room(tokens), score);
@@ -213,8 +209,8 @@
         let engine = self.engines.get(number)?;
         let now = self.now as f64;
         let Reading { copy, copy_ms, units, read_ms } =
-            self.reading(number, engine, request, source_for(&self.copy_sources(), engine));
-        let own_ms = read_ms + copy_ms;
+            self.reading(number, engine, request, &self.copy_sources(request));
+        let own_ms = read_ms + copy_ms + self.way_ms(request, engine);
         let in_time_ms = self.in_time_ms(request, own_ms);
         let latest_start = match standing.is_above() {
             // What a customer gets beyond what it is owed delays no other.
@@ -231,10 +227,10 @@
         number: EngineNumber,
         engine: &Engine,
         request: &PlacementRequest,
-        source: Option<(EngineNumber, u32)>,
+        sources: &CopySources<'_>,
     ) -> Reading {
         let kept = self.found.get(number).map_or(0, |found| found.kept);
-        let copy = copy_for(engine, kept, source);
+        let copy = sources.copy_for(engine, kept);
         let copied = copy.map_or(0, |copy| copy.tokens);
         let cached = (kept + copied).min(request.prompt_tokens);
         let units = reading_units(cached, request.prompt_tokens - cached);
@@ -264,55 +260,29 @@
         }
     }
 
-    /// Of each release the engine that has read most of the prompt; of equal ones the
-    /// last by id. What one release has read, another cannot use.
-    fn copy_sources(&self) -> Vec<Source<'_>> {
-        let able = |engine: &Engine| {
-            engine.takes_work()
-                && engine.copy_ms_per_token.is_some()
-                && !engine.model.is_left_out(self.now)
-        };
-        let mut sources: Vec<Source<'_>> = Vec::new();
-        for (number, engine) in self.engines {
-            let read = self.found.get(number).map_or(0, |found| found.read);
-            if read == 0 || !able(engine) {
-                continue;
-            }
-            let source = Source { number, engine, read };
-            match sources.iter_mut().find(|known| known.is_like(engine)) {
-                Some(known) if source.order() > known.order() => *known = source,
-                Some(_) => {}
-                None => sources.push(source),
-            }
+    /// What an engine in another region counts dearer, in milliseconds of waiting.
+    fn away_cost(&self, request: &PlacementRequest, engine: &Engine) -> f64 {
+        match self.distances.is_across(request, engine) {
+            true => self.rules.other_region_cost_ms,
+            false => 0.0,
         }
-        sources
     }
-}
-
-/// An engine from which prompt parts can be copied.
-struct Source<'a> {
-    number: EngineNumber,
-    engine: &'a Engine,
-    /// Tokens of the prompt that it has read.
-    read: u32,
-}
 
-impl Source<'_> {
-    /// Whether what it has read is of use to an engine.
-    fn is_like(&self, engine: &Engine) -> bool {
-        self.engine.service == engine.service && self.engine.version == engine.version
+    /// Milliseconds on the way to an engine and back, beyond those within a region.
+    fn way_ms(&self, request: &PlacementRequest, engine: &Engine) -> f64 {
+        match self.distances.is_across(request, engine) {
+            true => self.rules.other_region_way_ms,
+            false => 0.0,
+        }
     }
 
-    fn order(&self) -> (u32, &str) {
-        (self.read, &self.engine.id)
+    /// From which engines parts of the prompt can be copied.
+    fn copy_sources(&self, request: &PlacementRequest) -> CopySources<'_> {
+        let between_regions = self.rules.copies_between_regions;
+        CopySources::find(self.now, self.engines, self.found, request, between_regions)
     }
 }
 
-fn source_for(sources: &[Source<'_>], engine: &Engine) -> Option<(EngineNumber, u32)> {
-    let source = sources.iter().find(|source| source.is_like(engine));
-    source.map(|source| (source.number, source.read))
-}
-
 /// Whether a request could go to an engine at all.
 fn is_candidate(engine: &Engine, request: &PlacementRequest) -> bool {
     engine.takes_work()
@@ -321,15 +291,6 @@
         && !request.avoid.contains(&engine.id)
 }
 
-/// What an engine that keeps `kept` tokens should copy from the source, if that is
-/// worth it.
-fn copy_for(engine: &Engine, kept: u32, source: Option<(EngineNumber, u32)>) -> Option<PartCopy> {
-    let (from, read) = source?;
-    let tokens = read.checked_sub(kept)?;
-    let ms = COPY_SETUP_MS + f64::from(tokens) * engine.copy_ms_per_token?;
-    (tokens >= LEAST_COPY).then_some(PartCopy { from, tokens, ms })
-}
-
 /// Memory that a request takes until it ends, in tokens, beside the parts of its
 /// prompt that others use too: all but the last.
 pub fn memory_tokens(parts: &[(u64, u32)], prompt_tokens: u32, output_tokens: u32) -> u64 {
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use super::distance::Distances;
 use super::engines::engines_of;
 use super::message::{FromPlacer, ToPlacer};
 use super::placer::Placer;
@@ -53,12 +54,14 @@
     sent: SentBytes,
 ) -> PlacementSession {
     let (events, inbox) = mpsc::channel(INBOX);
+    let mut placer = Placer::new(rules);
+    placer.set_distances(Distances::new(regions.clone()));
     let task = Task {
         clock,
         documents,
         registry,
         regions,
-        placer: Placer::new(rules),
+        placer,
         leads: Box::new(leads),
         cold_turn: ColdTurn::default(),
         cold_part: rules.cold_part,
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -4,6 +4,7 @@
 mod queue;
 mod rate;
 mod reborn;
+mod regions;
 mod releases;
 mod standing;
 mod warmth;
--- a/src/telemetry/gateway.rs
+++ b/src/telemetry/gateway.rs
@@ -16,6 +16,8 @@
     pub resumed: IntCounterVec,
     /// Requests while a release is rolled out, by service, release and outcome.
     pub rollout_requests: IntCounterVec,
+    /// Requests sent to an endpoint of another region, by service.
+    pub across: IntCounterVec,
     /// Callers' connections that other routers were asked to take, by their answer.
     pub handed_over: IntCounterVec,
     /// Seconds from arrival to the head of the answer, by service.
@@ -49,6 +51,7 @@
                 "Requests by release during a roll-out.",
                 &["service", "release", "outcome"],
             )?,
+            across: counter("across_total", "Requests sent to another region.", &["service"])?,
             handed_over: counter("handed_over_total", "Connections handed over.", &["answer"])?,
             first_answer: HistogramVec::new(seconds, &["service"])?,
             routing_version: IntGauge::new(name("routing_version"), "Version in force.")?,
@@ -59,6 +62,7 @@
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.resumed.clone()))?;
         registry.register(Box::new(metrics.rollout_requests.clone()))?;
+        registry.register(Box::new(metrics.across.clone()))?;
         registry.register(Box::new(metrics.handed_over.clone()))?;
         registry.register(Box::new(metrics.first_answer.clone()))?;
         registry.register(Box::new(metrics.routing_version.clone()))?;
