--- a/src/gateway/tests/rollouts.rs
+++ b/src/gateway/tests/rollouts.rs
@@ -74,7 +74,6 @@
                 seeds: vec![],
                 seed_port: None,
                 regions: Default::default(),
-                routing_version: 0,
                 heartbeats: Default::default(),
             },
             listen: address,
