Roll-outs: only a leader that a majority confirms grants; judged by whom was heard

A host that leads and is cut off goes on believing that it leads (the agreement has no step-down), so it would have granted on where the next leader has rolled back. It now asks a majority every 300 ms while a roll-out is under way and grants only within 1.2 s of an answer. Steps are proposed beside the tick, so that a majority that answers late does not let grants lapse.

A service of which nothing was reported was taken for idle and rolled over: now most routers must have been heard for that. After a restart of all control hosts the log is read again some time after the start, so an order counted as just given; what was ordered before the start is now as old as the time of day says.

--- a/src/control/conduct.rs
+++ b/src/control/conduct.rs
@@ -1,13 +1,19 @@
 //! Conducts roll-outs on the host that leads: takes reports, decides, grants.
 
+mod confirmed;
+mod proposals;
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
-use std::sync::{Arc, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::time::MissedTickBehavior;
 
+use self::confirmed::Confirmed;
+use self::proposals::Proposals;
 use super::Control;
-use super::state::Command;
 use crate::clock::epoch_ms;
 use crate::dispatch::Millis;
 use crate::eligibility::order_of;
@@ -29,9 +35,6 @@
 /// order's age counts only beyond that, and after a restart.
 const CLOCKS_DIFFER_MS: u64 = 10_000;
 
-#[cfg(test)]
-mod tests;
-
 /// What is shown of the roll-outs that this host leads.
 pub(super) fn tallies(control: &Control) -> MutexGuard<'_, BTreeMap<String, Tally>> {
     control.rollout_tallies.lock().unwrap_or_else(PoisonError::into_inner)
@@ -45,20 +48,26 @@
 }
 
 /// How old each order is, by the clock of this host.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Ages {
+    /// The time of day when this host started.
+    started: u64,
     learnt: BTreeMap<u64, Learnt>,
 }
 
 impl Ages {
-    /// Takes in which roll-outs are under way. What stood there when this host started
+    fn new(started: u64) -> Ages {
+        Ages { started, learnt: BTreeMap::new() }
+    }
+
+    /// Takes in which roll-outs are under way. What was ordered before this host started
     /// is as old as the time of day says; any other was ordered just now, but for one
     /// that this host was much too late to hear of.
-    fn adopt(&mut self, now: Millis, epoch: u64, table: &Rollouts, is_start: bool) {
+    fn adopt(&mut self, now: Millis, epoch: u64, table: &Rollouts) {
         let under_way = || table.all().filter(|rollout| !rollout.stage.is_final());
         for rollout in under_way() {
             let said = epoch.saturating_sub(rollout.order.at_ms);
-            let is_believed = is_start || said > CLOCKS_DIFFER_MS;
+            let is_believed = rollout.order.at_ms <= self.started || said > CLOCKS_DIFFER_MS;
             let age = if is_believed { said.min(rollout.order.duration_ms) } else { 0 };
             self.learnt.entry(rollout.number).or_insert(Learnt { at: now, age });
         }
@@ -75,14 +84,12 @@
 pub(super) async fn conduct(control: Arc<Control>) {
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut conductor = Conductor::default();
-    let mut is_start = true;
+    let mut conductor = Conductor::new(epoch_ms());
     loop {
         ticks.tick().await;
         let now = control.peers.clock.now();
         let table = control.rollouts.table();
-        conductor.ages.adopt(now, epoch_ms(), &table, is_start);
-        is_start = false;
+        conductor.ages.adopt(now, epoch_ms(), &table);
         let reports = control.rollouts.take_reports();
         let leadership = control.handle.leadership.borrow().clone();
         if !leadership.leads {
@@ -98,23 +105,38 @@
                 }
             }
         }
-        conductor.tick(&control, now, leadership.term).await;
+        conductor.tick(&control, now, leadership.term);
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Conductor {
     ages: Ages,
     courses: BTreeMap<String, Course>,
     ticks: u32,
     has_offered: bool,
+    confirmed: Arc<Mutex<Confirmed>>,
+    proposals: Proposals,
 }
 
 impl Conductor {
+    fn new(started: u64) -> Conductor {
+        Conductor {
+            ages: Ages::new(started),
+            courses: BTreeMap::new(),
+            ticks: 0,
+            has_offered: false,
+            confirmed: Arc::default(),
+            proposals: Proposals::default(),
+        }
+    }
+
     /// Another host leads: what was counted here is its no more.
     fn lose(&mut self) {
         self.courses.clear();
+        self.proposals.clear();
         self.has_offered = false;
+        self.confirmed = Arc::default();
     }
 
     /// Takes in the agreed stages.
@@ -132,7 +154,7 @@
         }
     }
 
-    async fn tick(&mut self, control: &Control, now: Millis, term: u64) {
+    fn tick(&mut self, control: &Arc<Control>, now: Millis, term: u64) {
         self.ticks = self.ticks.wrapping_add(1);
         let mut grants = Grants { term, valid_ms: VALID_MS, services: Vec::new() };
         let mut steps = Vec::new();
@@ -140,43 +162,59 @@
         for course in self.courses.values_mut() {
             let around = surroundings(control, course.rollout());
             let decided = course.decide(now, &around, &control.settings.rollout);
-            let is_step = matches!(decided.decision, Decision::Step(..));
-            if is_step || decided.is_other_part || self.ticks.is_multiple_of(LOG_EVERY) {
+            let is_grant = matches!(decided.decision, Decision::Grant(_));
+            if is_grant && (decided.is_other_part || self.ticks.is_multiple_of(LOG_EVERY)) {
                 log_decided(course, &decided);
             }
-            has_changed |= is_step || decided.is_other_part;
+            has_changed |= decided.is_other_part;
             if let Decision::Step(stage, _) = decided.decision {
-                steps.push(step(course.rollout(), stage));
+                let step = step(course.rollout(), stage);
+                if self.proposals.is_due(now, &step) {
+                    log_decided(course, &decided);
+                    steps.push(step);
+                }
             }
             grants.services.extend(decided.grant);
         }
         *tallies(control) =
             self.courses.iter().map(|(name, course)| (name.clone(), course.tally())).collect();
-        self.offer(control, grants, has_changed);
+        self.confirm(control, now);
+        self.offer(control, now, grants, has_changed);
         for step in steps {
-            let (service, stage) = (step.service.clone(), step.stage);
-            // What is not accepted is decided again at the next tick, by whoever leads.
-            let proposed = control.handle.propose(Command::StepRollout(step));
-            match tokio::time::timeout(TICK * 5, proposed).await {
-                Ok(Ok(_)) => log::info!("rollout: {service} is agreed to be in stage {stage:?}"),
-                Ok(Err(error)) => log::warn!("rollout: {service} to {stage:?}: {error:?}"),
-                Err(_) => log::warn!("rollout: {service} to {stage:?}: no majority answers yet"),
-            }
+            self.proposals.propose(control, now, step);
         }
     }
 
+    /// Asks a majority now and then, while a roll-out is under way, whether this host
+    /// leads still.
+    fn confirm(&self, control: &Arc<Control>, now: Millis) {
+        if self.courses.is_empty() || !lock(&self.confirmed).ask(now) {
+            return;
+        }
+        let (control, confirmed) = (control.clone(), self.confirmed.clone());
+        tokio::spawn(async move {
+            let leads = control.handle.read().await.is_ok();
+            lock(&confirmed).answered(now, leads);
+        });
+    }
+
     /// Grants a few times a second while a roll-out is under way, and once nothing more
     /// after the last.
-    fn offer(&mut self, control: &Control, grants: Grants, has_changed: bool) {
+    fn offer(&mut self, control: &Control, now: Millis, grants: Grants, has_changed: bool) {
+        let is_sure = lock(&self.confirmed).is_sure(now);
         let is_due = has_changed || self.ticks.is_multiple_of(OFFER_EVERY);
         let is_under_way = !self.courses.is_empty();
-        if (is_under_way && is_due) || (!is_under_way && self.has_offered) {
+        if (is_under_way && is_sure && is_due) || (!is_under_way && self.has_offered) {
             control.rollouts.offer(grants);
             self.has_offered = is_under_way;
         }
     }
 }
 
+fn lock(confirmed: &Mutex<Confirmed>) -> MutexGuard<'_, Confirmed> {
+    confirmed.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn step(rollout: &Rollout, stage: Stage) -> Step {
     Step { service: rollout.order.service.clone(), number: rollout.number, stage }
 }
--- a/src/rollout/course.rs
+++ b/src/rollout/course.rs
@@ -259,17 +259,26 @@
             new_places: around.slots(true),
             old_places: around.slots(false),
             has_old: around.places.iter().any(|place| !place.is_new),
+            has_heard: self.has_heard(now, &around.routers),
             is_old_empty: self.is_old_empty(now, &around.routers),
         }
     }
 
-    /// Whether every router that is heard said lately that it runs nothing on old
-    /// releases.
+    /// What a router said lately of its requests on old releases.
+    fn said_lately(&self, now: Millis, router: &HostId) -> Option<u32> {
+        let open = self.open_on_old.get(router);
+        open.filter(|open| now < open.at + HEARD_MS).map(|open| open.requests)
+    }
+
+    /// Whether most routers reported lately.
+    fn has_heard(&self, now: Millis, routers: &[HostId]) -> bool {
+        let heard = routers.iter().filter(|router| self.said_lately(now, router).is_some());
+        heard.count() * 2 > routers.len()
+    }
+
+    /// Whether every router said lately that it runs nothing on old releases.
     fn is_old_empty(&self, now: Millis, routers: &[HostId]) -> bool {
-        let is_empty = |router: &HostId| {
-            let said = self.open_on_old.get(router);
-            said.is_some_and(|open| open.requests == 0 && now < open.at + HEARD_MS)
-        };
+        let is_empty = |router: &HostId| self.said_lately(now, router) == Some(0);
         !routers.is_empty() && routers.iter().all(is_empty)
     }
 
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -70,6 +70,9 @@
     pub old_places: u32,
     /// Whether an endpoint of an old release is left, working or leaving.
     pub has_old: bool,
+    /// Whether most live routers were heard lately: if not, that few requests were seen
+    /// does not say that there are few.
+    pub has_heard: bool,
     /// Whether every live router lately said that it runs nothing on old releases.
     pub is_old_empty: bool,
 }
@@ -129,7 +132,7 @@
     /// enough answers by now.
     fn is_idle(&self, canary: u32) -> bool {
         let could_have = self.all_sent as f64 * f64::from(canary) / 1_000.0;
-        could_have < LEAST_ANSWERS as f64
+        self.has_heard && could_have < LEAST_ANSWERS as f64
     }
 }
 
--- a/src/rollout/tests/course.rs
+++ b/src/rollout/tests/course.rs
@@ -179,3 +179,44 @@
         assert_eq!(decided.grant, None);
     }
 }
+
+#[test]
+fn a_release_of_which_no_router_reports_is_rolled_back_at_the_deadline() {
+    let rules = RolloutRules::default();
+    let mut course = Course::new(rollout(Stage::Canary), 0, 0);
+    let mut now = 0;
+    loop {
+        now += MOMENT_MS;
+        match course.decide(now, &surroundings(), &rules).decision {
+            Decision::Grant(part) => assert_eq!(part, 55, "at {now} ms"),
+            Decision::Step(stage, why) => {
+                assert_eq!((stage, why), (Stage::RolledBack, Why::NotJudged));
+                break;
+            }
+        }
+    }
+    assert!(now < DURATION, "{now}");
+}
+
+#[test]
+fn a_service_without_requests_is_rolled_over_where_routers_say_so() {
+    let rules = RolloutRules::default();
+    let mut course = Course::new(rollout(Stage::Canary), 0, 0);
+    let mut now = 0;
+    loop {
+        now += MOMENT_MS;
+        course.take(now, ROUTER, &report(Vec::new(), 0));
+        match course.decide(now, &surroundings(), &rules).decision {
+            Decision::Step(Stage::Shifting, why) => {
+                assert_eq!(why, Why::Idle);
+                course.adopt(now, Stage::Shifting);
+            }
+            Decision::Step(stage, why) => {
+                assert_eq!((stage, why), (Stage::Done, Why::OldEmpty));
+                break;
+            }
+            Decision::Grant(_) => {}
+        }
+    }
+    assert!(now < DURATION, "{now}");
+}
--- a/src/rollout/tests/plan.rs
+++ b/src/rollout/tests/plan.rs
@@ -22,6 +22,7 @@
         new_places: 40,
         old_places: 40,
         has_old: true,
+        has_heard: true,
         is_old_empty: false,
     }
 }
@@ -135,6 +136,8 @@
         ..canary()
     };
     assert_eq!(next(&idle), Decision::Step(Stage::Shifting, Why::Idle));
+    let unheard = Situation { has_heard: false, ..idle };
+    assert_eq!(next(&unheard), Decision::Grant(500), "routers may have much to tell");
 }
 
 #[test]
