Roll-outs: what condemns a release grows with the time it is watched

A good release of the busy service was rolled back once in 40 roll-outs of 60 s: a sequential test that begins again and again finds something by chance in the end. What condemns grows with the logarithm of the time now; at 12 s it is as before (6.5), so the table of the design page holds.

--- a/src/rollout/course.rs
+++ b/src/rollout/course.rs
@@ -135,6 +135,7 @@
     /// Begins to count. `elapsed_ms` have gone by since the order.
     pub fn new(rollout: Rollout, now: Millis, elapsed_ms: Millis) -> Course {
         Course {
+            watch: Watch::new(rollout.order.duration_ms),
             rollout,
             elapsed_before: elapsed_ms,
             since: now,
@@ -142,7 +143,6 @@
             part_since: now,
             permille: 0,
             order_upto: 0,
-            watch: Watch::default(),
             is_condemned: false,
             suspicious_since: None,
             sent_new: 0,
--- a/src/rollout/verdict.rs
+++ b/src/rollout/verdict.rs
@@ -13,6 +13,10 @@
 /// Evidence at which a release counts as bad, as the logarithm of how much likelier its
 /// answers are if it is. Chosen by the table in `docs/design/roll-outs.md`.
 const CONDEMNS: f64 = 6.5;
+/// Milliseconds of a roll-out for which that is chosen. In a longer one there are more
+/// moments in which chance may speak against a good release, and it needs more evidence
+/// by the logarithm of how many more.
+const CONDEMNS_WITHIN_MS: f64 = 12_000.0;
 /// The most of it that one moment may bring, as a part: an endpoint that crashes breaks
 /// many answers at once, and the next moments of the others speak for the release.
 const MOMENT_AT_MOST: f64 = 0.17;
@@ -60,13 +64,15 @@
 struct Evidence(f64);
 
 impl Evidence {
-    fn add(&mut self, more: f64, moment: &Moment) {
+    /// `more` is that of a moment, where so much condemns.
+    fn add(&mut self, more: f64, condemns: f64, moment: &Moment) {
         let most = if moment.is_alone { MOMENT_AT_MOST_ALONE } else { MOMENT_AT_MOST };
-        self.0 = (self.0 + more.min(most * CONDEMNS)).max(0.0);
+        self.0 = (self.0 + more.min(most * condemns)).max(0.0);
     }
 
-    fn level(self) -> f64 {
-        self.0 / CONDEMNS
+    /// As a part of what condemns.
+    fn level(self, condemns: f64) -> f64 {
+        self.0 / condemns
     }
 }
 
@@ -107,8 +113,8 @@
     if seen > usual + chance { seen } else { usual }
 }
 
-fn highest(evidence: &[Evidence]) -> f64 {
-    evidence.iter().map(|evidence| evidence.level()).fold(0.0, f64::max)
+fn highest(evidence: &[Evidence], condemns: f64) -> f64 {
+    evidence.iter().map(|evidence| evidence.level(condemns)).fold(0.0, f64::max)
 }
 
 /// Good and failed answers together.
@@ -157,7 +163,7 @@
 const SLOW_AT: [f64; 2] = [0.5, 0.9];
 
 impl RouteWatch {
-    fn close_moment(&mut self, moment: &Moment) -> RouteMoment {
+    fn close_moment(&mut self, condemns: f64, moment: &Moment) -> RouteMoment {
         let old_now = std::mem::take(&mut self.old_now);
         if answered(&old_now) > 0 {
             self.old_moments.push_back(old_now);
@@ -173,9 +179,9 @@
         let new = std::mem::take(&mut self.new_now);
         let usual = usual_part((old.failed, answered(&old)), (last.failed, answered(&last)));
         for (evidence, step) in self.failing.iter_mut().zip(FAILING_STEPS) {
-            evidence.add(likelier(new.failed, answered(&new), usual, step), moment);
+            evidence.add(likelier(new.failed, answered(&new), usual, step), condemns, moment);
         }
-        self.weigh_times(&new, &last, moment);
+        self.weigh_times(&new, &last, condemns, moment);
         RouteMoment { failed: new.failed, answers: answered(&new), usual }
     }
 
@@ -186,7 +192,13 @@
         sum
     }
 
-    fn weigh_times(&mut self, new: &AnswerCounts, last: &AnswerCounts, moment: &Moment) {
+    fn weigh_times(
+        &mut self,
+        new: &AnswerCounts,
+        last: &AnswerCounts,
+        condemns: f64,
+        moment: &Moment,
+    ) {
         let old = &self.times;
         if good(old) < LEAST_OLD_ANSWERS {
             return;
@@ -198,7 +210,11 @@
             let usual = usual_part(of(old), of(last));
             // Endpoints that have just started may be slow whatever they run.
             let usual = usual + (1.0 - usual) * moment.cold_part;
-            evidence.add(likelier(slower_than(new, limit), good(new), usual, SLOW_STEP), moment);
+            evidence.add(
+                likelier(slower_than(new, limit), good(new), usual, SLOW_STEP),
+                condemns,
+                moment,
+            );
         }
     }
 }
@@ -220,8 +236,9 @@
 }
 
 /// The answers of a release and of those before it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Watch {
+    condemns: f64,
     routes: BTreeMap<String, RouteWatch>,
     failing: Evidence,
     /// Answers of the new release so far.
@@ -235,6 +252,20 @@
 }
 
 impl Watch {
+    /// For a roll-out of so many milliseconds.
+    pub fn new(duration_ms: u64) -> Watch {
+        let longer = (duration_ms as f64 / CONDEMNS_WITHIN_MS).max(1.0);
+        Watch {
+            condemns: CONDEMNS + longer.ln(),
+            routes: BTreeMap::new(),
+            failing: Evidence::default(),
+            new_answers: 0,
+            old_answers: 0,
+            new_failed: 0,
+            old_failed: 0,
+        }
+    }
+
     /// Takes answers in that came since the last moment was closed.
     pub fn take(&mut self, tally: &RouteTally) {
         let route = self.routes.entry(tally.route.clone()).or_default();
@@ -255,21 +286,25 @@
 
     /// Weighs what came in a moment, and says what is most suspicious so far.
     pub fn close_moment(&mut self, moment: &Moment) -> Finding {
+        let condemns = self.condemns;
         let mut sum = 0.0;
         for route in self.routes.values_mut() {
-            let RouteMoment { failed, answers, usual } = route.close_moment(moment);
+            let RouteMoment { failed, answers, usual } = route.close_moment(condemns, moment);
             sum += likelier(failed, answers, usual, FAILING_STEP_ALL);
         }
-        self.failing.add(sum, moment);
+        self.failing.add(sum, condemns, moment);
         let mut worst = Finding {
-            level: self.failing.level(),
+            level: self.failing.level(condemns),
             what: format!(
                 "{} of {} answers fail, {} of {} by old releases",
                 self.new_failed, self.new_answers, self.old_failed, self.old_answers
             ),
         };
         for (name, route) in &self.routes {
-            let kinds = [(highest(&route.failing), "fail"), (highest(&route.slow), "are slow")];
+            let kinds = [
+                (highest(&route.failing, condemns), "fail"),
+                (highest(&route.slow, condemns), "are slow"),
+            ];
             for (level, kind) in kinds {
                 if level > worst.level {
                     worst = Finding { level, what: format!("answers on route {name} {kind}") };
--- a/tests/platform/rollouts.rs
+++ b/tests/platform/rollouts.rs
@@ -98,6 +98,15 @@
     assert!(said.contains(r#""state":"done""#), "{said}");
 }
 
+#[tokio::test]
+async fn metrics_count_roll_outs_by_stage() {
+    let fleet = start().await;
+    assert_eq!(fleet.order_rollout(&order("app", "v2", "60")).await, 200);
+    let metrics = fleet.control_metrics().await;
+    assert!(metrics.contains("bramblecrank_control_rollouts_canary 1"), "{metrics}");
+    assert!(metrics.contains("bramblecrank_control_rollouts_rolled_back 0"), "{metrics}");
+}
+
 #[tokio::test]
 async fn operators_roll_a_release_out_by_command() {
     let fleet = start().await;
