Test a release that fails under load only

It fails from a fifth of the requests on, so the canary cannot show it: 20 roll-outs of 12 s are rolled back below a tenth of the requests.

--- a/src/rollout/tests/course.rs
+++ b/src/rollout/tests/course.rs
@@ -104,6 +104,7 @@
         Matter::Fails { from: 50, part: 0.3 },
         Matter::Fails { from: 75, part: 0.3 },
         Matter::FailsOnOneRoute { part: 0.3 },
+        Matter::FailsUnderLoad { part: 0.3 },
         Matter::Slower { from: 0, times: 2.5 },
         Matter::Slower { from: 70, times: 4.0 },
     ];
--- a/src/rollout/tests/streams.rs
+++ b/src/rollout/tests/streams.rs
@@ -43,6 +43,8 @@
     Fails { from: usize, part: f64 },
     /// The same on the first route only.
     FailsOnOneRoute { part: f64 },
+    /// This part of its answers fails while it gets a fifth of the requests or more.
+    FailsUnderLoad { part: f64 },
     /// From a moment on its answers take so many times as long.
     Slower { from: usize, times: f64 },
     /// For two seconds a third of the answers of both releases fails.
@@ -105,6 +107,7 @@
         match self.matter {
             Matter::Fails { from, part } if is_new && now >= from => (part, 1.0),
             Matter::FailsOnOneRoute { part } if is_new && route == 0 => (part, 1.0),
+            Matter::FailsUnderLoad { part } if is_new && self.part >= 0.2 => (part, 1.0),
             Matter::Slower { from, times } if is_new && now >= from => (0.0, times),
             Matter::GreyOnBothSides if GREY.contains(&now) => (0.33, 1.0),
             Matter::SlowOnBothSides if GREY.contains(&now) => (0.0, 3.0),
