--- a/src/rollout/course.rs
+++ b/src/rollout/course.rs
@@ -135,6 +135,7 @@
     /// Begins to count. `elapsed_ms` have gone by since the order.
     pub fn new(rollout: Rollout, now: Millis, elapsed_ms: Millis) -> Course {
         Course {
+            watch: Watch::new(rollout.order.duration_ms),
             rollout,
             elapsed_before: elapsed_ms,
             since: now,
@@ -142,7 +143,6 @@
             part_since: now,
             permille: 0,
             order_upto: 0,
-            watch: Watch::default(),
             is_condemned: false,
             suspicious_since: None,
             sent_new: 0,
@@ -259,17 +259,26 @@
             new_places: around.slots(true),
             old_places: around.slots(false),
             has_old: around.places.iter().any(|place| !place.is_new),
+            has_heard: self.has_heard(now, &around.routers),
             is_old_empty: self.is_old_empty(now, &around.routers),
         }
     }
 
-    /// Whether every router that is heard said lately that it runs nothing on old
-    /// releases.
+    /// What a router said lately of its requests on old releases.
+    fn said_lately(&self, now: Millis, router: &HostId) -> Option<u32> {
+        let open = self.open_on_old.get(router);
+        open.filter(|open| now < open.at + HEARD_MS).map(|open| open.requests)
+    }
+
+    /// Whether most routers reported lately.
+    fn has_heard(&self, now: Millis, routers: &[HostId]) -> bool {
+        let heard = routers.iter().filter(|router| self.said_lately(now, router).is_some());
+        heard.count() * 2 > routers.len()
+    }
+
+    /// Whether every router said lately that it runs nothing on old releases.
     fn is_old_empty(&self, now: Millis, routers: &[HostId]) -> bool {
-        let is_empty = |router: &HostId| {
-            let said = self.open_on_old.get(router);
-            said.is_some_and(|open| open.requests == 0 && now < open.at + HEARD_MS)
-        };
+        let is_empty = |router: &HostId| self.said_lately(now, router) == Some(0);
         !routers.is_empty() && routers.iter().all(is_empty)
     }
 
