--- a/src/rollout/split.rs
+++ b/src/rollout/split.rs
@@ -67,7 +67,7 @@
 }
 
 /// What a router knows when it sends a request of a service.
-pub struct Situation<'a> {
+pub struct Circumstances<'a> {
     /// The newest roll-out of the service.
     pub rollout: Option<&'a Rollout>,
     /// What holds of the leader's grants.
@@ -98,7 +98,7 @@
         turn: &mut Turn,
         route: &str,
         offset: f64,
-        situation: &Situation<'_>,
+        situation: &Circumstances<'_>,
     ) -> (Option<VersionRule>, Cause) {
         let Some(rollout) = situation.rollout else {
             let rule = turn.bound.clone().map_or(VersionRule::Any, only);
@@ -123,7 +123,7 @@
         route: &str,
         offset: f64,
         rollout: &Rollout,
-        situation: &Situation<'_>,
+        situation: &Circumstances<'_>,
     ) -> (VersionRule, Cause) {
         if !(situation.takes_work)(Release::Old) {
             return (VersionRule::Any, Cause::NoOther);
@@ -184,7 +184,7 @@
         turn: &Turn,
         route: &str,
         offset: f64,
-        situation: &Situation<'_>,
+        situation: &Circumstances<'_>,
     ) -> bool {
         let Some(rollout) = situation.rollout.filter(|r| !r.stage.is_final()) else { return true };
         let is_part = situation.grant.is_some_and(|grant| grant.permille < ALL_PERMILLE);
--- a/src/rollout/tests/split.rs
+++ b/src/rollout/tests/split.rs
@@ -30,13 +30,13 @@
         self.ask(&mut Splits::default(), &mut Turn::default(), 0.999)
     }
 
-    fn with<T>(&self, f: impl FnOnce(&Situation<'_>) -> T) -> T {
+    fn with<T>(&self, f: impl FnOnce(&Circumstances<'_>) -> T) -> T {
         let takes_work = |release| match release {
             Release::New => self.new_takes_work,
             Release::Old => self.old_takes_work,
         };
         let grant = self.grant.as_ref();
-        f(&Situation { rollout: Some(&self.rollout), grant, takes_work: &takes_work })
+        f(&Circumstances { rollout: Some(&self.rollout), grant, takes_work: &takes_work })
     }
 }
 
@@ -157,7 +157,7 @@
     assert_eq!(world.ask(&mut splits, &mut turn, 0.0), only("v2", 9));
     let cut_off = World::new(Stage::Canary, None);
     assert_eq!(cut_off.ask(&mut splits, &mut turn, 0.0), None);
-    let nothing = Situation { rollout: None, grant: None, takes_work: &|_| true };
+    let nothing = Circumstances { rollout: None, grant: None, takes_work: &|_| true };
     assert_eq!(splits.rule(&mut turn, "chat", 0.0, &nothing).0, only("v2", u32::MAX));
 }
 
@@ -193,7 +193,7 @@
 
 #[test]
 fn without_a_roll_out_any_release_runs_a_request() {
-    let nothing = Situation { rollout: None, grant: None, takes_work: &|_| true };
+    let nothing = Circumstances { rollout: None, grant: None, takes_work: &|_| true };
     let (rule, cause) = Splits::default().rule(&mut Turn::default(), "chat", 0.5, &nothing);
     assert_eq!((rule, cause), (Some(VersionRule::Any), Cause::NoRollout));
 }
--- a/src/rollout/tests/tally.rs
+++ b/src/rollout/tests/tally.rs
@@ -14,7 +14,7 @@
 
 #[test]
 fn what_was_counted_is_reported_once_by_route_and_release() {
-    let mut tally = Tally::default();
+    let mut tally = RouterTally::default();
     let new = sample("chat", Release::New);
     for ms in [100.0, 100.0, 900.0] {
         tally.sent(&new);
@@ -35,7 +35,7 @@
 
 #[test]
 fn a_report_that_could_not_be_sent_is_part_of_the_next() {
-    let mut tally = Tally::default();
+    let mut tally = RouterTally::default();
     let new = sample("chat", Release::New);
     for _ in 0..1_000 {
         tally.sent(&new);
@@ -51,7 +51,7 @@
 
 #[test]
 fn open_requests_on_old_releases_count_also_if_they_began_before_the_order() {
-    let mut tally = Tally::default();
+    let mut tally = RouterTally::default();
     for version in ["v1", "v1", "", "v2"] {
         tally.opened("llm", version);
     }
@@ -65,7 +65,7 @@
 
 #[test]
 fn what_was_never_sent_is_not_counted_as_sent() {
-    let mut tally = Tally::default();
+    let mut tally = RouterTally::default();
     tally.sent(&sample("chat", Release::New));
     tally.unsent(&sample("chat", Release::New));
     assert!(tally.take(&under_way()).services[0].tallies.is_empty());
@@ -74,7 +74,7 @@
 #[test]
 fn counts_of_a_former_roll_out_say_nothing_of_the_next() {
     let mut rollouts = under_way();
-    let mut tally = Tally::default();
+    let mut tally = RouterTally::default();
     tally.sent(&sample("chat", Release::New));
     rollouts.step(&step(&rollouts, Stage::RolledBack));
     rollouts.start(order("v3", 60_000));
@@ -90,12 +90,12 @@
 fn nothing_is_reported_of_a_roll_out_that_has_ended() {
     let mut rollouts = under_way();
     rollouts.step(&step(&rollouts, Stage::RolledBack));
-    assert!(Tally::default().take(&rollouts).services.is_empty());
+    assert!(RouterTally::default().take(&rollouts).services.is_empty());
 }
 
 #[test]
 fn a_report_takes_few_bytes() {
-    let mut tally = Tally::default();
+    let mut tally = RouterTally::default();
     for route in ["long-summary", "short-answer", "next-hint"] {
         for release in [Release::New, Release::Old] {
             for ms in [40.0, 80.0, 160.0, 320.0] {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -13,6 +13,8 @@
 mod releases;
 #[path = "platform/replica.rs"]
 mod replica;
+#[path = "platform/rollouts.rs"]
+mod rollouts;
 
 use std::time::Duration;
 
