--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -355,11 +355,6 @@
         self.control_call("POST", "/rollouts", order).await.status
     }
 
-    /// The control host's metrics.
-    pub async fn control_metrics(&self) -> String {
-        self.control_call("GET", "/metrics", "").await.body
-    }
-
     /// Asks about a service's roll-out until it is answered for sure.
     pub async fn read_rollout(&self, service: &str) -> Answer {
         loop {
