Place long prompts where they harm the fewest streams

A prompt of many tokens is read in pieces between the steps of what runs, and stretches the pauses of every stream at its engine.

A prompt that would stretch pauses beyond what callers were promised now counts dearer by the streams still in time there; who is late already has no more to lose. Part of the engines, as many as there are long prompts, is avoided by streams. How fast pieces are read is learnt from long prompts only: with short ones the time to a first event outweighs the reading, so rates come out too high.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -17,6 +17,7 @@
 mod local;
 mod message;
 mod parts;
+mod pauses;
 mod placer;
 mod queue;
 mod rate;
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -8,6 +8,7 @@
 use super::engines::EngineInfo;
 use super::message::PlacementRequest;
 use super::parts::{EngineNumber, Match};
+use super::pauses::is_stretched;
 use super::queue::{Position, Queue};
 use super::rules::PlacementRules;
 use super::shares::Standing;
@@ -61,6 +62,8 @@
     pub fn new(now: Millis, info: EngineInfo, reading_share: f64) -> Engine {
         let mut warmth = Warmth::default();
         warmth.learn(now, info.cold_per_second, info.call, info.warmup_ms);
+        let mut model = EngineModel::new(info.slots, info.memory_tokens, info.rate, reading_share);
+        model.set_tokens_per_event(info.tokens_per_event);
         Engine {
             warmth,
             hash: xxh3_64(info.id.as_bytes()),
@@ -69,7 +72,7 @@
             service: info.service,
             version: info.version,
             region: info.region,
-            model: EngineModel::new(info.slots, info.memory_tokens, info.rate, reading_share),
+            model,
             queue: Queue::default(),
             copy_ms_per_token: info.copy_ms_per_token,
             open: true,
@@ -87,6 +90,12 @@
         self.open && !self.is_gone
     }
 
+    /// Whether it is among the part of the engines that is kept for long prompts: the
+    /// same ones for every placer. The order of releases is another.
+    fn is_kept_for_long(&self, part: f64) -> bool {
+        f64::from(self.hash as u32) < part * f64::from(u32::MAX)
+    }
+
     /// Whether requests should go elsewhere.
     pub fn is_unfit(&self, now: Millis) -> bool {
         !self.takes_work() || self.model.is_left_out(now) || self.model.is_stalled(now)
@@ -110,6 +119,8 @@
     copy_ms: f64,
     units: f64,
     read_ms: f64,
+    /// The longest pause that reading it makes, in milliseconds.
+    pause_ms: f64,
 }
 
 /// An engine for a request, and what it would cost there.
@@ -127,6 +138,8 @@
     pub allowed_ms: f64,
     /// Milliseconds to read its own.
     pub own_ms: f64,
+    /// The longest pause that reading it makes for streams there, in milliseconds.
+    pub pause_ms: f64,
     /// The latest start that lets it be in time, in milliseconds of the clock.
     pub latest_start: f64,
 }
@@ -150,6 +163,10 @@
     pub engines: &'a Slab<Engine>,
     /// What each keeps of the request's prompt, by its number.
     pub found: &'a [Match],
+    /// Part of the engines that is kept for long prompts.
+    pub kept_part: f64,
+    /// Units of long prompts that engines of the service read in a millisecond.
+    pub long_rate: f64,
     /// Milliseconds on the placer's clock.
     pub now: Millis,
 }
@@ -169,7 +186,8 @@
             let reading = self.reading(number, engine, request, source);
             let score = engine.queue.wait_ms(self.now, engine.model.pace(self.now))
                 + self.rules.reading_weight * reading.read_ms
-                + self.rules.copying_weight * reading.copy_ms;
+                + self.rules.copying_weight * reading.copy_ms
+                + self.harm_ms(engine, request, reading.pause_ms);
             let order = (engine.is_unfit(self.now), !engine.model.has_room(tokens), score);
             let is_better = best.is_none_or(|(best_order, best_number)| {
                 order < best_order
@@ -183,6 +201,20 @@
         best.map(|(_, number)| number)
     }
 
+    /// What a request counts dearer at an engine for the pauses of streams: one that
+    /// stretches them by those that it makes late, any other where engines are kept free
+    /// of streams for those.
+    fn harm_ms(&self, engine: &Engine, request: &PlacementRequest, pause_ms: f64) -> f64 {
+        let rules = self.rules;
+        if is_stretched(pause_ms, request.pause_ms) {
+            return engine.model.streams().harmed_by(pause_ms) as f64 * rules.harm_ms;
+        }
+        match request.pause_ms > 0 && engine.is_kept_for_long(self.kept_part) {
+            true => rules.kept_ms,
+            false => 0.0,
+        }
+    }
+
     /// Milliseconds until an engine may be sent more, where all that the request could
     /// go to are cold and have been sent what they bear; none where there is no engine.
     pub fn until_one_is_free(&self, request: &PlacementRequest) -> Option<Millis> {
@@ -209,7 +241,7 @@
     ) -> Option<Choice> {
         let engine = self.engines.get(number)?;
         let now = self.now as f64;
-        let Reading { copy, copy_ms, units, read_ms } =
+        let Reading { copy, copy_ms, units, read_ms, pause_ms } =
             self.reading(number, engine, request, self.copy_source());
         let own_ms = read_ms + copy_ms;
         let in_time_ms = self.in_time_ms(request, own_ms);
@@ -220,7 +252,16 @@
         };
         let position = engine.queue.position(engine.model.pace(self.now), latest_start);
         let allowed_ms = self.allowed_ms(request, in_time_ms, standing);
-        Some(Choice { engine: number, copy, position, units, allowed_ms, own_ms, latest_start })
+        Some(Choice {
+            engine: number,
+            copy,
+            position,
+            units,
+            allowed_ms,
+            own_ms,
+            pause_ms,
+            latest_start,
+        })
     }
 
     fn reading(
@@ -236,7 +277,10 @@
         let cached = (kept + copied).min(request.prompt_tokens);
         let units = reading_units(cached, request.prompt_tokens - cached);
         let copy_ms = copy.map_or(0.0, |copy| copy.ms);
-        Reading { copy, copy_ms, units, read_ms: units / engine.model.rate() }
+        let uncached = request.prompt_tokens - cached;
+        let reader = engine.model.reader(self.long_rate, self.rules.piece_tokens);
+        let pause_ms = reader.longest_pause_ms(cached, uncached);
+        Reading { copy, copy_ms, units, read_ms: units / engine.model.rate(), pause_ms }
     }
 
     /// Milliseconds after which a request should begin to be read. One that cannot
--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use super::message::PromptParts;
+use super::pauses::{Reader, Streams};
 use super::queue::Pace;
 use super::rate::ReadingRate;
 use super::timing::{FIXED_MS, Timing};
@@ -74,6 +75,8 @@
     head_since: f64,
     running: HashMap<RequestKey, u64>,
     running_tokens: u64,
+    tokens_per_event: u32,
+    streams: Streams,
     learnt: ReadingRate,
     reading_share: f64,
     /// When all that was sent should have been read, on the clock.
@@ -105,6 +108,8 @@
             head_since: 0.0,
             running: HashMap::new(),
             running_tokens: 0,
+            tokens_per_event: 1,
+            streams: Streams::default(),
             learnt: ReadingRate::new(rate, MEMORY),
             reading_share,
             read_until: 0.0,
@@ -117,6 +122,28 @@
         }
     }
 
+    /// Tokens in one event of its streams.
+    pub fn set_tokens_per_event(&mut self, tokens: u32) {
+        self.tokens_per_event = tokens.max(1);
+    }
+
+    /// How it reads long prompts, so many units a millisecond in pieces of so many tokens.
+    pub fn reader(&self, rate: f64, piece_tokens: u32) -> Reader {
+        Reader { rate, tokens_per_event: self.tokens_per_event, piece_tokens }
+    }
+
+    /// Its streams whose pauses have been as promised.
+    pub fn streams(&self) -> &Streams {
+        &self.streams
+    }
+
+    /// A stream is placed here that was promised such pauses, beside a prompt that makes
+    /// one of `stretched_ms`.
+    pub fn promise(&mut self, key: RequestKey, promised_ms: u32, stretched_ms: f64) {
+        self.streams.stretch(stretched_ms);
+        self.streams.begin(key, promised_ms);
+    }
+
     /// The part of its time that may go into reading from now on.
     pub fn set_reading_share(&mut self, share: f64) {
         self.reading_share = share;
@@ -273,6 +300,7 @@
     pub fn ended(&mut self, now: Millis, key: RequestKey) {
         if let Some(tokens) = self.running.remove(&key) {
             self.running_tokens -= tokens;
+            self.streams.end(key);
         }
         if let Some(at) = self.pending.iter().position(|p| p.key == key) {
             self.pending.remove(at);
--- a/src/placement/message.rs
+++ b/src/placement/message.rs
@@ -60,6 +60,8 @@
     pub prompt_tokens: u32,
     /// Most tokens of output.
     pub output_tokens: u32,
+    /// Longest pause between events that is in time, in milliseconds; 0 for none.
+    pub pause_ms: u32,
     /// Whether its first event has come.
     pub begun: bool,
 }
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -9,6 +9,7 @@
 use super::engines::EngineInfo;
 use super::message::{Ending, FromPlacer, Knowledge, PlacementRequest, Refusal, ToPlacer};
 use super::parts::{EngineNumber, Match, PartIndex};
+use super::pauses::{LongPrompts, TELLING_UNITS, is_stretched};
 use super::queue::Planned;
 use super::rate::ReadingRate;
 use super::rules::PlacementRules;
@@ -51,6 +52,8 @@
     placed: HashMap<RequestKey, EngineNumber>,
     shares: Shares,
     paces: HashMap<String, ServicePace>,
+    /// Long prompts under way, by service.
+    long: HashMap<String, LongPrompts>,
 }
 
 /// How fast the engines of a service read.
@@ -59,6 +62,8 @@
     learnt: ReadingRate,
     /// The rate that its engines start from.
     told: f64,
+    /// How fast long prompts are read.
+    long: ReadingRate,
 }
 
 impl Placer {
@@ -128,6 +133,9 @@
 
     /// A router is gone, and all its requests with it.
     pub fn lost(&mut self, now: Millis, router: HostId) {
+        for long in self.long.values_mut() {
+            long.drop_router(now, router);
+        }
         self.placed.retain(|key, _| key.0 != router);
         for (_, engine) in &mut self.engines {
             engine.model.drop_router(now, router);
@@ -160,6 +168,7 @@
                 engine.queue.insert(0, Planned { units, latest_start: now as f64 });
                 engine.model.send(now, key, &open.parts, units, tokens);
             }
+            engine.model.promise(key, open.pause_ms, 0.0);
             self.placed.insert(key, number);
         }
     }
@@ -190,6 +199,9 @@
     fn observe(&mut self, service: &str, observed: Observation) {
         let Some(pace) = self.paces.get_mut(service) else { return };
         pace.learnt.observe(observed.units, observed.ms);
+        if observed.units >= TELLING_UNITS {
+            pace.long.observe(observed.units, observed.ms);
+        }
         let rate = pace.learnt.get();
         if (rate / pace.told - 1.0).abs() < LEAST_MOVE {
             return;
@@ -202,7 +214,8 @@
 
     /// The guess for an engine of a service, as learnt from the others.
     fn guess(&mut self, service: &str, nominal: f64) -> f64 {
-        let new = || ServicePace { learnt: ReadingRate::new(nominal, MEMORY), told: nominal };
+        let rate = ReadingRate::new(nominal, MEMORY);
+        let new = || ServicePace { learnt: rate, told: nominal, long: rate };
         let pace = self.paces.entry(service.to_string()).or_insert_with(new);
         pace.learnt.set_guess(nominal);
         pace.told = pace.learnt.get();
@@ -218,6 +231,9 @@
             Ending::Served | Ending::Abandoned => {}
         }
         engine.model.ended(now, key);
+        if let Some(long) = self.long.get_mut(&engine.service) {
+            long.end(now, key);
+        }
     }
 
     fn place(&mut self, now: Millis, router: HostId, request: PlacementRequest) -> Decision {
@@ -226,7 +242,7 @@
         self.shares.asked(now, &request.customer, units);
         let standing = self.shares.standing(&request.customer);
         let Some(choice) = self.choose(now, &request, standing) else {
-            let answer = match self.chooser(now).until_one_is_free(&request) {
+            let answer = match self.chooser(now, &request).until_one_is_free(&request) {
                 Some(wait_ms) => refuse_for_cold(key.1, wait_ms, standing),
                 None => FromPlacer::Unknown { seq: key.1 },
             };
@@ -255,14 +271,19 @@
         standing: Standing,
     ) -> Option<Choice> {
         self.parts.find(&request.parts, &mut self.found);
-        let number = self.chooser(now).best(request)?;
+        let number = self.chooser(now, request).best(request)?;
         let engine = &mut self.engines[number];
         engine.queue.advance(now, engine.model.pace(now));
-        self.chooser(now).at(number, request, standing)
+        self.chooser(now, request).at(number, request, standing)
     }
 
-    fn chooser(&self, now: Millis) -> Chooser<'_> {
-        Chooser { rules: &self.rules, engines: &self.engines, found: &self.found, now }
+    fn chooser(&self, now: Millis, request: &PlacementRequest) -> Chooser<'_> {
+        let long = self.long.get(&request.service);
+        let kept_part = long.map_or(0.0, |long| long.part_of(self.engines.len()));
+        let pace = self.paces.get(&request.service);
+        let long_rate = pace.map_or(f64::MAX, |pace| pace.long.get());
+        let (rules, engines, found) = (&self.rules, &self.engines, &self.found[..]);
+        Chooser { rules, engines, found, kept_part, long_rate, now }
     }
 
     /// A request goes to an engine.
@@ -274,7 +295,11 @@
         let engine = &mut self.engines[to.engine];
         engine.queue.insert(to.position.index, planned);
         engine.model.send(now, key, parts, planned.units, tokens);
+        engine.model.promise(key, request.pause_ms, to.pause_ms);
         engine.warmth.sent(now);
+        if is_stretched(to.pause_ms, request.pause_ms) {
+            self.long.entry(request.service.clone()).or_default().begin(now, key);
+        }
         self.placed.insert(key, to.engine);
     }
 }
--- a/src/placement/rules.rs
+++ b/src/placement/rules.rs
@@ -30,6 +30,15 @@
     pub underserved: f64,
     /// Part of what cold engines bear that this placer may send them.
     pub cold_part: f64,
+    /// Tokens of a prompt that an engine reads before a step of what runs: what engines
+    /// are commonly set to.
+    pub piece_tokens: u32,
+    /// Milliseconds of waiting that a stream counts for whose pauses a prompt would
+    /// stretch beyond what its caller was promised.
+    pub harm_ms: f64,
+    /// Milliseconds of waiting for which a stream keeps away from engines kept for long
+    /// prompts.
+    pub kept_ms: f64,
 }
 
 impl Default for PlacementRules {
@@ -44,6 +53,9 @@
             underserved_wait: 1.0,
             underserved: 0.5,
             cold_part: 1.0,
+            piece_tokens: 2_048,
+            harm_ms: 400.0,
+            kept_ms: 100.0,
         }
     }
 }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -1,6 +1,7 @@
 //! Decisions of the placer.
 
 mod parts;
+mod pauses;
 mod queue;
 mod rate;
 mod standing;
