--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -60,6 +60,8 @@
     pub fn new(now: Millis, info: EngineInfo, reading_share: f64) -> Engine {
         let mut warmth = Warmth::default();
         warmth.learn(now, info.cold_per_second, info.call, info.warmup_ms);
+        let mut model = EngineModel::new(info.slots, info.memory_tokens, info.rate, reading_share);
+        model.set_tokens_per_event(info.tokens_per_event);
         Engine {
             warmth,
             hash: xxh3_64(info.id.as_bytes()),
@@ -69,7 +71,7 @@
             service: info.service,
             version: info.version,
             region: info.region,
-            model: EngineModel::new(info.slots, info.memory_tokens, info.rate, reading_share),
+            model,
             queue: Queue::default(),
             copy_ms_per_token: info.copy_ms_per_token,
             open: true,
@@ -100,6 +102,8 @@
     copy_ms: f64,
     units: f64,
     read_ms: f64,
+    /// The longest pause that reading it makes, in milliseconds.
+    pause_ms: f64,
 }
 
 /// An engine for a request, and what it would cost there.
@@ -117,6 +121,8 @@
     pub allowed_ms: f64,
     /// Milliseconds to read its own.
     pub own_ms: f64,
+    /// The longest pause that reading it makes for streams there, in milliseconds.
+    pub pause_ms: f64,
     /// The latest start that lets it be in time, in milliseconds of the clock.
     pub latest_start: f64,
 }
@@ -142,6 +148,8 @@
     pub found: &'a [Match],
     /// What lies between data halls.
     pub distances: &'a Distances,
+    /// Units of long prompts that engines of the service read in a millisecond.
+    pub long_rate: f64,
     /// Milliseconds on the placer's clock.
     pub now: Millis,
 }
@@ -162,7 +170,8 @@
             let score = engine.queue.wait_ms(self.now, engine.model.pace(self.now))
                 + self.away_cost(request, engine)
                 + self.rules.reading_weight * reading.read_ms
-                + self.rules.copying_weight * reading.copy_ms;
+                + self.rules.copying_weight * reading.copy_ms
+                + self.rules.harm_ms * engine.model.streams().harmed_by(reading.pause_ms) as f64;
             let order = (engine.is_unfit(self.now), !engine.model.has_room(tokens), score);
             let is_better = best.is_none_or(|(best_order, best_number)| {
                 order < best_order
@@ -202,7 +211,7 @@
     ) -> Option<Choice> {
         let engine = self.engines.get(number)?;
         let now = self.now as f64;
-        let Reading { copy, copy_ms, units, read_ms } =
+        let Reading { copy, copy_ms, units, read_ms, pause_ms } =
             self.reading(number, engine, request, &self.copy_sources(request));
         let own_ms = read_ms + copy_ms + self.way_ms(request, engine);
         let in_time_ms = self.in_time_ms(request, own_ms);
@@ -213,7 +222,16 @@
         };
         let position = engine.queue.position(engine.model.pace(self.now), latest_start);
         let allowed_ms = self.allowed_ms(request, in_time_ms, standing);
-        Some(Choice { engine: number, copy, position, units, allowed_ms, own_ms, latest_start })
+        Some(Choice {
+            engine: number,
+            copy,
+            position,
+            units,
+            allowed_ms,
+            own_ms,
+            pause_ms,
+            latest_start,
+        })
     }
 
     fn reading(
@@ -229,7 +247,10 @@
         let cached = (kept + copied).min(request.prompt_tokens);
         let units = reading_units(cached, request.prompt_tokens - cached);
         let copy_ms = copy.map_or(0.0, |copy| copy.ms);
-        Reading { copy, copy_ms, units, read_ms: units / engine.model.rate() }
+        let uncached = request.prompt_tokens - cached;
+        let reader = engine.model.reader(self.long_rate, self.rules.piece_tokens);
+        let pause_ms = reader.longest_pause_ms(cached, uncached);
+        Reading { copy, copy_ms, units, read_ms: units / engine.model.rate(), pause_ms }
     }
 
     /// Milliseconds after which a request should begin to be read. One that cannot
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -10,6 +10,7 @@
 use super::engines::EngineInfo;
 use super::message::{Ending, FromPlacer, Knowledge, PlacementRequest, Refusal, ToPlacer};
 use super::parts::{EngineNumber, Match, PartIndex};
+use super::pauses::TELLING_UNITS;
 use super::queue::Planned;
 use super::rate::ReadingRate;
 use super::rules::PlacementRules;
@@ -61,6 +62,8 @@
     learnt: ReadingRate,
     /// The rate that its engines start from.
     told: f64,
+    /// How fast long prompts are read.
+    long: ReadingRate,
 }
 
 impl Placer {
@@ -192,6 +195,7 @@
                 engine.queue.insert(0, Planned { units, latest_start: now as f64 });
                 engine.model.send(now, key, &open.parts, units, tokens);
             }
+            engine.model.promise(key, open.pause_ms, 0.0);
             self.placed.insert(key, number);
         }
     }
@@ -222,6 +226,9 @@
     fn observe(&mut self, service: &str, observed: Observation) {
         let Some(pace) = self.paces.get_mut(service) else { return };
         pace.learnt.observe(observed.units, observed.ms);
+        if observed.units >= TELLING_UNITS {
+            pace.long.observe(observed.units, observed.ms);
+        }
         let rate = pace.learnt.get();
         if (rate / pace.told - 1.0).abs() < LEAST_MOVE {
             return;
@@ -234,7 +241,8 @@
 
     /// The guess for an engine of a service, as learnt from the others.
     fn guess(&mut self, service: &str, nominal: f64) -> f64 {
-        let new = || ServicePace { learnt: ReadingRate::new(nominal, MEMORY), told: nominal };
+        let rate = ReadingRate::new(nominal, MEMORY);
+        let new = || ServicePace { learnt: rate, told: nominal, long: rate };
         let pace = self.paces.entry(service.to_string()).or_insert_with(new);
         pace.learnt.set_guess(nominal);
         pace.told = pace.learnt.get();
@@ -260,7 +268,7 @@
         }
         let standing = self.shares.standing(&request.customer);
         let Some(choice) = self.choose(now, &request, standing) else {
-            let answer = match self.chooser(now).until_one_is_free(&request) {
+            let answer = match self.chooser(now, &request).until_one_is_free(&request) {
                 Some(wait_ms) => refuse_for_cold(key.1, wait_ms, standing),
                 None => FromPlacer::Unknown { seq: key.1 },
             };
@@ -291,10 +299,10 @@
         standing: Standing,
     ) -> Option<Choice> {
         self.parts.find(&request.parts, &mut self.found);
-        let number = self.chooser(now).best(request)?;
+        let number = self.chooser(now, request).best(request)?;
         let engine = &mut self.engines[number];
         engine.queue.advance(now, engine.model.pace(now));
-        self.chooser(now).at(number, request, standing)
+        self.chooser(now, request).at(number, request, standing)
     }
 
     fn has_room(&self, engine: EngineNumber, request: &PlacementRequest) -> bool {
@@ -303,9 +311,11 @@
         self.engines.get(engine).is_some_and(|engine| engine.model.has_room(tokens))
     }
 
-    fn chooser(&self, now: Millis) -> Chooser<'_> {
+    fn chooser(&self, now: Millis, request: &PlacementRequest) -> Chooser<'_> {
+        let pace = self.paces.get(&request.service);
+        let long_rate = pace.map_or(f64::MAX, |pace| pace.long.get());
         let Placer { rules, engines, found, distances, .. } = self;
-        Chooser { rules, engines, found, distances, now }
+        Chooser { rules, engines, found, distances, long_rate, now }
     }
 
     /// A request goes to an engine.
@@ -317,6 +327,7 @@
         let engine = &mut self.engines[to.engine];
         engine.queue.insert(to.position.index, planned);
         engine.model.send(now, key, parts, planned.units, tokens);
+        engine.model.promise(key, request.pause_ms, to.pause_ms);
         engine.warmth.sent(now);
         self.placed.insert(key, to.engine);
     }
