Retire old endpoints when a roll-out is done, instead of leaving all other releases out for good

After a finished roll-out every other release got nothing for as long as the new one took work: an ordinary replacement of endpoints by the next release would have left ever fewer of them with all the load. Now the hosts that learn that it is done take the endpoints of old releases known then for stopped, which is what done means, and any release that comes later is as good as any.

--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -52,7 +52,7 @@
             self.documents.adopt(document.clone());
         }
         self.registry.adopt_drained(state.drained().clone());
-        self.rollouts.adopt(state.rollouts().clone());
+        self.rollouts.adopt(state.rollouts().clone(), &self.registry);
     }
 }
 
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -226,7 +226,7 @@
                 lock(&self.told).insert((from, scope), (numbering, upto));
             }
             FeedMessage::DrainedHalls(drained) => self.registry.adopt_drained(drained),
-            FeedMessage::Rollouts(rollouts) => self.rollouts.adopt(rollouts),
+            FeedMessage::Rollouts(rollouts) => self.rollouts.adopt(rollouts, &self.registry),
             FeedMessage::Grants(grants) => {
                 self.rollouts.adopt_grants(self.peers.clock.now(), grants);
             }
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -139,13 +139,16 @@
         let grant = rollout.and_then(|rollout| {
             gateway.rollouts.grant(gateway.now(), &self.service, rollout.number)
         });
-        let takes_work = |release: Release| {
+        let is_of_other =
+            |e: &Registration| rollout.is_some_and(|r| side_of(r, &e.version) == Release::Old);
+        let others_take_work = || {
             gateway.registry.read(|registry| {
-                let mut ready = registry.ready(&self.service).filter(|e| self.is_in_region(e));
-                ready.any(|e| rollout.is_some_and(|r| side_of(r, &e.version) == release))
+                let mut ready = registry.ready(&self.service);
+                ready.any(|e| is_of_other(e) && self.is_in_region(e))
             })
         };
-        let situation = Circumstances { rollout, grant: grant.as_ref(), takes_work: &takes_work };
+        let situation =
+            Circumstances { rollout, grant: grant.as_ref(), others_take_work: &others_take_work };
         let mut turn = self.turn();
         gateway.with_releases(|releases| f(releases, &mut turn, &situation))
     }
--- a/src/registry/shared.rs
+++ b/src/registry/shared.rs
@@ -46,6 +46,12 @@
         }
     }
 
+    /// Endpoints of a service's other releases have stopped, since `version` is rolled out.
+    pub fn retire_others(&self, service: &str, version: &str) {
+        let retired = self.read_mut(|registry| registry.retire_others(service, version));
+        log::info!("registry: {retired} endpoints of {service} stop, {version} is rolled out");
+    }
+
     /// Adopts newer orders about data halls.
     pub fn adopt_drained(self: &Arc<Self>, drained: DrainedHalls) {
         let names = drained.names().collect::<Vec<_>>().join(", ");
--- a/src/registry/table.rs
+++ b/src/registry/table.rs
@@ -167,6 +167,25 @@
         true
     }
 
+    /// Endpoints of a service's other releases have stopped, since `version` is rolled out:
+    /// they do not say so themselves. Returns their number.
+    pub fn retire_others(&mut self, service: &str, version: &str) -> usize {
+        let is_other = |said: &Registration| {
+            said.service == service && said.version != version && said.state != EndpointState::Gone
+        };
+        let mut stopped = Vec::new();
+        for known in self.endpoints.values_mut().filter(|known| is_other(&known.said)) {
+            known.said.state = EndpointState::Gone;
+            known.first_hand = false;
+            stopped.push(known.said.clone());
+        }
+        let retired = stopped.len();
+        stopped.into_iter().for_each(|endpoint| {
+            self.changed(endpoint);
+        });
+        retired
+    }
+
     /// An endpoint has changed to `now`: gives the change a number.
     fn changed(&mut self, now: Registration) -> Registration {
         self.last_change += 1;
--- a/src/registry/tests.rs
+++ b/src/registry/tests.rs
@@ -232,3 +232,26 @@
     registry.merge(said("elsewhere", 2, EndpointState::Leaving), FirstHand);
     assert_eq!(ids(&registry, Scope::FirstHand), ["here", "elsewhere"]);
 }
+
+#[test]
+fn endpoints_of_other_releases_are_retired_and_later_ones_are_not() {
+    let of = |id: &str, version: &str| Registration {
+        version: version.into(),
+        ..said(id, 1, EndpointState::Ready)
+    };
+    let mut registry = Registry::default();
+    for endpoint in [of("old", "v1"), of("new", "v2")] {
+        registry.merge(endpoint, FirstHand);
+    }
+    registry.merge(Registration { service: "app".into(), ..of("app", "v1") }, FirstHand);
+    let before = registry.last_change();
+    assert_eq!(registry.retire_others("llm", "v2"), 1);
+    assert_eq!(registry.changes_after(before, 9, Scope::All).endpoints[0].id, "old");
+    // A heartbeat that was under way does not bring it back.
+    registry.merge(Registration { sequence: 9, ..of("old", "v1") }, FirstHand);
+    // An ordinary replacement brings the next release later.
+    registry.merge(of("next", "v3"), FirstHand);
+    let ready: Vec<_> = registry.ready("llm").map(|endpoint| endpoint.id.as_str()).collect();
+    assert_eq!(ready, ["new", "next"]);
+    assert_eq!(registry.ready("app").count(), 1);
+}
--- a/src/rollout/shared.rs
+++ b/src/rollout/shared.rs
@@ -5,9 +5,10 @@
 
 use tokio::sync::watch;
 
-use super::model::Rollouts;
+use super::model::{Rollout, Rollouts, Stage};
 use super::report::{Grant, Grants, Report};
 use crate::dispatch::Millis;
+use crate::registry::SharedRegistry;
 use crate::wire::HostId;
 
 /// Reports that may wait for the leader's next decision: some seconds of those of
@@ -54,19 +55,25 @@
         self.table.subscribe()
     }
 
-    /// Takes a table in, if it is newer.
-    pub fn adopt(&self, rollouts: Rollouts) {
+    /// Takes a table in, if it is newer. The endpoints of old releases, which stop once
+    /// the new one is rolled out, are retired from the registry.
+    pub fn adopt(&self, rollouts: Rollouts, registry: &SharedRegistry) {
+        let mut changed = Vec::new();
         self.table.send_if_modified(|known| {
             let is_newer = rollouts.revision() > known.revision();
             if is_newer {
-                for rollout in rollouts.all().filter(|r| known.get(&r.order.service) != Some(r)) {
-                    let (service, version) = (&rollout.order.service, &rollout.order.version);
-                    log::info!("rollout: {version} of {service} is in stage {:?}", rollout.stage);
-                }
+                let is_new = |r: &&Rollout| known.get(&r.order.service) != Some(*r);
+                changed.extend(rollouts.all().filter(is_new).cloned());
                 *known = Arc::new(rollouts);
             }
             is_newer
         });
+        for Rollout { order, stage, .. } in changed {
+            log::info!("rollout: {} of {} is in stage {stage:?}", order.version, order.service);
+            if stage == Stage::Done {
+                registry.retire_others(&order.service, &order.version);
+            }
+        }
     }
 
     /// Takes grants in, unless they come from a leader that was followed by another.
--- a/src/rollout/split.rs
+++ b/src/rollout/split.rs
@@ -60,8 +60,6 @@
     NoGrant,
     /// No endpoint of another release takes work.
     NoOther,
-    /// No endpoint of the new release takes work.
-    NoNew,
     /// The roll-out has ended.
     Ended,
 }
@@ -72,8 +70,8 @@
     pub rollout: Option<&'a Rollout>,
     /// What holds of the leader's grants.
     pub grant: Option<&'a Grant>,
-    /// Whether an endpoint of a side takes work that could run the request.
-    pub takes_work: &'a dyn Fn(Release) -> bool,
+    /// Whether an endpoint of another release takes work that could run the request.
+    pub others_take_work: &'a dyn Fn() -> bool,
 }
 
 /// The routes of the roll-out that a service is in.
@@ -101,17 +99,15 @@
         situation: &Circumstances<'_>,
     ) -> (Option<VersionRule>, Cause) {
         let Some(rollout) = situation.rollout else {
-            let rule = turn.bound.clone().map_or(VersionRule::Any, only);
-            return (Some(rule), Cause::NoRollout);
+            return (Some(VersionRule::Any), Cause::NoRollout);
         };
         let (rule, cause) = match rollout.stage {
             Stage::Canary | Stage::Shifting => {
                 self.under_way(turn, route, offset, rollout, situation)
             }
-            Stage::Done if (situation.takes_work)(Release::New) => {
-                (only(rollout.order.version.clone()), Cause::Ended)
-            }
-            Stage::Done => (VersionRule::Any, Cause::NoNew),
+            // The endpoints of the old releases have been retired; another that comes
+            // later, in an ordinary replacement, is as good as any.
+            Stage::Done => (VersionRule::Any, Cause::Ended),
             Stage::RolledBack => (not(rollout), Cause::Ended),
         };
         (same_release(rule, turn, rollout), cause)
@@ -125,7 +121,7 @@
         rollout: &Rollout,
         situation: &Circumstances<'_>,
     ) -> (VersionRule, Cause) {
-        if !(situation.takes_work)(Release::Old) {
+        if !(situation.others_take_work)() {
             return (VersionRule::Any, Cause::NoOther);
         }
         let Some(grant) = situation.grant else { return (not(rollout), Cause::NoGrant) };
