A roll-out is done for want of old endpoints only where none was known for three seconds

A leader that has just started may hear of the new release's endpoints first; it then said 'done', which stops the old ones.

--- a/src/rollout/course.rs
+++ b/src/rollout/course.rs
@@ -96,6 +96,8 @@
     is_condemned: bool,
     /// Since when it has been suspicious without a break.
     suspicious_since: Option<Millis>,
+    /// Since when no endpoint of an old release has been known here.
+    without_old_since: Option<Millis>,
     sent_new: u64,
     sent_old: u64,
     open_on_old: BTreeMap<HostId, OpenOnOld>,
@@ -145,6 +147,7 @@
             order_upto: 0,
             is_condemned: false,
             suspicious_since: None,
+            without_old_since: None,
             sent_new: 0,
             sent_old: 0,
             open_on_old: BTreeMap::new(),
@@ -193,6 +196,10 @@
             true => self.suspicious_since.or(Some(now)),
             false => None,
         };
+        self.without_old_since = match around.places.iter().any(|place| !place.is_new) {
+            true => None,
+            false => self.without_old_since.or(Some(now)),
+        };
         let situation = self.situation(now, around, rules, finding.level);
         let decision = decide(&situation, rules);
         self.is_condemned |= matches!(decision, Decision::Step(Stage::RolledBack, _));
@@ -258,7 +265,7 @@
             sent_per_ms,
             new_places: around.slots(true),
             old_places: around.slots(false),
-            has_old: around.places.iter().any(|place| !place.is_new),
+            without_old_ms: self.without_old_since.map_or(0, |since| now.saturating_sub(since)),
             has_heard: self.has_heard(now, &around.routers),
             is_old_empty: self.is_old_empty(now, &around.routers),
         }
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -37,6 +37,11 @@
 /// empty: grants of before have ended by then.
 const LEAST_SHIFTING_MS: u64 = 800;
 
+/// Milliseconds without an old endpoint after which none is left: a host that has just
+/// started may have heard of the new ones first, and endpoints say that they are there
+/// every second or so.
+const WITHOUT_OLD_MS: u64 = 3_000;
+
 /// All that a decision looks at.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Situation {
@@ -68,8 +73,9 @@
     pub new_places: u32,
     /// Places of the old ones' that take work.
     pub old_places: u32,
-    /// Whether an endpoint of an old release is left, working or leaving.
-    pub has_old: bool,
+    /// Milliseconds for which no endpoint of an old release has been known here, working
+    /// or leaving; 0 while one is.
+    pub without_old_ms: u64,
     /// Whether most live routers were heard lately: if not, that few requests were seen
     /// does not say that there are few.
     pub has_heard: bool,
@@ -128,6 +134,11 @@
         self.exposure() > rules.canary_share + slack
     }
 
+    /// Whether old endpoints are known to be gone, and not only unheard since a start.
+    fn is_without_old(&self) -> bool {
+        self.without_old_ms >= WITHOUT_OLD_MS
+    }
+
     /// Whether a service has so few requests that its new release could not have had
     /// enough answers by now.
     fn is_idle(&self, canary: u32) -> bool {
@@ -169,9 +180,13 @@
     is_suspicious: bool,
     is_last_moment: bool,
 ) -> Decision {
-    if now.new_places > 0 && !now.has_old {
+    if now.new_places > 0 && now.is_without_old() {
         return Decision::Step(Stage::Done, Why::NoOldLeft);
     }
+    if is_last_moment && now.without_old_ms > 0 {
+        // Rolled back, nothing might be left to serve callers.
+        return Decision::Grant(now.permille);
+    }
     if is_last_moment {
         return Decision::Step(Stage::RolledBack, Why::NotJudged);
     }
@@ -212,7 +227,7 @@
         };
     }
     let is_settled = now.in_stage_ms >= LEAST_SHIFTING_MS && !is_suspicious && now.new_places > 0;
-    if is_settled && !now.has_old {
+    if is_settled && now.is_without_old() {
         return Decision::Step(Stage::Done, Why::NoOldLeft);
     }
     if is_settled && now.is_old_empty {
