A broken stream goes on at its own release also where nothing is rolled out

An answer that two releases made is not one answer; the test that a replica of another version does not take it up had failed since the end of a roll-out was changed.

--- a/src/rollout/split.rs
+++ b/src/rollout/split.rs
@@ -99,7 +99,8 @@
         situation: &Circumstances<'_>,
     ) -> (Option<VersionRule>, Cause) {
         let Some(rollout) = situation.rollout else {
-            return (Some(VersionRule::Any), Cause::NoRollout);
+            let rule = turn.bound.clone().map_or(VersionRule::Any, only);
+            return (Some(rule), Cause::NoRollout);
         };
         let (rule, cause) = match rollout.stage {
             Stage::Canary | Stage::Shifting => {
--- a/src/rollout/tests/split.rs
+++ b/src/rollout/tests/split.rs
@@ -165,6 +165,8 @@
     assert_eq!(cut_off.ask(&mut splits, &mut turn, 0.0), None);
     let ended = World::new(Stage::Done, None);
     assert_eq!(ended.ask(&mut splits, &mut turn, 0.0), only("v2", u32::MAX));
+    let nothing = Circumstances { rollout: None, grant: None, others_take_work: &|| true };
+    assert_eq!(splits.rule(&mut turn, "chat", 0.0, &nothing).0, only("v2", u32::MAX));
 }
 
 #[test]
