Retire at the end of a roll-out only endpoints that had started before it

A host that learnt of the end late, from its log after a restart, retired every endpoint of another release that it knew by then, also those of the next one. The step now says when it was decided. Endpoints that do not say when they started are retired only by hosts that learn of the end as it happens. Proposals of ended roll-outs are forgotten.

--- a/src/control/conduct.rs
+++ b/src/control/conduct.rs
@@ -147,6 +147,9 @@
             rollout.is_some_and(|rollout| rollout.number == course.rollout().number)
         };
         self.courses.retain(|service, course| under_way(service, course));
+        self.proposals.retain(|number| {
+            table.all().any(|rollout| rollout.number == number && !rollout.stage.is_final())
+        });
         for rollout in table.all().filter(|rollout| !rollout.stage.is_final()) {
             let age = self.ages.of(now, rollout);
             let begin = || Course::new(rollout.clone(), now, age);
@@ -217,7 +220,8 @@
 }
 
 fn step(rollout: &Rollout, stage: Stage) -> Step {
-    Step { service: rollout.order.service.clone(), number: rollout.number, stage }
+    let service = rollout.order.service.clone();
+    Step { service, number: rollout.number, stage, at_ms: epoch_ms() }
 }
 
 /// The service's endpoints and the routers that are heard.
--- a/src/control/conduct/proposals.rs
+++ b/src/control/conduct/proposals.rs
@@ -44,6 +44,11 @@
         });
     }
 
+    /// Forgets what was proposed for roll-outs that are no longer under way.
+    pub fn retain(&mut self, is_under_way: impl Fn(u64) -> bool) {
+        self.last.retain(|number, _| is_under_way(*number));
+    }
+
     /// Forgets what was proposed.
     pub fn clear(&mut self) {
         self.last.clear();
--- a/src/control/conduct/tests.rs
+++ b/src/control/conduct/tests.rs
@@ -54,7 +54,7 @@
     conductor.follow(0, &table);
     assert_eq!(conductor.courses.len(), 1);
     let number = table.get("llm").unwrap().number;
-    table.step(&Step { service: "llm".into(), number, stage: Stage::RolledBack });
+    table.step(&Step { service: "llm".into(), number, stage: Stage::RolledBack, at_ms: 0 });
     conductor.follow(100, &table);
     assert!(conductor.courses.is_empty());
 }
@@ -86,7 +86,7 @@
 #[test]
 fn a_step_is_proposed_again_only_where_it_was_not_agreed_for_a_while() {
     let mut proposals = Proposals::default();
-    let step = |stage| Step { service: "llm".into(), number: 1, stage };
+    let step = |stage| Step { service: "llm".into(), number: 1, stage, at_ms: 0 };
     assert!(proposals.is_due(0, &step(Stage::Shifting)));
     proposals.note(0, &step(Stage::Shifting));
     assert!(!proposals.is_due(400, &step(Stage::Shifting)));
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -116,7 +116,7 @@
 }
 
 fn step(number: u64, stage: Stage) -> Command {
-    Command::StepRollout(Step { service: "llm".into(), number, stage })
+    Command::StepRollout(Step { service: "llm".into(), number, stage, at_ms: 0 })
 }
 
 /// A state in which there are two services.
@@ -189,6 +189,7 @@
                     service,
                     number: *number,
                     stage: stages[usize::from(*which)],
+                    at_ms: 0,
                 }),
             }
         };
--- a/src/gateway/tests/rollouts.rs
+++ b/src/gateway/tests/rollouts.rs
@@ -114,7 +114,7 @@
     }
 
     fn step(&mut self, stage: Stage) {
-        self.rollouts.step(&Step { service: "app".into(), number: 1, stage });
+        self.rollouts.step(&Step { service: "app".into(), number: 1, stage, at_ms: 0 });
         self.gateway.rollouts.adopt(self.rollouts.clone(), &self.gateway.registry);
     }
 
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -15,4 +15,4 @@
 
 pub use halls::DrainedHalls;
 pub use shared::SharedRegistry;
-pub use table::{Changes, EndpointState, Hearing, Registration, Registry, Scope};
+pub use table::{Changes, EndpointState, Hearing, Registration, Registry, Scope, Stopped};
--- a/src/registry/shared.rs
+++ b/src/registry/shared.rs
@@ -6,7 +6,7 @@
 use tokio::sync::watch;
 
 use super::known::RESTORED_WARMUP_MS;
-use super::{DrainedHalls, Hearing, Registration, Registry};
+use super::{DrainedHalls, Hearing, Registration, Registry, Stopped};
 
 /// Endpoints that a log line about many names at most.
 const MOST_NAMED: usize = 8;
@@ -47,8 +47,8 @@
     }
 
     /// Endpoints of a service's other releases have stopped, since `version` is rolled out.
-    pub fn retire_others(&self, service: &str, version: &str) {
-        let retired = self.read_mut(|registry| registry.retire_others(service, version));
+    pub fn retire_others(&self, service: &str, version: &str, stopped: Stopped) {
+        let retired = self.read_mut(|registry| registry.retire_others(service, version, stopped));
         log::info!("registry: {retired} endpoints of {service} stop, {version} is rolled out");
     }
 
--- a/src/registry/table.rs
+++ b/src/registry/table.rs
@@ -83,6 +83,25 @@
     SecondHand,
 }
 
+/// Which endpoints stopped at the end of a roll-out.
+#[derive(Clone, Copy, Debug)]
+pub struct Stopped {
+    /// When, in milliseconds since the epoch: what started later did not stop.
+    pub at_ms: u64,
+    /// Whether this host learns of it as it happens, so that those which do not say when
+    /// they started were there before.
+    pub is_news: bool,
+}
+
+impl Stopped {
+    fn includes(self, endpoint: &Registration) -> bool {
+        match endpoint.born {
+            0 => self.is_news,
+            born => born < self.at_ms,
+        }
+    }
+}
+
 /// Which changes a listener wants.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Scope {
@@ -169,21 +188,25 @@
 
     /// Endpoints of a service's other releases have stopped, since `version` is rolled out:
     /// they do not say so themselves. Returns their number.
-    pub fn retire_others(&mut self, service: &str, version: &str) -> usize {
-        let is_other = |said: &Registration| {
-            said.service == service && said.version != version && said.state != EndpointState::Gone
+    pub fn retire_others(&mut self, service: &str, version: &str, stopped: Stopped) -> usize {
+        let has_stopped = |said: &Registration| {
+            let is_other = said.service == service && said.version != version;
+            is_other && said.state != EndpointState::Gone && stopped.includes(said)
         };
-        let mut stopped = Vec::new();
-        for known in self.endpoints.values_mut().filter(|known| is_other(&known.said)) {
+        let before = self.remembered.len();
+        self.remembered.retain(|_, said| !has_stopped(said));
+        let forgotten = before - self.remembered.len();
+        let mut gone = Vec::new();
+        for known in self.endpoints.values_mut().filter(|known| has_stopped(&known.said)) {
             known.said.state = EndpointState::Gone;
             known.first_hand = false;
-            stopped.push(known.said.clone());
+            gone.push(known.said.clone());
         }
-        let retired = stopped.len();
-        stopped.into_iter().for_each(|endpoint| {
+        let retired = gone.len();
+        gone.into_iter().for_each(|endpoint| {
             self.changed(endpoint);
         });
-        retired
+        retired + forgotten
     }
 
     /// An endpoint has changed to `now`: gives the change a number.
--- a/src/registry/tests.rs
+++ b/src/registry/tests.rs
@@ -233,25 +233,43 @@
     assert_eq!(ids(&registry, Scope::FirstHand), ["here", "elsewhere"]);
 }
 
+fn of_release(id: &str, version: &str, born: u64) -> Registration {
+    Registration { version: version.into(), born, ..said(id, 1, EndpointState::Ready) }
+}
+
+fn ready_ids(registry: &Registry) -> Vec<&str> {
+    registry.ready("llm").map(|endpoint| endpoint.id.as_str()).collect()
+}
+
 #[test]
 fn endpoints_of_other_releases_are_retired_and_later_ones_are_not() {
-    let of = |id: &str, version: &str| Registration {
-        version: version.into(),
-        ..said(id, 1, EndpointState::Ready)
-    };
     let mut registry = Registry::default();
-    for endpoint in [of("old", "v1"), of("new", "v2")] {
+    for endpoint in [of_release("old", "v1", 100), of_release("new", "v2", 900)] {
         registry.merge(endpoint, FirstHand);
     }
-    registry.merge(Registration { service: "app".into(), ..of("app", "v1") }, FirstHand);
+    let other = Registration { service: "app".into(), ..of_release("app", "v1", 100) };
+    registry.merge(other, FirstHand);
     let before = registry.last_change();
-    assert_eq!(registry.retire_others("llm", "v2"), 1);
+    let stopped = Stopped { at_ms: 1_000, is_news: true };
+    assert_eq!(registry.retire_others("llm", "v2", stopped), 1);
     assert_eq!(registry.changes_after(before, 9, Scope::All).endpoints[0].id, "old");
     // A heartbeat that was under way does not bring it back.
-    registry.merge(Registration { sequence: 9, ..of("old", "v1") }, FirstHand);
+    registry.merge(Registration { sequence: 9, ..of_release("old", "v1", 100) }, FirstHand);
     // An ordinary replacement brings the next release later.
-    registry.merge(of("next", "v3"), FirstHand);
-    let ready: Vec<_> = registry.ready("llm").map(|endpoint| endpoint.id.as_str()).collect();
-    assert_eq!(ready, ["new", "next"]);
+    registry.merge(of_release("next", "v3", 1_500), FirstHand);
+    assert_eq!(ready_ids(&registry), ["new", "next"]);
     assert_eq!(registry.ready("app").count(), 1);
 }
+
+/// A host that was down learns the end of a roll-out from its log, after the endpoints.
+#[test]
+fn endpoints_that_started_after_the_end_are_not_retired_by_a_host_that_learns_of_it_late() {
+    let mut registry = Registry::default();
+    registry.remember(vec![of_release("a", "v1", 100), of_release("b", "v3", 1_500)]);
+    for endpoint in [of_release("next", "v3", 1_500), of_release("silent", "v3", 0)] {
+        registry.merge(endpoint, FirstHand);
+    }
+    let stopped = Stopped { at_ms: 1_000, is_news: false };
+    assert_eq!(registry.retire_others("llm", "v2", stopped), 1);
+    assert_eq!(ready_ids(&registry), ["next", "silent", "b"]);
+}
--- a/src/rollout/model.rs
+++ b/src/rollout/model.rs
@@ -67,6 +67,8 @@
     pub order: Order,
     /// How far it has come.
     pub stage: Stage,
+    /// When that stage was decided, in milliseconds since the epoch at the leader.
+    pub stage_at_ms: u64,
 }
 
 /// The next stage of a roll-out.
@@ -78,6 +80,8 @@
     pub number: u64,
     /// The stage.
     pub stage: Stage,
+    /// When it was decided, in milliseconds since the epoch at the leader.
+    pub at_ms: u64,
 }
 
 /// What became of an order.
@@ -114,7 +118,8 @@
             }
         }
         self.revision += 1;
-        let rollout = Rollout { number: self.revision, order, stage: Stage::Canary };
+        let (number, stage_at_ms) = (self.revision, order.at_ms);
+        let rollout = Rollout { number, order, stage: Stage::Canary, stage_at_ms };
         self.by_service.insert(rollout.order.service.clone(), rollout);
         Ordered::Taken
     }
@@ -124,6 +129,7 @@
         let Some(rollout) = self.by_service.get_mut(&step.service) else { return };
         if rollout.number == step.number && rollout.stage.may_become(step.stage) {
             rollout.stage = step.stage;
+            rollout.stage_at_ms = step.at_ms;
             self.revision += 1;
         }
     }
--- a/src/rollout/shared.rs
+++ b/src/rollout/shared.rs
@@ -8,7 +8,7 @@
 use super::model::{Rollout, Rollouts, Stage};
 use super::report::{Grant, Grants, Report};
 use crate::dispatch::Millis;
-use crate::registry::SharedRegistry;
+use crate::registry::{SharedRegistry, Stopped};
 use crate::wire::HostId;
 
 /// Reports that may wait for the leader's next decision: some seconds of those of
@@ -59,6 +59,7 @@
     /// the new one is rolled out, are retired from the registry.
     pub fn adopt(&self, rollouts: Rollouts, registry: &SharedRegistry) {
         let mut changed = Vec::new();
+        let before = self.table();
         self.table.send_if_modified(|known| {
             let is_newer = rollouts.revision() > known.revision();
             if is_newer {
@@ -68,10 +69,15 @@
             }
             is_newer
         });
-        for Rollout { order, stage, .. } in changed {
+        for rollout in changed {
+            let Rollout { number, order, stage, stage_at_ms } = rollout;
             log::info!("rollout: {} of {} is in stage {stage:?}", order.version, order.service);
             if stage == Stage::Done {
-                registry.retire_others(&order.service, &order.version);
+                let is_news = before
+                    .get(&order.service)
+                    .is_some_and(|known| known.number == number && !known.stage.is_final());
+                let stopped = Stopped { at_ms: stage_at_ms, is_news };
+                registry.retire_others(&order.service, &order.version, stopped);
             }
         }
     }
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -16,7 +16,7 @@
 
 fn step(rollouts: &Rollouts, stage: Stage) -> Step {
     let number = rollouts.get("llm").unwrap().number;
-    Step { service: "llm".into(), number, stage }
+    Step { service: "llm".into(), number, stage, at_ms: 0 }
 }
 
 #[test]
