Count answers and their times apart; judge idleness by rate; ask regions in force now

Found by reading. Good answers of cold endpoints did not count while their failures did, so a release just started looked bad; a stream that broke off counted as good and as failed; a release at which nobody listens gave no evidence at all. A leader that took over took a busy service for idle, since it had counted little. Whether other releases take work was asked by the regions of the request's arrival, and under a lock that all requests share. A kept connection was dropped where the last check refused the request.

--- a/src/bin/bramblecrank/clap_app.rs
+++ b/src/bin/bramblecrank/clap_app.rs
@@ -242,8 +242,9 @@
         .about("Rolls a release of a service out")
         .long_about(
             "Rolls a release of a service out: a small part of its requests goes to the \
-             release's endpoints first, then all of them, or none if it is bad. The endpoints \
-             of both releases must run. An order may be sent again.\n\nExample:\n  \
+             release's endpoints first, then all of them, or none if it is bad. Order it before \
+             they are started: until then they get requests like any other. An order may be \
+             sent again.\n\nExample:\n  \
              bramblecrank rollout start llm v2 --within 30 --to 10.1.0.41:7255",
         )
         .subcommand_required(true)
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -157,10 +157,10 @@
         mut request: Request<Full<Bytes>>,
         is_allowed: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
+        if !is_allowed() {
+            return Err(SendError::NotAllowed);
+        }
         while let Some(mut kept) = self.take(endpoint, address) {
-            if !is_allowed() {
-                return Err(SendError::NotAllowed);
-            }
             match kept.send(request).await {
                 Ok(response) => return Ok((response, kept)),
                 // The endpoint had closed it before anything was written.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -168,7 +168,7 @@
         }
         Ok(Err(SendError::NotAllowed)) => {
             log::info!(
-                "gateway: request {} not sent to {}: no more allowed",
+                "gateway: request {} not sent to {}: no longer allowed there",
                 call.number,
                 endpoint.id
             );
@@ -178,6 +178,7 @@
         Ok(Err(SendError::NotSent(why))) => {
             log::info!("gateway: request {} not sent to {}: {why}", call.number, endpoint.id);
             call.gateway.note_failure(&endpoint.id, endpoint.born, Failure::Unreachable);
+            ticket.observed.failed();
             Err(Attempt::NotSent)
         }
         Ok(Err(SendError::Unknown(why))) => Err(unknown(call, endpoint, &why)),
--- a/src/gateway/observed.rs
+++ b/src/gateway/observed.rs
@@ -20,6 +20,7 @@
     sample: Option<Sample>,
     is_cold: bool,
     sent_at: Instant,
+    has_answered: bool,
     has_failed: bool,
 }
 
@@ -48,6 +49,7 @@
             sample,
             is_cold: endpoint.warmup_ms > 0,
             sent_at: Instant::now(),
+            has_answered: false,
             has_failed: false,
         };
         observed.count("sent");
@@ -64,26 +66,38 @@
         }
     }
 
-    /// Its answer began well. What a cold endpoint takes says nothing of its release.
-    pub fn answered(&self) {
-        if let Some(sample) = self.sample.as_ref().filter(|_| !self.is_cold) {
-            let ms = self.sent_at.elapsed().as_secs_f64() * 1_000.0;
-            self.gateway.with_releases(|releases| releases.tally.answered(sample, ms));
+    /// Its answer began well.
+    pub fn answered(&mut self) {
+        let Some(sample) = &self.sample else { return };
+        if std::mem::replace(&mut self.has_answered, true) {
+            return;
         }
+        let ms = self.sent_at.elapsed().as_secs_f64() * 1_000.0;
+        self.gateway.with_releases(|releases| match self.is_cold {
+            true => releases.tally.answered_cold(sample),
+            false => releases.tally.answered(sample, ms),
+        });
     }
 
-    /// Its answer is a failure, broke off or never came.
+    /// Its answer is a failure, broke off or never came; or nobody listens at the
+    /// endpoint, as where a release ends by itself.
     pub fn failed(&mut self) {
         if std::mem::replace(&mut self.has_failed, true) {
             return;
         }
         if let Some(sample) = &self.sample {
-            self.gateway.with_releases(|releases| releases.tally.failed(sample));
+            self.gateway.with_releases(|releases| match self.has_answered {
+                true => releases.tally.broke_off(sample),
+                false => releases.tally.failed(sample),
+            });
         }
         self.count("failed");
     }
 
     fn unsent(&self) {
+        if self.has_failed {
+            return;
+        }
         if let Some(sample) = &self.sample {
             self.gateway.with_releases(|releases| releases.tally.unsent(sample));
         }
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -102,11 +102,6 @@
         eligibility.allows(candidate)
     }
 
-    /// Whether an endpoint is where it may be served.
-    pub(super) fn is_in_region(&self, endpoint: &Registration) -> bool {
-        self.regions.allows(self.gateway.settings.host.regions.of(&endpoint.hall))
-    }
-
     fn placement_request(&self, eligibility: &Eligibility, tried: &[String]) -> PlacementRequest {
         let objective = Duration::from_millis(self.route.objective_ms);
         let left = objective.saturating_sub(self.arrived.elapsed());
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -139,20 +139,28 @@
         let grant = rollout.and_then(|rollout| {
             gateway.rollouts.grant(gateway.now(), &self.service, rollout.number)
         });
-        let is_of_other =
-            |e: &Registration| rollout.is_some_and(|r| side_of(r, &e.version) == Release::Old);
-        let others_take_work = || {
-            gateway.registry.read(|registry| {
-                let mut ready = registry.ready(&self.service);
-                ready.any(|e| is_of_other(e) && self.is_in_region(e))
-            })
-        };
-        let situation =
-            Circumstances { rollout, grant: grant.as_ref(), others_take_work: &others_take_work };
+        // Asked before the lock: it may look at many endpoints while old ones leave.
+        let others_take_work = rollout.is_none_or(|rollout| self.others_take_work(rollout));
+        let grant = grant.as_ref();
+        let situation = Circumstances { rollout, grant, others_take_work };
         let mut turn = self.turn();
         gateway.with_releases(|releases| f(releases, &mut turn, &situation))
     }
 
+    /// Whether an endpoint of another release than the new one could run it.
+    fn others_take_work(&self, rollout: &Rollout) -> bool {
+        if rollout.stage.is_final() {
+            return true;
+        }
+        let allowed = self.regions_by_now();
+        let regions = &self.gateway.settings.host.regions;
+        let may_run = |endpoint: &Registration| {
+            side_of(rollout, &endpoint.version) == Release::Old
+                && allowed.allows(regions.of(&endpoint.hall))
+        };
+        self.gateway.registry.read(|registry| registry.ready(&self.service).any(may_run))
+    }
+
     fn turn(&self) -> MutexGuard<'_, Turn> {
         self.turn.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -144,6 +144,9 @@
             return Err(BrokenOff::Endpoint);
         };
         if response.status() != StatusCode::OK {
+            let (status, at) = (response.status(), &ticket.endpoint);
+            log::info!("gateway: request {} cannot go on at {at}: {status}", call.number);
+            ticket.observed.failed();
             return Err(BrokenOff::Endpoint);
         }
         call.gateway.metrics.resumed.with_label_values(&[&call.service]).inc();
--- a/src/rollout/course.rs
+++ b/src/rollout/course.rs
@@ -260,7 +260,7 @@
             level,
             suspicious_ms: self.suspicious_since.map_or(0, |since| now.saturating_sub(since)),
             new_answers: self.watch.new_answers,
-            all_sent,
+            counted_ms,
             new_sent: self.sent_new as f64 + before,
             sent_per_ms,
             new_places: around.slots(true),
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -37,6 +37,9 @@
 /// empty: grants of before have ended by then.
 const LEAST_SHIFTING_MS: u64 = 800;
 
+/// Milliseconds for which a host must have counted before it calls a service idle: a
+/// leader that took over a moment ago has seen little of a busy one.
+const RATE_KNOWN_MS: u64 = 2_000;
 /// Milliseconds without an old endpoint after which none is left: a host that has just
 /// started may have heard of the new ones first, and endpoints say that they are there
 /// every second or so.
@@ -63,8 +66,8 @@
     pub suspicious_ms: u64,
     /// Answers of the new release.
     pub new_answers: u64,
-    /// Requests to the service that were reported since this host counts.
-    pub all_sent: u64,
+    /// Milliseconds since this host began to count.
+    pub counted_ms: u64,
     /// Those to the new release, and those that it may have got before.
     pub new_sent: f64,
     /// Requests to the service a millisecond.
@@ -142,8 +145,10 @@
     /// Whether a service has so few requests that its new release could not have had
     /// enough answers by now.
     fn is_idle(&self, canary: u32) -> bool {
-        let could_have = self.all_sent as f64 * f64::from(canary) / 1_000.0;
-        self.has_heard && could_have < LEAST_ANSWERS as f64
+        let sent = self.sent_per_ms * self.elapsed_ms as f64;
+        let could_have = sent * f64::from(canary) / 1_000.0;
+        let is_known = self.has_heard && self.counted_ms >= RATE_KNOWN_MS;
+        is_known && could_have < LEAST_ANSWERS as f64
     }
 }
 
--- a/src/rollout/report.rs
+++ b/src/rollout/report.rs
@@ -74,8 +74,11 @@
     pub sent: u32,
     /// Answers that were failures, broke off or never came.
     pub failed: u32,
-    /// Good answers by the time to their first byte: `(bucket, answers)`, where the
-    /// bucket is that of [`AnswerCounts::bucket`].
+    /// Answers that began well, less those that broke off later: below 0 where more of
+    /// earlier ones broke off than began.
+    pub answered: i32,
+    /// Times to the first byte of those by endpoints that are warm: `(bucket, answers)`,
+    /// where the bucket is that of [`AnswerCounts::bucket`].
     pub took: Vec<(u8, u32)>,
 }
 
@@ -89,29 +92,36 @@
         (ms.max(1.0).log2() * BUCKETS_PER_DOUBLING) as u8
     }
 
-    /// A good answer took so many milliseconds.
+    /// An answer that began well took so many milliseconds.
     pub fn add(&mut self, ms: f64) {
-        let bucket = AnswerCounts::bucket(ms);
-        match self.took.iter_mut().find(|(known, _)| *known == bucket) {
-            Some((_, answers)) => *answers += 1,
-            None => self.took.push((bucket, 1)),
-        }
+        self.answered += 1;
+        self.add_times(AnswerCounts::bucket(ms), 1);
+    }
+
+    /// Answers that failed and that did not.
+    pub fn ended(&self) -> u32 {
+        self.failed + self.answered.max(0) as u32
     }
 
     /// Adds what another counted.
     pub fn merge(&mut self, other: &AnswerCounts) {
         self.sent += other.sent;
         self.failed += other.failed;
+        self.answered += other.answered;
         for (bucket, answers) in &other.took {
-            match self.took.iter_mut().find(|(known, _)| known == bucket) {
-                Some((_, known)) => *known += answers,
-                None => self.took.push((*bucket, *answers)),
-            }
+            self.add_times(*bucket, *answers);
+        }
+    }
+
+    fn add_times(&mut self, bucket: u8, answers: u32) {
+        match self.took.iter_mut().find(|(known, _)| *known == bucket) {
+            Some((_, known)) => *known += answers,
+            None => self.took.push((bucket, answers)),
         }
     }
 
     /// Whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.sent == 0 && self.failed == 0 && self.took.is_empty()
+        self.sent == 0 && self.failed == 0 && self.answered == 0 && self.took.is_empty()
     }
 }
--- a/src/rollout/split.rs
+++ b/src/rollout/split.rs
@@ -71,7 +71,7 @@
     /// What holds of the leader's grants.
     pub grant: Option<&'a Grant>,
     /// Whether an endpoint of another release takes work that could run the request.
-    pub others_take_work: &'a dyn Fn() -> bool,
+    pub others_take_work: bool,
 }
 
 /// The routes of the roll-out that a service is in.
@@ -122,7 +122,7 @@
         rollout: &Rollout,
         situation: &Circumstances<'_>,
     ) -> (VersionRule, Cause) {
-        if !(situation.others_take_work)() {
+        if !situation.others_take_work {
             return (VersionRule::Any, Cause::NoOther);
         }
         let Some(grant) = situation.grant else { return (not(rollout), Cause::NoGrant) };
--- a/src/rollout/tally.rs
+++ b/src/rollout/tally.rs
@@ -77,16 +77,30 @@
         self.count(sample, |counts| counts.sent = counts.sent.saturating_sub(1));
     }
 
-    /// Its answer was a failure, broke off or never came.
+    /// Its answer was a failure or never came.
     pub fn failed(&mut self, sample: &Sample) {
         self.count(sample, |counts| counts.failed += 1);
     }
 
+    /// Its answer began well and broke off later.
+    pub fn broke_off(&mut self, sample: &Sample) {
+        self.count(sample, |counts| {
+            counts.failed += 1;
+            counts.answered -= 1;
+        });
+    }
+
     /// Its answer began well after so many milliseconds.
     pub fn answered(&mut self, sample: &Sample, ms: f64) {
         self.count(sample, |counts| counts.add(ms));
     }
 
+    /// Its answer began well, at an endpoint that is still cold: how long it took says
+    /// nothing of the release.
+    pub fn answered_cold(&mut self, sample: &Sample) {
+        self.count(sample, |counts| counts.answered += 1);
+    }
+
     /// Counts, unless a later roll-out of the service has begun.
     fn count(&mut self, sample: &Sample, add: impl FnOnce(&mut AnswerCounts)) {
         let counted = self.services.entry(sample.service.clone()).or_default();
--- a/src/rollout/tests/course.rs
+++ b/src/rollout/tests/course.rs
@@ -16,7 +16,7 @@
 
 fn rollout_within(stage: Stage, duration_ms: u64) -> Rollout {
     let order = Order { service: "llm".into(), version: "v2".into(), at_ms: 0, duration_ms };
-    Rollout { number: 1, order, stage }
+    Rollout { number: 1, order, stage, stage_at_ms: 0 }
 }
 
 fn surroundings() -> Surroundings {
--- a/src/rollout/tests/plan.rs
+++ b/src/rollout/tests/plan.rs
@@ -17,7 +17,7 @@
         level: 0.0,
         suspicious_ms: 0,
         new_answers: 200,
-        all_sent: 4_000,
+        counted_ms: 4_000,
         new_sent: 220.0,
         sent_per_ms: 1.0,
         new_places: 40,
@@ -36,7 +36,7 @@
         at_part_ms: 1_000,
         permille: 1_000,
         new_sent: 1_500.0,
-        all_sent: 9_000,
+        counted_ms: 9_000,
         ..canary()
     }
 }
@@ -131,7 +131,6 @@
         elapsed_ms: 9_000,
         permille: 500,
         new_answers: 0,
-        all_sent: 0,
         new_sent: 0.0,
         sent_per_ms: 0.0,
         ..canary()
@@ -139,6 +138,22 @@
     assert_eq!(next(&idle), Decision::Step(Stage::Shifting, Why::Idle));
     let unheard = Situation { has_heard: false, ..idle };
     assert_eq!(next(&unheard), Decision::Grant(500), "routers may have much to tell");
+    let new_leader = Situation { counted_ms: 600, ..idle };
+    assert_eq!(next(&new_leader), Decision::Grant(500), "it has hardly counted");
+}
+
+/// 200 requests a second are enough to judge a release in seconds.
+#[test]
+fn a_leader_that_took_over_does_not_take_a_service_for_idle() {
+    let taken_over = Situation {
+        elapsed_ms: 9_000,
+        counted_ms: 2_500,
+        permille: 500,
+        new_answers: 12,
+        sent_per_ms: 0.2,
+        ..canary()
+    };
+    assert_eq!(next(&taken_over), Decision::Grant(500));
 }
 
 #[test]
--- a/src/rollout/tests/size.rs
+++ b/src/rollout/tests/size.rs
@@ -4,7 +4,7 @@
 
 /// A router's answers on one route in a moment: six, in four buckets of times.
 fn tally(route: &str, release: Release) -> RouteTally {
-    let mut answers = AnswerCounts { sent: 6, failed: 1, took: Vec::new() };
+    let mut answers = AnswerCounts { sent: 6, failed: 1, ..AnswerCounts::default() };
     [40.0, 55.0, 70.0, 100.0].into_iter().for_each(|ms| answers.add(ms));
     RouteTally { route: route.into(), release, answers }
 }
--- a/src/rollout/tests/split.rs
+++ b/src/rollout/tests/split.rs
@@ -17,7 +17,7 @@
     fn new(stage: Stage, permille: Option<u32>) -> World {
         let grant = |permille| Grant { service: "llm".into(), number: 1, permille, order_upto: 9 };
         World {
-            rollout: Rollout { number: 1, order: order("v2", 0), stage },
+            rollout: Rollout { number: 1, order: order("v2", 0), stage, stage_at_ms: 0 },
             grant: permille.map(grant),
             old_takes_work: true,
         }
@@ -32,10 +32,9 @@
     }
 
     fn with<T>(&self, f: impl FnOnce(&Circumstances<'_>) -> T) -> T {
-        let others_take_work = || self.old_takes_work;
         let grant = self.grant.as_ref();
         let rollout = Some(&self.rollout);
-        f(&Circumstances { rollout, grant, others_take_work: &others_take_work })
+        f(&Circumstances { rollout, grant, others_take_work: self.old_takes_work })
     }
 }
 
@@ -165,7 +164,7 @@
     assert_eq!(cut_off.ask(&mut splits, &mut turn, 0.0), None);
     let ended = World::new(Stage::Done, None);
     assert_eq!(ended.ask(&mut splits, &mut turn, 0.0), only("v2", u32::MAX));
-    let nothing = Circumstances { rollout: None, grant: None, others_take_work: &|| true };
+    let nothing = Circumstances { rollout: None, grant: None, others_take_work: true };
     assert_eq!(splits.rule(&mut turn, "chat", 0.0, &nothing).0, only("v2", u32::MAX));
 }
 
@@ -201,7 +200,7 @@
 
 #[test]
 fn without_a_roll_out_any_release_runs_a_request() {
-    let nothing = Circumstances { rollout: None, grant: None, others_take_work: &|| true };
+    let nothing = Circumstances { rollout: None, grant: None, others_take_work: true };
     let (rule, cause) = Splits::default().rule(&mut Turn::default(), "chat", 0.5, &nothing);
     assert_eq!((rule, cause), (Some(VersionRule::Any), Cause::NoRollout));
 }
--- a/src/rollout/tests/tally.rs
+++ b/src/rollout/tests/tally.rs
@@ -33,6 +33,24 @@
     assert!(tally.take(&under_way()).services[0].tallies.is_empty());
 }
 
+#[test]
+fn answers_of_cold_endpoints_count_without_their_time_and_one_that_breaks_off_counts_once() {
+    let mut tally = RouterTally::default();
+    let new = sample("chat", Release::New);
+    tally.answered_cold(&new);
+    tally.answered(&new, 100.0);
+    tally.broke_off(&new);
+    let answers = tally.take(&under_way()).services.remove(0).tallies.remove(0).answers;
+    assert_eq!((answers.answered, answers.failed, answers.ended()), (1, 1, 2));
+    assert_eq!(answers.took.len(), 1);
+    // One that began before the last report breaks off.
+    tally.broke_off(&new);
+    let later = tally.take(&under_way()).services.remove(0).tallies.remove(0).answers;
+    let mut sum = answers.clone();
+    sum.merge(&later);
+    assert_eq!((sum.answered, sum.failed), (0, 2));
+}
+
 #[test]
 fn a_report_that_could_not_be_sent_is_part_of_the_next() {
     let mut tally = RouterTally::default();
--- a/src/rollout/verdict.rs
+++ b/src/rollout/verdict.rs
@@ -117,11 +117,7 @@
     evidence.iter().map(|evidence| evidence.level(condemns)).fold(0.0, f64::max)
 }
 
-/// Good and failed answers together.
-fn answered(counts: &AnswerCounts) -> u32 {
-    counts.failed + good(counts)
-}
-
+/// Good answers whose time is known.
 fn good(counts: &AnswerCounts) -> u32 {
     counts.took.iter().map(|(_, answers)| answers).sum()
 }
@@ -165,7 +161,7 @@
 impl RouteWatch {
     fn close_moment(&mut self, condemns: f64, moment: &Moment) -> RouteMoment {
         let old_now = std::mem::take(&mut self.old_now);
-        if answered(&old_now) > 0 {
+        if old_now.ended() > 0 {
             self.old_moments.push_back(old_now);
             if self.old_moments.len() > USUAL_MOMENTS {
                 self.old_moments.pop_front();
@@ -177,12 +173,12 @@
             self.times = old.clone();
         }
         let new = std::mem::take(&mut self.new_now);
-        let usual = usual_part((old.failed, answered(&old)), (last.failed, answered(&last)));
+        let usual = usual_part((old.failed, old.ended()), (last.failed, last.ended()));
         for (evidence, step) in self.failing.iter_mut().zip(FAILING_STEPS) {
-            evidence.add(likelier(new.failed, answered(&new), usual, step), condemns, moment);
+            evidence.add(likelier(new.failed, new.ended(), usual, step), condemns, moment);
         }
         self.weigh_times(&new, &last, condemns, moment);
-        RouteMoment { failed: new.failed, answers: answered(&new), usual }
+        RouteMoment { failed: new.failed, answers: new.ended(), usual }
     }
 
     /// The old releases' answers in the last moments.
@@ -269,7 +265,7 @@
     /// Takes answers in that came since the last moment was closed.
     pub fn take(&mut self, tally: &RouteTally) {
         let route = self.routes.entry(tally.route.clone()).or_default();
-        let (answers, failed) = (answered(&tally.answers), tally.answers.failed);
+        let (answers, failed) = (tally.answers.ended(), tally.answers.failed);
         match tally.release {
             Release::New => {
                 route.new_now.merge(&tally.answers);
