Saved endpoints carry a format, so that those of the release before are not misread

Registrations gained their start and version, the codec is positional and the file carried no format: a list of the release before could be read as something else. Now a mark that no list's count can be begins the file, and a file without it is passed over with a warning; endpoints register again within seconds. The new test failed with the mark left out.

--- a/src/registry/saved.rs
+++ b/src/registry/saved.rs
@@ -18,6 +18,9 @@
 
 /// Name of the file in the data folder.
 const FILE: &str = "endpoints";
+/// Begins what this release writes, and rises with every change of a registration. A list
+/// without it begins with a count in at most ten bytes, which these ten cannot be.
+const FORMAT: [u8; 10] = [0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x81];
 /// How long to wait for further changes before the file is written.
 const SETTLE: Duration = Duration::from_millis(250);
 
@@ -33,9 +36,12 @@
         }
     };
     match sealed::open(&bytes) {
-        Some(endpoints) => endpoints,
-        None => {
-            log::warn!("registry: saved endpoints are damaged, {} bytes passed over", bytes.len());
+        Some((FORMAT, endpoints)) => endpoints,
+        _ => {
+            let size = bytes.len();
+            log::warn!(
+                "registry: saved endpoints are damaged or another release's, {size} bytes passed over"
+            );
             Vec::new()
         }
     }
@@ -45,7 +51,7 @@
 pub fn save(folder: &Path, endpoints: &[Registration]) -> Result<()> {
     let path = folder.join(FILE);
     let new = folder.join(format!("{FILE}.new"));
-    let bytes = sealed::seal(endpoints)?;
+    let bytes = sealed::seal(&(FORMAT, endpoints))?;
     let mut file = File::create(&new).context(FileSnafu { path: &new })?;
     file.write_all(&bytes).context(FileSnafu { path: &new })?;
     file.sync_all().context(FileSnafu { path: &new })?;
--- a/src/registry/tests.rs
+++ b/src/registry/tests.rs
@@ -117,6 +117,15 @@
     assert!(saved::load(folder.path()).is_empty());
 }
 
+#[test]
+fn saved_endpoints_without_a_format_are_passed_over() {
+    let folder = tempfile::tempdir().unwrap();
+    let endpoints = vec![said("a", 2, EndpointState::Ready)];
+    let unformatted = crate::store::sealed::seal(&endpoints).unwrap();
+    std::fs::write(folder.path().join("endpoints"), unformatted).unwrap();
+    assert!(saved::load(folder.path()).is_empty());
+}
+
 fn drained(halls: &[&str]) -> DrainedHalls {
     let mut drained = DrainedHalls::default();
     halls.iter().for_each(|hall| drained.drain(hall));
