A data folder of the release before is read, and an unreadable one is an error

Now a format stands in front of both: of commands a byte above the kinds' numbers, of a state nine full bytes before it, which no number that a state begins with can be (one byte alone would not do: a state begins with its version). What carries none is decoded in the shapes of the release before and taken over: every region is allowed, no roll-out is under way. Bytes left over count as unreadable. What cannot be read is an error that names the entry, the cause and the remedy, and ends the process instead of a panic.

--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinHandle;
 
 use super::courier::Couriers;
+use super::format::{decode_command, decode_state, encode_command, encode_state};
 use super::handle::{DriverStatus, Event, Handle, Leadership, NoLeader, ReplyTo};
 use super::state::{Command, State};
 use crate::agree::{
@@ -70,7 +71,7 @@
     let (sender, events) = mpsc::channel(INBOX);
     let now = peers.clock.now();
     let seed = rand::rng().random();
-    let state = restore(&found.snapshot.data);
+    let state = decode_state(&found.snapshot.data, found.snapshot.index)?;
     let applied = found.snapshot.index;
     let mut replica = Replica::new(now, store, found.hard, found.snapshot, found.entries, seed);
     replica.set_most_voters(settings.most_voters());
@@ -99,14 +100,6 @@
     Ok((Handle { store, events: sender, leadership }, task))
 }
 
-fn restore(data: &[u8]) -> State {
-    match data.is_empty() {
-        true => State::default(),
-        // The snapshot's checksum was right, so it is what this release wrote.
-        false => postcard::from_bytes(data).expect("a whole snapshot holds a state"),
-    }
-}
-
 struct Driver {
     peers: Arc<Peers>,
     published: Published,
@@ -242,7 +235,7 @@
         let mut data = Vec::new();
         let mut replies = Vec::new();
         for (command, reply) in proposals {
-            if let Ok(bytes) = postcard::to_stdvec(&command) {
+            if let Ok(bytes) = encode_command(&command) {
                 data.push(bytes);
                 replies.push(reply);
             }
@@ -355,12 +348,12 @@
         self.send_messages(at_once);
         self.persist(out.persist, held);
         if let Some(snapshot) = out.restore {
-            self.state = restore(&snapshot.data);
+            self.state = decode_state(&snapshot.data, snapshot.index)?;
             self.applied = snapshot.index;
             self.snapshot_at = snapshot.index;
             self.published.adopt(&self.state);
         }
-        self.apply(out.committed);
+        self.apply(out.committed)?;
         for token in out.reads {
             if let Some(reply) = self.reads.remove(&token) {
                 // The asker may have left.
@@ -384,16 +377,14 @@
         }
     }
 
-    fn apply(&mut self, entries: Vec<Entry>) {
+    fn apply(&mut self, entries: Vec<Entry>) -> Result<()> {
         let before = self.state.versions();
         for entry in entries {
             self.applied = entry.index;
             let Payload::Data(data) = &entry.payload else {
                 continue;
             };
-            // Every store runs the same release's encoding of an agreed command.
-            let command = postcard::from_bytes(data).expect("an agreed command can be read");
-            let reply = self.state.apply(command);
+            let reply = self.state.apply(decode_command(data, entry.index)?);
             if let Some((term, waiting)) = self.waiting.remove(&entry.index) {
                 let answer = match term == entry.term {
                     true => Ok(reply),
@@ -406,6 +397,7 @@
         if self.state.versions() != before {
             self.published.adopt(&self.state);
         }
+        Ok(())
     }
 
     /// Writes a snapshot when enough entries have come and the log has grown
@@ -415,7 +407,7 @@
         if entries < self.snapshot_every || self.disk.log_bytes() < self.disk.snapshot_bytes() {
             return Ok(());
         }
-        let Ok(data) = postcard::to_stdvec(&self.state) else {
+        let Ok(data) = encode_state(&self.state) else {
             return Ok(());
         };
         self.snapshot_at = self.applied;
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -88,13 +88,13 @@
 /// The agreed state. Applying a command is deterministic.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct State {
-    history: History,
-    operations: HashMap<String, Changed>,
-    operations_by_age: VecDeque<String>,
-    claims: Table,
-    document: Option<Arc<Document>>,
-    drained: DrainedHalls,
-    rollouts: Rollouts,
+    pub(super) history: History,
+    pub(super) operations: HashMap<String, Changed>,
+    pub(super) operations_by_age: VecDeque<String>,
+    pub(super) claims: Table,
+    pub(super) document: Option<Arc<Document>>,
+    pub(super) drained: DrainedHalls,
+    pub(super) rollouts: Rollouts,
 }
 
 impl State {
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -1,3 +1,5 @@
+mod folder;
+mod format;
 mod registrations;
 
 use proptest::prelude::*;
--- /dev/null
+++ b/src/control/tests/format.rs
@@ -0,0 +1,265 @@
+//! What the release before wrote: its shapes stand here once more, as they were.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+
+use serde::Serialize;
+
+use super::*;
+use crate::claim::{Attempt, Claim, Claimed, Settlement, Table};
+use crate::config::{CustomerId, History};
+use crate::control::format::{decode_command, decode_state, encode_command, encode_state};
+use crate::error::Error;
+use crate::region::AllowedRegions;
+use crate::routing::{Limits, Route, RouteKind, RoutingTable, Target};
+use crate::wire::HostId;
+
+#[derive(Serialize)]
+struct OldState {
+    history: History,
+    operations: HashMap<String, Changed>,
+    operations_by_age: VecDeque<String>,
+    claims: Table,
+    document: Option<Arc<OldDocument>>,
+    drained: OldDrained,
+}
+
+#[derive(Serialize)]
+#[allow(dead_code)]
+enum OldCommand {
+    Change { operation: String, base: Option<u64>, changes: Vec<Change> },
+    Claim { at_ms: u64, claim: Claim },
+    Settle { at_ms: u64, claim: Claim, settlement: Settlement },
+    Replace(Box<OldDocument>),
+    DrainHall(String),
+    RestoreHall(String),
+}
+
+#[derive(Serialize)]
+struct OldDrained {
+    revision: u64,
+    halls: BTreeSet<String>,
+}
+
+#[derive(Serialize)]
+struct OldDocument {
+    table: OldTable,
+    source: Vec<u8>,
+}
+
+#[derive(Serialize)]
+struct OldTable {
+    version: u64,
+    routes: Vec<OldRoute>,
+    services: Vec<ServicePool>,
+    customers: Vec<OldCustomer>,
+    limits: Limits,
+}
+
+#[derive(Serialize)]
+struct OldRoute {
+    name: String,
+    host: String,
+    prefix: String,
+    kind: RouteKind,
+    timeout_ms: u64,
+    objective_ms: u64,
+    pause_objective_ms: u64,
+    priority: u32,
+    targets: Vec<Target>,
+    attempts: u32,
+    public: bool,
+    resumable: bool,
+}
+
+#[derive(Serialize)]
+struct OldCustomer {
+    name: String,
+    keys: Vec<String>,
+    priority: Option<u32>,
+}
+
+/// A document as the release before held it.
+fn old_document(version: u64) -> OldDocument {
+    let route = OldRoute {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/p/".into(),
+        kind: RouteKind::Streaming,
+        timeout_ms: 1_000,
+        objective_ms: 100,
+        pause_objective_ms: 10,
+        priority: 2,
+        targets: vec![Target { service: "llm".into(), weight: 3 }],
+        attempts: 4,
+        public: true,
+        resumable: true,
+    };
+    let customer = |name: &str, priority| OldCustomer {
+        name: name.into(),
+        keys: vec![format!("key of {name}")],
+        priority,
+    };
+    let table = OldTable {
+        version,
+        routes: vec![route],
+        services: with_services().document().unwrap().table.services.clone(),
+        customers: vec![customer("x", Some(7)), customer("y", None)],
+        limits: Limits::default(),
+    };
+    OldDocument { table, source: b"the text".to_vec() }
+}
+
+/// The same document as it is held today.
+pub(super) fn document(version: u64) -> Document {
+    let regions = AllowedRegions::Anywhere;
+    let route = Route {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/p/".into(),
+        kind: RouteKind::Streaming,
+        timeout_ms: 1_000,
+        objective_ms: 100,
+        pause_objective_ms: 10,
+        priority: 2,
+        targets: vec![Target { service: "llm".into(), weight: 3 }],
+        attempts: 4,
+        public: true,
+        resumable: true,
+        regions: regions.clone(),
+    };
+    let customer = |name: &str, priority| crate::routing::CustomerKeys {
+        name: name.into(),
+        keys: vec![format!("key of {name}")],
+        priority,
+        regions: regions.clone(),
+    };
+    let table = RoutingTable {
+        version,
+        routes: vec![route],
+        services: with_services().document().unwrap().table.services.clone(),
+        customers: vec![customer("x", Some(7)), customer("y", None)],
+        limits: Limits::default(),
+    };
+    Document { table, source: b"the text".to_vec() }
+}
+
+fn claim() -> Claim {
+    let attempt = Attempt { router: HostId(1), incarnation: 2, seq: 3 };
+    Claim { customer: CustomerId(0), key: "once".into(), fingerprint: 4, attempt }
+}
+
+/// A state with something in each of its parts, as the release before held it.
+pub(super) fn old_state() -> Vec<u8> {
+    let mut known = State::default();
+    known.apply(change("a", Some(0), "x"));
+    known.apply(change("b", Some(0), "y"));
+    known.apply(Command::Claim { at_ms: 1, claim: claim() });
+    let State { history, operations, operations_by_age, claims, .. } = known;
+    let old = OldState {
+        history,
+        operations,
+        operations_by_age,
+        claims,
+        document: Some(Arc::new(old_document(5))),
+        drained: OldDrained { revision: 3, halls: BTreeSet::from(["a".into(), "b".into()]) },
+    };
+    postcard::to_stdvec(&old).unwrap()
+}
+
+pub(super) fn old_commands() -> Vec<Vec<u8>> {
+    let commands = [
+        OldCommand::Change {
+            operation: "c".into(),
+            base: Some(1),
+            changes: vec![Change::PutCustomer(customer("z"))],
+        },
+        OldCommand::Settle { at_ms: 2, claim: claim(), settlement: Settlement::Answered(None) },
+        OldCommand::Replace(Box::new(old_document(6))),
+        OldCommand::RestoreHall("b".into()),
+        OldCommand::DrainHall("c".into()),
+    ];
+    commands.iter().map(|command| postcard::to_stdvec(command).unwrap()).collect()
+}
+
+#[test]
+fn a_snapshot_of_the_release_before_is_read_whole() {
+    let mut state = decode_state(&old_state(), 9).unwrap();
+    assert_eq!(state.versions(), [1, 5, 3, 0]);
+    assert!(state.history().config().customer_id("x").is_some());
+    assert_eq!(state.history().deltas().count(), 1);
+    assert_eq!(state.apply(change("a", None, "again")), accepted(1), "its first answer");
+    assert_eq!(state.operation("b"), Some(&Changed::Conflict(1)));
+    let other = Claim { attempt: Attempt { seq: 9, ..claim().attempt }, ..claim() };
+    let held = state.apply(Command::Claim { at_ms: 2, claim: other });
+    assert_eq!(held, Reply::Claimed(Claimed::Running(claim().attempt)));
+    assert_eq!(**state.document().unwrap(), document(5));
+    assert_eq!(state.drained().names().collect::<Vec<_>>(), ["a", "b"]);
+    assert_eq!(state.drained().restored_after(0).count(), 0);
+}
+
+#[test]
+fn commands_of_the_release_before_are_applied() {
+    let mut state = decode_state(&old_state(), 9).unwrap();
+    for command in old_commands() {
+        state.apply(decode_command(&command, 10).unwrap());
+    }
+    assert_eq!(state.versions(), [2, 6, 5, 0]);
+    assert_eq!(**state.document().unwrap(), document(6));
+    assert_eq!(state.drained().names().collect::<Vec<_>>(), ["a", "c"]);
+    let claimed = state.apply(Command::Claim { at_ms: 3, claim: claim() });
+    assert_eq!(claimed, Reply::Claimed(Claimed::Answered(None)));
+}
+
+#[test]
+fn what_this_release_writes_it_reads() {
+    let mut state = with_services();
+    for command in [order("llm", "v2"), change("a", None, "x"), Command::DrainHall("a".into())] {
+        let read = decode_command(&encode_command(&command).unwrap(), 1).unwrap();
+        assert_eq!(read, command);
+        state.apply(read);
+    }
+    let read = decode_state(&encode_state(&state).unwrap(), 1).unwrap();
+    assert_eq!(read.versions(), state.versions());
+    assert_eq!(read.rollouts(), state.rollouts());
+    assert_eq!(decode_state(&[], 0).unwrap().versions(), [0; 4], "nothing agreed yet");
+}
+
+/// What an operator reads of a folder that cannot be read.
+fn refusal<T>(read: Result<T, Error>) -> String {
+    match read {
+        Err(error @ Error::Unreadable { .. }) => error.to_string(),
+        Err(error) => panic!("another error: {error}"),
+        Ok(_) => panic!("it was read"),
+    }
+}
+
+#[test]
+fn another_format_is_named_with_its_remedy() {
+    let mut state = encode_state(&State::default()).unwrap();
+    state[9] += 1;
+    let mut command = encode_command(&Command::DrainHall("a".into())).unwrap();
+    command[0] += 1;
+    let remedy = "has format 130, this release reads 129; install the release that wrote it again";
+    assert_eq!(refusal(decode_state(&state, 7)), format!("the snapshot at entry 7 {remedy}"));
+    let read = refusal(decode_command(&command, 8));
+    assert_eq!(read, format!("the agreed command at entry 8 {remedy}"));
+}
+
+#[test]
+fn what_is_cut_or_has_something_behind_it_is_not_read() {
+    let today = encode_state(&with_services()).unwrap();
+    let command = encode_command(&Command::DrainHall("a".into())).unwrap();
+    for whole in [old_state(), today] {
+        assert!(refusal(decode_state(&whole[..whole.len() - 1], 1)).contains("does not decode"));
+        assert!(refusal(decode_state(&[&whole[..], &[0]].concat(), 1)).contains("does not decode"));
+    }
+    for whole in old_commands().into_iter().chain([command]) {
+        assert!(refusal(decode_command(&whole[..whole.len() - 1], 1)).contains("does not decode"));
+        assert!(
+            refusal(decode_command(&[&whole[..], &[0]].concat(), 1)).contains("does not decode")
+        );
+    }
+    refusal(decode_command(&[], 1));
+    refusal(decode_command(&[6, 0], 1));
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -77,6 +77,14 @@
         /// The first damaged byte.
         offset: u64,
     },
+    /// What the data folder or the leader holds is not in a form that this release reads.
+    #[snafu(display("{what} {cause}; install the release that wrote it again"))]
+    Unreadable {
+        /// What cannot be read, and at which entry.
+        what: String,
+        /// Why.
+        cause: String,
+    },
     /// Another process holds the data folder.
     #[snafu(display("{}: the data folder is in use by another process", path.display()))]
     Locked {
--- a/src/registry/halls.rs
+++ b/src/registry/halls.rs
@@ -21,6 +21,11 @@
 }
 
 impl DrainedHalls {
+    /// Halls drained at a revision, where it is not known which were taken back before.
+    pub fn known_without_restored(revision: u64, halls: BTreeSet<String>) -> DrainedHalls {
+        DrainedHalls { revision, halls, restored: BTreeMap::new() }
+    }
+
     /// Drains a data hall.
     pub fn drain(&mut self, hall: &str) {
         let is_new = self.halls.insert(hall.to_string());
