One rule says which data halls are in different regions; a placement looks its router's up once

Routers compared the names of regions, so that a hall without a region was far from one with a region when they chose alone; placement and SETTINGS count it as near. Both go by Regions::is_other_region and are_apart now. The test of the rule failed with the comparison that routers made.

Chooser holds the region of the router that asks, where each engine of each placement looked it up in a map. CopySources is still built twice for a placement: it borrows the engines, whose queue is advanced between the two uses.

--- a/src/gateway/nearby.rs
+++ b/src/gateway/nearby.rs
@@ -28,10 +28,10 @@
 }
 
 impl Gateway {
-    /// Whether an endpoint is in this router's region, as far as regions are known.
+    /// Whether an endpoint is not known to be in another region than this router.
     pub(super) fn is_near(&self, endpoint: &Registration) -> bool {
         let host = &self.settings.host;
-        host.regions.of(&endpoint.hall) == host.regions.of(&host.hall)
+        !host.regions.is_other_region(&host.hall, &endpoint.hall)
     }
 }
 
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -5,7 +5,6 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::copy::{CopySources, PartCopy};
-use super::distance::Distances;
 use super::engine::{EngineModel, reading_units};
 use super::engines::EngineInfo;
 use super::message::PlacementRequest;
@@ -17,6 +16,7 @@
 use super::warmth::Warmth;
 use crate::dispatch::Millis;
 use crate::eligibility::{Candidate, order_of};
+use crate::region::are_apart;
 
 /// Service over an equal part below which being served less says no more.
 const LEAST_RELATIVE: f64 = 0.25;
@@ -146,8 +146,8 @@
     pub engines: &'a Slab<Engine>,
     /// What each keeps of the request's prompt, by its number.
     pub found: &'a [Match],
-    /// What lies between data halls.
-    pub distances: &'a Distances,
+    /// The region of the router that asks; empty where it is not known.
+    pub from_region: &'a str,
     /// Units of long prompts that engines of the service read in a millisecond.
     pub long_rate: f64,
     /// Milliseconds on the placer's clock.
@@ -168,7 +168,7 @@
         for (number, engine) in self.engines.iter().filter(fits) {
             let reading = self.reading(number, engine, request, &sources);
             let score = engine.queue.wait_ms(self.now, engine.model.pace(self.now))
-                + self.away_cost(request, engine)
+                + self.away_cost(engine)
                 + self.rules.reading_weight * reading.read_ms
                 + self.rules.copying_weight * reading.copy_ms
                 + self.rules.harm_ms * engine.model.streams().harmed_by(reading.pause_ms) as f64;
@@ -213,7 +213,7 @@
         let now = self.now as f64;
         let Reading { copy, copy_ms, units, read_ms, pause_ms } =
             self.reading(number, engine, request, &self.copy_sources(request));
-        let own_ms = read_ms + copy_ms + self.way_ms(request, engine);
+        let own_ms = read_ms + copy_ms + self.way_ms(engine);
         let in_time_ms = self.in_time_ms(request, own_ms);
         let latest_start = match standing.is_above() {
             // What a customer gets beyond what it is owed delays no other.
@@ -276,16 +276,16 @@
     }
 
     /// What an engine in another region counts dearer, in milliseconds of waiting.
-    fn away_cost(&self, request: &PlacementRequest, engine: &Engine) -> f64 {
-        match self.distances.is_across(request, engine) {
+    fn away_cost(&self, engine: &Engine) -> f64 {
+        match are_apart(self.from_region, &engine.region) {
             true => self.rules.other_region_cost_ms,
             false => 0.0,
         }
     }
 
     /// Milliseconds on the way to an engine and back, beyond those within a region.
-    fn way_ms(&self, request: &PlacementRequest, engine: &Engine) -> f64 {
-        match self.distances.is_across(request, engine) {
+    fn way_ms(&self, engine: &Engine) -> f64 {
+        match are_apart(self.from_region, &engine.region) {
             true => self.rules.other_region_way_ms,
             false => 0.0,
         }
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -315,7 +315,8 @@
         let pace = self.paces.get(&request.service);
         let long_rate = pace.map_or(f64::MAX, |pace| pace.long.get());
         let Placer { rules, engines, found, distances, .. } = self;
-        Chooser { rules, engines, found, distances, long_rate, now }
+        let from_region = distances.region_of(request);
+        Chooser { rules, engines, found, from_region, long_rate, now }
     }
 
     /// A request goes to an engine.
--- a/src/placement/tests/regions.rs
+++ b/src/placement/tests/regions.rs
@@ -129,3 +129,12 @@
     assert_eq!(endpoint(here.answer), "f");
     assert!(here.own_ms > 0.0);
 }
+
+#[test]
+fn a_data_hall_whose_region_is_not_known_counts_as_near() {
+    let regions = regions();
+    assert!(regions.is_other_region("a", "b"));
+    assert!(!regions.is_other_region("a", "a"));
+    assert!(!regions.is_other_region("a", "unnamed"));
+    assert!(!regions.is_other_region("unnamed", "b"));
+}
--- a/src/region.rs
+++ b/src/region.rs
@@ -17,12 +17,24 @@
         self.by_hall.get(hall).map_or("", String::as_str)
     }
 
+    /// Whether two data halls are in different regions. One whose region is not known
+    /// counts as near.
+    pub fn is_other_region(&self, from_hall: &str, to_hall: &str) -> bool {
+        are_apart(self.of(from_hall), self.of(to_hall))
+    }
+
     /// Whether no data hall is assigned to a region.
     pub fn is_empty(&self) -> bool {
         self.by_hall.is_empty()
     }
 }
 
+/// Whether these are two regions. The empty name stands for one that is not known, which
+/// counts as near.
+pub fn are_apart(from: &str, to: &str) -> bool {
+    !from.is_empty() && !to.is_empty() && from != to
+}
+
 impl FromIterator<(String, String)> for Regions {
     fn from_iter<T: IntoIterator<Item = (String, String)>>(halls: T) -> Self {
         Regions { by_hall: halls.into_iter().collect() }
