The longest warm-up and the highest number of a call do not overflow

Both come from heartbeats and were added to without a bound: a warm-up of 1e300 ms becomes the highest whole number, and a call may have that number too. A host with overflow checks panicked; one without wrapped round and counted the engine as warm. The additions saturate. Both tests failed first. Heartbeats with such values are still taken in.

--- a/src/placement/tests/warmth.rs
+++ b/src/placement/tests/warmth.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::agree::ELECTION_MS;
-use crate::placement::warmth::ColdTurn;
+use crate::placement::warmth::{ColdTurn, Warmth};
 
 /// What the users' cold engines bear, and what their rule allows in any second.
 const BORNE: f64 = 6.1;
@@ -170,3 +170,10 @@
     assert_eq!(turn.part(6_000), 0.0);
     assert_eq!(turn.part(8_000), 1.0);
 }
+
+#[test]
+fn an_engine_that_says_it_is_cold_for_ever_stays_cold() {
+    let mut warmth = Warmth::default();
+    warmth.learn(1_000, Some(1.0), 1, u64::MAX);
+    assert!(warmth.is_full(2_000, 0.0));
+}
--- a/src/placement/warmth.rs
+++ b/src/placement/warmth.rs
@@ -63,7 +63,7 @@
     pub fn learn(&mut self, now: Millis, per_second: Option<f64>, call: u64, warmup_ms: u64) {
         self.per_second = per_second;
         if self.said.replace((call, warmup_ms)) != Some((call, warmup_ms)) {
-            self.cold_until = now + warmup_ms;
+            self.cold_until = now.saturating_add(warmup_ms);
         }
     }
 
--- a/src/registry/known.rs
+++ b/src/registry/known.rs
@@ -64,7 +64,7 @@
     /// It may have turned cold and not yet said so: it counts as cold until it has said
     /// the contrary twice.
     pub fn doubt(&mut self) {
-        self.sure_from = self.said.sequence + SURE_AFTER_CALLS;
+        self.sure_from = self.said.sequence.saturating_add(SURE_AFTER_CALLS);
         count_as_cold(&mut self.said);
     }
 }
--- a/src/registry/tests/halls.rs
+++ b/src/registry/tests/halls.rs
@@ -67,3 +67,11 @@
     registry.merge(said("e", 7, EndpointState::Ready), FirstHand);
     assert!(is_cold(&registry));
 }
+
+#[test]
+fn the_highest_number_of_a_call_does_not_overflow_when_its_hall_is_taken_back() {
+    let mut registry = Registry::default();
+    registry.merge(said("e", u64::MAX, EndpointState::Ready), FirstHand);
+    registry.adopt_drained(taken_back());
+    assert!(is_cold(&registry));
+}
