Another release or data hall of a known endpoint is passed on

An endpoint that does not say when it started, and starts again with another release, was changed only where it called: other hosts kept the release before. The test failed first.

--- a/src/registry/table.rs
+++ b/src/registry/table.rs
@@ -70,7 +70,9 @@
     fn differs_from(&self, before: &Registration) -> bool {
         let of = |r: &Registration| (r.born, r.state, r.address, r.slots, r.warmup_ms > 0);
         let is_colder = self.warmup_ms > before.warmup_ms;
-        of(self) != of(before) || self.service != before.service || is_colder
+        let is_elsewhere = self.service != before.service || self.hall != before.hall;
+        let is_other = is_elsewhere || self.version != before.version;
+        of(self) != of(before) || is_other || is_colder
     }
 }
 
--- a/src/registry/tests.rs
+++ b/src/registry/tests.rs
@@ -48,6 +48,16 @@
     assert_eq!(registry.merge(moved, FirstHand).unwrap().slots, 32);
 }
 
+#[test]
+fn another_release_or_data_hall_of_an_endpoint_is_passed_on() {
+    let mut registry = Registry::default();
+    registry.merge(said("e", 1, EndpointState::Ready), FirstHand);
+    let released = Registration { version: "v2".into(), ..said("e", 2, EndpointState::Ready) };
+    assert_eq!(registry.merge(released.clone(), FirstHand), Some(released.clone()));
+    let moved = Registration { hall: "b".into(), sequence: 3, ..released };
+    assert_eq!(registry.merge(moved.clone(), FirstHand), Some(moved));
+}
+
 fn any_registration() -> impl Strategy<Value = Registration> {
     let state = prop_oneof![
         Just(EndpointState::Ready),
