Regions are the reason for a refusal only where no ready endpoint is in an allowed one

A request bound to regions was refused as no_allowed_region whenever its service had a ready endpoint, also where one in an allowed region had merely another release. What is allowed by now decides, as it does for the choice itself. The test failed with the rule of before.

--- a/src/gateway/nearby.rs
+++ b/src/gateway/nearby.rs
@@ -53,11 +53,24 @@
 
     /// Why no endpoint was found for a request that was not sent yet.
     pub(super) fn why_nowhere(&self) -> Refusal {
-        let is_bound = self.regions != AllowedRegions::Anywhere;
-        let is_ready = || self.gateway.registry.read(|r| r.ready(&self.service).next().is_some());
-        match is_bound && is_ready() {
-            true => Refusal::NoAllowedRegion,
-            false => Refusal::NoEndpoint,
-        }
+        let known = &self.gateway.settings.host.regions;
+        let allowed = self.regions_by_now();
+        self.gateway.registry.read(|registry| {
+            let ready = registry.ready(&self.service);
+            why_nowhere(&allowed, ready.map(|e| known.of(&e.hall)))
+        })
+    }
+}
+
+/// Why none of the endpoints in these regions was found for a request: the regions that
+/// it is allowed to be served in are the reason only where none of them is in one.
+pub(super) fn why_nowhere<'a>(
+    allowed: &AllowedRegions,
+    mut ready: impl Iterator<Item = &'a str>,
+) -> Refusal {
+    let Some(first) = ready.next() else { return Refusal::NoEndpoint };
+    match allowed.allows(first) || ready.any(|region| allowed.allows(region)) {
+        true => Refusal::NoEndpoint,
+        false => Refusal::NoAllowedRegion,
     }
 }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -6,9 +6,12 @@
 
 use super::dialect::{prompt_parts, token_counts};
 use super::endpoints::ColdPart;
+use super::nearby::why_nowhere;
 use super::neighbours::{REFUSED_MS, RENEW_MS};
+use super::refusal::Refusal;
 use super::*;
 use crate::feed::Neighbour;
+use crate::region::AllowedRegions;
 use crate::registry::{EndpointState, Registration};
 use crate::wire::HostId;
 
@@ -73,6 +76,18 @@
     assert!(endpoints.choose(0, ready.iter(), &tried, ANY, ANY_COLD).is_none());
 }
 
+#[test]
+fn regions_are_the_reason_only_where_no_endpoint_is_in_an_allowed_one() {
+    let bound = AllowedRegions::Only(["r".to_string()].into());
+    let why =
+        |allowed: &AllowedRegions, ready: &[&str]| why_nowhere(allowed, ready.iter().copied());
+    let (no_region, no_endpoint) = (Refusal::NoAllowedRegion, Refusal::NoEndpoint);
+    assert_eq!(why(&bound, &["s", ""]), no_region);
+    assert_eq!(why(&bound, &["s", "r"]), no_endpoint, "it was tried, or is of another release");
+    assert_eq!(why(&bound, &[]), no_endpoint);
+    assert_eq!(why(&AllowedRegions::Anywhere, &["s"]), no_endpoint);
+}
+
 #[test]
 fn an_endpoint_that_cannot_be_reached_is_avoided_and_tried_again() {
     let ready = [endpoint("a"), endpoint("b")];
