--- a/src/gateway/nearby.rs
+++ b/src/gateway/nearby.rs
@@ -28,10 +28,10 @@
 }
 
 impl Gateway {
-    /// Whether an endpoint is in this router's region, as far as regions are known.
+    /// Whether an endpoint is not known to be in another region than this router.
     pub(super) fn is_near(&self, endpoint: &Registration) -> bool {
         let host = &self.settings.host;
-        host.regions.of(&endpoint.hall) == host.regions.of(&host.hall)
+        !host.regions.is_other_region(&host.hall, &endpoint.hall)
     }
 }
 
@@ -42,22 +42,32 @@
         let newest = self.gateway.documents.current();
         let newest = newest.filter(|newest| newest.table.version != self.routing_version);
         let Some(newest) = newest else { return self.regions.clone() };
-        let routes = &newest.table.routes;
-        let route = routes.iter().find(|route| route.name == self.route.name);
-        let customers = &newest.table.customers;
-        let customer = self.customer.as_ref();
-        let customer = customer.and_then(|name| customers.iter().find(|c| c.name == *name));
+        let route = newest.route_by_name(&self.route.name);
+        let customer = self.customer.as_deref().and_then(|name| newest.customer_by_name(name));
         let bounds = route.map(|r| &r.regions).into_iter().chain(customer.map(|c| &c.regions));
         bounds.fold(self.regions.clone(), |allowed, bound| allowed.and(bound))
     }
 
     /// Why no endpoint was found for a request that was not sent yet.
     pub(super) fn why_nowhere(&self) -> Refusal {
-        let is_bound = self.regions != AllowedRegions::Anywhere;
-        let is_ready = || self.gateway.registry.read(|r| r.ready(&self.service).next().is_some());
-        match is_bound && is_ready() {
-            true => Refusal::NoAllowedRegion,
-            false => Refusal::NoEndpoint,
-        }
+        let known = &self.gateway.settings.host.regions;
+        let allowed = self.regions_by_now();
+        self.gateway.registry.read(|registry| {
+            let ready = registry.ready(&self.service);
+            why_nowhere(&allowed, ready.map(|e| known.of(&e.hall)))
+        })
+    }
+}
+
+/// Why none of the endpoints in these regions was found for a request: the regions that
+/// it is allowed to be served in are the reason only where none of them is in one.
+pub(super) fn why_nowhere<'a>(
+    allowed: &AllowedRegions,
+    mut ready: impl Iterator<Item = &'a str>,
+) -> Refusal {
+    let Some(first) = ready.next() else { return Refusal::NoEndpoint };
+    match allowed.allows(first) || ready.any(|region| allowed.allows(region)) {
+        true => Refusal::NoEndpoint,
+        false => Refusal::NoAllowedRegion,
     }
 }
