Endpoints of a release that was rolled back leave, whatever is ordered next

Only the newest order of a service was looked at: after a roll-back, an order of another release made the bad one's endpoints as good as any, if they were still there. The test failed first.

--- a/src/registry.rs
+++ b/src/registry.rs
@@ -15,4 +15,6 @@
 
 pub use halls::DrainedHalls;
 pub use shared::SharedRegistry;
-pub use table::{Changes, EndpointState, Hearing, Registration, Registry, Scope, Stopped};
+pub use table::{
+    Changes, EndpointState, Hearing, Registration, Registry, Releases, Retired, Scope,
+};
--- a/src/registry/shared.rs
+++ b/src/registry/shared.rs
@@ -6,7 +6,7 @@
 use tokio::sync::watch;
 
 use super::known::RESTORED_WARMUP_MS;
-use super::{DrainedHalls, Hearing, Registration, Registry, Stopped};
+use super::{DrainedHalls, Hearing, Registration, Registry, Retired};
 
 /// Endpoints that a log line about many names at most.
 const MOST_NAMED: usize = 8;
@@ -46,10 +46,10 @@
         }
     }
 
-    /// Endpoints of a service's other releases have stopped, since `version` is rolled out.
-    pub fn retire_others(&self, service: &str, version: &str, stopped: Stopped) {
-        let retired = self.read_mut(|registry| registry.retire_others(service, version, stopped));
-        log::info!("registry: {retired} endpoints of {service} stop, {version} is rolled out");
+    /// Endpoints take no more work since a roll-out ended.
+    pub fn retire(&self, retired: Retired<'_>) {
+        let number = self.read_mut(|registry| registry.retire(retired));
+        log::info!("registry: {number} endpoints are retired: {retired:?}");
     }
 
     /// Adopts newer orders about data halls.
--- a/src/registry/table.rs
+++ b/src/registry/table.rs
@@ -85,21 +85,48 @@
     SecondHand,
 }
 
-/// Which endpoints stopped at the end of a roll-out.
+/// Which endpoints of a service take no more work at the end of a roll-out.
 #[derive(Clone, Copy, Debug)]
-pub struct Stopped {
-    /// When, in milliseconds since the epoch: what started later did not stop.
+pub struct Retired<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Of which releases.
+    pub releases: Releases<'a>,
+    /// When it ended, in milliseconds since the epoch: what started later is not meant.
     pub at_ms: u64,
     /// Whether this host learns of it as it happens, so that those which do not say when
     /// they started were there before.
     pub is_news: bool,
 }
 
-impl Stopped {
-    fn includes(self, endpoint: &Registration) -> bool {
-        match endpoint.born {
+/// Releases whose endpoints are retired.
+#[derive(Clone, Copy, Debug)]
+pub enum Releases<'a> {
+    /// All but the one that was rolled out: they have stopped.
+    AllBut(&'a str),
+    /// The one that was rolled back: it finishes what it has.
+    Only(&'a str),
+}
+
+impl Retired<'_> {
+    fn includes(&self, endpoint: &Registration) -> bool {
+        let is_of_release = match self.releases {
+            Releases::AllBut(version) => endpoint.version != version,
+            Releases::Only(version) => endpoint.version == version,
+        };
+        let had_started = match endpoint.born {
             0 => self.is_news,
             born => born < self.at_ms,
+        };
+        let is_meant = endpoint.service == self.service && is_of_release && had_started;
+        is_meant && endpoint.state < self.state()
+    }
+
+    /// How far the life of the endpoints has come.
+    fn state(&self) -> EndpointState {
+        match self.releases {
+            Releases::AllBut(_) => EndpointState::Gone,
+            Releases::Only(_) => EndpointState::Leaving,
         }
     }
 }
@@ -188,27 +215,23 @@
         true
     }
 
-    /// Endpoints of a service's other releases have stopped, since `version` is rolled out:
-    /// they do not say so themselves. Returns their number.
-    pub fn retire_others(&mut self, service: &str, version: &str, stopped: Stopped) -> usize {
-        let has_stopped = |said: &Registration| {
-            let is_other = said.service == service && said.version != version;
-            is_other && said.state != EndpointState::Gone && stopped.includes(said)
-        };
+    /// Endpoints take no more work since a roll-out ended: they do not say so themselves.
+    /// Returns their number.
+    pub fn retire(&mut self, retired: Retired<'_>) -> usize {
         let before = self.remembered.len();
-        self.remembered.retain(|_, said| !has_stopped(said));
+        self.remembered.retain(|_, said| !retired.includes(said));
         let forgotten = before - self.remembered.len();
-        let mut gone = Vec::new();
-        for known in self.endpoints.values_mut().filter(|known| has_stopped(&known.said)) {
-            known.said.state = EndpointState::Gone;
+        let mut changed = Vec::new();
+        for known in self.endpoints.values_mut().filter(|known| retired.includes(&known.said)) {
+            known.said.state = retired.state();
             known.first_hand = false;
-            gone.push(known.said.clone());
+            changed.push(known.said.clone());
         }
-        let retired = gone.len();
-        gone.into_iter().for_each(|endpoint| {
+        let number = changed.len();
+        changed.into_iter().for_each(|endpoint| {
             self.changed(endpoint);
         });
-        retired + forgotten
+        number + forgotten
     }
 
     /// An endpoint has changed to `now`: gives the change a number.
--- a/src/registry/tests.rs
+++ b/src/registry/tests.rs
@@ -256,6 +256,11 @@
     Registration { version: version.into(), born, ..said(id, 1, EndpointState::Ready) }
 }
 
+/// A roll-out of `llm` that ended at 1,000 ms.
+fn ended(releases: Releases<'_>, is_news: bool) -> Retired<'_> {
+    Retired { service: "llm", releases, at_ms: 1_000, is_news }
+}
+
 fn ready_ids(registry: &Registry) -> Vec<&str> {
     registry.ready("llm").map(|endpoint| endpoint.id.as_str()).collect()
 }
@@ -269,8 +274,7 @@
     let other = Registration { service: "app".into(), ..of_release("app", "v1", 100) };
     registry.merge(other, FirstHand);
     let before = registry.last_change();
-    let stopped = Stopped { at_ms: 1_000, is_news: true };
-    assert_eq!(registry.retire_others("llm", "v2", stopped), 1);
+    assert_eq!(registry.retire(ended(Releases::AllBut("v2"), true)), 1);
     assert_eq!(registry.changes_after(before, 9, Scope::All).endpoints[0].id, "old");
     // A heartbeat that was under way does not bring it back.
     registry.merge(Registration { sequence: 9, ..of_release("old", "v1", 100) }, FirstHand);
@@ -288,7 +292,22 @@
     for endpoint in [of_release("next", "v3", 1_500), of_release("silent", "v3", 0)] {
         registry.merge(endpoint, FirstHand);
     }
-    let stopped = Stopped { at_ms: 1_000, is_news: false };
-    assert_eq!(registry.retire_others("llm", "v2", stopped), 1);
+    assert_eq!(registry.retire(ended(Releases::AllBut("v2"), false)), 1);
     assert_eq!(ready_ids(&registry), ["next", "silent", "b"]);
 }
+
+/// The next order names another release; the endpoints of the bad one may still be there.
+#[test]
+fn endpoints_of_a_release_that_was_rolled_back_get_nothing_more_until_they_start_again() {
+    let mut registry = Registry::default();
+    for endpoint in [of_release("old", "v1", 100), of_release("bad", "v2", 900)] {
+        registry.merge(endpoint, FirstHand);
+    }
+    assert_eq!(registry.retire(ended(Releases::Only("v2"), true)), 1);
+    registry.merge(Registration { sequence: 9, ..of_release("bad", "v2", 900) }, FirstHand);
+    assert_eq!(ready_ids(&registry), ["old"]);
+    assert_eq!(registry.get("bad").unwrap().state, EndpointState::Leaving);
+    // It leaves as any other, and comes back when it starts again.
+    registry.merge(of_release("bad", "v2", 2_000), FirstHand);
+    assert_eq!(ready_ids(&registry), ["bad", "old"]);
+}
--- a/src/rollout/shared.rs
+++ b/src/rollout/shared.rs
@@ -8,7 +8,7 @@
 use super::model::{Rollout, Rollouts, Stage};
 use super::report::{Grant, Grants, Report};
 use crate::dispatch::Millis;
-use crate::registry::{SharedRegistry, Stopped};
+use crate::registry::{Releases, Retired, SharedRegistry};
 use crate::wire::HostId;
 
 /// Reports that may wait for the leader's next decision: some seconds of those of
@@ -55,8 +55,9 @@
         self.table.subscribe()
     }
 
-    /// Takes a table in, if it is newer. The endpoints of old releases, which stop once
-    /// the new one is rolled out, are retired from the registry.
+    /// Takes a table in, if it is newer. The endpoints of old releases stop once the new
+    /// one is rolled out, and those of one that was rolled back get nothing more, whatever
+    /// is ordered next: both are retired from the registry.
     pub fn adopt(&self, rollouts: Rollouts, registry: &SharedRegistry) {
         let mut changed = Vec::new();
         let before = self.table();
@@ -72,13 +73,15 @@
         for rollout in changed {
             let Rollout { number, order, stage, stage_at_ms } = rollout;
             log::info!("rollout: {} of {} is in stage {stage:?}", order.version, order.service);
-            if stage == Stage::Done {
-                let is_news = before
-                    .get(&order.service)
-                    .is_some_and(|known| known.number == number && !known.stage.is_final());
-                let stopped = Stopped { at_ms: stage_at_ms, is_news };
-                registry.retire_others(&order.service, &order.version, stopped);
-            }
+            let releases = match stage {
+                Stage::Canary | Stage::Shifting => continue,
+                Stage::Done => Releases::AllBut(&order.version),
+                Stage::RolledBack => Releases::Only(&order.version),
+            };
+            let known = before.get(&order.service);
+            let is_news = known.is_some_and(|r| r.number == number && !r.stage.is_final());
+            let (service, at_ms) = (order.service.as_str(), stage_at_ms);
+            registry.retire(Retired { service, releases, at_ms, is_news });
         }
     }
 
