--- a/benches/placer.rs
+++ b/benches/placer.rs
@@ -38,7 +38,6 @@
         born: 0,
         service: "llm".into(),
         version: "v1".into(),
-        hall: "a".into(),
         region: "r".into(),
         slots: 12,
         memory_tokens: 472_528,
--- a/src/placement/engines.rs
+++ b/src/placement/engines.rs
@@ -21,8 +21,6 @@
     pub service: String,
     /// The release of its software.
     pub version: String,
-    /// Its data hall.
-    pub hall: String,
     /// The region of its data hall.
     pub region: String,
     /// Requests that it runs at once.
@@ -69,7 +67,6 @@
         born: endpoint.born,
         service: service.name.clone(),
         version: endpoint.version.clone(),
-        hall: endpoint.hall.clone(),
         region: regions.of(&endpoint.hall).to_string(),
         slots: endpoint.slots.max(engine.slots),
         memory_tokens: engine.memory_tokens,
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -26,7 +26,6 @@
         born: 0,
         service: "llm".into(),
         version: "v1".into(),
-        hall: "a".into(),
         region: "r".into(),
         slots: 64,
         memory_tokens: 500_000,
--- a/src/placement/tests/regions.rs
+++ b/src/placement/tests/regions.rs
@@ -13,7 +13,7 @@
 }
 
 fn far_engine(id: &str) -> EngineInfo {
-    EngineInfo { hall: "b".into(), region: "s".into(), ..engine(id) }
+    EngineInfo { region: "s".into(), ..engine(id) }
 }
 
 /// A placer with these engines near the router that asks, and far from it.
