The soak orders roll-outs of bad releases, and its replicas start again under their ids

Checked: an acknowledged order is never unknown again, a release that fails every request is never rolled out, and what was rolled back stays so; each check is caught breaking by a test.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -86,7 +86,9 @@
     for (number, replica) in replicas.iter().enumerate() {
         actors.spawn(actors::register_on(stage.clone(), replica.clone(), seed + number as u64));
     }
+    let bad = Replica::start("i-new", Behaviour::Fail).await;
     assert!(comes_about(|| serves(&stage)).await, "the fleet does not begin to serve");
+    actors.spawn(actors::roll_out_on(stage.clone(), bad.clone(), seed));
     (0..CALLERS).for_each(|caller| drop(actors.spawn(actors::call_on(stage.clone(), caller))));
     (0..ROUTERS).for_each(|number| drop(actors.spawn(actors::sight_on(stage.clone(), number))));
     actors.spawn(actors::read_on(stage.clone(), seed));
@@ -96,7 +98,8 @@
     actors.join_all().await;
     let kept = comes_about(|| is_kept(&stage)).await;
     let mut history = stage.history.lock().unwrap().clone();
-    history.runs = replicas.iter().flat_map(|r| r.seen()).map(|seen| seen.id()).collect();
+    let all = replicas.iter().chain([&bad]);
+    history.runs = all.flat_map(|r| r.seen()).map(|seen| seen.id()).collect();
     drop(stage);
     report(&history);
     let mut broken = history.broken();
@@ -151,9 +154,13 @@
         answers.filter(|(status, ..)| *status == wanted).count()
     };
     let (behind, denying) = history.behind_ms();
+    let rolled_back = history.rollout_reads.iter().filter_map(|read| read.said.as_ref());
+    let rolled_back = rolled_back.filter(|(_, state)| state == "rolled_back");
     println!(
-        "{} changes, {} reads, {} calls: {} answered, {} refused, {} unknown, {} without an \
+        "{} roll-outs ordered, {} seen rolled back; {} changes, {} reads, {} calls: {} answered, {} refused, {} unknown, {} without an \
          answer; a router was behind for {behind} ms at most, and denied routes for {denying} ms",
+        history.orders.len(),
+        rolled_back.map(|(number, _)| number).collect::<std::collections::BTreeSet<_>>().len(),
         history.acknowledged.len(),
         history.reads.len(),
         history.calls.len(),
--- a/tests/soak/actors.rs
+++ b/tests/soak/actors.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::fleet::{CONTROLS, Fleet, ROUTERS, router};
-use crate::history::{Acknowledged, Call, History, Read, Says, Sighting};
+use crate::history::{Acknowledged, Call, History, Order, Read, RolloutRead, Says, Sighting};
 use crate::http::{Answer, read_answer};
 use crate::replica::Replica;
 
@@ -24,6 +24,10 @@
 const CALL_PAUSE: Duration = Duration::from_millis(8);
 const SIGHT_PAUSE: Duration = Duration::from_millis(25);
 const REGISTER_PAUSE: Duration = Duration::from_millis(400);
+/// Calls of a replica between two of its starts.
+const CALLS_OF_A_START: std::ops::Range<u64> = 4..20;
+/// Seconds in which a roll-out must be decided.
+const ROLL_OUT_SECONDS: u64 = 5;
 /// A configuration has the routes of so many versions before it.
 const ROUTES_KEPT: u64 = 40;
 
@@ -221,23 +225,107 @@
     }
 }
 
-/// Registers a replica again and again, as replicas do, at any control host.
+/// Registers a replica again and again, as replicas do, at any control host. Now and then
+/// it starts again under its id, and counts from one.
 pub async fn register_on(stage: Stage, replica: Replica, seed: u64) {
     let mut rng = SmallRng::seed_from_u64(seed);
-    for sequence in 1u64.. {
-        if stage.is_over() {
+    while !stage.is_over() {
+        let born = epoch_ms();
+        for sequence in 1..=rng.random_range(CALLS_OF_A_START) {
+            register(&stage, &mut rng, &replica, "v1", born, sequence).await;
+            tokio::time::sleep(REGISTER_PAUSE).await;
+            if stage.is_over() {
+                return;
+            }
+        }
+    }
+}
+
+async fn register(
+    stage: &Stage,
+    rng: &mut SmallRng,
+    replica: &Replica,
+    version: &str,
+    born: u64,
+    sequence: u64,
+) {
+    let body = format!(
+        r#"{{"service":"app","address":"{}","zone":"a","version":"{version}","slots":6,"state":"ready","warmupLeftMs":0,"born":{born},"callSeq":{sequence}}}"#,
+        replica.address
+    );
+    let path = format!("/replicas/{}", replica.id);
+    let control = stage.fleet.control(rng.random_range(0..CONTROLS));
+    // Unanswered, it is sent again at the next turn.
+    let _ = ask_control(control, "PUT", &path, &body).await;
+}
+
+fn epoch_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.unwrap().as_millis() as u64
+}
+
+/// Orders one roll-out after the other of releases that fail every request. `replica`
+/// runs each of them.
+pub async fn roll_out_on(stage: Stage, replica: Replica, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    for number in 2u64.. {
+        let version = format!("v{number}");
+        if !order_rollout(&stage, &mut rng, number, &version).await {
             return;
         }
-        let body = format!(
-            r#"{{"service":"app","address":"{}","zone":"a","version":"v1","slots":6,"state":"ready","warmupLeftMs":0,"callSeq":{sequence}}}"#,
-            replica.address
-        );
-        let path = format!("/replicas/{}", replica.id);
+        let born = epoch_ms();
+        for sequence in 1.. {
+            register(&stage, &mut rng, &replica, &version, born, sequence).await;
+            let state = read_rollout(&stage, &mut rng).await;
+            if stage.is_over() {
+                return;
+            }
+            if matches!(state.as_deref(), Some("done" | "rolled_back")) {
+                break;
+            }
+            tokio::time::sleep(REGISTER_PAUSE).await;
+        }
+    }
+}
+
+/// Sends an order until it is taken; false when the soak is over.
+async fn order_rollout(stage: &Stage, rng: &mut SmallRng, number: u64, version: &str) -> bool {
+    let order = format!(
+        r#"{{"service":"app","targetVersion":"{version}","durationS":{ROLL_OUT_SECONDS}}}"#
+    );
+    while !stage.is_over() {
         let control = stage.fleet.control(rng.random_range(0..CONTROLS));
-        // Unanswered, it is sent again at the next turn.
-        let _ = ask_control(control, "PUT", &path, &body).await;
-        tokio::time::sleep(REGISTER_PAUSE).await;
+        let answer = ask_control(control, "POST", "/rollouts", &order).await;
+        if answer.is_some_and(|answer| answer.status == 200) {
+            let at = Instant::now();
+            stage.note(|h| h.orders.push(Order { number, at }));
+            return true;
+        }
+        tokio::time::sleep(CHANGE_PAUSE).await;
     }
+    false
+}
+
+/// Asks for the newest roll-out at any control host that is sure of it.
+pub async fn read_rollout(stage: &Stage, rng: &mut SmallRng) -> Option<String> {
+    let asked = Instant::now();
+    let control = stage.fleet.control(rng.random_range(0..CONTROLS));
+    let answer = ask_control(control, "GET", "/rollouts/app", "").await?;
+    let said = match answer.status {
+        200 if answer.whole => {
+            let text = |name: &str| {
+                let value = answer.body.split_once(&format!(r#""{name}":""#))?.1;
+                Some(value.split_once('"')?.0.to_string())
+            };
+            let number = text("targetVersion")?.trim_start_matches('v').parse().ok()?;
+            Some((number, text("state")?))
+        }
+        404 => None,
+        _ => return None,
+    };
+    let state = said.as_ref().map(|(_, state)| state.clone());
+    stage.note(|h| h.rollout_reads.push(RolloutRead { asked, said }));
+    state
 }
 
 /// Whether one router serves a request.
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::history::{Acknowledged, Call, History, Read, Says, Sighting};
+use crate::history::{Acknowledged, Call, History, Order, Read, RolloutRead, Says, Sighting};
 
 fn after(start: Instant, ms: u64) -> Instant {
     start + Duration::from_millis(ms)
@@ -35,9 +35,17 @@
     history.sightings.push(sighting(start, 30, 2, Says::Denies));
     history.sightings.push(sighting(start, 40, 2, Says::Knows));
     history.sightings.push(Sighting { life: 2, ..sighting(start, 50, 2, Says::Denies) });
+    history.orders.push(Order { number: 2, at: after(start, 10) });
+    history.rollout_reads.push(rollout(after(start, 5), None));
+    history.rollout_reads.push(rollout(after(start, 15), Some((2, "running"))));
+    history.rollout_reads.push(rollout(after(start, 20), Some((2, "rolled_back"))));
     (history, start)
 }
 
+fn rollout(asked: Instant, said: Option<(u64, &str)>) -> RolloutRead {
+    RolloutRead { asked, said: said.map(|(number, state)| (number, state.into())) }
+}
+
 fn breaks(change: impl FnOnce(&mut History, Instant)) -> usize {
     let (mut history, start) = sound();
     assert_eq!(history.broken(), Vec::<String>::new());
@@ -102,3 +110,26 @@
 fn a_router_that_goes_back_is_caught() {
     assert_eq!(breaks(|h, start| h.sightings.push(sighting(start, 60, 1, Says::Denies))), 1);
 }
+
+#[test]
+fn an_acknowledged_order_that_is_lost_is_caught() {
+    assert_eq!(breaks(|h, start| h.rollout_reads.push(rollout(after(start, 25), None))), 1);
+    let older = |start| rollout(after(start, 35), Some((2, "rolled_back")));
+    let orders = |h: &mut History, start| {
+        h.orders.push(Order { number: 3, at: after(start, 30) });
+        h.rollout_reads.push(older(start));
+    };
+    assert_eq!(breaks(orders), 1);
+}
+
+#[test]
+fn a_bad_release_that_is_rolled_out_is_caught() {
+    let done = |start| rollout(after(start, 25), Some((2, "done")));
+    assert_eq!(breaks(|h, start| h.rollout_reads.push(done(start))), 1);
+}
+
+#[test]
+fn a_release_that_is_rolled_out_again_after_its_roll_back_is_caught() {
+    let again = |start| rollout(after(start, 25), Some((2, "running")));
+    assert_eq!(breaks(|h, start| h.rollout_reads.push(again(start))), 1);
+}
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -51,6 +51,22 @@
     pub says: Says,
 }
 
+/// An order of a roll-out that was acknowledged. Releases are numbered in the order of
+/// their orders, and each of them fails every request.
+#[derive(Clone, Copy, Debug)]
+pub struct Order {
+    pub number: u64,
+    pub at: Instant,
+}
+
+/// A question for the newest roll-out that was answered.
+#[derive(Clone, Debug)]
+pub struct RolloutRead {
+    pub asked: Instant,
+    /// The number of its release, and its state; none where there was none.
+    pub said: Option<(u64, String)>,
+}
+
 /// All that was seen.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -60,6 +76,8 @@
     pub reads: Vec<Read>,
     pub calls: Vec<Call>,
     pub sightings: Vec<Sighting>,
+    pub orders: Vec<Order>,
+    pub rollout_reads: Vec<RolloutRead>,
     /// Ids of requests that replicas ran, once for each run.
     pub runs: Vec<String>,
 }
@@ -75,9 +93,37 @@
         broken.extend(self.doubled_runs());
         broken.extend(self.unasked_runs());
         broken.extend(self.routers_gone_back());
+        broken.extend(self.lost_orders());
+        broken.extend(self.rollouts_gone_wrong());
         broken
     }
 
+    /// An acknowledged order is never unknown again.
+    fn lost_orders(&self) -> impl Iterator<Item = String> {
+        self.rollout_reads.iter().filter_map(|read| {
+            let before = self.orders.iter().filter(|order| order.at < read.asked);
+            let newest = before.map(|order| order.number).max()?;
+            let known = read.said.as_ref().map_or(0, |(number, _)| *number);
+            let text = format!("roll-out {known} is the newest after {newest} was acknowledged");
+            (known < newest).then_some(text)
+        })
+    }
+
+    /// A release that fails every request is never rolled out, and what was rolled back
+    /// stays so.
+    fn rollouts_gone_wrong(&self) -> impl Iterator<Item = String> {
+        let mut ended = BTreeSet::new();
+        self.rollout_reads.iter().filter_map(move |read| {
+            let (number, state) = read.said.as_ref()?;
+            if state == "rolled_back" {
+                ended.insert(*number);
+                return None;
+            }
+            let is_wrong = state == "done" || ended.contains(number);
+            is_wrong.then(|| format!("bad release {number} is {state}"))
+        })
+    }
+
     /// The newest version acknowledged before a moment.
     fn newest_before(&self, moment: Instant) -> u64 {
         let before = self.acknowledged.iter().filter(|a| a.at < moment);
