--- a/benches/placer.rs
+++ b/benches/placer.rs
@@ -35,7 +35,7 @@
 fn engine(number: u64) -> EngineInfo {
     EngineInfo {
         id: format!("i-{number:08x}"),
-        born: 0,
+        started_at_ms: 0,
         service: "llm".into(),
         version: "v1".into(),
         region: "r".into(),
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,6 +1,5 @@
 //! The control process: one of the hosts that agree on the configuration.
 
-mod conduct;
 mod courier;
 mod documents;
 mod driver;
@@ -11,6 +10,7 @@
 mod join;
 mod legacy;
 mod registrations;
+mod rollout_controller;
 mod rollouts;
 mod serve;
 mod state;
@@ -155,7 +155,7 @@
     tokio::spawn(take_connections(control.clone(), incoming));
     tokio::spawn(found::found(control.clone()));
     tokio::spawn(spread::follow_version(control.configs.clone(), control.peers.clone()));
-    tokio::spawn(conduct::conduct(control.clone()));
+    tokio::spawn(rollout_controller::run(control.clone()));
     tokio::spawn(crate::operator::serve_control(control.clone()));
     if let Some(interface) = interface {
         tokio::spawn(join::keep_joined(control.clone()));
--- a/src/control/registrations.rs
+++ b/src/control/registrations.rs
@@ -28,7 +28,7 @@
         None if is_named => Heard::Taken,
         None => Heard::NoService,
         // An endpoint belongs to one service from its start to its end.
-        Some(known) if is_named && known.born < said.born => Heard::Taken,
+        Some(known) if is_named && known.started_at_ms < said.started_at_ms => Heard::Taken,
         Some(_) => Heard::OtherService,
     }
 }
--- a/src/control/conduct.rs
+++ b/src/control/rollout_controller.rs
@@ -19,8 +19,8 @@
 use crate::eligibility::order_of;
 use crate::registry::EndpointState;
 use crate::rollout::{
-    Course, Decided, Decision, Grants, Place, Progress, Rollout, Rollouts, Stage, Step,
-    Surroundings,
+    ActiveRollout, Decided, Decision, Grants, Progress, Rollout, RolloutEndpoint, Rollouts,
+    ServiceState, Stage, Step,
 };
 use crate::wire::Role;
 
@@ -82,49 +82,49 @@
 }
 
 /// Conducts roll-outs while this host leads, until the process ends.
-pub(super) async fn conduct(control: Arc<Control>) {
+pub(super) async fn run(control: Arc<Control>) {
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut conductor = Conductor::new(epoch_ms());
+    let mut controller = RolloutController::new(epoch_ms());
     loop {
         ticks.tick().await;
         let now = control.peers.clock.now();
         let table = control.rollouts.table();
-        conductor.ages.adopt(now, epoch_ms(), &table);
+        controller.ages.adopt(now, epoch_ms(), &table);
         let reports = control.rollouts.take_reports();
         let leadership = control.handle.leadership.borrow().clone();
         if !leadership.leads {
-            conductor.lose();
+            controller.lose();
             progress(&control).clear();
             continue;
         }
-        conductor.follow(now, &table);
+        controller.follow(now, &table);
         for (router, report) in &reports {
             for service in &report.services {
-                if let Some(course) = conductor.courses.get_mut(&service.service) {
-                    course.take(now, *router, service);
+                if let Some(active) = controller.active.get_mut(&service.service) {
+                    active.take(now, *router, service);
                 }
             }
         }
-        conductor.tick(&control, now, leadership.term);
+        controller.tick(&control, now, leadership.term);
     }
 }
 
 #[derive(Debug)]
-struct Conductor {
+struct RolloutController {
     ages: Ages,
-    courses: BTreeMap<String, Course>,
+    active: BTreeMap<String, ActiveRollout>,
     ticks: u32,
     has_offered: bool,
     confirmed: Arc<Mutex<Confirmed>>,
     proposals: Proposals,
 }
 
-impl Conductor {
-    fn new(started: u64) -> Conductor {
-        Conductor {
+impl RolloutController {
+    fn new(started: u64) -> RolloutController {
+        RolloutController {
             ages: Ages::new(started),
-            courses: BTreeMap::new(),
+            active: BTreeMap::new(),
             ticks: 0,
             has_offered: false,
             confirmed: Arc::default(),
@@ -134,7 +134,7 @@
 
     /// Another host leads: what was counted here is its no more.
     fn lose(&mut self) {
-        self.courses.clear();
+        self.active.clear();
         self.proposals.clear();
         self.has_offered = false;
         self.confirmed = Arc::default();
@@ -142,19 +142,19 @@
 
     /// Takes in the agreed stages.
     fn follow(&mut self, now: Millis, table: &Rollouts) {
-        let under_way = |service: &String, course: &Course| {
+        let under_way = |service: &String, active: &ActiveRollout| {
             let rollout = table.get(service).filter(|rollout| !rollout.stage.is_final());
-            rollout.is_some_and(|rollout| rollout.number == course.rollout().number)
+            rollout.is_some_and(|rollout| rollout.number == active.rollout().number)
         };
-        self.courses.retain(|service, course| under_way(service, course));
+        self.active.retain(|service, active| under_way(service, active));
         self.proposals.retain(|number| {
             table.all().any(|rollout| rollout.number == number && !rollout.stage.is_final())
         });
         for rollout in table.all().filter(|rollout| !rollout.stage.is_final()) {
             let age = self.ages.of(now, rollout);
-            let begin = || Course::new(rollout.clone(), now, age);
-            let course = self.courses.entry(rollout.order.service.clone()).or_insert_with(begin);
-            course.adopt(now, rollout.stage);
+            let begin = || ActiveRollout::new(rollout.clone(), now, age);
+            let active = self.active.entry(rollout.order.service.clone()).or_insert_with(begin);
+            active.adopt(now, rollout.stage);
         }
     }
 
@@ -163,25 +163,25 @@
         let mut grants = Grants { term, valid_ms: VALID_MS, services: Vec::new() };
         let mut steps = Vec::new();
         let mut has_changed = false;
-        for course in self.courses.values_mut() {
-            let around = surroundings(control, course.rollout());
-            let decided = course.decide(now, &around, &control.settings.rollout);
+        for active in self.active.values_mut() {
+            let around = service_state(control, active.rollout());
+            let decided = active.decide(now, &around, &control.settings.rollout);
             let is_grant = matches!(decided.decision, Decision::Grant(_));
             if is_grant && (decided.is_other_part || self.ticks.is_multiple_of(LOG_EVERY)) {
-                log_decided(course, &decided);
+                log_decided(active, &decided);
             }
             has_changed |= decided.is_other_part;
             if let Decision::Step(stage, _) = decided.decision {
-                let step = step(course.rollout(), stage);
+                let step = step(active.rollout(), stage);
                 if self.proposals.is_due(now, &step) {
-                    log_decided(course, &decided);
+                    log_decided(active, &decided);
                     steps.push(step);
                 }
             }
             grants.services.extend(decided.grant);
         }
         *progress(control) =
-            self.courses.iter().map(|(name, course)| (name.clone(), course.progress())).collect();
+            self.active.iter().map(|(name, active)| (name.clone(), active.progress())).collect();
         self.confirm(control, now);
         self.offer(control, now, grants, has_changed);
         for step in steps {
@@ -192,7 +192,7 @@
     /// Asks a majority now and then, while a roll-out is under way, whether this host
     /// leads still.
     fn confirm(&self, control: &Arc<Control>, now: Millis) {
-        if self.courses.is_empty() || !lock(&self.confirmed).ask(now) {
+        if self.active.is_empty() || !lock(&self.confirmed).ask(now) {
             return;
         }
         let (control, confirmed) = (control.clone(), self.confirmed.clone());
@@ -207,7 +207,7 @@
     fn offer(&mut self, control: &Control, now: Millis, grants: Grants, has_changed: bool) {
         let is_sure = lock(&self.confirmed).is_sure(now);
         let is_due = has_changed || self.ticks.is_multiple_of(OFFER_EVERY);
-        let is_under_way = !self.courses.is_empty();
+        let is_under_way = !self.active.is_empty();
         if (is_under_way && is_sure && is_due) || (!is_under_way && self.has_offered) {
             control.rollouts.offer(grants);
             self.has_offered = is_under_way;
@@ -225,32 +225,32 @@
 }
 
 /// The service's endpoints and the routers that are heard.
-fn surroundings(control: &Control, rollout: &Rollout) -> Surroundings {
+fn service_state(control: &Control, rollout: &Rollout) -> ServiceState {
     let service = &rollout.order.service;
-    let places = control.registry.read(|registry| {
+    let endpoints = control.registry.read(|registry| {
         let left = registry.all().chain(registry.remembered());
         let left = left.filter(|e| e.service == *service && e.state != EndpointState::Gone);
-        let place = |e: &crate::registry::Registration| Place {
+        let endpoint = |e: &crate::registry::Registration| RolloutEndpoint {
             order: order_of(&e.id),
             is_new: e.version == rollout.order.version,
             is_ready: registry.get_ready(&e.id).is_some(),
             is_cold: e.warmup_ms > 0,
             slots: e.slots,
         };
-        left.map(place).collect()
+        left.map(endpoint).collect()
     });
     let view = control.peers.view();
     let routers = view.with_role(Role::Router).map(|router| router.host).collect();
-    Surroundings { places, routers }
+    ServiceState { endpoints, routers }
 }
 
-fn log_decided(course: &Course, decided: &Decided) {
-    let rollout = course.rollout();
+fn log_decided(active: &ActiveRollout, decided: &Decided) {
+    let rollout = active.rollout();
     let (service, version) = (&rollout.order.service, &rollout.order.version);
-    let (now, progress) = (&decided.situation, course.progress());
+    let (now, progress) = (&decided.situation, active.progress());
     log::info!(
         "rollout: {version} of {service}, {:?}: {:?} after {} of {} ms; sent {} new, {} old; \
-         failed {} of {} new answers; part {}; evidence {:.2}: {}; places {} new, {} old; \
+         failed {} of {} new answers; part {}; evidence {:.2}: {}; endpoints {} new, {} old; \
          old ones empty: {}",
         now.stage,
         decided.decision,
@@ -263,8 +263,8 @@
         progress.permille,
         decided.finding.level,
         decided.finding.what,
-        now.new_places,
-        now.old_places,
+        now.new_slots,
+        now.old_slots,
         now.is_old_empty,
     );
 }
--- a/src/control/conduct/tests.rs
+++ b/src/control/rollout_controller/tests.rs
@@ -1,4 +1,4 @@
-//! How old orders are, and what a conductor follows.
+//! How old orders are, and what a controller follows.
 
 use super::*;
 use crate::rollout::Order;
@@ -50,21 +50,21 @@
 #[test]
 fn a_conductor_follows_what_is_under_way_and_forgets_the_rest() {
     let mut table = table(EPOCH);
-    let mut conductor = Conductor::new(EPOCH);
-    conductor.follow(0, &table);
-    assert_eq!(conductor.courses.len(), 1);
+    let mut controller = RolloutController::new(EPOCH);
+    controller.follow(0, &table);
+    assert_eq!(controller.active.len(), 1);
     let number = table.get("llm").unwrap().number;
     table.step(&Step { service: "llm".into(), number, stage: Stage::RolledBack, at_ms: 0 });
-    conductor.follow(100, &table);
-    assert!(conductor.courses.is_empty());
+    controller.follow(100, &table);
+    assert!(controller.active.is_empty());
 }
 
 #[test]
 fn who_leads_no_more_forgets_what_it_counted() {
-    let mut conductor = Conductor::new(EPOCH);
-    conductor.follow(0, &table(EPOCH));
-    conductor.lose();
-    assert!(conductor.courses.is_empty());
+    let mut controller = RolloutController::new(EPOCH);
+    controller.follow(0, &table(EPOCH));
+    controller.lose();
+    assert!(controller.active.is_empty());
 }
 
 #[test]
--- a/src/control/rollouts.rs
+++ b/src/control/rollouts.rs
@@ -89,7 +89,7 @@
     pub(super) fn render_rollout_metrics(&self) -> String {
         let table = self.rollouts.table();
         let count = |stage| table.all().filter(|rollout| rollout.stage == stage).count() as u64;
-        let all = super::conduct::progress(self);
+        let all = super::rollout_controller::progress(self);
         let sum = |of: fn(&crate::rollout::Progress) -> u64| all.values().map(of).sum::<u64>();
         let figures = [
             ("canary", count(Stage::Canary)),
--- a/src/control/tests/registrations.rs
+++ b/src/control/tests/registrations.rs
@@ -17,9 +17,9 @@
     })
 }
 
-fn said(service: &str, born: u64) -> Registration {
+fn said(service: &str, started_at_ms: u64) -> Registration {
     Registration {
-        born,
+        started_at_ms,
         service: service.into(),
         address: Some(([127, 0, 0, 1], 8_000).into()),
         state: EndpointState::Ready,
@@ -28,9 +28,9 @@
     }
 }
 
-fn known(service: &str, born: u64) -> Registry {
+fn known(service: &str, started_at_ms: u64) -> Registry {
     let mut registry = Registry::default();
-    registry.merge(said(service, born), Hearing::FirstHand);
+    registry.merge(said(service, started_at_ms), Hearing::FirstHand);
     registry
 }
 
@@ -47,7 +47,8 @@
 fn an_endpoint_belongs_to_one_service_from_its_start_to_its_end() {
     let in_force = routing(&["app", "llm"]);
     let registry = known("app", 5);
-    let heard = |service, born| judge(&said(service, born), &registry, Some(&in_force));
+    let heard =
+        |service, started_at_ms| judge(&said(service, started_at_ms), &registry, Some(&in_force));
     assert_eq!(heard("app", 5), Heard::Taken);
     assert_eq!(heard("llm", 5), Heard::OtherService);
     assert_eq!(heard("llm", 4), Heard::OtherService);
--- a/src/eligibility.rs
+++ b/src/eligibility.rs
@@ -38,7 +38,7 @@
         version: String,
         /// Of its endpoints those up to here in the order of all: few get much each, so
         /// that a release which fails under load is found out early.
-        order_upto: u32,
+        highest_order: u32,
     },
 }
 
@@ -63,8 +63,8 @@
         match self {
             VersionRule::Any => true,
             VersionRule::Not(version) => candidate.version != version,
-            VersionRule::Only { version, order_upto } => {
-                candidate.version == version && candidate.order <= *order_upto
+            VersionRule::Only { version, highest_order } => {
+                candidate.version == version && candidate.order <= *highest_order
             }
         }
     }
--- a/src/feed/tests/connection.rs
+++ b/src/feed/tests/connection.rs
@@ -161,7 +161,7 @@
     let registry = SharedRegistry::default();
     let endpoint = |number: u32| Registration {
         id: format!("i-{number:010}"),
-        born: 0,
+        started_at_ms: 0,
         service: "service".into(),
         version: "v1".into(),
         address: Some(([10, 0, 0, 1], 8_080).into()),
--- a/src/gateway/endpoints.rs
+++ b/src/gateway/endpoints.rs
@@ -48,7 +48,7 @@
 #[derive(Clone, Debug, Default)]
 struct Seen {
     /// The start of the endpoint that was seen. Nothing of it holds of a later one.
-    born: u64,
+    started_at_ms: u64,
     in_flight: u32,
     prompt_tokens: u64,
     failures: u32,
@@ -159,21 +159,21 @@
 
     /// What was seen of an endpoint since it started.
     fn of(&self, endpoint: &Registration) -> Option<&Seen> {
-        self.seen.get(&endpoint.id).filter(|seen| seen.born == endpoint.born)
+        self.seen.get(&endpoint.id).filter(|seen| seen.started_at_ms == endpoint.started_at_ms)
     }
 
     /// The same, to be changed; none of a start after which a later one was seen.
-    fn seen_of(&mut self, id: &str, born: u64) -> Option<&mut Seen> {
+    fn seen_of(&mut self, id: &str, started_at_ms: u64) -> Option<&mut Seen> {
         let seen = self.seen.entry(id.to_string()).or_default();
-        if seen.born < born {
-            *seen = Seen { born, ..Seen::default() };
+        if seen.started_at_ms < started_at_ms {
+            *seen = Seen { started_at_ms, ..Seen::default() };
         }
-        (seen.born == born).then_some(seen)
+        (seen.started_at_ms == started_at_ms).then_some(seen)
     }
 
-    /// A request was sent to an endpoint that started at `born`.
-    pub fn begin(&mut self, now: Millis, id: &str, born: u64, prompt_tokens: u32) {
-        let Some(seen) = self.seen_of(id, born) else { return };
+    /// A request was sent to an endpoint that started at `started_at_ms`.
+    pub fn begin(&mut self, now: Millis, id: &str, started_at_ms: u64, prompt_tokens: u32) {
+        let Some(seen) = self.seen_of(id, started_at_ms) else { return };
         while seen.sent.front().is_some_and(|at| at + SENT_WINDOW_MS <= now) {
             seen.sent.pop_front();
         }
@@ -183,30 +183,39 @@
     }
 
     /// Its prompt has been read: the first event came.
-    pub fn begun(&mut self, id: &str, born: u64, prompt_tokens: u32) {
-        if let Some(seen) = self.seen.get_mut(id).filter(|seen| seen.born == born) {
+    pub fn begun(&mut self, id: &str, started_at_ms: u64, prompt_tokens: u32) {
+        if let Some(seen) = self.seen.get_mut(id).filter(|seen| seen.started_at_ms == started_at_ms)
+        {
             seen.prompt_tokens = seen.prompt_tokens.saturating_sub(u64::from(prompt_tokens));
         }
     }
 
     /// A request has ended.
-    pub fn end(&mut self, id: &str, born: u64) {
-        if let Some(seen) = self.seen.get_mut(id).filter(|seen| seen.born == born) {
+    pub fn end(&mut self, id: &str, started_at_ms: u64) {
+        if let Some(seen) = self.seen.get_mut(id).filter(|seen| seen.started_at_ms == started_at_ms)
+        {
             seen.in_flight = seen.in_flight.saturating_sub(1);
         }
     }
 
     /// A request was answered.
-    pub fn succeeded(&mut self, id: &str, born: u64) {
-        if let Some(seen) = self.seen.get_mut(id).filter(|seen| seen.born == born) {
+    pub fn succeeded(&mut self, id: &str, started_at_ms: u64) {
+        if let Some(seen) = self.seen.get_mut(id).filter(|seen| seen.started_at_ms == started_at_ms)
+        {
             seen.failures = 0;
             seen.avoid_until = 0;
         }
     }
 
     /// A request failed; returns for how long the endpoint is avoided.
-    pub fn failed(&mut self, now: Millis, id: &str, born: u64, failure: Failure) -> Millis {
-        let Some(seen) = self.seen_of(id, born) else { return 0 };
+    pub fn failed(
+        &mut self,
+        now: Millis,
+        id: &str,
+        started_at_ms: u64,
+        failure: Failure,
+    ) -> Millis {
+        let Some(seen) = self.seen_of(id, started_at_ms) else { return 0 };
         seen.failures += 1;
         seen.replaced |= failure == Failure::Replaced;
         let at_once = failure == Failure::Unreachable;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -177,13 +177,13 @@
         }
         Ok(Err(SendError::NotSent(why))) => {
             log::info!("gateway: request {} not sent to {}: {why}", call.number, endpoint.id);
-            call.gateway.note_failure(&endpoint.id, endpoint.born, Failure::Unreachable);
+            call.gateway.note_failure(&endpoint.id, endpoint.started_at_ms, Failure::Unreachable);
             ticket.observed.failed();
             Err(Attempt::NotSent)
         }
         Ok(Err(SendError::Unknown(why))) => Err(unknown(call, endpoint, &why)),
         Err(_) => {
-            call.gateway.note_failure(&endpoint.id, endpoint.born, Failure::Failed);
+            call.gateway.note_failure(&endpoint.id, endpoint.started_at_ms, Failure::Failed);
             log::info!("gateway: request {} got no answer of {}", call.number, endpoint.id);
             Err(Attempt::TimedOut)
         }
@@ -192,7 +192,7 @@
 
 fn unknown(call: &Call, endpoint: &Registration, why: &str) -> Attempt {
     log::info!("gateway: request {} lost its answer at {}: {why}", call.number, endpoint.id);
-    call.gateway.note_failure(&endpoint.id, endpoint.born, Failure::Failed);
+    call.gateway.note_failure(&endpoint.id, endpoint.started_at_ms, Failure::Failed);
     Attempt::Unknown
 }
 
@@ -218,7 +218,7 @@
         let replaced = status == StatusCode::MISDIRECTED_REQUEST;
         let failure = if replaced { Failure::Replaced } else { Failure::Rejected };
         log::info!("gateway: request {} not run by {}: {status}", call.number, endpoint.id);
-        call.gateway.note_failure(&endpoint.id, endpoint.born, failure);
+        call.gateway.note_failure(&endpoint.id, endpoint.started_at_ms, failure);
         return Err(Attempt::NotExecuted);
     }
     if head.id != call.head.id {
@@ -233,7 +233,7 @@
 async fn judge(call: &Arc<Call>, endpoint: &Registration, opened: Opened) -> Attempt {
     let streams = call.route.kind == RouteKind::Streaming;
     if opened.response.status().is_success() && streams {
-        call.gateway.with_endpoints(|e| e.succeeded(&endpoint.id, endpoint.born));
+        call.gateway.with_endpoints(|e| e.succeeded(&endpoint.id, endpoint.started_at_ms));
         return Attempt::Answered(stream::relay(call, opened));
     }
     let Opened { response, connection, mut ticket } = opened;
@@ -267,9 +267,9 @@
     let failed = head.status.is_server_error();
     let response = Response::from_parts(head, Body::from(body));
     if failed {
-        call.gateway.note_failure(&endpoint.id, endpoint.born, Failure::Failed);
+        call.gateway.note_failure(&endpoint.id, endpoint.started_at_ms, Failure::Failed);
         return Attempt::Error(response);
     }
-    call.gateway.with_endpoints(|e| e.succeeded(&endpoint.id, endpoint.born));
+    call.gateway.with_endpoints(|e| e.succeeded(&endpoint.id, endpoint.started_at_ms));
     Attempt::Answered(response)
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -18,7 +18,7 @@
 use super::state::{Gateway, Presence};
 use crate::placement;
 use crate::region::AllowedRegions;
-use crate::rollout::Turn;
+use crate::rollout::ReleaseChoice;
 use crate::routing::Route;
 
 /// Endpoints to which one request is sent at most when none has taken it.
@@ -45,7 +45,7 @@
     pub arrived: Instant,
     pub limit: Instant,
     /// What it has drawn while a release is rolled out.
-    pub turn: Mutex<Turn>,
+    pub turn: Mutex<ReleaseChoice>,
     pub _presence: Presence,
 }
 
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -14,8 +14,8 @@
 use crate::eligibility::VersionRule;
 use crate::registry::Registration;
 use crate::rollout::{
-    ALL_PERMILLE, Cause, Circumstances, Grant, Release, Rollout, Rollouts, RouterTally, Splits,
-    Turn, side_of,
+    ALL_PERMILLE, Cause, Grant, Release, ReleaseChoice, Rollout, Rollouts, RouterState,
+    RouterTally, Splits, side_of,
 };
 
 /// How often the leader is told what was seen: several times within the second in which
@@ -131,7 +131,7 @@
 
     fn with_situation<T>(
         &self,
-        f: impl FnOnce(&mut Releases, &mut Turn, &Circumstances<'_>) -> T,
+        f: impl FnOnce(&mut Releases, &mut ReleaseChoice, &RouterState<'_>) -> T,
     ) -> T {
         let gateway = &self.gateway;
         let table = gateway.rollouts.table();
@@ -142,7 +142,7 @@
         // Asked before the lock: it may look at many endpoints while old ones leave.
         let others_take_work = rollout.is_none_or(|rollout| self.others_take_work(rollout));
         let grant = grant.as_ref();
-        let situation = Circumstances { rollout, grant, others_take_work };
+        let situation = RouterState { rollout, grant, others_take_work };
         let mut turn = self.turn();
         gateway.with_releases(|releases| f(releases, &mut turn, &situation))
     }
@@ -161,7 +161,7 @@
         self.gateway.registry.read(|registry| registry.ready(&self.service).any(may_run))
     }
 
-    fn turn(&self) -> MutexGuard<'_, Turn> {
+    fn turn(&self) -> MutexGuard<'_, ReleaseChoice> {
         self.turn.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -171,9 +171,9 @@
     }
 
     /// A request failed at an endpoint.
-    pub(super) fn note_failure(&self, id: &str, born: u64, failure: Failure) {
+    pub(super) fn note_failure(&self, id: &str, started_at_ms: u64, failure: Failure) {
         let now = self.now();
-        let avoided = self.with_endpoints(|e| e.failed(now, id, born, failure));
+        let avoided = self.with_endpoints(|e| e.failed(now, id, started_at_ms, failure));
         if avoided > 0 {
             log::info!("gateway: endpoint {id} avoided for {avoided} ms: {failure:?}");
         }
@@ -263,7 +263,7 @@
     /// The endpoint's id.
     pub endpoint: String,
     /// The start of the endpoint that it was sent to.
-    pub born: u64,
+    pub started_at_ms: u64,
     prompt_tokens: u32,
     begun: bool,
     reservation: Option<Reservation>,
@@ -280,17 +280,25 @@
         observed: Observed,
     ) -> Ticket {
         let now = gateway.now();
-        let (endpoint, born) = (endpoint.id.clone(), endpoint.born);
-        gateway.with_endpoints(|e| e.begin(now, &endpoint, born, prompt_tokens));
+        let (endpoint, started_at_ms) = (endpoint.id.clone(), endpoint.started_at_ms);
+        gateway.with_endpoints(|e| e.begin(now, &endpoint, started_at_ms, prompt_tokens));
         let gateway = gateway.clone();
-        Ticket { gateway, endpoint, born, prompt_tokens, begun: false, reservation, observed }
+        Ticket {
+            gateway,
+            endpoint,
+            started_at_ms,
+            prompt_tokens,
+            begun: false,
+            reservation,
+            observed,
+        }
     }
 
     /// The first part of the answer came.
     pub fn begun(&mut self) {
         if !std::mem::replace(&mut self.begun, true) {
             let tokens = self.prompt_tokens;
-            self.gateway.with_endpoints(|e| e.begun(&self.endpoint, self.born, tokens));
+            self.gateway.with_endpoints(|e| e.begun(&self.endpoint, self.started_at_ms, tokens));
             self.observed.answered();
             if let Some(reservation) = &mut self.reservation {
                 reservation.begun();
@@ -315,8 +323,8 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         let tokens = if self.begun { 0 } else { self.prompt_tokens };
-        self.gateway.with_endpoints(|e| e.begun(&self.endpoint, self.born, tokens));
-        self.gateway.with_endpoints(|e| e.end(&self.endpoint, self.born));
+        self.gateway.with_endpoints(|e| e.begun(&self.endpoint, self.started_at_ms, tokens));
+        self.gateway.with_endpoints(|e| e.end(&self.endpoint, self.started_at_ms));
     }
 }
 
@@ -331,10 +339,12 @@
         for endpoint in &changes.endpoints {
             let started = match endpoint.state {
                 EndpointState::Gone => starts.remove(&endpoint.id),
-                _ => starts.insert(endpoint.id.clone(), endpoint.born),
+                _ => starts.insert(endpoint.id.clone(), endpoint.started_at_ms),
             };
             let has_left = endpoint.state != EndpointState::Ready;
-            if has_left || started.is_some_and(|born| born != endpoint.born) {
+            if has_left
+                || started.is_some_and(|started_at_ms| started_at_ms != endpoint.started_at_ms)
+            {
                 gateway.connections.forget(&endpoint.id);
             }
             if has_left {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -123,7 +123,7 @@
         let Some(mut broken) = self.source.take() else { return Err(BrokenOff::Endpoint) };
         let call = self.call.clone();
         let ticket = &broken.ticket;
-        call.gateway.note_failure(&ticket.endpoint, ticket.born, Failure::Failed);
+        call.gateway.note_failure(&ticket.endpoint, ticket.started_at_ms, Failure::Failed);
         broken.ticket.set_ending(Ending::Failed);
         broken.ticket.observed.failed();
         drop(broken);
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -18,7 +18,7 @@
 fn endpoint(id: &str) -> Registration {
     Registration {
         id: id.into(),
-        born: 0,
+        started_at_ms: 0,
         service: "app".into(),
         version: "v1".into(),
         address: Some(([127, 0, 0, 1], 8_000).into()),
@@ -363,7 +363,7 @@
 
 #[test]
 fn what_was_seen_of_an_earlier_start_says_nothing_of_a_later_one() {
-    let again = [Registration { born: 2_000, ..endpoint("a") }];
+    let again = [Registration { started_at_ms: 2_000, ..endpoint("a") }];
     let mut endpoints = Endpoints::default();
     endpoints.begin(0, "a", 1_000, 500);
     endpoints.failed(0, "a", 1_000, Failure::Replaced);
--- a/src/gateway/tests/rollouts.rs
+++ b/src/gateway/tests/rollouts.rs
@@ -108,7 +108,7 @@
 
     fn grant(&mut self, permille: u32, valid_ms: u64) {
         self.term += 1;
-        let grant = Grant { service: "app".into(), number: 1, permille, order_upto: u32::MAX };
+        let grant = Grant { service: "app".into(), number: 1, permille, highest_order: u32::MAX };
         let grants = Grants { term: self.term, valid_ms, services: vec![grant] };
         self.gateway.rollouts.adopt_grants(self.gateway.now(), grants);
     }
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -29,7 +29,7 @@
     /// The endpoint's id.
     pub id: String,
     /// When it started. What was known of an earlier start does not hold of it.
-    pub born: u64,
+    pub started_at_ms: u64,
     /// A hash of the id, from which the order of equal engines comes.
     hash: u64,
     /// Its service.
@@ -67,7 +67,7 @@
             hash: xxh3_64(info.id.as_bytes()),
             order: order_of(&info.id),
             id: info.id,
-            born: info.born,
+            started_at_ms: info.started_at_ms,
             service: info.service,
             version: info.version,
             region: info.region,
@@ -171,7 +171,8 @@
                 + self.away_cost(engine)
                 + self.rules.reading_weight * reading.read_ms
                 + self.rules.copying_weight * reading.copy_ms
-                + self.rules.harm_ms * engine.model.streams().harmed_by(reading.pause_ms) as f64;
+                + self.rules.late_stream_cost_ms
+                    * engine.model.streams().harmed_by(reading.pause_ms) as f64;
             let order = (engine.is_unfit(self.now), !engine.model.has_room(tokens), score);
             let is_better = best.is_none_or(|(best_order, best_number)| {
                 order < best_order
@@ -286,7 +287,7 @@
     /// Milliseconds on the way to an engine and back, beyond those within a region.
     fn way_ms(&self, engine: &Engine) -> f64 {
         match are_apart(self.from_region, &engine.region) {
-            true => self.rules.other_region_way_ms,
+            true => self.rules.other_region_round_trip_ms,
             false => 0.0,
         }
     }
--- a/src/placement/client.rs
+++ b/src/placement/client.rs
@@ -196,8 +196,8 @@
         by: Told,
     ) -> Placed {
         match answer {
-            FromPlacer::Go { endpoint, born, copy_from, .. } => {
-                let at = StartOf { endpoint: &endpoint, born };
+            FromPlacer::Go { endpoint, started_at_ms, copy_from, .. } => {
+                let at = StartOf { endpoint: &endpoint, started_at_ms };
                 lock(&self.memory).placed(request, at, by);
                 let placements = self.clone();
                 let seq = request.seq;
--- a/src/placement/engines.rs
+++ b/src/placement/engines.rs
@@ -16,7 +16,7 @@
     /// The endpoint's id.
     pub id: String,
     /// When it started, in milliseconds since the epoch.
-    pub born: u64,
+    pub started_at_ms: u64,
     /// Its service.
     pub service: String,
     /// The release of its software.
@@ -64,7 +64,7 @@
     };
     let info = |endpoint: &Registration| EngineInfo {
         id: endpoint.id.clone(),
-        born: endpoint.born,
+        started_at_ms: endpoint.started_at_ms,
         service: service.name.clone(),
         version: endpoint.version.clone(),
         region: regions.of(&endpoint.hall).to_string(),
--- a/src/placement/knowledge.rs
+++ b/src/placement/knowledge.rs
@@ -34,7 +34,7 @@
     /// The endpoint's id.
     pub endpoint: &'a str,
     /// When it started.
-    pub born: u64,
+    pub started_at_ms: u64,
 }
 
 /// Open requests and kept prompt parts.
@@ -52,7 +52,7 @@
         let open = OpenRequest {
             seq: request.seq,
             endpoint: at.endpoint.to_string(),
-            born: at.born,
+            started_at_ms: at.started_at_ms,
             parts: request.parts.clone(),
             prompt_tokens: request.prompt_tokens,
             output_tokens: request.output_tokens,
@@ -67,11 +67,11 @@
         let Some(open) = self.open.get_mut(&seq) else { return Vec::new() };
         open.request.begun = true;
         let told = open.told.clone();
-        let (endpoint, born) = (open.request.endpoint.clone(), open.request.born);
+        let (endpoint, started_at_ms) = (open.request.endpoint.clone(), open.request.started_at_ms);
         // The last part is the request's own; few ask for it again.
         let shared = open.request.parts.len().saturating_sub(1);
         let parts = open.request.parts[..shared].to_vec();
-        self.keep(KeptParts { endpoint, born, parts });
+        self.keep(KeptParts { endpoint, started_at_ms, parts });
         told
     }
 
--- a/src/placement/message.rs
+++ b/src/placement/message.rs
@@ -59,7 +59,7 @@
     /// Where it was placed.
     pub endpoint: String,
     /// The start of the endpoint that it was placed at.
-    pub born: u64,
+    pub started_at_ms: u64,
     /// The prompt's parts.
     pub parts: PromptParts,
     /// Length of the prompt in tokens.
@@ -78,7 +78,7 @@
     /// The endpoint.
     pub endpoint: String,
     /// The start of the endpoint that read them; a later one keeps nothing of them.
-    pub born: u64,
+    pub started_at_ms: u64,
     /// The parts.
     pub parts: PromptParts,
 }
@@ -138,7 +138,7 @@
         /// The endpoint's id.
         endpoint: String,
         /// When the endpoint started, as the placer knows it.
-        born: u64,
+        started_at_ms: u64,
         /// The id of an endpoint from which it should copy prompt parts.
         copy_from: Option<String>,
     },
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -124,7 +124,7 @@
     /// ended, and the new one keeps nothing.
     fn forget_earlier_start(&mut self, info: &EngineInfo) {
         let Some(number) = self.numbers.get(&info.id).copied() else { return };
-        if self.engines[number].born == info.born {
+        if self.engines[number].started_at_ms == info.started_at_ms {
             return;
         }
         self.engines.remove(number);
@@ -133,10 +133,10 @@
         self.placed.retain(|_, at| *at != number);
     }
 
-    /// The number of an engine that has not started again since `born`.
-    fn number_of(&self, endpoint: &str, born: u64) -> Option<EngineNumber> {
+    /// The number of an engine that has not started again since `started_at_ms`.
+    fn number_of(&self, endpoint: &str, started_at_ms: u64) -> Option<EngineNumber> {
         let number = *self.numbers.get(endpoint)?;
-        (self.engines[number].born == born).then_some(number)
+        (self.engines[number].started_at_ms == started_at_ms).then_some(number)
     }
 
     /// Part of what cold engines bear that this placer may send them from now on.
@@ -172,14 +172,14 @@
     /// Takes in what a router knows from placements that others decided.
     fn learn(&mut self, now: Millis, router: HostId, knowledge: Knowledge) {
         for kept in &knowledge.kept {
-            if let Some(number) = self.number_of(&kept.endpoint, kept.born) {
+            if let Some(number) = self.number_of(&kept.endpoint, kept.started_at_ms) {
                 self.keep(number, &kept.parts);
                 self.parts.set_read(number, &kept.parts);
             }
         }
         for open in knowledge.open {
             let key = (router, open.seq);
-            let Some(number) = self.number_of(&open.endpoint, open.born) else { continue };
+            let Some(number) = self.number_of(&open.endpoint, open.started_at_ms) else { continue };
             if self.placed.contains_key(&key) {
                 continue;
             }
@@ -283,7 +283,7 @@
         let answer = FromPlacer::Go {
             seq: key.1,
             endpoint: id(choice.engine),
-            born: self.engines[choice.engine].born,
+            started_at_ms: self.engines[choice.engine].started_at_ms,
             copy_from: choice.copy.map(|copy| id(copy.from)),
         };
         self.commit(now, key, &request, &choice);
--- a/src/placement/rules.rs
+++ b/src/placement/rules.rs
@@ -30,7 +30,7 @@
     /// between regions take a narrow link and a price.
     pub other_region_cost_ms: f64,
     /// Milliseconds to another region and back.
-    pub other_region_way_ms: f64,
+    pub other_region_round_trip_ms: f64,
     /// Whether engines copy prompt parts between regions: only where they have a network
     /// of their own there. On a link that all traffic shares a copy takes minutes.
     pub copies_between_regions: bool,
@@ -43,7 +43,7 @@
     pub piece_tokens: u32,
     /// Milliseconds of waiting that a stream counts for whose pauses a prompt would
     /// stretch beyond what its caller was promised.
-    pub harm_ms: f64,
+    pub late_stream_cost_ms: f64,
 }
 
 impl Default for PlacementRules {
@@ -57,12 +57,12 @@
             never_in_time_wait: 0.35,
             underserved_wait: 1.0,
             other_region_cost_ms: 40.0,
-            other_region_way_ms: 25.0,
+            other_region_round_trip_ms: 25.0,
             copies_between_regions: false,
             underserved: 0.5,
             cold_part: 1.0,
             piece_tokens: 2_048,
-            harm_ms: 400.0,
+            late_stream_cost_ms: 400.0,
         }
     }
 }
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -13,7 +13,7 @@
 use super::message::{FromPlacer, ToPlacer};
 use super::placer::Placer;
 use super::rules::PlacementRules;
-use super::warmth::ColdTurn;
+use super::warmth::ColdSender;
 use crate::clock::Clock;
 use crate::dispatch::Millis;
 use crate::peer::PeerReader;
@@ -63,7 +63,7 @@
         regions,
         placer,
         leads: Box::new(leads),
-        cold_turn: ColdTurn::default(),
+        cold_sender: ColdSender::default(),
         cold_part: rules.cold_part,
         sessions: HashMap::new(),
     };
@@ -103,7 +103,7 @@
     regions: Regions,
     placer: Placer,
     leads: Box<dyn Fn() -> Option<u64> + Send>,
-    cold_turn: ColdTurn,
+    cold_sender: ColdSender,
     /// Part of what cold engines bear that the leader's placer may send them.
     cold_part: f64,
     sessions: HashMap<HostId, (u64, BatchSender<FromPlacer>)>,
@@ -142,8 +142,8 @@
 
     /// Whether it is this placer's turn to send to cold engines.
     fn take_turn(&mut self, now: Millis) {
-        self.cold_turn.set_leads(now, (self.leads)());
-        self.placer.set_cold_part(self.cold_part * self.cold_turn.part(now));
+        self.cold_sender.set_leads(now, (self.leads)());
+        self.placer.set_cold_part(self.cold_part * self.cold_sender.part(now));
     }
 
     fn learn_engines(&mut self) {
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -4,9 +4,9 @@
 mod pauses;
 mod queue;
 mod rate;
-mod reborn;
 mod regions;
 mod releases;
+mod restarts;
 mod standing;
 mod warmth;
 
@@ -23,7 +23,7 @@
 fn engine(id: &str) -> EngineInfo {
     EngineInfo {
         id: id.into(),
-        born: 0,
+        started_at_ms: 0,
         service: "llm".into(),
         version: "v1".into(),
         region: "r".into(),
@@ -78,7 +78,7 @@
 }
 
 fn at(endpoint: &str) -> StartOf<'_> {
-    StartOf { endpoint, born: 0 }
+    StartOf { endpoint, started_at_ms: 0 }
 }
 
 fn serve(placer: &mut Placer, now: u64, seq: u64) {
@@ -345,7 +345,10 @@
     let knowledge = memory.tell(HostId(9));
     assert!(second.receive(0, ROUTER, ToPlacer::Known(knowledge.clone())).is_none());
     let next = decide(&mut second, 0, request(3, "x", 7, 500));
-    assert_eq!(next.answer, FromPlacer::Go { seq: 3, endpoint: home, born: 0, copy_from: None });
+    assert_eq!(
+        next.answer,
+        FromPlacer::Go { seq: 3, endpoint: home, started_at_ms: 0, copy_from: None }
+    );
     assert!(next.own_ms < 100.0, "10,000 shared tokens are kept there: {} ms", next.own_ms);
     let alone = PlacementRequest {
         avoid: ["a", "b", "c"].into_iter().filter(|id| *id != busy).map(String::from).collect(),
--- a/src/placement/tests/regions.rs
+++ b/src/placement/tests/regions.rs
@@ -60,7 +60,7 @@
 fn the_way_to_another_region_counts_against_the_objective() {
     let own_ms = |mut placer: Placer| decide(&mut placer, 0, asked(1)).own_ms;
     let difference = own_ms(placer_of(&[], &["f"])) - own_ms(placer_of(&["n"], &[]));
-    let way = PlacementRules::default().other_region_way_ms;
+    let way = PlacementRules::default().other_region_round_trip_ms;
     assert!((difference - way).abs() < 1e-9, "{difference} ms");
 }
 
@@ -104,7 +104,8 @@
     assert_eq!(endpoint(place(&mut placer, 400, bound(&["s"], busy))), "f");
     for next in [request(3, "z", 7, 500), bound(&["r"], request(4, "u", 7, 500))] {
         let seq = next.seq;
-        let expected = FromPlacer::Go { seq, endpoint: "n".into(), born: 0, copy_from: None };
+        let expected =
+            FromPlacer::Go { seq, endpoint: "n".into(), started_at_ms: 0, copy_from: None };
         assert_eq!(place(&mut placer, 400, next), expected);
     }
 }
--- a/src/placement/tests/releases.rs
+++ b/src/placement/tests/releases.rs
@@ -7,8 +7,8 @@
     EngineInfo { version: version.into(), ..engine(id) }
 }
 
-fn only(version: &str, order_upto: u32) -> VersionRule {
-    VersionRule::Only { version: version.into(), order_upto }
+fn only(version: &str, highest_order: u32) -> VersionRule {
+    VersionRule::Only { version: version.into(), highest_order }
 }
 
 fn to(version: VersionRule, request: PlacementRequest) -> PlacementRequest {
--- a/src/placement/tests/reborn.rs
+++ b/src/placement/tests/restarts.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 
-fn started(id: &str, born: u64) -> EngineInfo {
-    EngineInfo { born, ..engine(id) }
+fn started(id: &str, started_at_ms: u64) -> EngineInfo {
+    EngineInfo { started_at_ms, ..engine(id) }
 }
 
 fn placer_of(engines: Vec<EngineInfo>) -> Placer {
@@ -62,13 +62,17 @@
 fn what_a_router_knows_of_an_earlier_start_is_not_believed_of_a_later_one() {
     let mut memory = Memory::default();
     let kept = request(1, "x", 7, 500);
-    memory.placed(&kept, StartOf { endpoint: "a", born: 1 }, Told::Local);
+    memory.placed(&kept, StartOf { endpoint: "a", started_at_ms: 1 }, Told::Local);
     memory.begun(1);
     memory.ended(1);
-    memory.placed(&request(2, "x", 9, 30_000), StartOf { endpoint: "a", born: 1 }, Told::Local);
+    memory.placed(
+        &request(2, "x", 9, 30_000),
+        StartOf { endpoint: "a", started_at_ms: 1 },
+        Told::Local,
+    );
     let knowledge = memory.tell(HostId(9));
-    let told = |born| {
-        let mut placer = placer_of(vec![started("a", born)]);
+    let told = |started_at_ms| {
+        let mut placer = placer_of(vec![started("a", started_at_ms)]);
         placer.receive(0, ROUTER, ToPlacer::Known(knowledge.clone()));
         let asked = PlacementRequest { objective_ms: 60_000, ..request(3, "x", 7, 500) };
         let decision = decide(&mut placer, 0, asked);
--- a/src/placement/tests/warmth.rs
+++ b/src/placement/tests/warmth.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::agree::ELECTION_MS;
-use crate::placement::warmth::{ColdTurn, Warmth};
+use crate::placement::warmth::{ColdSender, Warmth};
 
 /// What the users' cold engines bear, and what their rule allows in any second.
 const BORNE: f64 = 6.1;
@@ -102,7 +102,7 @@
 /// A control host's placer, and the terms in which its host takes itself for the leader.
 struct Host {
     placer: Placer,
-    turn: ColdTurn,
+    turn: ColdSender,
     leads: Vec<(u64, std::ops::Range<u64>)>,
 }
 
@@ -110,7 +110,7 @@
     fn leading(leads: Vec<(u64, std::ops::Range<u64>)>) -> Host {
         let mut placer = Placer::new(PlacementRules::default());
         placer.set_engines(0, vec![cold_engine("back", 1, 60_000)]);
-        Host { placer, turn: ColdTurn::default(), leads }
+        Host { placer, turn: ColdSender::default(), leads }
     }
 
     /// Places a request; returns whether it was sent.
@@ -162,7 +162,7 @@
 /// Nobody asks the placer while another one leads, so it does not hear of it.
 #[test]
 fn a_placer_that_leads_again_waits_though_it_was_not_asked_meanwhile() {
-    let mut turn = ColdTurn::default();
+    let mut turn = ColdSender::default();
     turn.set_leads(0, Some(1));
     turn.set_leads(5_000, Some(1));
     assert_eq!(turn.part(5_000), 1.0);
--- a/src/placement/warmth.rs
+++ b/src/placement/warmth.rs
@@ -23,12 +23,12 @@
 /// they send. So only the placer of the leader sends, and not before what the leader
 /// before it sent has left the window; all others send cold engines nothing.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct ColdTurn {
+pub struct ColdSender {
     /// The term in which the placer's host leads, and since when.
     leads: Option<(u64, Millis)>,
 }
 
-impl ColdTurn {
+impl ColdSender {
     /// The term in which the placer's host leads now, if it does. Between two terms of
     /// its own another one may have led.
     pub fn set_leads(&mut self, now: Millis, term: Option<u64>) {
--- a/src/registry/known.rs
+++ b/src/registry/known.rs
@@ -32,7 +32,7 @@
     /// Takes news in. Of two starts the later one counts, and nothing of the earlier one
     /// is kept; returns whether it is a later start.
     pub fn hear(&mut self, news: Registration) -> bool {
-        match news.born.cmp(&self.said.born) {
+        match news.started_at_ms.cmp(&self.said.started_at_ms) {
             std::cmp::Ordering::Less => false,
             std::cmp::Ordering::Equal => {
                 self.hear_of_this_start(news);
--- a/src/registry/table.rs
+++ b/src/registry/table.rs
@@ -26,11 +26,11 @@
 /// What an endpoint says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
-    /// Its id. It may start again under the same one: see `born`.
+    /// Its id. It may start again under the same one: see `started_at_ms`.
     pub id: String,
     /// When it started, in milliseconds since the epoch; 0 where it does not say. The
     /// higher of two is the later start, which knows nothing of the earlier one.
-    pub born: u64,
+    pub started_at_ms: u64,
     /// The service that it belongs to.
     pub service: String,
     /// The release of its software; empty where it does not say.
@@ -54,7 +54,7 @@
     pub fn gone(id: &str) -> Registration {
         Registration {
             id: id.to_string(),
-            born: 0,
+            started_at_ms: 0,
             service: String::new(),
             version: String::new(),
             address: None,
@@ -68,7 +68,7 @@
 
     /// Whether others need to hear of the step from `before` to this.
     fn differs_from(&self, before: &Registration) -> bool {
-        let of = |r: &Registration| (r.born, r.state, r.address, r.slots, r.warmup_ms > 0);
+        let of = |r: &Registration| (r.started_at_ms, r.state, r.address, r.slots, r.warmup_ms > 0);
         let is_colder = self.warmup_ms > before.warmup_ms;
         let is_elsewhere = self.service != before.service || self.hall != before.hall;
         let is_other = is_elsewhere || self.version != before.version;
@@ -114,9 +114,9 @@
             Releases::AllBut(version) => endpoint.version != version,
             Releases::Only(version) => endpoint.version == version,
         };
-        let had_started = match endpoint.born {
+        let had_started = match endpoint.started_at_ms {
             0 => self.is_news,
-            born => born < self.at_ms,
+            started_at_ms => started_at_ms < self.at_ms,
         };
         let is_meant = endpoint.service == self.service && is_of_release && had_started;
         is_meant && endpoint.state < self.state()
@@ -176,7 +176,7 @@
         let is_end = first_hand && news.address.is_none();
         if is_end && let Some(known) = self.get(&news.id) {
             // Who says only that it ends means the start that is known.
-            news.born = known.born;
+            news.started_at_ms = known.started_at_ms;
         }
         if !self.replaces_remembered(&news) {
             return None;
@@ -208,7 +208,11 @@
 
     /// Whether news is of no earlier start than what is remembered, which it replaces.
     fn replaces_remembered(&mut self, news: &Registration) -> bool {
-        if self.remembered.get(&news.id).is_some_and(|before| before.born > news.born) {
+        if self
+            .remembered
+            .get(&news.id)
+            .is_some_and(|before| before.started_at_ms > news.started_at_ms)
+        {
             return false;
         }
         self.remembered.remove(&news.id);
@@ -325,8 +329,8 @@
             if self.just_restored.contains(&endpoint.hall) {
                 count_as_cold(&mut endpoint);
             }
-            let before = self.remembered.get(&endpoint.id).map(|before| before.born);
-            if before.is_none_or(|born| born <= endpoint.born) {
+            let before = self.remembered.get(&endpoint.id).map(|before| before.started_at_ms);
+            if before.is_none_or(|started_at_ms| started_at_ms <= endpoint.started_at_ms) {
                 self.remembered.insert(endpoint.id.clone(), endpoint);
             }
         }
--- a/src/registry/tests.rs
+++ b/src/registry/tests.rs
@@ -9,7 +9,7 @@
 fn said(id: &str, sequence: u64, state: EndpointState) -> Registration {
     Registration {
         id: id.into(),
-        born: 0,
+        started_at_ms: 0,
         service: "llm".into(),
         version: "v1".into(),
         address: Some(([127, 0, 0, 1], 8_000).into()),
@@ -64,9 +64,9 @@
         Just(EndpointState::Leaving),
         Just(EndpointState::Gone)
     ];
-    (0u8..3, 0u64..4, 1u64..20, state).prop_map(|(id, born, sequence, state)| {
-        let slots = (born * 100 + sequence) as u32;
-        Registration { slots, born, ..said(&id.to_string(), sequence, state) }
+    (0u8..3, 0u64..4, 1u64..20, state).prop_map(|(id, started_at_ms, sequence, state)| {
+        let slots = (started_at_ms * 100 + sequence) as u32;
+        Registration { slots, started_at_ms, ..said(&id.to_string(), sequence, state) }
     })
 }
 
@@ -86,7 +86,7 @@
                 registry.merge(said, FirstHand);
             }
             let slots = |r: &Registration| (r.state != EndpointState::Gone).then_some(r.slots);
-            let state = |r: &Registration| (r.id.clone(), r.born, r.state, slots(r));
+            let state = |r: &Registration| (r.id.clone(), r.started_at_ms, r.state, slots(r));
             registry.all().map(state).collect::<Vec<_>>()
         };
         prop_assert_eq!(learn(news), learn(shuffled));
@@ -252,8 +252,8 @@
     assert_eq!(ids(&registry, Scope::FirstHand), ["here", "elsewhere"]);
 }
 
-fn of_release(id: &str, version: &str, born: u64) -> Registration {
-    Registration { version: version.into(), born, ..said(id, 1, EndpointState::Ready) }
+fn of_release(id: &str, version: &str, started_at_ms: u64) -> Registration {
+    Registration { version: version.into(), started_at_ms, ..said(id, 1, EndpointState::Ready) }
 }
 
 /// A roll-out of `llm` that ended at 1,000 ms.
--- a/src/registry/tests/starts.rs
+++ b/src/registry/tests/starts.rs
@@ -2,12 +2,12 @@
 
 use super::*;
 
-fn started(born: u64, sequence: u64, state: EndpointState) -> Registration {
-    Registration { born, ..said("e", sequence, state) }
+fn started(started_at_ms: u64, sequence: u64, state: EndpointState) -> Registration {
+    Registration { started_at_ms, ..said("e", sequence, state) }
 }
 
 fn ready(registry: &Registry) -> Option<(u64, u64)> {
-    registry.get_ready("e").map(|e| (e.born, e.sequence))
+    registry.get_ready("e").map(|e| (e.started_at_ms, e.sequence))
 }
 
 #[test]
@@ -37,9 +37,9 @@
 fn an_end_without_a_start_ends_the_one_that_is_known() {
     let mut registry = Registry::default();
     registry.merge(started(1_000, 5, EndpointState::Ready), FirstHand);
-    let end = Registration { born: 1_500, ..Registration::gone("e") };
+    let end = Registration { started_at_ms: 1_500, ..Registration::gone("e") };
     let gone = registry.merge(end, FirstHand).expect("others hear of it");
-    assert_eq!((gone.born, gone.state), (1_000, EndpointState::Gone));
+    assert_eq!((gone.started_at_ms, gone.state), (1_000, EndpointState::Gone));
     assert_eq!(registry.merge(started(1_000, 6, EndpointState::Ready), FirstHand), None);
     registry.merge(started(1_200, 1, EndpointState::Ready), FirstHand);
     assert_eq!(ready(&registry), Some((1_200, 1)), "it started before the end was heard");
@@ -48,7 +48,7 @@
 #[test]
 fn an_end_of_which_no_start_is_known_ends_all_up_to_it() {
     let mut registry = Registry::default();
-    let end = Registration { born: 1_500, ..Registration::gone("e") };
+    let end = Registration { started_at_ms: 1_500, ..Registration::gone("e") };
     registry.merge(end.clone(), FirstHand);
     assert_eq!(registry.merge(started(1_400, 9, EndpointState::Ready), FirstHand), None);
     registry.merge(started(1_600, 1, EndpointState::Ready), FirstHand);
@@ -83,7 +83,7 @@
     registry.remember(vec![started(1_000, 90, EndpointState::Ready)]);
     assert_eq!(registry.merge(started(1_000, 91, EndpointState::Leaving), FirstHand), None);
     assert_eq!(ready(&registry), Some((2_000, 4)));
-    registry.merge(Registration { born: 9_000, ..Registration::gone("e") }, FirstHand);
+    registry.merge(Registration { started_at_ms: 9_000, ..Registration::gone("e") }, FirstHand);
     assert_eq!(ready(&registry), None);
     registry.merge(started(3_000, 1, EndpointState::Ready), FirstHand);
     assert_eq!(ready(&registry), Some((3_000, 1)));
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -7,7 +7,8 @@
 //! the other releases' ([`Report`]). A router without a valid grant sends the new release
 //! nothing, so that a host that is cut off holds nothing open.
 
-mod course;
+mod active;
+mod analysis;
 mod model;
 mod plan;
 mod report;
@@ -17,14 +18,13 @@
 mod tally;
 #[cfg(test)]
 mod tests;
-mod verdict;
 
-pub use course::{Course, Decided, Place, Progress, Surroundings};
+pub use active::{ActiveRollout, Decided, Progress, RolloutEndpoint, ServiceState};
+pub use analysis::{CanaryAnalysis, Finding, Window};
 pub use model::{Order, Ordered, Rollout, Rollouts, Stage, Step};
 pub use plan::{Decision, Why, canary_permille, decide};
 pub use report::{AnswerCounts, Grant, Grants, Release, Report, RouteTally, ServiceReport};
 pub use rules::RolloutRules;
 pub use shared::SharedRollouts;
-pub use split::{ALL_PERMILLE, Cause, Circumstances, Splits, Turn};
+pub use split::{ALL_PERMILLE, Cause, ReleaseChoice, RouterState, Splits};
 pub use tally::{RouterTally, Sample, side_of};
-pub use verdict::{Finding, Moment, Watch};
--- a/src/rollout/course.rs
+++ b/src/rollout/active.rs
@@ -1,13 +1,13 @@
-//! The course of one roll-out at the host that leads it: what routers reported, what is
+//! The active of one roll-out at the host that leads it: what routers reported, what is
 //! granted, what follows.
 
 use std::collections::BTreeMap;
 
+use super::analysis::{CanaryAnalysis, Finding, Window};
 use super::model::{Rollout, Stage};
 use super::plan::{Decision, SUSPICIOUS, Situation, canary_permille, decide};
 use super::report::{Grant, Release, ServiceReport};
 use super::rules::RolloutRules;
-use super::verdict::{Finding, Moment, Watch};
 use crate::dispatch::Millis;
 use crate::wire::HostId;
 
@@ -23,8 +23,8 @@
 
 /// An endpoint of the service that is not gone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Place {
-    /// Its place in the order of all: [`crate::eligibility::order_of`].
+pub struct RolloutEndpoint {
+    /// Its endpoint in the order of all: [`crate::eligibility::order_of`].
     pub order: u32,
     /// Whether it is of the release that is rolled out.
     pub is_new: bool,
@@ -38,38 +38,41 @@
 
 /// What else a decision looks at.
 #[derive(Clone, Debug, Default)]
-pub struct Surroundings {
+pub struct ServiceState {
     /// The service's endpoints.
-    pub places: Vec<Place>,
+    pub endpoints: Vec<RolloutEndpoint>,
     /// Routers that are heard.
     pub routers: Vec<HostId>,
 }
 
-impl Surroundings {
-    fn ready(&self, is_new: bool) -> impl Iterator<Item = &Place> {
-        self.places.iter().filter(move |place| place.is_new == is_new && place.is_ready)
+impl ServiceState {
+    fn ready(&self, is_new: bool) -> impl Iterator<Item = &RolloutEndpoint> {
+        self.endpoints.iter().filter(move |endpoint| endpoint.is_new == is_new && endpoint.is_ready)
     }
 
     fn slots(&self, is_new: bool) -> u32 {
-        self.ready(is_new).map(|place| place.slots.max(1)).sum()
+        self.ready(is_new).map(|endpoint| endpoint.slots.max(1)).sum()
     }
 
     /// Up to which of the release's endpoints a part of the requests is sent: to as many
     /// as bear it at the load of an old one.
-    fn order_upto(&self, permille: u32, with_cold: bool) -> Option<u32> {
+    fn highest_order(&self, permille: u32, with_cold: bool) -> Option<u32> {
         let old = self.ready(false).count();
         let wanted = (old as f64 * f64::from(permille) / 1_000.0).ceil().max(1.0) as usize;
-        let mut warm: Vec<u32> =
-            self.ready(true).filter(|place| !place.is_cold || with_cold).map(|p| p.order).collect();
+        let mut warm: Vec<u32> = self
+            .ready(true)
+            .filter(|endpoint| !endpoint.is_cold || with_cold)
+            .map(|p| p.order)
+            .collect();
         warm.sort_unstable();
         warm.get(wanted - 1).or(warm.last()).copied()
     }
 
-    fn cold_part(&self, order_upto: u32) -> f64 {
-        let used = || self.ready(true).filter(|place| place.order <= order_upto);
+    fn cold_part(&self, highest_order: u32) -> f64 {
+        let used = || self.ready(true).filter(|endpoint| endpoint.order <= highest_order);
         match used().count() {
             0 => 0.0,
-            all => used().filter(|place| place.is_cold).count() as f64 / all as f64,
+            all => used().filter(|endpoint| endpoint.is_cold).count() as f64 / all as f64,
         }
     }
 }
@@ -82,7 +85,7 @@
 
 /// What the leader knows of a roll-out under way.
 #[derive(Debug)]
-pub struct Course {
+pub struct ActiveRollout {
     rollout: Rollout,
     /// Milliseconds since the order when this host began to count.
     elapsed_before: Millis,
@@ -90,10 +93,10 @@
     stage_since: Millis,
     part_since: Millis,
     permille: u32,
-    order_upto: u32,
-    watch: Watch,
+    highest_order: u32,
+    watch: CanaryAnalysis,
     /// Set once the release was found bad, until all control hosts know.
-    is_condemned: bool,
+    is_rejected: bool,
     /// Since when it has been suspicious without a break.
     suspicious_since: Option<Millis>,
     /// Since when no endpoint of an old release has been known here.
@@ -133,19 +136,19 @@
     pub failed_old: u64,
 }
 
-impl Course {
+impl ActiveRollout {
     /// Begins to count. `elapsed_ms` have gone by since the order.
-    pub fn new(rollout: Rollout, now: Millis, elapsed_ms: Millis) -> Course {
-        Course {
-            watch: Watch::new(rollout.order.duration_ms),
+    pub fn new(rollout: Rollout, now: Millis, elapsed_ms: Millis) -> ActiveRollout {
+        ActiveRollout {
+            watch: CanaryAnalysis::new(rollout.order.duration_ms),
             rollout,
             elapsed_before: elapsed_ms,
             since: now,
             stage_since: now,
             part_since: now,
             permille: 0,
-            order_upto: 0,
-            is_condemned: false,
+            highest_order: 0,
+            is_rejected: false,
             suspicious_since: None,
             without_old_since: None,
             sent_new: 0,
@@ -183,26 +186,26 @@
     }
 
     /// Weighs what came since this was asked last, and says what follows.
-    pub fn decide(&mut self, now: Millis, around: &Surroundings, rules: &RolloutRules) -> Decided {
-        let moment = Moment {
-            cold_part: around.cold_part(self.order_upto),
+    pub fn decide(&mut self, now: Millis, around: &ServiceState, rules: &RolloutRules) -> Decided {
+        let window = Window {
+            cold_part: around.cold_part(self.highest_order),
             is_alone: self.permille >= ALONE_PERMILLE,
         };
-        let mut finding = self.watch.close_moment(&moment);
-        if self.is_condemned {
+        let mut finding = self.watch.close_window(&window);
+        if self.is_rejected {
             finding.level = finding.level.max(1.0);
         }
         self.suspicious_since = match finding.level >= SUSPICIOUS {
             true => self.suspicious_since.or(Some(now)),
             false => None,
         };
-        self.without_old_since = match around.places.iter().any(|place| !place.is_new) {
+        self.without_old_since = match around.endpoints.iter().any(|endpoint| !endpoint.is_new) {
             true => None,
             false => self.without_old_since.or(Some(now)),
         };
         let situation = self.situation(now, around, rules, finding.level);
         let decision = decide(&situation, rules);
-        self.is_condemned |= matches!(decision, Decision::Step(Stage::RolledBack, _));
+        self.is_rejected |= matches!(decision, Decision::Step(Stage::RolledBack, _));
         let granted = match decision {
             Decision::Grant(permille) => permille,
             Decision::Step(Stage::Shifting | Stage::Done, _) => self.permille,
@@ -218,29 +221,29 @@
         Decided { decision, grant, is_other_part, finding, situation }
     }
 
-    fn grant(&mut self, permille: u32, around: &Surroundings, elapsed: Millis) -> Option<Grant> {
+    fn grant(&mut self, permille: u32, around: &ServiceState, elapsed: Millis) -> Option<Grant> {
         if permille == 0 {
             return None;
         }
         let late = self.rollout.order.duration_ms as f64 * COLD_PART_OF_TIME;
-        self.order_upto = match permille {
+        self.highest_order = match permille {
             1_000 => u32::MAX,
             part => around
-                .order_upto(part, false)
-                .or_else(|| around.order_upto(part, true).filter(|_| elapsed as f64 >= late))?,
+                .highest_order(part, false)
+                .or_else(|| around.highest_order(part, true).filter(|_| elapsed as f64 >= late))?,
         };
         Some(Grant {
             service: self.rollout.order.service.clone(),
             number: self.rollout.number,
             permille,
-            order_upto: self.order_upto,
+            highest_order: self.highest_order,
         })
     }
 
     fn situation(
         &self,
         now: Millis,
-        around: &Surroundings,
+        around: &ServiceState,
         rules: &RolloutRules,
         level: f64,
     ) -> Situation {
@@ -263,8 +266,8 @@
             counted_ms,
             new_sent: self.sent_new as f64 + before,
             sent_per_ms,
-            new_places: around.slots(true),
-            old_places: around.slots(false),
+            new_slots: around.slots(true),
+            old_slots: around.slots(false),
             without_old_ms: self.without_old_since.map_or(0, |since| now.saturating_sub(since)),
             has_heard: self.has_heard(now, &around.routers),
             is_old_empty: self.is_old_empty(now, &around.routers),
--- a/src/rollout/verdict.rs
+++ b/src/rollout/analysis.rs
@@ -7,24 +7,24 @@
 
 /// Moments in which the old releases answered on a route that make up what is usual
 /// there: some seconds, in which trouble that meets both sides shows on both.
-const USUAL_MOMENTS: usize = 30;
+const USUAL_WINDOWS: usize = 30;
 /// The last of them, in which trouble that meets both sides shows at once.
-const LAST_MOMENTS: usize = 5;
+const LAST_WINDOWS: usize = 5;
 /// Evidence at which a release counts as bad, as the logarithm of how much likelier its
 /// answers are if it is. Chosen by the table in `docs/design/roll-outs.md`.
-const CONDEMNS: f64 = 6.5;
+const REJECT_AT: f64 = 6.5;
 /// Milliseconds of a roll-out for which that is chosen. In a longer one there are more
-/// moments in which chance may speak against a good release, and it needs more evidence
+/// windows in which chance may speak against a good release, and it needs more evidence
 /// by the logarithm of how many more.
 const CONDEMNS_WITHIN_MS: f64 = 12_000.0;
-/// The most of it that one moment may bring, as a part: an endpoint that crashes breaks
-/// many answers at once, and the next moments of the others speak for the release.
-const MOMENT_AT_MOST: f64 = 0.17;
+/// The most of it that one window may bring, as a part: an endpoint that crashes breaks
+/// many answers at once, and the next windows of the others speak for the release.
+const WINDOW_AT_MOST: f64 = 0.17;
 /// The same once most requests go to the release: one endpoint is a small part then, and
-/// each moment costs many callers.
-const MOMENT_AT_MOST_ALONE: f64 = 0.5;
+/// each window costs many callers.
+const WINDOW_AT_MOST_ALONE: f64 = 0.5;
 /// Least part of answers that is expected to fail anywhere: a few failures by chance
-/// must not condemn a release where the others had none yet.
+/// must not reject a release where the others had none yet.
 const LEAST_USUAL: f64 = 0.02;
 /// Parts of failing answers more than usual on one route that make a release bad: the
 /// smaller finds a release that fails now and then, the larger one that fails often on a
@@ -52,7 +52,7 @@
 /// What of a release was found suspicious.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Finding {
-    /// How much of the evidence that condemns is there: 1 and more is bad.
+    /// How much of the evidence that reject_at is there: 1 and more is bad.
     pub level: f64,
     /// Where and what.
     pub what: String,
@@ -64,15 +64,15 @@
 struct Evidence(f64);
 
 impl Evidence {
-    /// `more` is that of a moment, where so much condemns.
-    fn add(&mut self, more: f64, condemns: f64, moment: &Moment) {
-        let most = if moment.is_alone { MOMENT_AT_MOST_ALONE } else { MOMENT_AT_MOST };
-        self.0 = (self.0 + more.min(most * condemns)).max(0.0);
+    /// `more` is that of one window, and `reject_at` what a release is rejected at.
+    fn add(&mut self, more: f64, reject_at: f64, window: &Window) {
+        let most = if window.is_alone { WINDOW_AT_MOST_ALONE } else { WINDOW_AT_MOST };
+        self.0 = (self.0 + more.min(most * reject_at)).max(0.0);
     }
 
-    /// As a part of what condemns.
-    fn level(self, condemns: f64) -> f64 {
-        self.0 / condemns
+    /// As a part of what reject_at.
+    fn level(self, reject_at: f64) -> f64 {
+        self.0 / reject_at
     }
 }
 
@@ -105,7 +105,7 @@
 }
 
 /// The usual part of bad answers, from `(bad, all)` in some seconds and in the last
-/// moments: the latter where more are bad there than chance explains.
+/// windows: the latter where more are bad there than chance explains.
 fn usual_part(seconds: (u32, u32), last: (u32, u32)) -> f64 {
     let usual = cautious_part(seconds.0, seconds.1);
     let seen = seen_part(last.0, last.1);
@@ -113,8 +113,8 @@
     if seen > usual + chance { seen } else { usual }
 }
 
-fn highest(evidence: &[Evidence], condemns: f64) -> f64 {
-    evidence.iter().map(|evidence| evidence.level(condemns)).fold(0.0, f64::max)
+fn highest(evidence: &[Evidence], reject_at: f64) -> f64 {
+    evidence.iter().map(|evidence| evidence.level(reject_at)).fold(0.0, f64::max)
 }
 
 /// Good answers whose time is known.
@@ -144,8 +144,8 @@
 /// One route's answers by both sides.
 #[derive(Clone, Debug, Default)]
 struct RouteWatch {
-    /// What the old releases answered, by moments; only those in which they did.
-    old_moments: VecDeque<AnswerCounts>,
+    /// What the old releases answered, by windows; only those in which they did.
+    old_windows: VecDeque<AnswerCounts>,
     old_now: AnswerCounts,
     new_now: AnswerCounts,
     failing: [Evidence; 2],
@@ -159,32 +159,32 @@
 const SLOW_AT: [f64; 2] = [0.5, 0.9];
 
 impl RouteWatch {
-    fn close_moment(&mut self, condemns: f64, moment: &Moment) -> RouteMoment {
+    fn close_window(&mut self, reject_at: f64, window: &Window) -> RouteWindow {
         let old_now = std::mem::take(&mut self.old_now);
         if old_now.ended() > 0 {
-            self.old_moments.push_back(old_now);
-            if self.old_moments.len() > USUAL_MOMENTS {
-                self.old_moments.pop_front();
+            self.old_windows.push_back(old_now);
+            if self.old_windows.len() > USUAL_WINDOWS {
+                self.old_windows.pop_front();
             }
         }
-        let old = self.old_in(USUAL_MOMENTS);
-        let last = self.old_in(LAST_MOMENTS);
-        if !moment.is_alone {
+        let old = self.old_in(USUAL_WINDOWS);
+        let last = self.old_in(LAST_WINDOWS);
+        if !window.is_alone {
             self.times = old.clone();
         }
         let new = std::mem::take(&mut self.new_now);
         let usual = usual_part((old.failed, old.ended()), (last.failed, last.ended()));
         for (evidence, step) in self.failing.iter_mut().zip(FAILING_STEPS) {
-            evidence.add(likelier(new.failed, new.ended(), usual, step), condemns, moment);
+            evidence.add(likelier(new.failed, new.ended(), usual, step), reject_at, window);
         }
-        self.weigh_times(&new, &last, condemns, moment);
-        RouteMoment { failed: new.failed, answers: new.ended(), usual }
+        self.weigh_times(&new, &last, reject_at, window);
+        RouteWindow { failed: new.failed, answers: new.ended(), usual }
     }
 
-    /// The old releases' answers in the last moments.
-    fn old_in(&self, moments: usize) -> AnswerCounts {
+    /// The old releases' answers in the last windows.
+    fn old_in(&self, windows: usize) -> AnswerCounts {
         let mut sum = AnswerCounts::default();
-        self.old_moments.iter().rev().take(moments).for_each(|counts| sum.merge(counts));
+        self.old_windows.iter().rev().take(windows).for_each(|counts| sum.merge(counts));
         sum
     }
 
@@ -192,38 +192,38 @@
         &mut self,
         new: &AnswerCounts,
         last: &AnswerCounts,
-        condemns: f64,
-        moment: &Moment,
+        reject_at: f64,
+        window: &Window,
     ) {
         let old = &self.times;
         if good(old) < LEAST_OLD_ANSWERS {
             return;
         }
-        let more = if moment.is_alone { SLOW_BUCKETS_ALONE } else { SLOW_BUCKETS };
+        let more = if window.is_alone { SLOW_BUCKETS_ALONE } else { SLOW_BUCKETS };
         for (evidence, part) in self.slow.iter_mut().zip(SLOW_AT) {
             let limit = quantile(old, part).saturating_add(more);
             let of = |counts: &AnswerCounts| (slower_than(counts, limit), good(counts));
             let usual = usual_part(of(old), of(last));
             // Endpoints that have just started may be slow whatever they run.
-            let usual = usual + (1.0 - usual) * moment.cold_part;
+            let usual = usual + (1.0 - usual) * window.cold_part;
             evidence.add(
                 likelier(slower_than(new, limit), good(new), usual, SLOW_STEP),
-                condemns,
-                moment,
+                reject_at,
+                window,
             );
         }
     }
 }
 
-struct RouteMoment {
+struct RouteWindow {
     failed: u32,
     answers: u32,
     usual: f64,
 }
 
-/// How things stood while a moment's answers came.
+/// How things stood while a window's answers came.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Moment {
+pub struct Window {
     /// The part of the release's endpoints in use that has just started.
     pub cold_part: f64,
     /// Whether most requests go to the new release: the others' times tell no more what
@@ -233,8 +233,8 @@
 
 /// The answers of a release and of those before it.
 #[derive(Clone, Debug)]
-pub struct Watch {
-    condemns: f64,
+pub struct CanaryAnalysis {
+    reject_at: f64,
     routes: BTreeMap<String, RouteWatch>,
     failing: Evidence,
     /// Answers of the new release so far.
@@ -247,12 +247,12 @@
     pub old_failed: u64,
 }
 
-impl Watch {
+impl CanaryAnalysis {
     /// For a roll-out of so many milliseconds.
-    pub fn new(duration_ms: u64) -> Watch {
+    pub fn new(duration_ms: u64) -> CanaryAnalysis {
         let longer = (duration_ms as f64 / CONDEMNS_WITHIN_MS).max(1.0);
-        Watch {
-            condemns: CONDEMNS + longer.ln(),
+        CanaryAnalysis {
+            reject_at: REJECT_AT + longer.ln(),
             routes: BTreeMap::new(),
             failing: Evidence::default(),
             new_answers: 0,
@@ -262,7 +262,7 @@
         }
     }
 
-    /// Takes answers in that came since the last moment was closed.
+    /// Takes answers in that came since the last window was closed.
     pub fn take(&mut self, tally: &RouteTally) {
         let route = self.routes.entry(tally.route.clone()).or_default();
         let (answers, failed) = (tally.answers.ended(), tally.answers.failed);
@@ -280,17 +280,17 @@
         }
     }
 
-    /// Weighs what came in a moment, and says what is most suspicious so far.
-    pub fn close_moment(&mut self, moment: &Moment) -> Finding {
-        let condemns = self.condemns;
+    /// Weighs what came in a window, and says what is most suspicious so far.
+    pub fn close_window(&mut self, window: &Window) -> Finding {
+        let reject_at = self.reject_at;
         let mut sum = 0.0;
         for route in self.routes.values_mut() {
-            let RouteMoment { failed, answers, usual } = route.close_moment(condemns, moment);
+            let RouteWindow { failed, answers, usual } = route.close_window(reject_at, window);
             sum += likelier(failed, answers, usual, FAILING_STEP_ALL);
         }
-        self.failing.add(sum, condemns, moment);
+        self.failing.add(sum, reject_at, window);
         let mut worst = Finding {
-            level: self.failing.level(condemns),
+            level: self.failing.level(reject_at),
             what: format!(
                 "{} of {} answers fail, {} of {} by old releases",
                 self.new_failed, self.new_answers, self.old_failed, self.old_answers
@@ -298,8 +298,8 @@
         };
         for (name, route) in &self.routes {
             let kinds = [
-                (highest(&route.failing, condemns), "fail"),
-                (highest(&route.slow, condemns), "are slow"),
+                (highest(&route.failing, reject_at), "fail"),
+                (highest(&route.slow, reject_at), "are slow"),
             ];
             for (level, kind) in kinds {
                 if level > worst.level {
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -24,14 +24,14 @@
 /// Answers of the new release without which it is not judged good.
 const LEAST_ANSWERS: u64 = 30;
 /// Part of the old releases' places that the new one must have before it gets all.
-const LEAST_PLACES: f64 = 0.8;
+const LEAST_SLOTS_PART: f64 = 0.8;
 /// Milliseconds before the deadline from which on it is not waited for.
-const PLACES_BY_MS: u64 = 2_500;
-/// Evidence, as part of that which condemns, at which no more is granted. A canary that
-/// has had all that a bad release may get is condemned by it.
+const SLOTS_BY_MS: u64 = 2_500;
+/// Evidence, as part of that which reject_at, at which no more is granted. A canary that
+/// has had all that a bad release may get is rejected by it.
 pub(super) const SUSPICIOUS: f64 = 0.7;
 /// Part of the time in which a bad release must be stopped for which one may be
-/// suspicious: what is neither cleared nor condemned by then gets nothing more.
+/// suspicious: what is neither cleared nor rejected by then gets nothing more.
 const SUSPICIOUS_FOR: f64 = 0.5;
 /// Milliseconds for which all must go to the new release before old ones count as
 /// empty: grants of before have ended by then.
@@ -60,7 +60,7 @@
     pub at_part_ms: u64,
     /// The part granted now, in thousandths.
     pub permille: u32,
-    /// What speaks against the release, as part of what condemns it.
+    /// What speaks against the release, as part of what reject_at it.
     pub level: f64,
     /// Milliseconds for which it has been suspicious without a break.
     pub suspicious_ms: u64,
@@ -73,9 +73,9 @@
     /// Requests to the service a millisecond.
     pub sent_per_ms: f64,
     /// Places of the new release's endpoints that take work.
-    pub new_places: u32,
+    pub new_slots: u32,
     /// Places of the old ones' that take work.
-    pub old_places: u32,
+    pub old_slots: u32,
     /// Milliseconds for which no endpoint of an old release has been known here, working
     /// or leaving; 0 while one is.
     pub without_old_ms: u64,
@@ -185,7 +185,7 @@
     is_suspicious: bool,
     is_last_moment: bool,
 ) -> Decision {
-    if now.new_places > 0 && now.is_without_old() {
+    if now.new_slots > 0 && now.is_without_old() {
         return Decision::Step(Stage::Done, Why::NoOldLeft);
     }
     if is_last_moment && now.without_old_ms > 0 {
@@ -195,16 +195,16 @@
     if is_last_moment {
         return Decision::Step(Stage::RolledBack, Why::NotJudged);
     }
-    if now.new_places == 0 {
+    if now.new_slots == 0 {
         return Decision::Grant(0);
     }
     let canary = canary_permille(rules);
     let held = now.permille.max(canary);
-    let has_places = f64::from(now.new_places) >= LEAST_PLACES * f64::from(now.old_places)
-        || now.left_ms() <= PLACES_BY_MS;
+    let has_slots = f64::from(now.new_slots) >= LEAST_SLOTS_PART * f64::from(now.old_slots)
+        || now.left_ms() <= SLOTS_BY_MS;
     let is_judged = now.new_answers >= LEAST_ANSWERS || now.is_idle(canary);
     let is_time = now.left_ms() <= ramp_and_end_ms(now.duration_ms);
-    if now.permille < canary || is_suspicious || !is_time || !is_judged || !has_places {
+    if now.permille < canary || is_suspicious || !is_time || !is_judged || !has_slots {
         return Decision::Grant(held);
     }
     if now.at_part_ms < RAMP_STEP_MS {
@@ -226,17 +226,17 @@
 
 fn decide_shifting(now: &Situation, is_suspicious: bool, is_last_moment: bool) -> Decision {
     if is_last_moment {
-        return match now.new_places {
+        return match now.new_slots {
             0 => Decision::Step(Stage::RolledBack, Why::NotJudged),
             _ => Decision::Step(Stage::Done, Why::TimeOver),
         };
     }
-    let is_settled = now.in_stage_ms >= LEAST_SHIFTING_MS && !is_suspicious && now.new_places > 0;
+    let is_settled = now.in_stage_ms >= LEAST_SHIFTING_MS && !is_suspicious && now.new_slots > 0;
     if is_settled && now.is_without_old() {
         return Decision::Step(Stage::Done, Why::NoOldLeft);
     }
     if is_settled && now.is_old_empty {
         return Decision::Step(Stage::Done, Why::OldEmpty);
     }
-    Decision::Grant(if now.new_places > 0 { 1_000 } else { 0 })
+    Decision::Grant(if now.new_slots > 0 { 1_000 } else { 0 })
 }
--- a/src/rollout/report.rs
+++ b/src/rollout/report.rs
@@ -24,7 +24,7 @@
     pub permille: u32,
     /// Of the release's endpoints those up to here in the order of
     /// [`crate::eligibility::order_of`].
-    pub order_upto: u32,
+    pub highest_order: u32,
 }
 
 /// Which releases an answer counts for.
--- a/src/rollout/split.rs
+++ b/src/rollout/split.rs
@@ -18,7 +18,7 @@
 
 /// What one request has drawn, and what became of it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Turn {
+pub struct ReleaseChoice {
     /// The roll-out that it was drawn for, and the release.
     drawn: Option<(u64, Release)>,
     /// The roll-out whose release had no place for it.
@@ -27,7 +27,7 @@
     bound: Option<String>,
 }
 
-impl Turn {
+impl ReleaseChoice {
     /// The caller has a piece of an answer of this release: no other may go on with it.
     pub fn bind(&mut self, version: &str) {
         self.bound = Some(version.to_string());
@@ -65,7 +65,7 @@
 }
 
 /// What a router knows when it sends a request of a service.
-pub struct Circumstances<'a> {
+pub struct RouterState<'a> {
     /// The newest roll-out of the service.
     pub rollout: Option<&'a Rollout>,
     /// What holds of the leader's grants.
@@ -93,10 +93,10 @@
     /// random number from 0 to 1, from which a route starts that is new.
     pub fn rule(
         &mut self,
-        turn: &mut Turn,
+        turn: &mut ReleaseChoice,
         route: &str,
         offset: f64,
-        situation: &Circumstances<'_>,
+        situation: &RouterState<'_>,
     ) -> (Option<VersionRule>, Cause) {
         let Some(rollout) = situation.rollout else {
             let rule = turn.bound.clone().map_or(VersionRule::Any, only);
@@ -116,11 +116,11 @@
 
     fn under_way(
         &mut self,
-        turn: &mut Turn,
+        turn: &mut ReleaseChoice,
         route: &str,
         offset: f64,
         rollout: &Rollout,
-        situation: &Circumstances<'_>,
+        situation: &RouterState<'_>,
     ) -> (VersionRule, Cause) {
         if !situation.others_take_work {
             return (VersionRule::Any, Cause::NoOther);
@@ -129,7 +129,7 @@
         let rule = match self.side(turn, route, offset, rollout, grant) {
             Release::New => VersionRule::Only {
                 version: rollout.order.version.clone(),
-                order_upto: grant.order_upto,
+                highest_order: grant.highest_order,
             },
             Release::Old => not(rollout),
         };
@@ -138,7 +138,7 @@
 
     fn side(
         &mut self,
-        turn: &mut Turn,
+        turn: &mut ReleaseChoice,
         route: &str,
         offset: f64,
         rollout: &Rollout,
@@ -178,10 +178,10 @@
     /// part is taken off the route's next requests.
     pub fn go_on(
         &mut self,
-        turn: &Turn,
+        turn: &ReleaseChoice,
         route: &str,
         offset: f64,
-        situation: &Circumstances<'_>,
+        situation: &RouterState<'_>,
     ) -> bool {
         let Some(rollout) = situation.rollout.filter(|r| !r.stage.is_final()) else { return true };
         let is_part = situation.grant.is_some_and(|grant| grant.permille < ALL_PERMILLE);
@@ -208,7 +208,7 @@
 }
 
 fn only(version: String) -> VersionRule {
-    VersionRule::Only { version, order_upto: u32::MAX }
+    VersionRule::Only { version, highest_order: u32::MAX }
 }
 
 fn not(rollout: &Rollout) -> VersionRule {
@@ -216,7 +216,7 @@
 }
 
 /// The side of the release whose answer the caller has a piece of.
-fn bound_side(turn: &Turn, rollout: &Rollout) -> Release {
+fn bound_side(turn: &ReleaseChoice, rollout: &Rollout) -> Release {
     match turn.bound.as_ref() == Some(&rollout.order.version) {
         true => Release::New,
         false => Release::Old,
@@ -224,7 +224,7 @@
 }
 
 /// What is left of a rule for an answer of which the caller has a piece.
-fn same_release(rule: VersionRule, turn: &Turn, rollout: &Rollout) -> Option<VersionRule> {
+fn same_release(rule: VersionRule, turn: &ReleaseChoice, rollout: &Rollout) -> Option<VersionRule> {
     let Some(bound) = &turn.bound else { return Some(rule) };
     let is_new = *bound == rollout.order.version;
     match rule {
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -1,12 +1,12 @@
 //! Orders and their stages.
 
-mod course;
+mod active;
+mod analysis;
 mod plan;
 mod size;
 mod split;
 mod streams;
 mod tally;
-mod verdict;
 
 use super::*;
 
@@ -57,7 +57,7 @@
 fn grants_end_by_themselves_and_a_former_leader_grants_nothing() {
     let shared = SharedRollouts::default();
     let grants = |term, permille| {
-        let grant = Grant { service: "llm".into(), number: 1, permille, order_upto: 9 };
+        let grant = Grant { service: "llm".into(), number: 1, permille, highest_order: 9 };
         Grants { term, valid_ms: 600, services: vec![grant] }
     };
     shared.adopt_grants(100, grants(2, 50));
--- a/src/rollout/tests/course.rs
+++ b/src/rollout/tests/active.rs
@@ -1,9 +1,9 @@
 //! Whole roll-outs at the host that leads, with generated answers of routers.
 
-use super::streams::{BUSY, MOMENT_MS, Matter, QUIET, Route, Stream};
+use super::streams::{BUSY, Matter, QUIET, Route, Stream, WINDOW_MS};
 use crate::rollout::{
-    Course, Decision, Order, Place, Rollout, RolloutRules, RouteTally, ServiceReport, Stage,
-    Surroundings, Why,
+    ActiveRollout, Decision, Order, Rollout, RolloutEndpoint, RolloutRules, RouteTally,
+    ServiceReport, ServiceState, Stage, Why,
 };
 use crate::wire::HostId;
 
@@ -19,17 +19,17 @@
     Rollout { number: 1, order, stage, stage_at_ms: 0 }
 }
 
-fn surroundings() -> Surroundings {
-    let place = |is_new, n: u32| Place {
+fn service_state() -> ServiceState {
+    let endpoint = |is_new, n: u32| RolloutEndpoint {
         order: n * 1_000,
         is_new,
         is_ready: true,
         is_cold: false,
         slots: 12,
     };
-    let old = (0..40).map(|n| place(false, n));
-    let places = old.chain((0..40).map(|n| place(true, n))).collect();
-    Surroundings { places, routers: vec![ROUTER] }
+    let old = (0..40).map(|n| endpoint(false, n));
+    let endpoints = old.chain((0..40).map(|n| endpoint(true, n))).collect();
+    ServiceState { endpoints, routers: vec![ROUTER] }
 }
 
 fn report(tallies: Vec<RouteTally>, open_on_old: u32) -> ServiceReport {
@@ -60,26 +60,26 @@
     from_ms: u64,
 ) -> Ended {
     let rules = RolloutRules::default();
-    let mut course = Course::new(rollout_within(stage, duration_ms), from_ms, from_ms);
+    let mut active = ActiveRollout::new(rollout_within(stage, duration_ms), from_ms, from_ms);
     let mut stream = Stream::new(routes, matter, 0.0, seed);
     let per_ms: f64 = routes.iter().map(|route| route.per_second / 1_000.0).sum();
     let mut shifting_since = from_ms;
     let mut now = from_ms;
     loop {
-        now += MOMENT_MS;
+        now += WINDOW_MS;
         let (tallies, _) = stream.next();
         let open_on_old = if now > shifting_since + 2_000 { 0 } else { 30 };
-        course.take(now, ROUTER, &report(tallies, open_on_old));
-        let decided = course.decide(now, &surroundings(), &rules);
+        active.take(now, ROUTER, &report(tallies, open_on_old));
+        let decided = active.decide(now, &service_state(), &rules);
         let part = decided.grant.map_or(0, |grant| grant.permille);
         match decided.decision {
             Decision::Step(stage, why) if stage.is_final() => {
-                let exposure = course.progress().sent_new as f64 / (per_ms * duration_ms as f64);
+                let exposure = active.progress().sent_new as f64 / (per_ms * duration_ms as f64);
                 return Ended { stage, why, at_ms: now, exposure };
             }
             Decision::Step(stage, _) => {
                 shifting_since = now;
-                course.adopt(now, stage);
+                active.adopt(now, stage);
             }
             Decision::Grant(_) => stream.part = f64::from(part) / 1_000.0,
         }
@@ -163,51 +163,55 @@
 
 #[test]
 fn lost_reports_count_nothing_and_old_ones_keep_no_router_empty() {
-    let mut course = Course::new(rollout(Stage::Shifting), 0, 9_000);
+    let mut active = ActiveRollout::new(rollout(Stage::Shifting), 0, 9_000);
     let rules = RolloutRules::default();
-    course.take(100, ROUTER, &report(Vec::new(), 0));
-    let decided = course.decide(900, &surroundings(), &rules);
+    active.take(100, ROUTER, &report(Vec::new(), 0));
+    let decided = active.decide(900, &service_state(), &rules);
     assert!(matches!(decided.decision, Decision::Step(Stage::Done, Why::OldEmpty)));
-    let decided = course.decide(1_100, &surroundings(), &rules);
+    let decided = active.decide(1_100, &service_state(), &rules);
     assert_eq!(decided.decision, Decision::Grant(1_000), "nothing heard for a second");
 }
 
 #[test]
 fn a_report_about_an_earlier_order_counts_nothing() {
-    let mut course = Course::new(rollout(Stage::Canary), 0, 0);
+    let mut active = ActiveRollout::new(rollout(Stage::Canary), 0, 0);
     let (tallies, _) = Stream::new(&BUSY, Matter::Good, 0.5, 1).next();
-    course.take(100, ROUTER, &ServiceReport { number: 9, ..report(tallies, 0) });
-    assert_eq!(course.progress().sent_new + course.progress().sent_old, 0);
+    active.take(100, ROUTER, &ServiceReport { number: 9, ..report(tallies, 0) });
+    assert_eq!(active.progress().sent_new + active.progress().sent_old, 0);
 }
 
 #[test]
 fn few_endpoints_get_the_small_part_each_at_the_load_of_an_old_one() {
-    let mut course = Course::new(rollout(Stage::Canary), 0, 0);
-    let grant = course.decide(100, &surroundings(), &RolloutRules::default()).grant.unwrap();
+    let mut active = ActiveRollout::new(rollout(Stage::Canary), 0, 0);
+    let grant = active.decide(100, &service_state(), &RolloutRules::default()).grant.unwrap();
     // 55 of 1,000 requests are those of 2.2 of 40 endpoints.
-    assert_eq!((grant.permille, grant.order_upto), (55, 2_000));
+    assert_eq!((grant.permille, grant.highest_order), (55, 2_000));
 }
 
 #[test]
 fn endpoints_that_have_just_started_wait_for_the_warm_ones() {
-    let mut around = surroundings();
-    around.places.iter_mut().filter(|place| place.is_new).for_each(|place| place.is_cold = true);
-    let mut course = Course::new(rollout(Stage::Canary), 0, 0);
+    let mut around = service_state();
+    around
+        .endpoints
+        .iter_mut()
+        .filter(|endpoint| endpoint.is_new)
+        .for_each(|endpoint| endpoint.is_cold = true);
+    let mut active = ActiveRollout::new(rollout(Stage::Canary), 0, 0);
     let rules = RolloutRules::default();
-    assert_eq!(course.decide(100, &around, &rules).grant, None);
-    assert!(course.decide(5_000, &around, &rules).grant.is_some(), "none is warm in time");
+    assert_eq!(active.decide(100, &around, &rules).grant, None);
+    assert!(active.decide(5_000, &around, &rules).grant.is_some(), "none is warm in time");
 }
 
 #[test]
-fn what_is_condemned_once_gets_nothing_until_that_is_agreed() {
+fn what_is_rejected_once_gets_nothing_until_that_is_agreed() {
     let rules = RolloutRules::default();
-    let mut course = Course::new(rollout(Stage::Canary), 0, 0);
+    let mut active = ActiveRollout::new(rollout(Stage::Canary), 0, 0);
     let mut stream = Stream::new(&BUSY, Matter::Fails { from: 0, part: 1.0 }, 0.05, 1);
     let mut now = 0;
     while now < 3_000 {
-        now += MOMENT_MS;
-        course.take(now, ROUTER, &report(stream.next().0, 9));
-        if course.decide(now, &surroundings(), &rules).decision
+        now += WINDOW_MS;
+        active.take(now, ROUTER, &report(stream.next().0, 9));
+        if active.decide(now, &service_state(), &rules).decision
             == Decision::Step(Stage::RolledBack, Why::Bad)
         {
             break;
@@ -215,9 +219,9 @@
     }
     stream.matter = Matter::Good;
     for _ in 0..50 {
-        now += MOMENT_MS;
-        course.take(now, ROUTER, &report(stream.next().0, 9));
-        let decided = course.decide(now, &surroundings(), &rules);
+        now += WINDOW_MS;
+        active.take(now, ROUTER, &report(stream.next().0, 9));
+        let decided = active.decide(now, &service_state(), &rules);
         assert_eq!(decided.decision, Decision::Step(Stage::RolledBack, Why::Bad));
         assert_eq!(decided.grant, None);
     }
@@ -226,11 +230,11 @@
 #[test]
 fn a_release_of_which_no_router_reports_is_rolled_back_at_the_deadline() {
     let rules = RolloutRules::default();
-    let mut course = Course::new(rollout(Stage::Canary), 0, 0);
+    let mut active = ActiveRollout::new(rollout(Stage::Canary), 0, 0);
     let mut now = 0;
     loop {
-        now += MOMENT_MS;
-        match course.decide(now, &surroundings(), &rules).decision {
+        now += WINDOW_MS;
+        match active.decide(now, &service_state(), &rules).decision {
             Decision::Grant(part) => assert_eq!(part, 55, "at {now} ms"),
             Decision::Step(stage, why) => {
                 assert_eq!((stage, why), (Stage::RolledBack, Why::NotJudged));
@@ -244,15 +248,15 @@
 #[test]
 fn a_service_without_requests_is_rolled_over_where_routers_say_so() {
     let rules = RolloutRules::default();
-    let mut course = Course::new(rollout(Stage::Canary), 0, 0);
+    let mut active = ActiveRollout::new(rollout(Stage::Canary), 0, 0);
     let mut now = 0;
     loop {
-        now += MOMENT_MS;
-        course.take(now, ROUTER, &report(Vec::new(), 0));
-        match course.decide(now, &surroundings(), &rules).decision {
+        now += WINDOW_MS;
+        active.take(now, ROUTER, &report(Vec::new(), 0));
+        match active.decide(now, &service_state(), &rules).decision {
             Decision::Step(Stage::Shifting, why) => {
                 assert_eq!(why, Why::Idle);
-                course.adopt(now, Stage::Shifting);
+                active.adopt(now, Stage::Shifting);
             }
             Decision::Step(stage, why) => {
                 assert_eq!((stage, why), (Stage::Done, Why::OldEmpty));
--- a/src/rollout/tests/verdict.rs
+++ b/src/rollout/tests/analysis.rs
@@ -3,38 +3,38 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use super::streams::{BUSY, Matter, QUIET, Route, Stream};
-use crate::rollout::{AnswerCounts, Moment, Release, RouteTally, Watch};
+use crate::rollout::{AnswerCounts, CanaryAnalysis, Release, RouteTally, Window};
 
 /// Moments of a canary stage: seven seconds.
-const MOMENTS: usize = 70;
+const WINDOWS: usize = 70;
 const PART: f64 = 0.055;
 const RUNS: u64 = 200;
 
-/// A way to judge: whether the release counts as bad after a moment.
+/// A way to judge: whether the release counts as bad after a window.
 trait Judge {
     fn begin() -> Self;
-    fn is_bad(&mut self, moment: &[RouteTally]) -> bool;
+    fn is_bad(&mut self, window: &[RouteTally]) -> bool;
 }
 
-impl Judge for Watch {
-    fn begin() -> Watch {
-        Watch::new(12_000)
+impl Judge for CanaryAnalysis {
+    fn begin() -> CanaryAnalysis {
+        CanaryAnalysis::new(12_000)
     }
 
-    fn is_bad(&mut self, moment: &[RouteTally]) -> bool {
-        moment.iter().for_each(|tally| self.take(tally));
-        self.close_moment(&Moment::default()).level >= 1.0
+    fn is_bad(&mut self, window: &[RouteTally]) -> bool {
+        window.iter().for_each(|tally| self.take(tally));
+        self.close_window(&Window::default()).level >= 1.0
     }
 }
 
 /// The other way that was weighed: parts of two seconds against fixed thresholds.
 #[derive(Default)]
 struct Fixed {
-    moments: VecDeque<Vec<RouteTally>>,
+    windows: VecDeque<Vec<RouteTally>>,
 }
 
 impl Fixed {
-    const MOMENTS: usize = 20;
+    const WINDOWS: usize = 20;
     const LEAST_ANSWERS: u32 = 20;
     const FAILING: f64 = 0.1;
     const SLOW: f64 = 0.3;
@@ -45,13 +45,13 @@
         Fixed::default()
     }
 
-    fn is_bad(&mut self, moment: &[RouteTally]) -> bool {
-        self.moments.push_back(moment.to_vec());
-        if self.moments.len() > Self::MOMENTS {
-            self.moments.pop_front();
+    fn is_bad(&mut self, window: &[RouteTally]) -> bool {
+        self.windows.push_back(window.to_vec());
+        if self.windows.len() > Self::WINDOWS {
+            self.windows.pop_front();
         }
         let mut routes: BTreeMap<&str, [AnswerCounts; 2]> = BTreeMap::new();
-        for tally in self.moments.iter().flatten() {
+        for tally in self.windows.iter().flatten() {
             for name in [tally.route.as_str(), "all"] {
                 let side = usize::from(tally.release == Release::New);
                 routes.entry(name).or_default()[side].merge(&tally.answers);
@@ -98,7 +98,7 @@
         let mut stream = Stream::new(routes, matter, PART, seed);
         let mut judge = J::begin();
         let mut bad = 0;
-        for _ in 0..MOMENTS {
+        for _ in 0..WINDOWS {
             let (tallies, through) = stream.next();
             bad += through;
             if judge.is_bad(&tallies) {
@@ -127,7 +127,7 @@
 
 /// The table of `docs/design/roll-outs.md`, with `--nocapture`.
 #[test]
-fn the_sequential_test_condemns_fewer_harmless_releases_than_fixed_thresholds() {
+fn the_sequential_test_rejects_fewer_harmless_releases_than_fixed_thresholds() {
     let services: [(&str, &'static [Route]); 2] = [("busy", &BUSY), ("quiet", &QUIET)];
     println!("| service | release | fixed: found, bad median, 95 % | sequential |");
     for (name, routes) in services {
@@ -135,7 +135,7 @@
         let (mut by_fixed, mut by_sequential) = (0.0, 0.0);
         for (at, matter) in harmless().chain(&BAD).enumerate() {
             let fixed = measure::<Fixed>(routes, *matter);
-            let sequential = measure::<Watch>(routes, *matter);
+            let sequential = measure::<CanaryAnalysis>(routes, *matter);
             let cell = |m: &Measured| format!("{:.3}, {}, {}", m.found, m.median, m.upper);
             println!("| {name} | {matter:?} | {} | {} |", cell(&fixed), cell(&sequential));
             if at < harmless().count() {
@@ -150,15 +150,15 @@
 #[test]
 fn a_good_release_is_hardly_ever_found_bad() {
     for routes in [&BUSY[..], &QUIET[..]] {
-        let found = measure::<Watch>(routes, Matter::Good).found;
+        let found = measure::<CanaryAnalysis>(routes, Matter::Good).found;
         assert!(found <= 0.01, "{found}");
     }
 }
 
 #[test]
-fn trouble_that_meets_both_releases_condemns_neither() {
+fn trouble_that_meets_both_releases_rejects_neither() {
     for matter in [Matter::GreyOnBothSides, Matter::SlowOnBothSides] {
-        let found = measure::<Watch>(&BUSY, matter).found;
+        let found = measure::<CanaryAnalysis>(&BUSY, matter).found;
         assert!(found <= 0.03, "{matter:?}: {found}");
     }
 }
@@ -170,7 +170,7 @@
         Matter::Fails { from: 0, part: 1.0 },
         Matter::Fails { from: 40, part: 0.3 },
     ] {
-        let measured = measure::<Watch>(&BUSY, matter);
+        let measured = measure::<CanaryAnalysis>(&BUSY, matter);
         assert!(measured.found == 1.0, "{matter:?}: {}", measured.found);
         assert!(measured.upper <= 50, "{matter:?}: {}", measured.upper);
     }
@@ -180,7 +180,7 @@
 /// seconds is found when the part grows: `a_bad_release_gets_less_than_its_share`.
 #[test]
 fn a_release_that_fails_on_one_route_that_always_fails_some_is_mostly_found_early() {
-    let measured = measure::<Watch>(&BUSY, Matter::FailsOnOneRoute { part: 0.3 });
+    let measured = measure::<CanaryAnalysis>(&BUSY, Matter::FailsOnOneRoute { part: 0.3 });
     assert!(measured.found >= 0.95, "{}", measured.found);
     assert!(measured.upper <= 50, "{}", measured.upper);
 }
@@ -192,14 +192,14 @@
         Matter::Slower { from: 0, times: 4.0 },
         Matter::Slower { from: 40, times: 2.5 },
     ] {
-        let measured = measure::<Watch>(&BUSY, matter);
+        let measured = measure::<CanaryAnalysis>(&BUSY, matter);
         assert!(measured.found == 1.0, "{matter:?}: {}", measured.found);
     }
 }
 
 #[test]
-fn one_endpoint_that_crashes_does_not_condemn_its_release() {
-    let found = measure::<Watch>(&BUSY, Matter::OneCrashes).found;
+fn one_endpoint_that_crashes_does_not_reject_its_release() {
+    let found = measure::<CanaryAnalysis>(&BUSY, Matter::OneCrashes).found;
     assert!(found <= 0.02, "{found}");
 }
 
@@ -212,12 +212,12 @@
 #[test]
 fn endpoints_that_have_just_started_may_be_slow() {
     let level = |cold_part| {
-        let mut watch = Watch::new(12_000);
+        let mut watch = CanaryAnalysis::new(12_000);
         let mut level = 0.0;
         for _ in 0..10 {
             watch.take(&tally(Release::Old, 50.0, 40));
             watch.take(&tally(Release::New, 400.0, 4));
-            level = watch.close_moment(&Moment { cold_part, is_alone: false }).level;
+            level = watch.close_window(&Window { cold_part, is_alone: false }).level;
         }
         level
     };
@@ -227,15 +227,15 @@
 
 #[test]
 fn a_release_alone_is_compared_with_the_seconds_before() {
-    let mut watch = Watch::new(12_000);
+    let mut watch = CanaryAnalysis::new(12_000);
     for _ in 0..10 {
         watch.take(&tally(Release::Old, 50.0, 40));
-        watch.close_moment(&Moment::default());
+        watch.close_window(&Window::default());
     }
     let mut level = 0.0;
     for _ in 0..10 {
         watch.take(&tally(Release::New, 400.0, 40));
-        level = watch.close_moment(&Moment { cold_part: 0.0, is_alone: true }).level;
+        level = watch.close_window(&Window { cold_part: 0.0, is_alone: true }).level;
     }
     assert!(level >= 1.0);
 }
--- a/src/rollout/tests/plan.rs
+++ b/src/rollout/tests/plan.rs
@@ -20,8 +20,8 @@
         counted_ms: 4_000,
         new_sent: 220.0,
         sent_per_ms: 1.0,
-        new_places: 40,
-        old_places: 40,
+        new_slots: 40,
+        old_slots: 40,
         without_old_ms: 0,
         has_heard: true,
         is_old_empty: false,
@@ -106,13 +106,13 @@
 #[test]
 fn nothing_is_granted_while_no_endpoint_of_the_release_takes_work() {
     for now in [canary(), shifting()] {
-        assert_eq!(next(&Situation { new_places: 0, ..now }), Decision::Grant(0));
+        assert_eq!(next(&Situation { new_slots: 0, ..now }), Decision::Grant(0));
     }
 }
 
 #[test]
 fn a_release_with_too_few_endpoints_gets_no_more_until_the_last_seconds() {
-    let few = Situation { elapsed_ms: 8_000, new_places: 10, ..canary() };
+    let few = Situation { elapsed_ms: 8_000, new_slots: 10, ..canary() };
     assert_eq!(next(&few), Decision::Grant(55));
     assert_eq!(next(&Situation { elapsed_ms: 9_600, ..few }), Decision::Grant(120));
 }
@@ -175,18 +175,18 @@
 
 #[test]
 fn it_is_done_where_no_old_endpoint_is_left() {
-    let alone = Situation { without_old_ms: 3_000, old_places: 0, ..canary() };
+    let alone = Situation { without_old_ms: 3_000, old_slots: 0, ..canary() };
     assert_eq!(next(&alone), Decision::Step(Stage::Done, Why::NoOldLeft));
-    let nobody = Situation { new_places: 0, ..alone };
+    let nobody = Situation { new_slots: 0, ..alone };
     assert_eq!(next(&nobody), Decision::Grant(0));
 }
 
 /// A leader that has just started hears of the endpoints one after the other.
 #[test]
 fn it_is_not_done_because_old_endpoints_were_not_heard_yet() {
-    let started = Situation { without_old_ms: 100, old_places: 0, ..canary() };
+    let started = Situation { without_old_ms: 100, old_slots: 0, ..canary() };
     assert!(matches!(next(&started), Decision::Grant(_)));
-    let shifting = Situation { without_old_ms: 1_500, old_places: 0, ..shifting() };
+    let shifting = Situation { without_old_ms: 1_500, old_slots: 0, ..shifting() };
     assert_eq!(next(&shifting), Decision::Grant(1_000));
     let late = Situation { elapsed_ms: 11_600, ..started };
     assert!(matches!(next(&late), Decision::Grant(_)), "nothing else may be there to serve");
--- a/src/rollout/tests/size.rs
+++ b/src/rollout/tests/size.rs
@@ -2,7 +2,7 @@
 
 use crate::rollout::{AnswerCounts, Grant, Grants, Release, Report, RouteTally, ServiceReport};
 
-/// A router's answers on one route in a moment: six, in four buckets of times.
+/// A router's answers on one route in a window: six, in four buckets of times.
 fn tally(route: &str, release: Release) -> RouteTally {
     let mut answers = AnswerCounts { sent: 6, failed: 1, ..AnswerCounts::default() };
     [40.0, 55.0, 70.0, 100.0].into_iter().for_each(|ms| answers.add(ms));
@@ -11,12 +11,8 @@
 
 #[test]
 fn messages_are_small() {
-    let grant = Grant {
-        service: "llm".into(),
-        number: 300,
-        permille: 55,
-        order_upto: u32::MAX / 20,
-    };
+    let grant =
+        Grant { service: "llm".into(), number: 300, permille: 55, highest_order: u32::MAX / 20 };
     let grants = Grants { term: 300, valid_ms: 600, services: vec![grant] };
     let routes = ["chat", "search", "summary"];
     let sides = [Release::Old, Release::New];
--- a/src/rollout/tests/split.rs
+++ b/src/rollout/tests/split.rs
@@ -15,7 +15,8 @@
 
 impl World {
     fn new(stage: Stage, permille: Option<u32>) -> World {
-        let grant = |permille| Grant { service: "llm".into(), number: 1, permille, order_upto: 9 };
+        let grant =
+            |permille| Grant { service: "llm".into(), number: 1, permille, highest_order: 9 };
         World {
             rollout: Rollout { number: 1, order: order("v2", 0), stage, stage_at_ms: 0 },
             grant: permille.map(grant),
@@ -23,18 +24,23 @@
         }
     }
 
-    fn ask(&self, splits: &mut Splits, turn: &mut Turn, offset: f64) -> Option<VersionRule> {
+    fn ask(
+        &self,
+        splits: &mut Splits,
+        turn: &mut ReleaseChoice,
+        offset: f64,
+    ) -> Option<VersionRule> {
         self.with(|situation| splits.rule(turn, "chat", offset, situation).0)
     }
 
     fn first(&self) -> Option<VersionRule> {
-        self.ask(&mut Splits::default(), &mut Turn::default(), 0.999)
+        self.ask(&mut Splits::default(), &mut ReleaseChoice::default(), 0.999)
     }
 
-    fn with<T>(&self, f: impl FnOnce(&Circumstances<'_>) -> T) -> T {
+    fn with<T>(&self, f: impl FnOnce(&RouterState<'_>) -> T) -> T {
         let grant = self.grant.as_ref();
         let rollout = Some(&self.rollout);
-        f(&Circumstances { rollout, grant, others_take_work: self.old_takes_work })
+        f(&RouterState { rollout, grant, others_take_work: self.old_takes_work })
     }
 }
 
@@ -42,8 +48,8 @@
     Some(VersionRule::Not("v2".into()))
 }
 
-fn only(version: &str, order_upto: u32) -> Option<VersionRule> {
-    Some(VersionRule::Only { version: version.into(), order_upto })
+fn only(version: &str, highest_order: u32) -> Option<VersionRule> {
+    Some(VersionRule::Only { version: version.into(), highest_order })
 }
 
 #[test]
@@ -63,7 +69,7 @@
                 continue;
             }
             asked += 1.0;
-            let rule = world.ask(splits, &mut Turn::default(), random.random());
+            let rule = world.ask(splits, &mut ReleaseChoice::default(), random.random());
             sent += f64::from(u8::from(rule == only("v2", 9)));
         }
         let part = asked * 0.04;
@@ -79,7 +85,7 @@
     let mut splits = Splits::default();
     let mut sent = 0;
     for _ in 0..100 {
-        let mut turn = Turn::default();
+        let mut turn = ReleaseChoice::default();
         let rule = world.ask(&mut splits, &mut turn, 0.0);
         (0..5).for_each(|_| assert_eq!(world.ask(&mut splits, &mut turn, 0.0), rule));
         sent += usize::from(rule == only("v2", 9));
@@ -100,7 +106,7 @@
 #[test]
 fn a_grant_that_ends_in_the_middle_takes_a_drawn_request_back() {
     let mut world = World::new(Stage::Canary, Some(500));
-    let (mut splits, mut turn) = (Splits::default(), Turn::default());
+    let (mut splits, mut turn) = (Splits::default(), ReleaseChoice::default());
     assert_eq!(world.ask(&mut splits, &mut turn, 0.5), only("v2", 9));
     world.grant = None;
     assert_eq!(world.ask(&mut splits, &mut turn, 0.5), not_new());
@@ -109,7 +115,7 @@
 #[test]
 fn all_requests_go_to_the_new_release_also_those_that_drew_another() {
     let mut world = World::new(Stage::Shifting, Some(10));
-    let (mut splits, mut turn) = (Splits::default(), Turn::default());
+    let (mut splits, mut turn) = (Splits::default(), ReleaseChoice::default());
     assert_eq!(world.ask(&mut splits, &mut turn, 0.0), not_new());
     world.grant = Some(Grant { permille: 1_000, ..world.grant.unwrap() });
     assert_eq!(world.ask(&mut splits, &mut turn, 0.0), only("v2", 9));
@@ -118,13 +124,13 @@
 #[test]
 fn what_was_rolled_back_gets_nothing_whatever_was_granted_or_drawn() {
     let mut world = World::new(Stage::Canary, Some(500));
-    let (mut splits, mut turn) = (Splits::default(), Turn::default());
+    let (mut splits, mut turn) = (Splits::default(), ReleaseChoice::default());
     assert_eq!(world.ask(&mut splits, &mut turn, 0.5), only("v2", 9));
     world.rollout.stage = Stage::RolledBack;
     assert_eq!(world.ask(&mut splits, &mut turn, 0.5), not_new());
     world.old_takes_work = false;
     assert_eq!(world.first(), not_new());
-    let mut bound = Turn::default();
+    let mut bound = ReleaseChoice::default();
     bound.bind("v2");
     assert_eq!(world.ask(&mut splits, &mut bound, 0.5), None);
 }
@@ -139,7 +145,7 @@
 #[test]
 fn a_request_that_failed_at_the_new_release_or_had_no_place_goes_to_another() {
     let mut world = World::new(Stage::Canary, Some(999));
-    let (mut splits, mut turn) = (Splits::default(), Turn::default());
+    let (mut splits, mut turn) = (Splits::default(), ReleaseChoice::default());
     assert_eq!(world.ask(&mut splits, &mut turn, 0.5), only("v2", 9));
     turn.failed_at_new(1);
     assert_eq!(world.ask(&mut splits, &mut turn, 0.5), not_new());
@@ -155,7 +161,7 @@
 fn a_begun_answer_goes_on_at_its_release_only() {
     let world = World::new(Stage::Canary, Some(10));
     let mut splits = Splits::default();
-    let mut turn = Turn::default();
+    let mut turn = ReleaseChoice::default();
     turn.bind("v1");
     assert_eq!(world.ask(&mut splits, &mut turn, 0.0), only("v1", u32::MAX));
     turn.bind("v2");
@@ -164,7 +170,7 @@
     assert_eq!(cut_off.ask(&mut splits, &mut turn, 0.0), None);
     let ended = World::new(Stage::Done, None);
     assert_eq!(ended.ask(&mut splits, &mut turn, 0.0), only("v2", u32::MAX));
-    let nothing = Circumstances { rollout: None, grant: None, others_take_work: true };
+    let nothing = RouterState { rollout: None, grant: None, others_take_work: true };
     assert_eq!(splits.rule(&mut turn, "chat", 0.0, &nothing).0, only("v2", u32::MAX));
 }
 
@@ -174,7 +180,7 @@
     let mut splits = Splits::default();
     let mut sent = 0;
     for _ in 0..1_000 {
-        let mut turn = Turn::default();
+        let mut turn = ReleaseChoice::default();
         if world.ask(&mut splits, &mut turn, 0.5) != only("v2", 9) {
             continue;
         }
@@ -191,7 +197,7 @@
 #[test]
 fn a_later_roll_out_of_the_service_is_drawn_for_anew() {
     let mut world = World::new(Stage::Canary, Some(500));
-    let (mut splits, mut turn) = (Splits::default(), Turn::default());
+    let (mut splits, mut turn) = (Splits::default(), ReleaseChoice::default());
     assert_eq!(world.ask(&mut splits, &mut turn, 0.5), only("v2", 9));
     world.rollout.number = 2;
     world.rollout.order.version = "v3".into();
@@ -200,7 +206,8 @@
 
 #[test]
 fn without_a_roll_out_any_release_runs_a_request() {
-    let nothing = Circumstances { rollout: None, grant: None, others_take_work: true };
-    let (rule, cause) = Splits::default().rule(&mut Turn::default(), "chat", 0.5, &nothing);
+    let nothing = RouterState { rollout: None, grant: None, others_take_work: true };
+    let (rule, cause) =
+        Splits::default().rule(&mut ReleaseChoice::default(), "chat", 0.5, &nothing);
     assert_eq!((rule, cause), (Some(VersionRule::Any), Cause::NoRollout));
 }
--- a/src/rollout/tests/streams.rs
+++ b/src/rollout/tests/streams.rs
@@ -5,8 +5,8 @@
 
 use crate::rollout::{AnswerCounts, Release, RouteTally};
 
-/// Milliseconds of a moment.
-pub const MOMENT_MS: u64 = 100;
+/// Milliseconds of a window.
+pub const WINDOW_MS: u64 = 100;
 
 /// One route of the service.
 #[derive(Clone, Copy)]
@@ -39,13 +39,13 @@
 pub enum Matter {
     /// Nothing.
     Good,
-    /// From a moment on this part of its answers fails.
+    /// From some window on this part of its answers fails.
     Fails { from: usize, part: f64 },
     /// The same on the first route only.
     FailsOnOneRoute { part: f64 },
     /// This part of its answers fails while it gets a fifth of the requests or more.
     FailsUnderLoad { part: f64 },
-    /// From a moment on its answers take so many times as long.
+    /// From some window on its answers take so many times as long.
     Slower { from: usize, times: f64 },
     /// For two seconds a third of the answers of both releases fails.
     GreyOnBothSides,
@@ -57,21 +57,21 @@
 
 const GREY: std::ops::Range<usize> = 30..50;
 
-/// Answers of one moment.
+/// Answers of one window.
 pub struct Stream {
     pub routes: &'static [Route],
     pub matter: Matter,
     pub part: f64,
     random: SmallRng,
-    moment: usize,
+    window: usize,
 }
 
 impl Stream {
     pub fn new(routes: &'static [Route], matter: Matter, part: f64, seed: u64) -> Stream {
-        Stream { routes, matter, part, random: SmallRng::seed_from_u64(seed), moment: 0 }
+        Stream { routes, matter, part, random: SmallRng::seed_from_u64(seed), window: 0 }
     }
 
-    /// The answers of the next moment, and how many bad ones of the new release a bad
+    /// The answers of the next window, and how many bad ones of the new release a bad
     /// release gave beyond what is usual.
     pub fn next(&mut self) -> (Vec<RouteTally>, u32) {
         let mut tallies = Vec::new();
@@ -79,7 +79,7 @@
         for (index, route) in self.routes.iter().enumerate() {
             for release in [Release::Old, Release::New] {
                 let part = if release == Release::New { self.part } else { 1.0 - self.part };
-                let expected = route.per_second * MOMENT_MS as f64 / 1_000.0 * part;
+                let expected = route.per_second * WINDOW_MS as f64 / 1_000.0 * part;
                 let answers = self.poisson(expected);
                 let mut counts = AnswerCounts { sent: answers, ..AnswerCounts::default() };
                 for _ in 0..answers {
@@ -96,13 +96,13 @@
                 tallies.push(RouteTally { route: route.name.into(), release, answers: counts });
             }
         }
-        self.moment += 1;
+        self.window += 1;
         (tallies, let_through)
     }
 
     /// The part that fails beyond the usual, and how many times as long others take.
     fn trouble(&self, route: usize, release: Release) -> (f64, f64) {
-        let now = self.moment;
+        let now = self.window;
         let is_new = release == Release::New;
         match self.matter {
             Matter::Fails { from, part } if is_new && now >= from => (part, 1.0),
--- a/src/telemetry/gateway.rs
+++ b/src/telemetry/gateway.rs
@@ -51,7 +51,11 @@
                 "Requests by release during a roll-out.",
                 &["service", "release", "outcome"],
             )?,
-            across: counter("across_total", "Requests sent to another region.", &["service"])?,
+            across: counter(
+                "sent_to_other_region_total",
+                "Requests sent to another region.",
+                &["service"],
+            )?,
             handed_over: counter("handed_over_total", "Connections handed over.", &["answer"])?,
             first_answer: HistogramVec::new(seconds, &["service"])?,
             routing_version: IntGauge::new(name("routing_version"), "Version in force.")?,
