--- a/src/placement/pauses.rs
+++ b/src/placement/pauses.rs
@@ -13,13 +13,13 @@
 
 use super::engine::{RequestKey, reading_units};
 
-/// Milliseconds of a step that reads nothing: between those of engines seen, 3 to 6. It
-/// is a tenth of a step that reads, so callers notice no error in it.
+/// Milliseconds of a step that reads nothing: 3 to 6 for a large model. A step that reads
+/// takes ten times as long, so callers notice no error in it.
 const STEP_MS: f64 = 5.0;
-/// Units of a prompt from which on its reading says how long pieces take: with shorter
-/// ones the time to a first event outweighs that of reading, which callers notice as
-/// pauses that nobody foresaw.
-pub const TELLING_UNITS: f64 = 8_192.0;
+/// Units of a prompt from which on its reading tells how long pieces take. The fixed part
+/// of the time to a first event hides it in shorter ones; rates learnt from those would
+/// let callers' streams be stretched.
+pub const LONG_READING_UNITS: f64 = 8_192.0;
 /// Part of a promised pause from which a prompt counts as stretching it: what is not
 /// modelled, such as prompts read back to back and the way to the caller, takes the rest.
 const PROMISED_PART: f64 = 0.75;
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -10,7 +10,7 @@
 use super::engines::EngineInfo;
 use super::message::{Ending, FromPlacer, Knowledge, PlacementRequest, Refusal, ToPlacer};
 use super::parts::{EngineNumber, Match, PartIndex};
-use super::pauses::TELLING_UNITS;
+use super::pauses::LONG_READING_UNITS;
 use super::queue::Planned;
 use super::rate::ReadingRate;
 use super::rules::PlacementRules;
@@ -226,7 +226,7 @@
     fn observe(&mut self, service: &str, observed: Observation) {
         let Some(pace) = self.paces.get_mut(service) else { return };
         pace.learnt.observe(observed.units, observed.ms);
-        if observed.units >= TELLING_UNITS {
+        if observed.units >= LONG_READING_UNITS {
             pace.long.observe(observed.units, observed.ms);
         }
         let rate = pace.learnt.get();
