--- a/tests/platform/regions.rs
+++ b/tests/platform/regions.rs
@@ -80,7 +80,7 @@
     regions.fleet.deregister(&regions.near).await;
     regions.fleet.settle().await;
     assert_eq!(regions.calls("other").await, (0, CALLS));
-    let across = r#"bramblecrank_gateway_across_total{service="app"}"#;
+    let across = r#"bramblecrank_gateway_sent_to_other_region_total{service="app"}"#;
     assert!(regions.fleet.metric(across).await >= CALLS as u64);
 }
 
