--- a/src/peer.rs
+++ b/src/peer.rs
@@ -163,7 +163,9 @@
         self.note_other_protocol(error);
         let dropped = self.unreadable.fetch_add(1, Ordering::Relaxed);
         if dropped.is_multiple_of(UNREADABLE_LOGGED) {
-            log::warn!("member: dropped a datagram from {from}: {error}, {dropped} before");
+            log::warn!(
+                "member: dropped a malformed datagram from {from}: {error}, {dropped} before"
+            );
         }
     }
 
