Say when control hosts were last heard, and what they were able to tell

A refusal by routes now names the newest version announced and when any control host was last heard by feed; bramblecrank_gateway_feed_silence_ms is the longest silence of a feed; bramblecrank_control_followers and _followers_told count feeds and those to which the routing in force was written. No behaviour changes.

--- a/src/control.rs
+++ b/src/control.rs
@@ -27,7 +27,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::error::{Error, Result};
-use crate::feed::{self, Publication, Subscriptions};
+use crate::feed::{self, Followers, Publication, Subscriptions};
 use crate::peer::{Incoming, PeerReader, Peers};
 use crate::placement::{self, PlacementSession};
 use crate::registry::{SharedRegistry, saved};
@@ -68,6 +68,8 @@
     pub rollout_progress: Mutex<BTreeMap<String, Progress>>,
     /// The placer that runs here.
     pub placement: PlacementSession,
+    /// The feeds that are open from here.
+    pub followers: Arc<Followers>,
     /// The agreement.
     pub handle: Handle,
     /// Set when an operator asks for a planned stop.
@@ -149,6 +151,7 @@
         registry,
         rollouts,
         rollout_progress: Mutex::default(),
+        followers: Arc::default(),
         handle,
         stop: stop.clone(),
     });
@@ -230,6 +233,7 @@
         leadership: control.handle.leadership.clone(),
         view: control.peers.watch(),
         numbering: control.peers.incarnation,
+        followers: control.followers.clone(),
     };
     let published = feed::publish(publication, control.peers.sent.clone(), reader, writer);
     if let Err(error) = published.await {
--- a/src/control/documents.rs
+++ b/src/control/documents.rs
@@ -93,6 +93,8 @@
             ("endpoints", endpoints as u64),
             ("drained_halls", drained as u64),
             ("live_routers", self.live_routers() as u64),
+            ("followers", self.followers.count() as u64),
+            ("followers_told", self.followers.count_told(version) as u64),
             ("unknown_heartbeats", self.peers.unknown_heartbeats()),
             ("other_protocols", self.peers.other_protocols()),
             ("sent_bytes", self.peers.sent.get()),
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -8,6 +8,7 @@
 //! hosts that a subscriber has asked: two tell it all that they know, and every control
 //! host tells the others what endpoints said to itself ([`sources`]).
 
+mod followers;
 mod following;
 mod news;
 mod publish;
@@ -26,6 +27,7 @@
 use crate::rollout::{Grants, Report, Rollouts};
 use crate::wire::HostId;
 
+pub use followers::Followers;
 pub use publish::{Publication, publish};
 pub use subscribe::Subscriptions;
 
--- a/src/feed/news.rs
+++ b/src/feed/news.rs
@@ -16,6 +16,8 @@
     term: u64,
     leader: Option<HostId>,
     routers: usize,
+    /// When it last said anything.
+    heard: Millis,
 }
 
 /// What the control hosts with an open feed last said.
@@ -28,8 +30,25 @@
 
 impl News {
     /// A feed was opened.
-    pub fn opened(&mut self, from: HostId) {
-        self.hosts.insert(from, HostNews::default());
+    pub fn opened(&mut self, now: Millis, from: HostId) {
+        self.hosts.insert(from, HostNews { heard: now, ..HostNews::default() });
+    }
+
+    /// A feed said something.
+    pub fn heard(&mut self, now: Millis, from: HostId) {
+        if let Some(news) = self.hosts.get_mut(&from) {
+            news.heard = now;
+        }
+    }
+
+    /// Milliseconds since the feed that spoke last did so; none where none is open.
+    pub fn last_heard_ms(&self, now: Millis) -> Option<Millis> {
+        self.hosts.values().map(|news| now.saturating_sub(news.heard)).min()
+    }
+
+    /// Milliseconds for which the feed that is silent longest has said nothing.
+    pub fn longest_silence_ms(&self, now: Millis) -> Option<Millis> {
+        self.hosts.values().map(|news| now.saturating_sub(news.heard)).max()
     }
 
     /// A feed has ended: what it said may not hold any more.
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
-use super::{EndpointsAfter, FeedMessage, FeedRequest, Neighbour};
+use super::{EndpointsAfter, FeedMessage, FeedRequest, Followers, Neighbour};
 use crate::control::Leadership;
 use crate::error::{Result, RpcSnafu};
 use crate::member::View;
@@ -46,6 +46,8 @@
     pub view: watch::Receiver<Arc<View>>,
     /// Names the numbers of the registry's changes: this start of the process.
     pub numbering: u64,
+    /// Where it is noted what each feed was told.
+    pub followers: Arc<Followers>,
 }
 
 /// How far a subscriber has been told of endpoints.
@@ -76,7 +78,9 @@
         mut leadership,
         mut view,
         numbering,
+        followers,
     } = publication;
+    let follower = followers.opened();
     let (requests, mut asked) = mpsc::channel(REQUESTS);
     let _reading = AbortOnDropHandle::new(tokio::spawn(read_requests(reader, requests)));
     let mut routing = documents.watch();
@@ -173,7 +177,14 @@
                 None => return Ok(()),
             },
         };
+        let announced = match next {
+            FeedMessage::RoutingVersion(version) => Some(version),
+            _ => None,
+        };
         write(&mut writer, &sent, next).await?;
+        if let Some(version) = announced {
+            follower.told(version);
+        }
     }
 }
 
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -15,6 +15,7 @@
 use super::sources::{Sources, Step};
 use super::table_fetch::{Next, TableFetch};
 use super::{EndpointsAfter, FeedMessage, FeedRequest, Neighbour};
+use crate::dispatch::Millis;
 use crate::error::Result;
 use crate::peer::Peers;
 use crate::registry::{Hearing, Scope, SharedRegistry};
@@ -115,6 +116,21 @@
         self.news().open_feeds()
     }
 
+    /// Milliseconds since any control host said anything by feed; none without a feed.
+    pub fn last_heard_ms(&self) -> Option<Millis> {
+        self.news().last_heard_ms(self.peers.clock.now())
+    }
+
+    /// Milliseconds for which the feed that is silent longest has said nothing.
+    pub fn longest_silence_ms(&self) -> Option<Millis> {
+        self.news().longest_silence_ms(self.peers.clock.now())
+    }
+
+    /// The newest routing version that an open feed has announced; 0 for none.
+    pub fn newest_announced(&self) -> u64 {
+        self.tables().fetch.newest_announced()
+    }
+
     fn news(&self) -> MutexGuard<'_, News> {
         lock(&self.news)
     }
@@ -124,7 +140,7 @@
     }
 
     fn opened(&self, host: HostId, requests: BatchSender<FeedRequest>) {
-        self.news().opened(host);
+        self.news().opened(self.peers.clock.now(), host);
         self.tables().requests.insert(host, requests);
         let hall = self.peers.view().known(host).map(|m| m.hall.clone()).unwrap_or_default();
         lock(&self.sources).opened(host, &hall);
@@ -209,6 +225,7 @@
     }
 
     fn heard(&self, from: HostId, message: FeedMessage) {
+        self.news().heard(self.peers.clock.now(), from);
         match message {
             FeedMessage::RoutingVersion(version) => {
                 self.tables().fetch.announced(from, version);
--- a/src/feed/table_fetch.rs
+++ b/src/feed/table_fetch.rs
@@ -72,6 +72,11 @@
         self.announced.values().any(|version| *version > held)
     }
 
+    /// The newest version that is announced; 0 for none.
+    pub fn newest_announced(&self) -> u64 {
+        self.announced.values().max().copied().unwrap_or(0)
+    }
+
     /// What to do now, where the table of version `held` is in force.
     pub fn next(&mut self, now: Millis, held: u64, leader: Option<HostId>) -> Next {
         if !self.is_behind(held) {
--- a/src/feed/tests.rs
+++ b/src/feed/tests.rs
@@ -2,6 +2,9 @@
 mod sources;
 mod table_fetch;
 
+use std::sync::Arc;
+
+use super::Followers;
 use super::following::{Following, Reason, Step};
 use super::news::News;
 use crate::member::View;
@@ -72,7 +75,7 @@
 #[test]
 fn the_leader_of_the_highest_term_named_by_a_live_host_counts() {
     let mut news = News::default();
-    [CONTROL, OTHER].iter().for_each(|host| news.opened(*host));
+    [CONTROL, OTHER].iter().for_each(|host| news.opened(0, *host));
     news.set_leader(CONTROL, 3, Some(CONTROL));
     news.set_leader(OTHER, 4, Some(OTHER));
     assert_eq!(news.leader(|_| true), Some(OTHER));
@@ -90,13 +93,13 @@
 fn control_hosts_that_restart_do_not_make_the_fleet_look_small() {
     let mut news = News::default();
     assert_eq!(news.routers(0), 1);
-    news.opened(CONTROL);
+    news.opened(0, CONTROL);
     news.set_routers(0, CONTROL, 9);
     assert_eq!(news.routers(0), 9);
     // It restarts and hears one router after the other.
     news.lost(CONTROL);
     assert_eq!(news.routers(1_000), 9);
-    news.opened(CONTROL);
+    news.opened(0, CONTROL);
     for heard in 1..9 {
         news.set_routers(1_000 + heard, CONTROL, heard as usize);
         assert_eq!(news.routers(1_000 + heard), 9);
@@ -110,7 +113,7 @@
 #[test]
 fn routers_that_no_control_host_hears_keep_the_last_number() {
     let mut news = News::default();
-    news.opened(CONTROL);
+    news.opened(0, CONTROL);
     news.set_routers(0, CONTROL, 9);
     news.lost(CONTROL);
     assert_eq!(news.routers(60_000), 9);
@@ -130,3 +133,27 @@
     let hosts: Vec<_> = named.iter().map(|neighbour| neighbour.host).collect();
     assert_eq!(hosts, [HostId(4), HostId(6)]);
 }
+
+#[test]
+fn the_silence_of_feeds_is_told() {
+    let mut news = News::default();
+    assert_eq!(news.last_heard_ms(10), None);
+    news.opened(0, CONTROL);
+    news.opened(0, OTHER);
+    news.heard(400, CONTROL);
+    assert_eq!(news.last_heard_ms(1_000), Some(600));
+    assert_eq!(news.longest_silence_ms(1_000), Some(1_000));
+    news.lost(OTHER);
+    assert_eq!(news.longest_silence_ms(1_000), Some(600));
+}
+
+#[test]
+fn a_feed_counts_as_told_while_it_is_open() {
+    let followers = Arc::new(Followers::default());
+    let (first, second) = (followers.opened(), followers.opened());
+    first.told(7);
+    second.told(5);
+    assert_eq!((followers.count(), followers.count_told(7), followers.count_told(5)), (2, 1, 2));
+    drop(first);
+    assert_eq!((followers.count(), followers.count_told(7)), (1, 0));
+}
--- a/src/feed/tests/connection.rs
+++ b/src/feed/tests/connection.rs
@@ -42,6 +42,7 @@
             leadership: leadership.subscribe(),
             view: peers.watch(),
             numbering: peers.incarnation,
+            followers: Arc::default(),
         };
         tokio::spawn(publish(publication, peers.sent.clone(), reader, writer));
     }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -102,11 +102,14 @@
 fn note_refusal(gateway: &Gateway, id: Option<&str>, refusal: Refusal) {
     gateway.metrics.outcomes.with_label_values(&["", refusal.name()]).inc();
     log::info!(
-        "gateway: request ({}) refused: {}, routing version {}, {} control hosts followed",
+        "gateway: request ({}) refused: {}, routing version {}, {} control hosts followed, \
+         newest announced {}, last heard {} ms ago",
         id.unwrap_or_default(),
         refusal.name(),
         gateway.routing_version(),
         gateway.feeds.open_feeds(),
+        gateway.feeds.newest_announced(),
+        gateway.feeds.last_heard_ms().map_or_else(|| "?".into(), |ms| ms.to_string()),
     );
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -162,6 +162,8 @@
         let version = i64::try_from(self.routing_version()).unwrap_or(i64::MAX);
         self.metrics.routing_version.set(version);
         self.metrics.open_feeds.set(self.feeds.open_feeds() as i64);
+        let silence = self.feeds.longest_silence_ms().unwrap_or(0);
+        self.metrics.feed_silence_ms.set(i64::try_from(silence).unwrap_or(i64::MAX));
         self.metrics.render()
     }
 
--- a/src/telemetry/gateway.rs
+++ b/src/telemetry/gateway.rs
@@ -26,6 +26,8 @@
     pub routing_version: IntGauge,
     /// Control hosts whose feeds are open.
     pub open_feeds: IntGauge,
+    /// Milliseconds for which the feed that is silent longest has said nothing.
+    pub feed_silence_ms: IntGauge,
 }
 
 impl Default for GatewayMetrics {
@@ -60,6 +62,7 @@
             first_answer: HistogramVec::new(seconds, &["service"])?,
             routing_version: IntGauge::new(name("routing_version"), "Version in force.")?,
             open_feeds: IntGauge::new(name("open_feeds"), "Control hosts that are followed.")?,
+            feed_silence_ms: IntGauge::new(name("feed_silence_ms"), "Longest silence of a feed.")?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.outcomes.clone()))?;
@@ -71,6 +74,7 @@
         registry.register(Box::new(metrics.first_answer.clone()))?;
         registry.register(Box::new(metrics.routing_version.clone()))?;
         registry.register(Box::new(metrics.open_feeds.clone()))?;
+        registry.register(Box::new(metrics.feed_silence_ms.clone()))?;
         Ok(metrics)
     }
 
