Reproduce the incident: connections between hosts that fall silent (red)

Three tests with the real programs behind a relay that takes what is sent and passes on nothing, neither a reset nor an end, while new connections and datagrams pass. All fail on the code as it is: a router answers 404 for 60 s with "3 control hosts followed, newest announced 1, last heard 59971 ms ago", an endpoint that left gets requests for as long, and the second silence between control hosts stops all changes.

Hosts get host.advertise, the address that others are told, so that a relay can stand before them; by default it is host.peer. The soak resets and holds up connections too, and its size is a setting.

--- a/src/control/found.rs
+++ b/src/control/found.rs
@@ -58,7 +58,7 @@
 async fn identify_all(control: &Control, addresses: &[std::net::SocketAddr]) -> Vec<Identity> {
     let mut identities = vec![super::serve::own_identity(control).await];
     for address in addresses {
-        if *address == control.settings.host.peer {
+        if *address == control.settings.host.advertised() {
             continue;
         }
         if let Ok(identity) = identify(control, *address).await {
--- a/src/control/serve.rs
+++ b/src/control/serve.rs
@@ -95,7 +95,7 @@
     let status = control.handle.status().await;
     Identity {
         host: control.peers.me,
-        peer: control.settings.host.peer,
+        peer: control.settings.host.advertised(),
         store: control.handle.store,
         founded: status.is_some_and(|s| !s.replica.members.is_empty()),
     }
--- a/src/gateway/tests/rollouts.rs
+++ b/src/gateway/tests/rollouts.rs
@@ -72,6 +72,7 @@
                 hall: "a".into(),
                 peer: address,
                 seeds: vec![],
+                advertise: None,
                 seed_port: None,
                 regions: Default::default(),
                 heartbeats: Default::default(),
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -82,10 +82,10 @@
         role: Role,
         operator: SocketAddr,
     ) -> Result<(Arc<Peers>, mpsc::Receiver<Incoming>)> {
-        let address = settings.peer;
-        let what = || format!("open the peer port {address}");
-        let tcp = TcpListener::bind(address).await.with_context(|_| NetSnafu { what: what() })?;
-        let udp = UdpSocket::bind(address).await.with_context(|_| NetSnafu { what: what() })?;
+        let (listen, address) = (settings.peer, settings.advertised());
+        let what = || format!("open the peer port {listen}");
+        let tcp = TcpListener::bind(listen).await.with_context(|_| NetSnafu { what: what() })?;
+        let udp = UdpSocket::bind(listen).await.with_context(|_| NetSnafu { what: what() })?;
         let incarnation = epoch_ms();
         let beat = Heartbeat {
             host: settings.number(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -44,8 +44,12 @@
     pub id: Option<HostId>,
     /// The data hall it stands in.
     pub hall: String,
-    /// Where peers reach it by UDP and TCP.
+    /// Where it listens for peers, by UDP and TCP.
     pub peer: SocketAddr,
+    /// Where peers reach it, if that is another address: behind a relay or a translation
+    /// of addresses.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertise: Option<SocketAddr>,
     /// Peer addresses of other hosts to start from.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -304,6 +308,11 @@
         }
     }
 
+    /// Where peers reach it.
+    pub fn advertised(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.peer)
+    }
+
     /// The peer addresses to start from.
     pub fn seed_peers(&self) -> Vec<SocketAddr> {
         let port = |seed: &SocketAddr| self.seed_port.unwrap_or(seed.port());
--- a/src/site/plan.rs
+++ b/src/site/plan.rs
@@ -201,6 +201,7 @@
             hall: self.hall(hall),
             peer,
             seeds,
+            advertise: None,
             seed_port: None,
             regions: Default::default(),
             heartbeats: HeartbeatScope::All,
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -39,6 +39,7 @@
         hall: "a".into(),
         peer,
         seeds,
+        advertise: None,
         seed_port: None,
         regions: Default::default(),
         heartbeats: HeartbeatScope::Control,
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -11,6 +11,10 @@
 mod fleet;
 #[path = "soak/history.rs"]
 mod history;
+#[path = "soak/proxy.rs"]
+mod proxy;
+#[path = "soak/silence.rs"]
+mod silence;
 // Shared with the tests of the platform, which use more of them.
 #[allow(dead_code)]
 #[path = "platform/http.rs"]
@@ -27,12 +31,14 @@
 use tokio_util::sync::CancellationToken;
 
 use actors::Stage;
-use fleet::{CONTROLS, Fleet, ROUTERS};
+use fleet::{Fleet, Size};
 use history::{History, Says};
 use replica::{Behaviour, Replica};
 
+/// Processes in CI; `SOAK_CONTROLS` and `SOAK_ROUTERS` for others.
+const SIZE: Size = Size { controls: 3, routers: 2 };
 /// Callers of each router.
-const CALLERS: usize = 3 * ROUTERS;
+const CALLERS: usize = 3;
 /// How long faults go on in CI; `SOAK_SECONDS` for longer.
 const SECONDS: u64 = 12;
 /// The seeds of CI; `SOAK_SEEDS` for others, as `FIRST..LAST`.
@@ -45,6 +51,13 @@
     std::env::var(name).ok()?.parse().ok()
 }
 
+fn size() -> Size {
+    Size {
+        controls: setting("SOAK_CONTROLS").unwrap_or(SIZE.controls),
+        routers: setting("SOAK_ROUTERS").unwrap_or(SIZE.routers),
+    }
+}
+
 fn seeds() -> std::ops::Range<u64> {
     let given: Option<String> = setting("SOAK_SEEDS");
     let range = given.and_then(|text| {
@@ -73,8 +86,9 @@
 
 async fn soak(seed: u64) {
     let time = Duration::from_secs(setting("SOAK_SECONDS").unwrap_or(SECONDS));
-    println!("seed {seed}");
-    let fleet = Arc::new(Fleet::start());
+    let size = size();
+    println!("seed {seed}, {size:?}");
+    let fleet = Arc::new(Fleet::start(size));
     let history = Arc::new(Mutex::new(History::default()));
     let stage = Stage { fleet: fleet.clone(), history, over: CancellationToken::new() };
     let replicas = [
@@ -89,8 +103,10 @@
     let bad = Replica::start("i-new", Behaviour::Fail).await;
     assert!(comes_about(|| serves(&stage)).await, "the fleet does not begin to serve");
     actors.spawn(actors::roll_out_on(stage.clone(), bad.clone(), seed));
-    (0..CALLERS).for_each(|caller| drop(actors.spawn(actors::call_on(stage.clone(), caller))));
-    (0..ROUTERS).for_each(|number| drop(actors.spawn(actors::sight_on(stage.clone(), number))));
+    (0..CALLERS * size.routers)
+        .for_each(|caller| drop(actors.spawn(actors::call_on(stage.clone(), caller))));
+    (0..size.routers)
+        .for_each(|number| drop(actors.spawn(actors::sight_on(stage.clone(), number))));
     actors.spawn(actors::read_on(stage.clone(), seed));
     faults::happen(&fleet, seed, time).await;
     let recovered = comes_about(|| serves(&stage)).await;
@@ -119,7 +135,7 @@
 async fn serves(stage: &Stage) -> bool {
     is_in_force(stage).await && {
         let mut answered = true;
-        for number in 0..ROUTERS {
+        for number in 0..stage.fleet.size.routers {
             answered &= actors::is_served(stage, number).await;
         }
         answered
@@ -129,7 +145,7 @@
 async fn is_in_force(stage: &Stage) -> bool {
     let newest = stage.history.lock().unwrap().acknowledged.last().map(|a| a.version);
     let Some(version) = newest else { return false };
-    for number in 0..ROUTERS {
+    for number in 0..stage.fleet.size.routers {
         if actors::sight(stage, number, version).await != Some(Says::Knows) {
             return false;
         }
@@ -140,7 +156,7 @@
 /// Whether every router and every control host has what was acknowledged last.
 async fn is_kept(stage: &Stage) -> bool {
     let newest = stage.history.lock().unwrap().acknowledged.last().map(|a| a.version);
-    for control in 0..CONTROLS {
+    for control in 0..stage.fleet.size.controls {
         if actors::read(stage, control).await < newest {
             return false;
         }
--- a/tests/soak/actors.rs
+++ b/tests/soak/actors.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
-use crate::fleet::{CONTROLS, Fleet, ROUTERS, router};
+use crate::fleet::Fleet;
 use crate::history::{Acknowledged, Call, History, Order, Read, RolloutRead, Says, Sighting};
 use crate::http::{Answer, read_answer};
 use crate::replica::Replica;
@@ -94,23 +94,25 @@
 pub async fn operate(stage: Stage, seed: u64) {
     let mut rng = SmallRng::seed_from_u64(seed);
     for version in 1.. {
-        let text = configuration(version);
-        stage.note(|h| drop(h.sent.insert(version, text.clone())));
-        while !put(&stage, &mut rng, version, &text).await {
-            if stage.is_over() {
-                return;
-            }
-            tokio::time::sleep(CHANGE_PAUSE).await;
-        }
-        if stage.is_over() {
-            return;
+        tokio::select! {
+            () = change(&stage, &mut rng, version) => {}
+            () = stage.over.cancelled() => return,
         }
         tokio::time::sleep(CHANGE_PAUSE).await;
     }
 }
 
+/// Sends a version of the configuration until it is acknowledged.
+pub async fn change(stage: &Stage, rng: &mut SmallRng, version: u64) {
+    let text = configuration(version);
+    stage.note(|h| drop(h.sent.insert(version, text.clone())));
+    while !put(stage, rng, version, &text).await {
+        tokio::time::sleep(CHANGE_PAUSE).await;
+    }
+}
+
 async fn put(stage: &Stage, rng: &mut SmallRng, version: u64, text: &str) -> bool {
-    let control = stage.fleet.control(rng.random_range(0..CONTROLS));
+    let control = stage.fleet.control(rng.random_range(0..stage.fleet.size.controls));
     match ask_control(control, "PUT", "/config", text).await {
         Some(answer) if answer.status == 200 => {
             let at = Instant::now();
@@ -143,14 +145,14 @@
 pub async fn read_on(stage: Stage, seed: u64) {
     let mut rng = SmallRng::seed_from_u64(seed);
     while !stage.is_over() {
-        read(&stage, rng.random_range(0..CONTROLS)).await;
+        read(&stage, rng.random_range(0..stage.fleet.size.controls)).await;
         tokio::time::sleep(CHANGE_PAUSE).await;
     }
 }
 
 /// Calls one router, on a connection that it keeps as long as it is open.
 pub async fn call_on(stage: Stage, caller: usize) {
-    let front = stage.fleet.front(caller % ROUTERS);
+    let front = stage.fleet.front(caller % stage.fleet.size.routers);
     let mut connection = None;
     for number in 0.. {
         if stage.is_over() {
@@ -193,7 +195,7 @@
 
 /// Asks one router for the route of a version. Nothing is to run: the time is over.
 pub async fn sight(stage: &Stage, number: usize, version: u64) -> Option<Says> {
-    let life = stage.fleet.life(router(number));
+    let life = stage.fleet.life(stage.fleet.size.router(number));
     let asked = Instant::now();
     let text = format!(
         "GET /v{version}/ HTTP/1.1\r\nHost: shop.example\r\nBramblecrank-Deadline-Ms: 1\r\n\
@@ -201,7 +203,7 @@
     );
     let answer = exchange(stage.fleet.front(number), &text, PATIENCE).await?;
     let answered = Instant::now();
-    if stage.fleet.life(router(number)) != life {
+    if stage.fleet.life(stage.fleet.size.router(number)) != life {
         return None;
     }
     let says = match (answer.status, answer.body.as_str()) {
@@ -254,11 +256,29 @@
         replica.address
     );
     let path = format!("/replicas/{}", replica.id);
-    let control = stage.fleet.control(rng.random_range(0..CONTROLS));
+    let control = stage.fleet.control(rng.random_range(0..stage.fleet.size.controls));
     // Unanswered, it is sent again at the next turn.
     let _ = ask_control(control, "PUT", &path, &body).await;
 }
 
+/// Says that a replica leaves, until a control host acknowledges it.
+pub async fn say_draining(stage: &Stage, rng: &mut SmallRng, replica: &Replica) {
+    let body = format!(
+        r#"{{"service":"app","address":"{}","zone":"a","version":"v1","slots":6,"state":"draining","warmupLeftMs":0,"born":{},"callSeq":1}}"#,
+        replica.address,
+        epoch_ms()
+    );
+    let path = format!("/replicas/{}", replica.id);
+    loop {
+        let control = stage.fleet.control(rng.random_range(0..stage.fleet.size.controls));
+        let answer = ask_control(control, "PUT", &path, &body).await;
+        if answer.is_some_and(|answer| answer.status == 200) {
+            return;
+        }
+        tokio::time::sleep(REGISTER_PAUSE).await;
+    }
+}
+
 fn epoch_ms() -> u64 {
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     since.unwrap().as_millis() as u64
@@ -294,7 +314,7 @@
         r#"{{"service":"app","targetVersion":"{version}","durationS":{ROLL_OUT_SECONDS}}}"#
     );
     while !stage.is_over() {
-        let control = stage.fleet.control(rng.random_range(0..CONTROLS));
+        let control = stage.fleet.control(rng.random_range(0..stage.fleet.size.controls));
         let answer = ask_control(control, "POST", "/rollouts", &order).await;
         if answer.is_some_and(|answer| answer.status == 200) {
             let at = Instant::now();
@@ -309,7 +329,7 @@
 /// Asks for the newest roll-out at any control host that is sure of it.
 pub async fn read_rollout(stage: &Stage, rng: &mut SmallRng) -> Option<String> {
     let asked = Instant::now();
-    let control = stage.fleet.control(rng.random_range(0..CONTROLS));
+    let control = stage.fleet.control(rng.random_range(0..stage.fleet.size.controls));
     let answer = ask_control(control, "GET", "/rollouts/app", "").await?;
     let said = match answer.status {
         200 if answer.whole => {
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -6,7 +6,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::fleet::{CONTROLS, Fleet, ROUTERS, router};
+use crate::fleet::Fleet;
 
 /// Milliseconds from one fault to the next.
 const PAUSE_MS: Range<u64> = 200..1_500;
@@ -26,9 +26,11 @@
     RouterStops,
     AllControlsAndARouter,
     Everything,
+    ConnectionsReset,
+    ConnectionsHeldUp,
 }
 
-const FAULTS: [Fault; 9] = [
+const FAULTS: [Fault; 11] = [
     Fault::AllControls,
     Fault::OneControl,
     Fault::ControlStandsStill,
@@ -38,6 +40,8 @@
     Fault::RouterStops,
     Fault::AllControlsAndARouter,
     Fault::Everything,
+    Fault::ConnectionsReset,
+    Fault::ConnectionsHeldUp,
 ];
 
 /// Brings faults about for a while; all processes run afterwards.
@@ -57,9 +61,10 @@
 }
 
 async fn bring(fleet: &Fleet, rng: &mut SmallRng, fault: Fault) {
-    let a_control = rng.random_range(0..CONTROLS);
-    let a_router = router(rng.random_range(0..ROUTERS));
-    let controls: Vec<_> = (0..CONTROLS).collect();
+    let size = fleet.size;
+    let a_control = rng.random_range(0..size.controls);
+    let a_router = size.router(rng.random_range(0..size.routers));
+    let controls: Vec<_> = (0..size.controls).collect();
     match fault {
         Fault::AllControls => restart(fleet, rng, &controls).await,
         Fault::OneControl => restart(fleet, rng, &[a_control]).await,
@@ -68,12 +73,14 @@
             restart(fleet, rng, &[&controls[..], &[a_router]].concat()).await;
         }
         Fault::Everything => {
-            restart(fleet, rng, &(0..CONTROLS + ROUTERS).collect::<Vec<_>>()).await;
+            restart(fleet, rng, &(0..size.hosts()).collect::<Vec<_>>()).await;
         }
         Fault::ControlStandsStill => stand_still(fleet, rng, a_control).await,
         Fault::RouterStandsStill => stand_still(fleet, rng, a_router).await,
         Fault::ControlStops => stop(fleet, a_control).await,
         Fault::RouterStops => stop(fleet, a_router).await,
+        Fault::ConnectionsReset => drop(fleet.reset(|_| true)),
+        Fault::ConnectionsHeldUp => hold_up(fleet, rng, a_control).await,
     }
 }
 
@@ -93,3 +100,9 @@
     fleet.stop(host).await;
     fleet.spawn(host);
 }
+
+async fn hold_up(fleet: &Fleet, rng: &mut SmallRng, control: usize) {
+    fleet.hold(control, true);
+    pause(rng, STILL_MS).await;
+    fleet.hold(control, false);
+}
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -1,5 +1,5 @@
-//! Three control hosts and two routers as separate processes, each on a loopback
-//! address of its own, that are killed, paused, stopped and started again.
+//! Control hosts and routers as separate processes, each on a loopback address of its
+//! own, that are killed, paused, stopped and started again, and what connects them.
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
@@ -7,15 +7,39 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+use bramblecrank::wire::Open;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use tempfile::TempDir;
 
-pub const CONTROLS: usize = 3;
-pub const ROUTERS: usize = 2;
-const HOSTS: usize = CONTROLS + ROUTERS;
+use crate::proxy::Proxy;
+
+/// How many processes of each kind there are.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub controls: usize,
+    pub routers: usize,
+}
+
+impl Size {
+    pub fn hosts(self) -> usize {
+        self.controls + self.routers
+    }
+
+    /// A router's place among the processes: control hosts first.
+    pub fn router(self, number: usize) -> usize {
+        self.controls + number
+    }
+}
+
+/// Control hosts that are named to every process, as on the platform.
+const SEEDS: usize = 3;
+/// Data halls, over which hosts are dealt out.
+const HALLS: [&str; 3] = ["a", "b", "c"];
 /// Ports, the same on all machines.
 const PEER: u16 = 7_400;
+/// Where the relay before a control host listens.
+const RELAY: u16 = 7_500;
 const OPERATOR: u16 = 7_401;
 const CONTROL: u16 = 8_705;
 const FRONT: u16 = 8_703;
@@ -23,44 +47,69 @@
 /// How often a planned stop is looked at.
 const POLL: Duration = Duration::from_millis(20);
 
-/// Each fleet of a test run has addresses of its own.
-static NEXT: AtomicU32 = AtomicU32::new(0);
+/// Each fleet of a test run has addresses of its own, from this network on.
+static NEXT: AtomicU32 = AtomicU32::new(FIRST_NET);
+const FIRST_NET: u32 = 20;
+const NETS: u32 = 200;
 
 pub struct Fleet {
+    pub size: Size,
     addresses: Vec<Ipv4Addr>,
     folder: TempDir,
     processes: Mutex<Vec<Option<Child>>>,
     lives: Vec<AtomicU32>,
+    /// Before each control host: routers open connections, and take none.
+    proxies: Vec<Proxy>,
 }
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        (0..HOSTS).for_each(|host| self.kill(host));
+        (0..self.size.hosts()).for_each(|host| self.kill(host));
     }
 }
 
-/// A host's place among the processes: control hosts first.
-pub fn router(number: usize) -> usize {
-    CONTROLS + number
-}
-
 impl Fleet {
-    pub fn start() -> Fleet {
-        let number = NEXT.fetch_add(1, Ordering::Relaxed) as usize;
+    pub fn start(size: Size) -> Fleet {
+        let number = (NEXT.fetch_add(1, Ordering::Relaxed) - FIRST_NET) % NETS + FIRST_NET;
         // Processes of test runs beside this one differ in their numbers.
         let net = (std::process::id() % 250 + 1) as u8;
-        let address = |host| Ipv4Addr::new(127, 10, net, (number * HOSTS + host + 1) as u8);
+        let address = |host| Ipv4Addr::new(127, number as u8, net, host as u8 + 1);
+        let addresses: Vec<_> = (0..size.hosts()).map(address).collect();
+        let proxy = |own: &Ipv4Addr| Proxy::start((*own, RELAY).into(), (*own, PEER).into());
+        let mut folder = TempDir::new().unwrap();
+        if std::env::var_os("SOAK_KEEP_LOGS").is_some() {
+            folder.disable_cleanup(true);
+            println!("logs in {}", folder.path().display());
+        }
         let fleet = Fleet {
-            addresses: (0..HOSTS).map(address).collect(),
-            folder: TempDir::new().unwrap(),
-            processes: Mutex::new((0..HOSTS).map(|_| None).collect()),
-            lives: (0..HOSTS).map(|_| AtomicU32::new(0)).collect(),
+            size,
+            proxies: addresses[..size.controls].iter().map(proxy).collect(),
+            addresses,
+            folder,
+            processes: Mutex::new((0..size.hosts()).map(|_| None).collect()),
+            lives: (0..size.hosts()).map(|_| AtomicU32::new(0)).collect(),
         };
-        (0..HOSTS).for_each(|host| fleet.write_settings(host));
-        (0..HOSTS).for_each(|host| fleet.spawn(host));
+        (0..size.hosts()).for_each(|host| fleet.write_settings(host));
+        (0..size.hosts()).for_each(|host| fleet.spawn(host));
         fleet
     }
 
+    /// Open connections to any control host for which this holds fall silent for good;
+    /// new ones work. Returns how many they are.
+    pub fn silence(&self, concerned: impl Fn(&Open) -> bool) -> usize {
+        self.proxies.iter().map(|proxy| proxy.silence(&concerned)).sum()
+    }
+
+    /// Open connections to any control host for which this holds are reset.
+    pub fn reset(&self, concerned: impl Fn(&Open) -> bool) -> usize {
+        self.proxies.iter().map(|proxy| proxy.reset(&concerned)).sum()
+    }
+
+    /// What is sent to and from one control host on connections waits, or goes on.
+    pub fn hold(&self, control: usize, is_held: bool) {
+        self.proxies[control].hold(is_held);
+    }
+
     /// Where a control host answers operators and replicas.
     pub fn control(&self, number: usize) -> SocketAddr {
         (self.addresses[number], CONTROL).into()
@@ -68,7 +117,7 @@
 
     /// Where a router answers callers.
     pub fn front(&self, number: usize) -> SocketAddr {
-        (self.addresses[router(number)], FRONT).into()
+        (self.addresses[self.size.router(number)], FRONT).into()
     }
 
     /// Counts the starts of a host's process.
@@ -77,7 +126,7 @@
     }
 
     pub fn spawn(&self, host: usize) {
-        let role = if host < CONTROLS { "control" } else { "router" };
+        let role = if host < self.size.controls { "control" } else { "router" };
         let child = Command::new(env!("CARGO_BIN_EXE_bramblecrank"))
             .args(["--log-level", "info", "--log-layout", "plain", role, "--settings"])
             .arg(self.folder.path().join(format!("{host}.yaml")))
@@ -144,17 +193,24 @@
 
     fn write_settings(&self, host: usize) {
         let own = self.addresses[host];
-        let seeds = self.addresses[..CONTROLS].iter().map(|a| format!("\"{a}:{CONTROL}\""));
+        let seeds = self.addresses[..SEEDS.min(self.size.controls)]
+            .iter()
+            .map(|a| format!("\"{a}:{CONTROL}\""));
         let seeds = seeds.collect::<Vec<_>>().join(", ");
+        let hall = HALLS[host % HALLS.len()];
+        let advertised = if host < self.size.controls { RELAY } else { PEER };
         let common = format!(
-            "host:\n  name: host-{host}\n  hall: a\n  peer: \"{own}:{PEER}\"\n  seeds: [{seeds}]\n  \
-             seed_port: {PEER}\n  heartbeats: control\noperator: \"{own}:{OPERATOR}\"\n"
+            "host:\n  name: host-{host}\n  hall: {hall}\n  peer: \"{own}:{PEER}\"\n  \
+             advertise: \"{own}:{advertised}\"\n  seeds: [{seeds}]\n  \
+             seed_port: {RELAY}\n  heartbeats: control\noperator: \"{own}:{OPERATOR}\"\n"
         );
+        // As many may be lost as leave a majority.
+        let tolerated = (self.size.controls - 1) / 2;
         let data = self.folder.path().join(format!("data-{host}"));
-        let rest = match host < CONTROLS {
+        let rest = match host < self.size.controls {
             true => format!(
                 "platform: \"{own}:{CONTROL}\"\ndata: {}\nfound_with_seeds: true\n\
-                 tolerated_losses: 1\nwait_for_disk: true\n",
+                 tolerated_losses: {tolerated}\nwait_for_disk: true\n",
                 data.display()
             ),
             false => format!(
