Keep connections between hosts alive, and give up those that fall silent

Cause of the incident on today's code: whoever only reads on a connection, or only writes, never learns that it is dead. A feed ended with its connection, its host's restart, or a silence that spans a suspicion; datagrams go on, so none came. Agreement messages went into the socket buffer for ever.

Now the side that took a feed or an agreement connection says something every second, an empty frame if there is nothing else, and the side that opened it gives it up after 2.2 s of silence and opens a new one. A router denies a route or key for good only if a control host was heard in the last 1.5 s.

Weighed: TCP keep-alive or user time-out alone (the kernel's word is not the process's; a relay that takes what is sent hides both), and numbers of what was told in the heartbeats (finds a dead feed at the next change only, and needs one for each of six kinds of news).

--- a/examples/spread.rs
+++ b/examples/spread.rs
@@ -75,6 +75,7 @@
 async fn start(n: u16, hosts: u16) -> Host {
     let address = |n: u16| ([127, 0, 0, 1], FIRST_PORT + n).into();
     let settings = HostSettings {
+        advertise: None,
         seed_port: None,
         regions: Default::default(),
         heartbeats: Default::default(),
--- a/src/control.rs
+++ b/src/control.rs
@@ -187,7 +187,7 @@
     while let Some(Incoming { open, reader, writer }) = incoming.recv().await {
         match open {
             Open::Agree { host, peer } => {
-                tokio::spawn(serve::take_envelopes(control.clone(), host, peer, reader));
+                tokio::spawn(serve::take_envelopes(control.clone(), host, peer, reader, writer));
             }
             Open::Pull { have, .. } => {
                 tokio::spawn(spread::answer_pull(
--- a/src/control/courier.rs
+++ b/src/control/courier.rs
@@ -5,10 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::agree::{Envelope, GroupMember, StoreId};
-use crate::peer::Peers;
+use crate::error::Error;
+use crate::peer::{PeerReader, Peers};
 use crate::wire::{HostId, Open, Traffic, write_frame};
 
 /// Messages that may wait for one host; more are dropped, as by a network.
@@ -55,6 +58,44 @@
     }
 }
 
+/// A connection to another store's host. It only writes; the keep-alives that the host
+/// sends back say whether it still works.
+struct Connection {
+    writer: OwnedWriteHalf,
+    /// Ends with the connection.
+    reading: AbortOnDropHandle<Error>,
+}
+
+impl Connection {
+    async fn open(peers: &Peers, host: HostId, address: SocketAddr) -> Option<Connection> {
+        let open = Open::Agree { host: peers.me, peer: peers.address };
+        match peers.connect(address, &open).await {
+            Ok((reader, writer)) => {
+                let reading = AbortOnDropHandle::new(tokio::spawn(read_to_end(reader)));
+                Some(Connection { writer, reading })
+            }
+            Err(error) => {
+                log::debug!("control: host {host} cannot be reached: {error}");
+                None
+            }
+        }
+    }
+
+    fn has_ended(&self) -> bool {
+        self.reading.is_finished()
+    }
+}
+
+/// Reads keep-alives until they stay away or the connection ends; why.
+async fn read_to_end(reader: PeerReader) -> Error {
+    let mut reader = reader.ends_when_silent();
+    loop {
+        if let Err(error) = reader.next_payload().await {
+            return error;
+        }
+    }
+}
+
 async fn carry(
     peers: Arc<Peers>,
     host: HostId,
@@ -70,11 +111,15 @@
         if peers.links.is_cut(host) {
             continue;
         }
+        if let Some(ended) = connection.take_if(|c: &mut Connection| c.has_ended()) {
+            let why = ended.reading.await;
+            let why = why.map_or_else(|panic| panic.to_string(), |error| error.to_string());
+            log::info!("control: connection to host {host} has ended: {why}");
+        }
         if connection.is_none() {
-            let open = Open::Agree { host: peers.me, peer: peers.address };
-            connection = peers.connect(address, &open).await.ok().map(|(_, writer)| writer);
+            connection = Connection::open(&peers, host, address).await;
         }
-        let Some(writer) = &mut connection else {
+        let Some(Connection { writer, .. }) = &mut connection else {
             tokio::time::sleep(PAUSE).await;
             continue;
         };
--- a/src/control/serve.rs
+++ b/src/control/serve.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio_util::task::AbortOnDropHandle;
 
 use super::Control;
 use super::documents::unexpected;
@@ -14,7 +15,7 @@
 use crate::claim::{Claim, Claimed, Settlement};
 use crate::clock::epoch_ms;
 use crate::peer::PeerReader;
-use crate::wire::{BatchWriter, HostId, write_frame};
+use crate::wire::{BatchWriter, HostId, Traffic, keep_alive, write_frame};
 
 /// Which store a control host holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -80,7 +81,11 @@
     host: HostId,
     peer: SocketAddr,
     mut reader: PeerReader,
+    writer: OwnedWriteHalf,
 ) {
+    let sent = control.peers.sent.of(Traffic::Agreement);
+    // Its end is the connection's, which the reader sees.
+    let _keeping = AbortOnDropHandle::new(tokio::spawn(keep_alive(writer, sent)));
     while let Ok(batch) = reader.next::<Vec<Envelope>>().await {
         if control.peers.links.is_cut_from(host) {
             continue;
--- a/src/feed/news.rs
+++ b/src/feed/news.rs
@@ -10,6 +10,11 @@
 /// a larger part of what they share; the longest window of those bounds is 10 s.
 const FALL_AFTER_MS: Millis = 10_000;
 
+/// Milliseconds after which what control hosts said may not hold any more: one keep-alive
+/// is missing, so the connections may be dead. Callers count on a configuration 2 s after
+/// it was accepted; until then a router may deny what it does not know.
+const CONFIRMED_MS: Millis = 1_500;
+
 /// What one control host last said.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct HostNews {
@@ -46,6 +51,12 @@
         self.hosts.values().map(|news| now.saturating_sub(news.heard)).min()
     }
 
+    /// Whether a control host was heard lately, so that a newer configuration would be
+    /// known here.
+    pub fn is_confirmed(&self, now: Millis) -> bool {
+        self.last_heard_ms(now).is_some_and(|ms| ms < CONFIRMED_MS)
+    }
+
     /// Milliseconds for which the feed that is silent longest has said nothing.
     pub fn longest_silence_ms(&self, now: Millis) -> Option<Millis> {
         self.hosts.values().map(|news| now.saturating_sub(news.heard)).max()
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -1,5 +1,6 @@
 //! The control host's side of a feed.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,7 +17,7 @@
 use crate::registry::{Changes, EndpointState, Registration, Scope, SharedRegistry};
 use crate::rollout::SharedRollouts;
 use crate::routing::Documents;
-use crate::wire::{HostId, Role, SentBytes, Traffic, write_frame};
+use crate::wire::{HostId, KEEP_ALIVE, Role, SentBytes, Traffic, write_frame, write_keep_alive};
 
 /// How long a subscriber may take to read one message.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -95,6 +96,7 @@
     let mut cursor: Option<Cursor> = None;
     let mut changes = registry.watch();
     changes.mark_changed();
+    let mut said = Instant::now();
     loop {
         let behind = cursor.filter(|c| c.told < registry.read(|r| r.last_change()));
         // Who is told of a route is told of the endpoints before.
@@ -176,7 +178,13 @@
                 }
                 None => return Ok(()),
             },
+            () = tokio::time::sleep_until(said + KEEP_ALIVE) => {
+                said = Instant::now();
+                within_limit(&sent.of(Traffic::Routing), write_keep_alive(&mut writer)).await?;
+                continue;
+            }
         };
+        said = Instant::now();
         let announced = match next {
             FeedMessage::RoutingVersion(version) => Some(version),
             _ => None,
@@ -247,9 +255,12 @@
         FeedMessage::Endpoints { .. } | FeedMessage::Remembered(_) => Traffic::Endpoints,
         _ => Traffic::Routing,
     };
-    let written = write_frame(writer, &message);
-    match tokio::time::timeout(WRITE_TIMEOUT, written).await {
-        Ok(bytes) => sent.of(traffic).add(bytes?),
+    within_limit(&sent.of(traffic), write_frame(writer, &message)).await
+}
+
+async fn within_limit(sent: &SentBytes, writing: impl Future<Output = Result<u64>>) -> Result<()> {
+    match tokio::time::timeout(WRITE_TIMEOUT, writing).await {
+        Ok(bytes) => sent.add(bytes?),
         Err(_) => return RpcSnafu { message: "a subscriber reads nothing" }.fail(),
     }
     Ok(())
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -96,9 +96,11 @@
     }
 
     /// Whether the routing in force here is the newest, but for what is on its way: a
-    /// live control host that hears the leader tells every change.
+    /// live control host that hears the leader, and is heard, tells every change.
     pub fn is_current(&self) -> bool {
-        self.leader().is_some() && !self.tables().fetch.is_behind(self.held())
+        self.leader().is_some()
+            && self.news().is_confirmed(self.peers.clock.now())
+            && !self.tables().fetch.is_behind(self.held())
     }
 
     /// The version of the routing in force here; 0 before the first.
@@ -224,8 +226,7 @@
         }
     }
 
-    fn heard(&self, from: HostId, message: FeedMessage) {
-        self.news().heard(self.peers.clock.now(), from);
+    fn take(&self, from: HostId, message: FeedMessage) {
         match message {
             FeedMessage::RoutingVersion(version) => {
                 self.tables().fetch.announced(from, version);
@@ -352,15 +353,20 @@
     delivered: &AtomicU64,
 ) -> Result<()> {
     let open = Open::Feed { host: all.peers.me };
-    let (mut reader, writer) = all.peers.connect(address, &open).await?;
+    let (reader, writer) = all.peers.connect(address, &open).await?;
+    // A feed may have nothing to tell for hours, and its connection may die meanwhile.
+    let mut reader = reader.ends_when_silent();
     let (requests, batch) = BatchWriter::immediate(Some(all.peers.sent.clone()));
     // The writing half stays open for as long as the reader works.
     let _writing = AbortOnDropHandle::new(tokio::spawn(batch.run(writer, || ready(()))));
     log::info!("feed: follows control host {host}");
     all.opened(host, requests);
     loop {
-        let message = reader.next::<FeedMessage>().await?;
+        let message = reader.next_or_keep_alive::<FeedMessage>().await?;
         delivered.fetch_add(1, Ordering::Relaxed);
-        all.heard(host, message);
+        all.news().heard(all.peers.clock.now(), host);
+        if let Some(message) = message {
+            all.take(host, message);
+        }
     }
 }
--- a/src/feed/tests.rs
+++ b/src/feed/tests.rs
@@ -147,6 +147,17 @@
     assert_eq!(news.longest_silence_ms(1_000), Some(600));
 }
 
+#[test]
+fn what_control_hosts_said_is_confirmed_by_their_keep_alives() {
+    let mut news = News::default();
+    assert!(!news.is_confirmed(0), "nobody is followed");
+    news.opened(0, CONTROL);
+    news.opened(0, OTHER);
+    assert!(!news.is_confirmed(1_500));
+    news.heard(1_400, OTHER);
+    assert!(news.is_confirmed(1_500));
+}
+
 #[test]
 fn a_feed_counts_as_told_while_it_is_open() {
     let followers = Arc::new(Followers::default());
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -1,5 +1,11 @@
-//! Framing over TCP, with batching and byte counts.
+//! Framing over TCP, with batching, byte counts and keep-alives.
+//!
+//! A connection may be dead without either end being told: whoever only reads on it, or
+//! only writes, would go on for ever. So the side that took a connection says something
+//! every [`KEEP_ALIVE`], an empty frame if there is nothing else, and the side that opened
+//! it gives it up after [`SILENCE`].
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -9,6 +15,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
+use tokio_io_timeout::TimeoutReader;
 
 use crate::error::{Error, Result};
 
@@ -20,6 +27,13 @@
 pub const UDP_HEADER: u64 = 28;
 /// The shortest time between two frames of one batch writer.
 const BATCH_INTERVAL: Duration = Duration::from_millis(2);
+/// The longest time for which the side that took a connection says nothing. At 340
+/// routers a control host sends 15 KB/s for it while nothing changes.
+pub const KEEP_ALIVE: Duration = Duration::from_secs(1);
+/// Silence after which the side that opened a connection gives it up: two keep-alives may
+/// come late, by a retransmission or a busy processor. A dead connection is replaced
+/// before the 3 s are over after which callers count on what is acknowledged.
+pub const SILENCE: Duration = Duration::from_millis(2_200);
 const LENGTH_BYTES: usize = 4;
 
 /// What bytes between hosts are sent for.
@@ -113,7 +127,21 @@
     Ok(frame.len() as u64 + TCP_HEADER)
 }
 
-/// Reads frames from one connection.
+/// Says that the connection works, where there is nothing else to say.
+pub async fn write_keep_alive<W: AsyncWrite + Unpin>(writer: &mut W) -> Result<u64> {
+    write_payload(writer, &[]).await
+}
+
+/// Writes a keep-alive every [`KEEP_ALIVE`], on a connection on which nothing else is
+/// written, until it ends.
+pub async fn keep_alive<W: AsyncWrite + Unpin>(mut writer: W, sent: SentBytes) -> Result<()> {
+    loop {
+        tokio::time::sleep(KEEP_ALIVE).await;
+        sent.add(write_keep_alive(&mut writer).await?);
+    }
+}
+
+/// Reads frames from one connection; keep-alives are passed over.
 #[derive(Debug)]
 pub struct FrameReader<R> {
     inner: R,
@@ -136,6 +164,13 @@
         self.limit = limit;
     }
 
+    /// From now on a read fails after [`SILENCE`].
+    pub fn ends_when_silent(self) -> FrameReader<Pin<Box<TimeoutReader<R>>>> {
+        let mut inner = TimeoutReader::new(self.inner);
+        inner.set_timeout(Some(SILENCE));
+        FrameReader { inner: Box::pin(inner), limit: self.limit }
+    }
+
     /// The stream behind the last value that was read.
     pub fn into_inner(self) -> R {
         self.inner
@@ -144,16 +179,34 @@
     /// The next value. Fails when the peer has closed, or sends too much or
     /// something else. Not cancel-safe: own the reader in one task.
     pub async fn next<T: DeserializeOwned>(&mut self) -> Result<T> {
-        let payload = self.next_payload().await?;
-        postcard::from_bytes(&payload).map_err(|source| Error::Frame { source })
+        decode(&self.next_payload().await?)
+    }
+
+    /// The next value, or none for a keep-alive; the same holds as for
+    /// [`FrameReader::next`].
+    pub async fn next_or_keep_alive<T: DeserializeOwned>(&mut self) -> Result<Option<T>> {
+        let payload = self.next_frame().await?;
+        payload.map(|payload| decode(&payload)).transpose()
     }
 
     /// The next value in its encoded form; the same holds as for [`FrameReader::next`].
     pub async fn next_payload(&mut self) -> Result<Vec<u8>> {
+        loop {
+            if let Some(payload) = self.next_frame().await? {
+                return Ok(payload);
+            }
+        }
+    }
+
+    /// The next frame; none for a keep-alive.
+    async fn next_frame(&mut self) -> Result<Option<Vec<u8>>> {
         let mut length = [0; LENGTH_BYTES];
         let read = self.inner.read_exact(&mut length).await;
         read.map_err(|source| net("read from a peer", source))?;
         let size = u32::from_be_bytes(length) as usize;
+        if size == 0 {
+            return Ok(None);
+        }
         if size > self.limit {
             let limit = self.limit;
             return Err(Error::FrameTooLarge { size, limit });
@@ -161,10 +214,14 @@
         let mut payload = Vec::new();
         let body = (&mut self.inner).take(size as u64).read_to_end(&mut payload).await;
         body.map_err(|source| net("read from a peer", source))?;
-        Ok(payload)
+        Ok(Some(payload))
     }
 }
 
+fn decode<T: DeserializeOwned>(payload: &[u8]) -> Result<T> {
+    postcard::from_bytes(payload).map_err(|source| Error::Frame { source })
+}
+
 /// A message and how long it may wait for others to share its frame.
 #[derive(Clone, Debug)]
 pub struct Patient<T> {
@@ -184,6 +241,13 @@
 /// Where messages for a [`BatchWriter`] go.
 pub type BatchSender<T> = mpsc::UnboundedSender<Patient<T>>;
 
+/// What a [`BatchWriter`] writes next.
+enum Next<T> {
+    Message(Patient<T>),
+    KeepAlive,
+    Closed,
+}
+
 /// Sends messages in batches: a message waits as long as the least patient one
 /// with it, and after a frame the next waits a moment.
 #[derive(Debug)]
@@ -191,13 +255,15 @@
     messages: mpsc::UnboundedReceiver<Patient<T>>,
     sent: Option<SentBytes>,
     interval: Duration,
+    keeps_alive: bool,
 }
 
 impl<T: Serialize> BatchWriter<T> {
     /// A writer fed through the returned sender; `sent` counts its bytes.
     pub fn new(sent: Option<SentBytes>) -> (BatchSender<T>, Self) {
         let (sender, messages) = mpsc::unbounded_channel();
-        (sender, BatchWriter { messages, sent, interval: BATCH_INTERVAL })
+        let interval = BATCH_INTERVAL;
+        (sender, BatchWriter { messages, sent, interval, keeps_alive: false })
     }
 
     /// A writer that sends whatever there is at once, without a pause between
@@ -207,6 +273,12 @@
         (sender, BatchWriter { interval: Duration::ZERO, ..writer })
     }
 
+    /// The same writer, which says something every [`KEEP_ALIVE`]: for the side that took
+    /// the connection.
+    pub fn keeping_alive(self) -> Self {
+        BatchWriter { keeps_alive: true, ..self }
+    }
+
     /// Writes until the sender is dropped or the connection breaks. Each frame
     /// waits for `clear`, with which a cut link is rehearsed.
     pub async fn run<W, F>(mut self, mut writer: W, clear: impl Fn() -> F) -> Result<()>
@@ -214,10 +286,19 @@
         W: AsyncWrite + Unpin,
         F: Future<Output = ()>,
     {
-        while let Some(first) = self.messages.recv().await {
-            let batch = self.gather(first).await;
-            clear().await;
-            let bytes = write_frame(&mut writer, &batch).await?;
+        loop {
+            let bytes = match self.next().await {
+                Next::Message(first) => {
+                    let batch = self.gather(first).await;
+                    clear().await;
+                    write_frame(&mut writer, &batch).await?
+                }
+                Next::KeepAlive => {
+                    clear().await;
+                    write_keep_alive(&mut writer).await?
+                }
+                Next::Closed => break,
+            };
             if let Some(sent) = &self.sent {
                 sent.add(bytes);
             }
@@ -229,6 +310,18 @@
         closed.map_err(|source| net("close a connection", source))
     }
 
+    async fn next(&mut self) -> Next<T> {
+        let message = match self.keeps_alive {
+            true => tokio::time::timeout(KEEP_ALIVE, self.messages.recv()).await,
+            false => Ok(self.messages.recv().await),
+        };
+        match message {
+            Ok(Some(message)) => Next::Message(message),
+            Ok(None) => Next::Closed,
+            Err(_) => Next::KeepAlive,
+        }
+    }
+
     /// What goes into one frame with `first`.
     async fn gather(&mut self, first: Patient<T>) -> Vec<T> {
         let mut until = Instant::now() + first.patience;
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -76,3 +76,35 @@
     }
     assert!(decode_versioned::<ToDispatcher>(&[]).is_err());
 }
+
+#[tokio::test]
+async fn keep_alives_are_passed_over() {
+    let (mut a, b) = tokio::io::duplex(1 << 16);
+    write_keep_alive(&mut a).await.unwrap();
+    write_keep_alive(&mut a).await.unwrap();
+    write_frame(&mut a, &vec![want(1)]).await.unwrap();
+    let got: Vec<ToDispatcher> = FrameReader::new(b).next().await.unwrap();
+    assert_eq!(got, [want(1)]);
+}
+
+/// An hour without messages.
+#[tokio::test(start_paused = true)]
+async fn a_connection_lives_as_long_as_it_is_kept_alive() {
+    let (a, b) = tokio::io::duplex(1 << 16);
+    let (sender, writer) = BatchWriter::new(None);
+    tokio::spawn(writer.keeping_alive().run(a, || async {}));
+    let mut reader = FrameReader::new(b).ends_when_silent();
+    tokio::time::sleep(std::time::Duration::from_secs(3_600)).await;
+    sender.send(want(1).into()).unwrap();
+    let got: Vec<ToDispatcher> = reader.next().await.unwrap();
+    assert_eq!(got, [want(1)]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_is_not_kept_alive_is_given_up() {
+    let (_a, b) = tokio::io::duplex(1 << 16);
+    let started = tokio::time::Instant::now();
+    let silent = FrameReader::new(b).ends_when_silent().next::<Vec<ToDispatcher>>().await;
+    assert!(matches!(silent, Err(Error::Net { .. })));
+    assert_eq!(started.elapsed().as_secs_f64().round() as u64, SILENCE.as_secs());
+}
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -28,9 +28,10 @@
     Everything,
     ConnectionsReset,
     ConnectionsHeldUp,
+    ConnectionsSilent,
 }
 
-const FAULTS: [Fault; 11] = [
+const FAULTS: [Fault; 12] = [
     Fault::AllControls,
     Fault::OneControl,
     Fault::ControlStandsStill,
@@ -42,6 +43,7 @@
     Fault::Everything,
     Fault::ConnectionsReset,
     Fault::ConnectionsHeldUp,
+    Fault::ConnectionsSilent,
 ];
 
 /// Brings faults about for a while; all processes run afterwards.
@@ -80,6 +82,7 @@
         Fault::ControlStops => stop(fleet, a_control).await,
         Fault::RouterStops => stop(fleet, a_router).await,
         Fault::ConnectionsReset => drop(fleet.reset(|_| true)),
+        Fault::ConnectionsSilent => drop(fleet.silence(|_| true)),
         Fault::ConnectionsHeldUp => hold_up(fleet, rng, a_control).await,
     }
 }
