Sessions with a placer stay on a dead connection (red)

Two tests over real sockets: a placer that answers nothing on a connection is asked on it again every 0.7 s for ever, and a session on which nothing is asked shows nothing.

--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -7,6 +7,7 @@
 mod regions;
 mod releases;
 mod restarts;
+mod sessions;
 mod standing;
 mod warmth;
 
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -17,7 +17,7 @@
 const PEER_PORT: u16 = 7_400;
 const PAUSE: Duration = Duration::from_millis(20);
 /// What does not come in this time does not come at all.
-const NEVER: Duration = Duration::from_secs(60);
+pub const NEVER: Duration = Duration::from_secs(60);
 
 /// The address of a host of a test; each test has numbers of its own. Other test runs
 /// on this machine do not use it.
