Open placement sessions anew where connections fell silent

Cause: a placer that answered nothing was passed over for 0.7 s and then asked on the same connection, for ever. Now a session on which nothing was answered for 2 s is opened anew, and so is one whose host's feed fell silent, though nothing is asked on it: it would be found dead when another leader is needed. A host that is only behind its work for less keeps its session and what it knows of a router's requests. Dispatcher sessions of the product's own interface are kept alive as feeds are.

--- a/src/error.rs
+++ b/src/error.rs
@@ -44,6 +44,9 @@
         /// What the operating system said.
         source: std::io::Error,
     },
+    /// A connection between hosts says nothing more: it may be dead.
+    #[snafu(display("the connection fell silent"))]
+    Silent,
     /// A frame between processes could not be encoded or decoded.
     #[snafu(display("frame: {source}"))]
     Frame {
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, broadcast};
 use tokio_util::task::AbortOnDropHandle;
 
 use super::following::{self, Following};
@@ -16,7 +16,7 @@
 use super::table_fetch::{Next, TableFetch};
 use super::{EndpointsAfter, FeedMessage, FeedRequest, Neighbour};
 use crate::dispatch::Millis;
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::peer::Peers;
 use crate::registry::{Hearing, Scope, SharedRegistry};
 use crate::rollout::{Report, SharedRollouts};
@@ -28,6 +28,8 @@
 /// The same at most; doubled each time that no connection comes about. A host that
 /// is heard again after a suspicion is called at once.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
+/// Control hosts whose feeds may fall silent at one moment and still be told one by one.
+const MOST_SILENT: usize = 64;
 /// How long feeds may go on opening before it is chosen who tells of endpoints: a few
 /// times what a connection between data halls takes.
 const SOURCES_SETTLE: Duration = Duration::from_millis(100);
@@ -48,6 +50,7 @@
     /// told; of each scope for itself, since the one leaves out what the other contains.
     told: Mutex<BTreeMap<(HostId, Scope), (u64, u64)>>,
     neighbours: Mutex<Arc<Vec<Neighbour>>>,
+    silent: broadcast::Sender<HostId>,
     role: Role,
 }
 
@@ -81,6 +84,7 @@
             sources_changed: Notify::new(),
             told: Mutex::default(),
             neighbours: Mutex::default(),
+            silent: broadcast::Sender::new(MOST_SILENT),
             role,
         });
         tokio::spawn(follow_view(all.clone()));
@@ -128,6 +132,12 @@
         self.news().longest_silence_ms(self.peers.clock.now())
     }
 
+    /// Tells of control hosts whose feeds fell silent: other connections to them may be
+    /// dead too.
+    pub fn watch_silent(&self) -> broadcast::Receiver<HostId> {
+        self.silent.subscribe()
+    }
+
     /// The newest routing version that an open feed has announced; 0 for none.
     pub fn newest_announced(&self) -> u64 {
         self.tables().fetch.newest_announced()
@@ -336,6 +346,10 @@
         let before = delivered.load(Ordering::Relaxed);
         if let Err(error) = read_feed(&all, host, address, &delivered).await {
             log::warn!("feed: lost control host {host}: {error}");
+            if matches!(error, Error::Silent) {
+                // Nobody may be told.
+                let _ = all.silent.send(host);
+            }
         }
         all.lost(host);
         if delivered.load(Ordering::Relaxed) > before {
--- a/src/placement/client.rs
+++ b/src/placement/client.rs
@@ -8,11 +8,12 @@
 
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
 
 use super::knowledge::{Memory, StartOf, Told};
 use super::local::LocalPlacer;
 use super::message::{Ending, FromPlacer, PlacementRequest, Refusal, ToPlacer};
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::feed::Subscriptions;
 use crate::loop_lag::LoopLag;
 use crate::member::View;
@@ -31,6 +32,10 @@
 const TOLERATED_SILENCE: u32 = 2;
 /// Placers that are asked before a router decides for itself.
 const PLACERS_ASKED: usize = 2;
+/// How long a placer may answer nothing until its connection counts as dead. Hosts that
+/// are gone are suspected before; one that is only behind its work keeps its session, and
+/// with it all that it knows of this router's requests.
+const SESSION_SILENT: Duration = Duration::from_millis(2_000);
 /// How long a silent placer is passed over.
 const PASSED_OVER: Duration = Duration::from_millis(700);
 
@@ -51,6 +56,8 @@
 struct Session {
     out: BatchSender<ToPlacer>,
     waiting: Waiting,
+    /// Ends it, so that another one is opened.
+    dead: CancellationToken,
 }
 
 #[derive(Debug)]
@@ -60,6 +67,8 @@
     incarnation: u64,
     session: Option<Session>,
     silent: u32,
+    /// Since when no question was answered.
+    silent_since: Option<tokio::time::Instant>,
     passed_over_until: tokio::time::Instant,
 }
 
@@ -145,6 +154,14 @@
     }
 }
 
+impl Placer {
+    fn end_session(&self) {
+        if let Some(session) = &self.session {
+            session.dead.cancel();
+        }
+    }
+}
+
 impl Placements {
     /// Opens a session with every control host in view.
     pub fn start(
@@ -295,6 +312,7 @@
                 incarnation: member.incarnation,
                 session: None,
                 silent: 0,
+                silent_since: None,
                 passed_over_until: tokio::time::Instant::now(),
             });
         }
@@ -303,6 +321,7 @@
     fn note_answer(&self, host: HostId) {
         if let Some(placer) = lock(&self.placers).get_mut(&host) {
             placer.silent = 0;
+            placer.silent_since = None;
         }
     }
 
@@ -310,6 +329,12 @@
         if let Some(placer) = lock(&self.placers).get_mut(&host) {
             placer.silent += 1;
             let now = tokio::time::Instant::now();
+            let since = *placer.silent_since.get_or_insert(now);
+            if now - since >= SESSION_SILENT {
+                log::info!("placement: control host {host} answers nothing, asked anew");
+                placer.end_session();
+                return;
+            }
             let known = placer.passed_over_until > now;
             if placer.silent >= TOLERATED_SILENCE && !known {
                 placer.passed_over_until = now + PASSED_OVER;
@@ -322,10 +347,18 @@
         }
     }
 
+    /// Opens the session with a control host anew.
+    fn end_session(&self, host: HostId) {
+        if let Some(placer) = lock(&self.placers).get(&host) {
+            placer.end_session();
+        }
+    }
+
     fn set_session(&self, host: HostId, session: Option<Session>) {
         if let Some(placer) = lock(&self.placers).get_mut(&host) {
             placer.session = session;
             placer.silent = 0;
+            placer.silent_since = None;
         }
         // A new session starts from nothing.
         let mut informed = lock(&self.informed);
@@ -341,11 +374,18 @@
 
 async fn follow_view(all: Arc<Placements>) {
     let mut view = all.peers.watch();
+    let mut silent = all.feeds.watch_silent();
     loop {
         let now = view.borrow_and_update().clone();
         all.adopt_view(&now);
-        if view.changed().await.is_err() {
-            return;
+        tokio::select! {
+            changed = view.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+            // What is missed shows when the placer is asked.
+            Ok(host) = silent.recv() => all.end_session(host),
         }
     }
 }
@@ -368,13 +408,21 @@
     let writing = tokio::spawn(batch.run(writer, || std::future::ready(())));
     let waiting = Waiting::default();
     let _unanswered = Unanswered(waiting.clone());
-    all.set_session(host, Some(Session { out, waiting: waiting.clone() }));
-    let lost = loop {
-        match reader.next::<Vec<FromPlacer>>().await {
-            Ok(answers) => deliver(&waiting, answers),
-            Err(error) => break error,
+    let dead = CancellationToken::new();
+    let session = Session { out, waiting: waiting.clone(), dead: dead.clone() };
+    all.set_session(host, Some(session));
+    let reading = async {
+        loop {
+            match reader.next::<Vec<FromPlacer>>().await {
+                Ok(answers) => deliver(&waiting, answers),
+                Err(error) => break error,
+            }
         }
     };
+    let lost = tokio::select! {
+        error = reading => error,
+        () = dead.cancelled() => Error::Silent,
+    };
     writing.abort();
     Err(lost)
 }
--- a/src/router/link.rs
+++ b/src/router/link.rs
@@ -334,7 +334,7 @@
         true => None,
         false => peers.connect(target.peer, &open).await.ok(),
     };
-    let Some((mut reader, writer)) = connected else {
+    let Some((reader, writer)) = connected else {
         // The task that hears this runs as long as the process.
         let _ = events.send(Event::Failed { host });
         return;
@@ -348,6 +348,8 @@
     });
     let writing = AbortOnDropHandle::new(tokio::spawn(write));
     let dispatcher = (host, target.incarnation);
+    // Requests wait here for grants, and nothing else would show that none can come.
+    let mut reader = reader.ends_when_silent();
     let _ = events.send(Event::Up(Connection { session, dispatcher, out }));
     while let Ok(messages) = reader.next::<Vec<FromDispatcher>>().await {
         peers.links.clear_from(host).await;
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -202,7 +202,7 @@
     async fn next_frame(&mut self) -> Result<Option<Vec<u8>>> {
         let mut length = [0; LENGTH_BYTES];
         let read = self.inner.read_exact(&mut length).await;
-        read.map_err(|source| net("read from a peer", source))?;
+        read.map_err(not_read)?;
         let size = u32::from_be_bytes(length) as usize;
         if size == 0 {
             return Ok(None);
@@ -213,7 +213,7 @@
         }
         let mut payload = Vec::new();
         let body = (&mut self.inner).take(size as u64).read_to_end(&mut payload).await;
-        body.map_err(|source| net("read from a peer", source))?;
+        body.map_err(not_read)?;
         Ok(Some(payload))
     }
 }
@@ -345,6 +345,13 @@
     }
 }
 
+fn not_read(source: std::io::Error) -> Error {
+    match source.kind() {
+        std::io::ErrorKind::TimedOut => Error::Silent,
+        _ => net("read from a peer", source),
+    }
+}
+
 fn net(what: &str, source: std::io::Error) -> Error {
     let what = what.to_string();
     Error::Net { what, source }
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -105,6 +105,6 @@
     let (_a, b) = tokio::io::duplex(1 << 16);
     let started = tokio::time::Instant::now();
     let silent = FrameReader::new(b).ends_when_silent().next::<Vec<ToDispatcher>>().await;
-    assert!(matches!(silent, Err(Error::Net { .. })));
+    assert!(matches!(silent, Err(Error::Silent)));
     assert_eq!(started.elapsed().as_secs_f64().round() as u64, SILENCE.as_secs());
 }
