Close kept connections to an endpoint where one request got no answer

After a request that ran out of time waiting for an answer, the endpoint's other kept connections are closed. Fresh connections that time out close them too; telling them apart would need the send to outlive its time-out, for a connection or two.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -185,6 +185,9 @@
         Err(_) => {
             call.gateway.note_failure(&endpoint.id, endpoint.started_at_ms, Failure::Failed);
             log::info!("gateway: request {} got no answer of {}", call.number, endpoint.id);
+            // Kept connections may be dead as well, and each would cost another request its
+            // whole time: six of six in a test, one with this.
+            call.gateway.connections.forget(&endpoint.id);
             Err(Attempt::TimedOut)
         }
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -19,6 +19,8 @@
 mod replica;
 #[path = "platform/rollouts.rs"]
 mod rollouts;
+#[path = "platform/silence.rs"]
+mod silence;
 
 use std::time::Duration;
 
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -59,6 +59,10 @@
 struct State {
     seen: Mutex<Vec<Seen>>,
     left: AtomicUsize,
+    /// Connections that were taken.
+    taken: AtomicUsize,
+    /// On the first so many connections nothing is answered any more.
+    silent: AtomicUsize,
 }
 
 /// A replica that listens.
@@ -90,6 +94,12 @@
         self.state.seen.lock().unwrap().clone()
     }
 
+    /// Connections that are open now fall silent for good; new ones work.
+    pub fn silence(&self) {
+        let taken = self.state.taken.load(Ordering::SeqCst);
+        self.state.silent.store(taken, Ordering::SeqCst);
+    }
+
     /// Requests whose caller left before the answer.
     pub fn left(&self) -> usize {
         self.state.left.load(Ordering::Relaxed)
@@ -104,7 +114,11 @@
     }
 
     async fn serve(&self, mut stream: TcpStream, behaviour: Behaviour) {
+        let number = self.state.taken.fetch_add(1, Ordering::SeqCst);
         while let Some(seen) = read_request(&mut stream).await {
+            if number < self.state.silent.load(Ordering::SeqCst) {
+                continue;
+            }
             let expected = seen.header("bramblecrank-expect-replica").map(str::to_string);
             if expected.is_some_and(|id| id != self.id) {
                 write(&mut stream, &self.head(421, &seen.id(), "Content-Length: 0\r\n")).await;
