One feed at most for each subscriber

A feed on a dead connection went on at the control host until its kernel gave the connection up, some 15 minutes; with feeds opened anew after silences one subscriber could have many, and the count of followers was wrong. A subscriber that opens a feed now ends the one before. Test on the registry of feeds.

--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -81,7 +81,7 @@
         numbering,
         followers,
     } = publication;
-    let follower = followers.opened();
+    let follower = followers.opened(subscriber);
     let (requests, mut asked) = mpsc::channel(REQUESTS);
     let _reading = AbortOnDropHandle::new(tokio::spawn(read_requests(reader, requests)));
     let mut routing = documents.watch();
@@ -106,6 +106,7 @@
         // whether the routing is the newest.
         let next = tokio::select! {
             biased;
+            () = follower.superseded() => return Ok(()),
             Ok(()) = leadership.changed() => {
                 let known = leadership.borrow_and_update();
                 FeedMessage::Leader { term: known.term, leader: known.leader }
--- a/src/feed/tests.rs
+++ b/src/feed/tests.rs
@@ -161,10 +161,22 @@
 #[test]
 fn a_feed_counts_as_told_while_it_is_open() {
     let followers = Arc::new(Followers::default());
-    let (first, second) = (followers.opened(), followers.opened());
+    let (first, second) = (followers.opened(ME), followers.opened(OTHER));
     first.told(7);
     second.told(5);
     assert_eq!((followers.count(), followers.count_told(7), followers.count_told(5)), (2, 1, 2));
     drop(first);
     assert_eq!((followers.count(), followers.count_told(7)), (1, 0));
 }
+
+#[tokio::test]
+async fn a_subscriber_that_opens_a_feed_anew_ends_the_one_before() {
+    let followers = Arc::new(Followers::default());
+    let dead = followers.opened(ME);
+    let anew = followers.opened(ME);
+    dead.superseded().await;
+    anew.told(7);
+    dead.told(3);
+    drop(dead);
+    assert_eq!((followers.count(), followers.count_told(7)), (1, 1));
+}
