--- a/src/feed.rs
+++ b/src/feed.rs
@@ -8,6 +8,7 @@
 //! hosts that a subscriber has asked: two tell it all that they know, and every control
 //! host tells the others what endpoints said to itself ([`sources`]).
 
+mod cursor;
 mod followers;
 mod following;
 mod news;
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -9,26 +9,22 @@
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
-use super::{EndpointsAfter, FeedMessage, FeedRequest, Followers, Neighbour};
+use super::cursor::Cursor;
+use super::followers::{Follower, Followers};
+use super::{FeedMessage, FeedRequest, Neighbour};
 use crate::control::Leadership;
 use crate::error::{Result, RpcSnafu};
 use crate::member::View;
 use crate::peer::PeerReader;
-use crate::registry::{Changes, EndpointState, Registration, Scope, SharedRegistry};
-use crate::rollout::SharedRollouts;
-use crate::routing::Documents;
+use crate::registry::SharedRegistry;
+use crate::rollout::{Grants, Rollouts, SharedRollouts};
+use crate::routing::{Documents, Routing};
 use crate::wire::{HostId, KEEP_ALIVE, Role, SentBytes, Traffic, write_frame, write_keep_alive};
 
 /// How long a subscriber may take to read one message.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Requests of one subscriber that may wait; one at a time is usual.
 const REQUESTS: usize = 4;
-/// Endpoints in one message, some 10 KB: what a subscriber that reads slowly holds up.
-const MOST_ENDPOINTS: usize = 256;
-/// How long changes of endpoints gather before a subscriber is told again: thousands
-/// that register within a second come in twenty messages, not in thousands. Short
-/// beside the 2 s in which a leaving endpoint must get no new work.
-const GATHER: Duration = Duration::from_millis(50);
 
 /// What a feed tells of, and to whom.
 #[derive(Clone, Debug)]
@@ -51,16 +47,39 @@
     pub followers: Arc<Followers>,
 }
 
-/// How far a subscriber has been told of endpoints.
-#[derive(Clone, Copy, Debug)]
-struct Cursor {
-    /// The last change that it was told.
-    told: u64,
-    /// Endpoints that went before this change are passed over.
-    gone_after: u64,
-    scope: Scope,
-    /// When it may be told again.
-    not_before: Instant,
+/// Why a feed goes on.
+#[derive(Debug)]
+enum Event {
+    Leadership,
+    Hosts,
+    Registry,
+    Rollouts,
+    Grants,
+    EndpointsDue,
+    Routing,
+    Asked(FeedRequest),
+    KeepAliveDue,
+    /// The subscriber has left, or opened another feed.
+    Over,
+}
+
+/// A feed to one subscriber.
+struct Feed {
+    publication: Publication,
+    follower: Follower,
+    routing: watch::Receiver<Option<Arc<Routing>>>,
+    changes: watch::Receiver<u64>,
+    rollouts: watch::Receiver<Arc<Rollouts>>,
+    grants: watch::Receiver<Grants>,
+    asked: mpsc::Receiver<FeedRequest>,
+    /// How many routers it was told of.
+    routers: u32,
+    /// Revision of the drained halls that it was told.
+    drained: u64,
+    /// How far it was told of endpoints; none where it has not asked.
+    cursor: Option<Cursor>,
+    /// When it was last told anything.
+    told_at: Instant,
 }
 
 /// Tells one subscriber everything, and then each change, until it leaves. Routing
@@ -71,128 +90,161 @@
     reader: PeerReader,
     mut writer: OwnedWriteHalf,
 ) -> Result<()> {
-    let Publication {
-        subscriber,
-        documents,
-        registry,
-        rollouts,
-        mut leadership,
-        mut view,
-        numbering,
-        followers,
-    } = publication;
-    let follower = followers.opened(subscriber);
-    let (requests, mut asked) = mpsc::channel(REQUESTS);
+    let (requests, asked) = mpsc::channel(REQUESTS);
     let _reading = AbortOnDropHandle::new(tokio::spawn(read_requests(reader, requests)));
-    let mut routing = documents.watch();
-    routing.mark_changed();
-    leadership.mark_changed();
-    view.mark_changed();
-    let mut table = rollouts.watch();
-    table.mark_changed();
-    let mut offers = rollouts.watch_offers();
-    let mut routers = 0;
-    let mut drained = 0;
-    let mut cursor: Option<Cursor> = None;
-    let mut changes = registry.watch();
-    changes.mark_changed();
-    let mut said = Instant::now();
+    let mut feed = Feed::new(publication, asked);
     loop {
-        let behind = cursor.filter(|c| c.told < registry.read(|r| r.last_change()));
-        // Who is told of a route is told of the endpoints before.
-        let is_routing_next = routing.has_changed().unwrap_or(false);
-        let due_at = behind.map(|c| if is_routing_next { Instant::now() } else { c.not_before });
+        let message = match feed.wait().await {
+            Event::Over => return Ok(()),
+            Event::KeepAliveDue => {
+                write_within_limit(&sent.of(Traffic::Routing), write_keep_alive(&mut writer))
+                    .await?;
+                feed.told_at = Instant::now();
+                continue;
+            }
+            event => feed.message(event),
+        };
+        let Some(message) = message else { continue };
+        write(&mut writer, &sent, &message).await?;
+        feed.note_told(&message);
+    }
+}
+
+impl Feed {
+    /// A feed that was told nothing yet.
+    fn new(mut publication: Publication, asked: mpsc::Receiver<FeedRequest>) -> Feed {
+        let mut routing = publication.documents.watch();
+        let mut changes = publication.registry.watch();
+        let mut rollouts = publication.rollouts.watch();
+        routing.mark_changed();
+        changes.mark_changed();
+        rollouts.mark_changed();
+        publication.leadership.mark_changed();
+        publication.view.mark_changed();
+        Feed {
+            follower: publication.followers.opened(publication.subscriber),
+            grants: publication.rollouts.watch_offers(),
+            publication,
+            routing,
+            changes,
+            rollouts,
+            asked,
+            routers: 0,
+            drained: 0,
+            cursor: None,
+            told_at: Instant::now(),
+        }
+    }
+
+    async fn wait(&mut self) -> Event {
+        let due_at = self.endpoints_due_at();
         // In this order: whoever has a routing knows who leads, so that it can tell
         // whether the routing is the newest.
-        let next = tokio::select! {
+        tokio::select! {
             biased;
-            () = follower.superseded() => return Ok(()),
-            Ok(()) = leadership.changed() => {
-                let known = leadership.borrow_and_update();
-                FeedMessage::Leader { term: known.term, leader: known.leader }
+            () = self.follower.superseded() => Event::Over,
+            Ok(()) = self.publication.leadership.changed() => Event::Leadership,
+            Ok(()) = self.publication.view.changed() => Event::Hosts,
+            Ok(()) = self.changes.changed() => Event::Registry,
+            Ok(()) = self.rollouts.changed() => Event::Rollouts,
+            Ok(()) = self.grants.changed() => Event::Grants,
+            () = wait_until(due_at) => Event::EndpointsDue,
+            Ok(()) = self.routing.changed() => Event::Routing,
+            request = self.asked.recv() => request.map_or(Event::Over, Event::Asked),
+            () = tokio::time::sleep_until(self.told_at + KEEP_ALIVE) => Event::KeepAliveDue,
+        }
+    }
+
+    /// When endpoints are to be told, if any have changed.
+    fn endpoints_due_at(&self) -> Option<Instant> {
+        let cursor = self.cursor.as_ref()?;
+        let last_change = self.publication.registry.read(|r| r.last_change());
+        if !cursor.is_behind(last_change) {
+            return None;
+        }
+        // Who is told of a route is told of the endpoints before.
+        let is_routing_next = self.routing.has_changed().unwrap_or(false);
+        Some(if is_routing_next { Instant::now() } else { cursor.not_before() })
+    }
+
+    /// What to say, if there is anything.
+    fn message(&mut self, event: Event) -> Option<FeedMessage> {
+        match event {
+            Event::Leadership => {
+                let known = self.publication.leadership.borrow_and_update();
+                Some(FeedMessage::Leader { term: known.term, leader: known.leader })
             }
-            Ok(()) = view.changed() => {
-                let now = view.borrow_and_update().with_role(Role::Router).count() as u32;
-                if std::mem::replace(&mut routers, now) == now {
-                    continue;
-                }
-                FeedMessage::Routers(now)
+            Event::Hosts => {
+                let view = self.publication.view.borrow_and_update();
+                let now = view.with_role(Role::Router).count() as u32;
+                let before = std::mem::replace(&mut self.routers, now);
+                (before != now).then_some(FeedMessage::Routers(now))
             }
-            Ok(()) = changes.changed() => {
-                let now = registry.read(|r| r.drained().clone());
-                if std::mem::replace(&mut drained, now.revision()) == now.revision() {
-                    continue;
-                }
-                FeedMessage::DrainedHalls(now)
+            Event::Registry => {
+                let now = self.publication.registry.read(|r| r.drained().clone());
+                let before = std::mem::replace(&mut self.drained, now.revision());
+                (before != now.revision()).then_some(FeedMessage::DrainedHalls(now))
             }
-            Ok(()) = table.changed() => {
-                let now = table.borrow_and_update().clone();
-                if now.revision() == 0 {
-                    continue;
-                }
-                FeedMessage::Rollouts((*now).clone())
+            Event::Rollouts => {
+                let now = self.rollouts.borrow_and_update().clone();
+                (now.revision() != 0).then(|| FeedMessage::Rollouts((*now).clone()))
             }
-            Ok(()) = offers.changed() => FeedMessage::Grants(offers.borrow_and_update().clone()),
-            () = wait_until(due_at) => {
-                let Some(cursor) = &mut cursor else { continue };
-                let changes = registry
-                    .read(|r| r.changes_after(cursor.told, MOST_ENDPOINTS, cursor.scope));
-                cursor.advance(&changes);
-                let endpoints = cursor.wanted(changes.endpoints);
-                if endpoints.is_empty() {
-                    continue;
-                }
-                let (upto, scope) = (changes.upto, cursor.scope);
-                FeedMessage::Endpoints { numbering, upto, scope, endpoints }
+            Event::Grants => Some(FeedMessage::Grants(self.grants.borrow_and_update().clone())),
+            Event::EndpointsDue => self.endpoints(),
+            Event::Routing => {
+                let routing = self.routing.borrow_and_update().clone()?;
+                Some(FeedMessage::RoutingVersion(routing.table.version))
             }
-            Ok(()) = routing.changed() => match routing.borrow_and_update().clone() {
-                Some(routing) => FeedMessage::RoutingVersion(routing.table.version),
-                None => continue,
-            },
-            request = asked.recv() => match request {
-                Some(FeedRequest::Routing) => match documents.current() {
-                    Some(routing) => FeedMessage::Routing {
-                        version: routing.table.version,
-                        encoded: routing.encoded(),
-                    },
-                    None => continue,
-                },
-                Some(FeedRequest::Neighbours { hall }) => {
-                    FeedMessage::Neighbours(neighbours(&view.borrow(), &hall))
-                }
-                Some(FeedRequest::RolloutReport(report)) => {
-                    rollouts.reported(subscriber, report);
-                    continue;
-                }
-                Some(FeedRequest::Endpoints(after)) => {
-                    cursor = Some(Cursor::new(after, numbering, &registry));
-                    // Who was told before knows what the sender only remembers.
-                    let remembered = registry.read(|r| r.remembered().cloned().collect());
-                    match after.numbering {
-                        0 => FeedMessage::Remembered(remembered),
-                        _ => continue,
-                    }
-                }
-                Some(FeedRequest::NoEndpoints) => {
-                    cursor = None;
-                    continue;
-                }
-                None => return Ok(()),
-            },
-            () = tokio::time::sleep_until(said + KEEP_ALIVE) => {
-                said = Instant::now();
-                within_limit(&sent.of(Traffic::Routing), write_keep_alive(&mut writer)).await?;
-                continue;
+            Event::Asked(request) => self.answer(request),
+            Event::KeepAliveDue | Event::Over => None,
+        }
+    }
+
+    fn endpoints(&mut self) -> Option<FeedMessage> {
+        let cursor = self.cursor.as_mut()?;
+        let (endpoints, upto) = cursor.next(&self.publication.registry);
+        if endpoints.is_empty() {
+            return None;
+        }
+        let (numbering, scope) = (self.publication.numbering, cursor.scope());
+        Some(FeedMessage::Endpoints { numbering, upto, scope, endpoints })
+    }
+
+    fn answer(&mut self, request: FeedRequest) -> Option<FeedMessage> {
+        let publication = &self.publication;
+        match request {
+            FeedRequest::Routing => {
+                let routing = publication.documents.current()?;
+                let (version, encoded) = (routing.table.version, routing.encoded());
+                Some(FeedMessage::Routing { version, encoded })
             }
-        };
-        said = Instant::now();
-        let announced = match next {
-            FeedMessage::RoutingVersion(version) => Some(version),
-            _ => None,
-        };
-        write(&mut writer, &sent, next).await?;
-        if let Some(version) = announced {
-            follower.told(version);
+            FeedRequest::Neighbours { hall } => {
+                Some(FeedMessage::Neighbours(neighbours(&publication.view.borrow(), &hall)))
+            }
+            FeedRequest::RolloutReport(report) => {
+                publication.rollouts.reported(publication.subscriber, report);
+                None
+            }
+            FeedRequest::Endpoints(after) => {
+                let cursor = Cursor::new(after, publication.numbering, &publication.registry);
+                self.cursor = Some(cursor);
+                // Who was told before knows what the sender only remembers.
+                let remembered =
+                    || publication.registry.read(|r| r.remembered().cloned().collect());
+                (after.numbering == 0).then(|| FeedMessage::Remembered(remembered()))
+            }
+            FeedRequest::NoEndpoints => {
+                self.cursor = None;
+                None
+            }
+        }
+    }
+
+    /// A message was written.
+    fn note_told(&mut self, message: &FeedMessage) {
+        self.told_at = Instant::now();
+        if let FeedMessage::RoutingVersion(version) = message {
+            self.follower.told(*version);
         }
     }
 }
@@ -206,33 +258,6 @@
     }
 }
 
-impl Cursor {
-    fn new(after: EndpointsAfter, numbering: u64, registry: &SharedRegistry) -> Cursor {
-        let is_known = after.numbering == numbering;
-        let told = if is_known { after.change } else { 0 };
-        let gone_after = match after.with_gone || is_known {
-            true => 0,
-            false => registry.read(|r| r.last_change()),
-        };
-        Cursor { told, gone_after, scope: after.scope, not_before: Instant::now() }
-    }
-
-    fn advance(&mut self, changes: &Changes) {
-        // What is left is sent at once; what changes later waits for more.
-        if changes.endpoints.len() < MOST_ENDPOINTS {
-            self.not_before = Instant::now() + GATHER;
-        }
-        self.told = changes.upto;
-    }
-
-    fn wanted(&self, mut endpoints: Vec<Registration>) -> Vec<Registration> {
-        if self.told <= self.gone_after {
-            endpoints.retain(|endpoint| endpoint.state != EndpointState::Gone);
-        }
-        endpoints
-    }
-}
-
 /// The routers of a data hall that take requests.
 pub(super) fn neighbours(view: &View, hall: &str) -> Vec<Neighbour> {
     let of_hall = view.with_role(Role::Router).filter(|m| m.hall == hall && !m.draining);
@@ -251,15 +276,18 @@
     }
 }
 
-async fn write(writer: &mut OwnedWriteHalf, sent: &SentBytes, message: FeedMessage) -> Result<()> {
+async fn write(writer: &mut OwnedWriteHalf, sent: &SentBytes, message: &FeedMessage) -> Result<()> {
     let traffic = match message {
         FeedMessage::Endpoints { .. } | FeedMessage::Remembered(_) => Traffic::Endpoints,
         _ => Traffic::Routing,
     };
-    within_limit(&sent.of(traffic), write_frame(writer, &message)).await
+    write_within_limit(&sent.of(traffic), write_frame(writer, message)).await
 }
 
-async fn within_limit(sent: &SentBytes, writing: impl Future<Output = Result<u64>>) -> Result<()> {
+async fn write_within_limit(
+    sent: &SentBytes,
+    writing: impl Future<Output = Result<u64>>,
+) -> Result<()> {
     match tokio::time::timeout(WRITE_TIMEOUT, writing).await {
         Ok(bytes) => sent.add(bytes?),
         Err(_) => return RpcSnafu { message: "a subscriber reads nothing" }.fail(),
