The soak has a replica that comes and leaves; a router behind its work opens dead sessions anew too

A replica that says that it leaves must get no more requests in the end, under all faults of the soak; the check has a history that breaks it. A router whose event loop lagged by 10 ms or more took an unanswered question for its own fault and would have kept a dead placement session for ever; that nothing was answered for 2 s counts on it too.

--- a/src/placement/client.rs
+++ b/src/placement/client.rs
@@ -273,6 +273,7 @@
             }
             Ok(Err(_)) => None,
             Err(_) => {
+                self.note_unanswered(host);
                 if lag < OWN_FAULT_LAG {
                     self.note_silence(host);
                 }
@@ -325,16 +326,23 @@
         }
     }
 
-    fn note_silence(&self, host: HostId) {
+    /// A question was not answered in time, for whatever reason. Nothing answered for long
+    /// says that the connection is dead, also on a router that is behind its own work.
+    fn note_unanswered(&self, host: HostId) {
         if let Some(placer) = lock(&self.placers).get_mut(&host) {
-            placer.silent += 1;
             let now = tokio::time::Instant::now();
             let since = *placer.silent_since.get_or_insert(now);
             if now - since >= SESSION_SILENT {
                 log::info!("placement: control host {host} answers nothing, asked anew");
                 placer.end_session();
-                return;
             }
+        }
+    }
+
+    fn note_silence(&self, host: HostId) {
+        if let Some(placer) = lock(&self.placers).get_mut(&host) {
+            placer.silent += 1;
+            let now = tokio::time::Instant::now();
             let known = placer.passed_over_until > now;
             if placer.silent >= TOLERATED_SILENCE && !known {
                 placer.passed_over_until = now + PASSED_OVER;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -13,6 +13,8 @@
 mod history;
 #[path = "soak/proxy.rs"]
 mod proxy;
+#[path = "soak/registrations.rs"]
+mod registrations;
 #[path = "soak/silence.rs"]
 mod silence;
 // Shared with the tests of the platform, which use more of them.
@@ -98,11 +100,17 @@
     let mut actors = JoinSet::new();
     actors.spawn(actors::operate(stage.clone(), seed));
     for (number, replica) in replicas.iter().enumerate() {
-        actors.spawn(actors::register_on(stage.clone(), replica.clone(), seed + number as u64));
+        actors.spawn(registrations::register_on(
+            stage.clone(),
+            replica.clone(),
+            seed + number as u64,
+        ));
     }
     let bad = Replica::start("i-new", Behaviour::Fail).await;
     assert!(comes_about(|| serves(&stage)).await, "the fleet does not begin to serve");
     actors.spawn(actors::roll_out_on(stage.clone(), bad.clone(), seed));
+    let leaver = Replica::start("i-leaves", Behaviour::Answer).await;
+    actors.spawn(registrations::come_and_leave_on(stage.clone(), leaver.clone(), seed));
     (0..CALLERS * size.routers)
         .for_each(|caller| drop(actors.spawn(actors::call_on(stage.clone(), caller))));
     (0..size.routers)
@@ -114,7 +122,7 @@
     actors.join_all().await;
     let kept = comes_about(|| is_kept(&stage)).await;
     let mut history = stage.history.lock().unwrap().clone();
-    let all = replicas.iter().chain([&bad]);
+    let all = replicas.iter().chain([&bad, &leaver]);
     history.runs = all.flat_map(|r| r.seen()).map(|seen| seen.id()).collect();
     drop(stage);
     report(&history);
@@ -173,10 +181,11 @@
     let rolled_back = history.rollout_reads.iter().filter_map(|read| read.said.as_ref());
     let rolled_back = rolled_back.filter(|(_, state)| state == "rolled_back");
     println!(
-        "{} roll-outs ordered, {} seen rolled back; {} changes, {} reads, {} calls: {} answered, {} refused, {} unknown, {} without an \
+        "{} roll-outs ordered, {} seen rolled back; {} leaves; {} changes, {} reads, {} calls: {} answered, {} refused, {} unknown, {} without an \
          answer; a router was behind for {behind} ms at most, and denied routes for {denying} ms",
         history.orders.len(),
         rolled_back.map(|(number, _)| number).collect::<std::collections::BTreeSet<_>>().len(),
+        history.leaves.len(),
         history.acknowledged.len(),
         history.reads.len(),
         history.calls.len(),
--- a/tests/soak/actors.rs
+++ b/tests/soak/actors.rs
@@ -1,5 +1,5 @@
-//! Who uses the fleet while faults come: an operator, callers, replicas, and whoever
-//! asks each router for the newest routes.
+//! Who uses the fleet while faults come: an operator, callers, and whoever asks each
+//! router for the newest routes.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -14,6 +14,7 @@
 use crate::fleet::Fleet;
 use crate::history::{Acknowledged, Call, History, Order, Read, RolloutRead, Says, Sighting};
 use crate::http::{Answer, read_answer};
+use crate::registrations::{REGISTER_PAUSE, Said, epoch_ms, register};
 use crate::replica::Replica;
 
 /// How long anybody waits for an answer before asking elsewhere.
@@ -23,9 +24,6 @@
 const CHANGE_PAUSE: Duration = Duration::from_millis(80);
 const CALL_PAUSE: Duration = Duration::from_millis(8);
 const SIGHT_PAUSE: Duration = Duration::from_millis(25);
-const REGISTER_PAUSE: Duration = Duration::from_millis(400);
-/// Calls of a replica between two of its starts.
-const CALLS_OF_A_START: std::ops::Range<u64> = 4..20;
 /// Seconds in which a roll-out must be decided.
 const ROLL_OUT_SECONDS: u64 = 5;
 /// A configuration has the routes of so many versions before it.
@@ -40,11 +38,11 @@
 }
 
 impl Stage {
-    fn note(&self, f: impl FnOnce(&mut History)) {
+    pub fn note(&self, f: impl FnOnce(&mut History)) {
         f(&mut self.history.lock().unwrap());
     }
 
-    fn is_over(&self) -> bool {
+    pub fn is_over(&self) -> bool {
         self.over.is_cancelled()
     }
 }
@@ -58,7 +56,7 @@
     tokio::time::timeout(patience, exchange).await.ok()?
 }
 
-async fn ask_control(to: SocketAddr, method: &str, path: &str, body: &str) -> Option<Answer> {
+pub async fn ask_control(to: SocketAddr, method: &str, path: &str, body: &str) -> Option<Answer> {
     let length = body.len();
     let text = format!(
         "{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n\
@@ -227,63 +225,6 @@
     }
 }
 
-/// Registers a replica again and again, as replicas do, at any control host. Now and then
-/// it starts again under its id, and counts from one.
-pub async fn register_on(stage: Stage, replica: Replica, seed: u64) {
-    let mut rng = SmallRng::seed_from_u64(seed);
-    while !stage.is_over() {
-        let born = epoch_ms();
-        for sequence in 1..=rng.random_range(CALLS_OF_A_START) {
-            register(&stage, &mut rng, &replica, "v1", born, sequence).await;
-            tokio::time::sleep(REGISTER_PAUSE).await;
-            if stage.is_over() {
-                return;
-            }
-        }
-    }
-}
-
-async fn register(
-    stage: &Stage,
-    rng: &mut SmallRng,
-    replica: &Replica,
-    version: &str,
-    born: u64,
-    sequence: u64,
-) {
-    let body = format!(
-        r#"{{"service":"app","address":"{}","zone":"a","version":"{version}","slots":6,"state":"ready","warmupLeftMs":0,"born":{born},"callSeq":{sequence}}}"#,
-        replica.address
-    );
-    let path = format!("/replicas/{}", replica.id);
-    let control = stage.fleet.control(rng.random_range(0..stage.fleet.size.controls));
-    // Unanswered, it is sent again at the next turn.
-    let _ = ask_control(control, "PUT", &path, &body).await;
-}
-
-/// Says that a replica leaves, until a control host acknowledges it.
-pub async fn say_draining(stage: &Stage, rng: &mut SmallRng, replica: &Replica) {
-    let body = format!(
-        r#"{{"service":"app","address":"{}","zone":"a","version":"v1","slots":6,"state":"draining","warmupLeftMs":0,"born":{},"callSeq":1}}"#,
-        replica.address,
-        epoch_ms()
-    );
-    let path = format!("/replicas/{}", replica.id);
-    loop {
-        let control = stage.fleet.control(rng.random_range(0..stage.fleet.size.controls));
-        let answer = ask_control(control, "PUT", &path, &body).await;
-        if answer.is_some_and(|answer| answer.status == 200) {
-            return;
-        }
-        tokio::time::sleep(REGISTER_PAUSE).await;
-    }
-}
-
-fn epoch_ms() -> u64 {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    since.unwrap().as_millis() as u64
-}
-
 /// Orders one roll-out after the other of releases that fail every request. `replica`
 /// runs each of them.
 pub async fn roll_out_on(stage: Stage, replica: Replica, seed: u64) {
@@ -295,7 +236,8 @@
         }
         let born = epoch_ms();
         for sequence in 1.. {
-            register(&stage, &mut rng, &replica, &version, born, sequence).await;
+            let said = Said { version: &version, state: "ready", born, sequence };
+            register(&stage, &mut rng, &replica, said).await;
             let state = read_rollout(&stage, &mut rng).await;
             if stage.is_over() {
                 return;
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -35,6 +35,7 @@
     history.sightings.push(sighting(start, 30, 2, Says::Denies));
     history.sightings.push(sighting(start, 40, 2, Says::Knows));
     history.sightings.push(Sighting { life: 2, ..sighting(start, 50, 2, Says::Denies) });
+    history.leaves.push(true);
     history.orders.push(Order { number: 2, at: after(start, 10) });
     history.rollout_reads.push(rollout(after(start, 5), None));
     history.rollout_reads.push(rollout(after(start, 15), Some((2, "running"))));
@@ -133,3 +134,8 @@
     let again = |start| rollout(after(start, 25), Some((2, "running")));
     assert_eq!(breaks(|h, start| h.rollout_reads.push(again(start))), 1);
 }
+
+#[test]
+fn a_replica_that_leaves_and_still_gets_requests_is_caught() {
+    assert_eq!(breaks(|h, _| h.leaves.push(false)), 1);
+}
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -78,6 +78,8 @@
     pub sightings: Vec<Sighting>,
     pub orders: Vec<Order>,
     pub rollout_reads: Vec<RolloutRead>,
+    /// For each time that a replica said that it leaves, whether it got no more in the end.
+    pub leaves: Vec<bool>,
     /// Ids of requests that replicas ran, once for each run.
     pub runs: Vec<String>,
 }
@@ -93,11 +95,18 @@
         broken.extend(self.doubled_runs());
         broken.extend(self.unasked_runs());
         broken.extend(self.routers_gone_back());
+        broken.extend(self.leaves_passed_over());
         broken.extend(self.lost_orders());
         broken.extend(self.rollouts_gone_wrong());
         broken
     }
 
+    /// A replica that leaves gets no more requests in the end.
+    fn leaves_passed_over(&self) -> impl Iterator<Item = String> {
+        let kept = self.leaves.iter().filter(|passed_by| !**passed_by);
+        kept.map(|_| "a replica that leaves still gets requests".into())
+    }
+
     /// An acknowledged order is never unknown again.
     fn lost_orders(&self) -> impl Iterator<Item = String> {
         self.rollout_reads.iter().filter_map(|read| {
--- a/tests/soak/silence.rs
+++ b/tests/soak/silence.rs
@@ -26,6 +26,7 @@
 
 use crate::actors::{self, Stage};
 use crate::fleet::{Fleet, Size};
+use crate::registrations;
 use crate::replica::{Behaviour, Replica};
 use crate::{comes_about, is_in_force, serves};
 
@@ -50,7 +51,7 @@
             Replica::start("i-2", Behaviour::Answer).await,
         ];
         for (seed, replica) in replicas.iter().enumerate() {
-            tokio::spawn(actors::register_on(stage.clone(), replica.clone(), seed as u64));
+            tokio::spawn(registrations::register_on(stage.clone(), replica.clone(), seed as u64));
         }
         let mut serving = Serving { stage, rng: SmallRng::seed_from_u64(1), replicas };
         serving.change_to(1).await;
@@ -105,7 +106,7 @@
     serving.stage.fleet.silence(of_router);
     let leaving = serving.replicas[0].clone();
     serving.stage.over.cancel();
-    actors::say_draining(&serving.stage, &mut serving.rng, &leaving).await;
+    registrations::say_draining(&serving.stage, &mut serving.rng, &leaving).await;
     let passed_by = comes_about(|| serving.is_passed_by(&leaving)).await;
     assert!(passed_by, "it said that it leaves, and still gets requests");
 }
