A question unanswered now and then does not end a placement session

Found in reading: a question that ran out of time long ago and another one now looked like two seconds of silence and ended a session that works, and with it what the placer knows of the router's requests. A run of unanswered questions begins anew after a pause of 2 s; decided in a type of its own, with tests.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -29,6 +29,7 @@
 #[cfg(test)]
 mod tests;
 mod timing;
+mod unanswered;
 mod warmth;
 
 pub use client::{Placed, Placements, Reservation};
--- a/src/placement/client.rs
+++ b/src/placement/client.rs
@@ -13,6 +13,7 @@
 use super::knowledge::{Memory, StartOf, Told};
 use super::local::LocalPlacer;
 use super::message::{Ending, FromPlacer, PlacementRequest, Refusal, ToPlacer};
+use super::unanswered::Unanswered;
 use crate::error::{Error, Result};
 use crate::feed::Subscriptions;
 use crate::loop_lag::LoopLag;
@@ -32,10 +33,6 @@
 const TOLERATED_SILENCE: u32 = 2;
 /// Placers that are asked before a router decides for itself.
 const PLACERS_ASKED: usize = 2;
-/// How long a placer may answer nothing until its connection counts as dead. Hosts that
-/// are gone are suspected before; one that is only behind its work keeps its session, and
-/// with it all that it knows of this router's requests.
-const SESSION_SILENT: Duration = Duration::from_millis(2_000);
 /// How long a silent placer is passed over.
 const PASSED_OVER: Duration = Duration::from_millis(700);
 
@@ -67,8 +64,7 @@
     incarnation: u64,
     session: Option<Session>,
     silent: u32,
-    /// Since when no question was answered.
-    silent_since: Option<tokio::time::Instant>,
+    unanswered: Unanswered,
     passed_over_until: tokio::time::Instant,
 }
 
@@ -313,7 +309,7 @@
                 incarnation: member.incarnation,
                 session: None,
                 silent: 0,
-                silent_since: None,
+                unanswered: Unanswered::default(),
                 passed_over_until: tokio::time::Instant::now(),
             });
         }
@@ -322,20 +318,20 @@
     fn note_answer(&self, host: HostId) {
         if let Some(placer) = lock(&self.placers).get_mut(&host) {
             placer.silent = 0;
-            placer.silent_since = None;
+            placer.unanswered = Unanswered::default();
         }
     }
 
     /// A question was not answered in time, for whatever reason. Nothing answered for long
     /// says that the connection is dead, also on a router that is behind its own work.
     fn note_unanswered(&self, host: HostId) {
-        if let Some(placer) = lock(&self.placers).get_mut(&host) {
-            let now = tokio::time::Instant::now();
-            let since = *placer.silent_since.get_or_insert(now);
-            if now - since >= SESSION_SILENT {
-                log::info!("placement: control host {host} answers nothing, asked anew");
-                placer.end_session();
-            }
+        let now = self.peers.clock.now();
+        let mut placers = lock(&self.placers);
+        if let Some(placer) = placers.get_mut(&host)
+            && placer.unanswered.note(now)
+        {
+            log::info!("placement: control host {host} answers nothing, its session ends");
+            placer.end_session();
         }
     }
 
@@ -366,7 +362,7 @@
         if let Some(placer) = lock(&self.placers).get_mut(&host) {
             placer.session = session;
             placer.silent = 0;
-            placer.silent_since = None;
+            placer.unanswered = Unanswered::default();
         }
         // A new session starts from nothing.
         let mut informed = lock(&self.informed);
@@ -415,7 +411,7 @@
     let (out, batch) = BatchWriter::immediate(Some(all.peers.sent.of(Traffic::Placement)));
     let writing = tokio::spawn(batch.run(writer, || std::future::ready(())));
     let waiting = Waiting::default();
-    let _unanswered = Unanswered(waiting.clone());
+    let _unheard = Unheard(waiting.clone());
     let dead = CancellationToken::new();
     let session = Session { out, waiting: waiting.clone(), dead: dead.clone() };
     all.set_session(host, Some(session));
@@ -436,9 +432,9 @@
 }
 
 /// What waits for answers of a session learns when it ends, however it ends.
-struct Unanswered(Waiting);
+struct Unheard(Waiting);
 
-impl Drop for Unanswered {
+impl Drop for Unheard {
     fn drop(&mut self) {
         lock(&self.0).clear();
     }
--- a/src/placement/tests/sessions.rs
+++ b/src/placement/tests/sessions.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::{mpsc, watch};
 
+use super::super::unanswered::Unanswered;
 use super::super::*;
 use crate::control::Leadership;
 use crate::feed::{Publication, Subscriptions, publish};
@@ -142,3 +143,18 @@
     wait_until(|| host.feeds_taken.load(Ordering::SeqCst) > 1).await;
     wait_until(|| host.sessions_taken.load(Ordering::SeqCst) > 1).await;
 }
+
+#[test]
+fn a_placer_counts_as_out_of_reach_after_two_seconds_of_unanswered_questions() {
+    let mut unanswered = Unanswered::default();
+    assert!(!unanswered.note(1_000));
+    assert!(!unanswered.note(1_800));
+    assert!(!unanswered.note(2_900));
+    assert!(unanswered.note(3_000));
+}
+
+#[test]
+fn a_question_unanswered_now_and_then_says_nothing_of_the_connection() {
+    let mut unanswered = Unanswered::default();
+    assert!([1_000, 3_000, 60_000, 90_000].iter().all(|now| !unanswered.note(*now)));
+}
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -30,8 +30,8 @@
 /// The longest time for which the side that took a connection says nothing. At 340
 /// routers a control host sends 15 KB/s for it while nothing changes.
 pub const KEEP_ALIVE: Duration = Duration::from_secs(1);
-/// Silence after which the side that opened a connection gives it up: two keep-alives may
-/// come late, by a retransmission or a busy processor. A dead connection is replaced
+/// Silence after which the side that opened a connection gives it up: one keep-alive may
+/// be missed and the next come 0.2 s late, by a retransmission or a busy processor. A dead connection is replaced
 /// before the 3 s are over after which callers count on what is acknowledged.
 pub const SILENCE: Duration = Duration::from_millis(2_200);
 const LENGTH_BYTES: usize = 4;
@@ -164,7 +164,8 @@
         self.limit = limit;
     }
 
-    /// From now on a read fails after [`SILENCE`].
+    /// From now on a read fails with [`Error::Silent`] once nothing has come for
+    /// [`SILENCE`].
     pub fn ends_when_silent(self) -> FrameReader<Pin<Box<TimeoutReader<R>>>> {
         let mut inner = TimeoutReader::new(self.inner);
         inner.set_timeout(Some(SILENCE));
