Deny routes only by a control host that has caught up with its leader

A control host that has started again hears the leader before it knows what was committed; it named the leader and told an older routing, and routers took that for the newest. Now it says with the leader whether it has applied an entry of the leader's term, and a router denies a route or key for good only by a live host of the newest term that has, and that was heard in the last 1.5 s; else 503 with when to come back. Tests: the agreement (a store knows the leader and not the commit: the case comes about) and the news of feeds.

--- a/src/agree/replica.rs
+++ b/src/agree/replica.rs
@@ -207,6 +207,12 @@
         self.hard.term
     }
 
+    /// Whether an entry of the current term is known to be committed, and with it all that
+    /// was committed before. A store that has started again knows the leader sooner.
+    pub fn has_caught_up(&self) -> bool {
+        self.log.term(self.commit) == Some(self.hard.term)
+    }
+
     /// The leader that it follows or is, where known.
     pub fn leader(&self) -> Option<StoreId> {
         self.leader
--- a/src/agree/replica/replication.rs
+++ b/src/agree/replica/replication.rs
@@ -207,7 +207,7 @@
     /// Answers the reads whose round a majority has acknowledged, once this
     /// leader has committed an entry of its own term.
     pub(super) fn answer_reads(&mut self) {
-        if self.log.term(self.commit) != Some(self.hard.term) {
+        if !self.has_caught_up() {
             return;
         }
         let majority = self.majority();
--- a/src/agree/tests.rs
+++ b/src/agree/tests.rs
@@ -474,6 +474,36 @@
     assert_eq!(replica.synced(index, term).reads, [5]);
 }
 
+/// Stores that have started again know the leader before they know what was committed: what
+/// they have applied until then may be older than what was accepted.
+#[test]
+fn a_store_that_has_started_again_has_caught_up_once_it_knows_all_that_was_committed() {
+    let mut group = Group::new(3, 7);
+    group.run(150);
+    let leader = group.leader().unwrap();
+    for _ in 0..5 {
+        group.propose(leader);
+        group.run(20);
+    }
+    let committed = *group.committed.keys().last().unwrap();
+    let ids = [1, 2, 3].map(StoreId);
+    ids.iter().for_each(|id| group.crash(*id));
+    ids.iter().for_each(|id| group.restart(*id));
+    let mut knew_the_leader_only = false;
+    for _ in 0..300 {
+        group.run(1);
+        for id in ids {
+            let replica = group.stores[&id].replica.as_ref().unwrap();
+            match replica.has_caught_up() {
+                true => assert!(replica.status().commit >= committed),
+                false => knew_the_leader_only |= replica.leader().is_some(),
+            }
+        }
+    }
+    assert!(knew_the_leader_only, "the case did not come about");
+    assert!(ids.iter().all(|id| group.stores[id].replica.as_ref().unwrap().has_caught_up()));
+}
+
 #[test]
 fn a_snapshot_that_covers_nothing_new_is_not_written() {
     let mut group = Group::new(3, 5);
--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -61,6 +61,8 @@
     pub term: u64,
     /// The leader's host, where known.
     pub leader: Option<HostId>,
+    /// Whether all that was accepted before this term is applied here.
+    pub has_caught_up: bool,
     /// Whether this store leads.
     pub leads: bool,
     /// Whether this store belongs to a group.
@@ -76,6 +78,7 @@
         Leadership {
             term: replica.term(),
             leader: leader.map(|m| m.host),
+            has_caught_up: replica.has_caught_up(),
             leads: replica.role() == Role::Leader,
             founded: replica.is_founded(),
             hosts: members.iter().map(|m| (m.host, m.peer)).collect(),
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -63,12 +63,7 @@
     /// Routers of one data hall, for a subscriber that asked.
     Neighbours(Vec<Neighbour>),
     /// Who leads the agreement, as the sender knows it.
-    Leader {
-        /// The term.
-        term: u64,
-        /// The leader's host, where known.
-        leader: Option<HostId>,
-    },
+    Leader(LeaderNews),
     /// The data halls that operators have drained.
     DrainedHalls(DrainedHalls),
     /// The roll-outs that operators have ordered.
@@ -78,6 +73,18 @@
     Grants(Grants),
 }
 
+/// Who leads the agreement, as a control host knows it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderNews {
+    /// The term.
+    pub term: u64,
+    /// The leader's host, where known.
+    pub leader: Option<HostId>,
+    /// Whether the sender has applied all that was accepted before that term; until then
+    /// its routing may be older than an acknowledged one.
+    pub has_caught_up: bool,
+}
+
 /// What a subscriber asks for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FeedRequest {
--- a/src/feed/news.rs
+++ b/src/feed/news.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use super::LeaderNews;
 use crate::dispatch::Millis;
 use crate::wire::HostId;
 
@@ -18,8 +19,7 @@
 /// What one control host last said.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct HostNews {
-    term: u64,
-    leader: Option<HostId>,
+    leader: LeaderNews,
     routers: usize,
     /// When it last said anything.
     heard: Millis,
@@ -51,10 +51,18 @@
         self.hosts.values().map(|news| now.saturating_sub(news.heard)).min()
     }
 
-    /// Whether a control host was heard lately, so that a newer configuration would be
-    /// known here.
-    pub fn is_confirmed(&self, now: Millis) -> bool {
-        self.last_heard_ms(now).is_some_and(|ms| ms < CONFIRMED_MS)
+    /// Whether a newer configuration would be known here, but for what is on its way: a
+    /// control host that `is_live`, was heard lately, and knows the newest leader has
+    /// applied all that was accepted before.
+    pub fn is_confirmed(&self, now: Millis, is_live: impl Fn(HostId) -> bool) -> bool {
+        let live = || self.hosts.iter().filter(|(host, _)| is_live(**host)).map(|(_, news)| news);
+        let newest_term = live().filter(|n| n.leader.leader.is_some()).map(|n| n.leader.term).max();
+        live().any(|news| {
+            news.leader.leader.is_some()
+                && Some(news.leader.term) == newest_term
+                && news.leader.has_caught_up
+                && now.saturating_sub(news.heard) < CONFIRMED_MS
+        })
     }
 
     /// Milliseconds for which the feed that is silent longest has said nothing.
@@ -68,9 +76,8 @@
     }
 
     /// A control host said who leads, if it knows, and in which term.
-    pub fn set_leader(&mut self, from: HostId, term: u64, leader: Option<HostId>) {
+    pub fn set_leader(&mut self, from: HostId, leader: LeaderNews) {
         if let Some(news) = self.hosts.get_mut(&from) {
-            news.term = term;
             news.leader = leader;
         }
     }
@@ -91,7 +98,7 @@
     /// The leader of the highest term that a control host names which `is_live`.
     pub fn leader(&self, is_live: impl Fn(HostId) -> bool) -> Option<HostId> {
         let live = self.hosts.iter().filter(|(host, _)| is_live(**host));
-        let named = live.filter_map(|(_, news)| Some((news.term, news.leader?)));
+        let named = live.filter_map(|(_, news)| Some((news.leader.term, news.leader.leader?)));
         named.max_by_key(|(term, _)| *term).map(|(_, leader)| leader)
     }
 
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -11,7 +11,7 @@
 
 use super::cursor::Cursor;
 use super::followers::{Follower, Followers};
-use super::{FeedMessage, FeedRequest, Neighbour};
+use super::{FeedMessage, FeedRequest, LeaderNews, Neighbour};
 use crate::control::Leadership;
 use crate::error::{Result, RpcSnafu};
 use crate::member::View;
@@ -172,7 +172,11 @@
         match event {
             Event::Leadership => {
                 let known = self.publication.leadership.borrow_and_update();
-                Some(FeedMessage::Leader { term: known.term, leader: known.leader })
+                Some(FeedMessage::Leader(LeaderNews {
+                    term: known.term,
+                    leader: known.leader,
+                    has_caught_up: known.has_caught_up,
+                }))
             }
             Event::Hosts => {
                 let view = self.publication.view.borrow_and_update();
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -100,10 +100,12 @@
     }
 
     /// Whether the routing in force here is the newest, but for what is on its way: a
-    /// live control host that hears the leader, and is heard, tells every change.
+    /// live control host that hears the leader, has caught up with it and is heard tells
+    /// every change.
     pub fn is_current(&self) -> bool {
-        self.leader().is_some()
-            && self.news().is_confirmed(self.peers.clock.now())
+        let view = self.peers.view();
+        let is_live = |host| view.get(host).is_some();
+        self.news().is_confirmed(self.peers.clock.now(), is_live)
             && !self.tables().fetch.is_behind(self.held())
     }
 
@@ -264,7 +266,7 @@
                 let now = self.peers.clock.now();
                 self.news().set_routers(now, from, routers as usize);
             }
-            FeedMessage::Leader { term, leader } => self.news().set_leader(from, term, leader),
+            FeedMessage::Leader(leader) => self.news().set_leader(from, leader),
         }
     }
 }
--- a/src/feed/tests.rs
+++ b/src/feed/tests.rs
@@ -4,9 +4,9 @@
 
 use std::sync::Arc;
 
-use super::Followers;
 use super::following::{Following, Reason, Step};
 use super::news::News;
+use super::{Followers, LeaderNews};
 use crate::member::View;
 use crate::wire::{Heartbeat, HostId, Role};
 
@@ -29,6 +29,11 @@
     }
 }
 
+/// A leader as named by a host that has caught up with it.
+fn named(term: u64, leader: Option<HostId>) -> LeaderNews {
+    LeaderNews { term, leader, has_caught_up: true }
+}
+
 fn live(incarnation: u64) -> View {
     View { live: vec![beat(ME, 1), beat(CONTROL, incarnation)], suspected: vec![] }
 }
@@ -76,16 +81,16 @@
 fn the_leader_of_the_highest_term_named_by_a_live_host_counts() {
     let mut news = News::default();
     [CONTROL, OTHER].iter().for_each(|host| news.opened(0, *host));
-    news.set_leader(CONTROL, 3, Some(CONTROL));
-    news.set_leader(OTHER, 4, Some(OTHER));
+    news.set_leader(CONTROL, named(3, Some(CONTROL)));
+    news.set_leader(OTHER, named(4, Some(OTHER)));
     assert_eq!(news.leader(|_| true), Some(OTHER));
     assert_eq!(news.leader(|host| host != OTHER), Some(CONTROL));
-    news.set_leader(OTHER, 5, None);
+    news.set_leader(OTHER, named(5, None));
     assert_eq!(news.leader(|_| true), Some(CONTROL));
     news.lost(CONTROL);
     assert_eq!(news.leader(|_| true), None);
     // What comes from a feed that has ended says nothing.
-    news.set_leader(CONTROL, 6, Some(CONTROL));
+    news.set_leader(CONTROL, named(6, Some(CONTROL)));
     assert_eq!(news.leader(|_| true), None);
 }
 
@@ -150,12 +155,36 @@
 #[test]
 fn what_control_hosts_said_is_confirmed_by_their_keep_alives() {
     let mut news = News::default();
-    assert!(!news.is_confirmed(0), "nobody is followed");
+    let all = |_| true;
+    assert!(!news.is_confirmed(0, all), "nobody is followed");
+    for host in [CONTROL, OTHER] {
+        news.opened(0, host);
+        news.set_leader(host, named(3, Some(CONTROL)));
+    }
+    assert!(news.is_confirmed(1_499, all));
+    assert!(!news.is_confirmed(1_500, all));
+    news.heard(1_400, OTHER);
+    assert!(news.is_confirmed(1_500, all));
+    assert!(!news.is_confirmed(1_500, |host| host != OTHER), "it is suspected");
+}
+
+/// A control host that has started again hears the leader before it knows what was
+/// accepted, and tells an older routing meanwhile.
+#[test]
+fn a_host_that_has_not_caught_up_confirms_nothing() {
+    let mut news = News::default();
+    let all = |_| true;
     news.opened(0, CONTROL);
+    news.set_leader(CONTROL, LeaderNews { has_caught_up: false, ..named(3, Some(CONTROL)) });
+    assert!(!news.is_confirmed(0, all));
+    news.set_leader(CONTROL, named(3, Some(CONTROL)));
+    assert!(news.is_confirmed(0, all));
+    // Who is behind in terms may be cut off with a leader that leads no more.
     news.opened(0, OTHER);
-    assert!(!news.is_confirmed(1_500));
-    news.heard(1_400, OTHER);
-    assert!(news.is_confirmed(1_500));
+    news.set_leader(OTHER, LeaderNews { has_caught_up: false, ..named(4, Some(OTHER)) });
+    assert!(!news.is_confirmed(0, all));
+    news.set_leader(OTHER, named(4, None));
+    assert!(news.is_confirmed(0, all));
 }
 
 #[test]
--- a/src/feed/tests/connection.rs
+++ b/src/feed/tests/connection.rs
@@ -27,6 +27,7 @@
     let leads = Leadership {
         term: 1,
         leader: Some(peers.me),
+        has_caught_up: true,
         leads: true,
         founded: true,
         hosts: vec![(peers.me, peers.address)],
--- a/src/placement/tests/sessions.rs
+++ b/src/placement/tests/sessions.rs
@@ -51,6 +51,7 @@
         let leads = Leadership {
             term: 1,
             leader: Some(self.peers.me),
+            has_caught_up: true,
             leads: true,
             founded: true,
             hosts: vec![(self.peers.me, self.peers.address)],
