A replica counts as passed by only while every router serves

Found in reading: where nothing was served for a moment, as after all processes were killed, a replica that leaves got nothing either and the check passed. Now every router must have served 20 calls meanwhile, and in the test of silent connections every request must be served.

--- a/tests/soak/actors.rs
+++ b/tests/soak/actors.rs
@@ -154,7 +154,8 @@
 
 /// Calls one router, on a connection that it keeps as long as it is open.
 pub async fn call_on(stage: Stage, caller: usize) {
-    let front = stage.fleet.front(caller % stage.fleet.size.routers);
+    let router = caller % stage.fleet.size.routers;
+    let front = stage.fleet.front(router);
     let mut connection = None;
     for number in 0.. {
         if stage.is_over() {
@@ -164,7 +165,7 @@
         let id = format!("c{caller}-{number}");
         let answer = call(&mut connection, front, &id, once).await;
         let answer = answer.map(|a| (a.status, a.body, a.whole));
-        stage.note(|h| h.calls.push(Call { id, once, answer }));
+        stage.note(|h| h.calls.push(Call { id, router, once, answer }));
         tokio::time::sleep(CALL_PAUSE).await;
     }
 }
@@ -301,6 +302,6 @@
     let answer = call(&mut None, stage.fleet.front(number), &id, false).await;
     let answer = answer.map(|a| (a.status, a.body, a.whole));
     let served = answer.as_ref().is_some_and(|(status, ..)| *status == 200);
-    stage.note(|h| h.calls.push(Call { id, once: false, answer }));
+    stage.note(|h| h.calls.push(Call { id, router: number, once: false, answer }));
     served
 }
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -9,7 +9,7 @@
 }
 
 fn answered(id: &str, once: bool, status: u16, body: &str) -> Call {
-    Call { id: id.into(), once, answer: Some((status, body.into(), true)) }
+    Call { id: id.into(), router: 0, once, answer: Some((status, body.into(), true)) }
 }
 
 fn sighting(start: Instant, at: u64, version: u64, says: Says) -> Sighting {
@@ -29,7 +29,7 @@
     history.reads.push(Read { asked: after(start, 15), version: 2, text: "two".into() });
     history.calls.push(answered("a", true, 200, "answer to a"));
     history.calls.push(answered("b", true, 503, ""));
-    history.calls.push(Call { id: "c".into(), once: true, answer: None });
+    history.calls.push(Call { id: "c".into(), router: 0, once: true, answer: None });
     history.calls.push(answered("d", false, 200, "answer to d"));
     history.runs = ["a", "c", "d", "d"].map(String::from).to_vec();
     history.sightings.push(sighting(start, 30, 2, Says::Denies));
@@ -139,3 +139,11 @@
 fn a_replica_that_leaves_and_still_gets_requests_is_caught() {
     assert_eq!(breaks(|h, _| h.leaves.push(false)), 1);
 }
+
+#[test]
+fn a_router_that_serves_nothing_does_not_count_as_passing_a_replica_by() {
+    let (history, _) = sound();
+    assert_eq!(history.served_by_each(0, 1), 2);
+    assert_eq!(history.served_by_each(3, 1), 1);
+    assert_eq!(history.served_by_each(0, 2), 0);
+}
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -23,6 +23,8 @@
 #[derive(Clone, Debug)]
 pub struct Call {
     pub id: String,
+    /// The router that it went to.
+    pub router: usize,
     /// Whether it may run once only.
     pub once: bool,
     /// Status, body, and whether the body came to its end; none where the connection
@@ -85,6 +87,18 @@
 }
 
 impl History {
+    /// Calls that each of so many routers has served since the call at place `first`, of the
+    /// router that served fewest.
+    pub fn served_by_each(&self, first: usize, routers: usize) -> usize {
+        let mut served = vec![0; routers];
+        for call in &self.calls[first..] {
+            if matches!(call.answer, Some((200, ..))) {
+                served[call.router] += 1;
+            }
+        }
+        served.into_iter().min().unwrap_or(0)
+    }
+
     /// Every promise that was broken, in words.
     pub fn broken(&self) -> Vec<String> {
         let mut broken = self.refused_changes.clone();
--- a/tests/soak/registrations.rs
+++ b/tests/soak/registrations.rs
@@ -12,8 +12,11 @@
 pub const REGISTER_PAUSE: Duration = Duration::from_millis(400);
 /// Calls of a replica between two of its starts.
 const CALLS_OF_A_START: std::ops::Range<u64> = 4..20;
-/// Callers call all routers meanwhile, so that a replica to which any sends shows it.
-const LOOK: Duration = Duration::from_millis(700);
+/// Calls that each router must serve while a replica gets none: chosen by chance, one of four
+/// replicas is left out so often once in three hundred times.
+const SERVED: usize = 20;
+/// Time between two looks at what was served.
+const LOOK: Duration = Duration::from_millis(100);
 
 /// One call of a replica.
 #[derive(Clone, Copy, Debug)]
@@ -101,14 +104,24 @@
         };
         let passed_by = tokio::select! {
             () = leaving => false,
-            passed_by = comes_about(|| is_passed_by(&replica)) => passed_by,
+            // Nobody calls any more.
+            () = stage.over.cancelled() => return,
+            passed_by = comes_about(|| is_passed_by(&stage, &replica)) => passed_by,
         };
         stage.note(|h| h.leaves.push(passed_by));
     }
 }
 
-async fn is_passed_by(replica: &Replica) -> bool {
+/// Whether a replica gets nothing while every router serves.
+async fn is_passed_by(stage: &Stage, replica: &Replica) -> bool {
     let before = replica.seen().len();
-    tokio::time::sleep(LOOK).await;
+    let first = stage.history.lock().unwrap().calls.len();
+    let routers = stage.fleet.size.routers;
+    while stage.history.lock().unwrap().served_by_each(first, routers) < SERVED {
+        if replica.seen().len() > before {
+            return false;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
     replica.seen().len() == before
 }
--- a/tests/soak/silence.rs
+++ b/tests/soak/silence.rs
@@ -66,13 +66,14 @@
         assert_eq!(taken, Ok(true), "version {version} is not acknowledged");
     }
 
-    /// Whether no router sends anything to a replica any more.
+    /// Whether every router serves and none sends anything to a replica any more.
     async fn is_passed_by(&self, replica: &Replica) -> bool {
         let before = replica.seen().len();
+        let mut all_served = true;
         for request in 0..REQUESTS * SIZE.routers {
-            actors::is_served(&self.stage, request % SIZE.routers).await;
+            all_served &= actors::is_served(&self.stage, request % SIZE.routers).await;
         }
-        replica.seen().len() == before
+        all_served && replica.seen().len() == before
     }
 }
 
