--- a/tests/soak/silence.rs
+++ b/tests/soak/silence.rs
@@ -55,9 +55,18 @@
         let mut serving = Serving { stage, rng: SmallRng::seed_from_u64(1), replicas };
         serving.change_to(1).await;
         assert!(comes_about(|| serves(&serving.stage)).await, "the fleet does not begin to serve");
+        let all = comes_about(|| serving.every_replica_runs()).await;
+        assert!(all, "a replica is not used");
         serving
     }
 
+    /// Whether each replica has run a request. One may register later than the other, or,
+    /// where it has stopped registering by then, not at all.
+    async fn every_replica_runs(&self) -> bool {
+        actors::is_served(&self.stage, 0).await;
+        self.replicas.iter().all(|replica| !replica.seen().is_empty())
+    }
+
     /// Sends a version until it is acknowledged.
     async fn change_to(&mut self, version: u64) {
         let mut rng = SmallRng::seed_from_u64(version);
