Name lost answers by a fingerprint that shows when a request comes again

Logs could not tell whether the lost runs had a request in common: they named the router's own number only. Now each answer that an endpoint broke off has one line with the endpoint's start, the age of the run, the path and a fingerprint of customer, path and body, and is counted. No decision changes.

The emulated engine learns to end by a request, where its settings allow that.

--- a/src/emulate/engine.rs
+++ b/src/emulate/engine.rs
@@ -64,6 +64,9 @@
 pub struct Emulate {
     /// Tokens to generate.
     pub output_tokens: Option<u32>,
+    /// Milliseconds after which the engine's process ends without notice, where its
+    /// settings allow that.
+    pub crash_after_ms: Option<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -159,6 +162,9 @@
     let Some(job) = engine.job(id, &request, resume, cut_after) else {
         return refusal("no such stream to resume");
     };
+    if let Some(ms) = request.emulate.crash_after_ms.filter(|_| engine.settings.crashes) {
+        tokio::spawn(crash(Duration::from_millis(ms)));
+    }
     match request.stream {
         true => stream(engine, job, request.priority),
         false => whole(engine, job, request.priority).await,
@@ -204,6 +210,12 @@
     }
 }
 
+async fn crash(after: Duration) {
+    tokio::time::sleep(after).await;
+    log::error!("emulate: ended by a request");
+    std::process::exit(1);
+}
+
 fn refusal(why: &str) -> Response {
     let body = json!({"error": {"message": why}});
     (StatusCode::SERVICE_UNAVAILABLE, [(header::NOT_RUN, "1")], Json(body)).into_response()
--- a/src/gateway/arrival.rs
+++ b/src/gateway/arrival.rs
@@ -15,6 +15,7 @@
 use super::refusal::Refusal;
 use super::request::Call;
 use super::state::Gateway;
+use crate::quarantine::Fingerprint;
 use crate::routing::{CustomerKeys, Route, Routing};
 
 /// Reads a request whole and finds where it belongs.
@@ -46,6 +47,7 @@
     let limits = &routing.table.limits;
     let body_limit = limit.min(arrived + Duration::from_millis(limits.header_timeout_ms));
     let body = read_body(body, limits.max_body_bytes, body_limit).await?;
+    let fingerprint = fingerprint_of(customer.as_deref(), &parts, &body);
     let service = pick_service(&route).ok_or(Refusal::NoEndpoint)?;
     let now = gateway.now();
     let routers = gateway.feeds.routers().max(gateway.rules.least_routers);
@@ -67,6 +69,7 @@
         head,
         parts,
         body,
+        fingerprint,
         arrived,
         limit,
         turn: Default::default(),
@@ -98,6 +101,11 @@
     }
 }
 
+fn fingerprint_of(customer: Option<&str>, parts: &Parts, body: &[u8]) -> Fingerprint {
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    Fingerprint::of(customer.unwrap_or_default(), &[path], body)
+}
+
 /// A target of the route, at random by weight.
 fn pick_service(route: &Route) -> Option<String> {
     let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -181,7 +181,7 @@
             ticket.observed.failed();
             Err(Attempt::NotSent)
         }
-        Ok(Err(SendError::Unknown(why))) => Err(unknown(call, endpoint, &why)),
+        Ok(Err(SendError::Unknown(why))) => Err(lost(call, endpoint, ticket, &why)),
         Err(_) => {
             call.gateway.note_failure(&endpoint.id, endpoint.started_at_ms, Failure::Failed);
             log::info!("gateway: request {} got no answer of {}", call.number, endpoint.id);
@@ -193,8 +193,19 @@
     }
 }
 
+/// The endpoint ended the connection before the whole answer.
+fn lost(call: &Call, endpoint: &Registration, ticket: &Ticket, why: &str) -> Attempt {
+    call.lost_at(ticket, why);
+    call.gateway.note_failure(&endpoint.id, endpoint.started_at_ms, Failure::Failed);
+    Attempt::Unknown
+}
+
 fn unknown(call: &Call, endpoint: &Registration, why: &str) -> Attempt {
-    log::info!("gateway: request {} lost its answer at {}: {why}", call.number, endpoint.id);
+    log::info!(
+        "gateway: request {} got no answer of its own at {}: {why}",
+        call.number,
+        endpoint.id
+    );
     call.gateway.note_failure(&endpoint.id, endpoint.started_at_ms, Failure::Failed);
     Attempt::Unknown
 }
@@ -240,7 +251,7 @@
         return Attempt::Answered(stream::relay(call, opened));
     }
     let Opened { response, connection, mut ticket } = opened;
-    let attempt = whole(call, endpoint, response, connection).await;
+    let attempt = whole(call, endpoint, response, connection, &ticket).await;
     if matches!(attempt, Attempt::Answered(_)) {
         ticket.set_ending(Ending::Served);
     }
@@ -254,12 +265,13 @@
     endpoint: &Registration,
     response: Response<Incoming>,
     connection: Connection,
+    ticket: &Ticket,
 ) -> Attempt {
     let (mut head, body) = response.into_parts();
     let reading = Limited::new(body, MAX_ANSWER).collect();
     let body = match tokio::time::timeout(call.remaining(), reading).await {
         Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => return unknown(call, endpoint, &error.to_string()),
+        Ok(Err(error)) => return lost(call, endpoint, ticket, &error.to_string()),
         Err(_) => return Attempt::TimedOut,
     };
     call.gateway.connections.keep(&endpoint.id, connection);
--- a/src/gateway/observed.rs
+++ b/src/gateway/observed.rs
@@ -1,6 +1,7 @@
 //! What a request at an endpoint says of the endpoint's release.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -56,6 +57,11 @@
         observed
     }
 
+    /// How long ago it was sent.
+    pub fn sent_ago(&self) -> Duration {
+        self.sent_at.elapsed()
+    }
+
     /// What came of the attempt, up to its whole answer or to the head of a stream.
     pub fn note(&mut self, attempt: &Attempt) {
         match attempt {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -17,6 +17,7 @@
 use super::refusal::Refusal;
 use super::state::{Gateway, Presence};
 use crate::placement;
+use crate::quarantine::Fingerprint;
 use crate::region::AllowedRegions;
 use crate::rollout::ReleaseChoice;
 use crate::routing::Route;
@@ -42,6 +43,8 @@
     pub head: CallHead,
     pub parts: Parts,
     pub body: Bytes,
+    /// What it has in common with the same request when it comes again.
+    pub fingerprint: Fingerprint,
     pub arrived: Instant,
     pub limit: Instant,
     /// What it has drawn while a release is rolled out.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -95,11 +95,7 @@
                     }
                 }
                 Some(Err(error)) => {
-                    log::info!(
-                        "gateway: request {} broke off at {}: {error}",
-                        self.call.number,
-                        source.ticket.endpoint
-                    );
+                    self.call.lost_at(&source.ticket, &error.to_string());
                     self.resume().await?;
                 }
                 None => return Ok(self.finish()),
--- a/src/gateway/tests/rollouts.rs
+++ b/src/gateway/tests/rollouts.rs
@@ -13,6 +13,7 @@
 use super::super::request::{Call, run};
 use super::super::rollouts::report;
 use super::*;
+use crate::quarantine::Fingerprint;
 use crate::registry::Hearing;
 use crate::rollout::{Grant, Grants, Order, Release, Report, Rollouts, Stage, Step};
 use crate::settings::{GatewaySettings, HostSettings, RouterSettings};
@@ -135,6 +136,7 @@
             head: Default::default(),
             parts,
             body: Default::default(),
+            fingerprint: Fingerprint::of("", &["/"], &[]),
             arrived: now,
             limit: now + Duration::from_secs(10),
             turn: Default::default(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod operator;
 pub mod peer;
 pub mod placement;
+pub mod quarantine;
 pub mod region;
 pub mod registry;
 pub mod rollout;
--- a/src/router/serve.rs
+++ b/src/router/serve.rs
@@ -15,6 +15,7 @@
 use crate::admission::Denied;
 use crate::config::{Config, CustomerId, EndpointId, Service, ServiceId, ServiceKind};
 use crate::delivery::{Answer, Attempt, Call, NotRunReason, Outcome, UnknownReason, header, sse};
+use crate::quarantine::Fingerprint;
 use crate::telemetry::RequestId;
 use crate::wire::{Ending, RefuseReason, Want};
 
@@ -54,6 +55,8 @@
     pub service_id: ServiceId,
     pub service: Service,
     pub call: Call,
+    /// What it has in common with the same request when it comes again.
+    pub fingerprint: Fingerprint,
     pub deadline: Instant,
     prompt_tokens: u32,
     prefix: Vec<u32>,
@@ -106,6 +109,8 @@
             Some(_) => return Err(bad(format!("{} is not a number above 0", header::DEADLINE))),
         };
         let once = service.runs_once(request.method.as_str(), &request.path);
+        let path = [request.service.as_str(), request.path.as_str()];
+        let fingerprint = Fingerprint::of(&request.customer, &path, &request.body);
         let call = Call {
             id: id.to_string(),
             method: request.method,
@@ -123,6 +128,7 @@
             service_id,
             service,
             call,
+            fingerprint,
             deadline: Instant::now() + Duration::from_millis(deadline_ms.into()),
             prompt_tokens: request.prompt_tokens,
             prefix: request.prefix,
@@ -325,6 +331,10 @@
                 Next::Again { free: false, otherwise: refused() }
             }
             Attempt::Unknown(reason) => {
+                if reason == UnknownReason::Broken {
+                    let (name, fingerprint) = (&declared.name, &self.fingerprint);
+                    self.decide("delivery", format!("lost at {name}, fingerprint {fingerprint}"));
+                }
                 ticket.finish(0, Ending::Failed);
                 self.unknown(reason)
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -211,6 +211,9 @@
     /// Prompt blocks kept in the prefix cache.
     #[serde(default = "default_cache_blocks")]
     pub cache_blocks: usize,
+    /// Whether a request may end its process.
+    #[serde(default)]
+    pub crashes: bool,
 }
 
 /// Settings of `bramblecrank emulate service`.
--- a/src/site/plan.rs
+++ b/src/site/plan.rs
@@ -256,6 +256,7 @@
             token_us: 5_000,
             tokens_per_event: 8,
             cache_blocks: 4_096,
+            crashes: false,
         }
     }
 
--- a/src/telemetry/gateway.rs
+++ b/src/telemetry/gateway.rs
@@ -12,6 +12,8 @@
     pub outcomes: IntCounterVec,
     /// Requests sent to one more endpoint, by service.
     pub retries: IntCounterVec,
+    /// Requests whose endpoint ended their connection before the whole answer, by service.
+    pub lost: IntCounterVec,
     /// Streams taken up at another endpoint, by service.
     pub resumed: IntCounterVec,
     /// Requests while a release is rolled out, by service, release and outcome.
@@ -47,6 +49,7 @@
             registry: Registry::new(),
             outcomes: counter("requests_total", "Requests.", &["service", "outcome"])?,
             retries: counter("retries_total", "Requests sent again.", &["service"])?,
+            lost: counter("lost_answers_total", "Answers that broke off.", &["service"])?,
             resumed: counter("resumed_total", "Streams taken up elsewhere.", &["service"])?,
             rollout_requests: counter(
                 "rollout_requests_total",
@@ -67,6 +70,7 @@
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.outcomes.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
+        registry.register(Box::new(metrics.lost.clone()))?;
         registry.register(Box::new(metrics.resumed.clone()))?;
         registry.register(Box::new(metrics.rollout_requests.clone()))?;
         registry.register(Box::new(metrics.across.clone()))?;
