--- /dev/null
+++ b/tests/features/21_crashing_requests.feature
@@ -0,0 +1,29 @@
+Feature: A request that crashes the endpoints that run it is refused
+
+  # Callers saw engines end one after the other. One request came again and again, through
+  # any router; whichever engine began to run it ended. Routers counted repeats within one
+  # arrival of a request only, so nothing ever stopped it.
+  @known-red
+  Scenario: what ended three engines ends no more, through any router
+    Given a fleet of 2 routers, 3 control hosts, 4 engines and 1 ticket services
+    When market-traders asks what crashes engines through routers 1 and 2 by turns, 10 times
+    Then 3 engines have ended
+    And the answer is not-run
+    And the reason is crashes-endpoints
+    When market-traders chats through router 1 for 20 tokens
+    Then the answer is answered
+    And the stream holds all 20 tokens and its end
+
+  @known-red
+  Scenario: it stays refused after everything was killed
+    Given a fleet of 2 routers, 3 control hosts, 4 engines and 1 ticket services
+    When market-traders asks what crashes engines through routers 1 and 2 by turns, 5 times
+    And router 1 is killed and started again
+    And router 2 is killed and started again
+    And control host 1 is killed and started again
+    And control host 2 is killed and started again
+    And control host 3 is killed and started again
+    And 4 seconds pass
+    And market-traders asks what crashes engines through routers 1 and 2 by turns, 4 times
+    Then 3 engines have ended
+    And the reason is crashes-endpoints
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -1,6 +1,8 @@
 //! The real programs on the users' platform, played by stand-ins: a replica, an
 //! operator and clients that speak its published protocol.
 
+#[path = "platform/crashes.rs"]
+mod crashes;
 #[path = "platform/fleet.rs"]
 mod fleet;
 #[path = "platform/halls.rs"]
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -7,6 +7,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
 
 /// What a replica does with every request.
 #[derive(Clone, Debug)]
@@ -33,6 +34,9 @@
     Stream { events: u32, pause: Duration },
     /// Breaks a stream off behind its second event, in the middle of the next.
     BreakStream,
+    /// Begins a stream, and crashes after a while if the body says so; all else is answered
+    /// as by another replica.
+    CrashOn { body: &'static str, after: Duration, others: Box<Behaviour> },
 }
 
 /// A request as the replica got it.
@@ -63,6 +67,8 @@
     taken: AtomicUsize,
     /// On the first so many connections nothing is answered any more.
     silent: AtomicUsize,
+    /// It has ended without notice, with all its connections.
+    crashed: CancellationToken,
 }
 
 /// A replica that listens.
@@ -79,16 +85,27 @@
         let address = listener.local_addr().unwrap();
         let replica = Replica { id: id.into(), address, state: Arc::default() };
         let serving = replica.clone();
-        tokio::spawn(async move {
+        tokio::spawn(serving.state.crashed.clone().run_until_cancelled_owned(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let replica = serving.clone();
                 let behaviour = behaviour.clone();
-                tokio::spawn(async move { replica.serve(stream, behaviour).await });
+                let crashed = replica.state.crashed.clone();
+                let serving = async move { replica.serve(stream, behaviour).await };
+                tokio::spawn(crashed.run_until_cancelled_owned(serving));
             }
-        });
+        }));
         replica
     }
 
+    /// Ends without notice, with all its connections.
+    pub fn crash(&self) {
+        self.state.crashed.cancel();
+    }
+
+    pub fn has_crashed(&self) -> bool {
+        self.state.crashed.is_cancelled()
+    }
+
     /// The requests that it ran.
     pub fn seen(&self) -> Vec<Seen> {
         self.state.seen.lock().unwrap().clone()
@@ -146,6 +163,21 @@
 
     /// Answers; false when the connection is over.
     async fn answer(&self, stream: &mut TcpStream, seen: &Seen, behaviour: &Behaviour) -> bool {
+        let Behaviour::CrashOn { body, after, others } = behaviour else {
+            return self.answer_as(stream, seen, behaviour).await;
+        };
+        if !seen.body.contains(body) {
+            return self.answer_as(stream, seen, others).await;
+        }
+        let headers = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+        let begun = self.head(200, &seen.id(), headers) + &chunk("id: 1\ndata: x\n\n");
+        write(stream, &begun).await;
+        tokio::time::sleep(*after).await;
+        self.crash();
+        false
+    }
+
+    async fn answer_as(&self, stream: &mut TcpStream, seen: &Seen, behaviour: &Behaviour) -> bool {
         let id = seen.id();
         let body = format!("answer to {id}");
         let length = format!("Content-Length: {}\r\n", body.len());
@@ -199,6 +231,7 @@
                 write(stream, &text).await;
                 false
             }
+            Behaviour::CrashOn { .. } => unreachable!("taken apart before"),
         }
     }
 }
--- a/tests/scenarios/fleet.rs
+++ b/tests/scenarios/fleet.rs
@@ -63,6 +63,8 @@
     pub report: Option<LoadReport>,
     pub replies: Vec<proto::ApplyReply>,
     pub answers: Vec<Answer>,
+    /// Engines that ended by themselves.
+    pub ended_engines: usize,
 }
 
 /// What a caller got.
@@ -103,6 +105,7 @@
         for engine in &mut files.engines {
             engine.slots = 4;
             engine.token_us = 1_000;
+            engine.crashes = true;
         }
         for endpoint in &mut files.configuration.endpoints {
             endpoint.slots = 4;
@@ -166,6 +169,22 @@
         child.wait().unwrap();
     }
 
+    /// Starts engines that have ended by themselves again; returns their number.
+    pub fn start_ended_engines(&mut self) -> usize {
+        let is_engine = |name: &str| name.starts_with("engine-");
+        let engines = self.processes.iter_mut().filter(|(name, _)| is_engine(name));
+        let ended = engines.filter_map(|(name, child)| {
+            let has_ended = child.try_wait().unwrap().is_some();
+            has_ended.then(|| name.clone())
+        });
+        let ended: Vec<_> = ended.collect();
+        for name in &ended {
+            self.processes.remove(name);
+            self.spawn(name);
+        }
+        ended.len()
+    }
+
     pub fn freeze(&self, name: &str) {
         self.signal(name, Signal::SIGSTOP);
     }
--- a/tests/scenarios/steps.rs
+++ b/tests/scenarios/steps.rs
@@ -308,6 +308,29 @@
     call(w, router, post("/v1/chat/completions", &customer, body.to_string())).await;
 }
 
+/// How long the fleet is given between two requests to learn what the first one did.
+const TO_LEARN: Duration = Duration::from_millis(500);
+
+#[when(regex = r"^(\S+) asks what crashes engines through routers 1 and 2 by turns, (\d+) times$")]
+async fn asks_what_crashes(w: &mut FleetWorld, customer: String, times: u16) {
+    let model = w.fleet().site.model.clone();
+    let body = json!({"model": model, "stream": true,
+        "emulate": {"output_tokens": 1_000, "crash_after_ms": 50},
+        "messages": [{"role": "user", "content": "What ends an engine?"}]});
+    for turn in 0..times {
+        let request = post("/v1/chat/completions", &customer, body.to_string());
+        call(w, turn % 2 + 1, request).await;
+        tokio::time::sleep(TO_LEARN).await;
+        w.ended_engines += w.fleet().start_ended_engines();
+    }
+}
+
+#[then(regex = r"^(\d+) engines have ended$")]
+async fn engines_have_ended(w: &mut FleetWorld, number: usize) {
+    w.ended_engines += w.fleet().start_ended_engines();
+    assert_eq!(w.ended_engines, number);
+}
+
 #[when(regex = r#"^(\S+) sends "(.*)" to (\S+) through router (\d+)$"#)]
 async fn sends(w: &mut FleetWorld, customer: String, body: String, path: String, router: u16) {
     call(w, router, post(&path, &customer, body)).await;
