--- a/src/clock.rs
+++ b/src/clock.rs
@@ -18,6 +18,12 @@
     pub fn now(&self) -> Millis {
         self.0.elapsed().as_millis() as Millis
     }
+
+    /// What this clock showed at a time of day, in milliseconds since the epoch, as far as
+    /// the time of day has not been set since.
+    pub fn at_epoch(&self, epoch_at_ms: u64) -> Millis {
+        self.now().saturating_sub(epoch_ms().saturating_sub(epoch_at_ms))
+    }
 }
 
 /// Milliseconds since the epoch, for incarnations and reports.
--- a/src/control.rs
+++ b/src/control.rs
@@ -9,6 +9,7 @@
 mod handle;
 mod join;
 mod legacy;
+mod quarantine_controller;
 mod registrations;
 mod rollout_controller;
 mod rollouts;
@@ -27,9 +28,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::error::{Error, Result};
-use crate::feed::{self, Followers, Publication, Subscriptions};
+use crate::feed::{self, Followed, Followers, Publication, Subscriptions};
 use crate::peer::{Incoming, PeerReader, Peers};
 use crate::placement::{self, PlacementSession};
+use crate::quarantine::SharedQuarantine;
 use crate::registry::{SharedRegistry, saved};
 use crate::rollout::{Progress, SharedRollouts};
 use crate::routing::Documents;
@@ -64,6 +66,8 @@
     pub registry: Arc<SharedRegistry>,
     /// Releases that are rolled out.
     pub rollouts: Arc<SharedRollouts>,
+    /// Requests that crash endpoints.
+    pub quarantine: Arc<SharedQuarantine>,
     /// What is shown of those that this host leads, by service.
     pub rollout_progress: Mutex<BTreeMap<String, Progress>>,
     /// The placer that runs here.
@@ -76,6 +80,18 @@
     pub stop: CancellationToken,
 }
 
+impl Control {
+    /// What this host tells by feed, and learns so from the others.
+    fn followed(&self) -> Followed {
+        Followed {
+            documents: self.documents.clone(),
+            registry: self.registry.clone(),
+            rollouts: self.rollouts.clone(),
+            quarantine: self.quarantine.clone(),
+        }
+    }
+}
+
 /// How operators and endpoints of another platform reach a control host.
 pub struct Interface {
     /// Where it listens.
@@ -115,6 +131,7 @@
     let documents = Arc::new(Documents::default());
     let registry = Arc::new(SharedRegistry::default());
     let rollouts = Arc::new(SharedRollouts::default());
+    let quarantine = Arc::new(SharedQuarantine::default());
     registry.remember(saved::load(&settings.data));
     tokio::spawn(saved::keep_saved(registry.clone(), settings.data.clone()));
     let (handle, driver) = driver::start(
@@ -125,6 +142,7 @@
             documents: documents.clone(),
             registry: registry.clone(),
             rollouts: rollouts.clone(),
+            quarantine: quarantine.clone(),
         },
         disk,
         found,
@@ -150,6 +168,7 @@
         documents,
         registry,
         rollouts,
+        quarantine,
         rollout_progress: Mutex::default(),
         followers: Arc::default(),
         handle,
@@ -159,14 +178,13 @@
     tokio::spawn(found::found(control.clone()));
     tokio::spawn(spread::follow_version(control.configs.clone(), control.peers.clone()));
     tokio::spawn(rollout_controller::run(control.clone()));
+    tokio::spawn(quarantine_controller::run(control.clone()));
     tokio::spawn(crate::operator::serve_control(control.clone()));
     if let Some(interface) = interface {
         tokio::spawn(join::keep_joined(control.clone()));
         Subscriptions::start(
             control.peers.clone(),
-            control.documents.clone(),
-            control.registry.clone(),
-            control.rollouts.clone(),
+            control.followed(),
             &control.settings.host.hall,
             Role::Control,
         );
@@ -227,9 +245,7 @@
 ) {
     let publication = Publication {
         subscriber: host,
-        documents: control.documents.clone(),
-        registry: control.registry.clone(),
-        rollouts: control.rollouts.clone(),
+        followed: control.followed(),
         leadership: control.handle.leadership.clone(),
         view: control.peers.watch(),
         numbering: control.peers.incarnation,
--- a/src/control/documents.rs
+++ b/src/control/documents.rs
@@ -103,6 +103,7 @@
         crate::telemetry::render_gauges("bramblecrank_control", &figures)
             + &crate::telemetry::render_gauges("bramblecrank_control_sent_bytes", &sent)
             + &self.render_rollout_metrics()
+            + &self.render_quarantine_metrics()
     }
 
     /// Bytes that this host has sent for one kind of traffic.
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -19,6 +19,7 @@
 };
 use crate::error::{NetSnafu, Result};
 use crate::peer::Peers;
+use crate::quarantine::SharedQuarantine;
 use crate::registry::SharedRegistry;
 use crate::rollout::SharedRollouts;
 use crate::routing::Documents;
@@ -44,6 +45,7 @@
     pub documents: Arc<Documents>,
     pub registry: Arc<SharedRegistry>,
     pub rollouts: Arc<SharedRollouts>,
+    pub quarantine: Arc<SharedQuarantine>,
 }
 
 impl Published {
@@ -54,6 +56,7 @@
         }
         self.registry.adopt_drained(state.drained().clone());
         self.rollouts.adopt(state.rollouts().clone(), &self.registry);
+        self.quarantine.replace(state.quarantines());
     }
 }
 
--- a/src/control/format.rs
+++ b/src/control/format.rs
@@ -10,7 +10,9 @@
 
 /// The format that this release writes. It rises with every change of what the state or
 /// a command holds. Commands without a format begin with their kind's number, far below.
-const FORMAT: u8 = 0x81;
+const FORMAT: u8 = 0x82;
+/// What the release before wrote. Its commands are all among today's.
+const FORMAT_BEFORE: u8 = 0x81;
 /// The lowest byte that can only be a format.
 const LOWEST_FORMAT: u8 = 0x80;
 /// Stands before the format of a state. A state without one begins with a number in at
@@ -28,6 +30,9 @@
         return Ok(State::default());
     }
     let read = match data.strip_prefix(&MARK) {
+        Some(&[FORMAT_BEFORE, ref before @ ..]) => {
+            whole(before).map(legacy::StateBefore::into_today).map_err(Cause::Codec)
+        }
         Some(formatted) => decode(formatted),
         None => whole(data).map(legacy::State::into_today).map_err(Cause::Codec),
     };
@@ -42,6 +47,7 @@
 /// The command in the log at `index`.
 pub fn decode_command(data: &[u8], index: u64) -> Result<Command> {
     let read = match data.first() {
+        Some(&FORMAT_BEFORE) => whole(&data[1..]).map_err(Cause::Codec),
         Some(&(LOWEST_FORMAT..)) => decode(data),
         _ => whole(data).map(legacy::Command::into_today).map_err(Cause::Codec),
     };
--- a/src/control/legacy.rs
+++ b/src/control/legacy.rs
@@ -1,4 +1,5 @@
-//! The agreed state and commands as the release before wrote them, without a format.
+//! The agreed state and commands as earlier releases wrote them: the one before, which had
+//! no requests in quarantine, and the one before that, without a format.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
@@ -8,11 +9,39 @@
 use super::state::{self, Changed};
 use crate::claim::{Claim, Settlement, Table};
 use crate::config::{Change, History};
+use crate::quarantine::Quarantines;
 use crate::region::AllowedRegions;
 use crate::registry::DrainedHalls;
 use crate::rollout::Rollouts;
 use crate::routing::{self, Limits, RouteKind, ServicePool, Target};
 
+#[derive(Deserialize)]
+pub(super) struct StateBefore {
+    history: History,
+    operations: HashMap<String, Changed>,
+    operations_by_age: VecDeque<String>,
+    claims: Table,
+    document: Option<Arc<routing::Document>>,
+    drained: DrainedHalls,
+    rollouts: Rollouts,
+}
+
+impl StateBefore {
+    pub(super) fn into_today(self) -> state::State {
+        let StateBefore { history, operations, operations_by_age, .. } = self;
+        state::State {
+            history,
+            operations,
+            operations_by_age,
+            claims: self.claims,
+            document: self.document,
+            drained: self.drained,
+            rollouts: self.rollouts,
+            quarantines: Quarantines::default(),
+        }
+    }
+}
+
 #[derive(Deserialize)]
 pub(super) struct State {
     history: History,
@@ -36,6 +65,7 @@
                 self.drained.halls,
             ),
             rollouts: Rollouts::default(),
+            quarantines: Quarantines::default(),
         }
     }
 }
--- /dev/null
+++ b/src/control/quarantine_controller.rs
@@ -0,0 +1,104 @@
+//! Decides on the host that leads which requests crash endpoints, from what routers report.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Control;
+use super::state::Command;
+use crate::clock::epoch_ms;
+use crate::dispatch::Millis;
+use crate::quarantine::{Blame, Fingerprint, Inquiry, Review, Stage, Verdict};
+use crate::telemetry::render_gauges;
+
+/// Milliseconds after which a verdict that was not agreed is proposed again.
+const PROPOSE_EVERY_MS: Millis = 500;
+/// How often it is decided while nothing is reported: what one router lost counts after half
+/// a second.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// How long reports are gathered before it is decided: what many routers lost with one
+/// endpoint comes within some milliseconds, and each decision looks at all crashes.
+const GATHER: Duration = Duration::from_millis(20);
+
+/// Decides while this host leads, until the process ends.
+pub(super) async fn run(control: Arc<Control>) {
+    let mut controller = QuarantineController::default();
+    loop {
+        // Elapsed or reported: either way it looks again.
+        let _ = tokio::time::timeout(LOOK_EVERY, control.quarantine.reported()).await;
+        tokio::time::sleep(GATHER).await;
+        let now = control.peers.clock.now();
+        let reported = control.quarantine.take_reported();
+        if !control.handle.leadership.borrow().leads {
+            controller = QuarantineController::default();
+            continue;
+        }
+        for (router, observation) in reported {
+            controller.inquiry.take(now, router, observation);
+        }
+        controller.decide(&control, now);
+    }
+}
+
+#[derive(Debug, Default)]
+struct QuarantineController {
+    inquiry: Inquiry,
+    /// Verdicts proposed last, and when.
+    proposed: BTreeMap<Fingerprint, (Verdict, Millis)>,
+}
+
+impl QuarantineController {
+    fn decide(&mut self, control: &Arc<Control>, now: Millis) {
+        let agreed = control.quarantine.agreed();
+        let epoch = epoch_ms();
+        let clock = control.peers.clock;
+        let at_epoch = |at_ms| clock.at_epoch(at_ms);
+        let suspicion = |fingerprint: &_| agreed.suspicion(fingerprint, at_epoch);
+        let Review { blamed, cleared } = self.inquiry.review(now, suspicion);
+        let served = self.inquiry.take_served().into_iter();
+        let released = cleared.into_iter().chain(served).filter(|f| agreed.get(f).is_some());
+        let mut verdicts: Vec<_> = released.map(Verdict::Release).collect();
+        for Blame { fingerprint, crashes, among } in blamed {
+            log::info!(
+                "quarantine: {fingerprint} is blamed for {crashes} of {among} crashes, {:?} before",
+                suspicion(&fingerprint)
+            );
+            verdicts.push(Verdict::Refuse { fingerprint, crashes: crashes as u32, at_ms: epoch });
+        }
+        let over = |stage, until_ms| stage == Stage::Refused && until_ms <= epoch;
+        let over = agreed.all().filter(|(_, q)| over(q.stage, q.until_ms));
+        verdicts.extend(over.map(|(f, _)| Verdict::Try { fingerprint: f.clone(), at_ms: epoch }));
+        self.proposed.retain(|_, (_, at)| now < *at + PROPOSE_EVERY_MS);
+        for verdict in verdicts {
+            self.propose(control, now, verdict);
+        }
+    }
+
+    /// Proposes a verdict, unless the same was proposed a moment ago. What is not agreed on
+    /// is decided again.
+    fn propose(&mut self, control: &Arc<Control>, now: Millis, verdict: Verdict) {
+        let fingerprint = verdict.fingerprint().clone();
+        let before = self.proposed.get(&fingerprint);
+        if before.is_some_and(|(before, _)| before.is_like(&verdict)) {
+            return;
+        }
+        self.proposed.insert(fingerprint, (verdict.clone(), now));
+        let control = control.clone();
+        tokio::spawn(async move {
+            match control.handle.propose(Command::Quarantine(verdict.clone())).await {
+                Ok(_) => log::info!("quarantine: agreed: {verdict}"),
+                Err(error) => log::warn!("quarantine: not agreed: {verdict}: {error:?}"),
+            }
+        });
+    }
+}
+
+impl Control {
+    /// Requests that are refused, or on trial, as metrics.
+    pub(super) fn render_quarantine_metrics(&self) -> String {
+        let agreed = self.quarantine.agreed();
+        let count = |stage| agreed.all().filter(|(_, q)| q.stage == stage).count() as u64;
+        let figures = [("refused", count(Stage::Refused)), ("on_trial", count(Stage::Trial))];
+        render_gauges("bramblecrank_control_quarantine", &figures)
+    }
+}
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -7,6 +7,7 @@
 
 use crate::claim::{Claim, Claimed, Settlement, Table};
 use crate::config::{Change, History, Refusal};
+use crate::quarantine::{Quarantines, Verdict};
 use crate::registry::DrainedHalls;
 use crate::rollout::{Order, Ordered, Rollouts, Step};
 use crate::routing::Document;
@@ -52,6 +53,8 @@
     StartRollout(Order),
     /// Take a roll-out one step further.
     StepRollout(Step),
+    /// Refuse a request that crashes endpoints, or let it run again.
+    Quarantine(Verdict),
 }
 
 /// What became of a change.
@@ -83,6 +86,8 @@
     Rollout(Ordered),
     /// The step of a roll-out was taken, or was out of date.
     Stepped,
+    /// The verdict on a request was taken, or was out of date.
+    Quarantined,
 }
 
 /// The agreed state. Applying a command is deterministic.
@@ -95,6 +100,7 @@
     pub(super) document: Option<Arc<Document>>,
     pub(super) drained: DrainedHalls,
     pub(super) rollouts: Rollouts,
+    pub(super) quarantines: Quarantines,
 }
 
 impl State {
@@ -123,12 +129,18 @@
         &self.rollouts
     }
 
+    /// The requests that crash endpoints.
+    pub fn quarantines(&self) -> &Quarantines {
+        &self.quarantines
+    }
+
     /// Numbers that rise with what is published: the configuration, the routing document,
-    /// the drained halls and the roll-outs.
-    pub fn versions(&self) -> [u64; 4] {
+    /// the drained halls, the roll-outs and the requests that crash endpoints.
+    pub fn versions(&self) -> [u64; 5] {
         let configuration = self.history.config().version;
         let (drained, rollouts) = (self.drained.revision(), self.rollouts.revision());
-        [configuration, self.document_version(), drained, rollouts]
+        let quarantines = self.quarantines.revision();
+        [configuration, self.document_version(), drained, rollouts, quarantines]
     }
 
     /// The routing document's version; 0 while there is none.
@@ -161,6 +173,10 @@
                 self.rollouts.step(&step);
                 Reply::Stepped
             }
+            Command::Quarantine(verdict) => {
+                self.quarantines.apply(verdict);
+                Reply::Quarantined
+            }
         }
     }
 
--- a/src/control/tests/folder.rs
+++ b/src/control/tests/folder.rs
@@ -66,6 +66,7 @@
         documents: documents.clone(),
         registry: registry.clone(),
         rollouts: Arc::new(SharedRollouts::default()),
+        quarantine: Arc::default(),
     };
     let (disk, found) = Disk::open(folder.path())?;
     let (_handle, task) = driver::start(&settings(folder, host), peers, published, disk, found)?;
--- a/src/control/tests/format.rs
+++ b/src/control/tests/format.rs
@@ -185,7 +185,7 @@
 #[test]
 fn a_snapshot_of_the_release_before_is_read_whole() {
     let mut state = decode_state(&old_state(), 9).unwrap();
-    assert_eq!(state.versions(), [1, 5, 3, 0]);
+    assert_eq!(state.versions(), [1, 5, 3, 0, 0]);
     assert!(state.history().config().customer_id("x").is_some());
     assert_eq!(state.history().deltas().count(), 1);
     assert_eq!(state.apply(change("a", None, "again")), accepted(1), "its first answer");
@@ -204,7 +204,7 @@
     for command in old_commands() {
         state.apply(decode_command(&command, 10).unwrap());
     }
-    assert_eq!(state.versions(), [2, 6, 5, 0]);
+    assert_eq!(state.versions(), [2, 6, 5, 0, 0]);
     assert_eq!(**state.document().unwrap(), document(6));
     assert_eq!(state.drained().names().collect::<Vec<_>>(), ["a", "c"]);
     let claimed = state.apply(Command::Claim { at_ms: 3, claim: claim() });
@@ -222,7 +222,7 @@
     let read = decode_state(&encode_state(&state).unwrap(), 1).unwrap();
     assert_eq!(read.versions(), state.versions());
     assert_eq!(read.rollouts(), state.rollouts());
-    assert_eq!(decode_state(&[], 0).unwrap().versions(), [0; 4], "nothing agreed yet");
+    assert_eq!(decode_state(&[], 0).unwrap().versions(), [0; 5], "nothing agreed yet");
 }
 
 /// What an operator reads of a folder that cannot be read.
@@ -240,7 +240,7 @@
     state[9] += 1;
     let mut command = encode_command(&Command::DrainHall("a".into())).unwrap();
     command[0] += 1;
-    let remedy = "has format 130, this release reads 129; install the release that wrote it again";
+    let remedy = "has format 131, this release reads 130; install the release that wrote it again";
     assert_eq!(refusal(decode_state(&state, 7)), format!("the snapshot at entry 7 {remedy}"));
     let read = refusal(decode_command(&command, 8));
     assert_eq!(read, format!("the agreed command at entry 8 {remedy}"));
--- a/src/delivery/outcome.rs
+++ b/src/delivery/outcome.rs
@@ -22,6 +22,8 @@
     EndpointsRefuse,
     /// Run-once claims cannot be recorded: no majority of control hosts in reach.
     NoMajority,
+    /// It crashed the endpoints that ran it before.
+    CrashesEndpoints,
 }
 
 impl NotRunReason {
@@ -36,6 +38,7 @@
             NotRunReason::Stopping => "stopping",
             NotRunReason::EndpointsRefuse => "endpoints-refuse",
             NotRunReason::NoMajority => "no-majority",
+            NotRunReason::CrashesEndpoints => "crashes-endpoints",
         }
     }
 
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -24,14 +24,29 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::registry::{DrainedHalls, Registration, Scope};
-use crate::rollout::{Grants, Report, Rollouts};
+use crate::quarantine::{CrashReport, QuarantineNews, SharedQuarantine};
+use crate::registry::{DrainedHalls, Registration, Scope, SharedRegistry};
+use crate::rollout::{Grants, Report, Rollouts, SharedRollouts};
+use crate::routing::Documents;
 use crate::wire::HostId;
 
 pub use followers::Followers;
 pub use publish::{Publication, publish};
 pub use subscribe::Subscriptions;
 
+/// What a process keeps in step with what control hosts tell.
+#[derive(Clone, Debug, Default)]
+pub struct Followed {
+    /// The routing in force.
+    pub documents: Arc<Documents>,
+    /// The endpoints.
+    pub registry: Arc<SharedRegistry>,
+    /// Releases that are rolled out.
+    pub rollouts: Arc<SharedRollouts>,
+    /// Requests that crash endpoints.
+    pub quarantine: Arc<SharedQuarantine>,
+}
+
 /// One message of a feed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FeedMessage {
@@ -71,6 +86,8 @@
     /// What routers may send to releases that are rolled out, for a while; from the
     /// leader only.
     Grants(Grants),
+    /// Requests that are refused because they crash endpoints, as it changed.
+    Quarantine(QuarantineNews),
 }
 
 /// Who leads the agreement, as a control host knows it.
@@ -101,6 +118,8 @@
     NoEndpoints,
     /// What a router saw of releases that are rolled out; for the leader.
     RolloutReport(Report),
+    /// What a router saw of crashes; for the leader.
+    CrashReport(CrashReport),
 }
 
 /// Which changes of endpoints a subscriber wants to be told.
--- a/src/feed/news.rs
+++ b/src/feed/news.rs
@@ -97,9 +97,14 @@
 
     /// The leader of the highest term that a control host names which `is_live`.
     pub fn leader(&self, is_live: impl Fn(HostId) -> bool) -> Option<HostId> {
+        self.leadership(is_live).map(|(_, leader)| leader)
+    }
+
+    /// The same, and its term.
+    pub fn leadership(&self, is_live: impl Fn(HostId) -> bool) -> Option<(u64, HostId)> {
         let live = self.hosts.iter().filter(|(host, _)| is_live(**host));
         let named = live.filter_map(|(_, news)| Some((news.leader.term, news.leader.leader?)));
-        named.max_by_key(|(term, _)| *term).map(|(_, leader)| leader)
+        named.max_by_key(|(term, _)| *term)
     }
 
     /// The most routers that a control host hears; 1 before any has said so. It
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -11,14 +11,14 @@
 
 use super::cursor::Cursor;
 use super::followers::{Follower, Followers};
-use super::{FeedMessage, FeedRequest, LeaderNews, Neighbour};
+use super::{FeedMessage, FeedRequest, Followed, LeaderNews, Neighbour};
 use crate::control::Leadership;
 use crate::error::{Result, RpcSnafu};
 use crate::member::View;
 use crate::peer::PeerReader;
-use crate::registry::SharedRegistry;
-use crate::rollout::{Grants, Rollouts, SharedRollouts};
-use crate::routing::{Documents, Routing};
+use crate::quarantine::Quarantines;
+use crate::rollout::{Grants, Rollouts};
+use crate::routing::Routing;
 use crate::wire::{HostId, KEEP_ALIVE, Role, SentBytes, Traffic, write_frame, write_keep_alive};
 
 /// How long a subscriber may take to read one message.
@@ -31,12 +31,8 @@
 pub struct Publication {
     /// Who follows.
     pub subscriber: HostId,
-    /// The routing in force.
-    pub documents: Arc<Documents>,
-    /// The endpoints.
-    pub registry: Arc<SharedRegistry>,
-    /// Releases that are rolled out.
-    pub rollouts: Arc<SharedRollouts>,
+    /// What it is told of.
+    pub followed: Followed,
     /// Who leads.
     pub leadership: watch::Receiver<Leadership>,
     /// The other hosts.
@@ -55,6 +51,7 @@
     Registry,
     Rollouts,
     Grants,
+    Quarantine,
     EndpointsDue,
     Routing,
     Asked(FeedRequest),
@@ -71,11 +68,14 @@
     changes: watch::Receiver<u64>,
     rollouts: watch::Receiver<Arc<Rollouts>>,
     grants: watch::Receiver<Grants>,
+    quarantine: watch::Receiver<Arc<Quarantines>>,
     asked: mpsc::Receiver<FeedRequest>,
     /// How many routers it was told of.
     routers: u32,
     /// Revision of the drained halls that it was told.
     drained: u64,
+    /// Revision of the requests that crash endpoints that it was told.
+    quarantined: u64,
     /// How far it was told of endpoints; none where it has not asked.
     cursor: Option<Cursor>,
     /// When it was last told anything.
@@ -113,24 +113,28 @@
 impl Feed {
     /// A feed that was told nothing yet.
     fn new(mut publication: Publication, asked: mpsc::Receiver<FeedRequest>) -> Feed {
-        let mut routing = publication.documents.watch();
-        let mut changes = publication.registry.watch();
-        let mut rollouts = publication.rollouts.watch();
+        let mut routing = publication.followed.documents.watch();
+        let mut changes = publication.followed.registry.watch();
+        let mut rollouts = publication.followed.rollouts.watch();
+        let mut quarantine = publication.followed.quarantine.watch();
         routing.mark_changed();
         changes.mark_changed();
         rollouts.mark_changed();
+        quarantine.mark_changed();
         publication.leadership.mark_changed();
         publication.view.mark_changed();
         Feed {
             follower: publication.followers.opened(publication.subscriber),
-            grants: publication.rollouts.watch_offers(),
+            grants: publication.followed.rollouts.watch_offers(),
             publication,
             routing,
             changes,
             rollouts,
+            quarantine,
             asked,
             routers: 0,
             drained: 0,
+            quarantined: 0,
             cursor: None,
             told_at: Instant::now(),
         }
@@ -148,6 +152,7 @@
             Ok(()) = self.changes.changed() => Event::Registry,
             Ok(()) = self.rollouts.changed() => Event::Rollouts,
             Ok(()) = self.grants.changed() => Event::Grants,
+            Ok(()) = self.quarantine.changed() => Event::Quarantine,
             () = wait_until(due_at) => Event::EndpointsDue,
             Ok(()) = self.routing.changed() => Event::Routing,
             request = self.asked.recv() => request.map_or(Event::Over, Event::Asked),
@@ -158,7 +163,7 @@
     /// When endpoints are to be told, if any have changed.
     fn endpoints_due_at(&self) -> Option<Instant> {
         let cursor = self.cursor.as_ref()?;
-        let last_change = self.publication.registry.read(|r| r.last_change());
+        let last_change = self.publication.followed.registry.read(|r| r.last_change());
         if !cursor.is_behind(last_change) {
             return None;
         }
@@ -185,7 +190,7 @@
                 (before != now).then_some(FeedMessage::Routers(now))
             }
             Event::Registry => {
-                let now = self.publication.registry.read(|r| r.drained().clone());
+                let now = self.publication.followed.registry.read(|r| r.drained().clone());
                 let before = std::mem::replace(&mut self.drained, now.revision());
                 (before != now.revision()).then_some(FeedMessage::DrainedHalls(now))
             }
@@ -194,6 +199,11 @@
                 (now.revision() != 0).then(|| FeedMessage::Rollouts((*now).clone()))
             }
             Event::Grants => Some(FeedMessage::Grants(self.grants.borrow_and_update().clone())),
+            Event::Quarantine => {
+                let now = self.quarantine.borrow_and_update().clone();
+                let told = std::mem::replace(&mut self.quarantined, now.revision());
+                now.news_after(told).map(FeedMessage::Quarantine)
+            }
             Event::EndpointsDue => self.endpoints(),
             Event::Routing => {
                 let routing = self.routing.borrow_and_update().clone()?;
@@ -206,7 +216,7 @@
 
     fn endpoints(&mut self) -> Option<FeedMessage> {
         let cursor = self.cursor.as_mut()?;
-        let (endpoints, upto) = cursor.next(&self.publication.registry);
+        let (endpoints, upto) = cursor.next(&self.publication.followed.registry);
         if endpoints.is_empty() {
             return None;
         }
@@ -218,7 +228,7 @@
         let publication = &self.publication;
         match request {
             FeedRequest::Routing => {
-                let routing = publication.documents.current()?;
+                let routing = publication.followed.documents.current()?;
                 let (version, encoded) = (routing.table.version, routing.encoded());
                 Some(FeedMessage::Routing { version, encoded })
             }
@@ -226,15 +236,22 @@
                 Some(FeedMessage::Neighbours(neighbours(&publication.view.borrow(), &hall)))
             }
             FeedRequest::RolloutReport(report) => {
-                publication.rollouts.reported(publication.subscriber, report);
+                publication.followed.rollouts.reported(publication.subscriber, report);
+                None
+            }
+            FeedRequest::CrashReport(report) => {
+                if !publication.followed.quarantine.report(publication.subscriber, report) {
+                    log::warn!("quarantine: too many reports of crashes, one is dropped");
+                }
                 None
             }
             FeedRequest::Endpoints(after) => {
-                let cursor = Cursor::new(after, publication.numbering, &publication.registry);
+                let cursor =
+                    Cursor::new(after, publication.numbering, &publication.followed.registry);
                 self.cursor = Some(cursor);
                 // Who was told before knows what the sender only remembers.
                 let remembered =
-                    || publication.registry.read(|r| r.remembered().cloned().collect());
+                    || publication.followed.registry.read(|r| r.remembered().cloned().collect());
                 (after.numbering == 0).then(|| FeedMessage::Remembered(remembered()))
             }
             FeedRequest::NoEndpoints => {
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -14,13 +14,13 @@
 use super::news::News;
 use super::sources::{Sources, Step};
 use super::table_fetch::{Next, TableFetch};
-use super::{EndpointsAfter, FeedMessage, FeedRequest, Neighbour};
+use super::{EndpointsAfter, FeedMessage, FeedRequest, Followed, Neighbour};
 use crate::dispatch::Millis;
 use crate::error::{Error, Result};
 use crate::peer::Peers;
-use crate::registry::{Hearing, Scope, SharedRegistry};
-use crate::rollout::{Report, SharedRollouts};
-use crate::routing::Documents;
+use crate::quarantine::CrashReport;
+use crate::registry::{Hearing, Scope};
+use crate::rollout::Report;
 use crate::wire::{BatchSender, BatchWriter, HostId, Open, Role};
 
 /// How long to wait before a lost feed is opened again.
@@ -38,9 +38,7 @@
 #[derive(Debug)]
 pub struct Subscriptions {
     peers: Arc<Peers>,
-    documents: Arc<Documents>,
-    registry: Arc<SharedRegistry>,
-    rollouts: Arc<SharedRollouts>,
+    followed: Followed,
     news: Mutex<News>,
     tables: Mutex<Tables>,
     tables_changed: Notify,
@@ -65,18 +63,14 @@
     /// Follows every control host that is known but this one, as a host of `role`.
     pub fn start(
         peers: Arc<Peers>,
-        documents: Arc<Documents>,
-        registry: Arc<SharedRegistry>,
-        rollouts: Arc<SharedRollouts>,
+        followed: Followed,
         hall: &str,
         role: Role,
     ) -> Arc<Subscriptions> {
         let sources = Mutex::new(Sources::new(peers.me, hall, role));
         let all = Arc::new(Subscriptions {
             peers,
-            documents,
-            registry,
-            rollouts,
+            followed,
             news: Mutex::default(),
             tables: Mutex::default(),
             tables_changed: Notify::new(),
@@ -99,6 +93,12 @@
         self.news().leader(|host| view.get(host).is_some())
     }
 
+    /// The same, and its term.
+    pub fn leadership(&self) -> Option<(u64, HostId)> {
+        let view = self.peers.view();
+        self.news().leadership(|host| view.get(host).is_some())
+    }
+
     /// Whether the routing in force here is the newest, but for what is on its way: a
     /// live control host that hears the leader, has caught up with it and is heard tells
     /// every change.
@@ -111,7 +111,7 @@
 
     /// The version of the routing in force here; 0 before the first.
     fn held(&self) -> u64 {
-        self.documents.current().map_or(0, |routing| routing.table.version)
+        self.followed.documents.current().map_or(0, |routing| routing.table.version)
     }
 
     /// Routers in the fleet, as far as control hosts last said.
@@ -217,10 +217,19 @@
     /// Reports to the leader what this router saw of releases that are rolled out; false
     /// where no leader is in reach.
     pub fn report_rollouts(&self, report: Report) -> bool {
+        self.tell_leader(FeedRequest::RolloutReport(report))
+    }
+
+    /// Reports to the leader what this router saw of crashes; false where no leader is in
+    /// reach.
+    pub fn report_crashes(&self, report: CrashReport) -> bool {
+        self.tell_leader(FeedRequest::CrashReport(report))
+    }
+
+    fn tell_leader(&self, report: FeedRequest) -> bool {
         let leader = self.leader();
         let tables = self.tables();
         let requests = leader.and_then(|leader| tables.requests.get(&leader));
-        let report = FeedRequest::RolloutReport(report);
         requests.is_some_and(|requests| requests.send(report.into()).is_ok())
     }
 
@@ -245,23 +254,26 @@
                 self.tables_changed.notify_one();
             }
             FeedMessage::Routing { version, encoded } => {
-                if let Err(error) = self.documents.adopt_encoded(version, &encoded) {
+                if let Err(error) = self.followed.documents.adopt_encoded(version, &encoded) {
                     log::error!("feed: routing version {version} of host {from}: {error}");
                 }
                 self.tables().fetch.delivered(from);
                 self.tables_changed.notify_one();
             }
             FeedMessage::Endpoints { numbering, upto, scope, endpoints } => {
-                self.registry.merge(endpoints, Hearing::SecondHand);
+                self.followed.registry.merge(endpoints, Hearing::SecondHand);
                 lock(&self.told).insert((from, scope), (numbering, upto));
             }
-            FeedMessage::DrainedHalls(drained) => self.registry.adopt_drained(drained),
-            FeedMessage::Rollouts(rollouts) => self.rollouts.adopt(rollouts, &self.registry),
+            FeedMessage::DrainedHalls(drained) => self.followed.registry.adopt_drained(drained),
+            FeedMessage::Rollouts(rollouts) => {
+                self.followed.rollouts.adopt(rollouts, &self.followed.registry);
+            }
             FeedMessage::Grants(grants) => {
-                self.rollouts.adopt_grants(self.peers.clock.now(), grants);
+                self.followed.rollouts.adopt_grants(self.peers.clock.now(), grants);
             }
+            FeedMessage::Quarantine(news) => self.followed.quarantine.adopt(news),
             FeedMessage::Neighbours(routers) => self.adopt_neighbours(routers),
-            FeedMessage::Remembered(endpoints) => self.registry.remember(endpoints),
+            FeedMessage::Remembered(endpoints) => self.followed.registry.remember(endpoints),
             FeedMessage::Routers(routers) => {
                 let now = self.peers.clock.now();
                 self.news().set_routers(now, from, routers as usize);
--- a/src/feed/tests/connection.rs
+++ b/src/feed/tests/connection.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::mpsc;
 
-use super::super::{FeedMessage, Subscriptions, publish};
+use super::super::{FeedMessage, Followed, Subscriptions, publish};
 use crate::peer::{Incoming, Peers};
 use crate::registry::{EndpointState, Hearing, Registration, Scope, SharedRegistry};
 use crate::routing::{Documents, RoutingTable};
@@ -43,20 +43,16 @@
     tokio::spawn(serve(control.clone(), incoming, published.clone()));
     let (router, _) = start(Role::Router, first + 1, vec![address(first)]).await;
     let followed = Arc::new(Documents::default());
-    let registry = Arc::new(SharedRegistry::default());
-    let feeds = Subscriptions::start(
-        router.clone(),
-        followed.clone(),
-        registry,
-        Arc::default(),
-        "a",
-        Role::Router,
-    );
+    let feeds = Subscriptions::start(router.clone(), following(&followed), "a", Role::Router);
     published.adopt_table(table(1));
     wait_until(|| version(&followed) == 1).await;
     ([control, router], [published, followed], feeds)
 }
 
+fn following(documents: &Arc<Documents>) -> Followed {
+    Followed { documents: documents.clone(), ..Followed::default() }
+}
+
 fn version(documents: &Documents) -> u64 {
     documents.current().map_or(0, |routing| routing.table.version)
 }
@@ -94,9 +90,7 @@
     }
     let (router, _) = start(Role::Router, 13, vec![address(11), address(12)]).await;
     let followed = Arc::new(Documents::default());
-    let registry = Arc::new(SharedRegistry::default());
-    let feeds =
-        Subscriptions::start(router, followed.clone(), registry, Arc::default(), "a", Role::Router);
+    let feeds = Subscriptions::start(router, following(&followed), "a", Role::Router);
     wait_until(|| feeds.open_feeds() == 2).await;
     let weight = postcard::to_stdvec(&large_table(1)).unwrap().len() as u64;
     for documents in &published {
@@ -122,9 +116,7 @@
     tokio::spawn(serve(second, second_incoming, documents[1].clone()));
     let (router, _) = start(Role::Router, 23, vec![address(21), address(22)]).await;
     let followed = Arc::new(Documents::default());
-    let registry = Arc::new(SharedRegistry::default());
-    let feeds =
-        Subscriptions::start(router, followed.clone(), registry, Arc::default(), "a", Role::Router);
+    let feeds = Subscriptions::start(router, following(&followed), "a", Role::Router);
     wait_until(|| feeds.open_feeds() == 2).await;
     documents[1].adopt_table(table(2));
     wait_until(|| version(&followed) == 2).await;
@@ -174,14 +166,8 @@
     let seeds = (61..67).map(address).collect();
     let (router, _) = start(Role::Router, 67, seeds).await;
     let registry = Arc::new(SharedRegistry::default());
-    let feeds = Subscriptions::start(
-        router,
-        Arc::default(),
-        registry.clone(),
-        Arc::default(),
-        "a",
-        Role::Router,
-    );
+    let followed = Followed { registry: registry.clone(), ..Followed::default() };
+    let feeds = Subscriptions::start(router, followed, "a", Role::Router);
     wait_until(|| feeds.open_feeds() == hosts.len()).await;
     wait_until(|| registry.read(|r| r.ready("service").count()) == ENDPOINTS as usize).await;
     let told: Vec<_> =
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -164,6 +164,7 @@
                 ticket.set_ending(Ending::Replaced);
             }
             check_head(call, endpoint, &response)?;
+            call.answered_by(ticket);
             Ok((response, connection))
         }
         Ok(Err(SendError::NotAllowed)) => {
@@ -279,6 +280,7 @@
     if call.parts.method != axum::http::Method::HEAD {
         head.headers.remove(header::CONTENT_LENGTH);
     }
+    call.served();
     let failed = head.status.is_server_error();
     let response = Response::from_parts(head, Body::from(body));
     if failed {
--- a/src/gateway/losses.rs
+++ b/src/gateway/losses.rs
@@ -1,7 +1,10 @@
-//! Requests whose endpoint ended their connection before the whole answer.
+//! Requests whose endpoint ended their connection before the whole answer, and those that
+//! are refused because that comes of them.
 
+use super::refusal::Refusal;
 use super::request::Call;
 use super::state::Ticket;
+use crate::quarantine::EndpointStart;
 
 /// Characters of a path that a log line shows.
 const PATH_SHOWN: usize = 80;
@@ -11,6 +14,7 @@
     /// connection broke.
     pub(super) fn lost_at(&self, ticket: &Ticket, why: &str) {
         self.gateway.metrics.lost.with_label_values(&[&self.service]).inc();
+        let ran = ticket.observed.sent_ago();
         log::info!(
             "gateway: request {} ({}) lost at {}, started at {}, {} ms after it was sent: {why}; \
              path {:.PATH_SHOWN$}, fingerprint {}",
@@ -18,9 +22,38 @@
             self.head.id.as_deref().unwrap_or_default(),
             ticket.endpoint,
             ticket.started_at_ms,
-            ticket.observed.sent_ago().as_millis(),
+            ran.as_millis(),
             self.parts.uri.path(),
             self.fingerprint,
         );
+        self.gateway.guard.lost(start_of(ticket), &self.fingerprint, ran);
     }
+
+    /// The endpoint began its own answer to this request: it is there.
+    pub(super) fn answered_by(&self, ticket: &Ticket) {
+        self.gateway.guard.answered(&start_of(ticket), ticket.observed.sent_ago());
+    }
+
+    /// The endpoint sends on its answer: it is there.
+    pub(super) fn heard_from(&self, ticket: &Ticket) {
+        if !self.gateway.guard.is_calm() {
+            self.gateway.guard.heard(&start_of(ticket));
+        }
+    }
+
+    /// It was served whole.
+    pub(super) fn served(&self) {
+        self.gateway.guard.served(&self.fingerprint);
+    }
+
+    /// Why it is not sent to any endpoint, if it crashes them.
+    pub(super) fn crashes_endpoints(&self) -> Option<Refusal> {
+        let has_leader = || self.gateway.feeds.leader().is_some();
+        let retry_after_ms = self.gateway.guard.refusal(&self.fingerprint, has_leader)?;
+        Some(Refusal::CrashesEndpoints { retry_after_ms })
+    }
+}
+
+fn start_of(ticket: &Ticket) -> EndpointStart {
+    EndpointStart { id: ticket.endpoint.clone(), started_at_ms: ticket.started_at_ms }
 }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -38,6 +38,11 @@
         /// Milliseconds after which to come back.
         retry_after_ms: u32,
     },
+    /// It crashed the endpoints that ran it before.
+    CrashesEndpoints {
+        /// Milliseconds after which to come back.
+        retry_after_ms: u32,
+    },
     /// Time ran out before it was sent.
     TimedOutUnsent,
     /// Time ran out after it was sent.
@@ -57,6 +62,7 @@
             | Refusal::NoAllowedRegion
             | Refusal::NotExecuted
             | Refusal::TooLate { .. }
+            | Refusal::CrashesEndpoints { .. }
             | Refusal::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
@@ -96,6 +102,7 @@
             Refusal::NoAllowedRegion => "no_allowed_region",
             Refusal::NotExecuted => "not_executed",
             Refusal::TooLate { .. } => "too_late",
+            Refusal::CrashesEndpoints { .. } => "crashes_endpoints",
             Refusal::TimedOutUnsent => "timed_out_unsent",
             Refusal::TimedOut => "timed_out",
             Refusal::AnswerLost => "answer_lost",
@@ -108,7 +115,10 @@
         let headers = response.headers_mut();
         if self.status() == StatusCode::SERVICE_UNAVAILABLE {
             let seconds = match self {
-                Refusal::TooLate { retry_after_ms } => f64::from(retry_after_ms) / 1_000.0,
+                Refusal::TooLate { retry_after_ms }
+                | Refusal::CrashesEndpoints { retry_after_ms } => {
+                    f64::from(retry_after_ms) / 1_000.0
+                }
                 // Another router can take it at once.
                 Refusal::Overloaded => 0.0,
                 _ => RETRY_AFTER_S,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -134,6 +134,10 @@
             ended = Refusal::TimedOutUnsent;
             break;
         }
+        if let Some(refusal) = call.crashes_endpoints() {
+            ended = refusal;
+            break;
+        }
         let (endpoint, reservation) = match call.place(&progress.tried).await {
             Place::At(endpoint, reservation) => (endpoint, reservation),
             Place::Nowhere => {
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -75,7 +75,10 @@
 
     /// Whether it may be sent to an endpoint, by what is known at this moment.
     pub(super) fn may_be_sent_to(&self, endpoint: &Registration) -> bool {
-        self.eligibility().is_some_and(|eligibility| self.is_eligible(&eligibility, endpoint))
+        self.crashes_endpoints().is_none()
+            && self
+                .eligibility()
+                .is_some_and(|eligibility| self.is_eligible(&eligibility, endpoint))
     }
 
     /// The caller is about to get a piece of an answer of this release.
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -18,6 +18,7 @@
 use super::state::{Gateway, follow_registry};
 use crate::error::{NetSnafu, Result};
 use crate::peer::Peers;
+use crate::quarantine::report_crashes;
 use crate::settings::{GatewaySettings, RouterSettings};
 use crate::wire::Role;
 
@@ -41,6 +42,7 @@
     tokio::spawn(take_callers(gateway.clone(), incoming));
     tokio::spawn(follow_registry(gateway.clone()));
     tokio::spawn(rollouts::report(gateway.clone()));
+    tokio::spawn(report_crashes(gateway.guard.clone(), gateway.feeds.clone()));
     serve_readiness(&gateway).await?;
     let listen = gateway.settings.listen;
     let listener = TcpListener::bind(listen).await;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,10 +15,11 @@
 use super::overload::Overload;
 use super::rollouts::Releases;
 use crate::dispatch::Millis;
-use crate::feed::Subscriptions;
+use crate::feed::{Followed, Subscriptions};
 use crate::loop_lag::LoopLag;
 use crate::peer::Peers;
 use crate::placement::{Ending, LocalPlacer, Placements, Reservation};
+use crate::quarantine::{Guard, SharedQuarantine};
 use crate::registry::{EndpointState, Registration, Scope, SharedRegistry};
 use crate::rollout::SharedRollouts;
 use crate::routing::Documents;
@@ -40,6 +41,8 @@
     pub registry: Arc<SharedRegistry>,
     /// Releases that are rolled out.
     pub rollouts: Arc<SharedRollouts>,
+    /// Which requests crash endpoints.
+    pub guard: Arc<Guard>,
     /// What control hosts tell.
     pub feeds: Arc<Subscriptions>,
     /// Where requests for engines go.
@@ -75,14 +78,15 @@
         let registry = Arc::new(SharedRegistry::default());
         let rollouts = Arc::new(SharedRollouts::default());
         let hall = settings.host.hall.clone();
-        let feeds = Subscriptions::start(
-            peers.clone(),
-            documents.clone(),
-            registry.clone(),
-            rollouts.clone(),
-            &hall,
-            Role::Router,
-        );
+        let quarantine = Arc::new(SharedQuarantine::default());
+        let guard = Arc::new(Guard::new(quarantine.clone(), peers.me, peers.clock));
+        let followed = Followed {
+            documents: documents.clone(),
+            registry: registry.clone(),
+            rollouts: rollouts.clone(),
+            quarantine,
+        };
+        let feeds = Subscriptions::start(peers.clone(), followed, &hall, Role::Router);
         let regions = settings.host.regions.clone();
         let local =
             LocalPlacer::new(peers.me, peers.clock, documents.clone(), registry.clone(), regions);
@@ -98,6 +102,7 @@
             documents,
             registry,
             rollouts,
+            guard,
             feeds,
             placements,
             dialect,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -86,6 +86,7 @@
                     // Trailers concern this connection only.
                     let Ok(bytes) = frame.into_data() else { continue };
                     source.ticket.begun();
+                    self.call.heard_from(&source.ticket);
                     let bytes = match &mut self.splitter {
                         Some(splitter) => splitter.push(&bytes),
                         None => bytes,
@@ -107,6 +108,7 @@
     fn finish(&mut self) -> Option<Bytes> {
         if let Some(mut source) = self.source.take() {
             source.ticket.set_ending(Ending::Served);
+            self.call.served();
             self.call.gateway.connections.keep(&source.ticket.endpoint, source.connection);
         }
         let rest = self.splitter.as_mut().map(EventSplitter::finish);
@@ -126,7 +128,8 @@
         let Some(splitter) = &mut self.splitter else { return Err(BrokenOff::Endpoint) };
         splitter.discard_partial();
         let runs = self.tried.len() as u32;
-        if runs >= call.route.attempts || !call.may_go_on() || !call.may_repeat() {
+        let may_go_on = call.may_go_on() && call.crashes_endpoints().is_none();
+        if runs >= call.route.attempts || !may_go_on || !call.may_repeat() {
             return Err(BrokenOff::Endpoint);
         }
         let Place::At(endpoint, reservation) = call.place(&self.tried).await else {
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -1,5 +1,36 @@
-//! Requests that crash the endpoints that run them.
+//! Requests that crash the endpoints that run them, and come again: after a few crashes they
+//! are refused at every router.
+//!
+//! A request is known again by its [`Fingerprint`]. A router notes which requests were lost
+//! when an endpoint broke off, and tells the leader ([`Witness`]); the leader puts together
+//! what all routers lost, and blames the fewest requests that explain the crashes
+//! ([`Inquiry`]). Whom it blames is agreed on by the control hosts ([`Quarantines`]), so that
+//! it outlives them, and told to every router by feed. A router without a leader in reach
+//! blames by what it saw itself ([`Guard`]).
+//!
+//! A request that was only beside a crash is not blamed for it once the culprit is known, nor
+//! one that is served elsewhere, nor is anything blamed for an endpoint that goes on
+//! answering. See `docs/design/crashing-requests.md` for what was weighed.
 
+mod crash;
+mod culprits;
 mod fingerprint;
+mod guard;
+mod inquiry;
+mod model;
+mod report;
+mod served;
+mod shared;
+#[cfg(test)]
+mod tests;
+mod witness;
 
+pub use culprits::{Blame, Suspicion};
 pub use fingerprint::Fingerprint;
+pub use guard::{Guard, report_crashes};
+pub use inquiry::{Inquiry, Review};
+pub use model::{Quarantine, QuarantineNews, Quarantines, Stage, Verdict};
+pub use report::{CrashReport, EndpointStart, Observation, Observed};
+pub use served::RecentlyServed;
+pub use shared::SharedQuarantine;
+pub use witness::Witness;
--- a/src/quarantine/fingerprint.rs
+++ b/src/quarantine/fingerprint.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::Xxh3Default;
+use xxhash_rust::xxh3::{Xxh3Default, xxh3_64_with_seed};
 
 /// A request as it comes again and again: whose it is, and a digest of its path and body.
 /// The customer stands beside the digest, so that nobody can make up a request that is
@@ -28,6 +28,11 @@
         hasher.update(body);
         Fingerprint { customer: customer.to_string(), digest: hasher.digest128() }
     }
+
+    /// A short hash of the whole, for tables.
+    pub(super) fn hash(&self) -> u64 {
+        xxh3_64_with_seed(self.customer.as_bytes(), self.digest as u64)
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- /dev/null
+++ b/src/quarantine/inquiry.rs
@@ -0,0 +1,145 @@
+//! The crashes of the last minutes, from what all routers report.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use super::Fingerprint;
+use super::crash::Crash;
+use super::culprits::{Blame, Suspicion, culprits};
+use super::report::{EndpointStart, Observation, Observed};
+use crate::dispatch::Millis;
+use crate::wire::HostId;
+
+/// Milliseconds for which crashes count: as long as a request that was blamed is refused, it
+/// is looked at again whether another one explains them better.
+const KEPT_MS: Millis = 10 * 60_000;
+/// Crashes that are kept: some minutes of an outage, 4 MB at the most.
+const MOST_CRASHES: usize = 256;
+/// Milliseconds for which a request that was served whole is not blamed: where many run the
+/// same request, as for an empty body, a data hall's outage takes many of them at once.
+const SERVED_MS: Millis = 10_000;
+/// Requests of which it is kept when they were served, and endpoints of which when they were
+/// there.
+const MOST_TIMES: usize = 1_024;
+
+/// What follows from looking at all crashes anew.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Review {
+    /// Requests that are to blame, and not refused yet.
+    pub blamed: Vec<Blame>,
+    /// Requests that were blamed here and are not any more: they were served, the endpoints
+    /// live, or another request explains the crashes better.
+    pub cleared: Vec<Fingerprint>,
+}
+
+/// The crashes of the last minutes, and whom they are blamed on.
+#[derive(Clone, Debug, Default)]
+pub struct Inquiry {
+    crashes: VecDeque<Crash>,
+    alive: BTreeMap<EndpointStart, Millis>,
+    served: BTreeMap<Fingerprint, Millis>,
+    just_served: BTreeSet<Fingerprint>,
+    /// Requests that were blamed here, for crashes that are all still known: whether they
+    /// are to blame can be seen anew.
+    blamed: BTreeSet<Fingerprint>,
+}
+
+impl Inquiry {
+    /// Takes in what a router saw.
+    pub fn take(&mut self, now: Millis, router: HostId, observation: Observation) {
+        let at = now.saturating_sub(observation.ago_ms.into());
+        match observation.what {
+            Observed::Lost { endpoint, fingerprint, ran_ms } => {
+                if !self.was_alive(at, &endpoint) && !self.was_served(at, &fingerprint) {
+                    self.crash(at, router, endpoint).lose(fingerprint, ran_ms);
+                }
+            }
+            Observed::Alive(endpoint) => self.alive(at, endpoint),
+            Observed::Served(fingerprint) => self.served(at, fingerprint),
+        }
+        self.forget_old(now);
+    }
+
+    fn was_alive(&self, at: Millis, endpoint: &EndpointStart) -> bool {
+        self.alive.get(endpoint).is_some_and(|alive| at <= *alive)
+    }
+
+    /// An endpoint was there at this time: what was lost before was not lost by its end.
+    fn alive(&mut self, at: Millis, endpoint: EndpointStart) {
+        self.crashes.retain(|crash| crash.endpoint != endpoint || crash.last > at);
+        note_latest(&mut self.alive, endpoint, at);
+    }
+
+    fn was_served(&self, at: Millis, fingerprint: &Fingerprint) -> bool {
+        self.served.get(fingerprint).is_some_and(|served| at < served + SERVED_MS)
+    }
+
+    /// The crash of an endpoint at about this time.
+    fn crash(&mut self, at: Millis, router: HostId, endpoint: EndpointStart) -> &mut Crash {
+        let is_this = |crash: &Crash| crash.is_of(&endpoint, at);
+        let index = self.crashes.iter().position(is_this).unwrap_or_else(|| {
+            self.crashes.push_back(Crash::new(endpoint, at, router));
+            self.crashes.len() - 1
+        });
+        let crash = &mut self.crashes[index];
+        crash.seen(at, router);
+        crash
+    }
+
+    /// A request that was served crashes nothing.
+    fn served(&mut self, at: Millis, fingerprint: Fingerprint) {
+        for crash in self.crashes.iter_mut().filter(|crash| crash.at < at + SERVED_MS) {
+            crash.lost.remove(&fingerprint);
+        }
+        self.just_served.insert(fingerprint.clone());
+        note_latest(&mut self.served, fingerprint, at);
+    }
+
+    fn forget_old(&mut self, now: Millis) {
+        self.crashes.retain(|crash| !crash.lost.is_empty());
+        while self.crashes.len() > MOST_CRASHES
+            || self.crashes.front().is_some_and(|crash| crash.at + KEPT_MS <= now)
+        {
+            let Some(forgotten) = self.crashes.pop_front() else { return };
+            self.blamed.retain(|fingerprint| !forgotten.lost.contains_key(fingerprint));
+        }
+    }
+
+    /// Requests that were blamed here and not cleared since.
+    pub fn blamed(&self) -> &BTreeSet<Fingerprint> {
+        &self.blamed
+    }
+
+    /// Looks at all crashes anew.
+    pub fn review(&mut self, now: Millis, suspicion: impl Fn(&Fingerprint) -> Suspicion) -> Review {
+        self.forget_old(now);
+        // Those that were refused elsewhere, by crashes that are not known here, need no
+        // more proof.
+        let is_settled =
+            |f: &Fingerprint| suspicion(f) == Suspicion::Refused && !self.blamed.contains(f);
+        let confirmed = self.crashes.iter().filter(|crash| crash.is_confirmed(now));
+        let mut blamed = culprits(confirmed.collect(), is_settled, &suspicion);
+        let is_blamed = |f: &Fingerprint| blamed.iter().any(|blame| blame.fingerprint == *f);
+        let cleared: Vec<_> = self.blamed.iter().filter(|f| !is_blamed(f)).cloned().collect();
+        self.blamed = blamed.iter().map(|blame| blame.fingerprint.clone()).collect();
+        blamed.retain(|blame| suspicion(&blame.fingerprint) != Suspicion::Refused);
+        Review { blamed, cleared }
+    }
+
+    /// Requests that were served since this was asked last.
+    pub fn take_served(&mut self) -> BTreeSet<Fingerprint> {
+        std::mem::take(&mut self.just_served)
+    }
+}
+
+/// Notes the latest time for a key, and forgets the key whose time is longest ago where there
+/// are too many.
+fn note_latest<K: Ord + Clone>(times: &mut BTreeMap<K, Millis>, key: K, at: Millis) {
+    let time = times.entry(key).or_default();
+    *time = at.max(*time);
+    if times.len() > MOST_TIMES {
+        let longest_ago = times.iter().min_by_key(|(_, at)| **at);
+        if let Some(key) = longest_ago.map(|(key, _)| key.clone()) {
+            times.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/src/quarantine/tests.rs
@@ -0,0 +1,402 @@
+//! Who is blamed for which crashes, what is agreed on it, and what a router remembers.
+
+use super::*;
+use crate::dispatch::Millis;
+use crate::wire::HostId;
+
+const MINUTE_MS: Millis = 60_000;
+/// After all that happens in most tests, and before it is forgotten.
+const LATER: Millis = MINUTE_MS;
+
+fn request(name: &str) -> Fingerprint {
+    Fingerprint::of("customer", &["/path"], name.as_bytes())
+}
+
+fn start(number: u64) -> EndpointStart {
+    EndpointStart { id: format!("e-{number}"), started_at_ms: 0 }
+}
+
+fn seen(what: Observed) -> Observation {
+    Observation { ago_ms: 0, what }
+}
+
+fn lost(endpoint: u64, name: &str, ran_ms: u32) -> Observation {
+    seen(Observed::Lost { endpoint: start(endpoint), fingerprint: request(name), ran_ms })
+}
+
+/// Takes in that requests, which had been there for so long, were lost with an endpoint.
+fn crash(inquiry: &mut Inquiry, at: Millis, endpoint: u64, requests: &[(&str, u32)]) {
+    for (name, ran_ms) in requests {
+        // Two routers lose something with each.
+        inquiry.take(at, HostId(1), lost(endpoint, name, *ran_ms));
+        inquiry.take(at, HostId(2), lost(endpoint, name, *ran_ms));
+    }
+}
+
+fn blamed(inquiry: &mut Inquiry) -> Vec<Fingerprint> {
+    inquiry
+        .review(LATER, |_| Suspicion::None)
+        .blamed
+        .into_iter()
+        .map(|blame| blame.fingerprint)
+        .collect()
+}
+
+fn refuse(name: &str, at_ms: u64) -> Verdict {
+    Verdict::Refuse { fingerprint: request(name), crashes: 3, at_ms }
+}
+
+#[test]
+fn only_the_same_customer_path_and_body_have_the_same_fingerprint() {
+    let of = Fingerprint::of;
+    assert_eq!(of("a", &["/p"], b"x"), of("a", &["/p"], b"x"));
+    let others = [
+        of("b", &["/p"], b"x"),
+        of("a", &["/q"], b"x"),
+        of("a", &["/p"], b"y"),
+        of("a", &["/", "p"], b"x"),
+        of("a", &["/px"], b""),
+    ];
+    for other in others {
+        assert_ne!(of("a", &["/p"], b"x"), other);
+    }
+}
+
+#[test]
+fn what_was_lost_in_three_crashes_is_blamed_and_not_what_was_beside_it() {
+    let mut inquiry = Inquiry::default();
+    crash(&mut inquiry, 0, 1, &[("culprit", 100), ("one", 10), ("two", 500)]);
+    crash(&mut inquiry, 900, 2, &[("culprit", 100), ("one", 700), ("three", 40)]);
+    assert_eq!(blamed(&mut inquiry), []);
+    crash(&mut inquiry, 2_000, 3, &[("culprit", 100), ("one", 900), ("two", 20)]);
+    assert_eq!(blamed(&mut inquiry), [request("culprit")]);
+    // Beside the same culprit again.
+    crash(&mut inquiry, 2_100, 4, &[("culprit", 100), ("two", 80), ("three", 40)]);
+    assert_eq!(blamed(&mut inquiry), [request("culprit")]);
+}
+
+#[test]
+fn what_several_routers_report_of_one_crash_counts_once() {
+    let mut inquiry = Inquiry::default();
+    for (at, endpoint) in [(0, 1), (5, 1), (300, 1), (1_000, 2), (1_010, 2)] {
+        crash(&mut inquiry, at, endpoint, &[("often", 100)]);
+    }
+    assert_eq!(blamed(&mut inquiry), []);
+}
+
+#[test]
+fn one_start_of_an_endpoint_that_crashes_three_times_counts_three_times() {
+    let mut inquiry = Inquiry::default();
+    for at in [0, 5_000, 9_000] {
+        crash(&mut inquiry, at, 1, &[("culprit", 100)]);
+    }
+    assert_eq!(blamed(&mut inquiry), [request("culprit")]);
+}
+
+#[test]
+fn one_that_was_blamed_by_mistake_is_cleared_by_a_better_explanation() {
+    let mut inquiry = Inquiry::default();
+    for endpoint in 0..3 {
+        crash(&mut inquiry, endpoint * 1_000, endpoint, &[("culprit", 300), ("beside", 10)]);
+    }
+    assert_eq!(blamed(&mut inquiry), [request("beside")]);
+    let refused = |f: &Fingerprint| match *f == request("beside") {
+        true => Suspicion::Refused,
+        false => Suspicion::None,
+    };
+    crash(&mut inquiry, 3_500, 3, &[("culprit", 300)]);
+    assert_eq!(inquiry.review(LATER, refused).cleared, [request("beside")]);
+    assert_eq!(blamed(&mut inquiry), [request("culprit")]);
+}
+
+#[test]
+fn an_endpoint_that_goes_on_answering_did_not_crash() {
+    let mut inquiry = Inquiry::default();
+    for endpoint in 0..3 {
+        crash(&mut inquiry, 0, endpoint, &[("cut", 100)]);
+    }
+    inquiry.take(10, HostId(1), seen(Observed::Alive(start(1))));
+    assert_eq!(blamed(&mut inquiry), []);
+    // Who lost it with the others tells it again.
+    crash(&mut inquiry, 0, 1, &[("cut", 100)]);
+    assert_eq!(blamed(&mut inquiry), []);
+    // Later it does crash, and that it was there before is told again.
+    crash(&mut inquiry, 100, 1, &[("cut", 100)]);
+    let again = Observation { ago_ms: 1_000, what: Observed::Alive(start(1)) };
+    inquiry.take(1_010, HostId(1), again);
+    assert_eq!(blamed(&mut inquiry), [request("cut")]);
+}
+
+#[test]
+fn what_one_router_alone_lost_counts_after_half_a_second() {
+    let mut inquiry = Inquiry::default();
+    for endpoint in 0..3 {
+        inquiry.take(1_000, HostId(1), lost(endpoint, "cut", 100));
+    }
+    assert_eq!(inquiry.review(1_499, |_| Suspicion::None).blamed, []);
+    assert_eq!(inquiry.review(1_500, |_| Suspicion::None).blamed[0].fingerprint, request("cut"));
+    // Where others lose something at the same endpoints, nothing is waited for.
+    let mut inquiry = Inquiry::default();
+    for endpoint in 0..3 {
+        inquiry.take(1_000, HostId(1), lost(endpoint, "culprit", 100));
+        inquiry.take(1_000, HostId(2), lost(endpoint, &format!("beside {endpoint}"), 100));
+    }
+    assert_eq!(
+        inquiry.review(1_001, |_| Suspicion::None).blamed[0].fingerprint,
+        request("culprit")
+    );
+}
+
+#[test]
+fn what_is_served_is_not_blamed_for_crashes_before_and_right_after() {
+    let mut inquiry = Inquiry::default();
+    for endpoint in 0..3 {
+        crash(&mut inquiry, 0, endpoint, &[("served", 100)]);
+    }
+    assert_eq!(blamed(&mut inquiry), [request("served")]);
+    inquiry.take(500, HostId(1), seen(Observed::Served(request("served"))));
+    assert_eq!(inquiry.review(LATER, |_| Suspicion::Refused).cleared, [request("served")]);
+    for endpoint in 3..9 {
+        crash(&mut inquiry, 2_000, endpoint, &[("served", 100)]);
+    }
+    assert_eq!(blamed(&mut inquiry), []);
+    // Its endpoints may have got something else to stumble over.
+    for endpoint in 9..12 {
+        crash(&mut inquiry, 20_000, endpoint, &[("served", 100)]);
+    }
+    assert_eq!(blamed(&mut inquiry), [request("served")]);
+}
+
+#[test]
+fn where_endpoints_go_down_all_over_more_crashes_are_needed() {
+    let mut inquiry = Inquiry::default();
+    for endpoint in 0..60 {
+        let other = format!("other-{endpoint}");
+        let mut requests = vec![(other.as_str(), 100)];
+        if endpoint % 15 == 0 {
+            requests.push(("sent again", 100));
+        }
+        crash(&mut inquiry, endpoint * 100, endpoint, &requests);
+    }
+    assert_eq!(blamed(&mut inquiry), [], "four of sixty");
+    crash(&mut inquiry, 6_000, 60, &[("sent again", 100)]);
+    assert_eq!(blamed(&mut inquiry), [request("sent again")], "five");
+}
+
+#[test]
+fn several_that_crash_endpoints_by_turns_are_all_blamed() {
+    let mut inquiry = Inquiry::default();
+    for round in 0..3 {
+        for (number, name) in ["a", "b", "c"].iter().enumerate() {
+            let endpoint = round * 3 + number as u64;
+            crash(&mut inquiry, endpoint * 400, endpoint, &[(name, 100), ("beside", 50)]);
+            inquiry.take(endpoint * 400 + 1, HostId(1), seen(Observed::Served(request("beside"))));
+        }
+    }
+    let mut blamed = blamed(&mut inquiry);
+    blamed.sort();
+    let mut all = ["a", "b", "c"].map(request);
+    all.sort();
+    assert_eq!(blamed, all);
+}
+
+#[test]
+fn on_trial_one_crash_is_enough() {
+    let mut inquiry = Inquiry::default();
+    crash(&mut inquiry, 500, 1, &[("on trial", 100)]);
+    let since = |at| move |_: &Fingerprint| Suspicion::Trial(at);
+    assert_eq!(inquiry.review(LATER, since(1_000)).blamed, []);
+    assert_eq!(inquiry.review(LATER, since(400)).blamed[0].fingerprint, request("on trial"));
+}
+
+#[test]
+fn a_crash_with_one_that_is_refused_already_says_nothing_of_others() {
+    let mut inquiry = Inquiry::default();
+    for endpoint in 0..4 {
+        crash(&mut inquiry, endpoint * 100, endpoint, &[("refused", 10), ("beside", 5)]);
+    }
+    let refused = |f: &Fingerprint| match *f == request("refused") {
+        true => Suspicion::Refused,
+        false => Suspicion::None,
+    };
+    assert_eq!(inquiry.review(LATER, refused).blamed, []);
+}
+
+#[test]
+fn crashes_are_forgotten_after_a_while_and_beyond_a_number() {
+    let mut inquiry = Inquiry::default();
+    crash(&mut inquiry, 0, 1, &[("rare", 100)]);
+    crash(&mut inquiry, MINUTE_MS, 2, &[("rare", 100)]);
+    crash(&mut inquiry, 15 * MINUTE_MS, 3, &[("rare", 100)]);
+    assert_eq!(inquiry.review(15 * MINUTE_MS, |_| Suspicion::None), Review::default());
+    // A customer whose every request crashes something pushes nothing out that matters.
+    let mut inquiry = Inquiry::default();
+    for number in 0..10_000 {
+        let name = format!("hostile-{number}");
+        crash(&mut inquiry, number, number, &[(name.as_str(), 10)]);
+        if number % 100 == 0 && number < 300 {
+            crash(&mut inquiry, number, 20_000 + number, &[("culprit", 10)]);
+        }
+        if number == 250 {
+            assert_eq!(blamed(&mut inquiry), [], "among so many three are chance");
+        }
+    }
+}
+
+#[test]
+fn a_request_is_refused_for_longer_each_time() {
+    let mut all = Quarantines::default();
+    all.apply(refuse("a", 1_000));
+    assert_eq!(all.get(&request("a")).unwrap().until_ms, 1_000 + 10 * MINUTE_MS);
+    let revision = all.revision();
+    all.apply(refuse("a", 2_000));
+    assert_eq!(all.revision(), revision, "it is refused already");
+    all.apply(Verdict::Try { fingerprint: request("a"), at_ms: 700_000 });
+    assert_eq!(all.get(&request("a")).unwrap().stage, Stage::Trial);
+    all.apply(refuse("a", 800_000));
+    let again = all.get(&request("a")).unwrap();
+    assert_eq!((again.times, again.until_ms), (2, 800_000 + 20 * MINUTE_MS));
+    all.apply(Verdict::Release(request("a")));
+    assert!(all.is_empty());
+}
+
+#[test]
+fn one_customers_requests_push_out_none_of_anothers() {
+    let mut all = Quarantines::default();
+    all.apply(refuse("mine", 1));
+    for number in 0..5_000u64 {
+        let customer = ["hostile", "hostile too"][(number % 2) as usize];
+        let fingerprint = Fingerprint::of(customer, &["/"], &number.to_be_bytes());
+        all.apply(Verdict::Refuse { fingerprint, crashes: 3, at_ms: 2 + number });
+    }
+    assert!(all.get(&request("mine")).is_some());
+    assert_eq!(all.all().count(), 1 + 2 * 64);
+    for number in 0..5_000u64 {
+        let customer = format!("customer {}", number % 100);
+        let fingerprint = Fingerprint::of(&customer, &["/"], &number.to_be_bytes());
+        all.apply(Verdict::Refuse { fingerprint, crashes: 3, at_ms: 6_000 + number });
+    }
+    assert!(all.get(&request("mine")).is_some());
+    assert_eq!(all.all().count(), 1_024);
+}
+
+#[test]
+fn news_of_one_host_fit_on_those_of_another() {
+    let mut states = vec![Quarantines::default()];
+    let verdicts = [
+        refuse("a", 1),
+        refuse("b", 2),
+        Verdict::Release(request("a")),
+        Verdict::Try { fingerprint: request("b"), at_ms: 3 },
+        refuse("c", 4),
+        Verdict::Release(request("b")),
+    ];
+    for verdict in verdicts {
+        let mut next = states.last().unwrap().clone();
+        next.apply(verdict);
+        states.push(next);
+    }
+    // Two hosts tell of different steps, and a listener hears them in any order.
+    for (first, second) in (1..states.len()).flat_map(|a| (1..states.len()).map(move |b| (a, b))) {
+        let mut listener = Quarantines::default();
+        let whole = |at: usize| states[at].news_after(0).unwrap();
+        listener.adopt(whole(first));
+        listener.adopt(whole(second));
+        let newest = states.last().unwrap();
+        if let Some(news) = newest.news_after(states[first.min(second)].revision()) {
+            listener.adopt(news);
+        }
+        let all = |of: &Quarantines| of.all().map(|(f, q)| (f.clone(), *q)).collect::<Vec<_>>();
+        assert_eq!(all(&listener), all(newest), "{first} and {second}");
+        assert!(newest.news_after(listener.revision()).is_none());
+        // It may tell others, as control hosts do.
+        for before in &states[1..] {
+            let mut told = before.clone();
+            if let Some(news) = listener.news_after(before.revision()) {
+                told.adopt(news);
+            }
+            assert_eq!(all(&told), all(newest));
+        }
+    }
+}
+
+#[test]
+fn a_router_tells_the_leader_what_it_lost_three_times_and_a_new_leader_anew() {
+    let mut witness = Witness::default();
+    witness.lost(0, start(1), request("a"), 100).unwrap();
+    let told = |witness: &mut Witness, now| witness.report(now).observations.len();
+    assert_eq!(
+        [0, 10, 1_000, 1_010, 4_000, 9_000].map(|now| told(&mut witness, now)),
+        [1, 0, 1, 0, 1, 0]
+    );
+    witness.tell_anew(10_000);
+    let report = witness.report(10_000);
+    assert_eq!(report.observations[0].ago_ms, 10_000);
+    // What it saw long ago bears on nothing any more.
+    witness.tell_anew(11 * MINUTE_MS);
+    assert_eq!(told(&mut witness, 11 * MINUTE_MS), 0);
+}
+
+#[test]
+fn a_router_takes_back_what_turns_out_otherwise() {
+    let mut witness = Witness::default();
+    witness.lost(0, start(1), request("a"), 100);
+    witness.lost(0, start(1), request("b"), 100);
+    witness.lost(0, start(2), request("a"), 100);
+    assert_eq!(witness.answered(50, &start(1), 0), None, "it was sent before");
+    let alive = witness.answered(60, &start(1), 40).unwrap();
+    assert_eq!(alive.what, Observed::Alive(start(1)));
+    assert_eq!(witness.answered(70, &start(1), 60), None, "that is known");
+    let served = witness.served(80, &request("a"), false).unwrap();
+    assert_eq!(served.what, Observed::Served(request("a")));
+    let left = witness.report(100).observations;
+    let left: Vec<_> = left.into_iter().map(|observation| observation.what).collect();
+    assert_eq!(left, [Observed::Alive(start(1)), Observed::Served(request("a"))]);
+    assert_eq!(witness.lost(5_000, start(3), request("a"), 1), None, "served a moment ago");
+    assert!(witness.lost(20_000, start(3), request("a"), 1).is_some());
+}
+
+#[test]
+fn a_router_speaks_for_a_request_that_it_served_right_before_it_was_refused() {
+    let mut witness = Witness::default();
+    assert_eq!(witness.served(1_000, &request("a"), false), None);
+    witness.refused(2_000, &request("b"));
+    witness.refused(2_000, &request("a"));
+    let told = witness.report(2_000).observations;
+    assert_eq!(told.len(), 1);
+    assert_eq!(told[0], Observation { ago_ms: 1_000, what: Observed::Served(request("a")) });
+}
+
+#[test]
+fn what_a_router_keeps_is_bounded() {
+    let mut witness = Witness::default();
+    for number in 0..100_000u64 {
+        witness.lost(number, start(number), request(&number.to_string()), 1);
+        witness.served(number, &request(&format!("served {number}")), false);
+    }
+    assert_eq!(witness.report(100_000).observations.len(), 512);
+}
+
+#[test]
+fn of_two_that_always_met_the_second_needs_less_once_the_first_is_blamed() {
+    let mut inquiry = Inquiry::default();
+    for endpoint in 0..3 {
+        crash(&mut inquiry, endpoint * 500, endpoint, &[("first", 50), ("second", 90)]);
+    }
+    assert_eq!(blamed(&mut inquiry), [request("first")]);
+    crash(&mut inquiry, 3_000, 3, &[("second", 90)]);
+    assert_eq!(blamed(&mut inquiry), [request("second")], "it explains all four");
+    let mut inquiry = Inquiry::default();
+    for endpoint in 0..5 {
+        let first = [("first", 50), ("second", 90)];
+        crash(&mut inquiry, endpoint * 500, endpoint, &first[..if endpoint < 3 { 2 } else { 1 }]);
+    }
+    assert_eq!(blamed(&mut inquiry), [request("first")]);
+    crash(&mut inquiry, 4_000, 5, &[("second", 90)]);
+    crash(&mut inquiry, 5_000, 6, &[("second", 90)]);
+    let mut both = blamed(&mut inquiry);
+    both.sort();
+    let mut expected = ["first", "second"].map(request);
+    expected.sort();
+    assert_eq!(both, expected);
+}
--- /dev/null
+++ b/src/quarantine/witness.rs
@@ -0,0 +1,137 @@
+//! What a router saw of crashes, and what of it the leader has to be told.
+
+use std::collections::VecDeque;
+
+use super::report::{CrashReport, EndpointStart, Observation, Observed};
+use super::{Fingerprint, RecentlyServed};
+use crate::dispatch::Millis;
+
+/// Milliseconds after the first time when the leader is told the same again: connections
+/// may be dead for some two seconds before they are given up.
+const TOLD_AGAIN_MS: [Millis; 2] = [1_000, 3_000];
+/// Milliseconds for which observations are kept for a new leader.
+const KEPT_MS: Millis = 10 * 60_000;
+/// Observations that are kept: some hundred bytes each, a dozen crashes of full endpoints.
+const MOST: usize = 512;
+/// Milliseconds for which a request that was served here is not taken for one that crashes
+/// endpoints.
+const SERVED_MS: Millis = 10_000;
+
+#[derive(Clone, Debug)]
+struct Kept {
+    at: Millis,
+    what: Observed,
+    /// How often it was told to this leader.
+    told: usize,
+    /// When it is to be told again; none when it was told often enough.
+    due: Option<Millis>,
+}
+
+/// What a router saw lately.
+#[derive(Clone, Debug, Default)]
+pub struct Witness {
+    kept: VecDeque<Kept>,
+    served: RecentlyServed,
+}
+
+impl Witness {
+    /// An endpoint broke off a request's answer. Returns the observation, unless the request
+    /// was served a moment ago.
+    pub fn lost(
+        &mut self,
+        now: Millis,
+        endpoint: EndpointStart,
+        fingerprint: Fingerprint,
+        ran_ms: u32,
+    ) -> Option<Observation> {
+        if self.served.last(&fingerprint).is_some_and(|served| now < served + SERVED_MS) {
+            return None;
+        }
+        Some(self.keep(now, Observed::Lost { endpoint, fingerprint, ran_ms }))
+    }
+
+    /// An endpoint answered a request that was sent to it at `sent`. Returns the
+    /// observation where it had broken off others before, which it did not end by.
+    pub fn answered(
+        &mut self,
+        now: Millis,
+        at: &EndpointStart,
+        sent: Millis,
+    ) -> Option<Observation> {
+        let is_refuted = |kept: &Kept| {
+            let Observed::Lost { endpoint, .. } = &kept.what else { return false };
+            endpoint == at && kept.at < sent
+        };
+        let before = self.kept.len();
+        self.kept.retain(|kept| !is_refuted(kept));
+        (self.kept.len() < before).then(|| self.keep(now, Observed::Alive(at.clone())))
+    }
+
+    /// A request was served whole. Returns the observation where it was lost before, or
+    /// `is_suspect` by what was agreed.
+    pub fn served(
+        &mut self,
+        now: Millis,
+        fingerprint: &Fingerprint,
+        is_suspect: bool,
+    ) -> Option<Observation> {
+        self.served.note(now, fingerprint);
+        let is_it = |kept: &Kept| matches!(&kept.what, Observed::Lost { fingerprint: f, .. } if f == fingerprint);
+        let before = self.kept.len();
+        self.kept.retain(|kept| !is_it(kept));
+        let was_lost = self.kept.len() < before;
+        (was_lost || is_suspect).then(|| self.keep(now, Observed::Served(fingerprint.clone())))
+    }
+
+    /// A request is refused from now on: it is kept for the leader if it was served here,
+    /// a moment before it was blamed.
+    pub fn refused(&mut self, now: Millis, fingerprint: &Fingerprint) {
+        let last = self.served.last(fingerprint);
+        if let Some(at) = last.filter(|at| now < at + SERVED_MS) {
+            self.keep(at, Observed::Served(fingerprint.clone()));
+        }
+    }
+
+    fn keep(&mut self, at: Millis, what: Observed) -> Observation {
+        let observation = Observation { ago_ms: 0, what: what.clone() };
+        self.kept.push_back(Kept { at, what, told: 0, due: Some(at) });
+        if self.kept.len() > MOST {
+            self.kept.pop_front();
+        }
+        observation
+    }
+
+    /// Whether anything was seen that bears on crashes.
+    pub fn is_empty(&self) -> bool {
+        self.kept.is_empty()
+    }
+
+    /// What the leader is to be told now; it counts as told then.
+    pub fn report(&mut self, now: Millis) -> CrashReport {
+        while self.kept.front().is_some_and(|kept| kept.at + KEPT_MS <= now) {
+            self.kept.pop_front();
+        }
+        let mut observations = Vec::new();
+        for kept in self.kept.iter_mut().filter(|kept| kept.due.is_some_and(|due| due <= now)) {
+            let again = TOLD_AGAIN_MS.get(kept.told);
+            kept.due = again.map(|after| now + after);
+            kept.told += 1;
+            let ago_ms = u32::try_from(now.saturating_sub(kept.at)).unwrap_or(u32::MAX);
+            observations.push(Observation { ago_ms, what: kept.what.clone() });
+        }
+        CrashReport { observations }
+    }
+
+    /// When there is something to tell next.
+    pub fn due(&self) -> Option<Millis> {
+        self.kept.iter().filter_map(|kept| kept.due).min()
+    }
+
+    /// Another leader, or another connection to it: all has to be told anew.
+    pub fn tell_anew(&mut self, now: Millis) {
+        for kept in &mut self.kept {
+            kept.told = 0;
+            kept.due = Some(now);
+        }
+    }
+}
--- a/src/router/serve.rs
+++ b/src/router/serve.rs
@@ -15,7 +15,7 @@
 use crate::admission::Denied;
 use crate::config::{Config, CustomerId, EndpointId, Service, ServiceId, ServiceKind};
 use crate::delivery::{Answer, Attempt, Call, NotRunReason, Outcome, UnknownReason, header, sse};
-use crate::quarantine::Fingerprint;
+use crate::quarantine::{EndpointStart, Fingerprint};
 use crate::telemetry::RequestId;
 use crate::wire::{Ending, RefuseReason, Want};
 
@@ -179,6 +179,10 @@
 
     /// Enters the queue, or is refused at once.
     async fn admit(self) -> Outcome {
+        if let Some(refused) = self.crashes_endpoints() {
+            self.decide("admission", format!("refused, fingerprint {}", self.fingerprint));
+            return refused;
+        }
         match self.enter() {
             Ok(place) => {
                 let (name, service) = (&self.customer_name, &self.service.name);
@@ -246,6 +250,9 @@
             {
                 return otherwise;
             }
+            if self.crashes_endpoints().is_some() {
+                return otherwise;
+            }
             self.router.metrics.retries.inc();
             self.decide("delivery", format!("tries again after {}", otherwise.reason()));
         }
@@ -287,6 +294,12 @@
     async fn attempt(&mut self, ticket: Ticket, endpoint: EndpointId) -> Next {
         let refused = || Outcome::NotRun(NotRunReason::EndpointsRefuse, RETRY_MS);
         let config = self.router.config();
+        if self.wants == 1
+            && let Some(refused) = self.crashes_endpoints()
+        {
+            ticket.finish(0, Ending::Unused);
+            return Next::Finish(refused);
+        }
         let declared =
             config.endpoints.get(&endpoint).filter(|_| !self.router.is_leaving(endpoint));
         let Some(declared) = declared else {
@@ -315,13 +328,15 @@
         }
         match attempt {
             Attempt::Answered(Answer::Whole(response)) => {
+                self.router.guard.served(&self.fingerprint);
                 let units = self.units_of(&response, started);
                 self.count(units);
                 ticket.finish(units, Ending::Answered);
                 Next::Finish(Outcome::Answered(passed_on(response)))
             }
             Attempt::Answered(Answer::Stream(response)) => {
-                match stream::relay(self, ticket, address, response).await {
+                let endpoint = stream::Engine { name: declared.name.clone(), address };
+                match stream::relay(self, ticket, endpoint, response).await {
                     Ok(response) => Next::Finish(Outcome::Answered(response)),
                     Err(reason) => self.unknown(reason),
                 }
@@ -332,8 +347,7 @@
             }
             Attempt::Unknown(reason) => {
                 if reason == UnknownReason::Broken {
-                    let (name, fingerprint) = (&declared.name, &self.fingerprint);
-                    self.decide("delivery", format!("lost at {name}, fingerprint {fingerprint}"));
+                    self.lost_at(&declared.name, started.elapsed());
                 }
                 ticket.finish(0, Ending::Failed);
                 self.unknown(reason)
@@ -341,6 +355,20 @@
         }
     }
 
+    /// The endpoint ended the connection before the whole answer: it crashed, or the
+    /// connection broke.
+    fn lost_at(&self, endpoint: &str, ran: Duration) {
+        self.decide("delivery", format!("lost at {endpoint}, fingerprint {}", self.fingerprint));
+        self.router.guard.lost(start_of(endpoint), &self.fingerprint, ran);
+    }
+
+    /// What its caller is told if it crashes endpoints.
+    fn crashes_endpoints(&self) -> Option<Outcome> {
+        let has_leader = || self.router.feeds.leader().is_some();
+        let retry_ms = self.router.guard.refusal(&self.fingerprint, has_leader)?;
+        Some(Outcome::NotRun(NotRunReason::CrashesEndpoints, retry_ms))
+    }
+
     fn unknown(&self, reason: UnknownReason) -> Next {
         if reason == UnknownReason::Crossed {
             self.router.metrics.crossed.inc();
@@ -383,6 +411,11 @@
     }
 }
 
+/// Declared endpoints do not say when they started.
+pub(super) fn start_of(endpoint: &str) -> EndpointStart {
+    EndpointStart { id: endpoint.to_string(), started_at_ms: 0 }
+}
+
 /// The endpoint's answer as the caller gets it.
 fn passed_on(response: Response<Bytes>) -> Response<Body> {
     let (mut head, body) = response.into_parts();
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -16,8 +16,10 @@
 use crate::claim::Claims;
 use crate::config::{Config, CustomerId, EndpointId, HallSet, ServiceId};
 use crate::delivery::{Caller, HttpClient, RetryBudget};
+use crate::feed::{Followed, Subscriptions};
 use crate::host_list;
 use crate::peer::Peers;
+use crate::quarantine::{Guard, report_crashes};
 use crate::settings::{DispatchMode, RouterSettings};
 use crate::spread::{self, Configs};
 use crate::telemetry::{Metrics, RequestId, Trace};
@@ -46,6 +48,10 @@
     pub metrics: Metrics,
     /// Calls endpoints.
     pub caller: Caller,
+    /// Which requests crash endpoints.
+    pub guard: Arc<Guard>,
+    /// What control hosts tell.
+    pub feeds: Arc<Subscriptions>,
     /// Claims of calls that may not be repeated.
     pub claims: Claims,
     /// Begins a planned stop.
@@ -83,8 +89,14 @@
             divisor,
         );
         let claims = Claims::start(peers.clone());
+        let followed = Followed::default();
+        let guard = Arc::new(Guard::new(followed.quarantine.clone(), peers.me, peers.clock));
+        let hall = settings.host.hall.clone();
+        let feeds = Subscriptions::start(peers.clone(), followed, &hall, Role::Router);
         Arc::new(Router {
             claims,
+            guard,
+            feeds,
             stop,
             settings,
             peers,
@@ -110,6 +122,7 @@
         tokio::spawn(follow_platform(self.clone()));
         tokio::spawn(super::reach::follow(self.clone()));
         tokio::spawn(copy_metrics(self.clone()));
+        tokio::spawn(report_crashes(self.guard.clone(), self.feeds.clone()));
     }
 
     /// The configuration in force.
--- a/src/router/stream.rs
+++ b/src/router/stream.rs
@@ -13,12 +13,14 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde_json::json;
+use tokio::time::Instant;
 
 use super::link::Ticket;
-use super::serve::Job;
+use super::serve::{Job, start_of};
 use super::state::Router;
 use crate::delivery::sse::{Chunk, DONE, Event, Splitter};
 use crate::delivery::{Answer, Attempt, Call, UnknownReason, header};
+use crate::quarantine::Fingerprint;
 use crate::telemetry::RequestId;
 use crate::wire::Ending;
 
@@ -31,16 +33,27 @@
 enum Item {
     Event(Event),
     Done(Event),
+    /// The engine ended the connection.
+    Lost,
+    /// It fell silent, or says what cannot be read.
     Broken,
     Crossed,
 }
 
+/// The engine that a stream comes from.
+pub(super) struct Engine {
+    pub name: String,
+    pub address: SocketAddr,
+}
+
 /// A stream under way.
 struct Relay {
     router: Arc<Router>,
     id: RequestId,
     call: Call,
-    address: SocketAddr,
+    fingerprint: Fingerprint,
+    engine: Engine,
+    began: Instant,
     body: Incoming,
     splitter: Splitter,
     ticket: Option<Ticket>,
@@ -57,7 +70,7 @@
 pub(super) async fn relay(
     job: &Job,
     ticket: Ticket,
-    address: SocketAddr,
+    engine: Engine,
     response: Response<Incoming>,
 ) -> Result<Response<Body>, UnknownReason> {
     let (mut head, body) = response.into_parts();
@@ -68,7 +81,9 @@
         router: job.router.clone(),
         id: job.id,
         call: job.call.clone(),
-        address,
+        fingerprint: job.fingerprint.clone(),
+        engine,
+        began: Instant::now(),
         body,
         splitter: Splitter::default(),
         ticket: Some(ticket),
@@ -84,9 +99,13 @@
     let event = match first {
         Ok(Item::Event(event)) => event,
         Ok(Item::Done(event)) => {
-            relay.finish(Ending::Answered);
+            relay.finish_whole();
             event
         }
+        Ok(Item::Lost) => {
+            relay.note_lost();
+            return Err(relay.fail(UnknownReason::Broken));
+        }
         Ok(Item::Broken) => return Err(relay.fail(UnknownReason::Broken)),
         Ok(Item::Crossed) => return Err(relay.fail(UnknownReason::Crossed)),
         Err(_) => return Err(relay.fail(UnknownReason::TimedOut)),
@@ -112,9 +131,16 @@
             match self.next_item().await {
                 Item::Event(event) => return Some(event.raw),
                 Item::Done(event) => {
-                    self.finish(Ending::Answered);
+                    self.finish_whole();
                     return Some(event.raw);
                 }
+                Item::Lost => {
+                    self.router.metrics.cut_streams.inc();
+                    if !self.resume().await {
+                        self.note_lost();
+                        return Some(self.give_up("broken"));
+                    }
+                }
                 Item::Broken => {
                     self.router.metrics.cut_streams.inc();
                     if !self.resume().await {
@@ -138,8 +164,10 @@
                 Err(_) => return Item::Broken,
             }
             let frame = tokio::time::timeout(STALL, self.body.frame()).await;
-            let Ok(Some(Ok(frame))) = frame else {
-                return Item::Broken;
+            let frame = match frame {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(_)) | None) => return Item::Lost,
+                Err(_) => return Item::Broken,
             };
             if let Some(data) = frame.data_ref() {
                 self.splitter.push(data);
@@ -182,7 +210,7 @@
         }
         self.resumes += 1;
         self.call.resume = Some(self.output);
-        let attempt = self.router.caller.attempt(self.address, &self.call, STALL).await;
+        let attempt = self.router.caller.attempt(self.engine.address, &self.call, STALL).await;
         let Attempt::Answered(Answer::Stream(response)) = attempt else {
             return false;
         };
@@ -204,6 +232,19 @@
         Bytes::from(format!("event: error\ndata: {error}\n\n"))
     }
 
+    /// The engine is gone, or the connection to it is.
+    fn note_lost(&self) {
+        let (engine, fingerprint) = (&self.engine.name, &self.fingerprint);
+        let text = format!("lost at {engine}, fingerprint {fingerprint}");
+        self.router.trace.decide(self.id, "delivery", text);
+        self.router.guard.lost(start_of(engine), fingerprint, self.began.elapsed());
+    }
+
+    fn finish_whole(&mut self) {
+        self.router.guard.served(&self.fingerprint);
+        self.finish(Ending::Answered);
+    }
+
     fn fail(mut self, reason: UnknownReason) -> UnknownReason {
         self.finish(Ending::Failed);
         reason
--- a/tests/features/21_crashing_requests.feature
+++ b/tests/features/21_crashing_requests.feature
@@ -3,7 +3,6 @@
   # Callers saw engines end one after the other. One request came again and again, through
   # any router; whichever engine began to run it ended. Routers counted repeats within one
   # arrival of a request only, so nothing ever stopped it.
-  @known-red
   Scenario: what ended three engines ends no more, through any router
     Given a fleet of 2 routers, 3 control hosts, 4 engines and 1 ticket services
     When market-traders asks what crashes engines through routers 1 and 2 by turns, 10 times
@@ -14,7 +13,6 @@
     Then the answer is answered
     And the stream holds all 20 tokens and its end
 
-  @known-red
   Scenario: it stays refused after everything was killed
     Given a fleet of 2 routers, 3 control hosts, 4 engines and 1 ticket services
     When market-traders asks what crashes engines through routers 1 and 2 by turns, 5 times
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -118,9 +118,21 @@
     is_refused(&fleet, &mut replicas, "/stream/x").await;
     // All other requests are served, the same customer's and the same path's too.
     for router in [fleet.front, fleet.neighbour] {
-        let answer = call(router, &post("/once/x", "other", "another body")).await;
-        assert_eq!(answer.status, 200);
-        assert_eq!(call(router, &get("/safe/x", "other")).await.status, 200);
+        is_served(router, &post("/once/x", "other", "another body")).await;
+        is_served(router, &get("/safe/x", "other")).await;
+    }
+}
+
+/// Sends a request until it is served: the first tries may meet endpoints that are gone.
+async fn is_served(router: SocketAddr, request: &str) {
+    loop {
+        let answer = call(router, request).await;
+        assert_ne!(answer.body, "crashes_endpoints");
+        match answer.status {
+            200 => return,
+            503 => tokio::time::sleep(PAUSE).await,
+            status => panic!("it got {status}"),
+        }
     }
 }
 
