Count the time of suspends, and take nothing for new that was said before one

Every lease, grant, silence and "newest or not sure" rests on the process's clock, which stood still while a host was suspended: the standard library's Instant does.

What is read after standing still was said before: a router counted it as heard then, and grants of roll-outs hold from their arrival on. A process that stood still for half a second asks control hosts to speak; until one has answered it denies no route and takes no grant. Unit tests with the order of events; a suspend itself cannot be brought about here without rights over the machine, so that the real programs were only stopped by signals.

Ruled out: ages in messages, which need clocks that agree.

--- a/src/feed.rs
+++ b/src/feed.rs
@@ -88,6 +88,11 @@
     Grants(Grants),
     /// Requests that are refused because they crash endpoints, as it changed.
     Quarantine(QuarantineNews),
+    /// The answer to [`FeedRequest::Speak`].
+    Speaks {
+        /// What was asked.
+        waking: u64,
+    },
 }
 
 /// Who leads the agreement, as a control host knows it.
@@ -120,6 +125,11 @@
     RolloutReport(Report),
     /// What a router saw of crashes; for the leader.
     CrashReport(CrashReport),
+    /// To say something: the subscriber stood still, and what it reads was said before.
+    Speak {
+        /// Tells the answer from one to an earlier question.
+        waking: u64,
+    },
 }
 
 /// Which changes of endpoints a subscriber wants to be told.
--- a/src/feed/news.rs
+++ b/src/feed/news.rs
@@ -16,6 +16,10 @@
 /// it was accepted; until then a router may deny what it does not know.
 const CONFIRMED_MS: Millis = 1_500;
 
+/// Milliseconds between two ticks from which on this process counts as having stood still:
+/// what it reads next may have been said long before.
+const STOOD_STILL_MS: Millis = 500;
+
 /// What one control host last said.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct HostNews {
@@ -23,6 +27,8 @@
     routers: usize,
     /// When it last said anything.
     heard: Millis,
+    /// The last waking of this process since which it is known to have said something.
+    spoke_since: u64,
 }
 
 /// What the control hosts with an open feed last said.
@@ -31,12 +37,50 @@
     hosts: BTreeMap<HostId, HostNews>,
     routers: usize,
     falls_at: Option<Millis>,
+    ticked: Option<Millis>,
+    /// How often this process stood still.
+    wakings: u64,
 }
 
 impl News {
     /// A feed was opened.
     pub fn opened(&mut self, now: Millis, from: HostId) {
-        self.hosts.insert(from, HostNews { heard: now, ..HostNews::default() });
+        let spoke_since = self.wakings;
+        self.hosts.insert(from, HostNews { heard: now, spoke_since, ..HostNews::default() });
+    }
+
+    /// To be called some times a second. Returns whether the process stood still since the
+    /// last time, as when its host is suspended: what is read then was said before, and only
+    /// an answer to a question asked now shows that a control host speaks.
+    pub fn tick(&mut self, now: Millis) -> bool {
+        let stood_still = !self.is_awake(now);
+        self.ticked = Some(now);
+        self.wakings += u64::from(stood_still);
+        stood_still
+    }
+
+    /// How often this process stood still, and the control hosts that have not spoken since
+    /// the last time.
+    pub fn not_spoken(&self) -> (u64, Vec<HostId>) {
+        let silent = self.hosts.iter().filter(|(_, news)| news.spoke_since != self.wakings);
+        (self.wakings, silent.map(|(host, _)| *host).collect())
+    }
+
+    /// A control host answered what was asked at a waking.
+    pub fn spoke_since(&mut self, from: HostId, waking: u64) {
+        if let Some(news) = self.hosts.get_mut(&from) {
+            news.spoke_since = waking;
+        }
+    }
+
+    /// Whether what is read of a control host now was said a moment ago.
+    pub fn speaks_now(&self, now: Millis, from: HostId) -> bool {
+        self.is_awake(now)
+            && self.hosts.get(&from).is_some_and(|news| news.spoke_since == self.wakings)
+    }
+
+    fn is_awake(&self, now: Millis) -> bool {
+        self.ticked.is_none_or(|ticked| now.saturating_sub(ticked) < STOOD_STILL_MS)
     }
 
     /// A feed said something.
@@ -55,10 +99,12 @@
     /// control host that `is_live`, was heard lately, and knows the newest leader has
     /// applied all that was accepted before.
     pub fn is_confirmed(&self, now: Millis, is_live: impl Fn(HostId) -> bool) -> bool {
-        let live = || self.hosts.iter().filter(|(host, _)| is_live(**host)).map(|(_, news)| news);
-        let newest_term = live().filter(|n| n.leader.leader.is_some()).map(|n| n.leader.term).max();
-        live().any(|news| {
-            news.leader.leader.is_some()
+        let live = || self.hosts.iter().filter(|(host, _)| is_live(**host));
+        let leaders = live().map(|(_, news)| news.leader).filter(|news| news.leader.is_some());
+        let newest_term = leaders.map(|news| news.term).max();
+        live().any(|(host, news)| {
+            self.speaks_now(now, *host)
+                && news.leader.leader.is_some()
                 && Some(news.leader.term) == newest_term
                 && news.leader.has_caught_up
                 && now.saturating_sub(news.heard) < CONFIRMED_MS
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -245,6 +245,7 @@
                 }
                 None
             }
+            FeedRequest::Speak { waking } => Some(FeedMessage::Speaks { waking }),
             FeedRequest::Endpoints(after) => {
                 let cursor =
                     Cursor::new(after, publication.numbering, &publication.followed.registry);
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -30,6 +30,8 @@
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 /// Control hosts whose feeds may fall silent at one moment and still be told one by one.
 const MOST_SILENT: usize = 64;
+/// How often it is looked whether this process stood still.
+const TICK: Duration = Duration::from_millis(200);
 /// How long feeds may go on opening before it is chosen who tells of endpoints: a few
 /// times what a connection between data halls takes.
 const SOURCES_SETTLE: Duration = Duration::from_millis(100);
@@ -84,6 +86,7 @@
         tokio::spawn(follow_view(all.clone()));
         tokio::spawn(fetch_tables(all.clone()));
         tokio::spawn(choose_sources(all.clone()));
+        tokio::spawn(watch_wakings(all.clone()));
         all
     }
 
@@ -269,8 +272,14 @@
                 self.followed.rollouts.adopt(rollouts, &self.followed.registry);
             }
             FeedMessage::Grants(grants) => {
-                self.followed.rollouts.adopt_grants(self.peers.clock.now(), grants);
+                let now = self.peers.clock.now();
+                // They hold from their arrival on: where this process stood still, they
+                // arrived long ago.
+                if self.news().speaks_now(now, from) {
+                    self.followed.rollouts.adopt_grants(now, grants);
+                }
             }
+            FeedMessage::Speaks { waking } => self.news().spoke_since(from, waking),
             FeedMessage::Quarantine(news) => self.followed.quarantine.adopt(news),
             FeedMessage::Neighbours(routers) => self.adopt_neighbours(routers),
             FeedMessage::Remembered(endpoints) => self.followed.registry.remember(endpoints),
@@ -314,6 +323,24 @@
     }
 }
 
+/// Asks control hosts to speak whenever this process has stood still.
+async fn watch_wakings(all: Arc<Subscriptions>) {
+    loop {
+        let stood_still = all.news().tick(all.peers.clock.now());
+        if stood_still {
+            log::info!("feed: this process stood still, control hosts are asked to speak");
+        }
+        let (waking, silent) = all.news().not_spoken();
+        for host in silent {
+            if let Some(requests) = all.tables().requests.get(&host) {
+                // A feed that has closed is noticed by its reader.
+                let _ = requests.send(FeedRequest::Speak { waking }.into());
+            }
+        }
+        tokio::time::sleep(TICK).await;
+    }
+}
+
 /// A feed task; it ends when this is dropped.
 struct Feed {
     delivered: Arc<AtomicU64>,
--- a/src/feed/tests.rs
+++ b/src/feed/tests.rs
@@ -152,6 +152,34 @@
     assert_eq!(news.longest_silence_ms(1_000), Some(600));
 }
 
+#[test]
+fn what_is_read_after_standing_still_confirms_nothing_until_a_control_host_speaks() {
+    let all = |_| true;
+    let mut news = News::default();
+    news.opened(0, CONTROL);
+    news.set_leader(CONTROL, named(1, Some(CONTROL)));
+    assert!(!news.tick(0));
+    assert!(!news.tick(200));
+    assert!(news.is_confirmed(400, all));
+    // The host is suspended. What was said before is read after that, before any timer.
+    news.heard(60_000, CONTROL);
+    assert!(!news.is_confirmed(60_000, all));
+    assert!(!news.speaks_now(60_000, CONTROL));
+    assert!(news.tick(60_001));
+    assert!(!news.is_confirmed(60_001, all));
+    let (waking, silent) = news.not_spoken();
+    assert_eq!(silent, [CONTROL]);
+    // A feed that is opened since then needs no answer.
+    news.opened(60_010, OTHER);
+    assert!(news.speaks_now(60_010, OTHER));
+    news.spoke_since(CONTROL, waking);
+    assert!(news.is_confirmed(60_010, all));
+    // An answer to an earlier question says nothing of now.
+    assert!(news.tick(70_000));
+    news.spoke_since(CONTROL, waking);
+    assert!(!news.speaks_now(70_000, CONTROL));
+}
+
 #[test]
 fn what_control_hosts_said_is_confirmed_by_their_keep_alives() {
     let mut news = News::default();
--- a/src/gateway/arrival.rs
+++ b/src/gateway/arrival.rs
@@ -9,12 +9,12 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
-use tokio::time::Instant;
 
 use super::dialect::CallHead;
 use super::refusal::Refusal;
 use super::request::Call;
 use super::state::Gateway;
+use crate::clock::BootInstant;
 use crate::quarantine::Fingerprint;
 use crate::routing::{CustomerKeys, Route, Routing};
 
@@ -25,7 +25,7 @@
     head: CallHead,
     body: Incoming,
 ) -> Result<Call, Refusal> {
-    let arrived = Instant::now();
+    let arrived = BootInstant::now();
     let presence = gateway.enter();
     if gateway.is_refusing() {
         return Err(Refusal::Stopping);
@@ -123,8 +123,9 @@
     None
 }
 
-async fn read_body(body: Incoming, most: usize, until: Instant) -> Result<Bytes, Refusal> {
-    let collected = tokio::time::timeout_at(until, Limited::new(body, most).collect()).await;
+async fn read_body(body: Incoming, most: usize, until: BootInstant) -> Result<Bytes, Refusal> {
+    let reading = Limited::new(body, most).collect();
+    let collected = tokio::time::timeout(until.remaining(), reading).await;
     match collected {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -14,7 +14,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
+
+use crate::clock::BootInstant;
 
 /// How long a connection to an endpoint may take to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -45,7 +46,7 @@
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     keep: Duration,
-    idle_since: Instant,
+    idle_since: BootInstant,
     open: Arc<AtomicUsize>,
 }
 
@@ -75,7 +76,7 @@
                 log::debug!("gateway: connection to {address}: {error}");
             }
         });
-        let idle_since = Instant::now();
+        let idle_since = BootInstant::now();
         open.fetch_add(1, Ordering::Relaxed);
         Ok(Connection {
             address,
@@ -199,7 +200,7 @@
         if connection.keep.is_zero() || connection.sender.is_closed() || self.is_full() {
             return;
         }
-        connection.idle_since = Instant::now();
+        connection.idle_since = BootInstant::now();
         let mut idle = self.lock();
         let kept = match idle.get_mut(endpoint) {
             Some(kept) => kept,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -8,7 +8,6 @@
 use axum::http::{HeaderValue, Request, Response, StatusCode, header};
 use bytes::Bytes;
 use hyper::body::Incoming;
-use tokio::time::Instant;
 
 use super::arrival::admit;
 use super::dialect::CallHead;
@@ -16,6 +15,7 @@
 use super::placing::Place;
 use super::refusal::Refusal;
 use super::state::{Gateway, Presence};
+use crate::clock::BootInstant;
 use crate::placement;
 use crate::quarantine::Fingerprint;
 use crate::region::AllowedRegions;
@@ -45,8 +45,8 @@
     pub body: Bytes,
     /// What it has in common with the same request when it comes again.
     pub fingerprint: Fingerprint,
-    pub arrived: Instant,
-    pub limit: Instant,
+    pub arrived: BootInstant,
+    pub limit: BootInstant,
     /// What it has drawn while a release is rolled out.
     pub turn: Mutex<ReleaseChoice>,
     pub _presence: Presence,
@@ -59,7 +59,7 @@
     }
 
     pub fn remaining(&self) -> Duration {
-        self.limit.saturating_duration_since(Instant::now())
+        self.limit.remaining()
     }
 
     /// Whether the budget allows to send it again.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -75,7 +75,7 @@
     async fn next(&mut self) -> Result<Option<Bytes>, BrokenOff> {
         loop {
             let Some(source) = &mut self.source else { return Ok(None) };
-            let frame = tokio::time::timeout_at(self.call.limit, source.incoming.frame());
+            let frame = tokio::time::timeout(self.call.remaining(), source.incoming.frame());
             let Ok(frame) = frame.await else {
                 source.ticket.observed.failed();
                 log::info!("gateway: request {} ran out of time", self.call.number);
--- a/src/gateway/tests/rollouts.rs
+++ b/src/gateway/tests/rollouts.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use axum::http::{Request, StatusCode};
-use tokio::time::{Duration, Instant};
+use tokio::time::Duration;
 use tokio_util::sync::CancellationToken;
 
 use super::super::exchange::{self, Attempt};
@@ -13,6 +13,7 @@
 use super::super::request::{Call, run};
 use super::super::rollouts::report;
 use super::*;
+use crate::clock::BootInstant;
 use crate::quarantine::Fingerprint;
 use crate::registry::Hearing;
 use crate::rollout::{Grant, Grants, Order, Release, Report, Rollouts, Stage, Step};
@@ -122,7 +123,7 @@
 
     fn call(&self) -> Arc<Call> {
         let (parts, _) = Request::get("http://shop.example/").body(()).unwrap().into_parts();
-        let now = Instant::now();
+        let now = BootInstant::now();
         Arc::new(Call {
             gateway: self.gateway.clone(),
             number: 1,
--- a/src/router/once.rs
+++ b/src/router/once.rs
@@ -4,7 +4,6 @@
 
 use axum::body::Body;
 use axum::http::{HeaderValue, Response, StatusCode};
-use tokio::time::Instant;
 
 use super::serve::Job;
 use super::state::Router;
@@ -58,7 +57,7 @@
     let Some(claim) = claim_of(job) else {
         return Ok(None);
     };
-    let left = job.deadline.saturating_duration_since(Instant::now());
+    let left = job.deadline.remaining();
     let claimed = job.router.claims.claim(claim.clone(), left.min(CLAIM_LIMIT)).await;
     let Some(claimed) = claimed else {
         return Err(Outcome::NotRun(NotRunReason::NoMajority, RETRY_MS));
--- a/src/router/serve.rs
+++ b/src/router/serve.rs
@@ -13,6 +13,7 @@
 use super::state::Router;
 use super::{once, stream};
 use crate::admission::Denied;
+use crate::clock::BootInstant;
 use crate::config::{Config, CustomerId, EndpointId, Service, ServiceId, ServiceKind};
 use crate::delivery::{Answer, Attempt, Call, NotRunReason, Outcome, UnknownReason, header, sse};
 use crate::quarantine::{EndpointStart, Fingerprint};
@@ -57,7 +58,7 @@
     pub call: Call,
     /// What it has in common with the same request when it comes again.
     pub fingerprint: Fingerprint,
-    pub deadline: Instant,
+    pub deadline: BootInstant,
     prompt_tokens: u32,
     prefix: Vec<u32>,
     wants: u32,
@@ -129,7 +130,7 @@
             service,
             call,
             fingerprint,
-            deadline: Instant::now() + Duration::from_millis(deadline_ms.into()),
+            deadline: BootInstant::now() + Duration::from_millis(deadline_ms.into()),
             prompt_tokens: request.prompt_tokens,
             prefix: request.prefix,
             wants: 0,
@@ -243,7 +244,7 @@
                 Next::Finish(outcome) => return outcome,
                 Next::Again { free, otherwise } => (free, otherwise),
             };
-            let late = Instant::now() >= self.deadline;
+            let late = self.deadline.remaining().is_zero();
             if late
                 || self.wants >= MAX_ATTEMPTS
                 || !(free || self.router.with_budget(self.customer, |b| b.spend()))
@@ -260,7 +261,7 @@
 
     /// Waits for a grant, a refusal or the deadline.
     async fn wait(&mut self) -> Result<(Ticket, EndpointId), Outcome> {
-        let left = self.deadline.saturating_duration_since(Instant::now());
+        let left = self.deadline.remaining();
         self.wants += 1;
         let want_id = match self.wants {
             1 => self.id,
@@ -279,7 +280,7 @@
             self.decide("dispatch", format!("asks again as {want_id}"));
         }
         let (ticket, verdict) = self.router.link(self.service_id).submit(want);
-        match tokio::time::timeout_at(self.deadline, verdict).await {
+        match tokio::time::timeout(self.deadline.remaining(), verdict).await {
             Ok(Ok(Verdict::Run(endpoint))) => Ok((ticket, endpoint)),
             Ok(Ok(Verdict::Refuse { reason, retry_after_ms })) => {
                 Err(Outcome::NotRun(NotRunReason::Refused(reason), retry_after_ms))
@@ -321,7 +322,7 @@
         };
         self.decide("delivery", format!("calls endpoint {}", declared.name));
         let started = Instant::now();
-        let limit = self.deadline.saturating_duration_since(started);
+        let limit = self.deadline.remaining();
         let attempt = self.router.caller.attempt(address, &self.call, limit).await;
         if let Some(claim) = claim {
             once::settle(&self.router, claim, &attempt).await;
--- a/src/router/stream.rs
+++ b/src/router/stream.rs
@@ -95,7 +95,7 @@
         held: None,
         ended: false,
     };
-    let first = tokio::time::timeout_at(job.deadline, relay.next_item()).await;
+    let first = tokio::time::timeout(job.deadline.remaining(), relay.next_item()).await;
     let event = match first {
         Ok(Item::Event(event)) => event,
         Ok(Item::Done(event)) => {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -212,7 +212,7 @@
     #[serde(default = "default_cache_blocks")]
     pub cache_blocks: usize,
     /// Whether a request may end its process.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub crashes: bool,
 }
 
