--- a/src/bin/bramblecrank/app.rs
+++ b/src/bin/bramblecrank/app.rs
@@ -77,6 +77,14 @@
         to: Vec<SocketAddr>,
         json: bool,
     },
+    Quarantine {
+        to: SocketAddr,
+        json: bool,
+    },
+    Release {
+        fingerprint: String,
+        to: Vec<SocketAddr>,
+    },
     StopHost {
         to: SocketAddr,
     },
@@ -155,6 +163,15 @@
             Task::OrderHall { hall: text(m, "name"), drained: verb == "drain", to: addresses(m) }
         }
         "rollout" => rollout(m),
+        "quarantine" => {
+            let (verb, m) = sub(m);
+            match verb {
+                "release" => {
+                    Task::Release { fingerprint: text(m, "fingerprint"), to: addresses(m) }
+                }
+                _ => Task::Quarantine { to: address(m), json: flag(m, "json") },
+            }
+        }
         "site" => Task::Site {
             site: match text(m, "name").as_str() {
                 "bangkok" => SampleSite::Bangkok,
--- a/src/bin/bramblecrank/clap_app.rs
+++ b/src/bin/bramblecrank/clap_app.rs
@@ -56,6 +56,7 @@
         .subcommand(endpoint())
         .subcommand(hall())
         .subcommand(rollout())
+        .subcommand(quarantine())
         .subcommand(host())
         .subcommand(explain())
         .subcommand(load())
@@ -252,6 +253,24 @@
         .subcommand(status.arg(service()).arg(to()).arg(json()))
 }
 
+fn quarantine() -> Command {
+    let fingerprint =
+        Arg::new("fingerprint").required(true).help("The request, as the list and logs name it");
+    let list = Command::new("list").about("Shows them as a control host knows them");
+    let release = Command::new("release").about("Lets a request run again");
+    Command::new("quarantine")
+        .about("Shows requests that crash endpoints, and lets them run again")
+        .long_about(
+            "Shows requests that are refused because they crashed the endpoints that ran them, \
+             and lets them run again before their time is over, as after a new release of the \
+             endpoints.\n\nExample:\n  bramblecrank quarantine release \
+             market-traders/11492f17cbd67f840cde18bf27023bf2 --to 10.1.0.41:7255",
+        )
+        .subcommand_required(true)
+        .subcommand(list.arg(to()).arg(json()))
+        .subcommand(release.arg(fingerprint).arg(to()))
+}
+
 fn host() -> Command {
     let ids = |name: &'static str, help: &'static str| {
         Arg::new(name)
--- a/src/bin/bramblecrank/main.rs
+++ b/src/bin/bramblecrank/main.rs
@@ -6,6 +6,7 @@
 mod operate;
 #[path = "../../../platform/mod.rs"]
 mod platform;
+mod quarantine;
 mod rollout;
 
 use std::process::ExitCode;
--- a/src/bin/bramblecrank/operate.rs
+++ b/src/bin/bramblecrank/operate.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 
 use crate::app::Task;
-use crate::rollout;
+use crate::{quarantine, rollout};
 
 /// Carries out an operator's command.
 pub async fn run(task: Task) -> Result<()> {
@@ -33,6 +33,8 @@
             rollout::start(service, version, within_s, &to).await
         }
         Task::RolloutStatus { service, to, json } => rollout::status(&service, &to, json).await,
+        Task::Quarantine { to, json } => quarantine::list(to, json).await,
+        Task::Release { fingerprint, to } => quarantine::release(fingerprint, &to).await,
         Task::StopHost { to } => {
             let mut client = operator::connect(to).await?;
             client.stop(proto::StopRequest {}).await.map_err(refused)?;
@@ -70,7 +72,7 @@
     Err(Error::Rpc { message: message.into() })
 }
 
-fn refused(status: tonic::Status) -> Error {
+pub(crate) fn refused(status: tonic::Status) -> Error {
     Error::Rpc { message: status.message().to_string() }
 }
 
--- /dev/null
+++ b/src/bin/bramblecrank/quarantine.rs
@@ -0,0 +1,53 @@
+//! Operators' commands about requests that crash endpoints.
+
+use std::net::SocketAddr;
+
+use bramblecrank::error::Result;
+use bramblecrank::operator::{self, proto};
+use serde_json::json;
+
+use crate::operate::{refused, rpc};
+
+/// Shows the requests that are refused or on trial, as one control host knows them.
+pub async fn list(to: SocketAddr, as_json: bool) -> Result<()> {
+    let mut client = operator::connect(to).await?;
+    let reply = client.status(proto::StatusRequest {}).await.map_err(refused)?;
+    let quarantined = reply.into_inner().quarantined;
+    if as_json {
+        println!("{}", json!(quarantined.iter().map(to_json).collect::<Vec<_>>()));
+        return Ok(());
+    }
+    if quarantined.is_empty() {
+        println!("no request is refused for crashing endpoints");
+    }
+    for request in &quarantined {
+        let stage = if request.refused { "refused" } else { "on trial" };
+        println!(
+            "{} {stage}, {} crashes, {} times, until {} ms since the epoch",
+            request.fingerprint, request.crashes, request.times, request.until_ms
+        );
+    }
+    Ok(())
+}
+
+fn to_json(request: &proto::QuarantineStatus) -> serde_json::Value {
+    json!({"fingerprint": request.fingerprint, "refused": request.refused,
+        "crashes": request.crashes, "times": request.times, "until_ms": request.until_ms})
+}
+
+/// Lets a request run again, at the first control host that answers for sure.
+pub async fn release(fingerprint: String, to: &[SocketAddr]) -> Result<()> {
+    let request = proto::ReleaseRequest { fingerprint };
+    let mut said = "no control host answered".to_string();
+    for address in to {
+        let Ok(mut client) = operator::connect(*address).await else { continue };
+        match client.release(request.clone()).await {
+            Ok(_) => {
+                println!("{} may run again", request.fingerprint);
+                return Ok(());
+            }
+            Err(status) => said = status.message().to_string(),
+        }
+    }
+    rpc(said)
+}
--- a/src/control/quarantine_controller.rs
+++ b/src/control/quarantine_controller.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use super::Control;
-use super::state::Command;
+use super::documents::{Unanswered, unexpected};
+use super::state::{Command, Reply};
 use crate::clock::epoch_ms;
 use crate::dispatch::Millis;
 use crate::quarantine::{Blame, Fingerprint, Inquiry, Review, Stage, Verdict};
@@ -94,6 +95,18 @@
 }
 
 impl Control {
+    /// An operator lets a request run again. That is on the disks of a majority then.
+    pub async fn release(&self, fingerprint: Fingerprint) -> Result<(), Unanswered> {
+        let verdict = Verdict::Release(fingerprint);
+        match self.handle.propose(Command::Quarantine(verdict.clone())).await? {
+            Reply::Quarantined => {
+                log::info!("quarantine: an operator decided: {verdict}");
+                Ok(())
+            }
+            other => Err(unexpected(&other)),
+        }
+    }
+
     /// Requests that are refused, or on trial, as metrics.
     pub(super) fn render_quarantine_metrics(&self) -> String {
         let agreed = self.quarantine.agreed();
--- a/src/operator/control.rs
+++ b/src/operator/control.rs
@@ -14,6 +14,7 @@
 use crate::agree::{GroupMember, StoreId};
 use crate::config::{Change, Document};
 use crate::control::{Changed, Command, Control, HallOrder, NoLeader, Reply, Unanswered};
+use crate::quarantine::{Fingerprint, InvalidFingerprint};
 use crate::wire::{HostId, Role};
 
 /// How long a proposal may take before it is called uncertain.
@@ -267,6 +268,7 @@
             dispatchers: Vec::new(),
             drained_halls: view::drained_halls(&control.registry),
             rollouts: control.rollouts.table().all().map(view::rollout).collect(),
+            quarantined: control.quarantine.agreed().all().map(view::quarantined).collect(),
         }))
     }
 
@@ -368,6 +370,23 @@
         }
     }
 
+    async fn release(
+        &self,
+        request: Request<proto::ReleaseRequest>,
+    ) -> Result<Response<proto::ReleaseReply>, Status> {
+        let fingerprint = request.get_ref().fingerprint.parse();
+        let fingerprint: Fingerprint = fingerprint
+            .map_err(|error: InvalidFingerprint| Status::invalid_argument(error.to_string()))?;
+        match self.0.release(fingerprint).await {
+            Ok(()) => Ok(Response::new(proto::ReleaseReply {})),
+            Err(Unanswered::Elsewhere(host)) if !request.metadata().contains_key(FORWARDED) => {
+                let mut client = self.leader(host).await?;
+                client.release(forward(request)).await
+            }
+            Err(_) => Err(undecided()),
+        }
+    }
+
     async fn stop(
         &self,
         _: Request<proto::StopRequest>,
--- a/src/operator/generated.rs
+++ b/src/operator/generated.rs
@@ -141,8 +141,36 @@
     /// The newest roll-out of each service, as the asked host knows.
     #[prost(message, repeated, tag = "11")]
     pub rollouts: ::prost::alloc::vec::Vec<RolloutStatus>,
+    /// Requests that crashed endpoints, as the asked control host knows.
+    #[prost(message, repeated, tag = "12")]
+    pub quarantined: ::prost::alloc::vec::Vec<QuarantineStatus>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct QuarantineStatus {
+    /// The customer, and a digest of path and body, as logs show it.
+    #[prost(string, tag = "1")]
+    pub fingerprint: ::prost::alloc::string::String,
+    /// Whether it is refused; otherwise it is on trial.
+    #[prost(bool, tag = "2")]
+    pub refused: bool,
+    /// Endpoints that it had crashed when it was last refused.
+    #[prost(uint32, tag = "3")]
+    pub crashes: u32,
+    /// How often it was refused anew, 1 for the first time.
+    #[prost(uint32, tag = "4")]
+    pub times: u32,
+    /// Until when it is refused, in milliseconds since the epoch.
+    #[prost(uint64, tag = "5")]
+    pub until_ms: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ReleaseRequest {
+    #[prost(string, tag = "1")]
+    pub fingerprint: ::prost::alloc::string::String,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ReleaseReply {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HostStatus {
     #[prost(uint32, tag = "1")]
     pub host: u32,
@@ -676,6 +704,29 @@
                 );
             self.inner.unary(req, path, codec).await
         }
+        /// Lets a request run again that is refused because it crashed endpoints. Any control
+        /// host takes it; the leader decides. A call sent again changes nothing.
+        pub async fn release(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ReleaseRequest>,
+        ) -> std::result::Result<tonic::Response<super::ReleaseReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/bramblecrank.operator.v1.Operator/Release",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("bramblecrank.operator.v1.Operator", "Release"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Begins a planned stop of the asked host.
         pub async fn stop(
             &mut self,
@@ -791,6 +842,12 @@
             &self,
             request: tonic::Request<super::GetRolloutRequest>,
         ) -> std::result::Result<tonic::Response<super::GetRolloutReply>, tonic::Status>;
+        /// Lets a request run again that is refused because it crashed endpoints. Any control
+        /// host takes it; the leader decides. A call sent again changes nothing.
+        async fn release(
+            &self,
+            request: tonic::Request<super::ReleaseRequest>,
+        ) -> std::result::Result<tonic::Response<super::ReleaseReply>, tonic::Status>;
         /// Begins a planned stop of the asked host.
         async fn stop(
             &self,
@@ -1273,6 +1330,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/bramblecrank.operator.v1.Operator/Release" => {
+                    #[allow(non_camel_case_types)]
+                    struct ReleaseSvc<T: Operator>(pub Arc<T>);
+                    impl<T: Operator> tonic::server::UnaryService<super::ReleaseRequest>
+                    for ReleaseSvc<T> {
+                        type Response = super::ReleaseReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ReleaseRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operator>::release(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ReleaseSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/bramblecrank.operator.v1.Operator/Stop" => {
                     #[allow(non_camel_case_types)]
                     struct StopSvc<T: Operator>(pub Arc<T>);
--- a/src/operator/router.rs
+++ b/src/operator/router.rs
@@ -83,6 +83,7 @@
             dispatchers,
             drained_halls: Vec::new(),
             rollouts: Vec::new(),
+            quarantined: Vec::new(),
         }))
     }
 
@@ -131,6 +132,13 @@
         Err(Status::failed_precondition("ask a control host"))
     }
 
+    async fn release(
+        &self,
+        _: Request<proto::ReleaseRequest>,
+    ) -> Result<Response<proto::ReleaseReply>, Status> {
+        Err(Status::failed_precondition("ask a control host"))
+    }
+
     async fn stop(
         &self,
         _: Request<proto::StopRequest>,
--- a/src/operator/view.rs
+++ b/src/operator/view.rs
@@ -5,6 +5,7 @@
 use super::proto;
 use crate::config::{Change, Config, Delta, Document};
 use crate::peer::Peers;
+use crate::quarantine::{self, Fingerprint, Quarantine};
 use crate::registry::SharedRegistry;
 use crate::rollout::{Rollout, Stage};
 use crate::wire::{Heartbeat, Role};
@@ -57,6 +58,19 @@
     }
 }
 
+/// A request that crashed endpoints, as operators see it.
+pub(super) fn quarantined(
+    (fingerprint, quarantine): (&Fingerprint, &Quarantine),
+) -> proto::QuarantineStatus {
+    proto::QuarantineStatus {
+        fingerprint: fingerprint.to_string(),
+        refused: quarantine.stage == quarantine::Stage::Refused,
+        crashes: quarantine.crashes,
+        times: quarantine.times,
+        until_ms: quarantine.until_ms,
+    }
+}
+
 pub(super) fn get_reply(config: &Config) -> Result<proto::GetReply, Status> {
     let document = serde_saphyr::to_string(&Document::of(config));
     let document = document.map_err(|e| Status::internal(e.to_string()))?;
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -26,7 +26,7 @@
 mod witness;
 
 pub use culprits::{Blame, Suspicion};
-pub use fingerprint::Fingerprint;
+pub use fingerprint::{Fingerprint, InvalidFingerprint};
 pub use guard::{Guard, report_crashes};
 pub use inquiry::{Inquiry, Review};
 pub use model::{Quarantine, QuarantineNews, Quarantines, Stage, Verdict};
--- a/src/quarantine/fingerprint.rs
+++ b/src/quarantine/fingerprint.rs
@@ -1,8 +1,10 @@
 //! How a request is told apart from others, so that it is known when it comes again.
 
 use std::fmt;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
+use snafu::Snafu;
 use xxhash_rust::xxh3::{Xxh3Default, xxh3_64_with_seed};
 
 /// A request as it comes again and again: whose it is, and a digest of its path and body.
@@ -35,6 +37,21 @@
     }
 }
 
+/// A text that names no request.
+#[derive(Debug, Snafu)]
+#[snafu(display("not a customer, a slash and 32 hexadecimal digits"))]
+pub struct InvalidFingerprint;
+
+impl FromStr for Fingerprint {
+    type Err = InvalidFingerprint;
+
+    fn from_str(text: &str) -> Result<Fingerprint, InvalidFingerprint> {
+        let (customer, digest) = text.rsplit_once('/').ok_or(InvalidFingerprint)?;
+        let digest = u128::from_str_radix(digest, 16).map_err(|_| InvalidFingerprint)?;
+        Ok(Fingerprint { customer: customer.to_string(), digest })
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}/{:032x}", self.customer, self.digest)
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -187,3 +187,21 @@
         assert_eq!(answers.last().unwrap().status, 200);
     }
 }
+
+#[tokio::test]
+async fn an_operator_sees_what_is_refused_and_lets_it_run_again() {
+    let (fleet, mut replicas) = fleet_of_two_routers(Behaviour::Answer).await;
+    crash_three(&fleet, &mut replicas, "/stream/x").await;
+    is_refused(&fleet, &mut replicas, "/stream/x").await;
+    let (done, listed) = fleet.command(&["quarantine", "list"]).await;
+    assert!(done && listed.contains(" refused, "), "{listed}");
+    assert!(listed.contains(" crashes, 1 times"), "{listed}");
+    let fingerprint = listed.split(' ').next().unwrap();
+    assert!(fingerprint.starts_with("one/"), "{listed}");
+    let (done, said) = fleet.command(&["quarantine", "release", fingerprint]).await;
+    assert!(done && said.contains("may run again"), "{said}");
+    let before = replicas.crashed;
+    ask_until(&fleet, &mut replicas, "/stream/x", |crashed| crashed > before).await;
+    let (done, said) = fleet.command(&["quarantine", "release", "no fingerprint"]).await;
+    assert!(!done && said.contains("32 hexadecimal digits"), "{said}");
+}
