Soak: a request that crashes replicas, asked at any router while faults come

A service of its own has replicas that crash by one request and come back under new ids; beside it others are asked that crash nothing. Checked: none of these is ever taken for the one that crashes, and after the last fault every router refuses that one, no replica runs it any more, and others are served.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -5,6 +5,8 @@
 mod actors;
 #[path = "soak/checks.rs"]
 mod checks;
+#[path = "soak/crashers.rs"]
+mod crashers;
 #[path = "soak/faults.rs"]
 mod faults;
 #[path = "soak/fleet.rs"]
@@ -33,6 +35,7 @@
 use tokio_util::sync::CancellationToken;
 
 use actors::Stage;
+use crashers::Crashers;
 use fleet::{Fleet, Size};
 use history::{History, Says};
 use replica::{Behaviour, Replica};
@@ -116,10 +119,12 @@
     (0..size.routers)
         .for_each(|number| drop(actors.spawn(actors::sight_on(stage.clone(), number))));
     actors.spawn(actors::read_on(stage.clone(), seed));
+    let crashers = tokio::spawn(Crashers::new(stage.clone(), seed).ask_on());
     faults::happen(&fleet, seed, time).await;
     let recovered = comes_about(|| serves(&stage)).await;
     stage.over.cancel();
     actors.join_all().await;
+    let refused = crashers.await.unwrap().is_refused_everywhere().await;
     let kept = comes_about(|| is_kept(&stage)).await;
     let mut history = stage.history.lock().unwrap().clone();
     let all = replicas.iter().chain([&bad, &leaver]);
@@ -130,6 +135,9 @@
     if !recovered {
         broken.push("not served after the last fault".into());
     }
+    if !refused {
+        broken.push("what crashes replicas is not refused everywhere".into());
+    }
     if !kept {
         broken.push("the newest acknowledged version is not in force everywhere".into());
     }
--- a/tests/soak/actors.rs
+++ b/tests/soak/actors.rs
@@ -47,7 +47,7 @@
     }
 }
 
-async fn exchange(to: SocketAddr, text: &str, patience: Duration) -> Option<Answer> {
+pub async fn exchange(to: SocketAddr, text: &str, patience: Duration) -> Option<Answer> {
     let exchange = async {
         let mut stream = TcpStream::connect(to).await.ok()?;
         stream.write_all(text.as_bytes()).await.ok()?;
@@ -79,11 +79,12 @@
             r#"{{"name":"{name}","host":"shop.example","pathPrefix":"/{name}/","kind":"{kind}","timeoutMs":3000,"sloMs":500,"priority":1,"service":"app","attempts":2,"public":true,"sticky":false}}"#
         )
     };
-    let mut routes = vec![route("safe", "idempotent"), route("once", "non_idempotent")];
+    let frail = route("frail", "idempotent").replace(r#""app""#, r#""frail""#);
+    let mut routes = vec![route("safe", "idempotent"), route("once", "non_idempotent"), frail];
     let first = version.saturating_sub(ROUTES_KEPT).max(1);
     routes.extend((first..=version).map(|v| route(&format!("v{v}"), "idempotent")));
     format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"app","healthPath":"/healthz","maxConns":50}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4096,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"app","healthPath":"/healthz","maxConns":50}},{{"name":"frail","healthPath":"/healthz","maxConns":50}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4096,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
         routes.join(",")
     )
 }
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -140,6 +140,11 @@
     assert_eq!(breaks(|h, _| h.leaves.push(false)), 1);
 }
 
+#[test]
+fn a_request_that_is_taken_for_one_that_crashes_replicas_is_caught() {
+    assert_eq!(breaks(|history, _| history.mistaken.push("innocent".into())), 1);
+}
+
 #[test]
 fn a_router_that_serves_nothing_does_not_count_as_passing_a_replica_by() {
     let (history, _) = sound();
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -82,6 +82,8 @@
     pub rollout_reads: Vec<RolloutRead>,
     /// For each time that a replica said that it leaves, whether it got no more in the end.
     pub leaves: Vec<bool>,
+    /// Ids of requests that were refused as crashing replicas, and crash none.
+    pub mistaken: Vec<String>,
     /// Ids of requests that replicas ran, once for each run.
     pub runs: Vec<String>,
 }
@@ -112,6 +114,7 @@
         broken.extend(self.leaves_passed_over());
         broken.extend(self.lost_orders());
         broken.extend(self.rollouts_gone_wrong());
+        broken.extend(self.mistaken.iter().map(|id| format!("{id} was taken for what crashes")));
         broken
     }
 
--- a/tests/soak/registrations.rs
+++ b/tests/soak/registrations.rs
@@ -38,10 +38,21 @@
     rng: &mut SmallRng,
     replica: &Replica,
     said: Said<'_>,
+) -> bool {
+    register_for("app", stage, rng, replica, said).await
+}
+
+/// The same for a replica of any service.
+pub async fn register_for(
+    service: &str,
+    stage: &Stage,
+    rng: &mut SmallRng,
+    replica: &Replica,
+    said: Said<'_>,
 ) -> bool {
     let Said { version, state, born, sequence } = said;
     let body = format!(
-        r#"{{"service":"app","address":"{}","zone":"a","version":"{version}","slots":6,"state":"{state}","warmupLeftMs":0,"born":{born},"callSeq":{sequence}}}"#,
+        r#"{{"service":"{service}","address":"{}","zone":"a","version":"{version}","slots":6,"state":"{state}","warmupLeftMs":0,"born":{born},"callSeq":{sequence}}}"#,
         replica.address
     );
     let path = format!("/replicas/{}", replica.id);
