What is let run again has to crash three more; signs of life are looked for only in doubt

Found on reading: a request that an operator had released was blamed again a quarter of a second later, for the crashes before, and so would one whose time was over.

Each piece of a stream took the lock of all that a router had seen for ten minutes after any loss; endpoints are in doubt for ten seconds, and an atomic flag is asked before. A router's own inquiry kept a list of served requests that nobody took.

--- a/src/control/quarantine_controller.rs
+++ b/src/control/quarantine_controller.rs
@@ -9,7 +9,7 @@
 use super::state::{Command, Reply};
 use crate::clock::epoch_ms;
 use crate::dispatch::Millis;
-use crate::quarantine::{Blame, Fingerprint, Inquiry, Review, Stage, Verdict};
+use crate::quarantine::{Blame, Fingerprint, Inquiry, Quarantines, Review, Stage, Verdict};
 use crate::telemetry::render_gauges;
 
 /// Milliseconds after which a verdict that was not agreed is proposed again.
@@ -44,6 +44,8 @@
 #[derive(Debug, Default)]
 struct QuarantineController {
     inquiry: Inquiry,
+    /// What was agreed when it was last decided.
+    agreed: Arc<Quarantines>,
     /// Verdicts proposed last, and when.
     proposed: BTreeMap<Fingerprint, (Verdict, Millis)>,
 }
@@ -51,6 +53,10 @@
 impl QuarantineController {
     fn decide(&mut self, control: &Arc<Control>, now: Millis) {
         let agreed = control.quarantine.agreed();
+        for fingerprint in self.agreed.let_run_again(&agreed) {
+            self.inquiry.forgive(now, fingerprint);
+        }
+        self.agreed = agreed.clone();
         let epoch = epoch_ms();
         let clock = control.peers.clock;
         let at_epoch = |at_ms| clock.at_epoch(at_ms);
--- a/src/gateway/losses.rs
+++ b/src/gateway/losses.rs
@@ -26,19 +26,20 @@
             self.parts.uri.path(),
             self.fingerprint,
         );
-        self.gateway.guard.lost(start_of(ticket), &self.fingerprint, ran);
+        let endpoint =
+            EndpointStart { id: ticket.endpoint.clone(), started_at_ms: ticket.started_at_ms };
+        self.gateway.guard.lost(endpoint, &self.fingerprint, ran);
     }
 
     /// The endpoint began its own answer to this request: it is there.
     pub(super) fn answered_by(&self, ticket: &Ticket) {
-        self.gateway.guard.answered(&start_of(ticket), ticket.observed.sent_ago());
+        let sent_ago = ticket.observed.sent_ago();
+        self.gateway.guard.answered(&ticket.endpoint, ticket.started_at_ms, sent_ago);
     }
 
     /// The endpoint sends on its answer: it is there.
     pub(super) fn heard_from(&self, ticket: &Ticket) {
-        if !self.gateway.guard.is_calm() {
-            self.gateway.guard.heard(&start_of(ticket));
-        }
+        self.gateway.guard.heard(&ticket.endpoint, ticket.started_at_ms);
     }
 
     /// It was served whole.
@@ -53,7 +54,3 @@
         Some(Refusal::CrashesEndpoints { retry_after_ms })
     }
 }
-
-fn start_of(ticket: &Ticket) -> EndpointStart {
-    EndpointStart { id: ticket.endpoint.clone(), started_at_ms: ticket.started_at_ms }
-}
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -14,6 +14,7 @@
 
 mod crash;
 mod culprits;
+mod doubts;
 mod fingerprint;
 mod guard;
 mod inquiry;
--- a/src/quarantine/guard.rs
+++ b/src/quarantine/guard.rs
@@ -1,11 +1,13 @@
 //! A router's side: which requests it refuses, and what it tells the leader of crashes.
 
 use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::Notify;
 
+use super::doubts::Doubts;
 use super::inquiry::Inquiry;
 use super::model::{Quarantines, Stage};
 use super::report::{CrashReport, EndpointStart};
@@ -36,6 +38,9 @@
     me: HostId,
     clock: Clock,
     seen: Mutex<Seen>,
+    doubts: Mutex<Doubts>,
+    /// Whether any endpoint is doubted: asked for every piece of a stream.
+    has_doubts: AtomicBool,
     noticed: Notify,
 }
 
@@ -50,7 +55,15 @@
 impl Guard {
     /// The guard of router `me`, which has seen nothing, with what is agreed.
     pub fn new(shared: Arc<SharedQuarantine>, me: HostId, clock: Clock) -> Guard {
-        Guard { shared, me, clock, seen: Mutex::default(), noticed: Notify::new() }
+        Guard {
+            shared,
+            me,
+            clock,
+            seen: Mutex::default(),
+            doubts: Mutex::default(),
+            has_doubts: AtomicBool::new(false),
+            noticed: Notify::new(),
+        }
     }
 
     /// Whether a request is refused, and the milliseconds after which its caller may come
@@ -68,25 +81,31 @@
     /// An endpoint broke off a request's answer.
     pub fn lost(&self, endpoint: EndpointStart, fingerprint: &Fingerprint, ran: Duration) {
         let ran_ms = u32::try_from(ran.as_millis()).unwrap_or(u32::MAX);
+        self.doubts().note(self.clock.now(), &endpoint);
+        self.has_doubts.store(true, Ordering::Relaxed);
         self.see(|now, witness| witness.lost(now, endpoint, fingerprint.clone(), ran_ms));
     }
 
     /// An endpoint answered a request that was sent to it so long ago.
-    pub fn answered(&self, endpoint: &EndpointStart, sent_ago: Duration) {
-        self.see(|now, witness| {
-            let sent = now.saturating_sub(sent_ago.as_millis() as Millis);
-            witness.answered(now, endpoint, sent)
-        });
+    pub fn answered(&self, endpoint: &str, started_at_ms: u64, sent_ago: Duration) {
+        if !self.has_doubts.load(Ordering::Relaxed) {
+            return;
+        }
+        let now = self.clock.now();
+        let sent = now.saturating_sub(sent_ago.as_millis() as Millis);
+        let mut doubts = self.doubts();
+        let is_refuted = doubts.refute(now, endpoint, started_at_ms, sent);
+        self.has_doubts.store(!doubts.is_empty(), Ordering::Relaxed);
+        drop(doubts);
+        if is_refuted {
+            let endpoint = EndpointStart { id: endpoint.to_string(), started_at_ms };
+            self.see(|now, witness| witness.answered(now, &endpoint, sent));
+        }
     }
 
     /// An endpoint sends on an answer that began before.
-    pub fn heard(&self, endpoint: &EndpointStart) {
-        self.answered(endpoint, READ_LATE);
-    }
-
-    /// Whether nothing was lost lately, so that signs of life need not be told.
-    pub fn is_calm(&self) -> bool {
-        self.seen().witness.is_empty()
+    pub fn heard(&self, endpoint: &str, started_at_ms: u64) {
+        self.answered(endpoint, started_at_ms, READ_LATE);
     }
 
     /// A request was served whole.
@@ -112,6 +131,8 @@
         let suspicion = |fingerprint: &_| agreed.suspicion(fingerprint, at_epoch);
         let mut seen = self.seen();
         seen.alone.review(now, suspicion);
+        // Nobody has to be told that they are released.
+        seen.alone.take_served();
         seen.refused_alone = seen.alone.blamed().clone();
     }
 
@@ -131,6 +152,10 @@
                 seen.witness.refused(self.clock.now(), fingerprint);
             }
         }
+        for fingerprint in before.let_run_again(now) {
+            seen.witness.forgive(fingerprint);
+            seen.alone.forgive(self.clock.now(), fingerprint);
+        }
         for (fingerprint, _) in before.all().filter(|(f, _)| now.get(f).is_none()) {
             log::info!("quarantine: {fingerprint} is released, revision {}", now.revision());
         }
@@ -155,6 +180,10 @@
         Some(due.map_or(LOOK_EVERY, |due| due.min(LOOK_EVERY)))
     }
 
+    fn doubts(&self) -> MutexGuard<'_, Doubts> {
+        self.doubts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn seen(&self) -> MutexGuard<'_, Seen> {
         self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/quarantine/inquiry.rs
+++ b/src/quarantine/inquiry.rs
@@ -17,8 +17,8 @@
 /// Milliseconds for which a request that was served whole is not blamed: where many run the
 /// same request, as for an empty body, a data hall's outage takes many of them at once.
 const SERVED_MS: Millis = 10_000;
-/// Requests of which it is kept when they were served, and endpoints of which when they were
-/// there.
+/// Requests of which it is kept until when they are not blamed, and endpoints of which when
+/// they were there.
 const MOST_TIMES: usize = 1_024;
 
 /// What follows from looking at all crashes anew.
@@ -36,7 +36,8 @@
 pub struct Inquiry {
     crashes: VecDeque<Crash>,
     alive: BTreeMap<EndpointStart, Millis>,
-    served: BTreeMap<Fingerprint, Millis>,
+    /// Until when requests are not blamed.
+    innocent_until: BTreeMap<Fingerprint, Millis>,
     just_served: BTreeSet<Fingerprint>,
     /// Requests that were blamed here, for crashes that are all still known: whether they
     /// are to blame can be seen anew.
@@ -49,7 +50,7 @@
         let at = now.saturating_sub(observation.ago_ms.into());
         match observation.what {
             Observed::Lost { endpoint, fingerprint, ran_ms } => {
-                if !self.was_alive(at, &endpoint) && !self.was_served(at, &fingerprint) {
+                if !self.was_alive(at, &endpoint) && !self.is_innocent(at, &fingerprint) {
                     self.crash(at, router, endpoint).lose(fingerprint, ran_ms);
                 }
             }
@@ -69,8 +70,8 @@
         note_latest(&mut self.alive, endpoint, at);
     }
 
-    fn was_served(&self, at: Millis, fingerprint: &Fingerprint) -> bool {
-        self.served.get(fingerprint).is_some_and(|served| at < served + SERVED_MS)
+    fn is_innocent(&self, at: Millis, fingerprint: &Fingerprint) -> bool {
+        self.innocent_until.get(fingerprint).is_some_and(|until| at < *until)
     }
 
     /// The crash of an endpoint at about this time.
@@ -91,7 +92,17 @@
             crash.lost.remove(&fingerprint);
         }
         self.just_served.insert(fingerprint.clone());
-        note_latest(&mut self.served, fingerprint, at);
+        note_latest(&mut self.innocent_until, fingerprint, at + SERVED_MS);
+    }
+
+    /// A request may run again, by its time or an operator's word: crashes before count no
+    /// more.
+    pub fn forgive(&mut self, now: Millis, fingerprint: &Fingerprint) {
+        for crash in &mut self.crashes {
+            crash.lost.remove(fingerprint);
+        }
+        self.blamed.remove(fingerprint);
+        note_latest(&mut self.innocent_until, fingerprint.clone(), now);
     }
 
     fn forget_old(&mut self, now: Millis) {
--- a/src/quarantine/model.rs
+++ b/src/quarantine/model.rs
@@ -247,6 +247,16 @@
         self.requests.is_empty()
     }
 
+    /// Requests that are refused here and were let run again until `later`.
+    pub fn let_run_again<'a>(
+        &'a self,
+        later: &'a Quarantines,
+    ) -> impl Iterator<Item = &'a Fingerprint> {
+        let is_refused = |q: &Quarantine| q.stage == Stage::Refused;
+        let refused = self.all().filter(move |(_, quarantine)| is_refused(quarantine));
+        refused.map(|(f, _)| f).filter(move |f| !later.get(f).is_some_and(is_refused))
+    }
+
     /// What a listener has to be told that has this revision at least; none where that is
     /// all. Every control host comes through the same revisions, so that news of one fit on
     /// those of another.
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -400,3 +400,33 @@
     expected.sort();
     assert_eq!(both, expected);
 }
+
+#[test]
+fn what_is_let_run_again_has_to_crash_three_more() {
+    let mut inquiry = Inquiry::default();
+    for endpoint in 0..4 {
+        crash(&mut inquiry, endpoint * 100, endpoint, &[("culprit", 100)]);
+    }
+    assert_eq!(blamed(&mut inquiry), [request("culprit")]);
+    inquiry.forgive(5_000, &request("culprit"));
+    // A router tells of what it lost before once more.
+    crash(&mut inquiry, 4_000, 9, &[("culprit", 100)]);
+    for endpoint in 4..6 {
+        crash(&mut inquiry, endpoint * 2_000, endpoint, &[("culprit", 100)]);
+    }
+    assert_eq!(blamed(&mut inquiry), []);
+    crash(&mut inquiry, 14_000, 6, &[("culprit", 100)]);
+    assert_eq!(blamed(&mut inquiry), [request("culprit")]);
+    let mut before = Quarantines::default();
+    before.apply(refuse("a", 1));
+    before.apply(refuse("b", 1));
+    before.apply(refuse("c", 1));
+    let mut later = before.clone();
+    later.apply(Verdict::Release(request("a")));
+    later.apply(Verdict::Try { fingerprint: request("b"), at_ms: 2 });
+    let mut again: Vec<_> = before.let_run_again(&later).cloned().collect();
+    again.sort();
+    let mut expected = ["a", "b"].map(request);
+    expected.sort();
+    assert_eq!(again, expected);
+}
--- a/src/quarantine/witness.rs
+++ b/src/quarantine/witness.rs
@@ -27,6 +27,12 @@
     due: Option<Millis>,
 }
 
+impl Kept {
+    fn is_loss_of(&self, fingerprint: &Fingerprint) -> bool {
+        matches!(&self.what, Observed::Lost { fingerprint: lost, .. } if lost == fingerprint)
+    }
+}
+
 /// What a router saw lately.
 #[derive(Clone, Debug, Default)]
 pub struct Witness {
@@ -76,13 +82,17 @@
         is_suspect: bool,
     ) -> Option<Observation> {
         self.served.note(now, fingerprint);
-        let is_it = |kept: &Kept| matches!(&kept.what, Observed::Lost { fingerprint: f, .. } if f == fingerprint);
         let before = self.kept.len();
-        self.kept.retain(|kept| !is_it(kept));
+        self.forgive(fingerprint);
         let was_lost = self.kept.len() < before;
         (was_lost || is_suspect).then(|| self.keep(now, Observed::Served(fingerprint.clone())))
     }
 
+    /// A request may run again: what was lost of it counts no more.
+    pub fn forgive(&mut self, fingerprint: &Fingerprint) {
+        self.kept.retain(|kept| !kept.is_loss_of(fingerprint));
+    }
+
     /// A request is refused from now on: it is kept for the leader if it was served here,
     /// a moment before it was blamed.
     pub fn refused(&mut self, now: Millis, fingerprint: &Fingerprint) {
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -200,6 +200,8 @@
     assert!(fingerprint.starts_with("one/"), "{listed}");
     let (done, said) = fleet.command(&["quarantine", "release", fingerprint]).await;
     assert!(done && said.contains("may run again"), "{said}");
+    // What it did before is forgiven, also by routers that tell a leader of it again.
+    tokio::time::sleep(TO_LEARN).await;
     let before = replicas.crashed;
     ask_until(&fleet, &mut replicas, "/stream/x", |crashed| crashed > before).await;
     let (done, said) = fleet.command(&["quarantine", "release", "no fingerprint"]).await;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -124,7 +124,7 @@
     let recovered = comes_about(|| serves(&stage)).await;
     stage.over.cancel();
     actors.join_all().await;
-    let refused = crashers.await.unwrap().is_refused_everywhere().await;
+    let refused = crashers.await.unwrap().refused_everywhere().await;
     let kept = comes_about(|| is_kept(&stage)).await;
     let mut history = stage.history.lock().unwrap().clone();
     let all = replicas.iter().chain([&bad, &leaver]);
--- a/tests/soak/crashers.rs
+++ b/tests/soak/crashers.rs
@@ -98,7 +98,7 @@
 
     /// Once the faults are over: whether every router refuses what crashes replicas, and none
     /// runs it any more.
-    pub async fn is_refused_everywhere(mut self) -> bool {
+    pub async fn refused_everywhere(mut self) -> bool {
         let routers = self.stage.fleet.size.routers;
         let first = self.crashed();
         let learnt_by = Instant::now() + TO_LEARN;
