--- a/src/control/quarantine_controller.rs
+++ b/src/control/quarantine_controller.rs
@@ -21,7 +21,7 @@
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 /// How long reports are gathered before it is decided: what many routers lost with one
 /// endpoint comes within some milliseconds, and each decision looks at all crashes, which
-/// takes a millisecond in an outage.
+/// takes two milliseconds in an outage.
 const GATHER: Duration = Duration::from_millis(50);
 
 /// Decides while this host leads, until the process ends.
--- a/src/quarantine/culprits.rs
+++ b/src/quarantine/culprits.rs
@@ -76,7 +76,7 @@
 }
 
 /// Of 256 crashes with 64 requests lost in each, looking at all of these takes 23 ms, and
-/// at those that are lost twice or suspect otherwise 1 ms (`cargo run --release --example
+/// at those that are lost twice or suspect otherwise 2 ms (`cargo run --release --example
 /// slopes`).
 fn cases<'a>(
     crashes: &[&'a Crash],
