A router of the product's own interface hears control hosts before it takes requests

Such a router gets the configuration from other routers, and what is refused from control hosts only, so that one that starts while these do let the request through: it waits for them now, six seconds at most, out of reach serves without. Gateways cannot: their routing comes on the same feed, behind what is refused.

--- a/src/router.rs
+++ b/src/router.rs
@@ -33,6 +33,12 @@
 /// before it takes requests.
 const SETTLE: Duration = Duration::from_millis(1_200);
 
+/// How long it waits for a control host after that: an election takes a second or two, on a
+/// busy host some more.
+const HEARING: Duration = Duration::from_secs(6);
+/// How often it looks.
+const POLL: Duration = Duration::from_millis(50);
+
 /// Runs a router until `stop`, then lets every request in flight finish.
 pub async fn run(settings: RouterSettings, stop: CancellationToken) -> Result<()> {
     settings.check()?;
@@ -43,6 +49,7 @@
     let operator = router.settings.operator;
     tokio::spawn(crate::operator::serve_router(router.clone(), operator));
     settle(&router, &stop).await;
+    hear_control_hosts(&router, &stop).await;
     serve_callers(router, stop).await
 }
 
@@ -60,6 +67,25 @@
     }
 }
 
+/// Waits until a control host that has caught up with the leader is heard: before that a
+/// router does not know which requests crash endpoints. Out of reach of them it serves
+/// what it can.
+async fn hear_control_hosts(router: &Router, stop: &CancellationToken) {
+    let heard = async {
+        while !router.feeds.is_current() {
+            tokio::time::sleep(POLL).await;
+        }
+        // What they agreed on comes right behind who leads.
+        tokio::time::sleep(POLL).await;
+    };
+    tokio::select! {
+        heard = tokio::time::timeout(HEARING, heard) => if heard.is_err() {
+            log::warn!("router: no control host has caught up with a leader, serves without");
+        },
+        () = stop.cancelled() => {}
+    }
+}
+
 async fn serve_callers(router: Arc<Router>, stop: CancellationToken) -> Result<()> {
     let listen = router.settings.listen;
     let what = format!("listen for callers on {listen}");
