--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -17,6 +17,7 @@
 mod losses;
 mod nearby;
 mod neighbours;
+mod notices;
 mod observed;
 mod overload;
 mod placing;
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -4,7 +4,9 @@
 
 use std::net::SocketAddr;
 
-use axum::http::{HeaderMap, HeaderName, HeaderValue};
+use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+
+use crate::notice::Notice;
 
 /// A part of a prompt that other prompts may share.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -87,6 +89,8 @@
     pub not_executed: HeaderName,
     /// The proof that an endpoint made the answer, where endpoints give one.
     pub seal: Option<HeaderName>,
+    /// That the endpoint leaves, as `1`.
+    pub leaving: HeaderName,
     /// What callers may not say to endpoints.
     pub reserved: Vec<HeaderName>,
 }
@@ -106,6 +110,7 @@
             copy_from: HeaderName::from_static("x-copy-from"),
             not_executed: HeaderName::from_static("x-not-executed"),
             seal: None,
+            leaving: HeaderName::from_static("x-leaving"),
             reserved: Vec::new(),
         }
     }
@@ -150,6 +155,11 @@
             sealed: self.seal.as_ref().is_none_or(|seal| headers.contains_key(seal)),
         }
     }
+
+    /// Reads what an endpoint says of itself in an answer's head.
+    pub fn read_notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice {
+        Notice::read(status, headers, &self.leaving)
+    }
 }
 
 /// A header's text, if it is there and is text.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -160,6 +160,7 @@
     let exchange = call.gateway.connections.send(&endpoint.id, address, request, is_allowed);
     match tokio::time::timeout(patience(call), exchange).await {
         Ok(Ok((response, connection))) => {
+            call.heed(endpoint, &response);
             if response.status() == StatusCode::MISDIRECTED_REQUEST {
                 ticket.set_ending(Ending::Replaced);
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod load;
 pub mod loop_lag;
 pub mod member;
+pub mod notice;
 pub mod operator;
 pub mod peer;
 pub mod placement;
--- a/src/telemetry/gateway.rs
+++ b/src/telemetry/gateway.rs
@@ -14,6 +14,8 @@
     pub retries: IntCounterVec,
     /// Requests whose endpoint ended their connection before the whole answer, by service.
     pub lost: IntCounterVec,
+    /// What answers say of their endpoints, by service.
+    pub notices: IntCounterVec,
     /// Streams taken up at another endpoint, by service.
     pub resumed: IntCounterVec,
     /// Requests while a release is rolled out, by service, release and outcome.
@@ -50,6 +52,11 @@
             outcomes: counter("requests_total", "Requests.", &["service", "outcome"])?,
             retries: counter("retries_total", "Requests sent again.", &["service"])?,
             lost: counter("lost_answers_total", "Answers that broke off.", &["service"])?,
+            notices: counter(
+                "notices_total",
+                "Answers that say that their endpoint leaves or wants rest.",
+                &["service", "notice"],
+            )?,
             resumed: counter("resumed_total", "Streams taken up elsewhere.", &["service"])?,
             rollout_requests: counter(
                 "rollout_requests_total",
@@ -71,6 +78,7 @@
         registry.register(Box::new(metrics.outcomes.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.lost.clone()))?;
+        registry.register(Box::new(metrics.notices.clone()))?;
         registry.register(Box::new(metrics.resumed.clone()))?;
         registry.register(Box::new(metrics.rollout_requests.clone()))?;
         registry.register(Box::new(metrics.across.clone()))?;
