--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -11,6 +11,8 @@
 mod handover;
 #[path = "platform/http.rs"]
 mod http;
+#[path = "platform/notices.rs"]
+mod notices;
 #[path = "platform/regions.rs"]
 mod regions;
 #[path = "platform/registrations.rs"]
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -1,9 +1,9 @@
 //! A stand-in for a replica, which can misbehave in the ways the protocol names.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -59,9 +59,29 @@
     }
 }
 
+/// A request that reached the replica, whether it ran or was turned away.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub id: String,
+    /// Whether it was turned away with a request for rest.
+    pub turned_away: bool,
+}
+
+/// Requests are turned away until then.
+#[derive(Clone, Debug)]
+struct Rest {
+    until: Instant,
+    /// What `Retry-After` says; none for the time that is left.
+    says: Option<String>,
+}
+
 #[derive(Default)]
 struct State {
     seen: Mutex<Vec<Seen>>,
+    arrivals: Mutex<Vec<Arrival>>,
+    rest: Mutex<Option<Rest>>,
+    /// Each answer says that it leaves.
+    leaving: AtomicBool,
     left: AtomicUsize,
     /// Connections that were taken.
     taken: AtomicUsize,
@@ -106,6 +126,35 @@
         self.state.crashed.is_cancelled()
     }
 
+    /// From now on each answer says that it leaves, or none does.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.state.leaving.store(leaving, Ordering::SeqCst);
+    }
+
+    /// From now on it turns requests away, and asks each sender to let it rest until then.
+    pub fn rest(&self, time: Duration) {
+        let until = Instant::now() + time;
+        *self.state.rest.lock().unwrap() = Some(Rest { until, says: None });
+    }
+
+    /// From now on it turns requests away, with these words in place of a time.
+    pub fn rest_saying(&self, time: Duration, says: &str) {
+        let until = Instant::now() + time;
+        *self.state.rest.lock().unwrap() = Some(Rest { until, says: Some(says.into()) });
+    }
+
+    /// The requests that reached it.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.state.arrivals.lock().unwrap().clone()
+    }
+
+    /// What `Retry-After` says now; none where it takes requests.
+    fn asks_for_rest(&self) -> Option<String> {
+        let rest = self.state.rest.lock().unwrap().clone()?;
+        let left = rest.until.checked_duration_since(Instant::now())?;
+        Some(rest.says.unwrap_or_else(|| format!("{:.3}", left.as_secs_f64())))
+    }
+
     /// The requests that it ran.
     pub fn seen(&self) -> Vec<Seen> {
         self.state.seen.lock().unwrap().clone()
@@ -141,6 +190,17 @@
                 write(&mut stream, &self.head(421, &seen.id(), "Content-Length: 0\r\n")).await;
                 continue;
             }
+            let asks_for_rest = self.asks_for_rest();
+            let turned_away = asks_for_rest.is_some();
+            let arrival = Arrival { id: seen.id(), turned_away };
+            self.state.arrivals.lock().unwrap().push(arrival);
+            if let Some(time) = asks_for_rest {
+                let headers = format!(
+                    "Bramblecrank-Not-Executed: 1\r\nRetry-After: {time}\r\nContent-Length: 0\r\n"
+                );
+                write(&mut stream, &self.head(503, &seen.id(), &headers)).await;
+                continue;
+            }
             if let Behaviour::Full = behaviour {
                 let headers = "Bramblecrank-Not-Executed: 1\r\nContent-Length: 0\r\n";
                 write(&mut stream, &self.head(503, &seen.id(), headers)).await;
@@ -154,9 +214,13 @@
     }
 
     fn head(&self, status: u16, id: &str, headers: &str) -> String {
+        let leaving = match self.state.leaving.load(Ordering::SeqCst) {
+            true => "Server-Leaving: 1\r\n",
+            false => "",
+        };
         format!(
             "HTTP/1.1 {status} X\r\nBramblecrank-Attempt-Id: {id}\r\n\
-             Bramblecrank-Replica-Seal: seal-{}\r\n{headers}\r\n",
+             Bramblecrank-Replica-Seal: seal-{}\r\n{leaving}{headers}\r\n",
             self.id
         )
     }
