An endpoint that says in an answer that it leaves takes no more work, at any router

What was seen: an engine that had told a cut-off control host that it leaves got 1 to 5 requests a second for ten seconds more from the four routers that followed the others, though each of its answers to them said so.

Cause: what answers say of their endpoint was read by nobody. The class: an endpoint's word is taken from one way only, and that way may be cut.

Mend: the answer's word is the same as the registration's. It goes into the router's registry, from which placing, the router's own placer, repeats, resumed streams and kept connections take who gets work; the state of a start only goes forward, so that neither a feed nor a control host that remembers the endpoint from its disk brings it back, and a later start ends it. The router tells every control host in reach, also those whose feeds open later: all routers and placers of its side learn within a round trip. Whether the start still takes work is asked again after a new connection has come up, where only regions and releases were asked before; an engine that the placer chose and the router knows better is asked for again instead of chosen by the router alone.

Ruled out: a mark beside the registry, which each of six places would have had to ask. Hosts of the release before speak another protocol, as after every change of a message.

--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -16,9 +16,9 @@
 use bramblecrank::dispatch::{Decision, Dispatcher};
 use bramblecrank::member::Table as Members;
 use bramblecrank::quarantine::{
-    CrashReport, EndpointStart, Fingerprint, Inquiry, Observation, Observed, Quarantines,
-    Suspicion, Verdict,
+    CrashReport, Fingerprint, Inquiry, Observation, Observed, Quarantines, Suspicion, Verdict,
 };
+use bramblecrank::registry::EndpointStart;
 use bramblecrank::store::Disk;
 use bramblecrank::wire::{
     Beat, Ending, FromDispatcher, Heartbeat, HostId, Role, ToDispatcher, Want,
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -25,7 +25,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::quarantine::{CrashReport, QuarantineNews, SharedQuarantine};
-use crate::registry::{DrainedHalls, Registration, Scope, SharedRegistry};
+use crate::registry::{DrainedHalls, EndpointStart, Registration, Scope, SharedRegistry};
 use crate::rollout::{Grants, Report, Rollouts, SharedRollouts};
 use crate::routing::Documents;
 use crate::wire::HostId;
@@ -125,6 +125,8 @@
     RolloutReport(Report),
     /// What a router saw of crashes; for the leader.
     CrashReport(CrashReport),
+    /// Endpoints told the subscriber in answers that they leave.
+    EndpointsLeave(Vec<EndpointStart>),
     /// To say something: the subscriber stood still, and what it reads was said before.
     Speak {
         /// Tells the answer from one to an earlier question.
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -17,6 +17,7 @@
 use crate::member::View;
 use crate::peer::PeerReader;
 use crate::quarantine::Quarantines;
+use crate::registry::Hearing;
 use crate::rollout::{Grants, Rollouts};
 use crate::routing::Routing;
 use crate::wire::{HostId, KEEP_ALIVE, Role, SentBytes, Traffic, write_frame, write_keep_alive};
@@ -245,6 +246,11 @@
                 }
                 None
             }
+            FeedRequest::EndpointsLeave(starts) => {
+                // As first hand: the other control hosts are told.
+                publication.followed.registry.leave(&starts, Hearing::FirstHand);
+                None
+            }
             FeedRequest::Speak { waking } => Some(FeedMessage::Speaks { waking }),
             FeedRequest::Endpoints(after) => {
                 let cursor =
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -19,7 +19,7 @@
 use crate::error::{Error, Result};
 use crate::peer::Peers;
 use crate::quarantine::CrashReport;
-use crate::registry::{Hearing, Scope};
+use crate::registry::{EndpointStart, Hearing, Scope};
 use crate::rollout::Report;
 use crate::wire::{BatchSender, BatchWriter, HostId, Open, Role};
 
@@ -30,6 +30,8 @@
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 /// Control hosts whose feeds may fall silent at one moment and still be told one by one.
 const MOST_SILENT: usize = 64;
+/// Endpoints that leave of which a control host is told at most when its feed opens.
+const MOST_LEAVING: usize = 256;
 /// How often it is looked whether this process stood still.
 const TICK: Duration = Duration::from_millis(200);
 /// How long feeds may go on opening before it is chosen who tells of endpoints: a few
@@ -158,12 +160,23 @@
 
     fn opened(&self, host: HostId, requests: BatchSender<FeedRequest>) {
         self.news().opened(self.peers.clock.now(), host);
+        self.tell_leaving(&requests);
         self.tables().requests.insert(host, requests);
         let hall = self.peers.view().known(host).map(|m| m.hall.clone()).unwrap_or_default();
         lock(&self.sources).opened(host, &hall);
         self.sources_changed.notify_one();
     }
 
+    /// A control host that was out of reach may know endpoints as ready that told this
+    /// router that they leave.
+    fn tell_leaving(&self, requests: &BatchSender<FeedRequest>) {
+        let leaving = self.followed.registry.read(|registry| registry.leaving(MOST_LEAVING));
+        if self.role == Role::Router && !leaving.is_empty() {
+            // A feed that has closed is noticed by its reader.
+            let _ = requests.send(FeedRequest::EndpointsLeave(leaving).into());
+        }
+    }
+
     fn lost(&self, host: HostId) {
         self.news().lost(host);
         let mut tables = self.tables();
@@ -217,6 +230,16 @@
         }
     }
 
+    /// Tells every control host in reach of endpoints that told this router that they
+    /// leave: the one that they told themselves may be out of reach.
+    pub fn report_leaving(&self, starts: &[EndpointStart]) {
+        for requests in self.tables().requests.values() {
+            let request = FeedRequest::EndpointsLeave(starts.to_vec());
+            // A feed that has closed is noticed by its reader.
+            let _ = requests.send(request.into());
+        }
+    }
+
     /// Reports to the leader what this router saw of releases that are rolled out; false
     /// where no leader is in reach.
     pub fn report_rollouts(&self, report: Report) -> bool {
--- a/src/gateway/losses.rs
+++ b/src/gateway/losses.rs
@@ -4,7 +4,7 @@
 use super::refusal::Refusal;
 use super::request::Call;
 use super::state::Ticket;
-use crate::quarantine::EndpointStart;
+use crate::registry::EndpointStart;
 
 /// Characters of a path that a log line shows.
 const PATH_SHOWN: usize = 80;
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -4,8 +4,9 @@
 use hyper::body::Incoming;
 
 use super::request::Call;
+use super::state::Gateway;
 use crate::notice::RestAsked;
-use crate::registry::Registration;
+use crate::registry::{EndpointStart, Hearing, Registration};
 
 impl Call {
     /// Takes in what the head of an answer says of its endpoint, whatever became of the
@@ -19,7 +20,7 @@
         let notice = self.gateway.dialect.read_notice(status, response.headers());
         if notice.leaves {
             self.count_notice("leaves");
-            log::info!("gateway: endpoint {} says that it leaves", endpoint.id);
+            self.gateway.leaves(EndpointStart::of(endpoint));
         }
         match &notice.rest {
             RestAsked::None => {}
@@ -38,3 +39,16 @@
         self.gateway.metrics.notices.with_label_values(&[&self.service, notice]).inc();
     }
 }
+
+impl Gateway {
+    /// An endpoint told this router that it leaves. From here on that is known as if it had
+    /// registered so: the control host that it told may be cut off from all that this router
+    /// hears, and its answers are the only news.
+    fn leaves(&self, start: EndpointStart) {
+        let starts = [start];
+        if self.registry.leave(&starts, Hearing::SecondHand) {
+            log::info!("gateway: endpoint {} says in an answer that it leaves", starts[0].id);
+            self.feeds.report_leaving(&starts);
+        }
+    }
+}
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -10,6 +10,10 @@
 use crate::placement::{self, Placed, PlacementRequest, Reservation};
 use crate::registry::Registration;
 
+/// Times that a placer is asked for one place, where this router knows that the endpoint
+/// which the placer chose takes no work.
+const PLACEMENTS: usize = 3;
+
 /// Where a request goes next.
 pub(super) enum Place {
     /// To this endpoint.
@@ -50,9 +54,9 @@
     }
 
     /// Engines are chosen by the placer, all else by what this router has seen.
-    async fn place_among(&self, request: PlacementRequest, tried: &[String]) -> Place {
-        if self.is_engine {
-            match self.gateway.placements.place(request).await {
+    async fn place_among(&self, mut request: PlacementRequest, tried: &[String]) -> Place {
+        for _ in 0..if self.is_engine { PLACEMENTS } else { 0 } {
+            match self.gateway.placements.place(request.clone()).await {
                 Placed::At(reservation) => {
                     let id = &reservation.endpoint;
                     let endpoint = self.gateway.registry.read(|r| r.get_ready(id).cloned());
@@ -61,9 +65,11 @@
                     if let Some(endpoint) = endpoint.filter(|e| self.may_be_sent_to(e)) {
                         return Place::At(Box::new(endpoint), Some(reservation));
                     }
+                    request.avoid.push(reservation.endpoint.clone());
+                    request.asked_before = true;
                 }
                 Placed::Refused(refusal) => return Place::TooLate(refusal),
-                Placed::Alone => {}
+                Placed::Alone => break,
             }
         }
         match self.choose(tried) {
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -75,7 +75,9 @@
 
     /// Whether it may be sent to an endpoint, by what is known at this moment.
     pub(super) fn may_be_sent_to(&self, endpoint: &Registration) -> bool {
-        self.crashes_endpoints().is_none()
+        // It may have begun to leave while the request waited for a connection.
+        self.gateway.registry.read(|registry| registry.start_takes_work(endpoint))
+            && self.crashes_endpoints().is_none()
             && self
                 .eligibility()
                 .is_some_and(|eligibility| self.is_eligible(&eligibility, endpoint))
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -31,7 +31,7 @@
 pub use guard::{Guard, report_crashes};
 pub use inquiry::{Inquiry, Review};
 pub use model::{Quarantine, QuarantineNews, Quarantines, Stage, Verdict};
-pub use report::{CrashReport, EndpointStart, Observation, Observed};
+pub use report::{CrashReport, Observation, Observed};
 pub use served::RecentlyServed;
 pub use shared::SharedQuarantine;
 pub use witness::Witness;
--- a/src/quarantine/crash.rs
+++ b/src/quarantine/crash.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use super::Fingerprint;
-use super::report::EndpointStart;
 use crate::dispatch::Millis;
+use crate::registry::EndpointStart;
 use crate::wire::HostId;
 
 /// Milliseconds within which losses at one start of an endpoint are of one crash: routers
--- a/src/quarantine/doubts.rs
+++ b/src/quarantine/doubts.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 
-use super::report::EndpointStart;
 use crate::dispatch::Millis;
+use crate::registry::EndpointStart;
 
 /// Milliseconds after which an endpoint that has not been heard since is not listened for
 /// any more: the blame for its crash was found long before.
--- a/src/quarantine/guard.rs
+++ b/src/quarantine/guard.rs
@@ -10,11 +10,12 @@
 use super::doubts::Doubts;
 use super::inquiry::Inquiry;
 use super::model::{Quarantines, Stage};
-use super::report::{CrashReport, EndpointStart};
+use super::report::CrashReport;
 use super::{Fingerprint, Observation, SharedQuarantine, Witness};
 use crate::clock::{Clock, epoch_ms};
 use crate::dispatch::Millis;
 use crate::feed::Subscriptions;
+use crate::registry::EndpointStart;
 use crate::wire::HostId;
 
 /// When to come back, in milliseconds, where a request is refused by what this router alone
--- a/src/quarantine/inquiry.rs
+++ b/src/quarantine/inquiry.rs
@@ -5,8 +5,9 @@
 use super::Fingerprint;
 use super::crash::Crash;
 use super::culprits::{Blame, Suspicion, culprits};
-use super::report::{EndpointStart, Observation, Observed};
+use super::report::{Observation, Observed};
 use crate::dispatch::Millis;
+use crate::registry::EndpointStart;
 use crate::wire::HostId;
 
 /// Milliseconds for which crashes count: as long as a request that was blamed is refused, it
--- a/src/quarantine/report.rs
+++ b/src/quarantine/report.rs
@@ -3,23 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Fingerprint;
-use crate::registry::Registration;
-
-/// One start of an endpoint: what crashes is back as another one.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct EndpointStart {
-    /// The endpoint's id.
-    pub id: String,
-    /// When it started, in milliseconds since the epoch; 0 where that is not known.
-    pub started_at_ms: u64,
-}
-
-impl EndpointStart {
-    /// The start that a registration tells of.
-    pub fn of(endpoint: &Registration) -> EndpointStart {
-        EndpointStart { id: endpoint.id.clone(), started_at_ms: endpoint.started_at_ms }
-    }
-}
+use crate::registry::EndpointStart;
 
 /// What a router saw. It may tell the same several times.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::dispatch::Millis;
+use crate::registry::EndpointStart;
 use crate::wire::HostId;
 
 const MINUTE_MS: Millis = 60_000;
--- a/src/quarantine/witness.rs
+++ b/src/quarantine/witness.rs
@@ -2,9 +2,10 @@
 
 use std::collections::VecDeque;
 
-use super::report::{CrashReport, EndpointStart, Observation, Observed};
+use super::report::{CrashReport, Observation, Observed};
 use super::{Fingerprint, RecentlyServed};
 use crate::dispatch::Millis;
+use crate::registry::EndpointStart;
 
 /// Milliseconds after the first time when the leader is told the same again: connections
 /// may be dead for some two seconds before they are given up.
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -9,12 +9,14 @@
 mod known;
 pub mod saved;
 mod shared;
+mod start;
 mod table;
 #[cfg(test)]
 mod tests;
 
 pub use halls::DrainedHalls;
 pub use shared::SharedRegistry;
+pub use start::EndpointStart;
 pub use table::{
     Changes, EndpointState, Hearing, Registration, Registry, Releases, Retired, Scope,
 };
--- a/src/registry/shared.rs
+++ b/src/registry/shared.rs
@@ -6,7 +6,7 @@
 use tokio::sync::watch;
 
 use super::known::RESTORED_WARMUP_MS;
-use super::{DrainedHalls, Hearing, Registration, Registry, Retired};
+use super::{DrainedHalls, EndpointStart, Hearing, Registration, Registry, Retired};
 
 /// Endpoints that a log line about many names at most.
 const MOST_NAMED: usize = 8;
@@ -47,6 +47,16 @@
         log_changed(changed.as_slice());
     }
 
+    /// Starts of endpoints were heard to leave by other words than a registration. Returns
+    /// whether any was known to take work.
+    pub fn leave(&self, starts: &[EndpointStart], hearing: Hearing) -> bool {
+        let changed: Vec<_> = self.read_mut(|registry| {
+            starts.iter().filter_map(|start| registry.leaves(start, hearing)).collect()
+        });
+        log_changed(&changed);
+        !changed.is_empty()
+    }
+
     /// Endpoints take no more work since a roll-out ended.
     pub fn retire(&self, retired: Retired<'_>) {
         let number = self.read_mut(|registry| registry.retire(retired));
--- /dev/null
+++ b/src/registry/start.rs
@@ -0,0 +1,22 @@
+//! One start of an endpoint.
+
+use serde::{Deserialize, Serialize};
+
+use super::Registration;
+
+/// One start of an endpoint: it may start again under the same id, and then knows nothing
+/// of before.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EndpointStart {
+    /// The endpoint's id.
+    pub id: String,
+    /// When it started, in milliseconds since the epoch; 0 where that is not known.
+    pub started_at_ms: u64,
+}
+
+impl EndpointStart {
+    /// The start that a registration tells of.
+    pub fn of(endpoint: &Registration) -> EndpointStart {
+        EndpointStart { id: endpoint.id.clone(), started_at_ms: endpoint.started_at_ms }
+    }
+}
--- a/src/registry/table.rs
+++ b/src/registry/table.rs
@@ -5,8 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::DrainedHalls;
 use super::known::{Known, count_as_cold};
+use super::{DrainedHalls, EndpointStart};
 
 /// Endpoints that are gone are remembered up to this number, so that a late
 /// message does not bring one back.
@@ -206,6 +206,30 @@
         Some(self.changed(now))
     }
 
+    /// One start of an endpoint was heard to leave by other words than a registration.
+    /// Returns what is known now, if this start was known to take work.
+    pub fn leaves(&mut self, start: &EndpointStart, hearing: Hearing) -> Option<Registration> {
+        let known = self.get(&start.id)?;
+        let is_meant = known.started_at_ms == start.started_at_ms;
+        if !is_meant || known.state != EndpointState::Ready {
+            return None;
+        }
+        let leaving = Registration { state: EndpointState::Leaving, ..known.clone() };
+        self.merge(leaving, hearing)
+    }
+
+    /// At most so many endpoints that leave.
+    pub fn leaving(&self, most: usize) -> Vec<EndpointStart> {
+        let leaving = self.all().filter(|endpoint| endpoint.state == EndpointState::Leaving);
+        leaving.take(most).map(EndpointStart::of).collect()
+    }
+
+    /// Whether one start of an endpoint is known to take new work.
+    pub fn start_takes_work(&self, endpoint: &Registration) -> bool {
+        let known = self.get_ready(&endpoint.id);
+        known.is_some_and(|known| known.started_at_ms == endpoint.started_at_ms)
+    }
+
     /// Whether news is of no earlier start than what is remembered, which it replaces.
     fn replaces_remembered(&mut self, news: &Registration) -> bool {
         if self
--- a/src/registry/tests.rs
+++ b/src/registry/tests.rs
@@ -1,4 +1,5 @@
 mod halls;
+mod leaving;
 mod starts;
 
 use proptest::prelude::*;
--- a/src/router/serve.rs
+++ b/src/router/serve.rs
@@ -16,7 +16,8 @@
 use crate::clock::BootInstant;
 use crate::config::{Config, CustomerId, EndpointId, Service, ServiceId, ServiceKind};
 use crate::delivery::{Answer, Attempt, Call, NotRunReason, Outcome, UnknownReason, header, sse};
-use crate::quarantine::{EndpointStart, Fingerprint};
+use crate::quarantine::Fingerprint;
+use crate::registry::EndpointStart;
 use crate::telemetry::RequestId;
 use crate::wire::{Ending, RefuseReason, Want};
 
--- a/tests/crashes/day.rs
+++ b/tests/crashes/day.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use bramblecrank::quarantine::{EndpointStart, Fingerprint};
+use bramblecrank::quarantine::Fingerprint;
+use bramblecrank::registry::EndpointStart;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
--- a/tests/crashes/ways.rs
+++ b/tests/crashes/ways.rs
@@ -2,7 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use bramblecrank::quarantine::{EndpointStart, Fingerprint, Inquiry, Review, Suspicion, Witness};
+use bramblecrank::quarantine::{Fingerprint, Inquiry, Review, Suspicion, Witness};
+use bramblecrank::registry::EndpointStart;
 
 use bramblecrank::wire::HostId;
 
