An endpoint that asks for rest gets nothing from the router until its time is over

What was seen: an endpoint that turned a router away and asked for 3 s got three requests from it in that time, by the router's own 0.6, 1.2 and 2.4 s; the first 503 was taken for chance, and any answer that had begun before ended what was left.

Cause: a 503 counted as one failure among others, whatever it asked for.

Mend: what was asked is kept beside failures, for each start of an endpoint, and no answer, no shorter request and no failure ends it early. It is asked wherever an endpoint is chosen, and again right before a request is written, after a wait for a connection too. The longest of several times holds. Who asks for rest is not counted as failed besides, so that its share is back at once. After the rest one request is tried, and others follow when it is served; until then others are preferred, and none is refused for that. It ends with the endpoint's start. An hour at most is believed; what is no time has no effect.

Ruled out: adding the time to the router's own wait, which an answer begun before ends (the test of that is among the red ones).

--- a/src/gateway/endpoints.rs
+++ b/src/gateway/endpoints.rs
@@ -8,6 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::dispatch::Millis;
+use crate::notice::Rest;
 use crate::registry::Registration;
 use crate::wire::HostId;
 
@@ -53,6 +54,8 @@
     prompt_tokens: u64,
     failures: u32,
     avoid_until: Millis,
+    /// What it asked for itself. Unlike failures, no answer ends it before its time.
+    rest: Rest,
     replaced: bool,
     /// When requests were sent to it in the last second.
     sent: VecDeque<Millis>,
@@ -113,6 +116,7 @@
             !replaced
                 && !tried.contains(&r.id)
                 && r.address.is_some()
+                && self.rest_left(now, r).is_none()
                 && !self.is_too_cold(now, r, cold)
         };
         let mut usable: Vec<_> = ready.filter(usable).collect();
@@ -126,9 +130,14 @@
         usable.into_iter().min_by_key(|r| self.load(r, preference))
     }
 
-    /// Whether an endpoint is not avoided after failures.
+    /// Whether an endpoint is not avoided after failures, nor tried after a rest.
     pub fn is_calm(&self, now: Millis, endpoint: &Registration) -> bool {
-        self.of(endpoint).is_none_or(|seen| seen.avoid_until <= now)
+        self.of(endpoint).is_none_or(|seen| seen.avoid_until <= now && !seen.rest.is_tried(now))
+    }
+
+    /// Milliseconds for which an endpoint gets nothing because it asked for rest.
+    pub fn rest_left(&self, now: Millis, endpoint: &Registration) -> Option<Millis> {
+        self.of(endpoint)?.rest.left(now)
     }
 
     fn load(&self, endpoint: &Registration, preference: Preference) -> (u64, u64) {
@@ -178,6 +187,7 @@
             seen.sent.pop_front();
         }
         seen.sent.push_back(now);
+        seen.rest.sent(now);
         seen.in_flight += 1;
         seen.prompt_tokens += u64::from(prompt_tokens);
     }
@@ -195,15 +205,24 @@
         if let Some(seen) = self.seen.get_mut(id).filter(|seen| seen.started_at_ms == started_at_ms)
         {
             seen.in_flight = seen.in_flight.saturating_sub(1);
+            seen.rest.ended();
         }
     }
 
     /// A request was answered.
-    pub fn succeeded(&mut self, id: &str, started_at_ms: u64) {
+    pub fn succeeded(&mut self, now: Millis, id: &str, started_at_ms: u64) {
         if let Some(seen) = self.seen.get_mut(id).filter(|seen| seen.started_at_ms == started_at_ms)
         {
             seen.failures = 0;
             seen.avoid_until = 0;
+            seen.rest.served(now);
+        }
+    }
+
+    /// It turned a request away and asked for so many milliseconds of rest.
+    pub fn asked_for_rest(&mut self, now: Millis, id: &str, started_at_ms: u64, time: Millis) {
+        if let Some(seen) = self.seen_of(id, started_at_ms) {
+            seen.rest.ask(now, time);
         }
     }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -160,11 +160,13 @@
     let exchange = call.gateway.connections.send(&endpoint.id, address, request, is_allowed);
     match tokio::time::timeout(patience(call), exchange).await {
         Ok(Ok((response, connection))) => {
-            call.heed(endpoint, &response);
+            let rests = call.heed(endpoint, &response);
             if response.status() == StatusCode::MISDIRECTED_REQUEST {
                 ticket.set_ending(Ending::Replaced);
+            } else if rests {
+                ticket.set_ending(Ending::Abandoned);
             }
-            check_head(call, endpoint, &response)?;
+            check_head(call, endpoint, &response, rests)?;
             call.answered_by(ticket);
             Ok((response, connection))
         }
@@ -222,11 +224,13 @@
     remaining.min(patience.max(LEAST_PATIENCE))
 }
 
-/// Whether a head is the endpoint's own answer to this request.
+/// Whether a head is the endpoint's own answer to this request. One that asks for rest gets
+/// that, and is not taken to have failed besides.
 fn check_head(
     call: &Call,
     endpoint: &Registration,
     response: &Response<Incoming>,
+    rests: bool,
 ) -> Result<(), Attempt> {
     let head = call.gateway.dialect.read_answer(response.headers());
     let status = response.status();
@@ -234,7 +238,9 @@
         let replaced = status == StatusCode::MISDIRECTED_REQUEST;
         let failure = if replaced { Failure::Replaced } else { Failure::Rejected };
         log::info!("gateway: request {} not run by {}: {status}", call.number, endpoint.id);
-        call.gateway.note_failure(&endpoint.id, endpoint.started_at_ms, failure);
+        if !rests {
+            call.gateway.note_failure(&endpoint.id, endpoint.started_at_ms, failure);
+        }
         return Err(Attempt::NotExecuted);
     }
     if head.id != call.head.id {
@@ -249,7 +255,7 @@
 async fn judge(call: &Arc<Call>, endpoint: &Registration, opened: Opened) -> Attempt {
     let streams = call.route.kind == RouteKind::Streaming;
     if opened.response.status().is_success() && streams {
-        call.gateway.with_endpoints(|e| e.succeeded(&endpoint.id, endpoint.started_at_ms));
+        call.gateway.note_success(endpoint);
         return Attempt::Answered(stream::relay(call, opened));
     }
     let Opened { response, connection, mut ticket } = opened;
@@ -288,6 +294,6 @@
         call.gateway.note_failure(&endpoint.id, endpoint.started_at_ms, Failure::Failed);
         return Attempt::Error(response);
     }
-    call.gateway.with_endpoints(|e| e.succeeded(&endpoint.id, endpoint.started_at_ms));
+    call.gateway.note_success(endpoint);
     Attempt::Answered(response)
 }
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -5,17 +5,18 @@
 
 use super::request::Call;
 use super::state::Gateway;
+use crate::dispatch::Millis;
 use crate::notice::RestAsked;
 use crate::registry::{EndpointStart, Hearing, Registration};
 
 impl Call {
     /// Takes in what the head of an answer says of its endpoint, whatever became of the
-    /// request.
-    pub(super) fn heed(&self, endpoint: &Registration, response: &Response<Incoming>) {
+    /// request. Returns whether it asks for rest.
+    pub(super) fn heed(&self, endpoint: &Registration, response: &Response<Incoming>) -> bool {
         let status = response.status();
         // It was another endpoint's, which says nothing of the one that was meant.
         if status == StatusCode::MISDIRECTED_REQUEST {
-            return;
+            return false;
         }
         let notice = self.gateway.dialect.read_notice(status, response.headers());
         if notice.leaves {
@@ -27,12 +28,14 @@
             RestAsked::For(time) => {
                 self.count_notice("rests");
                 log::info!("gateway: endpoint {} asks for {time} ms of rest", endpoint.id);
+                self.gateway.rests(endpoint, *time);
             }
             RestAsked::Unreadable(says) => {
                 self.count_notice("unreadable");
-                log::warn!("gateway: endpoint {} asks for no time: {says:?}", endpoint.id);
+                log::info!("gateway: endpoint {} asks for no time: {says:?}", endpoint.id);
             }
         }
+        notice.rest.time().is_some()
     }
 
     fn count_notice(&self, notice: &str) {
@@ -41,6 +44,21 @@
 }
 
 impl Gateway {
+    /// Whether an endpoint may get a request at this moment. It may have begun to leave or to
+    /// rest while the request was placed, or waited for a connection.
+    pub(super) fn takes_work(&self, endpoint: &Registration) -> bool {
+        let now = self.now();
+        self.registry.read(|registry| registry.start_takes_work(endpoint))
+            && self.with_endpoints(|endpoints| endpoints.rest_left(now, endpoint).is_none())
+    }
+
+    /// An endpoint wants nothing from this router for so long.
+    fn rests(&self, endpoint: &Registration, time: Millis) {
+        let now = self.now();
+        let (id, started_at_ms) = (&endpoint.id, endpoint.started_at_ms);
+        self.with_endpoints(|endpoints| endpoints.asked_for_rest(now, id, started_at_ms, time));
+    }
+
     /// An endpoint told this router that it leaves. From here on that is known as if it had
     /// registered so: the control host that it told may be cut off from all that this router
     /// hears, and its answers are the only news.
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -75,8 +75,7 @@
 
     /// Whether it may be sent to an endpoint, by what is known at this moment.
     pub(super) fn may_be_sent_to(&self, endpoint: &Registration) -> bool {
-        // It may have begun to leave while the request waited for a connection.
-        self.gateway.registry.read(|registry| registry.start_takes_work(endpoint))
+        self.gateway.takes_work(endpoint)
             && self.crashes_endpoints().is_none()
             && self
                 .eligibility()
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -177,6 +177,12 @@
         self.next_number.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// An endpoint answered a request.
+    pub(super) fn note_success(&self, endpoint: &Registration) {
+        let now = self.now();
+        self.with_endpoints(|e| e.succeeded(now, &endpoint.id, endpoint.started_at_ms));
+    }
+
     /// A request failed at an endpoint.
     pub(super) fn note_failure(&self, id: &str, started_at_ms: u64, failure: Failure) {
         let now = self.now();
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -113,7 +113,7 @@
 fn one_error_may_be_chance_and_two_in_a_row_are_not() {
     let mut endpoints = Endpoints::default();
     assert_eq!(endpoints.failed(0, "a", 0, Failure::Failed), 0);
-    endpoints.succeeded("a", 0);
+    endpoints.succeeded(0, "a", 0);
     assert_eq!(endpoints.failed(1, "a", 0, Failure::Failed), 0);
     assert!(endpoints.failed(2, "a", 0, Failure::Failed) > 0);
 }
--- a/src/notice.rs
+++ b/src/notice.rs
@@ -7,9 +7,12 @@
 
 use crate::dispatch::Millis;
 
+mod rest;
 #[cfg(test)]
 mod tests;
 
+pub use rest::Rest;
+
 /// The longest rest that is believed, in milliseconds: an hour. Who says more is mistaken,
 /// and would stay without work until somebody notices.
 pub const MAX_REST_MS: Millis = 3_600_000;
--- /dev/null
+++ b/src/notice/rest.rs
@@ -0,0 +1,62 @@
+//! A rest that an endpoint asked for, and its return to work.
+
+use super::Millis;
+
+/// Clocks show whole milliseconds: the one in which it was asked may have only begun.
+const CLOCK_STEP_MS: Millis = 1;
+
+/// What one endpoint asked of one sender, and how far its return has come.
+///
+/// The load that it answers: an endpoint that has more to do than it can bear. Until its
+/// time is over it gets nothing. Then one request is tried, and only when it is served do
+/// others follow: an endpoint that has nothing under way looks like the best one to all who
+/// choose the least loaded, and would get as much in a moment as it got in its whole rest.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Rest {
+    /// When it is over; none where none was asked, or the endpoint has served since.
+    until: Option<Millis>,
+    /// Whether a request that was sent after it is under way.
+    is_tried: bool,
+}
+
+impl Rest {
+    /// It asked for so much time from now on. What it asked before holds on.
+    pub fn ask(&mut self, now: Millis, time: Millis) {
+        let until = now.saturating_add(time).saturating_add(CLOCK_STEP_MS);
+        self.until = Some(self.until.map_or(until, |before| before.max(until)));
+        self.is_tried = false;
+    }
+
+    /// Milliseconds that are left of it; none where it is over.
+    pub fn left(&self, now: Millis) -> Option<Millis> {
+        self.until?.checked_sub(now).filter(|left| *left > 0)
+    }
+
+    /// Whether it is over, and it is not known yet how the first request went that was
+    /// sent since.
+    pub fn is_tried(&self, now: Millis) -> bool {
+        self.is_tried && self.left(now).is_none()
+    }
+
+    /// Whether nothing is left of it.
+    pub fn is_forgotten(&self) -> bool {
+        self.until.is_none()
+    }
+
+    /// A request is sent.
+    pub fn sent(&mut self, now: Millis) {
+        self.is_tried |= self.until.is_some() && self.left(now).is_none();
+    }
+
+    /// A request was served. During the rest that says nothing: it had begun before.
+    pub fn served(&mut self, now: Millis) {
+        if self.left(now).is_none() {
+            *self = Rest::default();
+        }
+    }
+
+    /// A request has ended, served or not.
+    pub fn ended(&mut self) {
+        self.is_tried = false;
+    }
+}
--- a/src/notice/tests.rs
+++ b/src/notice/tests.rs
@@ -1,5 +1,7 @@
 //! What heads of answers say.
 
+mod rest;
+
 use proptest::prelude::*;
 
 use super::*;
--- a/tests/platform/notices.rs
+++ b/tests/platform/notices.rs
@@ -155,7 +155,8 @@
         let answer = call(fleet.front, &post("/once/x", &format!("r{number}"), "")).await;
         assert_eq!((answer.status, answer.body.as_str()), (503, "endpoints_rest"));
         let seconds: f64 = answer.header("retry-after").unwrap().parse().unwrap();
-        assert!((1.0..=10.0).contains(&seconds), "{seconds} s");
+        // Clocks show whole milliseconds.
+        assert!((1.0..=10.001).contains(&seconds), "{seconds} s");
     }
     let reached: Vec<_> = replicas.iter().map(|replica| replica.arrivals().len()).collect();
     assert_eq!(reached, [1, 1]);
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -152,7 +152,8 @@
     fn asks_for_rest(&self) -> Option<String> {
         let rest = self.state.rest.lock().unwrap().clone()?;
         let left = rest.until.checked_duration_since(Instant::now())?;
-        Some(rest.says.unwrap_or_else(|| format!("{:.3}", left.as_secs_f64())))
+        let milliseconds = left.as_micros().div_ceil(1_000);
+        Some(rest.says.unwrap_or_else(|| format!("{:.3}", milliseconds as f64 / 1_000.0)))
     }
 
     /// The requests that it ran.
