Where all endpoints rest, callers are told at once, and when the first takes work again

What callers saw: 503 with 0.25 s to come back, where each endpoint had asked for seconds; who came back was turned away once more, and each time an endpoint was asked for it.

Cause: 'none ran it' had one answer. Mend: where each endpoint that may serve a request wants rest from this router, it is refused before any is asked, with the time until the first of them takes work. A request that met the last of them is told the same. Where one may still be tried, nothing changes.

--- a/src/gateway/endpoints.rs
+++ b/src/gateway/endpoints.rs
@@ -140,6 +140,17 @@
         self.of(endpoint)?.rest.left(now)
     }
 
+    /// Milliseconds until the first of these endpoints ends its rest; none where one may be
+    /// sent to now, or there are none.
+    pub fn all_rest_for<'a>(
+        &self,
+        now: Millis,
+        mut endpoints: impl Iterator<Item = &'a Registration>,
+    ) -> Option<Millis> {
+        let first = self.rest_left(now, endpoints.next()?)?;
+        endpoints.try_fold(first, |least, e| Some(least.min(self.rest_left(now, e)?)))
+    }
+
     fn load(&self, endpoint: &Registration, preference: Preference) -> (u64, u64) {
         let seen = self.of(endpoint);
         match preference {
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -38,6 +38,18 @@
         notice.rest.time().is_some()
     }
 
+    /// Milliseconds until the first endpoint that may serve it ends its rest, where all of
+    /// them rest.
+    pub(super) fn all_rest_for(&self) -> Option<Millis> {
+        let eligibility = self.eligibility()?;
+        let now = self.gateway.now();
+        self.gateway.registry.read(|registry| {
+            let ready = registry.ready(&self.service);
+            let may_serve = ready.filter(|e| self.is_eligible(&eligibility, e));
+            self.gateway.with_endpoints(|endpoints| endpoints.all_rest_for(now, may_serve))
+        })
+    }
+
     fn count_notice(&self, notice: &str) {
         self.gateway.metrics.notices.with_label_values(&[&self.service, notice]).inc();
     }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -31,6 +31,11 @@
     NoEndpoint,
     /// Endpoints of the service take work, but none where the request may be served.
     NoAllowedRegion,
+    /// Each endpoint that may serve it has asked this router for rest.
+    EndpointsRest {
+        /// Milliseconds after which the first of them takes work again.
+        retry_after_ms: u32,
+    },
     /// Endpoints were asked and none ran it.
     NotExecuted,
     /// It cannot be served in time.
@@ -60,6 +65,7 @@
             | Refusal::Overloaded
             | Refusal::NoEndpoint
             | Refusal::NoAllowedRegion
+            | Refusal::EndpointsRest { .. }
             | Refusal::NotExecuted
             | Refusal::TooLate { .. }
             | Refusal::CrashesEndpoints { .. }
@@ -100,6 +106,7 @@
             Refusal::BodyBroken => "body_broken",
             Refusal::NoEndpoint => "no_endpoint",
             Refusal::NoAllowedRegion => "no_allowed_region",
+            Refusal::EndpointsRest { .. } => "endpoints_rest",
             Refusal::NotExecuted => "not_executed",
             Refusal::TooLate { .. } => "too_late",
             Refusal::CrashesEndpoints { .. } => "crashes_endpoints",
@@ -116,6 +123,7 @@
         if self.status() == StatusCode::SERVICE_UNAVAILABLE {
             let seconds = match self {
                 Refusal::TooLate { retry_after_ms }
+                | Refusal::EndpointsRest { retry_after_ms }
                 | Refusal::CrashesEndpoints { retry_after_ms } => {
                     f64::from(retry_after_ms) / 1_000.0
                 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -189,6 +189,12 @@
         let endpoint = progress.tried.last().cloned().unwrap_or_default();
         return finish(&call, &endpoint, response);
     }
+    if matches!(ended, Refusal::NoEndpoint | Refusal::NotExecuted)
+        && let Some(rest_ms) = call.all_rest_for()
+    {
+        // It would be turned away until then; no endpoint is asked once more.
+        ended = Refusal::EndpointsRest { retry_after_ms: rest_ms as u32 };
+    }
     // A promise that it has not run may be given only when that is sure.
     if progress.may_have_run && ended.status() == StatusCode::SERVICE_UNAVAILABLE {
         ended = Refusal::AnswerLost;
