The placer knows which routers let an engine rest, and so does one that takes over

An engine that asks one router for rest looks idle to the placer, which decides for all and hears no answer: it went on placing that router's requests there, and the router could only ask again or choose alone, without knowing what others send.

The router tells the placer that it asks, its own placer, and with what else it knows any placer that it asks later, how much is left of each rest. The placer passes the engine by for that router only, tries one request after the rest as routers do for plain services, and lets others prefer other engines once two routers were turned away. A rest ends with the engine's start and with the router's session.

At most 2,048 engines are remembered by a router; a placer keeps an entry for each router and engine at rest, some 40 bytes.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -23,6 +23,7 @@
 mod placer;
 mod queue;
 mod rate;
+mod rests;
 mod rules;
 mod server;
 mod shares;
@@ -35,10 +36,11 @@
 pub use client::{Placed, Placements, Reservation};
 pub use distance::Distances;
 pub use engines::EngineInfo;
+pub use knowledge::StartOf;
 pub use local::LocalPlacer;
 pub use message::{
     Ending, FromPlacer, KeptParts, Knowledge, OpenRequest, PlacementRequest, PromptParts, Refusal,
-    ToPlacer,
+    RestTold, ToPlacer,
 };
 pub use placer::{Decision, Placer};
 pub use rules::PlacementRules;
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -10,6 +10,7 @@
 use super::message::PlacementRequest;
 use super::parts::{EngineNumber, Match};
 use super::queue::{Position, Queue};
+use super::rests::RouterRests;
 use super::rules::PlacementRules;
 use super::shares::Standing;
 use super::timing::FIXED_MS;
@@ -17,6 +18,7 @@
 use crate::dispatch::Millis;
 use crate::eligibility::{Candidate, order_of};
 use crate::region::are_apart;
+use crate::wire::HostId;
 
 /// Service over an equal part below which being served less says no more.
 const LEAST_RELATIVE: f64 = 0.25;
@@ -53,6 +55,8 @@
     pub is_gone: bool,
     /// How much it may be sent while it is cold.
     pub warmth: Warmth,
+    /// Which routers it asked for rest.
+    pub rests: RouterRests,
 }
 
 impl Engine {
@@ -76,6 +80,7 @@
             copy_ms_per_token: info.copy_ms_per_token,
             open: true,
             is_gone: false,
+            rests: RouterRests::default(),
         }
     }
 
@@ -89,9 +94,12 @@
         self.open && !self.is_gone
     }
 
-    /// Whether requests should go elsewhere.
-    pub fn is_unfit(&self, now: Millis) -> bool {
-        !self.takes_work() || self.model.is_left_out(now) || self.model.is_stalled(now)
+    /// Whether a router's requests should go elsewhere.
+    pub fn is_unfit(&self, now: Millis, router: HostId) -> bool {
+        !self.takes_work()
+            || self.model.is_left_out(now)
+            || self.model.is_stalled(now)
+            || self.rests.is_unfit(now, router)
     }
 }
 
@@ -146,6 +154,8 @@
     pub engines: &'a Slab<Engine>,
     /// What each keeps of the request's prompt, by its number.
     pub found: &'a [Match],
+    /// The router that asks.
+    pub router: HostId,
     /// The region of the router that asks; empty where it is not known.
     pub from_region: &'a str,
     /// Units of long prompts that engines of the service read in a millisecond.
@@ -162,7 +172,8 @@
         let tokens = memory_tokens(&request.parts, request.prompt_tokens, request.output_tokens);
         let sources = self.copy_sources(request);
         let fits = |(_, engine): &(EngineNumber, &Engine)| {
-            is_candidate(engine, request) && !engine.warmth.is_full(self.now, self.rules.cold_part)
+            self.is_candidate(engine, request)
+                && !engine.warmth.is_full(self.now, self.rules.cold_part)
         };
         let mut best: Option<(Order, EngineNumber)> = None;
         for (number, engine) in self.engines.iter().filter(fits) {
@@ -173,7 +184,8 @@
                 + self.rules.copying_weight * reading.copy_ms
                 + self.rules.late_stream_cost_ms
                     * engine.model.streams().harmed_by(reading.pause_ms) as f64;
-            let order = (engine.is_unfit(self.now), !engine.model.has_room(tokens), score);
+            let order =
+                (engine.is_unfit(self.now, self.router), !engine.model.has_room(tokens), score);
             let is_better = best.is_none_or(|(best_order, best_number)| {
                 order < best_order
                     || order == best_order
@@ -190,7 +202,7 @@
     /// go to are cold and have been sent what they bear; none where there is no engine.
     pub fn until_one_is_free(&self, request: &PlacementRequest) -> Option<Millis> {
         let engines = self.engines.iter().map(|(_, engine)| engine);
-        let candidates = engines.filter(|engine| is_candidate(engine, request));
+        let candidates = engines.filter(|engine| self.is_candidate(engine, request));
         let free = candidates.filter_map(|e| e.warmth.next_at(self.now, self.rules.cold_part));
         free.min().map(|at| at.saturating_sub(self.now))
     }
@@ -292,6 +304,15 @@
         }
     }
 
+    /// Whether a request could go to an engine at all.
+    fn is_candidate(&self, engine: &Engine, request: &PlacementRequest) -> bool {
+        engine.takes_work()
+            && engine.service == request.service
+            && !engine.rests.bars(self.now, self.router)
+            && request.eligibility.allows(engine.candidate())
+            && !request.avoid.contains(&engine.id)
+    }
+
     /// From which engines parts of the prompt can be copied.
     fn copy_sources(&self, request: &PlacementRequest) -> CopySources<'_> {
         let between_regions = self.rules.copies_between_regions;
@@ -299,14 +320,6 @@
     }
 }
 
-/// Whether a request could go to an engine at all.
-fn is_candidate(engine: &Engine, request: &PlacementRequest) -> bool {
-    engine.takes_work()
-        && engine.service == request.service
-        && request.eligibility.allows(engine.candidate())
-        && !request.avoid.contains(&engine.id)
-}
-
 /// Memory that a request takes until it ends, in tokens, beside the parts of its
 /// prompt that others use too: all but the last.
 pub fn memory_tokens(parts: &[(u64, u32)], prompt_tokens: u32, output_tokens: u32) -> u64 {
--- a/src/placement/client.rs
+++ b/src/placement/client.rs
@@ -12,8 +12,9 @@
 
 use super::knowledge::{Memory, StartOf, Told};
 use super::local::LocalPlacer;
-use super::message::{Ending, FromPlacer, PlacementRequest, Refusal, ToPlacer};
+use super::message::{Ending, FromPlacer, PlacementRequest, Refusal, RestTold, ToPlacer};
 use super::unanswered::Unanswered;
+use crate::dispatch::Millis;
 use crate::error::{Error, Result};
 use crate::feed::Subscriptions;
 use crate::loop_lag::LoopLag;
@@ -223,6 +224,17 @@
         }
     }
 
+    /// An engine asked this router for so many milliseconds of rest: the placer that is
+    /// asked must know, and any that is asked later.
+    pub fn rest(&self, at: StartOf<'_>, time: Millis) {
+        lock(&self.memory).rested(self.peers.clock.now(), at, time);
+        let mut told = vec![Told::Local];
+        told.extend(lock(&self.informed).map(Told::Host));
+        let (endpoint, started_at_ms) = (at.endpoint.to_string(), at.started_at_ms);
+        let rest = RestTold { endpoint, started_at_ms, time_ms: time as u32 };
+        self.tell(&told, &ToPlacer::Rest(rest));
+    }
+
     /// Passes on what became of an open request. A session that has closed has
     /// given everything back.
     fn tell(&self, told: &[Told], message: &ToPlacer) {
@@ -244,7 +256,7 @@
     fn inform(&self, host: HostId, session: &Session) {
         let mut informed = lock(&self.informed);
         if informed.replace(host) != Some(host) {
-            let knowledge = lock(&self.memory).tell(host);
+            let knowledge = lock(&self.memory).tell(self.peers.clock.now(), host);
             // A session that has closed is noticed by its reader.
             let _ = session.out.send(ToPlacer::Known(knowledge).into());
         }
--- a/src/placement/knowledge.rs
+++ b/src/placement/knowledge.rs
@@ -7,11 +7,14 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::message::{KeptParts, Knowledge, OpenRequest, PlacementRequest};
+use super::message::{KeptParts, Knowledge, OpenRequest, PlacementRequest, RestTold};
+use crate::dispatch::Millis;
 use crate::wire::HostId;
 
 /// Prompt parts that are remembered, those used last.
 const MOST_KEPT: usize = 256;
+/// Engines of which it is remembered that they want rest: more than a fleet has.
+const MOST_RESTS: usize = 2_048;
 
 /// Who was told of an open request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,6 +47,14 @@
     kept: BTreeMap<u64, KeptParts>,
     last_use: HashMap<(u64, String), u64>,
     uses: u64,
+    rests: HashMap<String, Resting>,
+}
+
+/// A rest that an engine asked for.
+#[derive(Clone, Copy, Debug)]
+struct Resting {
+    started_at_ms: u64,
+    until: Millis,
 }
 
 impl Memory {
@@ -96,8 +107,27 @@
         }
     }
 
+    /// An engine asked for so many milliseconds of rest.
+    pub fn rested(&mut self, now: Millis, at: StartOf<'_>, time: Millis) {
+        self.rests.retain(|_, rest| rest.until > now);
+        if self.rests.len() < MOST_RESTS {
+            let until = now.saturating_add(time);
+            let StartOf { endpoint, started_at_ms } = at;
+            self.rests.insert(endpoint.to_string(), Resting { started_at_ms, until });
+        }
+    }
+
+    fn rests(&self, now: Millis) -> Vec<RestTold> {
+        let told = |(endpoint, rest): (&String, &Resting)| {
+            let time_ms = rest.until.checked_sub(now).filter(|left| *left > 0)? as u32;
+            let (endpoint, started_at_ms) = (endpoint.clone(), rest.started_at_ms);
+            Some(RestTold { endpoint, started_at_ms, time_ms })
+        };
+        self.rests.iter().filter_map(told).collect()
+    }
+
     /// All that `placer` does not know yet; from now on it is told.
-    pub fn tell(&mut self, placer: HostId) -> Knowledge {
+    pub fn tell(&mut self, now: Millis, placer: HostId) -> Knowledge {
         let told = Told::Host(placer);
         let mut open = Vec::new();
         for entry in self.open.values_mut() {
@@ -106,6 +136,7 @@
             }
             open.push(entry.request.clone());
         }
-        Knowledge { open, kept: self.kept.values().cloned().collect() }
+        let kept = self.kept.values().cloned().collect();
+        Knowledge { open, kept, rests: self.rests(now) }
     }
 }
--- a/src/placement/message.rs
+++ b/src/placement/message.rs
@@ -83,6 +83,17 @@
     pub parts: PromptParts,
 }
 
+/// A rest that an engine asked a router for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RestTold {
+    /// The endpoint.
+    pub endpoint: String,
+    /// The start of the endpoint that asked; a later one asked nothing.
+    pub started_at_ms: u64,
+    /// Milliseconds that are left of it.
+    pub time_ms: u32,
+}
+
 /// What a router knows from placements that others decided.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Knowledge {
@@ -90,6 +101,8 @@
     pub open: Vec<OpenRequest>,
     /// What endpoints read, used last at the end.
     pub kept: Vec<KeptParts>,
+    /// Engines that it lets rest.
+    pub rests: Vec<RestTold>,
 }
 
 /// What a router tells a placer.
@@ -97,6 +110,8 @@
 pub enum ToPlacer {
     /// What earlier placements left, before the first request.
     Known(Knowledge),
+    /// An engine asked the router for rest.
+    Rest(RestTold),
     /// A request wants an engine.
     Place(PlacementRequest),
     /// The first event of a placed request came.
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -8,7 +8,9 @@
 use super::distance::Distances;
 use super::engine::{Observation, RequestKey, reading_units};
 use super::engines::EngineInfo;
-use super::message::{Ending, FromPlacer, Knowledge, PlacementRequest, Refusal, ToPlacer};
+use super::message::{
+    Ending, FromPlacer, Knowledge, PlacementRequest, Refusal, RestTold, ToPlacer,
+};
 use super::parts::{EngineNumber, Match, PartIndex};
 use super::pauses::LONG_READING_UNITS;
 use super::queue::Planned;
@@ -154,6 +156,7 @@
     pub fn receive(&mut self, now: Millis, router: HostId, message: ToPlacer) -> Option<Decision> {
         match message {
             ToPlacer::Known(knowledge) => self.learn(now, router, knowledge),
+            ToPlacer::Rest(rest) => self.rest(now, router, &rest),
             ToPlacer::Place(request) => return Some(self.place(now, router, request)),
             ToPlacer::Begun { seq } => self.begun(now, (router, seq)),
             ToPlacer::Done { seq, ending } => self.done(now, (router, seq), ending),
@@ -166,6 +169,7 @@
         self.placed.retain(|key, _| key.0 != router);
         for (_, engine) in &mut self.engines {
             engine.model.drop_router(now, router);
+            engine.rests.lost(router);
         }
     }
 
@@ -177,6 +181,7 @@
                 self.parts.set_read(number, &kept.parts);
             }
         }
+        knowledge.rests.iter().for_each(|rest| self.rest(now, router, rest));
         for open in knowledge.open {
             let key = (router, open.seq);
             let Some(number) = self.number_of(&open.endpoint, open.started_at_ms) else { continue };
@@ -200,6 +205,13 @@
         }
     }
 
+    /// An engine wants nothing from a router for a while.
+    fn rest(&mut self, now: Millis, router: HostId, rest: &RestTold) {
+        if let Some(number) = self.number_of(&rest.endpoint, rest.started_at_ms) {
+            self.engines[number].rests.ask(now, router, rest.time_ms.into());
+        }
+    }
+
     /// An engine has read the parts, or is about to.
     fn keep(&mut self, number: EngineNumber, parts: &[(u64, u32)]) {
         let capacity = self.engines[number].model.usable_memory();
@@ -209,6 +221,7 @@
     fn begun(&mut self, now: Millis, key: RequestKey) {
         let Some(number) = self.placed.get(&key).copied() else { return };
         let engine = &mut self.engines[number];
+        engine.rests.served(now, key.0);
         // What it has read by now was read at the pace known before.
         engine.queue.advance(now, engine.model.pace(now));
         let Some(begun) = engine.model.begun(now, key) else { return };
@@ -255,8 +268,10 @@
         match ending {
             Ending::Failed => engine.model.failed(now),
             Ending::Replaced => engine.is_gone = true,
-            Ending::Served | Ending::Abandoned => {}
+            Ending::Served => engine.rests.served(now, key.0),
+            Ending::Abandoned => {}
         }
+        engine.rests.ended(key.0);
         engine.model.ended(now, key);
     }
 
@@ -267,8 +282,8 @@
             self.shares.asked(now, &request.customer, units);
         }
         let standing = self.shares.standing(&request.customer);
-        let Some(choice) = self.choose(now, &request, standing) else {
-            let answer = match self.chooser(now, &request).until_one_is_free(&request) {
+        let Some(choice) = self.choose(now, router, &request, standing) else {
+            let answer = match self.chooser(now, router, &request).until_one_is_free(&request) {
                 Some(wait_ms) => refuse_for_cold(key.1, wait_ms, standing),
                 None => FromPlacer::Unknown { seq: key.1 },
             };
@@ -295,14 +310,15 @@
     fn choose(
         &mut self,
         now: Millis,
+        router: HostId,
         request: &PlacementRequest,
         standing: Standing,
     ) -> Option<Choice> {
         self.parts.find(&request.parts, &mut self.found);
-        let number = self.chooser(now, request).best(request)?;
+        let number = self.chooser(now, router, request).best(request)?;
         let engine = &mut self.engines[number];
         engine.queue.advance(now, engine.model.pace(now));
-        self.chooser(now, request).at(number, request, standing)
+        self.chooser(now, router, request).at(number, request, standing)
     }
 
     fn has_room(&self, engine: EngineNumber, request: &PlacementRequest) -> bool {
@@ -311,12 +327,12 @@
         self.engines.get(engine).is_some_and(|engine| engine.model.has_room(tokens))
     }
 
-    fn chooser(&self, now: Millis, request: &PlacementRequest) -> Chooser<'_> {
+    fn chooser(&self, now: Millis, router: HostId, request: &PlacementRequest) -> Chooser<'_> {
         let pace = self.paces.get(&request.service);
         let long_rate = pace.map_or(f64::MAX, |pace| pace.long.get());
         let Placer { rules, engines, found, distances, .. } = self;
         let from_region = distances.region_of(request);
-        Chooser { rules, engines, found, from_region, long_rate, now }
+        Chooser { rules, engines, found, router, from_region, long_rate, now }
     }
 
     /// A request goes to an engine.
@@ -330,6 +346,7 @@
         engine.model.send(now, key, parts, planned.units, tokens);
         engine.model.promise(key, request.pause_ms, to.pause_ms);
         engine.warmth.sent(now);
+        engine.rests.sent(now, key.0);
         self.placed.insert(key, to.engine);
     }
 }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -7,6 +7,7 @@
 mod regions;
 mod releases;
 mod restarts;
+mod rests;
 mod sessions;
 mod standing;
 mod warmth;
@@ -343,7 +344,7 @@
     memory.placed(&waiting, at(busy), Told::Host(HostId(8)));
 
     let mut second = placer(&["a", "b", "c"]);
-    let knowledge = memory.tell(HostId(9));
+    let knowledge = memory.tell(0, HostId(9));
     assert!(second.receive(0, ROUTER, ToPlacer::Known(knowledge.clone())).is_none());
     let next = decide(&mut second, 0, request(3, "x", 7, 500));
     assert_eq!(
@@ -375,7 +376,7 @@
         memory.begun(seq);
         memory.ended(seq);
     }
-    let knowledge = memory.tell(HostId(9));
+    let knowledge = memory.tell(0, HostId(9));
     assert!(knowledge.open.is_empty());
     assert_eq!(knowledge.kept.len(), 256);
     assert_eq!(knowledge.kept.last().unwrap().parts, [(1_999, 10_000)]);
--- a/src/placement/tests/pauses.rs
+++ b/src/placement/tests/pauses.rs
@@ -168,7 +168,7 @@
     memory.placed(&asked, StartOf { endpoint: "a", started_at_ms: 0 }, Told::Local);
     memory.begun(1);
     let mut placer = placer(&["a", "b"]);
-    placer.receive(0, ROUTER, ToPlacer::Known(memory.tell(ROUTER)));
+    placer.receive(0, ROUTER, ToPlacer::Known(memory.tell(0, ROUTER)));
     // What its parts are worth at the one engine, the stream there is worth more.
     let mut long = request(2, "x", 1, 20_000);
     (long.pause_ms, long.objective_ms) = (PROMISED_MS, 2_000);
--- a/src/placement/tests/restarts.rs
+++ b/src/placement/tests/restarts.rs
@@ -70,7 +70,7 @@
         StartOf { endpoint: "a", started_at_ms: 1 },
         Told::Local,
     );
-    let knowledge = memory.tell(HostId(9));
+    let knowledge = memory.tell(0, HostId(9));
     let told = |started_at_ms| {
         let mut placer = placer_of(vec![started("a", started_at_ms)]);
         placer.receive(0, ROUTER, ToPlacer::Known(knowledge.clone()));
