The same cause on the product's own interface: leaving and rest are read by nobody (red)

Looked for elsewhere: the chat and plain-service interface has a client, a dispatcher and streams of its own, and reads neither word. Five scenarios with the real programs; 4 fail: an engine that says that it leaves, or asks for 9 s of rest, gets new work; where the only one rests or leaves, the next request is sent to it. The fifth, an engine that serves again after its rest, passes. Emulated endpoints learn both words (x-leaving, Retry-After).

--- a/src/delivery/header.rs
+++ b/src/delivery/header.rs
@@ -25,6 +25,9 @@
 /// Set by an endpoint that has not run a call and will not.
 pub const NOT_RUN: &str = "x-not-run";
 
+/// Set to `1` by an endpoint that leaves: it finishes what it has and wants nothing new.
+pub const LEAVING: &str = "x-leaving";
+
 /// A header's value as text.
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name).and_then(|v| v.to_str().ok())
--- a/src/emulate/engine.rs
+++ b/src/emulate/engine.rs
@@ -19,7 +19,7 @@
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::fault::{Fault, FaultKind, Faults};
+use super::fault::{Fault, FaultKind, Faults, asking_for_rest, saying_that_it_leaves};
 use super::slot::{Slot, Slots};
 use crate::delivery::header;
 use crate::error::Result;
@@ -150,6 +150,9 @@
     if kind == Some(FaultKind::Refuse) {
         return refusal("told to refuse");
     }
+    if let Some(rest) = fault.as_ref().filter(|f| f.kind == FaultKind::Rest) {
+        return asking_for_rest(refusal("told to rest"), rest);
+    }
     if kind == Some(FaultKind::Late) {
         let amount = fault.as_ref().map_or(0, |f| f.amount);
         tokio::time::sleep(Duration::from_millis(amount)).await;
@@ -165,9 +168,13 @@
     if let Some(ms) = request.emulate.crash_after_ms.filter(|_| engine.settings.crashes) {
         tokio::spawn(crash(Duration::from_millis(ms)));
     }
-    match request.stream {
+    let answer = match request.stream {
         true => stream(engine, job, request.priority),
         false => whole(engine, job, request.priority).await,
+    };
+    match kind {
+        Some(FaultKind::Leave) => saying_that_it_leaves(answer),
+        _ => answer,
     }
 }
 
--- a/src/emulate/fault.rs
+++ b/src/emulate/fault.rs
@@ -2,8 +2,12 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
+use axum::http::{HeaderValue, header};
+use axum::response::Response;
 use serde::{Deserialize, Serialize};
 
+use crate::delivery::header::LEAVING;
+
 /// A fault, shown by the next `times` requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -13,7 +17,7 @@
     /// How many requests show it.
     #[serde(default = "once")]
     pub times: u32,
-    /// Its size: milliseconds for `late`, tokens for `cut`.
+    /// Its size: milliseconds for `late` and `rest`, tokens for `cut`.
     #[serde(default)]
     pub amount: u64,
 }
@@ -34,6 +38,10 @@
     Cross,
     /// The request is refused with proof that it did not run.
     Refuse,
+    /// The same, and the endpoint asks for rest.
+    Rest,
+    /// The answer says that the endpoint leaves.
+    Leave,
 }
 
 /// The faults an endpoint is told to show.
@@ -58,3 +66,16 @@
         Some(shown)
     }
 }
+
+/// An answer that says that its endpoint leaves.
+pub(super) fn saying_that_it_leaves(mut answer: Response) -> Response {
+    answer.headers_mut().insert(LEAVING, HeaderValue::from_static("1"));
+    answer
+}
+
+/// A refusal that asks for as much rest as the fault says.
+pub(super) fn asking_for_rest(mut refusal: Response, rest: &Fault) -> Response {
+    let seconds = rest.amount.div_ceil(1_000);
+    refusal.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    refusal
+}
--- a/src/emulate/service.rs
+++ b/src/emulate/service.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use super::fault::{Fault, FaultKind, Faults};
+use super::fault::{Fault, FaultKind, Faults, asking_for_rest, saying_that_it_leaves};
 use super::slot::Slots;
 use crate::delivery::header;
 use crate::error::Result;
@@ -76,6 +76,10 @@
         let refused = [(header::NOT_RUN, "1")];
         return (StatusCode::SERVICE_UNAVAILABLE, refused).into_response();
     }
+    if let Some(rest) = fault.as_ref().filter(|f| f.kind == FaultKind::Rest) {
+        let refused = [(header::NOT_RUN, "1")];
+        return asking_for_rest((StatusCode::SERVICE_UNAVAILABLE, refused).into_response(), rest);
+    }
     let Some(_slot) = service.slots.take(0).await else {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     };
@@ -102,7 +106,11 @@
         "run": run,
         "echo": String::from_utf8_lossy(&body),
     });
-    ([(header::REQUEST, id.to_string())], Json(answer)).into_response()
+    let answer = ([(header::REQUEST, id.to_string())], Json(answer)).into_response();
+    match kind {
+        Some(FaultKind::Leave) => saying_that_it_leaves(answer),
+        _ => answer,
+    }
 }
 
 impl Service {
--- a/tests/scenarios/steps.rs
+++ b/tests/scenarios/steps.rs
@@ -363,6 +363,13 @@
     assert_eq!(answer.reason, reason, "{answer:?}");
 }
 
+#[then(regex = r"^the caller is told to come back in (\d+) to (\d+) seconds$")]
+async fn told_to_come_back(w: &mut FleetWorld, least: u64, most: u64) {
+    let answer = w.answers.last().unwrap();
+    let told = answer.retry_after.unwrap();
+    assert!((least..=most).contains(&told), "{answer:?}");
+}
+
 #[then("the answer is the recorded one")]
 async fn recorded(w: &mut FleetWorld) {
     let [.., first, last] = w.answers.as_slice() else { panic!("two answers are needed") };
