The product's own interface keeps to what answers say of leaving and rest

Cause: the client of endpoints gave the answer and nothing of what its head says besides; the dispatcher, which decides for all routers and hears no answer, had no word for it.

Mend: the head is read by the same definition. A router keeps both words, asks them before a call is sent, after its key was claimed too, and tells the dispatcher of the service, also one that takes over. The dispatcher passes an endpoint that leaves by for every router, and one that rests for the router that was asked; after the rest one request is tried. What cannot start before the end of the rest is refused at once with the time left, also when it waits already; what can, waits. A stream is not resumed at an engine that rests.

Endpoints here are declared and say nothing of their starts: one that leaves is back once it has refused a connection and takes one again, is declared elsewhere, or after ten minutes.

Ruled out: treating both as failures, which any answer ends, and which two routers make hold for all.

--- a/src/delivery.rs
+++ b/src/delivery.rs
@@ -13,7 +13,7 @@
 mod tests;
 
 pub(crate) use attempt::pass_on;
-pub use attempt::{Answer, Attempt, Call, Caller, MAX_ANSWER};
+pub use attempt::{Answer, Attempt, Attempted, Call, Caller, MAX_ANSWER};
 pub use budget::RetryBudget;
 pub use client::HttpClient;
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
--- a/src/delivery/attempt.rs
+++ b/src/delivery/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use axum::body::Body;
-use axum::http::{HeaderMap, HeaderValue, Method, Request, Response};
+use axum::http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -12,6 +12,7 @@
 use super::client::HttpClient;
 use super::header;
 use super::outcome::UnknownReason;
+use crate::notice::Notice;
 
 /// The largest answer that is not streamed, in bytes.
 pub const MAX_ANSWER: usize = 16 << 20;
@@ -60,6 +61,21 @@
     Unknown(UnknownReason),
 }
 
+/// What came of an attempt, and what the endpoint said of itself.
+#[derive(Debug)]
+pub struct Attempted {
+    /// The result.
+    pub attempt: Attempt,
+    /// What the head of the answer said; nothing where there was none.
+    pub notice: Notice,
+}
+
+impl From<Attempt> for Attempted {
+    fn from(attempt: Attempt) -> Attempted {
+        Attempted { attempt, notice: Notice::default() }
+    }
+}
+
 /// Makes attempts.
 #[derive(Clone, Debug, Default)]
 pub struct Caller {
@@ -69,38 +85,45 @@
 impl Caller {
     /// Calls `address` and waits for the head of its answer, or for the whole
     /// when it is not streamed, but not longer than `limit`.
-    pub async fn attempt(&self, address: SocketAddr, call: &Call, limit: Duration) -> Attempt {
+    pub async fn attempt(&self, address: SocketAddr, call: &Call, limit: Duration) -> Attempted {
         let Some(request) = call.request(address) else {
-            return Attempt::NotSent;
+            return Attempt::NotSent.into();
         };
         match tokio::time::timeout(limit, self.exchange(call, request)).await {
-            Ok(attempt) => attempt,
-            Err(_) => Attempt::Unknown(UnknownReason::TimedOut),
+            Ok(attempted) => attempted,
+            Err(_) => Attempt::Unknown(UnknownReason::TimedOut).into(),
         }
     }
 
-    async fn exchange(&self, call: &Call, request: Request<Body>) -> Attempt {
+    async fn exchange(&self, call: &Call, request: Request<Body>) -> Attempted {
         let sent = match call.once {
             true => self.client.send_fresh(request).await,
             false => self.client.send(request).await,
         };
         let response = match sent {
             Ok(response) => response,
-            Err(error) if error.is_connect() => return Attempt::NotSent,
-            Err(_) => return Attempt::Unknown(UnknownReason::Broken),
+            Err(error) if error.is_connect() => return Attempt::NotSent.into(),
+            Err(_) => return Attempt::Unknown(UnknownReason::Broken).into(),
         };
-        if response.headers().contains_key(header::NOT_RUN) {
-            return Attempt::Refused;
-        }
-        let echoed = header::text(response.headers(), header::REQUEST);
-        if echoed.is_some_and(|id| id != call.id) {
-            return Attempt::Unknown(UnknownReason::Crossed);
-        }
-        if is_stream(response.headers()) {
-            return Attempt::Answered(Answer::Stream(response));
-        }
-        whole(response).await
+        let leaving = HeaderName::from_static(header::LEAVING);
+        let notice = Notice::read(response.status(), response.headers(), &leaving);
+        Attempted { attempt: judge(call, response).await, notice }
+    }
+}
+
+/// What an answer whose head has come says of the call.
+async fn judge(call: &Call, response: Response<Incoming>) -> Attempt {
+    if response.headers().contains_key(header::NOT_RUN) {
+        return Attempt::Refused;
+    }
+    let echoed = header::text(response.headers(), header::REQUEST);
+    if echoed.is_some_and(|id| id != call.id) {
+        return Attempt::Unknown(UnknownReason::Crossed);
+    }
+    if is_stream(response.headers()) {
+        return Attempt::Answered(Answer::Stream(response));
     }
+    whole(response).await
 }
 
 async fn whole(response: Response<Incoming>) -> Attempt {
--- a/src/delivery/outcome.rs
+++ b/src/delivery/outcome.rs
@@ -33,6 +33,7 @@
             NotRunReason::Refused(RefuseReason::QueueFull) => "queue-full",
             NotRunReason::Refused(RefuseReason::DeadlineUnmet) => "deadline-unmet",
             NotRunReason::Refused(RefuseReason::NoEndpoint) => "no-endpoint",
+            NotRunReason::Refused(RefuseReason::EndpointsRest) => "endpoints-rest",
             NotRunReason::TooManyBytes => "too-many-bytes",
             NotRunReason::NoConfiguration => "no-configuration",
             NotRunReason::Stopping => "stopping",
--- a/src/dispatch/capacity.rs
+++ b/src/dispatch/capacity.rs
@@ -6,6 +6,7 @@
     GRANT_PATIENCE_MS, GRANT_PATIENCE_PART, Millis, REPORT_PATIENCE_MS, REPORT_PATIENCE_PART,
 };
 use crate::config::{Config, EndpointId, HallId, HallSet, ServiceId};
+use crate::notice::Rest;
 use crate::wire::HostId;
 
 /// First time an endpoint is left out after a failure, in milliseconds.
@@ -60,12 +61,23 @@
     leaving: bool,
     outstanding: u32,
     failures: BTreeMap<HostId, Failure>,
+    /// Which routers it asked for rest. Unlike failures, no answer ends that early.
+    rests: BTreeMap<HostId, Rest>,
+    /// Which routers it told that it leaves: what one was told holds for all.
+    told_leaving: BTreeSet<HostId>,
     prefixes: PrefixIndex,
 }
 
 impl State {
+    fn takes_work(&self) -> bool {
+        !self.leaving && self.told_leaving.is_empty()
+    }
+
     fn usable(&self, now: Millis, router: HostId, reach: HallSet) -> bool {
-        if self.leaving || !reach.contains(self.hall) {
+        if !self.takes_work() || !reach.contains(self.hall) {
+            return false;
+        }
+        if self.rests.get(&router).is_some_and(|r| r.left(now).is_some() || r.is_tried(now)) {
             return false;
         }
         if self.failures.get(&router).is_some_and(|f| f.until > now) {
@@ -135,6 +147,8 @@
                 leaving: false,
                 outstanding: 0,
                 failures: BTreeMap::new(),
+                rests: BTreeMap::new(),
+                told_leaving: BTreeSet::new(),
                 prefixes: PrefixIndex::default(),
             });
             state.hall = hall;
@@ -167,19 +181,28 @@
 
     /// Slots of endpoints that take new work.
     pub fn slots(&self) -> u32 {
-        let active = self.endpoints.values().filter(|e| !e.leaving);
+        let active = self.endpoints.values().filter(|e| e.takes_work());
         active.map(|e| e.slots).sum()
     }
 
     /// Whether any endpoint in reach takes new work, now or later.
     pub fn serves(&self, reach: HallSet) -> bool {
-        self.endpoints.values().any(|e| !e.leaving && reach.contains(e.hall))
+        self.endpoints.values().any(|e| e.takes_work() && reach.contains(e.hall))
+    }
+
+    /// Milliseconds until the first endpoint in reach ends the rest that it asked a router
+    /// for; none where one may be sent to now, or there are none.
+    pub fn all_rest_for(&self, now: Millis, router: HostId, reach: HallSet) -> Option<Millis> {
+        let in_reach = |e: &&State| e.takes_work() && reach.contains(e.hall);
+        let mut rests = self.endpoints.values().filter(in_reach).map(|e| e.rests.get(&router));
+        let first = rests.next()??.left(now)?;
+        rests.try_fold(first, |least, rest| Some(least.min(rest?.left(now)?)))
     }
 
     /// Whether any endpoint has room.
     pub fn has_room(&self) -> bool {
         let room = |e: &State| e.outstanding < e.slots + self.ahead_of(e.slots);
-        self.endpoints.values().any(|e| !e.leaving && room(e))
+        self.endpoints.values().any(|e| e.takes_work() && room(e))
     }
 
     /// The endpoint to run a request on: one with a free slot that likely has
@@ -219,18 +242,40 @@
         if full { self.grant_patience_ms } else { 0 }
     }
 
-    /// Takes a slot.
-    pub fn acquire(&mut self, endpoint: EndpointId, prefix: &[u32]) {
+    /// An endpoint asked a router for so many milliseconds of rest.
+    pub fn rest(&mut self, now: Millis, router: HostId, endpoint: EndpointId, time: Millis) {
+        if let Some(state) = self.endpoints.get_mut(&endpoint) {
+            state.rests.entry(router).or_default().ask(now, time);
+        }
+    }
+
+    /// An endpoint told a router that it leaves, or the router found it back.
+    pub fn set_leaving(&mut self, router: HostId, endpoint: EndpointId, leaves: bool) {
+        let Some(state) = self.endpoints.get_mut(&endpoint) else { return };
+        match leaves {
+            true => state.told_leaving.insert(router),
+            false => state.told_leaving.remove(&router),
+        };
+    }
+
+    /// Takes a slot for a router's request.
+    pub fn acquire(&mut self, now: Millis, router: HostId, endpoint: EndpointId, prefix: &[u32]) {
         if let Some(state) = self.endpoints.get_mut(&endpoint) {
             state.outstanding += 1;
+            if let Some(rest) = state.rests.get_mut(&router) {
+                rest.sent(now);
+            }
             state.prefixes.insert(prefix);
         }
     }
 
-    /// Frees a slot.
-    pub fn release(&mut self, endpoint: EndpointId) {
+    /// Frees the slot of a router's request.
+    pub fn release(&mut self, router: HostId, endpoint: EndpointId) {
         if let Some(state) = self.endpoints.get_mut(&endpoint) {
             state.outstanding = state.outstanding.saturating_sub(1);
+            if let Some(rest) = state.rests.get_mut(&router) {
+                rest.ended();
+            }
         }
     }
 
@@ -257,9 +302,12 @@
     }
 
     /// Lets the endpoint back in for everyone after an answer.
-    pub fn answered(&mut self, router: HostId, endpoint: EndpointId) {
+    pub fn answered(&mut self, now: Millis, router: HostId, endpoint: EndpointId) {
         if let Some(state) = self.endpoints.get_mut(&endpoint) {
             state.failures.remove(&router);
+            if let Some(rest) = state.rests.get_mut(&router) {
+                rest.served(now);
+            }
         }
     }
 
@@ -267,6 +315,8 @@
     pub fn forget_router(&mut self, router: HostId) {
         self.endpoints.values_mut().for_each(|e| {
             e.failures.remove(&router);
+            e.rests.remove(&router);
+            e.told_leaving.remove(&router);
         });
     }
 
@@ -276,7 +326,7 @@
             endpoint: *id,
             slots: e.slots,
             outstanding: e.outstanding,
-            leaving: e.leaving,
+            leaving: !e.takes_work(),
         };
         self.endpoints.iter().map(load).collect()
     }
--- a/src/dispatch/client.rs
+++ b/src/dispatch/client.rs
@@ -1,6 +1,6 @@
 //! A router's side of dispatch for one service: what it has waiting and running.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::Millis;
 use crate::config::{CustomerId, EndpointId, HallSet};
@@ -80,6 +80,10 @@
     open: BTreeMap<u64, OpenRequest>,
     leads: BTreeMap<CustomerId, u64>,
     holds: BTreeMap<CustomerId, Hold>,
+    /// When the rests end that endpoints asked this router for.
+    rests: BTreeMap<EndpointId, Millis>,
+    /// Endpoints that told this router that they leave.
+    leaving: BTreeSet<EndpointId>,
 }
 
 impl Client {
@@ -106,10 +110,39 @@
         self.holds.clear();
         let mut out =
             vec![ToDispatcher::Join { reach: self.reach, takeover, leads: self.open_leads() }];
+        out.extend(
+            self.leaving.iter().map(|e| ToDispatcher::Leaving { endpoint: *e, leaves: true }),
+        );
+        out.extend(self.rests.iter().filter_map(|(endpoint, until)| {
+            let time_ms = until.checked_sub(now).filter(|left| *left > 0)? as u32;
+            Some(ToDispatcher::Rest { endpoint: *endpoint, time_ms })
+        }));
         out.extend(self.open.iter().map(|(seq, request)| request.introduce(now, *seq)));
         out
     }
 
+    /// An endpoint asked this router for so many milliseconds of rest.
+    pub fn rested(
+        &mut self,
+        now: Millis,
+        endpoint: EndpointId,
+        time: Millis,
+    ) -> Option<ToDispatcher> {
+        self.rests.retain(|_, until| *until > now);
+        self.rests.insert(endpoint, now.saturating_add(time));
+        let message = ToDispatcher::Rest { endpoint, time_ms: time as u32 };
+        self.session.map(|_| message)
+    }
+
+    /// An endpoint told this router that it leaves, or is back after that.
+    pub fn set_leaving(&mut self, endpoint: EndpointId, leaves: bool) -> Option<ToDispatcher> {
+        match leaves {
+            true => self.leaving.insert(endpoint),
+            false => self.leaving.remove(&endpoint),
+        };
+        self.session.map(|_| ToDispatcher::Leaving { endpoint, leaves })
+    }
+
     /// The session has ended.
     pub fn detach(&mut self) {
         self.session = None;
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -206,6 +206,13 @@
             ToDispatcher::Done { seq, units, ending } => {
                 self.done(now, router, seq, units, ending, &mut out);
             }
+            ToDispatcher::Rest { endpoint, time_ms } => {
+                self.capacity.rest(now, router, endpoint, time_ms.into());
+                self.give_up_at_rest(now, router, &mut out);
+            }
+            ToDispatcher::Leaving { endpoint, leaves } => {
+                self.capacity.set_leaving(router, endpoint, leaves);
+            }
             ToDispatcher::Cancel { seq, customer } => {
                 self.accounts.remove_if(customer, router, |w| w.seq == seq);
             }
@@ -262,7 +269,7 @@
             return;
         }
         let reach = self.sessions.get(&router).map_or(HallSet::ALL, |s| s.reach);
-        let refusal = self.refusal(reach, &want);
+        let refusal = self.refusal(now, router, reach, &want);
         if let Some((reason, retry_after_ms, hold_ms)) = refusal {
             out.push(Decision::Refuse {
                 router,
--- a/src/dispatch/dispatcher/refusal.rs
+++ b/src/dispatch/dispatcher/refusal.rs
@@ -1,18 +1,29 @@
 //! What cannot be served is refused at once.
 
 use super::{
-    BLIND_RETRY_MS, CustomerId, Decision, Dispatcher, GIVE_UP_FACTOR, HallSet, MAX_HOLD_MS,
+    BLIND_RETRY_MS, CustomerId, Decision, Dispatcher, GIVE_UP_FACTOR, HallSet, HostId, MAX_HOLD_MS,
     MAX_RETRY_MS, MIN_RETRY_MS, Millis, RefuseReason, Waiting, Want,
 };
 use crate::dispatch::estimate::{FairOrder, queued_units, share_of};
 
 impl Dispatcher {
-    pub(super) fn refusal(&self, reach: HallSet, want: &Want) -> Option<(RefuseReason, u32, u32)> {
+    pub(super) fn refusal(
+        &self,
+        now: Millis,
+        router: HostId,
+        reach: HallSet,
+        want: &Want,
+    ) -> Option<(RefuseReason, u32, u32)> {
         // A dispatcher that does not know the service yet is behind its routers.
         let knows = self.config.services.contains_key(&self.service);
         if knows && !self.capacity.serves(reach) {
             return Some((RefuseReason::NoEndpoint, BLIND_RETRY_MS, 0));
         }
+        if let Some(rest) = self.capacity.all_rest_for(now, router, reach)
+            && rest > Millis::from(want.start_within_ms)
+        {
+            return Some((RefuseReason::EndpointsRest, rest as u32, 0));
+        }
         let waiting = self.accounts.get(want.customer).map_or(0, |a| a.waiting);
         let limit = self.config.customers.get(&want.customer).map_or(u32::MAX, |c| c.max_waiting);
         let queue_ms = self.queue_ms(want.customer);
@@ -34,6 +45,27 @@
         Some(self.order.units_until(units, share) / rate)
     }
 
+    /// Gives up what a router has waiting and what cannot start before the first endpoint
+    /// ends its rest.
+    pub(super) fn give_up_at_rest(&mut self, now: Millis, router: HostId, out: &mut Vec<Decision>) {
+        let reach = self.sessions.get(&router).map_or(HallSet::ALL, |s| s.reach);
+        let Some(rest) = self.capacity.all_rest_for(now, router, reach) else { return };
+        let customers: Vec<_> = self.accounts.backlogged().map(|(id, _)| id).collect();
+        for customer in customers {
+            let is_late = |w: &Waiting| w.start_by < now + rest;
+            for request in self.accounts.remove_if(customer, router, is_late) {
+                out.push(Decision::Refuse {
+                    router,
+                    seq: request.seq,
+                    customer,
+                    reason: RefuseReason::EndpointsRest,
+                    retry_after_ms: rest as u32,
+                    hold_ms: 0,
+                });
+            }
+        }
+    }
+
     pub(super) fn give_up(&mut self, now: Millis, out: &mut Vec<Decision>) {
         self.order = FairOrder::of(&self.accounts, &self.config, now, self.mean_output);
         let customers: Vec<_> = self.accounts.backlogged().map(|(id, _)| id).collect();
--- a/src/dispatch/dispatcher/service.rs
+++ b/src/dispatch/dispatcher/service.rs
@@ -56,7 +56,7 @@
         let charged = self.predicted(customer, request.input);
         self.charge(customer, charged);
         let patience_ms = self.capacity.grant_patience(endpoint);
-        self.capacity.acquire(endpoint, &request.prefix);
+        self.capacity.acquire(now, router, endpoint, &request.prefix);
         let after = self.accounts.entry(customer).counter;
         let granted = Granted { customer, endpoint, input: request.input, charged, since: now };
         self.granted.insert((router, request.seq), granted);
@@ -114,7 +114,7 @@
         let Some(granted) = self.granted.remove(&(router, seq)) else {
             return;
         };
-        self.capacity.release(granted.endpoint);
+        self.capacity.release(router, granted.endpoint);
         self.settle(&granted, units);
         match ending {
             Ending::Answered => self.learn(now, router, &granted, units),
@@ -138,7 +138,7 @@
     }
 
     pub(super) fn learn(&mut self, now: Millis, router: HostId, granted: &Granted, units: u32) {
-        self.capacity.answered(router, granted.endpoint);
+        self.capacity.answered(now, router, granted.endpoint);
         self.rate.learn(units, now.saturating_sub(granted.since));
         if let Some(mean_ms) = self.rate.mean_ms() {
             self.capacity.keep_full(mean_ms);
--- a/src/dispatch/dispatcher/session.rs
+++ b/src/dispatch/dispatcher/session.rs
@@ -83,7 +83,7 @@
         let charged = units.max(self.predicted(customer, 0));
         let granted = Granted { customer, endpoint, input: 0, charged, since: now };
         if self.granted.insert((router, seq), granted).is_none() {
-            self.capacity.acquire(endpoint, &[]);
+            self.capacity.acquire(now, router, endpoint, &[]);
         }
     }
 
@@ -92,7 +92,7 @@
         let keys: Vec<_> = of_router.map(|(key, _)| *key).collect();
         for key in keys {
             if let Some(granted) = self.granted.remove(&key) {
-                self.capacity.release(granted.endpoint);
+                self.capacity.release(router, granted.endpoint);
             }
         }
     }
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -3,6 +3,7 @@
 mod estimate;
 mod fleet;
 mod properties;
+mod rests;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
--- a/src/router.rs
+++ b/src/router.rs
@@ -2,6 +2,7 @@
 
 mod dispatchers;
 mod link;
+mod notices;
 mod once;
 mod reach;
 mod serve;
--- a/src/router/link.rs
+++ b/src/router/link.rs
@@ -11,7 +11,9 @@
 use super::dispatchers::SESSION_BITS;
 use super::state::Router;
 use crate::config::{EndpointId, HallSet, ServiceId};
-use crate::dispatch::{Client, REPORT_PATIENCE_MS, REPORT_PATIENCE_PART, Received, Submitted};
+use crate::dispatch::{
+    Client, Millis, REPORT_PATIENCE_MS, REPORT_PATIENCE_PART, Received, Submitted,
+};
 use crate::member::View;
 use crate::peer::Peers;
 use crate::settings::DispatchMode;
@@ -41,6 +43,8 @@
     Progress { seq: u64, units: u32 },
     Finish { seq: u64, units: u32, ending: Ending },
     Cancel { seq: u64 },
+    Rest { endpoint: EndpointId, time: Millis },
+    Leaving { endpoint: EndpointId, leaves: bool },
     Up(Connection),
     Failed { host: HostId },
     Down { session: u64 },
@@ -87,6 +91,16 @@
         (ticket, receiver)
     }
 
+    /// An endpoint asked this router for so many milliseconds of rest.
+    pub fn rest(&self, endpoint: EndpointId, time: Millis) {
+        self.send(Event::Rest { endpoint, time });
+    }
+
+    /// An endpoint told this router that it leaves, or is back after that.
+    pub fn set_leaving(&self, endpoint: EndpointId, leaves: bool) {
+        self.send(Event::Leaving { endpoint, leaves });
+    }
+
     fn send(&self, event: Event) {
         // The task runs as long as the process.
         let _ = self.0.send(event);
@@ -212,6 +226,14 @@
                 let message = self.client.cancel(seq);
                 self.send(message);
             }
+            Event::Rest { endpoint, time } => {
+                let message = self.client.rested(now, endpoint, time);
+                self.send(message);
+            }
+            Event::Leaving { endpoint, leaves } => {
+                let message = self.client.set_leaving(endpoint, leaves);
+                self.send(message);
+            }
             Event::Up(connection) => self.up(connection),
             Event::Failed { host } => {
                 self.connecting = None;
--- a/src/router/serve.rs
+++ b/src/router/serve.rs
@@ -15,7 +15,9 @@
 use crate::admission::Denied;
 use crate::clock::BootInstant;
 use crate::config::{Config, CustomerId, EndpointId, Service, ServiceId, ServiceKind};
-use crate::delivery::{Answer, Attempt, Call, NotRunReason, Outcome, UnknownReason, header, sse};
+use crate::delivery::{
+    Answer, Attempt, Attempted, Call, NotRunReason, Outcome, UnknownReason, header, sse,
+};
 use crate::quarantine::Fingerprint;
 use crate::registry::EndpointStart;
 use crate::telemetry::RequestId;
@@ -302,8 +304,7 @@
             ticket.finish(0, Ending::Unused);
             return Next::Finish(refused);
         }
-        let declared =
-            config.endpoints.get(&endpoint).filter(|_| !self.router.is_leaving(endpoint));
+        let declared = config.endpoints.get(&endpoint).filter(|_| self.router.takes_work(endpoint));
         let Some(declared) = declared else {
             ticket.finish(0, Ending::Unused);
             return Next::Again { free: true, otherwise: refused() };
@@ -321,13 +322,31 @@
                 return Next::Finish(outcome);
             }
         };
+        // Until its key was claimed, the endpoint may have begun to leave or to rest.
+        if !self.router.takes_work(endpoint) {
+            if let Some(claim) = claim {
+                once::settle(&self.router, claim, &Attempt::NotSent).await;
+            }
+            ticket.finish(0, Ending::Unused);
+            return Next::Again { free: true, otherwise: refused() };
+        }
         self.decide("delivery", format!("calls endpoint {}", declared.name));
         let started = Instant::now();
         let limit = self.deadline.remaining();
-        let attempt = self.router.caller.attempt(address, &self.call, limit).await;
+        let Attempted { attempt, notice } =
+            self.router.caller.attempt(address, &self.call, limit).await;
+        self.heed(endpoint, &declared.name, &notice);
         if let Some(claim) = claim {
             once::settle(&self.router, claim, &attempt).await;
         }
+        if matches!(attempt, Attempt::Refused)
+            && let Some(rest) = notice.rest.time()
+        {
+            // It gets the rest that it asked for, and is not taken to have failed besides.
+            ticket.finish(0, Ending::Unused);
+            let reason = NotRunReason::Refused(RefuseReason::EndpointsRest);
+            return Next::Again { free: false, otherwise: Outcome::NotRun(reason, rest as u32) };
+        }
         match attempt {
             Attempt::Answered(Answer::Whole(response)) => {
                 self.router.guard.served(&self.fingerprint);
@@ -337,7 +356,8 @@
                 Next::Finish(Outcome::Answered(passed_on(response)))
             }
             Attempt::Answered(Answer::Stream(response)) => {
-                let endpoint = stream::Engine { name: declared.name.clone(), address };
+                let endpoint =
+                    stream::Engine { id: endpoint, name: declared.name.clone(), address };
                 match stream::relay(self, ticket, endpoint, response).await {
                     Ok(response) => Next::Finish(Outcome::Answered(response)),
                     Err(reason) => self.unknown(reason),
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -11,6 +11,7 @@
 
 use super::dispatchers::Dispatchers;
 use super::link::Link;
+use super::notices::Heard;
 
 use crate::admission::Admission;
 use crate::claim::Claims;
@@ -56,6 +57,8 @@
     pub claims: Claims,
     /// Begins a planned stop.
     pub stop: CancellationToken,
+    /// What endpoints said of themselves in their answers.
+    pub(super) heard: Heard,
     /// Run-once calls under way; a planned stop waits for them.
     pub runs: TaskTracker,
     pub(super) leaving: watch::Sender<Leaving>,
@@ -105,6 +108,7 @@
             trace,
             metrics: Metrics::default(),
             caller: Caller::default(),
+            heard: Heard::default(),
             runs: TaskTracker::new(),
             leaving,
             reach: watch::Sender::new(HallSet::ALL),
@@ -149,7 +153,7 @@
     /// Whether an endpoint takes no new work, as far as this router knows.
     pub(super) fn is_leaving(&self, endpoint: EndpointId) -> bool {
         let declared = self.config().endpoints.get(&endpoint).is_none_or(|e| e.leaving);
-        declared || self.leaving.borrow().contains(&endpoint)
+        declared || self.leaving.borrow().contains(&endpoint) || self.heard.is_leaving(endpoint)
     }
 
     /// Works on a customer's retry budget.
--- a/src/router/stream.rs
+++ b/src/router/stream.rs
@@ -18,8 +18,9 @@
 use super::link::Ticket;
 use super::serve::{Job, start_of};
 use super::state::Router;
+use crate::config::{EndpointId, ServiceId};
 use crate::delivery::sse::{Chunk, DONE, Event, Splitter};
-use crate::delivery::{Answer, Attempt, Call, UnknownReason, header};
+use crate::delivery::{Answer, Attempt, Attempted, Call, UnknownReason, header};
 use crate::quarantine::Fingerprint;
 use crate::telemetry::RequestId;
 use crate::wire::Ending;
@@ -42,6 +43,7 @@
 
 /// The engine that a stream comes from.
 pub(super) struct Engine {
+    pub id: EndpointId,
     pub name: String,
     pub address: SocketAddr,
 }
@@ -52,6 +54,7 @@
     id: RequestId,
     call: Call,
     fingerprint: Fingerprint,
+    service: ServiceId,
     engine: Engine,
     began: Instant,
     body: Incoming,
@@ -82,6 +85,7 @@
         id: job.id,
         call: job.call.clone(),
         fingerprint: job.fingerprint.clone(),
+        service: job.service_id,
         engine,
         began: Instant::now(),
         body,
@@ -205,12 +209,15 @@
 
     /// Asks the same engine for the rest.
     async fn resume(&mut self) -> bool {
-        if self.resumes >= MAX_RESUMES || self.output == 0 {
+        let rests = self.router.heard.rest_left(self.router.peers.clock.now(), self.engine.id);
+        if self.resumes >= MAX_RESUMES || self.output == 0 || rests.is_some() {
             return false;
         }
         self.resumes += 1;
         self.call.resume = Some(self.output);
-        let attempt = self.router.caller.attempt(self.engine.address, &self.call, STALL).await;
+        let Attempted { attempt, notice } =
+            self.router.caller.attempt(self.engine.address, &self.call, STALL).await;
+        self.router.heed(self.service, self.engine.id, &self.engine.name, &notice);
         let Attempt::Answered(Answer::Stream(response)) = attempt else {
             return false;
         };
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -247,6 +247,20 @@
         /// How it ended.
         ending: Ending,
     },
+    /// An endpoint asked this router for rest.
+    Rest {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Milliseconds that are left of it.
+        time_ms: u32,
+    },
+    /// An endpoint told this router that it leaves, or is back after that.
+    Leaving {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Whether it leaves.
+        leaves: bool,
+    },
     /// A waiting request was given up.
     Cancel {
         /// Number of the request.
@@ -265,6 +279,8 @@
     DeadlineUnmet,
     /// No endpoint in reach serves it.
     NoEndpoint,
+    /// Each endpoint in reach has asked for rest until after its deadline.
+    EndpointsRest,
 }
 
 /// What a dispatcher tells a router.
