A crashed endpoint that answers again before its later start is known has crashed

Open since the incident of requests that crash endpoints: an answer of the new start was booked to the start that had crashed, as a sign of life, which took the crash away for good.

Decided: the later start decides, when it becomes known, not the clock of either. Crashes that a sign of life refuted are kept for 2.5 s, two heartbeats; a later start that becomes known in that time confirms them, and a sign of life told after it refutes nothing. The leader follows the starts in its registry, a router without a leader those in its own.

--- a/src/control/quarantine_controller.rs
+++ b/src/control/quarantine_controller.rs
@@ -10,7 +10,7 @@
 use crate::clock::epoch_ms;
 use crate::dispatch::Millis;
 use crate::quarantine::{
-    Blame, Fingerprint, Inquiry, Quarantines, Review, Stage, Suspicion, Verdict,
+    Blame, Fingerprint, Inquiry, KnownStarts, Quarantines, Review, Stage, Suspicion, Verdict,
 };
 use crate::telemetry::render_gauges;
 
@@ -37,6 +37,8 @@
             controller = QuarantineController::default();
             continue;
         }
+        let news = control.registry.read(|registry| controller.starts.news(registry));
+        controller.inquiry.take_starts(now, news);
         for (router, observation) in reported {
             controller.inquiry.take(now, router, observation);
         }
@@ -47,6 +49,7 @@
 #[derive(Debug, Default)]
 struct QuarantineController {
     inquiry: Inquiry,
+    starts: KnownStarts,
     /// What was agreed when it was last decided.
     agreed: Arc<Quarantines>,
     /// Requests that are to be released.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -19,7 +19,7 @@
 use crate::loop_lag::LoopLag;
 use crate::peer::Peers;
 use crate::placement::{Ending, LocalPlacer, Placements, Reservation};
-use crate::quarantine::{Guard, SharedQuarantine};
+use crate::quarantine::{Guard, KnownStarts, SharedQuarantine};
 use crate::registry::{EndpointState, Registration, Scope, SharedRegistry};
 use crate::rollout::SharedRollouts;
 use crate::routing::Documents;
@@ -346,7 +346,10 @@
     let mut watch = gateway.registry.watch();
     let mut seen = 0;
     let mut starts = HashMap::new();
+    let mut known_starts = KnownStarts::default();
     while watch.changed().await.is_ok() {
+        let news = gateway.registry.read(|registry| known_starts.news(registry));
+        gateway.guard.take_starts(news);
         let changes = gateway.registry.read(|r| r.changes_after(seen, usize::MAX, Scope::All));
         seen = changes.upto;
         for endpoint in &changes.endpoints {
--- a/src/quarantine/guard.rs
+++ b/src/quarantine/guard.rs
@@ -11,7 +11,7 @@
 use super::inquiry::Inquiry;
 use super::model::{Quarantines, Stage};
 use super::report::CrashReport;
-use super::{Fingerprint, Observation, SharedQuarantine, Witness};
+use super::{Fingerprint, Observation, SharedQuarantine, StartNews, Witness};
 use crate::clock::{Clock, epoch_ms};
 use crate::dispatch::Millis;
 use crate::feed::Subscriptions;
@@ -124,6 +124,11 @@
         self.noticed.notify_one();
     }
 
+    /// What became known of starts of endpoints.
+    pub fn take_starts(&self, news: Vec<StartNews>) {
+        self.seen().alone.take_starts(self.clock.now(), news);
+    }
+
     /// What this router would decide without a leader.
     fn decide_alone(&self) {
         let now = self.clock.now();
--- a/src/quarantine/inquiry.rs
+++ b/src/quarantine/inquiry.rs
@@ -3,9 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use super::Fingerprint;
+use super::StartNews;
 use super::crash::Crash;
 use super::culprits::{Blame, Suspicion, culprits};
 use super::report::{Observation, Observed};
+use super::starts::Starts;
 use crate::dispatch::Millis;
 use crate::registry::EndpointStart;
 use crate::wire::HostId;
@@ -36,6 +38,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Inquiry {
     crashes: VecDeque<Crash>,
+    starts: Starts,
     alive: BTreeMap<EndpointStart, Millis>,
     /// Until when requests are not blamed.
     innocent_until: BTreeMap<Fingerprint, Millis>,
@@ -58,7 +61,7 @@
                     self.crash(at, router, endpoint).lose(fingerprint, ran_ms);
                 }
             }
-            Observed::Alive(endpoint) => self.alive(at, endpoint),
+            Observed::Alive(endpoint) => self.alive(now, at, endpoint),
             Observed::Served(fingerprint) => self.served(at, fingerprint),
         }
         self.forget_old(now);
@@ -69,11 +72,41 @@
     }
 
     /// An endpoint was there at this time: what was lost before was not lost by its end.
-    fn alive(&mut self, at: Millis, endpoint: EndpointStart) {
-        self.crashes.retain(|crash| crash.endpoint != endpoint || crash.last > at);
+    /// Unless that was a later start of it.
+    fn alive(&mut self, now: Millis, at: Millis, endpoint: EndpointStart) {
+        if self.starts.is_of_a_later_one(at, &endpoint) {
+            return;
+        }
+        let is_refuted = |crash: &Crash| crash.endpoint == endpoint && crash.last <= at;
+        for crash in self.crashes.iter().filter(|crash| is_refuted(crash)) {
+            self.starts.refuted(now, crash.clone(), at);
+        }
+        self.crashes.retain(|crash| !is_refuted(crash));
         note_latest(&mut self.alive, endpoint, at);
     }
 
+    /// A start of an endpoint became known: a sign of life of an earlier one that came a
+    /// moment before was this one's, and the earlier one did crash.
+    fn started(&mut self, now: Millis, start: &EndpointStart) {
+        let confirmed = self.starts.started(now, start);
+        for crash in confirmed {
+            self.has_news = true;
+            self.alive.remove(&crash.endpoint);
+            let before = self.crashes.iter().take_while(|known| known.at <= crash.at).count();
+            self.crashes.insert(before, crash);
+        }
+    }
+
+    /// Takes in what became known of starts.
+    pub fn take_starts(&mut self, now: Millis, news: Vec<StartNews>) {
+        for step in news {
+            match step {
+                StartNews::Started(start) => self.started(now, &start),
+                StartNews::Gone(endpoint) => self.starts.forget(&endpoint),
+            }
+        }
+    }
+
     fn is_innocent(&self, at: Millis, fingerprint: &Fingerprint) -> bool {
         self.innocent_until.get(fingerprint).is_some_and(|until| at < *until)
     }
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -1,5 +1,7 @@
 //! Who is blamed for which crashes, what is agreed on it, and what a router remembers.
 
+mod starts;
+
 use super::*;
 use crate::dispatch::Millis;
 use crate::registry::EndpointStart;
--- /dev/null
+++ b/src/quarantine/tests/starts.rs
@@ -0,0 +1,108 @@
+//! Endpoints that crash and answer again before anybody knows that they started again.
+
+use super::*;
+use crate::registry::{EndpointState, Hearing, Registration, Registry};
+
+const ROUTER: HostId = HostId(1);
+const OTHER: HostId = HostId(2);
+/// Two heartbeats.
+const UNKNOWN_MS: Millis = 2_500;
+
+fn of(number: u64, started_at_ms: u64) -> EndpointStart {
+    EndpointStart { id: format!("e-{number}"), started_at_ms }
+}
+
+fn lose(inquiry: &mut Inquiry, at: Millis, endpoint: EndpointStart) {
+    for router in [ROUTER, OTHER] {
+        let fingerprint = request("culprit");
+        let what = Observed::Lost { endpoint: endpoint.clone(), fingerprint, ran_ms: 20 };
+        inquiry.take(at, router, Observation { ago_ms: 0, what });
+    }
+}
+
+fn alive(inquiry: &mut Inquiry, at: Millis, endpoint: EndpointStart) {
+    let what = Observed::Alive(endpoint);
+    inquiry.take(at, ROUTER, Observation { ago_ms: 0, what });
+}
+
+fn started(inquiry: &mut Inquiry, at: Millis, start: EndpointStart) {
+    inquiry.take_starts(at, vec![StartNews::Started(start)]);
+}
+
+fn blamed(inquiry: &mut Inquiry, at: Millis) -> usize {
+    inquiry.review(at, |_| Suspicion::None).blamed.len()
+}
+
+/// Three endpoints crash, and each answers again under the start that crashed.
+fn three_that_answer_again(inquiry: &mut Inquiry) {
+    for number in 1..=3 {
+        started(inquiry, 0, of(number, 1));
+        lose(inquiry, 10_000, of(number, 1));
+        alive(inquiry, 10_800, of(number, 1));
+    }
+    assert_eq!(blamed(inquiry, 11_000), 0, "by all that is known they live");
+}
+
+#[test]
+fn crashes_count_whose_endpoints_turn_out_to_have_started_again() {
+    let mut inquiry = Inquiry::default();
+    three_that_answer_again(&mut inquiry);
+    for number in 1..=3 {
+        started(&mut inquiry, 12_000, of(number, 2));
+    }
+    assert_eq!(blamed(&mut inquiry, 12_100), 1);
+}
+
+#[test]
+fn a_sign_of_life_that_is_told_after_the_later_start_refutes_nothing() {
+    let mut inquiry = Inquiry::default();
+    for number in 1..=3 {
+        started(&mut inquiry, 0, of(number, 1));
+        lose(&mut inquiry, 10_000, of(number, 1));
+        started(&mut inquiry, 10_900, of(number, 2));
+        alive(&mut inquiry, 11_000, of(number, 1));
+    }
+    assert_eq!(blamed(&mut inquiry, 11_100), 1);
+}
+
+#[test]
+fn who_lived_on_and_started_again_later_did_not_crash_before() {
+    let mut inquiry = Inquiry::default();
+    three_that_answer_again(&mut inquiry);
+    for number in 1..=3 {
+        started(&mut inquiry, 10_800 + UNKNOWN_MS, of(number, 2));
+    }
+    assert_eq!(blamed(&mut inquiry, 20_000), 0);
+}
+
+#[test]
+fn a_start_that_is_known_already_confirms_nothing() {
+    let mut inquiry = Inquiry::default();
+    three_that_answer_again(&mut inquiry);
+    for number in 1..=3 {
+        started(&mut inquiry, 11_500, of(number, 1));
+    }
+    assert_eq!(blamed(&mut inquiry, 12_000), 0);
+}
+
+#[test]
+fn each_start_is_told_once_and_each_end() {
+    let said = |started_at_ms, state| Registration {
+        started_at_ms,
+        address: Some(([127, 0, 0, 1], 80).into()),
+        state,
+        sequence: started_at_ms,
+        ..Registration::gone("e-1")
+    };
+    let mut registry = Registry::default();
+    let mut known = KnownStarts::default();
+    registry.merge(said(1, EndpointState::Ready), Hearing::FirstHand);
+    assert_eq!(known.news(&registry), [StartNews::Started(of(1, 1))]);
+    registry.merge(said(1, EndpointState::Leaving), Hearing::FirstHand);
+    assert_eq!(known.news(&registry), []);
+    registry.merge(said(2, EndpointState::Ready), Hearing::FirstHand);
+    assert_eq!(known.news(&registry), [StartNews::Started(of(1, 2))]);
+    registry.merge(Registration::gone("e-1"), Hearing::FirstHand);
+    assert_eq!(known.news(&registry), [StartNews::Gone("e-1".into())]);
+    assert_eq!(known.news(&registry), []);
+}
