Soak: a replica that leaves and rests by the word of its answers alone

Its registrations go on saying that it is ready, as where the control host that it told is cut off; it rests for 0.3 to 4 s, leaves, and starts again, over and over, while all other faults come and callers use their connections until the process is gone. Checked: once a router has passed on an answer that says so, nothing that is asked of that life of it later reaches that start of the replica; nothing during a rest; after the last start every router uses it again. No check asks for a time but that of the rest. Two histories that break it are caught.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -19,6 +19,8 @@
 mod registrations;
 #[path = "platform/releases.rs"]
 mod releases;
+// Shared with the soak, which uses more of it.
+#[allow(dead_code)]
 #[path = "platform/replica.rs"]
 mod replica;
 #[path = "platform/rollouts.rs"]
--- a/tests/platform/notices.rs
+++ b/tests/platform/notices.rs
@@ -202,8 +202,7 @@
         until_reached(&fleet, "/once/x", &replica).await;
         assert_eq!(call(fleet.front, &post("/once/x", "barred", "")).await.status, 503);
         // It starts again, and takes work.
-        replica.set_leaving(false);
-        replica.rest(Duration::ZERO);
+        replica.restart();
         assert_eq!(fleet.heartbeat("i-0", &beat(2_000)).await, 200);
         fleet.settle().await;
         assert_eq!(call(fleet.front, &post("/once/x", "again", "")).await.status, 200);
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -1,7 +1,7 @@
 //! A stand-in for a replica, which can misbehave in the ways the protocol names.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -63,8 +63,15 @@
 #[derive(Clone, Debug)]
 pub struct Arrival {
     pub id: String,
+    pub at: Instant,
+    /// Counts the starts of the replica.
+    pub start: u32,
+    /// Whether the answer says that the replica leaves.
+    pub leaving: bool,
     /// Whether it was turned away with a request for rest.
     pub turned_away: bool,
+    /// When that rest is over.
+    pub rests_until: Option<Instant>,
 }
 
 /// Requests are turned away until then.
@@ -82,6 +89,8 @@
     rest: Mutex<Option<Rest>>,
     /// Each answer says that it leaves.
     leaving: AtomicBool,
+    /// Counts its starts under its id.
+    starts: AtomicU32,
     left: AtomicUsize,
     /// Connections that were taken.
     taken: AtomicUsize,
@@ -131,6 +140,13 @@
         self.state.leaving.store(leaving, Ordering::SeqCst);
     }
 
+    /// It starts again, and takes work.
+    pub fn restart(&self) {
+        self.set_leaving(false);
+        *self.state.rest.lock().unwrap() = None;
+        self.state.starts.fetch_add(1, Ordering::SeqCst);
+    }
+
     /// From now on it turns requests away, and asks each sender to let it rest until then.
     pub fn rest(&self, time: Duration) {
         let until = Instant::now() + time;
@@ -192,9 +208,7 @@
                 continue;
             }
             let asks_for_rest = self.asks_for_rest();
-            let turned_away = asks_for_rest.is_some();
-            let arrival = Arrival { id: seen.id(), turned_away };
-            self.state.arrivals.lock().unwrap().push(arrival);
+            self.note_arrival(&seen, asks_for_rest.is_some());
             if let Some(time) = asks_for_rest {
                 let headers = format!(
                     "Bramblecrank-Not-Executed: 1\r\nRetry-After: {time}\r\nContent-Length: 0\r\n"
@@ -214,6 +228,18 @@
         }
     }
 
+    fn note_arrival(&self, seen: &Seen, turned_away: bool) {
+        let rest = self.state.rest.lock().unwrap().clone();
+        self.state.arrivals.lock().unwrap().push(Arrival {
+            id: seen.id(),
+            at: Instant::now(),
+            start: self.state.starts.load(Ordering::SeqCst),
+            leaving: self.state.leaving.load(Ordering::SeqCst),
+            turned_away,
+            rests_until: rest.filter(|_| turned_away).map(|rest| rest.until),
+        });
+    }
+
     fn head(&self, status: u16, id: &str, headers: &str) -> String {
         let leaving = match self.state.leaving.load(Ordering::SeqCst) {
             true => "Server-Leaving: 1\r\n",
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -13,6 +13,8 @@
 mod fleet;
 #[path = "soak/history.rs"]
 mod history;
+#[path = "soak/notices.rs"]
+mod notices;
 #[path = "soak/proxy.rs"]
 mod proxy;
 #[path = "soak/registrations.rs"]
@@ -114,6 +116,8 @@
     actors.spawn(actors::roll_out_on(stage.clone(), bad.clone(), seed));
     let leaver = Replica::start("i-leaves", Behaviour::Answer).await;
     actors.spawn(registrations::come_and_leave_on(stage.clone(), leaver.clone(), seed));
+    let speaker = Replica::start("i-speaks", Behaviour::Answer).await;
+    actors.spawn(notices::speak_on(stage.clone(), speaker.clone(), seed));
     (0..CALLERS * size.routers)
         .for_each(|caller| drop(actors.spawn(actors::call_on(stage.clone(), caller))));
     (0..size.routers)
@@ -124,10 +128,12 @@
     let recovered = comes_about(|| serves(&stage)).await;
     stage.over.cancel();
     actors.join_all().await;
+    let used = notices::is_used_again(&stage, &speaker, seed).await;
     let refused = crashers.await.unwrap().refused_everywhere().await;
     let kept = comes_about(|| is_kept(&stage)).await;
     let mut history = stage.history.lock().unwrap().clone();
-    let all = replicas.iter().chain([&bad, &leaver]);
+    history.arrivals = speaker.arrivals();
+    let all = replicas.iter().chain([&bad, &leaver, &speaker]);
     history.runs = all.flat_map(|r| r.seen()).map(|seen| seen.id()).collect();
     drop(stage);
     report(&history);
@@ -138,6 +144,9 @@
     if !refused {
         broken.push("what crashes replicas is not refused everywhere".into());
     }
+    if !used {
+        broken.push("a replica that takes work again is not used".into());
+    }
     if !kept {
         broken.push("the newest acknowledged version is not in force everywhere".into());
     }
@@ -189,8 +198,10 @@
     let rolled_back = history.rollout_reads.iter().filter_map(|read| read.said.as_ref());
     let rolled_back = rolled_back.filter(|(_, state)| state == "rolled_back");
     println!(
-        "{} roll-outs ordered, {} seen rolled back; {} leaves; {} changes, {} reads, {} calls: {} answered, {} refused, {} unknown, {} without an \
+        "{} answers said that their replica leaves, {} asked for rest; {} roll-outs ordered, {} seen rolled back; {} leaves; {} changes, {} reads, {} calls: {} answered, {} refused, {} unknown, {} without an \
          answer; a router was behind for {behind} ms at most, and denied routes for {denying} ms",
+        history.arrivals.iter().filter(|arrival| arrival.leaving).count(),
+        history.arrivals.iter().filter(|arrival| arrival.turned_away).count(),
         history.orders.len(),
         rolled_back.map(|(number, _)| number).collect::<std::collections::BTreeSet<_>>().len(),
         history.leaves.len(),
--- a/tests/soak/actors.rs
+++ b/tests/soak/actors.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::fleet::Fleet;
-use crate::history::{Acknowledged, Call, History, Order, Read, RolloutRead, Says, Sighting};
+use crate::history::{Acknowledged, Call, History, Order, Read, RolloutRead, Says, Sighting, Told};
 use crate::http::{Answer, read_answer};
 use crate::registrations::{REGISTER_PAUSE, Said, epoch_ms, register};
 use crate::replica::Replica;
@@ -164,9 +164,13 @@
         }
         let once = number % 2 == 0;
         let id = format!("c{caller}-{number}");
+        let host = stage.fleet.size.router(router);
+        let (life, asked) = (stage.fleet.life(host), Instant::now());
         let answer = call(&mut connection, front, &id, once).await;
+        let told = Told { life, asked, answered: Instant::now() };
+        let told = Some(told).filter(|_| answer.is_some() && stage.fleet.life(host) == life);
         let answer = answer.map(|a| (a.status, a.body, a.whole));
-        stage.note(|h| h.calls.push(Call { id, router, once, answer }));
+        stage.note(|h| h.calls.push(Call { id, router, told, once, answer }));
         tokio::time::sleep(CALL_PAUSE).await;
     }
 }
@@ -303,6 +307,6 @@
     let answer = call(&mut None, stage.fleet.front(number), &id, false).await;
     let answer = answer.map(|a| (a.status, a.body, a.whole));
     let served = answer.as_ref().is_some_and(|(status, ..)| *status == 200);
-    stage.note(|h| h.calls.push(Call { id, router: number, once: false, answer }));
+    stage.note(|h| h.calls.push(Call { id, router: number, told: None, once: false, answer }));
     served
 }
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -2,14 +2,15 @@
 
 use std::time::{Duration, Instant};
 
-use crate::history::{Acknowledged, Call, History, Order, Read, RolloutRead, Says, Sighting};
+use crate::history::{Acknowledged, Call, History, Order, Read, RolloutRead, Says, Sighting, Told};
+use crate::replica::Arrival;
 
 fn after(start: Instant, ms: u64) -> Instant {
     start + Duration::from_millis(ms)
 }
 
 fn answered(id: &str, once: bool, status: u16, body: &str) -> Call {
-    Call { id: id.into(), router: 0, once, answer: Some((status, body.into(), true)) }
+    Call { id: id.into(), router: 0, told: None, once, answer: Some((status, body.into(), true)) }
 }
 
 fn sighting(start: Instant, at: u64, version: u64, says: Says) -> Sighting {
@@ -29,7 +30,7 @@
     history.reads.push(Read { asked: after(start, 15), version: 2, text: "two".into() });
     history.calls.push(answered("a", true, 200, "answer to a"));
     history.calls.push(answered("b", true, 503, ""));
-    history.calls.push(Call { id: "c".into(), router: 0, once: true, answer: None });
+    history.calls.push(Call { id: "c".into(), router: 0, told: None, once: true, answer: None });
     history.calls.push(answered("d", false, 200, "answer to d"));
     history.runs = ["a", "c", "d", "d"].map(String::from).to_vec();
     history.sightings.push(sighting(start, 30, 2, Says::Denies));
@@ -152,3 +153,45 @@
     assert_eq!(history.served_by_each(3, 1), 1);
     assert_eq!(history.served_by_each(0, 2), 0);
 }
+
+/// A call to a router, and its arrival at the replica that speaks, `at` milliseconds after the
+/// start.
+fn reaches(history: &mut History, start: Instant, id: &str, at: u64, life: u32) -> Arrival {
+    let told = Told { life, asked: after(start, at), answered: after(start, at + 2) };
+    let answer = Some((200, format!("answer to {id}"), true));
+    history.calls.push(Call { id: id.into(), router: 0, told: Some(told), once: false, answer });
+    history.runs.push(id.into());
+    let at = after(start, at + 1);
+    let (leaving, turned_away) = (false, false);
+    Arrival { id: id.into(), at, start: 1, leaving, turned_away, rests_until: None }
+}
+
+#[test]
+fn a_request_to_a_replica_that_leaves_by_its_answers_is_caught() {
+    let second = |at, life, of_start| {
+        breaks(|h, start| {
+            let first = Arrival { leaving: true, ..reaches(h, start, "n1", 10, 1) };
+            let later = Arrival { start: of_start, ..reaches(h, start, "n2", at, life) };
+            h.arrivals = vec![first, later];
+        })
+    };
+    assert_eq!(second(13, 1, 1), 1);
+    assert_eq!(second(11, 1, 1), 0, "it was asked before the answer had come");
+    assert_eq!(second(13, 2, 1), 0, "the router has started again");
+    assert_eq!(second(13, 1, 2), 0, "the replica has started again");
+}
+
+#[test]
+fn a_request_to_a_replica_that_rests_is_caught() {
+    let second = |at| {
+        breaks(|h, start| {
+            let rests_until = Some(after(start, 100));
+            let first = reaches(h, start, "n1", 10, 1);
+            let later = reaches(h, start, "n2", at, 1);
+            h.arrivals = vec![Arrival { turned_away: true, rests_until, ..first }, later];
+        })
+    };
+    assert_eq!(second(50), 1);
+    assert_eq!(second(11), 0, "it was asked before the answer had come");
+    assert_eq!(second(100), 0, "the rest is over");
+}
--- a/tests/soak/crashers.rs
+++ b/tests/soak/crashers.rs
@@ -92,7 +92,7 @@
             if is_mistaken {
                 h.mistaken.push(id.clone());
             }
-            h.calls.push(Call { id, router, once: false, answer });
+            h.calls.push(Call { id, router, told: None, once: false, answer });
         });
     }
 
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -4,6 +4,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
+use crate::replica::Arrival;
+
 /// A change of the configuration that was acknowledged.
 #[derive(Clone, Copy, Debug)]
 pub struct Acknowledged {
@@ -25,6 +27,9 @@
     pub id: String,
     /// The router that it went to.
     pub router: usize,
+    /// Which life of the router's process it was, and when it was asked and answered; none
+    /// where that process ended meanwhile, or no answer came.
+    pub told: Option<Told>,
     /// Whether it may run once only.
     pub once: bool,
     /// Status, body, and whether the body came to its end; none where the connection
@@ -32,6 +37,14 @@
     pub answer: Option<(u16, String, bool)>,
 }
 
+/// When one life of a router's process was asked, and when its answer had come.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    pub life: u32,
+    pub asked: Instant,
+    pub answered: Instant,
+}
+
 /// What a router says of a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Says {
@@ -84,6 +97,8 @@
     pub leaves: Vec<bool>,
     /// Ids of requests that were refused as crashing replicas, and crash none.
     pub mistaken: Vec<String>,
+    /// What reached the replica that leaves and rests by the word of its answers alone.
+    pub arrivals: Vec<Arrival>,
     /// Ids of requests that replicas ran, once for each run.
     pub runs: Vec<String>,
 }
@@ -112,6 +127,7 @@
         broken.extend(self.unasked_runs());
         broken.extend(self.routers_gone_back());
         broken.extend(self.leaves_passed_over());
+        broken.extend(self.notices_passed_over());
         broken.extend(self.lost_orders());
         broken.extend(self.rollouts_gone_wrong());
         broken.extend(self.mistaken.iter().map(|id| format!("{id} was taken for what crashes")));
