A router that hands a request over does not learn who leaves (red)

Looked for elsewhere: the router that hands a caller's connection over passes the answer on unread. With every control host out of reach it sends its own next request to an endpoint of which its caller has heard that it leaves: 2 arrivals where 1 is allowed.

--- a/tests/platform/handover.rs
+++ b/tests/platform/handover.rs
@@ -12,7 +12,11 @@
 
 /// A fleet whose first router hands over all that comes to a second one.
 async fn fleet_of_two(behaviour: Behaviour) -> (Fleet, Vec<Replica>) {
-    let (mut fleet, replicas) = fleet_with(&[behaviour]).await;
+    fleet_of_two_with(&[behaviour]).await
+}
+
+async fn fleet_of_two_with(behaviours: &[Behaviour]) -> (Fleet, Vec<Replica>) {
+    let (mut fleet, replicas) = fleet_with(behaviours).await;
     fleet.start_neighbour().await;
     fleet.restart_router_handing_over().await;
     // The other router is known, and has a routing, once it takes a connection.
@@ -95,3 +99,27 @@
     drop(caller);
     replicas[0].wait_for(|replica| replica.left() > before).await;
 }
+
+/// The router that hands a request over passes its answer on unread, and would send its own
+/// next one to an endpoint of which its caller has heard that it leaves.
+#[tokio::test]
+async fn a_router_that_hands_over_learns_which_endpoints_leave() {
+    let (mut fleet, replicas) = fleet_of_two_with(&[Behaviour::Answer, Behaviour::Answer]).await;
+    fleet.kill_control();
+    replicas[0].set_leaving(true);
+    let reached = || replicas[0].arrivals().iter().filter(|arrival| arrival.leaving).count();
+    while reached() == 0 {
+        call(fleet.front, &post("/once/x", "until", "")).await;
+    }
+    let before = fleet.metric(TAKEN).await;
+    for number in 0..20 {
+        assert_eq!(call(fleet.front, &get("/safe/x", &format!("a{number}"))).await.status, 200);
+    }
+    assert_eq!(fleet.metric(TAKEN).await, before + 20);
+    // From here on it serves by itself.
+    fleet.kill_neighbour();
+    for number in 0..20 {
+        assert_eq!(call(fleet.front, &get("/safe/x", &format!("b{number}"))).await.status, 200);
+    }
+    assert_eq!(reached(), 1);
+}
