A router that hands requests over asks who took them which endpoints leave

What callers could see: an answer that says that its endpoint leaves, and the next request of the same router sent there.

Cause: the router that took the connection learns it; the one that passes the answer on reads nothing of it, and hears only control hosts.

Mend: it looks at the head of each answer that it passes on, by a library, and where that says so asks the router that served it for the endpoints that leave, within a second. What it is told merges as all news of endpoints.

Ruled out: naming the endpoint in the answer, which callers would see.

--- a/src/control.rs
+++ b/src/control.rs
@@ -230,7 +230,7 @@
             Open::Claims { router } => {
                 tokio::spawn(serve::take_claims(control.clone(), router, reader, writer));
             }
-            open @ (Open::Dispatch { .. } | Open::Caller { .. }) => {
+            open @ (Open::Dispatch { .. } | Open::Caller { .. } | Open::Leaving { .. }) => {
                 log::warn!("peer: a control host takes no connection {open:?}");
             }
         }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -14,6 +14,7 @@
 mod events;
 mod exchange;
 mod handover;
+mod leaving;
 mod losses;
 mod nearby;
 mod neighbours;
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -18,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::callers::{KeepAlive, serve_requests};
+use super::leaving::{HeadWatch, learn_leaving, tell_leaving};
 use super::overload::Overload;
 use super::state::Gateway;
 use crate::error::{Result, RpcSnafu};
@@ -135,14 +136,17 @@
 }
 
 /// Passes bytes both ways until the answer is whole or either side leaves.
-async fn pass_on(gateway: &Gateway, caller: TcpStream, taker: Taker, neighbour: Neighbour) {
+async fn pass_on(gateway: &Arc<Gateway>, caller: TcpStream, taker: Taker, neighbour: Neighbour) {
     let (answers, requests) = taker;
     // Without it a router that falls silent is noticed later.
     let socket = socket2::SockRef::from(requests.as_ref());
     let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
     let (read, mut write) = caller.into_split();
+    // Its caller learns by this answer that the endpoint leaves, and this router has to.
+    let on_leaving = || drop(tokio::spawn(learn_leaving(gateway.clone(), neighbour)));
+    let mut head = HeadWatch::new(gateway.dialect.leaving.clone(), on_leaving);
     let passed = tokio::select! {
-        passed = pass_answer(answers, &mut write) => passed,
+        passed = pass_answer(answers, &mut write, &mut head) => passed,
         () = pass_request(read, requests) => return,
     };
     if passed == 0 {
@@ -169,7 +173,11 @@
 }
 
 /// Returns the bytes passed on until the router has closed, or the caller has left.
-async fn pass_answer(mut from: BufReader<OwnedReadHalf>, to: &mut OwnedWriteHalf) -> usize {
+async fn pass_answer(
+    mut from: BufReader<OwnedReadHalf>,
+    to: &mut OwnedWriteHalf,
+    head: &mut HeadWatch<impl Fn()>,
+) -> usize {
     let mut passed = 0;
     let mut piece = vec![0; PIECE];
     loop {
@@ -183,6 +191,7 @@
             Ok(read) => read,
         };
         passed += read;
+        head.see(&piece[..read]);
         if to.write_all(&piece[..read]).await.is_err() {
             return passed;
         }
@@ -196,6 +205,9 @@
             Open::Caller { version, .. } => {
                 tokio::spawn(take(gateway.clone(), connection, version));
             }
+            Open::Leaving { .. } => {
+                tokio::spawn(tell_leaving(gateway.clone(), connection.writer));
+            }
             open => log::warn!("peer: a gateway takes no connection {open:?}"),
         }
     }
--- /dev/null
+++ b/src/gateway/leaving.rs
@@ -0,0 +1,100 @@
+//! What a router that hands requests over learns of endpoints that leave.
+//!
+//! It passes answers on unread, so it looks at their heads only, and asks the router that
+//! served a request which endpoints it knows to leave.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::http::HeaderName;
+use tokio::net::tcp::OwnedWriteHalf;
+
+use super::state::Gateway;
+use crate::error::{Result, RpcSnafu};
+use crate::feed::Neighbour;
+use crate::registry::{EndpointStart, Hearing};
+use crate::wire::{Open, write_frame};
+
+/// Bytes of a head that are looked at.
+const MOST_HEAD: usize = 16 << 10;
+/// Lines of a head that are looked at.
+const MOST_HEADERS: usize = 96;
+/// Endpoints that a router tells another of at most.
+const MOST_LEAVING: usize = 256;
+/// How long the other router may take to tell.
+const TOLD_WITHIN: Duration = Duration::from_secs(1);
+
+/// Looks at the head of an answer as its bytes pass.
+pub(super) struct HeadWatch<F> {
+    leaving: HeaderName,
+    on_leaving: F,
+    /// The bytes so far; none once the head was whole, or is too long.
+    head: Option<Vec<u8>>,
+}
+
+impl<F: Fn()> HeadWatch<F> {
+    /// Calls `on_leaving` once a head says by the header `leaving` that its endpoint leaves.
+    pub fn new(leaving: HeaderName, on_leaving: F) -> HeadWatch<F> {
+        HeadWatch { leaving, on_leaving, head: Some(Vec::new()) }
+    }
+
+    /// More bytes passed.
+    pub fn see(&mut self, bytes: &[u8]) {
+        let Some(head) = &mut self.head else { return };
+        head.extend_from_slice(bytes);
+        match says_so(head, &self.leaving) {
+            Some(leaves) => {
+                if leaves {
+                    (self.on_leaving)();
+                }
+                self.head = None;
+            }
+            None if head.len() > MOST_HEAD => self.head = None,
+            None => {}
+        }
+    }
+}
+
+/// Whether a head says that its endpoint leaves; none while it is not whole.
+fn says_so(head: &[u8], leaving: &HeaderName) -> Option<bool> {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut answer = httparse::Response::new(&mut headers);
+    match answer.parse(head) {
+        Ok(httparse::Status::Partial) => None,
+        Ok(httparse::Status::Complete(_)) => Some(answer.headers.iter().any(|header| {
+            header.name.eq_ignore_ascii_case(leaving.as_str())
+                && header.value.trim_ascii() == crate::notice::LEAVES
+        })),
+        // What is no head says nothing.
+        Err(_) => Some(false),
+    }
+}
+
+/// Asks the router that served a request which endpoints leave.
+pub(super) async fn learn_leaving(gateway: Arc<Gateway>, neighbour: Neighbour) {
+    let asked = tokio::time::timeout(TOLD_WITHIN, ask_leaving(&gateway, neighbour)).await;
+    let told = asked.unwrap_or_else(|_| RpcSnafu { message: "it says nothing" }.fail());
+    match told {
+        Ok(starts) => {
+            gateway.registry.leave(&starts, Hearing::SecondHand);
+        }
+        Err(error) => {
+            let host = neighbour.host;
+            log::info!("gateway: router {host} does not tell which endpoints leave: {error}");
+        }
+    }
+}
+
+async fn ask_leaving(gateway: &Gateway, neighbour: Neighbour) -> Result<Vec<EndpointStart>> {
+    let open = Open::Leaving { router: gateway.peers.me };
+    let (mut reader, _writer) = gateway.peers.connect(neighbour.peer, &open).await?;
+    reader.next().await
+}
+
+/// Tells another router which endpoints leave.
+pub(super) async fn tell_leaving(gateway: Arc<Gateway>, mut writer: OwnedWriteHalf) {
+    let starts = gateway.registry.read(|registry| registry.leaving(MOST_LEAVING));
+    if let Err(error) = write_frame(&mut writer, &starts).await {
+        log::debug!("gateway: a router that asked which endpoints leave has left: {error}");
+    }
+}
--- a/src/notice.rs
+++ b/src/notice.rs
@@ -17,7 +17,7 @@
 /// and would stay without work until somebody notices.
 pub const MAX_REST_MS: Millis = 3_600_000;
 /// What the header of an endpoint that leaves says.
-const LEAVES: &[u8] = b"1";
+pub(crate) const LEAVES: &[u8] = b"1";
 
 /// What an endpoint says of itself in the head of an answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/src/router.rs
+++ b/src/router.rs
@@ -142,6 +142,7 @@
             | Open::Feed { .. }
             | Open::Place { .. }
             | Open::Claims { .. }
+            | Open::Leaving { .. }
             | Open::Caller { .. } => {
                 log::warn!("peer: a router takes no such connection");
             }
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -146,6 +146,11 @@
         /// The version of its routing; the other must hold one at least as new.
         version: u64,
     },
+    /// A router that passed an answer on asks the one that served it which endpoints leave.
+    Leaving {
+        /// The router.
+        router: HostId,
+    },
     /// A router sends run-once claims; answers come back on the connection.
     Claims {
         /// The router.
@@ -161,6 +166,7 @@
             Open::Pull { host, .. } | Open::Agree { host, .. } => Some(*host),
             Open::Feed { host } => Some(*host),
             Open::Place { router, .. } | Open::Caller { router, .. } => Some(*router),
+            Open::Leaving { router } => Some(*router),
             Open::Join(newcomer) => Some(newcomer.host),
             Open::Identify => None,
         }
