--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -160,7 +160,7 @@
     let exchange = call.gateway.connections.send(&endpoint.id, address, request, is_allowed);
     match tokio::time::timeout(patience(call), exchange).await {
         Ok(Ok((response, connection))) => {
-            let rests = call.heed(endpoint, &response);
+            let rests = call.take_notice(endpoint, &response);
             if response.status() == StatusCode::MISDIRECTED_REQUEST {
                 ticket.set_ending(Ending::Replaced);
             } else if rests {
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -13,7 +13,11 @@
 impl Call {
     /// Takes in what the head of an answer says of its endpoint, whatever became of the
     /// request. Returns whether it asks for rest.
-    pub(super) fn heed(&self, endpoint: &Registration, response: &Response<Incoming>) -> bool {
+    pub(super) fn take_notice(
+        &self,
+        endpoint: &Registration,
+        response: &Response<Incoming>,
+    ) -> bool {
         let status = response.status();
         // It was another endpoint's, which says nothing of the one that was meant.
         if status == StatusCode::MISDIRECTED_REQUEST {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -192,7 +192,10 @@
     if matches!(ended, Refusal::NoEndpoint | Refusal::NotExecuted)
         && let Some(rest_ms) = call.all_rest_for()
     {
-        // It would be turned away until then; no endpoint is asked once more.
+        log::info!(
+            "gateway: request {} meets only endpoints that rest, the first for {rest_ms} ms more",
+            call.number
+        );
         ended = Refusal::EndpointsRest { retry_after_ms: rest_ms as u32 };
     }
     // A promise that it has not run may be given only when that is sure.
--- a/src/placement/client.rs
+++ b/src/placement/client.rs
@@ -1,26 +1,29 @@
-//! A router's sessions with placers.
+//! The placers that a router asks.
 
-use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+mod reservation;
+mod session;
+
+pub use reservation::Reservation;
+
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
-use tokio_util::sync::CancellationToken;
 
 use super::knowledge::{Memory, StartOf, Told};
 use super::local::LocalPlacer;
 use super::message::{Ending, FromPlacer, PlacementRequest, Refusal, RestTold, ToPlacer};
 use super::unanswered::Unanswered;
 use crate::dispatch::Millis;
-use crate::error::{Error, Result};
 use crate::feed::Subscriptions;
 use crate::loop_lag::LoopLag;
 use crate::member::View;
 use crate::peer::Peers;
-use crate::wire::{BatchSender, BatchWriter, HostId, Open, Role, Traffic};
+use session::{Question, Session, follow};
+
+use crate::wire::{HostId, Role};
 
 /// How long a placer may take to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
@@ -28,8 +31,6 @@
 const LAG_PATIENCE: u32 = 4;
 /// Lag of the event loop from which on silence says nothing about a placer.
 const OWN_FAULT_LAG: Duration = Duration::from_millis(10);
-/// How long to wait before a lost session is opened again.
-const PAUSE: Duration = Duration::from_millis(200);
 /// Answers in a row that may fail to come before a placer is passed over.
 const TOLERATED_SILENCE: u32 = 2;
 /// Placers that are asked before a router decides for itself.
@@ -48,16 +49,6 @@
     Alone,
 }
 
-type Waiting = Arc<Mutex<HashMap<u64, oneshot::Sender<FromPlacer>>>>;
-
-#[derive(Clone, Debug)]
-struct Session {
-    out: BatchSender<ToPlacer>,
-    waiting: Waiting,
-    /// Ends it, so that another one is opened.
-    dead: CancellationToken,
-}
-
 #[derive(Debug)]
 struct Placer {
     hall: String,
@@ -84,73 +75,6 @@
     lag: LoopLag,
 }
 
-/// A place at an endpoint, given back when dropped.
-#[derive(Debug)]
-pub struct Reservation {
-    /// The endpoint's id.
-    pub endpoint: String,
-    /// The id of an endpoint from which it should copy prompt parts.
-    pub copy_from: Option<String>,
-    seq: u64,
-    placements: Arc<Placements>,
-    ending: Ending,
-    begun: bool,
-}
-
-impl Reservation {
-    /// The first event came.
-    pub fn begun(&mut self) {
-        if !std::mem::replace(&mut self.begun, true) {
-            let told = lock(&self.placements.memory).begun(self.seq);
-            self.placements.tell(&told, &ToPlacer::Begun { seq: self.seq });
-        }
-    }
-
-    /// Says how the request ended; otherwise it counts as abandoned.
-    pub fn set_ending(&mut self, ending: Ending) {
-        self.ending = ending;
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        let told = lock(&self.placements.memory).ended(self.seq);
-        self.placements.tell(&told, &ToPlacer::Done { seq: self.seq, ending: self.ending });
-    }
-}
-
-/// A request that a placer was asked to place. Dropped before it is answered, it
-/// is taken back: a place that comes later would be held for nobody.
-struct Question<'a> {
-    session: &'a Session,
-    seq: u64,
-    answer: oneshot::Receiver<FromPlacer>,
-    is_open: bool,
-}
-
-impl Question<'_> {
-    /// Asks; none where the session has closed.
-    fn ask(session: &Session, request: PlacementRequest) -> Option<Question<'_>> {
-        let seq = request.seq;
-        let (sender, answer) = oneshot::channel();
-        lock(&session.waiting).insert(seq, sender);
-        let question = Question { session, seq, answer, is_open: true };
-        session.out.send(ToPlacer::Place(request).into()).ok()?;
-        Some(question)
-    }
-}
-
-impl Drop for Question<'_> {
-    fn drop(&mut self) {
-        lock(&self.session.waiting).remove(&self.seq);
-        if self.is_open {
-            let done = ToPlacer::Done { seq: self.seq, ending: Ending::Abandoned };
-            // A session that has closed has given everything back.
-            let _ = self.session.out.send(done.into());
-        }
-    }
-}
-
 impl Placer {
     fn end_session(&self) {
         if let Some(session) = &self.session {
@@ -405,58 +329,3 @@
         }
     }
 }
-
-async fn follow(all: Arc<Placements>, host: HostId, address: SocketAddr) {
-    loop {
-        if let Err(error) = run_session(&all, host, address).await {
-            log::info!("placement: lost control host {host}: {error}");
-        }
-        all.set_session(host, None);
-        tokio::time::sleep(PAUSE).await;
-    }
-}
-
-async fn run_session(all: &Placements, host: HostId, address: SocketAddr) -> Result<()> {
-    let number = all.next_seq.fetch_add(1, Ordering::Relaxed);
-    let open = Open::Place { router: all.peers.me, session: number };
-    let (mut reader, writer) = all.peers.connect(address, &open).await?;
-    let (out, batch) = BatchWriter::immediate(Some(all.peers.sent.of(Traffic::Placement)));
-    let writing = tokio::spawn(batch.run(writer, || std::future::ready(())));
-    let waiting = Waiting::default();
-    let _unheard = Unheard(waiting.clone());
-    let dead = CancellationToken::new();
-    let session = Session { out, waiting: waiting.clone(), dead: dead.clone() };
-    all.set_session(host, Some(session));
-    let reading = async {
-        loop {
-            match reader.next::<Vec<FromPlacer>>().await {
-                Ok(answers) => deliver(&waiting, answers),
-                Err(error) => break error,
-            }
-        }
-    };
-    let lost = tokio::select! {
-        error = reading => error,
-        () = dead.cancelled() => Error::Silent,
-    };
-    writing.abort();
-    Err(lost)
-}
-
-/// What waits for answers of a session learns when it ends, however it ends.
-struct Unheard(Waiting);
-
-impl Drop for Unheard {
-    fn drop(&mut self) {
-        lock(&self.0).clear();
-    }
-}
-
-fn deliver(waiting: &Waiting, answers: Vec<FromPlacer>) {
-    for answer in answers {
-        if let Some(sender) = lock(waiting).remove(&answer.seq()) {
-            // The request may have been given up.
-            let _ = sender.send(answer);
-        }
-    }
-}
--- a/src/router/notices.rs
+++ b/src/router/notices.rs
@@ -66,8 +66,8 @@
 
 impl Job {
     /// Takes in what an answer says of its endpoint.
-    pub(super) fn heed(&self, endpoint: EndpointId, name: &str, notice: &Notice) {
-        self.router.heed(self.service_id, endpoint, name, notice);
+    pub(super) fn take_notice(&self, endpoint: EndpointId, name: &str, notice: &Notice) {
+        self.router.take_notice(self.service_id, endpoint, name, notice);
     }
 }
 
@@ -80,7 +80,7 @@
 
     /// Takes in what an answer says of its endpoint, and tells the dispatcher of its service:
     /// that one decides for all routers, and hears no answer itself.
-    pub(super) fn heed(
+    pub(super) fn take_notice(
         self: &Arc<Self>,
         service: ServiceId,
         endpoint: EndpointId,
--- a/src/router/serve.rs
+++ b/src/router/serve.rs
@@ -1,11 +1,15 @@
 //! One request from admission to answer.
 
+mod request;
+
+pub use request::Request;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use axum::body::Body;
-use axum::http::{HeaderMap, Method, Response, StatusCode};
+use axum::http::Response;
 use bytes::Bytes;
 use tokio::time::Instant;
 
@@ -14,9 +18,9 @@
 use super::{once, stream};
 use crate::admission::Denied;
 use crate::clock::BootInstant;
-use crate::config::{Config, CustomerId, EndpointId, Service, ServiceId, ServiceKind};
+use crate::config::{CustomerId, EndpointId, Service, ServiceId, ServiceKind};
 use crate::delivery::{
-    Answer, Attempt, Attempted, Call, NotRunReason, Outcome, UnknownReason, header, sse,
+    Answer, Attempt, Attempted, Call, NotRunReason, Outcome, UnknownReason, sse,
 };
 use crate::quarantine::Fingerprint;
 use crate::registry::EndpointStart;
@@ -29,27 +33,6 @@
 /// Times that one request is tried in all.
 const MAX_ATTEMPTS: u32 = 4;
 
-/// A caller's request, checked and ready to be admitted.
-#[derive(Clone, Debug)]
-pub struct Request {
-    /// The customer's name.
-    pub customer: String,
-    /// The service's name.
-    pub service: String,
-    /// The method.
-    pub method: Method,
-    /// Path and query at the endpoint.
-    pub path: String,
-    /// The caller's headers.
-    pub headers: HeaderMap,
-    /// The body.
-    pub body: Bytes,
-    /// Tokens of the prompt, estimated; 0 for plain services.
-    pub prompt_tokens: u32,
-    /// Hashes of ever longer prefixes of the prompt.
-    pub prefix: Vec<u32>,
-}
-
 /// A request that has found its customer and service.
 pub(super) struct Job {
     pub router: Arc<Router>,
@@ -95,71 +78,6 @@
         self.trace.decide(id, "delivery", format!("{name} {reason}").trim_end().to_string());
         outcome.into_response(&id.to_string())
     }
-
-    fn prepare(self: &Arc<Self>, id: RequestId, request: Request) -> Result<Job, Outcome> {
-        let config = self.config();
-        if config.version == 0 {
-            return Err(Outcome::NotRun(NotRunReason::NoConfiguration, RETRY_MS));
-        }
-        if self.is_stopping() {
-            return Err(Outcome::NotRun(NotRunReason::Stopping, RETRY_MS));
-        }
-        let (customer, service_id) = find(&config, &request)?;
-        let service = config.services[&service_id].clone();
-        let asked = header::text(&request.headers, header::DEADLINE);
-        let deadline_ms = match asked.map(str::parse::<u32>) {
-            None => service.deadline_ms,
-            Some(Ok(ms)) if ms > 0 => ms.min(service.deadline_ms),
-            Some(_) => return Err(bad(format!("{} is not a number above 0", header::DEADLINE))),
-        };
-        let once = service.runs_once(request.method.as_str(), &request.path);
-        let path = [request.service.as_str(), request.path.as_str()];
-        let fingerprint = Fingerprint::of(&request.customer, &path, &request.body);
-        let call = Call {
-            id: id.to_string(),
-            method: request.method,
-            path: request.path,
-            headers: request.headers,
-            body: request.body,
-            once,
-            resume: None,
-        };
-        Ok(Job {
-            router: self.clone(),
-            id,
-            customer,
-            customer_name: request.customer,
-            service_id,
-            service,
-            call,
-            fingerprint,
-            deadline: BootInstant::now() + Duration::from_millis(deadline_ms.into()),
-            prompt_tokens: request.prompt_tokens,
-            prefix: request.prefix,
-            wants: 0,
-            want_seq: id.seq,
-        })
-    }
-}
-
-fn bad(message: String) -> Outcome {
-    Outcome::Bad(StatusCode::BAD_REQUEST, message)
-}
-
-fn find(config: &Config, request: &Request) -> Result<(CustomerId, ServiceId), Outcome> {
-    let Some(customer) = config.customer_id(&request.customer) else {
-        let message = format!("unknown customer '{}'", request.customer);
-        return Err(Outcome::Bad(StatusCode::FORBIDDEN, message));
-    };
-    let Some(service) = config.service_id(&request.service) else {
-        let message = format!("unknown service '{}'", request.service);
-        return Err(Outcome::Bad(StatusCode::NOT_FOUND, message));
-    };
-    if !config.customers[&customer].may_use(&request.service) {
-        let message = format!("'{}' may not use '{}'", request.customer, request.service);
-        return Err(Outcome::Bad(StatusCode::FORBIDDEN, message));
-    }
-    Ok((customer, service))
 }
 
 /// A request's place in its customer's bound; given back when it stops waiting.
@@ -335,7 +253,7 @@
         let limit = self.deadline.remaining();
         let Attempted { attempt, notice } =
             self.router.caller.attempt(address, &self.call, limit).await;
-        self.heed(endpoint, &declared.name, &notice);
+        self.take_notice(endpoint, &declared.name, &notice);
         if let Some(claim) = claim {
             once::settle(&self.router, claim, &attempt).await;
         }
--- a/src/router/stream.rs
+++ b/src/router/stream.rs
@@ -217,7 +217,7 @@
         self.call.resume = Some(self.output);
         let Attempted { attempt, notice } =
             self.router.caller.attempt(self.engine.address, &self.call, STALL).await;
-        self.router.heed(self.service, self.engine.id, &self.engine.name, &notice);
+        self.router.take_notice(self.service, self.engine.id, &self.engine.name, &notice);
         let Attempt::Answered(Answer::Stream(response)) = attempt else {
             return false;
         };
