--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -21,8 +21,9 @@
 
 /// Control hosts whose feeds may fall silent at one moment and still be told one by one.
 const MOST_SILENT: usize = 64;
-/// Endpoints that leave of which a control host is told at most when its feed opens.
-const MOST_LEAVING: usize = 256;
+/// Endpoints that leave of which a control host is told at most when its feed opens: more
+/// than a fleet has.
+const MOST_LEAVING: usize = 2_048;
 /// How often it is looked whether this process stood still.
 const TICK: Duration = Duration::from_millis(200);
 /// How long feeds may go on opening before it is chosen who tells of endpoints: a few
--- a/src/gateway/leaving.rs
+++ b/src/gateway/leaving.rs
@@ -19,8 +19,8 @@
 const MOST_HEAD: usize = 16 << 10;
 /// Lines of a head that are looked at.
 const MOST_HEADERS: usize = 96;
-/// Endpoints that a router tells another of at most.
-const MOST_LEAVING: usize = 256;
+/// Endpoints that a router tells another of at most: more than a fleet has.
+const MOST_LEAVING: usize = 2_048;
 /// How long the other router may take to tell.
 const TOLD_WITHIN: Duration = Duration::from_secs(1);
 
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -55,7 +55,8 @@
 
     /// Engines are chosen by the placer, all else by what this router has seen.
     async fn place_among(&self, mut request: PlacementRequest, tried: &[String]) -> Place {
-        for _ in 0..if self.is_engine { PLACEMENTS } else { 0 } {
+        let times = if self.is_engine { PLACEMENTS } else { 0 };
+        for _ in 0..times {
             match self.gateway.placements.place(request.clone()).await {
                 Placed::At(reservation) => {
                     let id = &reservation.endpoint;
--- a/src/notice/rest.rs
+++ b/src/notice/rest.rs
@@ -10,7 +10,7 @@
 /// The load that it answers: an endpoint that has more to do than it can bear. Until its
 /// time is over it gets nothing. Then one request is tried, and only when it is served do
 /// others follow: an endpoint that has nothing under way looks like the best one to all who
-/// choose the least loaded, and would get as much in a moment as it got in its whole rest.
+/// choose the least loaded, and may not be well yet.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Rest {
     /// When it is over; none where none was asked, or the endpoint has served since.
