--- a/tests/platform/notices.rs
+++ b/tests/platform/notices.rs
@@ -248,3 +248,37 @@
     }
     assert_eq!(replicas[0].arrivals().len(), before);
 }
+
+/// An endpoint that started again while nobody could hear it says in an answer that it leaves;
+/// the router takes that for the word of the start that it knows, and forgets it with that
+/// start.
+///
+/// Seen in the soak (seed 727): connections to control hosts silent and held up, the endpoint
+/// leaves in its next start, and the router sends to it again once it learns of that start. Its
+/// log has "says in an answer that it leaves" twice for one start of the endpoint, with the
+/// news of the start in between.
+#[tokio::test]
+async fn what_an_unknown_start_says_holds_when_the_start_becomes_known() {
+    let fleet = Fleet::start().await;
+    let replicas = [
+        Replica::start("i-0", Behaviour::Answer).await,
+        Replica::start("i-1", Behaviour::Answer).await,
+    ];
+    let beat = |replica: &Replica, born: u64| {
+        format!(
+            r#"{{"service":"app","address":"{}","zone":"a","version":"v1","slots":6,"state":"ready","born":{born},"warmupLeftMs":0,"callSeq":1}}"#,
+            replica.address
+        )
+    };
+    for replica in &replicas {
+        assert_eq!(fleet.heartbeat(&replica.id, &beat(replica, 1_000)).await, 200);
+    }
+    fleet.configure(&configuration(1)).await;
+    fleet.wait_ready().await;
+    // It has started again, and leaves, before its registration is heard.
+    replicas[0].set_leaving(true);
+    until_reached(&fleet, "/once/x", &replicas[0]).await;
+    assert_eq!(fleet.heartbeat("i-0", &beat(&replicas[0], 2_000)).await, 200);
+    fleet.settle().await;
+    is_passed_by(&fleet, "/once/x", &replicas[0]).await;
+}
