Routers know the health path of each service

Cause: nothing but an endpoint itself can say what one of its starts wants, and nobody can ask it: the health path of its service is read from the operators' document and dropped.

The routing table holds it now, so the agreed state, its commands and the messages between hosts have new formats (0x83, protocol 0x85). What the release before wrote, the one before that and the first one is read; each has a test that writes its shapes anew. The two in the middle had none before.

Ruled out: reading it from the operators' text at the router, which does not hold that text; a fixed question for all services, which the platform's services do not know.

--- a/src/control/format.rs
+++ b/src/control/format.rs
@@ -10,9 +10,11 @@
 
 /// The format that this release writes. It rises with every change of what the state or
 /// a command holds. Commands without a format begin with their kind's number, far below.
-const FORMAT: u8 = 0x82;
-/// What the release before wrote. Its commands are all among today's.
-const FORMAT_BEFORE: u8 = 0x81;
+const FORMAT: u8 = 0x83;
+/// What the release before wrote.
+const FORMAT_BEFORE: u8 = 0x82;
+/// What the release before that wrote. Its commands are all among those of the one before.
+const FORMAT_WITHOUT_QUARANTINE: u8 = 0x81;
 /// The lowest byte that can only be a format.
 const LOWEST_FORMAT: u8 = 0x80;
 /// Stands before the format of a state. A state without one begins with a number in at
@@ -33,6 +35,9 @@
         Some(&[FORMAT_BEFORE, ref before @ ..]) => {
             whole(before).map(legacy::StateBefore::into_today).map_err(Cause::Codec)
         }
+        Some(&[FORMAT_WITHOUT_QUARANTINE, ref before @ ..]) => {
+            whole(before).map(legacy::StateWithoutQuarantine::into_today).map_err(Cause::Codec)
+        }
         Some(formatted) => decode(formatted),
         None => whole(data).map(legacy::State::into_today).map_err(Cause::Codec),
     };
@@ -47,9 +52,13 @@
 /// The command in the log at `index`.
 pub fn decode_command(data: &[u8], index: u64) -> Result<Command> {
     let read = match data.first() {
-        Some(&FORMAT_BEFORE) => whole(&data[1..]).map_err(Cause::Codec),
+        Some(&(FORMAT_BEFORE | FORMAT_WITHOUT_QUARANTINE)) => whole(&data[1..])
+            .map(legacy::Command::<legacy::DocumentBefore>::into_today)
+            .map_err(Cause::Codec),
         Some(&(LOWEST_FORMAT..)) => decode(data),
-        _ => whole(data).map(legacy::Command::into_today).map_err(Cause::Codec),
+        _ => whole(data)
+            .map(legacy::Command::<legacy::DocumentAnywhere>::into_today)
+            .map_err(Cause::Codec),
     };
     read.map_err(|cause| unreadable("the agreed command", index, &cause))
 }
--- a/src/control/legacy.rs
+++ b/src/control/legacy.rs
@@ -1,5 +1,6 @@
-//! The agreed state and commands as earlier releases wrote them: the one before, which had
-//! no requests in quarantine, and the one before that, without a format.
+//! The agreed state and commands as earlier releases wrote them: the one before, which knew
+//! no health paths of services, the one before that, which had no requests in quarantine
+//! either, and the one without a format.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
@@ -9,11 +10,19 @@
 use super::state::{self, Changed};
 use crate::claim::{Claim, Settlement, Table};
 use crate::config::{Change, History};
-use crate::quarantine::Quarantines;
+use crate::quarantine::{Quarantines, Verdict};
 use crate::region::AllowedRegions;
 use crate::registry::DrainedHalls;
-use crate::rollout::Rollouts;
-use crate::routing::{self, Limits, RouteKind, ServicePool, Target};
+use crate::rollout::{Order, Rollouts, Step};
+use crate::routing::{self, Engine, Limits, RouteKind, Target};
+
+/// The path that is asked where a document says nothing of it.
+const NO_HEALTH_PATH: &str = "/";
+
+/// A document whose routes and customers may be served in any region.
+pub(super) type DocumentAnywhere = Document<Route, CustomerKeys>;
+/// A document of the release before.
+pub(super) type DocumentBefore = Document<routing::Route, routing::CustomerKeys>;
 
 #[derive(Deserialize)]
 pub(super) struct StateBefore {
@@ -21,34 +30,64 @@
     operations: HashMap<String, Changed>,
     operations_by_age: VecDeque<String>,
     claims: Table,
-    document: Option<Arc<routing::Document>>,
+    document: Option<DocumentBefore>,
     drained: DrainedHalls,
     rollouts: Rollouts,
+    quarantines: Quarantines,
 }
 
 impl StateBefore {
     pub(super) fn into_today(self) -> state::State {
-        let StateBefore { history, operations, operations_by_age, .. } = self;
         state::State {
-            history,
-            operations,
-            operations_by_age,
+            history: self.history,
+            operations: self.operations,
+            operations_by_age: self.operations_by_age,
             claims: self.claims,
-            document: self.document,
+            document: self.document.map(|document| Arc::new(document.into_today())),
             drained: self.drained,
             rollouts: self.rollouts,
-            quarantines: Quarantines::default(),
+            quarantines: self.quarantines,
         }
     }
 }
 
+#[derive(Deserialize)]
+pub(super) struct StateWithoutQuarantine {
+    history: History,
+    operations: HashMap<String, Changed>,
+    operations_by_age: VecDeque<String>,
+    claims: Table,
+    document: Option<DocumentBefore>,
+    drained: DrainedHalls,
+    rollouts: Rollouts,
+}
+
+impl StateWithoutQuarantine {
+    pub(super) fn into_today(self) -> state::State {
+        let StateWithoutQuarantine { history, operations, operations_by_age, claims, .. } = self;
+        let (document, drained, rollouts) = (self.document, self.drained, self.rollouts);
+        let quarantines = Quarantines::default();
+        let before = StateBefore {
+            history,
+            operations,
+            operations_by_age,
+            claims,
+            document,
+            drained,
+            rollouts,
+            quarantines,
+        };
+        before.into_today()
+    }
+}
+
 #[derive(Deserialize)]
 pub(super) struct State {
     history: History,
     operations: HashMap<String, Changed>,
     operations_by_age: VecDeque<String>,
     claims: Table,
-    document: Option<Document>,
+    document: Option<DocumentAnywhere>,
     drained: Drained,
 }
 
@@ -70,17 +109,25 @@
     }
 }
 
+/// Commands of all earlier releases; the first had none of the last three.
 #[derive(Deserialize)]
-pub(super) enum Command {
+pub(super) enum Command<D> {
     Change { operation: String, base: Option<u64>, changes: Vec<Change> },
     Claim { at_ms: u64, claim: Claim },
     Settle { at_ms: u64, claim: Claim, settlement: Settlement },
-    Replace(Box<Document>),
+    Replace(Box<D>),
     DrainHall(String),
     RestoreHall(String),
+    StartRollout(Order),
+    StepRollout(Step),
+    Quarantine(Verdict),
 }
 
-impl Command {
+impl<R, C> Command<Document<R, C>>
+where
+    R: Into<routing::Route>,
+    C: Into<routing::CustomerKeys>,
+{
     pub(super) fn into_today(self) -> state::Command {
         use state::Command as Today;
         match self {
@@ -94,6 +141,9 @@
             Command::Replace(document) => Today::Replace(Box::new(document.into_today())),
             Command::DrainHall(hall) => Today::DrainHall(hall),
             Command::RestoreHall(hall) => Today::RestoreHall(hall),
+            Command::StartRollout(order) => Today::StartRollout(order),
+            Command::StepRollout(step) => Today::StepRollout(step),
+            Command::Quarantine(verdict) => Today::Quarantine(verdict),
         }
     }
 }
@@ -105,19 +155,23 @@
 }
 
 #[derive(Deserialize)]
-pub(super) struct Document {
-    table: RoutingTable,
+pub(super) struct Document<R, C> {
+    table: RoutingTable<R, C>,
     source: Vec<u8>,
 }
 
-impl Document {
+impl<R, C> Document<R, C>
+where
+    R: Into<routing::Route>,
+    C: Into<routing::CustomerKeys>,
+{
     fn into_today(self) -> routing::Document {
         let Document { table, source } = self;
         let table = routing::RoutingTable {
             version: table.version,
-            routes: table.routes.into_iter().map(Route::into_today).collect(),
-            services: table.services,
-            customers: table.customers.into_iter().map(CustomerKeys::into_today).collect(),
+            routes: table.routes.into_iter().map(Into::into).collect(),
+            services: table.services.into_iter().map(ServicePool::into_today).collect(),
+            customers: table.customers.into_iter().map(Into::into).collect(),
             limits: table.limits,
         };
         routing::Document { table, source }
@@ -125,16 +179,36 @@
 }
 
 #[derive(Deserialize)]
-struct RoutingTable {
+struct RoutingTable<R, C> {
     version: u64,
-    routes: Vec<Route>,
+    routes: Vec<R>,
     services: Vec<ServicePool>,
-    customers: Vec<CustomerKeys>,
+    customers: Vec<C>,
     limits: Limits,
 }
 
 #[derive(Deserialize)]
-struct Route {
+struct ServicePool {
+    name: String,
+    max_connections: u32,
+    engine: Option<Engine>,
+    cold_per_second: Option<f64>,
+}
+
+impl ServicePool {
+    fn into_today(self) -> routing::ServicePool {
+        routing::ServicePool {
+            name: self.name,
+            health_path: NO_HEALTH_PATH.into(),
+            max_connections: self.max_connections,
+            engine: self.engine,
+            cold_per_second: self.cold_per_second,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+pub(super) struct Route {
     name: String,
     host: String,
     prefix: String,
@@ -149,36 +223,36 @@
     resumable: bool,
 }
 
-impl Route {
-    fn into_today(self) -> routing::Route {
+impl From<Route> for routing::Route {
+    fn from(route: Route) -> routing::Route {
         routing::Route {
-            name: self.name,
-            host: self.host,
-            prefix: self.prefix,
-            kind: self.kind,
-            timeout_ms: self.timeout_ms,
-            objective_ms: self.objective_ms,
-            pause_objective_ms: self.pause_objective_ms,
-            priority: self.priority,
-            targets: self.targets,
-            attempts: self.attempts,
-            public: self.public,
-            resumable: self.resumable,
+            name: route.name,
+            host: route.host,
+            prefix: route.prefix,
+            kind: route.kind,
+            timeout_ms: route.timeout_ms,
+            objective_ms: route.objective_ms,
+            pause_objective_ms: route.pause_objective_ms,
+            priority: route.priority,
+            targets: route.targets,
+            attempts: route.attempts,
+            public: route.public,
+            resumable: route.resumable,
             regions: AllowedRegions::Anywhere,
         }
     }
 }
 
 #[derive(Deserialize)]
-struct CustomerKeys {
+pub(super) struct CustomerKeys {
     name: String,
     keys: Vec<String>,
     priority: Option<u32>,
 }
 
-impl CustomerKeys {
-    fn into_today(self) -> routing::CustomerKeys {
-        let CustomerKeys { name, keys, priority } = self;
+impl From<CustomerKeys> for routing::CustomerKeys {
+    fn from(customer: CustomerKeys) -> routing::CustomerKeys {
+        let CustomerKeys { name, keys, priority } = customer;
         routing::CustomerKeys { name, keys, priority, regions: AllowedRegions::Anywhere }
     }
 }
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -125,6 +125,7 @@
 fn with_services() -> State {
     let service = |name: &str| ServicePool {
         name: name.into(),
+        health_path: "/".into(),
         max_connections: 10,
         engine: None,
         cold_per_second: None,
--- a/src/control/tests/format.rs
+++ b/src/control/tests/format.rs
@@ -1,4 +1,4 @@
-//! What the release before wrote: its shapes stand here once more, as they were.
+//! What earlier releases wrote: their shapes stand here once more, as they were.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
@@ -10,8 +10,13 @@
 use crate::config::{CustomerId, History};
 use crate::control::format::{decode_command, decode_state, encode_command, encode_state};
 use crate::error::Error;
+use crate::quarantine::Quarantines;
 use crate::region::AllowedRegions;
-use crate::routing::{Limits, Route, RouteKind, RoutingTable, Target};
+use crate::registry::DrainedHalls;
+use crate::rollout::{Order, Rollouts};
+use crate::routing::{
+    CustomerKeys, Engine, Limits, Route, RouteKind, RoutingTable, ServicePool, Target,
+};
 use crate::wire::HostId;
 
 #[derive(Serialize)]
@@ -20,19 +25,45 @@
     operations: HashMap<String, Changed>,
     operations_by_age: VecDeque<String>,
     claims: Table,
-    document: Option<Arc<OldDocument>>,
+    document: Option<Arc<OldDocument<OldRoute, OldCustomer>>>,
     drained: OldDrained,
 }
 
+/// The state as the release before held it, behind its format.
+#[derive(Serialize)]
+struct StateBefore {
+    history: History,
+    operations: HashMap<String, Changed>,
+    operations_by_age: VecDeque<String>,
+    claims: Table,
+    document: Option<Arc<OldDocument<Route, CustomerKeys>>>,
+    drained: DrainedHalls,
+    rollouts: Rollouts,
+    quarantines: Quarantines,
+}
+
+/// The state of the release before that.
+#[derive(Serialize)]
+struct StateWithoutQuarantine {
+    history: History,
+    operations: HashMap<String, Changed>,
+    operations_by_age: VecDeque<String>,
+    claims: Table,
+    document: Option<Arc<OldDocument<Route, CustomerKeys>>>,
+    drained: DrainedHalls,
+    rollouts: Rollouts,
+}
+
 #[derive(Serialize)]
 #[allow(dead_code)]
-enum OldCommand {
+enum OldCommand<R, C> {
     Change { operation: String, base: Option<u64>, changes: Vec<Change> },
     Claim { at_ms: u64, claim: Claim },
     Settle { at_ms: u64, claim: Claim, settlement: Settlement },
-    Replace(Box<OldDocument>),
+    Replace(Box<OldDocument<R, C>>),
     DrainHall(String),
     RestoreHall(String),
+    StartRollout(Order),
 }
 
 #[derive(Serialize)]
@@ -42,20 +73,39 @@
 }
 
 #[derive(Serialize)]
-struct OldDocument {
-    table: OldTable,
+struct OldDocument<R, C> {
+    table: OldTable<R, C>,
     source: Vec<u8>,
 }
 
 #[derive(Serialize)]
-struct OldTable {
+struct OldTable<R, C> {
     version: u64,
-    routes: Vec<OldRoute>,
-    services: Vec<ServicePool>,
-    customers: Vec<OldCustomer>,
+    routes: Vec<R>,
+    services: Vec<OldServicePool>,
+    customers: Vec<C>,
     limits: Limits,
 }
 
+#[derive(Serialize)]
+struct OldServicePool {
+    name: String,
+    max_connections: u32,
+    engine: Option<Engine>,
+    cold_per_second: Option<f64>,
+}
+
+fn old_services() -> Vec<OldServicePool> {
+    let services = with_services().document().unwrap().table.services.clone();
+    let old = |service: ServicePool| OldServicePool {
+        name: service.name,
+        max_connections: service.max_connections,
+        engine: service.engine,
+        cold_per_second: service.cold_per_second,
+    };
+    services.into_iter().map(old).collect()
+}
+
 #[derive(Serialize)]
 struct OldRoute {
     name: String,
@@ -79,8 +129,8 @@
     priority: Option<u32>,
 }
 
-/// A document as the release before held it.
-fn old_document(version: u64) -> OldDocument {
+/// A document as the first release held it.
+fn old_document(version: u64) -> OldDocument<OldRoute, OldCustomer> {
     let route = OldRoute {
         name: "r".into(),
         host: "h".into(),
@@ -103,13 +153,21 @@
     let table = OldTable {
         version,
         routes: vec![route],
-        services: with_services().document().unwrap().table.services.clone(),
+        services: old_services(),
         customers: vec![customer("x", Some(7)), customer("y", None)],
         limits: Limits::default(),
     };
     OldDocument { table, source: b"the text".to_vec() }
 }
 
+/// A document as the release before held it.
+fn document_before(version: u64) -> OldDocument<Route, CustomerKeys> {
+    let Document { table, source } = document(version);
+    let RoutingTable { version, routes, customers, limits, .. } = table;
+    let table = OldTable { version, routes, services: old_services(), customers, limits };
+    OldDocument { table, source }
+}
+
 /// The same document as it is held today.
 pub(super) fn document(version: u64) -> Document {
     let regions = AllowedRegions::Anywhere;
@@ -128,7 +186,7 @@
         resumable: true,
         regions: regions.clone(),
     };
-    let customer = |name: &str, priority| crate::routing::CustomerKeys {
+    let customer = |name: &str, priority| CustomerKeys {
         name: name.into(),
         keys: vec![format!("key of {name}")],
         priority,
@@ -149,7 +207,7 @@
     Claim { customer: CustomerId(0), key: "once".into(), fingerprint: 4, attempt }
 }
 
-/// A state with something in each of its parts, as the release before held it.
+/// A state with something in each of its parts, as the first release held it.
 pub(super) fn old_state() -> Vec<u8> {
     let mut known = State::default();
     known.apply(change("a", Some(0), "x"));
@@ -168,7 +226,7 @@
 }
 
 pub(super) fn old_commands() -> Vec<Vec<u8>> {
-    let commands = [
+    let commands: [OldCommand<OldRoute, OldCustomer>; 5] = [
         OldCommand::Change {
             operation: "c".into(),
             base: Some(1),
@@ -183,7 +241,7 @@
 }
 
 #[test]
-fn a_snapshot_of_the_release_before_is_read_whole() {
+fn a_snapshot_of_the_first_release_is_read_whole() {
     let mut state = decode_state(&old_state(), 9).unwrap();
     assert_eq!(state.versions(), [1, 5, 3, 0, 0]);
     assert!(state.history().config().customer_id("x").is_some());
@@ -199,7 +257,7 @@
 }
 
 #[test]
-fn commands_of_the_release_before_are_applied() {
+fn commands_of_the_first_release_are_applied() {
     let mut state = decode_state(&old_state(), 9).unwrap();
     for command in old_commands() {
         state.apply(decode_command(&command, 10).unwrap());
@@ -211,6 +269,67 @@
     assert_eq!(claimed, Reply::Claimed(Claimed::Answered(None)));
 }
 
+/// A state with something in each of its parts, as the two releases before this one held it.
+fn states_before() -> [Vec<u8>; 2] {
+    let mut known = with_services();
+    known.apply(change("a", Some(0), "x"));
+    known.apply(Command::Claim { at_ms: 1, claim: claim() });
+    known.apply(Command::DrainHall("a".into()));
+    known.apply(order("llm", "v2"));
+    let State { history, operations, operations_by_age, claims, drained, rollouts, .. } = known;
+    let document = || Some(Arc::new(document_before(5)));
+    let before = StateBefore {
+        history: history.clone(),
+        operations: operations.clone(),
+        operations_by_age: operations_by_age.clone(),
+        claims: claims.clone(),
+        document: document(),
+        drained: drained.clone(),
+        rollouts: rollouts.clone(),
+        quarantines: Quarantines::default(),
+    };
+    let document = document();
+    let without = StateWithoutQuarantine {
+        history,
+        operations,
+        operations_by_age,
+        claims,
+        document,
+        drained,
+        rollouts,
+    };
+    let mark = [0xff_u8; 9];
+    [postcard::to_stdvec(&(mark, 0x82_u8, before)), postcard::to_stdvec(&(mark, 0x81_u8, without))]
+        .map(Result::unwrap)
+}
+
+#[test]
+fn snapshots_of_the_two_releases_before_are_read_whole() {
+    for bytes in states_before() {
+        let state = decode_state(&bytes, 9).unwrap();
+        assert_eq!(**state.document().unwrap(), document(5));
+        assert!(state.history().config().customer_id("x").is_some());
+        assert_eq!(state.drained().names().collect::<Vec<_>>(), ["a"]);
+        assert!(state.rollouts().get("llm").is_some());
+    }
+}
+
+#[test]
+fn commands_of_the_two_releases_before_are_applied() {
+    let Command::StartRollout(started) = order("llm", "v2") else { panic!("another command") };
+    for format in [0x81_u8, 0x82] {
+        let mut state = with_services();
+        let replace: OldCommand<Route, CustomerKeys> =
+            OldCommand::Replace(Box::new(document_before(9)));
+        for command in [replace, OldCommand::StartRollout(started.clone())] {
+            let bytes = postcard::to_stdvec(&(format, command)).unwrap();
+            state.apply(decode_command(&bytes, 10).unwrap());
+        }
+        assert_eq!(**state.document().unwrap(), document(9));
+        assert!(state.rollouts().get("llm").is_some());
+    }
+}
+
 #[test]
 fn what_this_release_writes_it_reads() {
     let mut state = with_services();
@@ -240,7 +359,7 @@
     state[9] += 1;
     let mut command = encode_command(&Command::DrainHall("a".into())).unwrap();
     command[0] += 1;
-    let remedy = "has format 131, this release reads 130; install the release that wrote it again";
+    let remedy = "has format 132, this release reads 131; install the release that wrote it again";
     assert_eq!(refusal(decode_state(&state, 7)), format!("the snapshot at entry 7 {remedy}"));
     let read = refusal(decode_command(&command, 8));
     assert_eq!(read, format!("the agreed command at entry 8 {remedy}"));
--- a/src/control/tests/registrations.rs
+++ b/src/control/tests/registrations.rs
@@ -7,6 +7,7 @@
 fn routing(services: &[&str]) -> Routing {
     let pool = |name: &&str| ServicePool {
         name: name.to_string(),
+        health_path: "/".into(),
         max_connections: 10,
         engine: None,
         cold_per_second: None,
--- a/src/routing/model.rs
+++ b/src/routing/model.rs
@@ -88,6 +88,8 @@
 pub struct ServicePool {
     /// The service's name.
     pub name: String,
+    /// Where an endpoint answers whether it takes work, without running a request.
+    pub health_path: String,
     /// Connections that one endpoint accepts from all routers together.
     pub max_connections: u32,
     /// Set where the endpoints are model engines.
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -7,6 +7,7 @@
 fn table(version: u64, routes: Vec<Route>) -> RoutingTable {
     let service = ServicePool {
         name: "app".into(),
+        health_path: "/".into(),
         max_connections: 10,
         engine: None,
         cold_per_second: None,
--- a/src/wire/protocol.rs
+++ b/src/wire/protocol.rs
@@ -8,7 +8,7 @@
 
 /// What this release speaks. It rises with every change of a message, and stays above
 /// the numbers with which messages themselves begin.
-pub const PROTOCOL: u8 = 0x84;
+pub const PROTOCOL: u8 = 0x85;
 
 /// A value behind the version, as datagrams and the first frame of a connection carry it.
 pub fn encode_versioned<T: Serialize>(value: &T) -> Result<Vec<u8>> {
