A router reads the registry's changes once

Cause: follow_registry asked the registry twice for the same changes, once for connections and once more inside KnownStarts, which kept a place of its own in them.

KnownStarts now gets the changes that its owner has read: the router's follower and the quarantine controller. Behaviour is the same; the test of KnownStarts keeps its assertions and reads the changes itself.

--- a/src/control/quarantine_controller.rs
+++ b/src/control/quarantine_controller.rs
@@ -12,6 +12,7 @@
 use crate::quarantine::{
     Blame, Fingerprint, Inquiry, KnownStarts, Quarantines, Review, Stage, Suspicion, Verdict,
 };
+use crate::registry::Scope;
 use crate::telemetry::render_gauges;
 
 /// Milliseconds after which a verdict that was not agreed is proposed again.
@@ -37,8 +38,7 @@
             controller = QuarantineController::default();
             continue;
         }
-        let news = control.registry.read(|registry| controller.starts.news(registry));
-        controller.inquiry.take_starts(now, news);
+        controller.take_starts(&control, now);
         for (router, observation) in reported {
             controller.inquiry.take(now, router, observation);
         }
@@ -50,6 +50,8 @@
 struct QuarantineController {
     inquiry: Inquiry,
     starts: KnownStarts,
+    /// Number of the registry's change that was read last.
+    seen_change: u64,
     /// What was agreed when it was last decided.
     agreed: Arc<Quarantines>,
     /// Requests that are to be released.
@@ -59,6 +61,13 @@
 }
 
 impl QuarantineController {
+    fn take_starts(&mut self, control: &Control, now: Millis) {
+        let after = self.seen_change;
+        let changes = control.registry.read(|r| r.changes_after(after, usize::MAX, Scope::All));
+        self.seen_change = changes.upto;
+        self.inquiry.take_starts(now, self.starts.news(&changes.endpoints));
+    }
+
     fn decide(&mut self, control: &Arc<Control>, now: Millis) {
         let agreed = control.quarantine.agreed();
         for fingerprint in self.agreed.let_run_again(&agreed) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,6 +1,5 @@
 //! What the parts of a gateway share.
 
-use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -341,29 +340,23 @@
     }
 }
 
-/// Closes kept connections to endpoints that take no more work, or have started again.
+/// Takes in what the registry learns of endpoints, and closes kept connections to those that
+/// take no more work or have started again.
 pub(super) async fn follow_registry(gateway: Arc<Gateway>) {
     let mut watch = gateway.registry.watch();
     let mut seen = 0;
-    let mut starts = HashMap::new();
     let mut known_starts = KnownStarts::default();
     while watch.changed().await.is_ok() {
-        let news = gateway.registry.read(|registry| known_starts.news(registry));
-        gateway.guard.take_starts(news);
         let changes = gateway.registry.read(|r| r.changes_after(seen, usize::MAX, Scope::All));
         seen = changes.upto;
+        let news = known_starts.news(&changes.endpoints);
+        for start in &news {
+            gateway.connections.forget(start.id());
+        }
+        gateway.guard.take_starts(news);
         for endpoint in &changes.endpoints {
-            let started = match endpoint.state {
-                EndpointState::Gone => starts.remove(&endpoint.id),
-                _ => starts.insert(endpoint.id.clone(), endpoint.started_at_ms),
-            };
-            let has_left = endpoint.state != EndpointState::Ready;
-            if has_left
-                || started.is_some_and(|started_at_ms| started_at_ms != endpoint.started_at_ms)
-            {
+            if endpoint.state != EndpointState::Ready {
                 gateway.connections.forget(&endpoint.id);
-            }
-            if has_left {
                 gateway.with_endpoints(|e| e.forget(&endpoint.id));
             }
         }
--- a/src/quarantine/known_starts.rs
+++ b/src/quarantine/known_starts.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use crate::registry::{EndpointStart, EndpointState, Registry, Scope};
+use crate::registry::{EndpointStart, EndpointState, Registration};
 
 /// A step in an endpoint's life.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,20 +13,27 @@
     Gone(String),
 }
 
+impl StartNews {
+    /// The endpoint's id.
+    pub fn id(&self) -> &str {
+        match self {
+            StartNews::Started(start) => &start.id,
+            StartNews::Gone(id) => id,
+        }
+    }
+}
+
 /// The starts that are known, as a registry tells them.
 #[derive(Clone, Debug, Default)]
 pub struct KnownStarts {
-    seen: u64,
     starts: HashMap<String, u64>,
 }
 
 impl KnownStarts {
-    /// What is new since this was asked last.
-    pub fn news(&mut self, registry: &Registry) -> Vec<StartNews> {
-        let changes = registry.changes_after(self.seen, usize::MAX, Scope::All);
-        self.seen = changes.upto;
+    /// What is new by changes of a registry, which are told in their order.
+    pub fn news(&mut self, changes: &[Registration]) -> Vec<StartNews> {
         let mut news = Vec::new();
-        for endpoint in &changes.endpoints {
+        for endpoint in changes {
             if endpoint.state == EndpointState::Gone {
                 if self.starts.remove(&endpoint.id).is_some() {
                     news.push(StartNews::Gone(endpoint.id.clone()));
--- a/src/quarantine/tests/starts.rs
+++ b/src/quarantine/tests/starts.rs
@@ -1,7 +1,7 @@
 //! Endpoints that crash and answer again before anybody knows that they started again.
 
 use super::*;
-use crate::registry::{EndpointState, Hearing, Registration, Registry};
+use crate::registry::{EndpointState, Hearing, Registration, Registry, Scope};
 
 const ROUTER: HostId = HostId(1);
 const OTHER: HostId = HostId(2);
@@ -96,13 +96,19 @@
     };
     let mut registry = Registry::default();
     let mut known = KnownStarts::default();
+    let mut seen = 0;
+    let mut news = |registry: &Registry| {
+        let changes = registry.changes_after(seen, usize::MAX, Scope::All);
+        seen = changes.upto;
+        known.news(&changes.endpoints)
+    };
     registry.merge(said(1, EndpointState::Ready), Hearing::FirstHand);
-    assert_eq!(known.news(&registry), [StartNews::Started(of(1, 1))]);
+    assert_eq!(news(&registry), [StartNews::Started(of(1, 1))]);
     registry.merge(said(1, EndpointState::Leaving), Hearing::FirstHand);
-    assert_eq!(known.news(&registry), []);
+    assert_eq!(news(&registry), []);
     registry.merge(said(2, EndpointState::Ready), Hearing::FirstHand);
-    assert_eq!(known.news(&registry), [StartNews::Started(of(1, 2))]);
+    assert_eq!(news(&registry), [StartNews::Started(of(1, 2))]);
     registry.merge(Registration::gone("e-1"), Hearing::FirstHand);
-    assert_eq!(known.news(&registry), [StartNews::Gone("e-1".into())]);
-    assert_eq!(known.news(&registry), []);
+    assert_eq!(news(&registry), [StartNews::Gone("e-1".into())]);
+    assert_eq!(news(&registry), []);
 }
