What an answer says counts for every start of its endpoint that may have given it

What was seen: callers nothing; an endpoint that had started again and said in an answer that it leaves, or wants rest, got a request more from the router that had passed that answer on.

Cause: an answer's word was booked to the start that the router knew when it placed the request. Where news of a later start was held up, that one answered at the same address; its word was booked to the start before and forgotten with it when the later one became known. The same the other way: where the later start became known while the answer was under way, its word was booked to the start before and had no effect at all. And a router that hands requests over learnt of the start before only.

Which start gave an answer: the head does not say. A connection proves a start no earlier than the one known when it was opened, so kept connections are now used for that start only. Another address proves another start. Sequence numbers of registrations say nothing of answers.

Mend: the word counts for the known start as before, and in UnattributedNotices for each later one at the same address, until that start has been asked itself: a health check on a connection of its own, whose head decides (leaves, rests, or neither), whatever its status, since answers to health checks may be false. What it says is told on like any other answer's word, to control hosts, placers and routers that handed over.

Ruled out: carrying the word over to the next start (bars one that takes work for good: the test of a start that takes work); a time for which a later start is left out (a start that takes work idles, or one that leaves is sent to after it); one trial request (it is the request too many).

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -26,6 +26,7 @@
 mod request;
 mod rollouts;
 mod server;
+mod start_checks;
 mod state;
 mod stream;
 #[cfg(test)]
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -39,10 +39,19 @@
     Unknown(String),
 }
 
+/// Whom a connection is opened to: a start of an endpoint, where it listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The latest start known when the connection is opened: no earlier one answers on it.
+    pub started_at_ms: u64,
+}
+
 /// One connection; closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
-    address: SocketAddr,
+    target: Target,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     keep: Duration,
@@ -58,7 +67,8 @@
 }
 
 impl Connection {
-    async fn open(address: SocketAddr, open: Arc<AtomicUsize>) -> Result<Connection, SendError> {
+    async fn open(target: Target, open: Arc<AtomicUsize>) -> Result<Connection, SendError> {
+        let address = target.address;
         let not_sent = |error: &dyn std::fmt::Display| SendError::NotSent(error.to_string());
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = match connect {
@@ -78,14 +88,7 @@
         });
         let idle_since = BootInstant::now();
         open.fetch_add(1, Ordering::Relaxed);
-        Ok(Connection {
-            address,
-            sender,
-            driver: task.abort_handle(),
-            keep: IDLE,
-            idle_since,
-            open,
-        })
+        Ok(Connection { target, sender, driver: task.abort_handle(), keep: IDLE, idle_since, open })
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -154,14 +157,14 @@
     pub async fn send(
         &self,
         endpoint: &str,
-        address: SocketAddr,
+        target: Target,
         mut request: Request<Full<Bytes>>,
         is_allowed: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         if !is_allowed() {
             return Err(SendError::NotAllowed);
         }
-        while let Some(mut kept) = self.take(endpoint, address) {
+        while let Some(mut kept) = self.take(endpoint, target) {
             match kept.send(request).await {
                 Ok(response) => return Ok((response, kept)),
                 // The endpoint had closed it before anything was written.
@@ -172,7 +175,7 @@
         if self.is_full() {
             self.lock().clear();
         }
-        let mut fresh = Connection::open(address, self.open.clone()).await?;
+        let mut fresh = Connection::open(target, self.open.clone()).await?;
         if !is_allowed() {
             return Err(SendError::NotAllowed);
         }
@@ -182,13 +185,23 @@
         }
     }
 
-    /// A kept connection to an endpoint where it listens now: one that started again may
-    /// listen elsewhere.
-    fn take(&self, endpoint: &str, address: SocketAddr) -> Option<Connection> {
+    /// Sends a request on a connection of its own, and waits for the head of the answer.
+    pub async fn ask(
+        &self,
+        target: Target,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let mut fresh = Connection::open(target, self.open.clone()).await?;
+        fresh.send(request).await.map_err(|(error, _)| error)
+    }
+
+    /// A kept connection to this start of an endpoint. On others an earlier start may have
+    /// answered.
+    fn take(&self, endpoint: &str, target: Target) -> Option<Connection> {
         let mut idle = self.lock();
         let kept = idle.get_mut(endpoint)?;
         while let Some(connection) = kept.pop() {
-            if connection.address == address && connection.is_usable() {
+            if connection.target == target && connection.is_usable() {
                 return Some(connection);
             }
         }
--- a/src/gateway/endpoints.rs
+++ b/src/gateway/endpoints.rs
@@ -8,7 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::dispatch::Millis;
-use crate::notice::Rest;
+use crate::notice::{Notice, Rest, StartAt, UnattributedNotices};
 use crate::registry::Registration;
 use crate::wire::HostId;
 
@@ -96,6 +96,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Endpoints {
     seen: HashMap<String, Seen>,
+    unattributed: UnattributedNotices,
 }
 
 impl Endpoints {
@@ -117,6 +118,7 @@
                 && !tried.contains(&r.id)
                 && r.address.is_some()
                 && self.rest_left(now, r).is_none()
+                && !self.is_uncertain(now, r)
                 && !self.is_too_cold(now, r, cold)
         };
         let mut usable: Vec<_> = ready.filter(usable).collect();
@@ -140,6 +142,24 @@
         self.of(endpoint)?.rest.left(now)
     }
 
+    /// Whether an answer may have said of this start of an endpoint that it leaves or rests,
+    /// and it has not answered since it is known.
+    pub fn is_uncertain(&self, now: Millis, endpoint: &Registration) -> bool {
+        start_at(endpoint).is_some_and(|start| self.unattributed.may_be_of(now, start))
+    }
+
+    /// An answer came on a connection that was opened while this start was the latest known.
+    pub fn heard(&mut self, now: Millis, endpoint: &Registration, notice: &Notice) {
+        if let Some(start) = start_at(endpoint) {
+            self.unattributed.heard(now, start, notice);
+        }
+    }
+
+    /// What answers said that later starts may have said.
+    pub fn unattributed(&mut self) -> &mut UnattributedNotices {
+        &mut self.unattributed
+    }
+
     /// Milliseconds until the first of these endpoints ends its rest; none where one may be
     /// sent to now, or there are none.
     pub fn all_rest_for<'a>(
@@ -266,6 +286,12 @@
     }
 }
 
+/// A start of an endpoint that can be reached.
+fn start_at(endpoint: &Registration) -> Option<StartAt<'_>> {
+    let (id, started_at_ms) = (endpoint.id.as_str(), endpoint.started_at_ms);
+    endpoint.address.map(|address| StartAt { id, started_at_ms, address })
+}
+
 /// Rendezvous hashing: where requests of one kind go stays the same as endpoints
 /// come and go.
 fn rank(seed: u64, id: &str) -> u64 {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
-use super::connections::{Connection, SendError};
+use super::connections::{Connection, SendError, Target};
 use super::dialect::Forwarding;
 use super::endpoints::Failure;
 use super::observed::Observed;
@@ -157,7 +157,8 @@
     ticket: &mut Ticket,
 ) -> Result<(Response<Incoming>, Connection), Attempt> {
     let is_allowed = || call.may_be_sent_to(endpoint);
-    let exchange = call.gateway.connections.send(&endpoint.id, address, request, is_allowed);
+    let target = Target { address, started_at_ms: endpoint.started_at_ms };
+    let exchange = call.gateway.connections.send(&endpoint.id, target, request, is_allowed);
     match tokio::time::timeout(patience(call), exchange).await {
         Ok(Ok((response, connection))) => {
             let rests = call.take_notice(endpoint, &response);
--- a/src/gateway/leaving.rs
+++ b/src/gateway/leaving.rs
@@ -3,15 +3,18 @@
 //! It passes answers on unread, so it looks at their heads only, and asks the router that
 //! served a request which endpoints it knows to leave.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use axum::http::HeaderName;
+use serde::{Deserialize, Serialize};
 use tokio::net::tcp::OwnedWriteHalf;
 
 use super::state::Gateway;
 use crate::error::{Result, RpcSnafu};
 use crate::feed::Neighbour;
+use crate::notice::{Notice, StartAt};
 use crate::registry::{EndpointStart, Hearing};
 use crate::wire::{Open, write_frame};
 
@@ -70,14 +73,22 @@
     }
 }
 
+/// What a router knows of endpoints that leave.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct LeavingTold {
+    /// Starts that leave.
+    starts: Vec<EndpointStart>,
+    /// Starts that were known when an answer said so, and where that came from: it may have
+    /// been a later start's.
+    heard: Vec<(EndpointStart, SocketAddr)>,
+}
+
 /// Asks the router that served a request which endpoints leave.
 pub(super) async fn learn_leaving(gateway: Arc<Gateway>, neighbour: Neighbour) {
     let asked = tokio::time::timeout(TOLD_WITHIN, ask_leaving(&gateway, neighbour)).await;
     let told = asked.unwrap_or_else(|_| RpcSnafu { message: "it says nothing" }.fail());
     match told {
-        Ok(starts) => {
-            gateway.registry.leave(&starts, Hearing::SecondHand);
-        }
+        Ok(told) => take_leaving(&gateway, &told),
         Err(error) => {
             let host = neighbour.host;
             log::info!("gateway: router {host} does not tell which endpoints leave: {error}");
@@ -85,7 +96,19 @@
     }
 }
 
-async fn ask_leaving(gateway: &Gateway, neighbour: Neighbour) -> Result<Vec<EndpointStart>> {
+fn take_leaving(gateway: &Arc<Gateway>, told: &LeavingTold) {
+    gateway.registry.leave(&told.starts, Hearing::SecondHand);
+    let now = gateway.now();
+    let leaves = Notice { leaves: true, ..Notice::default() };
+    for (start, address) in &told.heard {
+        let (id, started_at_ms) = (start.id.as_str(), start.started_at_ms);
+        let start = StartAt { id, started_at_ms, address: *address };
+        gateway.with_endpoints(|seen| seen.unattributed().heard(now, start, &leaves));
+        gateway.check_if_uncertain(id);
+    }
+}
+
+async fn ask_leaving(gateway: &Gateway, neighbour: Neighbour) -> Result<LeavingTold> {
     let open = Open::Leaving { router: gateway.peers.me };
     let (mut reader, _writer) = gateway.peers.connect(neighbour.peer, &open).await?;
     reader.next().await
@@ -94,7 +117,11 @@
 /// Tells another router which endpoints leave.
 pub(super) async fn tell_leaving(gateway: Arc<Gateway>, mut writer: OwnedWriteHalf) {
     let starts = gateway.registry.read(|registry| registry.leaving(MOST_LEAVING));
-    if let Err(error) = write_frame(&mut writer, &starts).await {
+    let heard = gateway.with_endpoints(|seen| {
+        let leaving = seen.unattributed().leaving(MOST_LEAVING);
+        leaving.map(|start| (EndpointStart::from(start), start.address)).collect()
+    });
+    if let Err(error) = write_frame(&mut writer, &LeavingTold { starts, heard }).await {
         log::debug!("gateway: a router that asked which endpoints leave has left: {error}");
     }
 }
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -1,12 +1,14 @@
 //! What answers say of their endpoints, where the gateway hears it.
 
+use std::sync::Arc;
+
 use axum::http::{Response, StatusCode};
 use hyper::body::Incoming;
 
 use super::request::Call;
 use super::state::Gateway;
 use crate::dispatch::Millis;
-use crate::notice::RestAsked;
+use crate::notice::{Notice, RestAsked};
 use crate::placement::StartOf;
 use crate::registry::{EndpointStart, Hearing, Registration};
 
@@ -24,22 +26,7 @@
             return false;
         }
         let notice = self.gateway.dialect.read_notice(status, response.headers());
-        if notice.leaves {
-            self.count_notice("leaves");
-            self.gateway.leaves(EndpointStart::of(endpoint));
-        }
-        match &notice.rest {
-            RestAsked::None => {}
-            RestAsked::For(time) => {
-                self.count_notice("rests");
-                log::info!("gateway: endpoint {} asks for {time} ms of rest", endpoint.id);
-                self.gateway.rests(endpoint, *time);
-            }
-            RestAsked::Unreadable(says) => {
-                self.count_notice("unreadable");
-                log::info!("gateway: endpoint {} asks for no time: {says:?}", endpoint.id);
-            }
-        }
+        self.gateway.take_notice(endpoint, &notice);
         notice.rest.time().is_some()
     }
 
@@ -54,19 +41,54 @@
             self.gateway.with_endpoints(|endpoints| endpoints.all_rest_for(now, may_serve))
         })
     }
-
-    fn count_notice(&self, notice: &str) {
-        self.gateway.metrics.notices.with_label_values(&[&self.service, notice]).inc();
-    }
 }
 
 impl Gateway {
+    /// Takes in what an answer says of its endpoint. It came on a connection that was opened
+    /// while `endpoint` was the latest start known.
+    pub(super) fn take_notice(self: &Arc<Self>, endpoint: &Registration, notice: &Notice) {
+        let now = self.now();
+        self.with_endpoints(|endpoints| endpoints.heard(now, endpoint, notice));
+        if notice.leaves {
+            self.count_notice(endpoint, "leaves");
+            self.leaves(EndpointStart::of(endpoint));
+        }
+        match &notice.rest {
+            RestAsked::None => {}
+            RestAsked::For(time) => {
+                self.count_notice(endpoint, "rests");
+                log::info!("gateway: endpoint {} asks for {time} ms of rest", endpoint.id);
+                self.rests(endpoint, *time);
+            }
+            RestAsked::Unreadable(says) => {
+                self.count_notice(endpoint, "unreadable");
+                log::info!("gateway: endpoint {} asks for no time: {says:?}", endpoint.id);
+            }
+        }
+        // A later start may have become known while the answer was under way.
+        if notice.refuses_work() {
+            self.check_if_uncertain(&endpoint.id);
+        }
+    }
+
+    /// Counts a check of a start of an endpoint.
+    pub(super) fn count_start_check(&self, endpoint: &Registration, outcome: &str) {
+        self.metrics.start_checks.with_label_values(&[&endpoint.service, outcome]).inc();
+    }
+
+    fn count_notice(&self, endpoint: &Registration, notice: &str) {
+        self.metrics.notices.with_label_values(&[&endpoint.service, notice]).inc();
+    }
+
     /// Whether an endpoint may get a request at this moment. It may have begun to leave or to
     /// rest while the request was placed, or waited for a connection.
     pub(super) fn takes_work(&self, endpoint: &Registration) -> bool {
         let now = self.now();
         self.registry.read(|registry| registry.start_takes_work(endpoint))
-            && self.with_endpoints(|endpoints| endpoints.rest_left(now, endpoint).is_none())
+            && self.with_endpoints(|endpoints| {
+                endpoints.rest_left(now, endpoint).is_none()
+                    && !endpoints.is_uncertain(now, endpoint)
+            })
     }
 
     /// An endpoint wants nothing from this router for so long.
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -33,9 +33,19 @@
         }
     }
 
-    /// Finds a place for the request. Where the new release of a service has none, another
-    /// may have one.
+    /// Finds a place for the request. Where there is none but at endpoints that are being
+    /// asked whether they take work, it waits for their answers a moment.
     pub async fn place(&self, tried: &[String]) -> Place {
+        match self.place_by_release(tried).await {
+            Place::Nowhere if self.wait_for_start_checks(tried).await => {
+                self.place_by_release(tried).await
+            }
+            place => place,
+        }
+    }
+
+    /// Where the new release of a service has no place, another may have one.
+    async fn place_by_release(&self, tried: &[String]) -> Place {
         let Some(eligibility) = self.eligibility() else { return Place::Nowhere };
         let mut request = self.placement_request(&eligibility, tried);
         request.has_alternative = self.is_of_a_part(&eligibility.version);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,8 +1,10 @@
 //! What the parts of a gateway share.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use super::budget::RetryBudgets;
@@ -55,6 +57,10 @@
     /// Begins a planned stop.
     pub stop: CancellationToken,
     pub(super) endpoints: Mutex<Endpoints>,
+    /// Endpoints that are being asked whether they take work.
+    start_checks: Mutex<BTreeSet<String>>,
+    /// Notified when such an endpoint has answered.
+    pub(super) start_checks_ended: Notify,
     pub(super) budgets: Mutex<RetryBudgets>,
     releases: Mutex<Releases>,
     overload: Arc<Mutex<Overload>>,
@@ -109,6 +115,8 @@
             metrics: GatewayMetrics::default(),
             stop,
             endpoints: Mutex::default(),
+            start_checks: Mutex::default(),
+            start_checks_ended: Notify::new(),
             budgets: Mutex::new(budgets),
             releases: Mutex::default(),
             overload,
@@ -130,6 +138,11 @@
         f(&mut self.endpoints.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Works on the ids of endpoints that are being asked whether they take work.
+    pub(super) fn with_start_checks<T>(&self, f: impl FnOnce(&mut BTreeSet<String>) -> T) -> T {
+        f(&mut self.start_checks.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// This router's part of what cold endpoints of a service bear.
     pub(super) fn cold_part(&self, per_second: Option<f64>, is_engine: bool) -> ColdPart {
         let routers = self.feeds.routers();
@@ -340,8 +353,8 @@
     }
 }
 
-/// Takes in what the registry learns of endpoints, and closes kept connections to those that
-/// take no more work or have started again.
+/// Takes in what the registry learns of endpoints: closes kept connections to those that take
+/// no more work or have started again, and checks those of which it is not certain.
 pub(super) async fn follow_registry(gateway: Arc<Gateway>) {
     let mut watch = gateway.registry.watch();
     let mut seen = 0;
@@ -359,6 +372,7 @@
                 gateway.connections.forget(&endpoint.id);
                 gateway.with_endpoints(|e| e.forget(&endpoint.id));
             }
+            gateway.check_if_uncertain(&endpoint.id);
         }
     }
 }
--- a/src/notice.rs
+++ b/src/notice.rs
@@ -10,8 +10,10 @@
 mod rest;
 #[cfg(test)]
 mod tests;
+mod unattributed;
 
 pub use rest::Rest;
+pub use unattributed::{StartAt, UnattributedNotices};
 
 /// The longest rest that is believed, in milliseconds: an hour. Who says more is mistaken,
 /// and would stay without work until somebody notices.
@@ -52,6 +54,13 @@
     }
 }
 
+impl Notice {
+    /// Whether the endpoint wants no new work, at least for a while.
+    pub fn refuses_work(&self) -> bool {
+        self.leaves || self.rest.time().is_some()
+    }
+}
+
 impl RestAsked {
     /// Only who turns a request away asks for rest.
     fn read(status: StatusCode, headers: &HeaderMap) -> RestAsked {
--- a/src/notice/rest.rs
+++ b/src/notice/rest.rs
@@ -5,6 +5,11 @@
 /// Clocks show whole milliseconds: the one in which it was asked may have only begun.
 const CLOCK_STEP_MS: Millis = 1;
 
+/// When a rest is over that was asked for now.
+pub(super) fn rest_end(now: Millis, time: Millis) -> Millis {
+    now.saturating_add(time).saturating_add(CLOCK_STEP_MS)
+}
+
 /// What one endpoint asked of one sender, and how far its return has come.
 ///
 /// The load that it answers: an endpoint that has more to do than it can bear. Until its
@@ -22,7 +27,7 @@
 impl Rest {
     /// It asked for so much time from now on. What it asked before holds on.
     pub fn ask(&mut self, now: Millis, time: Millis) {
-        let until = now.saturating_add(time).saturating_add(CLOCK_STEP_MS);
+        let until = rest_end(now, time);
         self.until = Some(self.until.map_or(until, |before| before.max(until)));
         self.is_tried = false;
     }
--- a/src/notice/tests.rs
+++ b/src/notice/tests.rs
@@ -1,6 +1,7 @@
 //! What heads of answers say.
 
 mod rest;
+mod unattributed;
 
 use proptest::prelude::*;
 
--- a/src/registry/start.rs
+++ b/src/registry/start.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Registration;
+use crate::notice::StartAt;
 
 /// One start of an endpoint: it may start again under the same id, and then knows nothing
 /// of before.
@@ -20,3 +21,9 @@
         EndpointStart { id: endpoint.id.clone(), started_at_ms: endpoint.started_at_ms }
     }
 }
+
+impl From<StartAt<'_>> for EndpointStart {
+    fn from(start: StartAt<'_>) -> EndpointStart {
+        EndpointStart { id: start.id.to_string(), started_at_ms: start.started_at_ms }
+    }
+}
--- a/src/telemetry/gateway.rs
+++ b/src/telemetry/gateway.rs
@@ -16,6 +16,8 @@
     pub lost: IntCounterVec,
     /// What answers say of their endpoints, by service.
     pub notices: IntCounterVec,
+    /// Checks of endpoints that started again, by service and outcome.
+    pub start_checks: IntCounterVec,
     /// Streams taken up at another endpoint, by service.
     pub resumed: IntCounterVec,
     /// Requests while a release is rolled out, by service, release and outcome.
@@ -57,6 +59,11 @@
                 "Answers that say that their endpoint leaves or wants rest.",
                 &["service", "notice"],
             )?,
+            start_checks: counter(
+                "start_checks_total",
+                "Endpoints that started again and were asked whether they take work.",
+                &["service", "outcome"],
+            )?,
             resumed: counter("resumed_total", "Streams taken up elsewhere.", &["service"])?,
             rollout_requests: counter(
                 "rollout_requests_total",
@@ -79,6 +86,7 @@
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.lost.clone()))?;
         registry.register(Box::new(metrics.notices.clone()))?;
+        registry.register(Box::new(metrics.start_checks.clone()))?;
         registry.register(Box::new(metrics.resumed.clone()))?;
         registry.register(Box::new(metrics.rollout_requests.clone()))?;
         registry.register(Box::new(metrics.across.clone()))?;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -27,6 +27,8 @@
 mod rollouts;
 #[path = "platform/silence.rs"]
 mod silence;
+#[path = "platform/starts.rs"]
+mod starts;
 
 use std::time::Duration;
 
--- a/tests/platform/notices.rs
+++ b/tests/platform/notices.rs
@@ -24,12 +24,12 @@
 
 /// Requests that must all pass an endpoint by. Chosen by chance, one of two is left out so
 /// often once in a million times.
-const REQUESTS: usize = 20;
+pub const REQUESTS: usize = 20;
 /// Longer than any test takes to look.
-const LONG: Duration = Duration::from_secs(30);
+pub const LONG: Duration = Duration::from_secs(30);
 
 /// Sends requests until the replica has had one more.
-async fn until_reached(fleet: &Fleet, path: &str, replica: &Replica) {
+pub async fn until_reached(fleet: &Fleet, path: &str, replica: &Replica) {
     let before = replica.arrivals().len();
     for number in 0.. {
         call(fleet.front, &post(path, &format!("until-{number}"), "")).await;
@@ -40,7 +40,7 @@
 }
 
 /// Sends requests of which the replica must get none, while others serve them all.
-async fn is_passed_by(fleet: &Fleet, path: &str, replica: &Replica) {
+pub async fn is_passed_by(fleet: &Fleet, path: &str, replica: &Replica) {
     let before = replica.arrivals().len();
     for number in 0..REQUESTS {
         let answer = call(fleet.front, &post(path, &format!("by-{number}"), "")).await;
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -9,6 +9,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+/// Where health checks go, as the configurations of the tests say. They run nothing.
+const HEALTH_PATH: &str = "/healthz";
+
 /// What a replica does with every request.
 #[derive(Clone, Debug)]
 pub enum Behaviour {
@@ -92,6 +95,10 @@
     /// Counts its starts under its id.
     starts: AtomicU32,
     left: AtomicUsize,
+    /// Health checks that reached it.
+    checks: AtomicUsize,
+    /// Health checks are not answered.
+    holds_checks: AtomicBool,
     /// Connections that were taken.
     taken: AtomicUsize,
     /// On the first so many connections nothing is answered any more.
@@ -172,6 +179,16 @@
         Some(rest.says.unwrap_or_else(|| format!("{:.3}", milliseconds as f64 / 1_000.0)))
     }
 
+    /// From now on it answers no health checks, or all.
+    pub fn hold_checks(&self, holds: bool) {
+        self.state.holds_checks.store(holds, Ordering::SeqCst);
+    }
+
+    /// Health checks that reached it, answered or not.
+    pub fn checks(&self) -> usize {
+        self.state.checks.load(Ordering::SeqCst)
+    }
+
     /// The requests that it ran.
     pub fn seen(&self) -> Vec<Seen> {
         self.state.seen.lock().unwrap().clone()
@@ -208,7 +225,15 @@
                 continue;
             }
             let asks_for_rest = self.asks_for_rest();
-            self.note_arrival(&seen, asks_for_rest.is_some());
+            let is_check = seen.path == HEALTH_PATH;
+            if is_check {
+                self.state.checks.fetch_add(1, Ordering::SeqCst);
+                if self.state.holds_checks.load(Ordering::SeqCst) {
+                    continue;
+                }
+            } else {
+                self.note_arrival(&seen, asks_for_rest.is_some());
+            }
             if let Some(time) = asks_for_rest {
                 let headers = format!(
                     "Bramblecrank-Not-Executed: 1\r\nRetry-After: {time}\r\nContent-Length: 0\r\n"
@@ -216,6 +241,11 @@
                 write(&mut stream, &self.head(503, &seen.id(), &headers)).await;
                 continue;
             }
+            if is_check {
+                let status = if self.state.leaving.load(Ordering::SeqCst) { 503 } else { 200 };
+                write(&mut stream, &self.head(status, &seen.id(), "Content-Length: 0\r\n")).await;
+                continue;
+            }
             if let Behaviour::Full = behaviour {
                 let headers = "Bramblecrank-Not-Executed: 1\r\nContent-Length: 0\r\n";
                 write(&mut stream, &self.head(503, &seen.id(), headers)).await;
