What was sent before a cold start was known counts against what it bears

A start that is not known yet gets what was meant for the one before. Once it became known as cold, both the router (plain services) and the placer (engines) began to count anew, so that it could get what it bears twice within a second.

Cause: the requests of the last second were kept by start, and dropped with the earlier one. They are taken over now. A request that the earlier start got is counted too, which costs a cold start at most a second without work.

--- a/src/gateway/endpoints.rs
+++ b/src/gateway/endpoints.rs
@@ -193,7 +193,8 @@
         }
         let Some(allowance) = cold.allowance(&endpoint.id) else { return false };
         let lately = |at: &&Millis| **at + SENT_WINDOW_MS > now;
-        let sent = self.of(endpoint).map_or(0, |s| s.sent.iter().filter(lately).count());
+        // What was sent to the start before may have reached this one.
+        let sent = self.seen.get(&endpoint.id).map_or(0, |s| s.sent.iter().filter(lately).count());
         sent >= allowance
     }
 
@@ -206,7 +207,9 @@
     fn seen_of(&mut self, id: &str, started_at_ms: u64) -> Option<&mut Seen> {
         let seen = self.seen.entry(id.to_string()).or_default();
         if seen.started_at_ms < started_at_ms {
-            *seen = Seen { started_at_ms, ..Seen::default() };
+            // What was sent a moment ago may have reached this start, which is cold.
+            let sent = std::mem::take(&mut seen.sent);
+            *seen = Seen { started_at_ms, sent, ..Seen::default() };
         }
         (seen.started_at_ms == started_at_ms).then_some(seen)
     }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -322,6 +322,22 @@
     assert!(choose(11, &endpoint("a")));
 }
 
+/// Requests that were meant for the start before reached the new one before it was known.
+#[test]
+fn what_was_sent_before_a_cold_start_was_known_counts_for_it() {
+    let cold = Registration { started_at_ms: 2_000, warmup_ms: 3_000, ..endpoint("a") };
+    let part = ColdPart { per_second: Some(2.0), routers: 1, router: HostId(1) };
+    let mut endpoints = Endpoints::default();
+    let may_send = |endpoints: &Endpoints, now| {
+        endpoints.choose(now, std::iter::once(&cold), &[], ANY, part).is_some()
+    };
+    endpoints.begin(10, "a", 1_000, 0);
+    assert!(may_send(&endpoints, 11));
+    endpoints.begin(12, "a", 2_000, 0);
+    assert!(!may_send(&endpoints, 13));
+    assert!(may_send(&endpoints, 1_010));
+}
+
 #[test]
 fn callers_cannot_say_what_only_the_gateway_may_say() {
     use axum::http::{HeaderMap, HeaderName, HeaderValue};
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -17,6 +17,7 @@
 use super::rate::ReadingRate;
 use super::rules::PlacementRules;
 use super::shares::{Shares, Standing};
+use super::warmth::Warmth;
 use crate::dispatch::Millis;
 use crate::wire::HostId;
 
@@ -93,7 +94,7 @@
             engine.open = false;
         }
         for mut info in engines {
-            self.forget_earlier_start(&info);
+            let earlier = self.forget_earlier_start(&info);
             info.rate = self.guess(&info.service, info.rate);
             match self.numbers.get(&info.id) {
                 Some(number) => {
@@ -104,7 +105,10 @@
                 }
                 None => {
                     let id = info.id.clone();
-                    let engine = Engine::new(now, info, self.rules.reading_share);
+                    let mut engine = Engine::new(now, info, self.rules.reading_share);
+                    if let Some(earlier) = earlier {
+                        engine.warmth.started_after(earlier);
+                    }
                     self.numbers.insert(id, self.engines.insert(engine));
                 }
             }
@@ -123,16 +127,17 @@
     }
 
     /// Forgets an engine that has started again: what was sent to the earlier start has
-    /// ended, and the new one keeps nothing.
-    fn forget_earlier_start(&mut self, info: &EngineInfo) {
-        let Some(number) = self.numbers.get(&info.id).copied() else { return };
+    /// ended, and the new one keeps nothing. Returns how warm the earlier start was.
+    fn forget_earlier_start(&mut self, info: &EngineInfo) -> Option<Warmth> {
+        let number = *self.numbers.get(&info.id)?;
         if self.engines[number].started_at_ms == info.started_at_ms {
-            return;
+            return None;
         }
-        self.engines.remove(number);
+        let earlier = self.engines.remove(number);
         self.numbers.remove(&info.id);
         self.parts.forget(number);
         self.placed.retain(|_, at| *at != number);
+        Some(earlier.warmth)
     }
 
     /// The number of an engine that has not started again since `started_at_ms`.
--- a/src/placement/tests/warmth.rs
+++ b/src/placement/tests/warmth.rs
@@ -50,6 +50,21 @@
     assert!(most_in_a_second(&sent, "back") > ALLOWED, "warm it bears what it is sent");
 }
 
+/// Requests that were meant for the start before reached the new one before it was known.
+#[test]
+fn what_was_sent_before_a_cold_start_was_known_counts_for_it() {
+    let mut placer = Placer::new(PlacementRules::default());
+    let start = |started_at_ms, warmup_ms| EngineInfo {
+        started_at_ms,
+        ..cold_engine("again", 1, warmup_ms)
+    };
+    placer.set_engines(0, vec![start(1, 0)]);
+    assert_eq!(play(&mut placer, 0, 1_000).len(), 100);
+    placer.set_engines(1_000, vec![start(2, 3_000)]);
+    assert_eq!(play(&mut placer, 1_000, 1_900).len(), 0);
+    assert!(!play(&mut placer, 1_900, 3_000).is_empty());
+}
+
 #[test]
 fn requests_go_to_warm_engines_while_others_are_cold() {
     let mut placer = Placer::new(PlacementRules::default());
--- a/src/placement/warmth.rs
+++ b/src/placement/warmth.rs
@@ -86,6 +86,11 @@
         Some((counted + window_ms).min(self.cold_until))
     }
 
+    /// What was sent to the start before a moment ago may have reached this one.
+    pub fn started_after(&mut self, earlier: Warmth) {
+        self.sent = earlier.sent;
+    }
+
     /// It was sent a request.
     pub fn sent(&mut self, now: Millis) {
         let Some(per_second) = self.per_second else { return };
