A start that calls on after an end takes work again

What callers saw: nothing; an endpoint that took work got none for as long as it lived, and where it was the only one all requests were refused. Found by asking what else is booked to the wrong start, then by a test with the real programs.

Cause: the call by which an endpoint ends names no start. A control host takes it for the end of the start that it knows. That of an earlier start that comes late, behind a cut, ends a later one, and what has ended never comes back, whatever it says.

Mend: the calls of a start go on or they do not. After an end a few calls may still arrive that were under way; one that is four later than the first heard since shows that the start goes on. It is known again then, as a later life of the same start (revivals), so that every host takes that over in whatever order news come. An endpoint that has ended may finish its work for a while and call on: a router asks a revived start itself before it sends it anything, as it does with other starts of which it is not certain. Ends by a roll-out are final as before.

Ruled out: by the time of day (hosts' and endpoints' clocks differ); a plain difference of call numbers (a host that took the end may have heard the last hundred calls of the endpoint only through others, who pass on changes alone); ignoring an end of which the start is not sure (one that has ended would get work).

About 6 s pass from the end to the first request at a heartbeat of 1.2 s (reckoned: five calls; not measured on a fleet).

--- a/src/control/tests/registrations.rs
+++ b/src/control/tests/registrations.rs
@@ -25,6 +25,7 @@
         address: Some(([127, 0, 0, 1], 8_000).into()),
         state: EndpointState::Ready,
         sequence: 1,
+        revivals: 0,
         ..Registration::gone("e")
     }
 }
--- a/src/feed/tests/connection.rs
+++ b/src/feed/tests/connection.rs
@@ -147,6 +147,7 @@
         state: EndpointState::Ready,
         warmup_ms: 0,
         sequence: 1,
+        revivals: 0,
     };
     registry.merge((0..endpoints).map(endpoint), Hearing::FirstHand);
     Arc::new(registry)
--- a/src/gateway/endpoints.rs
+++ b/src/gateway/endpoints.rs
@@ -50,6 +50,8 @@
 struct Seen {
     /// The start of the endpoint that was seen. Nothing of it holds of a later one.
     started_at_ms: u64,
+    /// As often as this the start was taken to have ended, and has answered since.
+    revivals: u32,
     in_flight: u32,
     prompt_tokens: u64,
     failures: u32,
@@ -142,14 +144,23 @@
         self.of(endpoint)?.rest.left(now)
     }
 
-    /// Whether an answer may have said of this start of an endpoint that it leaves or rests,
-    /// and it has not answered since it is known.
+    /// Whether this start of an endpoint may have said that it leaves, rests or ends, and has
+    /// not answered since.
     pub fn is_uncertain(&self, now: Millis, endpoint: &Registration) -> bool {
+        let answered = self.of(endpoint).map_or(0, |seen| seen.revivals);
+        if answered < endpoint.revivals {
+            return true;
+        }
         start_at(endpoint).is_some_and(|start| self.unattributed.may_be_of(now, start))
     }
 
     /// An answer came on a connection that was opened while this start was the latest known.
     pub fn heard(&mut self, now: Millis, endpoint: &Registration, notice: &Notice) {
+        if endpoint.revivals > 0
+            && let Some(seen) = self.seen_of(&endpoint.id, endpoint.started_at_ms)
+        {
+            seen.revivals = seen.revivals.max(endpoint.revivals);
+        }
         if let Some(start) = start_at(endpoint) {
             self.unattributed.heard(now, start, notice);
         }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -27,6 +27,7 @@
         state: EndpointState::Ready,
         warmup_ms: 0,
         sequence: 1,
+        revivals: 0,
     }
 }
 
--- a/src/registry/known.rs
+++ b/src/registry/known.rs
@@ -1,6 +1,8 @@
 //! What is known of one endpoint, and how news of it merges.
 
-use super::{EndpointState, Registration};
+use std::cmp::Ordering;
+
+use super::{EndpointState, Hearing, Registration};
 
 /// Milliseconds for which an endpoint counts as cold after its data hall was taken back:
 /// two of its heartbeats, which come every 1.2 s on the platform.
@@ -9,6 +11,10 @@
 /// been sent before.
 const SURE_AFTER_CALLS: u64 = 2;
 
+/// Calls by which a start that was taken to have ended shows that it goes on: as many as
+/// may have been under way when its end was heard.
+const CALLS_AFTER_END: u64 = 4;
+
 /// An endpoint that was heard of.
 #[derive(Clone, Debug)]
 pub(super) struct Known {
@@ -21,33 +27,60 @@
     /// Before this call nothing that it says of being warm is believed: it may have
     /// been under way since before its data hall was taken back.
     sure_from: u64,
+    /// The first call that was heard here since this start was taken to have ended.
+    first_since_end: Option<u64>,
+    /// Whether this start was heard to leave.
+    leaves: bool,
+    /// Whether its end is certain to be this start's: it named it, or a roll-out ended it.
+    ended_for_good: bool,
 }
 
 impl Known {
     /// An endpoint of which nothing was known.
     pub fn new(said: Registration, first_hand: bool) -> Known {
-        Known { said, change: 0, first_hand, sure_from: 0 }
+        let leaves = said.state == EndpointState::Leaving;
+        let ended_for_good = first_hand && names_its_end(&said);
+        Known {
+            said,
+            change: 0,
+            first_hand,
+            sure_from: 0,
+            first_since_end: None,
+            leaves,
+            ended_for_good,
+        }
     }
 
     /// Takes news in. Of two starts the later one counts, and nothing of the earlier one
     /// is kept; returns whether it is a later start.
-    pub fn hear(&mut self, news: Registration) -> bool {
-        match news.started_at_ms.cmp(&self.said.started_at_ms) {
-            std::cmp::Ordering::Less => false,
-            std::cmp::Ordering::Equal => {
-                self.hear_of_this_start(news);
+    pub fn hear(&mut self, news: Registration, hearing: Hearing) -> bool {
+        let order = news.started_at_ms.cmp(&self.said.started_at_ms);
+        match order.then(news.revivals.cmp(&self.said.revivals)) {
+            Ordering::Less => false,
+            Ordering::Equal => {
+                self.hear_of_this_start(news, hearing);
                 false
             }
-            std::cmp::Ordering::Greater => {
-                self.said = news;
-                self.sure_from = 0;
+            Ordering::Greater if order.is_gt() => {
+                let change = self.change;
+                *self = Known { change, ..Known::new(news, hearing == Hearing::FirstHand) };
                 true
             }
+            Ordering::Greater => {
+                self.revive(news);
+                false
+            }
         }
     }
 
-    fn hear_of_this_start(&mut self, news: Registration) {
+    fn hear_of_this_start(&mut self, news: Registration, hearing: Hearing) {
+        let first_hand = hearing == Hearing::FirstHand;
+        self.leaves |= news.state == EndpointState::Leaving;
+        self.ended_for_good |= first_hand && names_its_end(&news);
         if self.said.state == EndpointState::Gone {
+            if first_hand && news.state != EndpointState::Gone {
+                self.hear_after_end(news);
+            }
             return;
         }
         let state = self.said.state.max(news.state);
@@ -61,6 +94,34 @@
         self.said.state = state;
     }
 
+    /// The end may have been that of an earlier start, heard late. Calls that go on are this
+    /// one's; a few may have been under way since before the end.
+    fn hear_after_end(&mut self, mut news: Registration) {
+        let first = *self.first_since_end.get_or_insert(news.sequence);
+        if news.sequence >= first + CALLS_AFTER_END {
+            news.revivals += 1;
+            self.revive(news);
+        }
+    }
+
+    fn revive(&mut self, news: Registration) {
+        if self.ended_for_good {
+            return;
+        }
+        self.said = news;
+        self.first_since_end = None;
+        if self.leaves {
+            self.said.state = self.said.state.max(EndpointState::Leaving);
+        }
+    }
+
+    /// It takes no more work since a roll-out ended.
+    pub fn retire(&mut self, state: EndpointState) {
+        self.said.state = state;
+        self.first_hand = false;
+        self.ended_for_good = true;
+    }
+
     /// It may have turned cold and not yet said so: it counts as cold until it has said
     /// the contrary twice.
     pub fn doubt(&mut self) {
@@ -69,6 +130,11 @@
     }
 }
 
+/// Whether an endpoint says which of its starts has ended.
+fn names_its_end(said: &Registration) -> bool {
+    said.state == EndpointState::Gone && said.address.is_some()
+}
+
 /// Counts an endpoint as cold for as long as two of its heartbeats take.
 pub(super) fn count_as_cold(said: &mut Registration) {
     said.warmup_ms = said.warmup_ms.max(RESTORED_WARMUP_MS);
--- a/src/registry/saved.rs
+++ b/src/registry/saved.rs
@@ -20,7 +20,7 @@
 const FILE: &str = "endpoints";
 /// Begins what this release writes, and rises with every change of a registration. A list
 /// without it begins with a count in at most ten bytes, which these ten cannot be.
-const FORMAT: [u8; 10] = [0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x81];
+const FORMAT: [u8; 10] = [0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x82];
 /// How long to wait for further changes before the file is written.
 const SETTLE: Duration = Duration::from_millis(250);
 
--- a/src/registry/table.rs
+++ b/src/registry/table.rs
@@ -47,6 +47,9 @@
     pub warmup_ms: u64,
     /// Rises with each of its calls.
     pub sequence: u64,
+    /// How often this start was taken to have ended and went on calling: an end names no
+    /// start. Of two the higher is the later news. Only the registry counts it.
+    pub revivals: u32,
 }
 
 impl Registration {
@@ -63,12 +66,15 @@
             state: EndpointState::Gone,
             warmup_ms: 0,
             sequence: 0,
+            revivals: 0,
         }
     }
 
     /// Whether others need to hear of the step from `before` to this.
     fn differs_from(&self, before: &Registration) -> bool {
-        let of = |r: &Registration| (r.started_at_ms, r.state, r.address, r.slots, r.warmup_ms > 0);
+        let of = |r: &Registration| {
+            (r.started_at_ms, r.revivals, r.state, r.address, r.slots, r.warmup_ms > 0)
+        };
         let is_colder = self.warmup_ms > before.warmup_ms;
         let is_elsewhere = self.service != before.service || self.hall != before.hall;
         let is_other = is_elsewhere || self.version != before.version;
@@ -173,10 +179,14 @@
     /// Returns what is known now if it differs in what routing looks at.
     pub fn merge(&mut self, mut news: Registration, hearing: Hearing) -> Option<Registration> {
         let first_hand = hearing == Hearing::FirstHand;
-        let is_end = first_hand && news.address.is_none();
-        if is_end && let Some(known) = self.get(&news.id) {
-            // Who says only that it ends means the start that is known.
-            news.started_at_ms = known.started_at_ms;
+        if first_hand && let Some(known) = self.get(&news.id) {
+            if news.address.is_none() {
+                // Who says only that it ends is taken to mean the start that is known.
+                news.started_at_ms = known.started_at_ms;
+            }
+            if news.started_at_ms == known.started_at_ms {
+                news.revivals = known.revivals;
+            }
         }
         if !self.replaces_remembered(&news) {
             return None;
@@ -192,7 +202,7 @@
             return Some(self.changed(now));
         };
         let before = known.said.clone();
-        if known.hear(news) && is_doubtful {
+        if known.hear(news, hearing) && is_doubtful {
             known.doubt();
         }
         let now = known.said.clone();
@@ -251,8 +261,7 @@
         let forgotten = before - self.remembered.len();
         let mut changed = Vec::new();
         for known in self.endpoints.values_mut().filter(|known| retired.includes(&known.said)) {
-            known.said.state = retired.state();
-            known.first_hand = false;
+            known.retire(retired.state());
             changed.push(known.said.clone());
         }
         let number = changed.len();
--- a/src/registry/tests.rs
+++ b/src/registry/tests.rs
@@ -19,6 +19,7 @@
         state,
         warmup_ms: 0,
         sequence,
+        revivals: 0,
     }
 }
 
--- a/src/registry/tests/starts.rs
+++ b/src/registry/tests/starts.rs
@@ -108,3 +108,55 @@
     saved::save(folder.path(), &endpoints).unwrap();
     assert_eq!(saved::load(folder.path()), endpoints);
 }
+
+/// The end of the start before is delayed, and arrives when the later one is known. The later
+/// one calls on and took no more work until it started again.
+#[test]
+fn a_start_that_calls_on_after_an_end_takes_work_again() {
+    let mut here = Registry::default();
+    let mut elsewhere = Registry::default();
+    for sequence in 1..=3 {
+        here.merge(started(2_000, sequence, EndpointState::Ready), FirstHand);
+    }
+    let gone = here.merge(Registration::gone("e"), FirstHand).unwrap();
+    elsewhere.merge(started(2_000, 2, EndpointState::Ready), SecondHand);
+    elsewhere.merge(gone, SecondHand);
+    // These may have been under way since before the end.
+    for sequence in 4..8 {
+        assert_eq!(here.merge(started(2_000, sequence, EndpointState::Ready), FirstHand), None);
+    }
+    let revived = here.merge(started(2_000, 8, EndpointState::Ready), FirstHand).unwrap();
+    assert_eq!(ready(&here), Some((2_000, 8)));
+    assert!(elsewhere.merge(revived.clone(), SecondHand).is_some(), "others hear of it");
+    assert_eq!(ready(&elsewhere), Some((2_000, 8)));
+    // Late news of the end and of the time before it change nothing.
+    let gone = Registration { state: EndpointState::Gone, revivals: 0, ..revived };
+    assert_eq!(elsewhere.merge(gone, SecondHand), None);
+    assert_eq!(ready(&elsewhere), Some((2_000, 8)));
+    here.merge(Registration::gone("e"), FirstHand);
+    assert_eq!(ready(&here), None, "it may end after all");
+}
+
+#[test]
+fn whoever_hears_a_start_call_on_revives_it_where_another_took_its_end() {
+    let mut registry = Registry::default();
+    registry.merge(started(2_000, 2, EndpointState::Leaving), SecondHand);
+    registry.merge(started(2_000, 2, EndpointState::Gone), SecondHand);
+    for sequence in 3..=7 {
+        registry.merge(started(2_000, sequence, EndpointState::Ready), FirstHand);
+    }
+    let known = registry.get("e").unwrap();
+    assert_eq!((known.state, known.revivals), (EndpointState::Leaving, 1), "it had said so");
+}
+
+#[test]
+fn a_start_that_ended_with_a_roll_out_is_not_revived() {
+    let mut registry = Registry::default();
+    registry.merge(started(1_000, 1, EndpointState::Ready), FirstHand);
+    let releases = Releases::AllBut("v2");
+    registry.retire(Retired { service: "llm", releases, at_ms: 1_500, is_news: true });
+    for sequence in 2..20 {
+        assert_eq!(registry.merge(started(1_000, sequence, EndpointState::Ready), FirstHand), None);
+    }
+    assert_eq!(ready(&registry), None);
+}
--- a/tests/platform/starts.rs
+++ b/tests/platform/starts.rs
@@ -41,15 +41,17 @@
     }
 }
 
-fn heartbeat(replica: &Replica, born: u64) -> String {
-    format!(
-        r#"{{"service":"app","address":"{}","zone":"a","version":"v1","slots":6,"state":"ready","born":{born},"warmupLeftMs":0,"callSeq":1}}"#,
+/// The start of a replica at `born` calls, with this number.
+async fn calls(fleet: &Fleet, replica: &Replica, born: u64, number: u64) {
+    let said = format!(
+        r#"{{"service":"app","address":"{}","zone":"a","version":"v1","slots":6,"state":"ready","born":{born},"warmupLeftMs":0,"callSeq":{number}}}"#,
         replica.address
-    )
+    );
+    assert_eq!(fleet.heartbeat(&replica.id, &said).await, 200);
 }
 
 async fn started(fleet: &Fleet, replica: &Replica, born: u64) {
-    assert_eq!(fleet.heartbeat(&replica.id, &heartbeat(replica, born)).await, 200);
+    calls(fleet, replica, born, 1).await;
 }
 
 /// A fleet with these replicas, all of which started at 1,000 ms.
@@ -259,3 +261,34 @@
     fleet.settle().await;
     is_passed_by(&fleet, "/once/x", &replicas[0]).await;
 }
+
+/// An end names no start. That of the start before came late and was taken for the end of the
+/// one that was known, which got no work any more for as long as it lived.
+#[tokio::test]
+async fn a_start_that_calls_on_after_the_end_of_the_one_before_is_used() {
+    let (fleet, replicas) = fleet_of_two().await;
+    started(&fleet, &replicas[0], 2_000).await;
+    fleet.deregister(&replicas[0]).await;
+    // These may have been under way since before the end.
+    for number in 2..6 {
+        calls(&fleet, &replicas[0], 2_000, number).await;
+    }
+    fleet.settle().await;
+    is_passed_by(&fleet, "/once/x", &replicas[0]).await;
+    calls(&fleet, &replicas[0], 2_000, 6).await;
+    is_used(&fleet, &replicas[0]).await;
+}
+
+#[tokio::test]
+async fn an_endpoint_that_ends_and_calls_on_while_it_finishes_gets_nothing() {
+    let (fleet, replicas) = fleet_of_two().await;
+    replicas[0].set_leaving(true);
+    fleet.deregister(&replicas[0]).await;
+    for number in 2..20 {
+        calls(&fleet, &replicas[0], 1_000, number).await;
+        fleet.settle().await;
+        let before = replicas[0].arrivals().len();
+        assert_eq!(call(fleet.front, &post("/once/x", "one", "")).await.status, 200);
+        assert_eq!(replicas[0].arrivals().len(), before);
+    }
+}
