An end of which no start is known no longer rests on the time of day alone

What callers saw: nothing; an endpoint that took work got none until it started again, or one that had ended got some.

Cause: a control host that knows nothing of an endpoint (it has just started) takes its end for that of all starts up to its own time of day. Where its clock ran ahead of the endpoint's, the next start was among them and stayed barred for good. Where it ran behind, the start that ended was not, and other hosts went on with it.

Mend: such an end means all starts that may have begun by now if clocks differ by half a minute, and as with any other end a start that calls on takes work again, here and, since it is told as a later life, elsewhere; news of the end that come late do not end it once more.

--- a/src/control/registrations.rs
+++ b/src/control/registrations.rs
@@ -1,9 +1,13 @@
 //! What endpoints say of themselves, where it is first heard.
 
 use super::Control;
+use crate::clock::epoch_ms;
 use crate::registry::{Registration, Registry};
 use crate::routing::Routing;
 
+/// Milliseconds by which the time of day of an endpoint may be ahead of a host's.
+const MAX_CLOCK_SKEW_MS: u64 = 30_000;
+
 /// What became of what was said of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Heard {
@@ -46,4 +50,12 @@
         });
         heard
     }
+
+    /// Takes in that an endpoint ends, which names no start: the one that is known here, or
+    /// where none is, all that may have begun by now. Of these one that calls on takes work
+    /// again.
+    pub fn deregister(&self, id: &str) {
+        let started_at_ms = epoch_ms().saturating_add(MAX_CLOCK_SKEW_MS);
+        self.register(Registration { started_at_ms, ..Registration::gone(id) });
+    }
 }
--- a/src/registry/known.rs
+++ b/src/registry/known.rs
@@ -15,6 +15,13 @@
 /// may have been under way when its end was heard.
 const CALLS_AFTER_END: u64 = 4;
 
+/// The first call of a start since an end that may have been another's.
+#[derive(Clone, Copy, Debug)]
+struct FirstCall {
+    started_at_ms: u64,
+    sequence: u64,
+}
+
 /// An endpoint that was heard of.
 #[derive(Clone, Debug)]
 pub(super) struct Known {
@@ -27,8 +34,8 @@
     /// Before this call nothing that it says of being warm is believed: it may have
     /// been under way since before its data hall was taken back.
     sure_from: u64,
-    /// The first call that was heard here since this start was taken to have ended.
-    first_since_end: Option<u64>,
+    /// The first call that was heard here of a start since it was taken to have ended.
+    first_since_end: Option<FirstCall>,
     /// Whether this start was heard to leave.
     leaves: bool,
     /// Whether its end is certain to be this start's: it named it, or a roll-out ended it.
@@ -54,6 +61,13 @@
     /// Takes news in. Of two starts the later one counts, and nothing of the earlier one
     /// is kept; returns whether it is a later start.
     pub fn hear(&mut self, news: Registration, hearing: Hearing) -> bool {
+        if is_bare_end(&self.said) && !is_bare_end(&news) {
+            return self.hear_behind_bare_end(news, hearing);
+        }
+        if is_bare_end(&news) && self.said.revivals > 0 && hearing == Hearing::SecondHand {
+            // The start has gone on since.
+            return false;
+        }
         let order = news.started_at_ms.cmp(&self.said.started_at_ms);
         match order.then(news.revivals.cmp(&self.said.revivals)) {
             Ordering::Less => false,
@@ -62,8 +76,7 @@
                 false
             }
             Ordering::Greater if order.is_gt() => {
-                let change = self.change;
-                *self = Known { change, ..Known::new(news, hearing == Hearing::FirstHand) };
+                self.replace(news, hearing);
                 true
             }
             Ordering::Greater => {
@@ -73,6 +86,23 @@
         }
     }
 
+    fn replace(&mut self, news: Registration, hearing: Hearing) {
+        let change = self.change;
+        *self = Known { change, ..Known::new(news, hearing == Hearing::FirstHand) };
+    }
+
+    /// Only an end is known, with the latest start that it may have been of.
+    fn hear_behind_bare_end(&mut self, news: Registration, hearing: Hearing) -> bool {
+        if news.started_at_ms > self.said.started_at_ms || news.revivals > self.said.revivals {
+            self.replace(news, hearing);
+            return true;
+        }
+        if hearing == Hearing::FirstHand && news.state != EndpointState::Gone {
+            self.hear_after_end(news);
+        }
+        false
+    }
+
     fn hear_of_this_start(&mut self, news: Registration, hearing: Hearing) {
         let first_hand = hearing == Hearing::FirstHand;
         self.leaves |= news.state == EndpointState::Leaving;
@@ -97,8 +127,14 @@
     /// The end may have been that of an earlier start, heard late. Calls that go on are this
     /// one's; a few may have been under way since before the end.
     fn hear_after_end(&mut self, mut news: Registration) {
-        let first = *self.first_since_end.get_or_insert(news.sequence);
-        if news.sequence >= first + CALLS_AFTER_END {
+        let started_at_ms = news.started_at_ms;
+        let first = match self.first_since_end {
+            Some(first) if first.started_at_ms >= started_at_ms => first,
+            _ => FirstCall { started_at_ms, sequence: news.sequence },
+        };
+        self.first_since_end = Some(first);
+        let goes_on = news.sequence >= first.sequence + CALLS_AFTER_END;
+        if first.started_at_ms == started_at_ms && goes_on {
             news.revivals += 1;
             self.revive(news);
         }
@@ -130,6 +166,11 @@
     }
 }
 
+/// Whether all that is said is that some start has ended.
+fn is_bare_end(said: &Registration) -> bool {
+    said.state == EndpointState::Gone && said.address.is_none()
+}
+
 /// Whether an endpoint says which of its starts has ended.
 fn names_its_end(said: &Registration) -> bool {
     said.state == EndpointState::Gone && said.address.is_some()
--- a/src/registry/tests/starts.rs
+++ b/src/registry/tests/starts.rs
@@ -160,3 +160,28 @@
     }
     assert_eq!(ready(&registry), None);
 }
+
+/// A host that has just started knows no start of the endpoint, and its clock, or that of the
+/// endpoint, may be wrong by half a minute.
+#[test]
+fn a_start_that_calls_on_after_an_end_of_which_no_start_is_known_takes_work() {
+    let mut here = Registry::default();
+    let mut elsewhere = Registry::default();
+    let end = Registration { started_at_ms: 60_000, ..Registration::gone("e") };
+    elsewhere.merge(started(29_000, 7, EndpointState::Ready), FirstHand);
+    here.merge(end.clone(), FirstHand);
+    assert!(elsewhere.merge(end.clone(), SecondHand).is_some(), "it is ended by every host");
+    assert_eq!(ready(&elsewhere), None);
+    // It started again, by its own clock before the end.
+    for sequence in 1..5 {
+        assert_eq!(here.merge(started(31_000, sequence, EndpointState::Ready), FirstHand), None);
+        assert_eq!(here.merge(started(29_000, 7, EndpointState::Ready), FirstHand), None);
+    }
+    let again = here.merge(started(31_000, 5, EndpointState::Ready), FirstHand).unwrap();
+    assert_eq!(ready(&here), Some((31_000, 5)));
+    for host in [&mut here, &mut elsewhere] {
+        host.merge(again.clone(), SecondHand);
+        host.merge(end.clone(), SecondHand);
+        assert_eq!(ready(host), Some((31_000, 5)), "late news of the end");
+    }
+}
--- a/tests/platform/starts.rs
+++ b/tests/platform/starts.rs
@@ -292,3 +292,20 @@
         assert_eq!(replicas[0].arrivals().len(), before);
     }
 }
+
+/// A control host that has just started knows no start of the endpoint that ends. Its time of
+/// day said which starts were meant, so that one that ran ahead barred the next start.
+#[tokio::test]
+async fn a_start_that_calls_on_after_an_unknown_endpoints_end_is_used() {
+    let (fleet, _replicas) = fleet_of_two().await;
+    let again = Replica::start("i-again", Behaviour::Answer).await;
+    fleet.deregister(&again).await;
+    let epoch = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap().as_millis() as u64;
+    for born in [epoch - 30_000, epoch + 20_000] {
+        for number in 1..=5 {
+            calls(&fleet, &again, born, number).await;
+        }
+        is_used(&fleet, &again).await;
+        fleet.deregister(&again).await;
+    }
+}
