--- a/src/control.rs
+++ b/src/control.rs
@@ -9,6 +9,7 @@
 mod handle;
 mod join;
 mod legacy;
+mod published;
 mod quarantine_controller;
 mod registrations;
 mod rollout_controller;
@@ -43,6 +44,8 @@
 /// How long to wait for a disk that refuses to be opened.
 const DISK_PAUSE: Duration = Duration::from_millis(200);
 
+use published::Published;
+
 pub use documents::Unanswered;
 pub use halls::HallOrder;
 pub use handle::{Handle, Leadership, NoLeader};
@@ -128,22 +131,14 @@
     let role = Role::Control;
     let (peers, incoming) = Peers::start(&settings.host, role, settings.operator).await?;
     let configs = Arc::new(Configs::default());
-    let documents = Arc::new(Documents::default());
-    let registry = Arc::new(SharedRegistry::default());
-    let rollouts = Arc::new(SharedRollouts::default());
-    let quarantine = Arc::new(SharedQuarantine::default());
+    let followed = Followed::default();
+    let Followed { documents, registry, rollouts, quarantine } = followed.clone();
     registry.remember(saved::load(&settings.data));
     tokio::spawn(saved::keep_saved(registry.clone(), settings.data.clone()));
     let (handle, driver) = driver::start(
         &settings,
         peers.clone(),
-        driver::Published {
-            configs: configs.clone(),
-            documents: documents.clone(),
-            registry: registry.clone(),
-            rollouts: rollouts.clone(),
-            quarantine: quarantine.clone(),
-        },
+        Published { configs: configs.clone(), followed },
         disk,
         found,
     )?;
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -1,7 +1,8 @@
 //! Drives the agreement: disk, network and state around the state machine.
 
-use std::collections::{BTreeMap, VecDeque};
+mod group;
 
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,18 +14,12 @@
 use super::courier::Couriers;
 use super::format::{decode_command, decode_state, encode_command, encode_state};
 use super::handle::{DriverStatus, Event, Handle, Leadership, NoLeader, ReplyTo};
+use super::published::Published;
 use super::state::{Command, State};
-use crate::agree::{
-    Entry, Envelope, GroupMember, NotLeader, Output, Payload, Persist, Replica, Role, StoreId,
-};
+use crate::agree::{Entry, Envelope, NotLeader, Output, Payload, Persist, Replica, Role, StoreId};
 use crate::error::{NetSnafu, Result};
 use crate::peer::Peers;
-use crate::quarantine::SharedQuarantine;
-use crate::registry::SharedRegistry;
-use crate::rollout::SharedRollouts;
-use crate::routing::Documents;
 use crate::settings::ControlSettings;
-use crate::spread::Configs;
 use crate::store::{Disk, DiskWriter, Found};
 
 /// Events taken together, so that they share one sync.
@@ -39,27 +34,6 @@
     last_entry: (u64, u64),
 }
 
-/// Where the agreed state is published to the other parts of this host.
-pub(super) struct Published {
-    pub configs: Arc<Configs>,
-    pub documents: Arc<Documents>,
-    pub registry: Arc<SharedRegistry>,
-    pub rollouts: Arc<SharedRollouts>,
-    pub quarantine: Arc<SharedQuarantine>,
-}
-
-impl Published {
-    fn adopt(&self, state: &State) {
-        self.configs.replace(state.history().clone());
-        if let Some(document) = state.document() {
-            self.documents.adopt(document.clone());
-        }
-        self.registry.adopt_drained(state.drained().clone());
-        self.rollouts.adopt(state.rollouts().clone(), &self.registry);
-        self.quarantine.replace(state.quarantines());
-    }
-}
-
 /// Starts the driver on what was found on disk.
 pub(super) fn start(
     settings: &ControlSettings,
@@ -283,69 +257,6 @@
         }
     }
 
-    fn found(&mut self, members: Vec<GroupMember>) -> Result<()> {
-        if self.replica.is_founded() {
-            return Ok(());
-        }
-        log::info!("control: founds the group with {} stores", members.len());
-        let records = Replica::founding(members);
-        // The group begins with this job; until it is on disk nothing is promised.
-        let job = self.disk.write(records.clone());
-        let mut hard = crate::agree::HardState::default();
-        let mut entries = Vec::new();
-        for record in records {
-            match record {
-                crate::agree::Persist::HardState(state) => hard = state,
-                crate::agree::Persist::Entries(founding) => entries = founding,
-                crate::agree::Persist::Snapshot(_) => {}
-            }
-        }
-        let now = self.peers.clock.now();
-        let seed = rand::rng().random();
-        let none = crate::agree::Snapshot::default();
-        self.replica = Replica::new(now, self.store, hard, none, entries, seed);
-        self.replica.set_most_voters(self.most_voters);
-        let last_entry = self.replica.last_entry();
-        self.unsynced.push_back(Unsynced { job, messages: Vec::new(), last_entry });
-        Ok(())
-    }
-
-    fn let_in(
-        &mut self,
-        newcomer: GroupMember,
-        reply: oneshot::Sender<Result<bool, NoLeader>>,
-    ) -> Result<()> {
-        let mut members = self.replica.status().members;
-        if members.iter().any(|m| m.store == newcomer.store) {
-            let _ = reply.send(Ok(true));
-            return Ok(());
-        }
-        members.push(newcomer);
-        let changed = self.replica.change_members(self.peers.clock.now(), members);
-        let (answer, out) = match changed {
-            Ok(Some(out)) => (Ok(true), out),
-            Ok(None) => (Ok(false), Output::default()),
-            Err(not_leader) => (Err(self.no_leader(not_leader)), Output::default()),
-        };
-        // The asker may have left.
-        let _ = reply.send(answer);
-        self.carry_out(out)
-    }
-
-    fn join(
-        &mut self,
-        newcomer: GroupMember,
-        reply: oneshot::Sender<Result<bool, NoLeader>>,
-    ) -> Result<()> {
-        let (answer, out) = match self.replica.join(self.peers.clock.now(), newcomer) {
-            Ok((joined, out)) => (Ok(joined), out),
-            Err(not_leader) => (Err(self.no_leader(not_leader)), Output::default()),
-        };
-        // The asker may have left.
-        let _ = reply.send(answer);
-        self.carry_out(out)
-    }
-
     fn carry_out(&mut self, out: Output) -> Result<()> {
         let (held, at_once) = out.messages.into_iter().partition(Envelope::needs_sync);
         self.send_messages(at_once);
--- /dev/null
+++ b/src/control/driver/group.rs
@@ -0,0 +1,74 @@
+//! Founding the group, and changes of its members.
+
+use rand::RngExt;
+use tokio::sync::oneshot;
+
+use super::super::handle::NoLeader;
+use super::{Driver, Unsynced};
+use crate::agree::{GroupMember, HardState, Output, Persist, Replica, Snapshot};
+use crate::error::Result;
+
+impl Driver {
+    pub(super) fn found(&mut self, members: Vec<GroupMember>) -> Result<()> {
+        if self.replica.is_founded() {
+            return Ok(());
+        }
+        log::info!("control: founds the group with {} stores", members.len());
+        let records = Replica::founding(members);
+        // The group begins with this job; until it is on disk nothing is promised.
+        let job = self.disk.write(records.clone());
+        let mut hard = HardState::default();
+        let mut entries = Vec::new();
+        for record in records {
+            match record {
+                Persist::HardState(state) => hard = state,
+                Persist::Entries(founding) => entries = founding,
+                Persist::Snapshot(_) => {}
+            }
+        }
+        let now = self.peers.clock.now();
+        let seed = rand::rng().random();
+        let none = Snapshot::default();
+        self.replica = Replica::new(now, self.store, hard, none, entries, seed);
+        self.replica.set_most_voters(self.most_voters);
+        let last_entry = self.replica.last_entry();
+        self.unsynced.push_back(Unsynced { job, messages: Vec::new(), last_entry });
+        Ok(())
+    }
+
+    pub(super) fn let_in(
+        &mut self,
+        newcomer: GroupMember,
+        reply: oneshot::Sender<Result<bool, NoLeader>>,
+    ) -> Result<()> {
+        let mut members = self.replica.status().members;
+        if members.iter().any(|m| m.store == newcomer.store) {
+            let _ = reply.send(Ok(true));
+            return Ok(());
+        }
+        members.push(newcomer);
+        let changed = self.replica.change_members(self.peers.clock.now(), members);
+        let (answer, out) = match changed {
+            Ok(Some(out)) => (Ok(true), out),
+            Ok(None) => (Ok(false), Output::default()),
+            Err(not_leader) => (Err(self.no_leader(not_leader)), Output::default()),
+        };
+        // The asker may have left.
+        let _ = reply.send(answer);
+        self.carry_out(out)
+    }
+
+    pub(super) fn join(
+        &mut self,
+        newcomer: GroupMember,
+        reply: oneshot::Sender<Result<bool, NoLeader>>,
+    ) -> Result<()> {
+        let (answer, out) = match self.replica.join(self.peers.clock.now(), newcomer) {
+            Ok((joined, out)) => (Ok(joined), out),
+            Err(not_leader) => (Err(self.no_leader(not_leader)), Output::default()),
+        };
+        // The asker may have left.
+        let _ = reply.send(answer);
+        self.carry_out(out)
+    }
+}
--- a/src/control/legacy.rs
+++ b/src/control/legacy.rs
@@ -24,39 +24,45 @@
 /// A document of the release before.
 pub(super) type DocumentBefore = Document<routing::Route, routing::CustomerKeys>;
 
+/// What all releases write first of a state.
 #[derive(Deserialize)]
-pub(super) struct StateBefore {
+struct Changes {
     history: History,
     operations: HashMap<String, Changed>,
     operations_by_age: VecDeque<String>,
     claims: Table,
-    document: Option<DocumentBefore>,
-    drained: DrainedHalls,
-    rollouts: Rollouts,
-    quarantines: Quarantines,
 }
 
-impl StateBefore {
-    pub(super) fn into_today(self) -> state::State {
+impl Changes {
+    fn into_today(self) -> state::State {
         state::State {
             history: self.history,
             operations: self.operations,
             operations_by_age: self.operations_by_age,
             claims: self.claims,
-            document: self.document.map(|document| Arc::new(document.into_today())),
-            drained: self.drained,
-            rollouts: self.rollouts,
-            quarantines: self.quarantines,
+            document: None,
+            drained: DrainedHalls::default(),
+            rollouts: Rollouts::default(),
+            quarantines: Quarantines::default(),
         }
     }
 }
 
+#[derive(Deserialize)]
+pub(super) struct StateBefore {
+    before: StateWithoutQuarantine,
+    quarantines: Quarantines,
+}
+
+impl StateBefore {
+    pub(super) fn into_today(self) -> state::State {
+        state::State { quarantines: self.quarantines, ..self.before.into_today() }
+    }
+}
+
 #[derive(Deserialize)]
 pub(super) struct StateWithoutQuarantine {
-    history: History,
-    operations: HashMap<String, Changed>,
-    operations_by_age: VecDeque<String>,
-    claims: Table,
+    changes: Changes,
     document: Option<DocumentBefore>,
     drained: DrainedHalls,
     rollouts: Rollouts,
@@ -64,47 +70,29 @@
 
 impl StateWithoutQuarantine {
     pub(super) fn into_today(self) -> state::State {
-        let StateWithoutQuarantine { history, operations, operations_by_age, claims, .. } = self;
-        let (document, drained, rollouts) = (self.document, self.drained, self.rollouts);
-        let quarantines = Quarantines::default();
-        let before = StateBefore {
-            history,
-            operations,
-            operations_by_age,
-            claims,
-            document,
-            drained,
-            rollouts,
-            quarantines,
-        };
-        before.into_today()
+        state::State {
+            document: self.document.map(|document| Arc::new(document.into_today())),
+            drained: self.drained,
+            rollouts: self.rollouts,
+            ..self.changes.into_today()
+        }
     }
 }
 
 #[derive(Deserialize)]
 pub(super) struct State {
-    history: History,
-    operations: HashMap<String, Changed>,
-    operations_by_age: VecDeque<String>,
-    claims: Table,
+    changes: Changes,
     document: Option<DocumentAnywhere>,
     drained: Drained,
 }
 
 impl State {
     pub(super) fn into_today(self) -> state::State {
+        let Drained { revision, halls } = self.drained;
         state::State {
-            history: self.history,
-            operations: self.operations,
-            operations_by_age: self.operations_by_age,
-            claims: self.claims,
             document: self.document.map(|document| Arc::new(document.into_today())),
-            drained: DrainedHalls::known_without_restored(
-                self.drained.revision,
-                self.drained.halls,
-            ),
-            rollouts: Rollouts::default(),
-            quarantines: Quarantines::default(),
+            drained: DrainedHalls::known_without_restored(revision, halls),
+            ..self.changes.into_today()
         }
     }
 }
--- a/src/control/tests/folder.rs
+++ b/src/control/tests/folder.rs
@@ -6,10 +6,11 @@
 
 use super::format::{document, old_commands, old_state};
 use crate::agree::{Entry, GroupMember, HardState, Payload, Persist, Snapshot};
-use crate::control::driver::{self, Published};
+use crate::control::driver;
+use crate::control::published::Published;
 use crate::error::{Error, Result};
+use crate::feed::Followed;
 use crate::registry::SharedRegistry;
-use crate::rollout::SharedRollouts;
 use crate::routing::Documents;
 use crate::settings::ControlSettings;
 use crate::spread::Configs;
@@ -59,15 +60,9 @@
 async fn start(folder: &TempDir, host: u8) -> Result<Started> {
     let (peers, _incoming) = start_peers(Role::Control, host, vec![]).await;
     let configs = Arc::new(Configs::default());
-    let documents = Arc::new(Documents::default());
-    let registry = Arc::new(SharedRegistry::default());
-    let published = Published {
-        configs: configs.clone(),
-        documents: documents.clone(),
-        registry: registry.clone(),
-        rollouts: Arc::new(SharedRollouts::default()),
-        quarantine: Arc::default(),
-    };
+    let followed = Followed::default();
+    let Followed { documents, registry, .. } = followed.clone();
+    let published = Published { configs: configs.clone(), followed };
     let (disk, found) = Disk::open(folder.path())?;
     let (_handle, task) = driver::start(&settings(folder, host), peers, published, disk, found)?;
     Ok(Started { configs, documents, registry, task, _handle })
