--- a/src/operator.rs
+++ b/src/operator.rs
@@ -3,6 +3,7 @@
 //! The only module that knows the shapes operators use. The generated code is
 //! committed; `tests/proto.rs` regenerates it and fails when it is stale.
 
+mod apply;
 mod client;
 mod control;
 #[allow(missing_docs, clippy::all)]
--- a/src/operator/control.rs
+++ b/src/operator/control.rs
@@ -8,12 +8,12 @@
 use tonic::transport::Channel;
 use tonic::{Request, Response, Status};
 
+use super::apply::{changes, reply, uncertain};
 use super::proto::operator_client::OperatorClient;
 use super::proto::operator_server::{Operator, OperatorServer};
 use super::{client, proto, view};
 use crate::agree::{GroupMember, StoreId};
-use crate::config::{Change, Document};
-use crate::control::{Changed, Command, Control, HallOrder, NoLeader, Reply, Unanswered};
+use crate::control::{Command, Control, HallOrder, NoLeader, Reply, Unanswered};
 use crate::quarantine::{Fingerprint, InvalidFingerprint};
 use crate::wire::{HostId, Role};
 
@@ -22,8 +22,6 @@
 /// Marks a read that another control host has passed on: two hosts that each take the
 /// other for the leader must not pass it back and forth.
 const FORWARDED: &str = "forwarded";
-/// Longest operation name.
-const MAX_OPERATION: usize = 64;
 
 struct Service(Arc<Control>);
 
@@ -37,67 +35,6 @@
     }
 }
 
-fn uncertain() -> proto::ApplyReply {
-    let result = proto::apply_reply::Result::Uncertain.into();
-    proto::ApplyReply { result, ..Default::default() }
-}
-
-fn reply(changed: Changed) -> proto::ApplyReply {
-    use proto::apply_reply::Result;
-    match changed {
-        Changed::Accepted(version) => {
-            let result = Result::Accepted.into();
-            proto::ApplyReply { result, version, ..Default::default() }
-        }
-        Changed::Conflict(version) => {
-            let result = Result::Conflict.into();
-            proto::ApplyReply { result, version, ..Default::default() }
-        }
-        Changed::Refused(refusal) => proto::ApplyReply {
-            result: Result::Refused.into(),
-            version: 0,
-            field: refusal.field,
-            problem: refusal.problem,
-            remedy: refusal.remedy,
-        },
-    }
-}
-
-fn wrong(field: &str, problem: String, remedy: &str) -> proto::ApplyReply {
-    proto::ApplyReply {
-        result: proto::apply_reply::Result::Refused.into(),
-        version: 0,
-        field: field.into(),
-        problem,
-        remedy: remedy.into(),
-    }
-}
-
-/// The steps that a request asks for, or why it is wrong.
-fn changes(request: &proto::ApplyRequest) -> Result<Vec<Change>, proto::ApplyReply> {
-    if request.operation.is_empty() || request.operation.len() > MAX_OPERATION {
-        let problem = "is empty or too long".to_string();
-        return Err(wrong("operation", problem, "name the change in 1 to 64 bytes"));
-    }
-    let mut changes = Vec::new();
-    if !request.document.trim().is_empty() {
-        let document: Document = serde_saphyr::from_str(&request.document)
-            .map_err(|e| wrong("document", e.to_string(), "correct the document"))?;
-        changes.extend(document.changes());
-    }
-    changes.extend(
-        request
-            .leaving
-            .iter()
-            .map(|l| Change::SetLeaving { endpoint: l.endpoint.clone(), leaving: l.leaving }),
-    );
-    if changes.is_empty() {
-        let problem = "asks for no change".to_string();
-        return Err(wrong("document", problem, "declare or remove something"));
-    }
-    Ok(changes)
-}
-
 /// Where the newest accepted configuration is known for sure.
 enum Newest {
     /// Here: this host leads, and a majority has confirmed it.
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -7,6 +7,7 @@
 
 mod halls;
 mod known;
+mod retired;
 pub mod saved;
 mod shared;
 mod start;
@@ -15,8 +16,7 @@
 mod tests;
 
 pub use halls::DrainedHalls;
+pub use retired::{Releases, Retired};
 pub use shared::SharedRegistry;
 pub use start::EndpointStart;
-pub use table::{
-    Changes, EndpointState, Hearing, Registration, Registry, Releases, Retired, Scope,
-};
+pub use table::{Changes, EndpointState, Hearing, Registration, Registry, Scope};
--- a/src/registry/table.rs
+++ b/src/registry/table.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::known::{Known, count_as_cold};
-use super::{DrainedHalls, EndpointStart};
+use super::{DrainedHalls, EndpointStart, Retired};
 
 /// Endpoints that are gone are remembered up to this number, so that a late
 /// message does not bring one back.
@@ -91,52 +91,6 @@
     SecondHand,
 }
 
-/// Which endpoints of a service take no more work at the end of a roll-out.
-#[derive(Clone, Copy, Debug)]
-pub struct Retired<'a> {
-    /// The service.
-    pub service: &'a str,
-    /// Of which releases.
-    pub releases: Releases<'a>,
-    /// When it ended, in milliseconds since the epoch: what started later is not meant.
-    pub at_ms: u64,
-    /// Whether this host learns of it as it happens, so that those which do not say when
-    /// they started were there before.
-    pub is_news: bool,
-}
-
-/// Releases whose endpoints are retired.
-#[derive(Clone, Copy, Debug)]
-pub enum Releases<'a> {
-    /// All but the one that was rolled out: they have stopped.
-    AllBut(&'a str),
-    /// The one that was rolled back: it finishes what it has.
-    Only(&'a str),
-}
-
-impl Retired<'_> {
-    fn includes(&self, endpoint: &Registration) -> bool {
-        let is_of_release = match self.releases {
-            Releases::AllBut(version) => endpoint.version != version,
-            Releases::Only(version) => endpoint.version == version,
-        };
-        let had_started = match endpoint.started_at_ms {
-            0 => self.is_news,
-            started_at_ms => started_at_ms < self.at_ms,
-        };
-        let is_meant = endpoint.service == self.service && is_of_release && had_started;
-        is_meant && endpoint.state < self.state()
-    }
-
-    /// How far the life of the endpoints has come.
-    fn state(&self) -> EndpointState {
-        match self.releases {
-            Releases::AllBut(_) => EndpointState::Gone,
-            Releases::Only(_) => EndpointState::Leaving,
-        }
-    }
-}
-
 /// Which changes a listener wants.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Scope {
