--- a/src/gateway/endpoints.rs
+++ b/src/gateway/endpoints.rs
@@ -50,7 +50,7 @@
 struct Seen {
     /// The start of the endpoint that was seen. Nothing of it holds of a later one.
     started_at_ms: u64,
-    /// As often as this the start was taken to have ended, and has answered since.
+    /// The start's revivals when it answered last.
     revivals: u32,
     in_flight: u32,
     prompt_tokens: u64,
--- a/src/gateway/start_checks.rs
+++ b/src/gateway/start_checks.rs
@@ -1,9 +1,9 @@
-//! Asking a start of an endpoint what it says of itself, where an answer from before it was
-//! known may have been its own.
+//! Health checks of endpoints that started again, where an earlier answer or end may have been
+//! the new start's own.
 //!
-//! The question is a health check, on a connection of its own, that names the endpoint. Only
-//! the head counts: whether it leaves or rests. Whether it calls itself healthy does not, since
-//! answers to health checks may be false.
+//! A check has a connection of its own and names the endpoint. Only the head of its answer
+//! counts: whether the endpoint leaves or rests. The status does not, since answers to health
+//! checks may be false.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -84,8 +84,7 @@
         match check(&gateway, &endpoint).await {
             Ok(notice) => {
                 log::info!(
-                    "gateway: endpoint {id}, started at {}, was asked after a notice of that \
-                     time: {notice:?}",
+                    "gateway: endpoint {id}, started at {}, answered its check: {notice:?}",
                     endpoint.started_at_ms
                 );
                 gateway.count_start_check(&endpoint, "answered");
@@ -109,7 +108,7 @@
 async fn check(gateway: &Gateway, endpoint: &Registration) -> Result<Notice, CheckError> {
     let Some(address) = endpoint.address else { return NoAddressSnafu.fail() };
     let target = Target { address, started_at_ms: endpoint.started_at_ms };
-    let request = question(gateway, endpoint, target)?;
+    let request = health_check(gateway, endpoint, target)?;
     let asking = gateway.connections.ask(target, request);
     let response = match tokio::time::timeout(ANSWER_TIMEOUT, asking).await {
         Ok(Ok(response)) => response,
@@ -122,7 +121,7 @@
     }
 }
 
-fn question(
+fn health_check(
     gateway: &Gateway,
     endpoint: &Registration,
     target: Target,
