--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -1,6 +1,8 @@
 //! Who is blamed for which crashes, what is agreed on it, and what a router remembers.
 
+mod model;
 mod starts;
+mod witness;
 
 use super::*;
 use crate::dispatch::Millis;
@@ -246,140 +248,6 @@
     }
 }
 
-#[test]
-fn a_request_is_refused_for_longer_each_time() {
-    let mut all = Quarantines::default();
-    all.apply(refuse("a", 1_000));
-    assert_eq!(all.get(&request("a")).unwrap().until_ms, 1_000 + 10 * MINUTE_MS);
-    let revision = all.revision();
-    all.apply(refuse("a", 2_000));
-    assert_eq!(all.revision(), revision, "it is refused already");
-    all.apply(Verdict::Try { fingerprint: request("a"), at_ms: 700_000 });
-    assert_eq!(all.get(&request("a")).unwrap().stage, Stage::Trial);
-    all.apply(refuse("a", 800_000));
-    let again = all.get(&request("a")).unwrap();
-    assert_eq!((again.times, again.until_ms), (2, 800_000 + 20 * MINUTE_MS));
-    all.apply(Verdict::Release(request("a")));
-    assert!(all.is_empty());
-}
-
-#[test]
-fn one_customers_requests_push_out_none_of_anothers() {
-    let mut all = Quarantines::default();
-    all.apply(refuse("mine", 1));
-    for number in 0..5_000u64 {
-        let customer = ["hostile", "hostile too"][(number % 2) as usize];
-        let fingerprint = Fingerprint::of(customer, &["/"], &number.to_be_bytes());
-        all.apply(Verdict::Refuse { fingerprint, crashes: 3, at_ms: 2 + number });
-    }
-    assert!(all.get(&request("mine")).is_some());
-    assert_eq!(all.all().count(), 1 + 2 * 64);
-    for number in 0..5_000u64 {
-        let customer = format!("customer {}", number % 100);
-        let fingerprint = Fingerprint::of(&customer, &["/"], &number.to_be_bytes());
-        all.apply(Verdict::Refuse { fingerprint, crashes: 3, at_ms: 6_000 + number });
-    }
-    assert!(all.get(&request("mine")).is_some());
-    assert_eq!(all.all().count(), 1_024);
-}
-
-#[test]
-fn news_of_one_host_fit_on_those_of_another() {
-    let mut states = vec![Quarantines::default()];
-    let verdicts = [
-        refuse("a", 1),
-        refuse("b", 2),
-        Verdict::Release(request("a")),
-        Verdict::Try { fingerprint: request("b"), at_ms: 3 },
-        refuse("c", 4),
-        Verdict::Release(request("b")),
-    ];
-    for verdict in verdicts {
-        let mut next = states.last().unwrap().clone();
-        next.apply(verdict);
-        states.push(next);
-    }
-    // Two hosts tell of different steps, and a listener hears them in any order.
-    for (first, second) in (1..states.len()).flat_map(|a| (1..states.len()).map(move |b| (a, b))) {
-        let mut listener = Quarantines::default();
-        let whole = |at: usize| states[at].news_after(0).unwrap();
-        listener.adopt(whole(first));
-        listener.adopt(whole(second));
-        let newest = states.last().unwrap();
-        if let Some(news) = newest.news_after(states[first.min(second)].revision()) {
-            listener.adopt(news);
-        }
-        let all = |of: &Quarantines| of.all().map(|(f, q)| (f.clone(), *q)).collect::<Vec<_>>();
-        assert_eq!(all(&listener), all(newest), "{first} and {second}");
-        assert!(newest.news_after(listener.revision()).is_none());
-        // It may tell others, as control hosts do.
-        for before in &states[1..] {
-            let mut told = before.clone();
-            if let Some(news) = listener.news_after(before.revision()) {
-                told.adopt(news);
-            }
-            assert_eq!(all(&told), all(newest));
-        }
-    }
-}
-
-#[test]
-fn a_router_tells_the_leader_what_it_lost_three_times_and_a_new_leader_anew() {
-    let mut witness = Witness::default();
-    witness.lost(0, start(1), request("a"), 100).unwrap();
-    let told = |witness: &mut Witness, now| witness.report(now).observations.len();
-    assert_eq!(
-        [0, 10, 1_000, 1_010, 4_000, 9_000].map(|now| told(&mut witness, now)),
-        [1, 0, 1, 0, 1, 0]
-    );
-    witness.tell_anew(10_000);
-    let report = witness.report(10_000);
-    assert_eq!(report.observations[0].ago_ms, 10_000);
-    // What it saw long ago bears on nothing any more.
-    witness.tell_anew(11 * MINUTE_MS);
-    assert_eq!(told(&mut witness, 11 * MINUTE_MS), 0);
-}
-
-#[test]
-fn a_router_takes_back_what_turns_out_otherwise() {
-    let mut witness = Witness::default();
-    witness.lost(0, start(1), request("a"), 100);
-    witness.lost(0, start(1), request("b"), 100);
-    witness.lost(0, start(2), request("a"), 100);
-    assert_eq!(witness.answered(50, &start(1), 0), None, "it was sent before");
-    let alive = witness.answered(60, &start(1), 40).unwrap();
-    assert_eq!(alive.what, Observed::Alive(start(1)));
-    assert_eq!(witness.answered(70, &start(1), 60), None, "that is known");
-    let served = witness.served(80, &request("a"), false).unwrap();
-    assert_eq!(served.what, Observed::Served(request("a")));
-    let left = witness.report(100).observations;
-    let left: Vec<_> = left.into_iter().map(|observation| observation.what).collect();
-    assert_eq!(left, [Observed::Alive(start(1)), Observed::Served(request("a"))]);
-    assert_eq!(witness.lost(5_000, start(3), request("a"), 1), None, "served a moment ago");
-    assert!(witness.lost(20_000, start(3), request("a"), 1).is_some());
-}
-
-#[test]
-fn a_router_speaks_for_a_request_that_it_served_right_before_it_was_refused() {
-    let mut witness = Witness::default();
-    assert_eq!(witness.served(1_000, &request("a"), false), None);
-    witness.refused(2_000, &request("b"));
-    witness.refused(2_000, &request("a"));
-    let told = witness.report(2_000).observations;
-    assert_eq!(told.len(), 1);
-    assert_eq!(told[0], Observation { ago_ms: 1_000, what: Observed::Served(request("a")) });
-}
-
-#[test]
-fn what_a_router_keeps_is_bounded() {
-    let mut witness = Witness::default();
-    for number in 0..100_000u64 {
-        witness.lost(number, start(number), request(&number.to_string()), 1);
-        witness.served(number, &request(&format!("served {number}")), false);
-    }
-    assert_eq!(witness.report(100_000).observations.len(), 512);
-}
-
 #[test]
 fn of_two_that_always_met_the_second_needs_less_once_the_first_is_blamed() {
     let mut inquiry = Inquiry::default();
