A view of the hosts only when a heartbeat changes it; feeds wake up for what they carry

Cause: every heartbeat received made a view of all hosts. A control host of the whole fleet gets 2,000 a second and knows 1,010 hosts: the cost grew with the square of the hosts. Each of its 985 feeds also woke up at each change of any host, to count the routers, and of any endpoint, though only a few feeds carry endpoints. Change: MemberTable says whether a heartbeat has changed the view. Views are published then, at most 50 a second, and else 10 a second as before. The number of routers is a value of its own, and feeds that carry no endpoints wait for the drained data halls only.

--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -175,7 +175,7 @@
 
 fn members() {
     title("Members: processor time a heartbeat heard, and a view");
-    for hosts in [10u32, 50, 200, 340] {
+    for hosts in [10u32, 50, 200, 340, 1_010, 2_020] {
         let mut table = Members::new(heartbeat(0), vec![], Default::default());
         for host in 1..hosts {
             table.on_heartbeat(0, heartbeat(host).peer, HeartbeatMessage::Full(heartbeat(host)));
--- a/src/control.rs
+++ b/src/control.rs
@@ -244,6 +244,7 @@
         fleet_state: control.fleet_state(),
         leadership: control.handle.leadership.clone(),
         view: control.peers.watch(),
+        router_count: control.peers.watch_router_count(),
         numbering: control.peers.incarnation,
         subscribers: control.subscribers.clone(),
     };
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -40,6 +40,8 @@
     pub leadership: watch::Receiver<Leadership>,
     /// The view of the hosts.
     pub view: watch::Receiver<Arc<View>>,
+    /// The number of live routers.
+    pub router_count: watch::Receiver<u32>,
     /// The start of this process, which identifies the numbering of the registry's changes.
     pub numbering: u64,
     /// Records the open feeds and the routing version sent to each.
@@ -48,13 +50,14 @@
 
 /// What a feed reacts to.
 #[derive(Debug)]
-enum Event {
+pub(super) enum Event {
     Leadership,
-    Hosts,
-    Registry,
+    RouterCount,
+    DrainedHalls,
     Rollouts,
     Grants,
     Quarantine,
+    EndpointsChanged,
     EndpointsDue,
     Routing,
     Requested(FeedRequest),
@@ -64,11 +67,12 @@
 }
 
 /// The feed of one subscriber.
-struct Feed {
+pub(super) struct Feed {
     publication: Publication,
     subscriber_feed: SubscriberFeed,
     routing: watch::Receiver<Option<Arc<Routing>>>,
     changes: watch::Receiver<u64>,
+    drained: watch::Receiver<u64>,
     rollouts: watch::Receiver<Arc<Rollouts>>,
     grants: watch::Receiver<Grants>,
     quarantine: watch::Receiver<Arc<Quarantines>>,
@@ -115,23 +119,25 @@
 
 impl Feed {
     /// A feed on which nothing was sent yet.
-    fn new(mut publication: Publication, requests: mpsc::Receiver<FeedRequest>) -> Feed {
+    pub fn new(mut publication: Publication, requests: mpsc::Receiver<FeedRequest>) -> Feed {
         let mut routing = publication.fleet_state.routing.watch();
-        let mut changes = publication.fleet_state.registry.watch();
+        let changes = publication.fleet_state.registry.watch();
+        let mut drained = publication.fleet_state.registry.watch_drained();
         let mut rollouts = publication.fleet_state.rollouts.watch();
         let mut quarantine = publication.fleet_state.quarantine.watch();
         routing.mark_changed();
-        changes.mark_changed();
+        drained.mark_changed();
         rollouts.mark_changed();
         quarantine.mark_changed();
         publication.leadership.mark_changed();
-        publication.view.mark_changed();
+        publication.router_count.mark_changed();
         Feed {
             subscriber_feed: publication.subscribers.open(publication.subscriber),
             grants: publication.fleet_state.rollouts.watch_grants(),
             publication,
             routing,
             changes,
+            drained,
             rollouts,
             quarantine,
             requests,
@@ -143,19 +149,23 @@
         }
     }
 
-    async fn wait(&mut self) -> Event {
+    /// Waits for the next event.
+    pub async fn wait(&mut self) -> Event {
         let due_at = self.endpoints_due_at();
+        // Most feeds carry no endpoints and must not wake up at each of their changes.
+        let awaits_endpoints = self.cursor.is_some() && due_at.is_none();
         // The order matters: a subscriber learns of the leader before the routing, so that it
         // can tell whether the routing is the newest.
         tokio::select! {
             biased;
             () = self.subscriber_feed.superseded() => Event::Closed,
             Ok(()) = self.publication.leadership.changed() => Event::Leadership,
-            Ok(()) = self.publication.view.changed() => Event::Hosts,
-            Ok(()) = self.changes.changed() => Event::Registry,
+            Ok(()) = self.publication.router_count.changed() => Event::RouterCount,
+            Ok(()) = self.drained.changed() => Event::DrainedHalls,
             Ok(()) = self.rollouts.changed() => Event::Rollouts,
             Ok(()) = self.grants.changed() => Event::Grants,
             Ok(()) = self.quarantine.changed() => Event::Quarantine,
+            Ok(()) = self.changes.changed(), if awaits_endpoints => Event::EndpointsChanged,
             () = wait_until(due_at) => Event::EndpointsDue,
             Ok(()) = self.routing.changed() => Event::Routing,
             request = self.requests.recv() => request.map_or(Event::Closed, Event::Requested),
@@ -178,7 +188,7 @@
     }
 
     /// The message to send for an event, if there is one.
-    fn message_for(&mut self, event: Event) -> Option<FeedMessage> {
+    pub fn message_for(&mut self, event: Event) -> Option<FeedMessage> {
         match event {
             Event::Leadership => {
                 let known = self.publication.leadership.borrow_and_update();
@@ -188,13 +198,13 @@
                     has_caught_up: known.has_caught_up,
                 }))
             }
-            Event::Hosts => {
-                let view = self.publication.view.borrow_and_update();
-                let now = view.with_role(Role::Router).count() as u32;
+            Event::RouterCount => {
+                let now = *self.publication.router_count.borrow_and_update();
                 let before = std::mem::replace(&mut self.sent_routers, now);
                 (before != now).then_some(FeedMessage::Routers(now))
             }
-            Event::Registry => {
+            Event::DrainedHalls => {
+                self.drained.mark_unchanged();
                 let now = self.publication.fleet_state.registry.read(|r| r.drained().clone());
                 let before = std::mem::replace(&mut self.sent_drained_revision, now.revision());
                 (before != now.revision()).then_some(FeedMessage::DrainedHalls(now))
@@ -215,7 +225,8 @@
                 Some(FeedMessage::RoutingVersion(routing.table.version))
             }
             Event::Requested(request) => self.answer(request),
-            Event::KeepAliveDue | Event::Closed => None,
+            // The time at which they are due is computed anew.
+            Event::EndpointsChanged | Event::KeepAliveDue | Event::Closed => None,
         }
     }
 
--- a/src/feed/tests/connection.rs
+++ b/src/feed/tests/connection.rs
@@ -1,9 +1,11 @@
 //! Feeds between control hosts and a subscriber, over real sockets.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::mpsc;
 
+use super::super::publish::{Event, Feed};
 use super::super::{FeedMessage, FleetState, Subscriptions, publish};
 use crate::peer::{Incoming, Peers};
 use crate::registry::{EndpointState, Origin, Registration, Scope, SharedRegistry};
@@ -140,7 +142,12 @@
 /// Endpoints of one service that registered with the control host itself.
 fn registered(endpoints: u32) -> Arc<SharedRegistry> {
     let registry = SharedRegistry::default();
-    let endpoint = |number: u32| Registration {
+    registry.merge((0..endpoints).map(registration), Origin::Direct);
+    Arc::new(registry)
+}
+
+fn registration(number: u32) -> Registration {
+    Registration {
         id: format!("i-{number:010}"),
         started_at_ms: 0,
         service: "service".into(),
@@ -152,9 +159,7 @@
         warmup_ms: 0,
         sequence: 1,
         revivals: 0,
-    };
-    registry.merge((0..endpoints).map(endpoint), Origin::Direct);
-    Arc::new(registry)
+    }
 }
 
 /// Six control hosts have the same endpoints, and only two of them send these to a router.
@@ -184,3 +189,30 @@
     .len() as u64;
     assert!(sent.iter().sum::<u64>() < once * 3, "{sent:?} bytes, {once} for one copy");
 }
+
+/// Feeds grow with the routers and changes of endpoints with the endpoints; most feeds carry none
+/// of these changes.
+#[tokio::test]
+async fn a_feed_without_endpoints_does_not_wake_up_when_they_change() {
+    let (control, _incoming) = start(Role::Control, 91, vec![]).await;
+    let registry = Arc::new(SharedRegistry::default());
+    let publication = publication_of_leader(&control, Arc::default(), registry.clone());
+    let (_requests, receiver) = mpsc::channel(1);
+    let mut feed = Feed::new(publication, receiver);
+    let mut woken = async |within_ms| {
+        let mut events = 0;
+        let deadline = tokio::time::Instant::now() + Duration::from_millis(within_ms);
+        while let Ok(event) = tokio::time::timeout_at(deadline, feed.wait()).await {
+            let is_periodic = matches!(event, Event::KeepAliveDue);
+            events += usize::from(!is_periodic);
+            feed.message_for(event);
+        }
+        events
+    };
+    // The state at the beginning.
+    woken(200).await;
+    for number in 0..50 {
+        registry.merge([registration(number)], Origin::Direct);
+    }
+    assert_eq!(woken(200).await, 0);
+}
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -38,6 +38,17 @@
     pub avoid_until: Millis,
 }
 
+impl Member {
+    fn is_silent(&self, now: Millis) -> bool {
+        now >= self.last_heard + SUSPECT_AFTER_MS
+    }
+
+    /// What a view shows of it.
+    fn shown(&self) -> Heartbeat {
+        Heartbeat { also: None, ..self.heartbeat.clone() }
+    }
+}
+
 /// The hosts that are live at one moment.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct View {
@@ -58,7 +69,8 @@
 
     /// The live member with this number.
     pub fn get(&self, host: HostId) -> Option<&Heartbeat> {
-        self.live.iter().find(|m| m.host == host)
+        let at = self.live.binary_search_by_key(&host, |m| m.host).ok()?;
+        self.live.get(at)
     }
 
     /// The member with this number, live or suspected.
@@ -88,6 +100,8 @@
     sent_count: usize,
     full_heartbeat_due: bool,
     unknown_heartbeats: u64,
+    /// Whether a heartbeat has changed what [`MemberTable::view`] shows.
+    view_changed: bool,
     scope: HeartbeatScope,
 }
 
@@ -101,6 +115,7 @@
             sent_count: 0,
             full_heartbeat_due: true,
             unknown_heartbeats: 0,
+            view_changed: false,
             scope,
         }
     }
@@ -141,6 +156,8 @@
                     self.unknown_heartbeats += 1;
                     return Some((from, HeartbeatMessage::RequestFull(self.me.clone())));
                 };
+                let shown = (member.heartbeat.version, member.heartbeat.draining);
+                self.view_changed |= shown != (version, draining) || member.is_silent(now);
                 member.heartbeat.version = version;
                 member.heartbeat.draining = draining;
                 member.last_heard = now;
@@ -166,9 +183,8 @@
         let known = self.members.get(&heartbeat.host);
         // An incarnation is the clock at the start, and clocks may be set back. A lower one is
         // a late heartbeat while the higher one sends heartbeats, and a restart once it is silent.
-        let is_late = |m: &Member| {
-            m.heartbeat.incarnation > heartbeat.incarnation && now < m.last_heard + SUSPECT_AFTER_MS
-        };
+        let is_late =
+            |m: &Member| m.heartbeat.incarnation > heartbeat.incarnation && !m.is_silent(now);
         if known.is_some_and(is_late) {
             return None;
         }
@@ -181,9 +197,9 @@
         self.full_heartbeat_due |= restarted;
         let answer_to =
             (restarted && self.exchanges_with(heartbeat.role)).then_some(heartbeat.peer);
-        let host = heartbeat.host;
         let member = Member { heartbeat, last_heard: now, avoid_until };
-        self.members.insert(host, member);
+        self.view_changed |= known.is_none_or(|m| m.is_silent(now) || m.shown() != member.shown());
+        self.members.insert(member.heartbeat.host, member);
         answer_to
     }
 
@@ -197,6 +213,12 @@
         HeartbeatMessage::Full(self.me.clone())
     }
 
+    /// Whether a heartbeat has changed the view since the last call. Members that fall silent
+    /// change it without a heartbeat.
+    pub fn take_view_change(&mut self) -> bool {
+        std::mem::take(&mut self.view_changed)
+    }
+
     /// Whether the table holds no other host.
     pub fn is_alone(&self) -> bool {
         self.members.is_empty()
@@ -258,12 +280,11 @@
 
     /// The live and suspected hosts at this time.
     pub fn view(&self, now: Millis) -> View {
-        let is_live = |m: &&Member| now < m.last_heard + SUSPECT_AFTER_MS && now >= m.avoid_until;
-        let strip = |m: &Member| Heartbeat { also: None, ..m.heartbeat.clone() };
-        let mut live: Vec<_> = self.members.values().filter(is_live).map(strip).collect();
+        let is_live = |m: &&Member| !m.is_silent(now) && now >= m.avoid_until;
+        let mut live: Vec<_> = self.members.values().filter(is_live).map(Member::shown).collect();
         live.push(Heartbeat { also: None, ..self.me.clone() });
         live.sort_by_key(|m| m.host);
         let suspected = self.members.values().filter(|m| !is_live(m));
-        View { live, suspected: suspected.map(strip).collect() }
+        View { live, suspected: suspected.map(Member::shown).collect() }
     }
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -7,14 +7,14 @@
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use snafu::ResultExt;
 use tokio::io::BufReader;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::clock::{Clock, epoch_ms};
 use crate::error::{Error, NetSnafu, Result};
@@ -38,6 +38,9 @@
 const MALFORMED_PER_LOG_LINE: u64 = 64;
 /// The interval at which the view is recomputed, and the pause after a failed accept.
 const VIEW_INTERVAL: Duration = Duration::from_millis(100);
+/// The minimum time between two views. Each costs time in proportion to the hosts, and all of
+/// them announce a new configuration within a second.
+const MIN_VIEW_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The reading half of a connection between hosts.
 pub type PeerReader = FrameReader<BufReader<OwnedReadHalf>>;
@@ -70,6 +73,11 @@
     pub sent: SentBytes,
     table: Mutex<MemberTable>,
     view: watch::Sender<Arc<View>>,
+    /// The number of live routers.
+    router_count: watch::Sender<u32>,
+    /// Notified when a heartbeat has changed the view.
+    view_changed: Notify,
+    views_computed: AtomicU64,
     other_protocols: AtomicU64,
     malformed: AtomicU64,
 }
@@ -109,6 +117,9 @@
             sent: SentBytes::default(),
             table: Mutex::new(table),
             view: watch::Sender::new(first),
+            router_count: watch::Sender::new(0),
+            view_changed: Notify::new(),
+            views_computed: AtomicU64::new(0),
             other_protocols: AtomicU64::new(0),
             malformed: AtomicU64::new(0),
         });
@@ -131,6 +142,16 @@
         self.view.borrow().clone()
     }
 
+    /// The number of live routers, now and as it changes.
+    pub fn watch_router_count(&self) -> watch::Receiver<u32> {
+        self.router_count.subscribe()
+    }
+
+    /// The number of views computed since the start.
+    pub fn views_computed(&self) -> u64 {
+        self.views_computed.load(Ordering::Relaxed)
+    }
+
     /// Sets the configuration version that heartbeats report as in force on this host.
     pub fn set_version(&self, version: u64) {
         self.with_table(|t| t.set_version(version));
@@ -143,7 +164,7 @@
 
     /// The number of brief heartbeats, since the start, from hosts that sent no full one.
     pub fn unknown_heartbeats(&self) -> u64 {
-        self.table.lock().unwrap_or_else(PoisonError::into_inner).unknown_heartbeats()
+        self.table().unknown_heartbeats()
     }
 
     /// The number of datagrams and connections with another protocol version, since the
@@ -193,19 +214,36 @@
         Ok((FrameReader::new(BufReader::new(read)), write))
     }
 
+    fn table(&self) -> MutexGuard<'_, MemberTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes the table and publishes the view at once.
     fn with_table<T>(&self, f: impl FnOnce(&mut MemberTable) -> T) -> T {
-        let mut table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
-        let result = f(&mut table);
-        drop(table);
+        let result = f(&mut self.table());
         self.publish();
         result
     }
 
+    /// Records a heartbeat; returns the answer to send, and its address. Most heartbeats only
+    /// show that their senders are live, and need no new view.
+    fn on_heartbeat(
+        &self,
+        from: SocketAddr,
+        heartbeat: HeartbeatMessage,
+    ) -> Option<(SocketAddr, HeartbeatMessage)> {
+        let mut table = self.table();
+        let answer = table.on_heartbeat(self.clock.now(), from, heartbeat);
+        if table.take_view_change() {
+            self.view_changed.notify_one();
+        }
+        answer
+    }
+
     fn publish(&self) {
-        let now = self.clock.now();
-        let table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
-        let next = table.view(now);
-        drop(table);
+        let next = self.table().view(self.clock.now());
+        self.views_computed.fetch_add(1, Ordering::Relaxed);
+        let routers = next.with_role(Role::Router).count() as u32;
         self.view.send_if_modified(|current| {
             let changed = **current != next;
             if changed {
@@ -214,6 +252,7 @@
             }
             changed
         });
+        self.router_count.send_if_modified(|before| std::mem::replace(before, routers) != routers);
     }
 }
 
@@ -288,8 +327,7 @@
         if peers.links.is_cut_from(sender) {
             continue;
         }
-        let now = peers.clock.now();
-        let answer = peers.with_table(|t| t.on_heartbeat(now, from, heartbeat));
+        let answer = peers.on_heartbeat(from, heartbeat);
         if let Some((to, answer)) = answer.filter(|_| !peers.links.is_cut_to(sender)) {
             log_answer(sender, &answer);
             send_heartbeat(&peers, &udp, &answer, vec![to]).await;
@@ -308,10 +346,11 @@
 }
 
 async fn refresh_view(peers: Arc<Peers>) {
-    let mut interval = tokio::time::interval(VIEW_INTERVAL);
     loop {
-        interval.tick().await;
+        // Hosts that fall silent leave the view without a heartbeat.
+        let _ = tokio::time::timeout(VIEW_INTERVAL, peers.view_changed.notified()).await;
         peers.publish();
+        tokio::time::sleep(MIN_VIEW_INTERVAL).await;
     }
 }
 
--- a/src/registry/shared.rs
+++ b/src/registry/shared.rs
@@ -23,11 +23,17 @@
     registry: Mutex<Registry>,
     /// Number of the last change.
     changes: watch::Sender<u64>,
+    /// Revision of the drained data halls.
+    drained: watch::Sender<u64>,
 }
 
 impl Default for SharedRegistry {
     fn default() -> Self {
-        SharedRegistry { registry: Mutex::default(), changes: watch::Sender::new(0) }
+        SharedRegistry {
+            registry: Mutex::default(),
+            changes: watch::Sender::new(0),
+            drained: watch::Sender::new(0),
+        }
     }
 }
 
@@ -102,8 +108,8 @@
     fn modify<T>(&self, f: impl FnOnce(&mut Registry) -> T) -> T {
         let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let result = f(&mut registry);
-        let last = registry.last_change();
-        self.changes.send_if_modified(|announced| std::mem::replace(announced, last) != last);
+        announce(&self.changes, registry.last_change());
+        announce(&self.drained, registry.drained().revision());
         result
     }
 
@@ -116,6 +122,16 @@
     pub fn watch(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
     }
+
+    /// A receiver of the revision of the drained data halls.
+    pub fn watch_drained(&self) -> watch::Receiver<u64> {
+        self.drained.subscribe()
+    }
+}
+
+/// Notifies listeners of a number if it is a new one.
+fn announce(to: &watch::Sender<u64>, number: u64) {
+    to.send_if_modified(|announced| std::mem::replace(announced, number) != number);
 }
 
 fn log_changed(changed: &[Registration]) {
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -69,6 +69,7 @@
         fleet_state: FleetState { routing, registry, ..FleetState::default() },
         leadership: watch::Sender::new(leadership).subscribe(),
         view: peers.watch(),
+        router_count: peers.watch_router_count(),
         numbering: peers.incarnation,
         subscribers: Arc::default(),
     }
