Ask different control hosts for neighbours

Cause: every router asked the control host with the lowest number, but for the leader, for the routers of its data hall, every two seconds while it hands connections over. Change: each router has an order of its own, its data hall first, the leader last. Result: of 240 routers and 12 control hosts none is asked by more than three times the mean.

--- a/src/feed/sources.rs
+++ b/src/feed/sources.rs
@@ -85,8 +85,7 @@
         let rank = |(host, hall): &(&HostId, &String)| {
             let is_new = self.subscribed.get(host) != Some(&Scope::All);
             let leads = is_new && Some(**host) == leader;
-            let seed = u64::from(self.me.0) << 32 | u64::from(host.0);
-            (leads, **hall != self.hall, is_new, xxh3_64(&seed.to_be_bytes()))
+            (leads, **hall != self.hall, is_new, self.hash_of(**host))
         };
         let mut order: Vec<_> = self.open.iter().collect();
         order.sort_by_key(rank);
@@ -99,4 +98,18 @@
             .map(|host| **host)
             .collect()
     }
+
+    /// The control host to ask for something that all of them know. The leader ranks last, since
+    /// it has the highest load. Each subscriber has an order of its own, which spreads the load.
+    pub fn any(&self, leader: Option<HostId>) -> Option<HostId> {
+        let rank = |(host, hall): &(&HostId, &String)| {
+            (Some(**host) == leader, **hall != self.hall, self.hash_of(**host))
+        };
+        self.open.iter().min_by_key(rank).map(|(host, _)| *host)
+    }
+
+    fn hash_of(&self, host: HostId) -> u64 {
+        let seed = u64::from(self.me.0) << 32 | u64::from(host.0);
+        xxh3_64(&seed.to_be_bytes())
+    }
 }
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -214,13 +214,11 @@
         lock(&self.neighbours).clone()
     }
 
-    /// Requests the routers of a data hall from a control host. The leader is chosen only where
-    /// there is no other, since it has the highest load.
+    /// Requests the routers of a data hall from a control host.
     pub fn request_neighbours(&self, hall: &str) {
-        let leader = self.leader();
+        let chosen = lock(&self.sources).any(self.leader());
         let table_sources = self.table_sources();
-        let chosen = table_sources.requests.iter().min_by_key(|(host, _)| Some(**host) == leader);
-        if let Some((_, requests)) = chosen {
+        if let Some(requests) = chosen.and_then(|host| table_sources.requests.get(&host)) {
             let request = FeedRequest::Neighbours { hall: hall.to_string() };
             // The reader of a closed feed reports the error.
             let _ = requests.send(request.into());
--- a/src/feed/tests/sources.rs
+++ b/src/feed/tests/sources.rs
@@ -119,3 +119,21 @@
     }
     assert_eq!(subscribed.len(), 2);
 }
+
+/// Routers that hand connections over ask a control host every two seconds.
+#[test]
+fn requests_that_any_control_host_answers_are_spread_and_spare_the_leader() {
+    for (routers, controls) in [(60, 6), (240, 12)] {
+        let mut asked: BTreeMap<HostId, u32> = BTreeMap::new();
+        for me in 0..routers {
+            let hall = HALLS[me as usize % HALLS.len()];
+            let (sources, _) = choose_sources(me, hall, Role::Router, controls);
+            *asked.entry(sources.any(Some(LEADER)).unwrap()).or_default() += 1;
+        }
+        assert_eq!(asked.get(&LEADER), None);
+        let max = asked.values().max().copied().unwrap_or(0);
+        assert!(max <= 3 * routers / controls, "{max} of {routers} at one of {controls}");
+    }
+    let (sources, _) = choose_sources(7, "b", Role::Router, 1);
+    assert_eq!(sources.any(Some(LEADER)), Some(LEADER));
+}
