List ready endpoints by service; keep as many ended endpoints as there are others

Cause: to list the endpoints of a service, all endpoints were visited, on each request to a plain service. Ended endpoints beyond 4,096 were forgotten, and a release of a large fleet ends more within seconds: a late heartbeat then brought one back. Change: an index of ready endpoints by service, in the order of their hashes; a number of changes that concern many endpoints at once, for those who follow the registry by its changes. What an endpoint reports is in a file of its own.

--- a/src/registry.rs
+++ b/src/registry.rs
@@ -6,7 +6,9 @@
 //! order.
 
 mod halls;
+mod ready_index;
 mod record;
+mod registration;
 mod retirement;
 pub mod saved;
 mod shared;
@@ -16,7 +18,8 @@
 mod tests;
 
 pub use halls::DrainedHalls;
+pub use registration::{EndpointState, Origin, Registration};
 pub use retirement::{RetiredReleases, Retirement};
 pub use shared::SharedRegistry;
 pub use start::EndpointStart;
-pub use table::{Changes, EndpointState, Origin, Registration, Registry, Scope};
+pub use table::{Changes, Registry, Scope};
--- a/src/registry/record.rs
+++ b/src/registry/record.rs
@@ -30,6 +30,8 @@
     pub change: u64,
     /// Whether the endpoint itself sent that change to this process.
     pub direct: bool,
+    /// The service in whose list of ready endpoints it is.
+    pub listed_under: Option<String>,
     /// Sequence number from which its reported warm-up is trusted: an earlier heartbeat may
     /// have been in flight since before its data hall was restored.
     warmth_trusted_from: u64,
@@ -51,6 +53,7 @@
             registration,
             change: 0,
             direct,
+            listed_under: None,
             warmth_trusted_from: 0,
             first_heartbeat_since_end: None,
             was_leaving,
@@ -87,8 +90,9 @@
     }
 
     fn replace(&mut self, update: Registration, origin: Origin) {
-        let change = self.change;
-        *self = EndpointRecord { change, ..EndpointRecord::new(update, origin == Origin::Direct) };
+        let (change, listed_under) = (self.change, self.listed_under.take());
+        let new = EndpointRecord::new(update, origin == Origin::Direct);
+        *self = EndpointRecord { change, listed_under, ..new };
     }
 
     /// Merges an update into a record that holds only an end, with the time of the latest
--- a/src/registry/table.rs
+++ b/src/registry/table.rs
@@ -1,96 +1,17 @@
 //! The records of all endpoints, without I/O.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
+use super::ready_index::ReadyIndex;
 use super::record::{EndpointRecord, count_as_cold};
-use super::{DrainedHalls, EndpointStart, Retirement};
-
-/// Maximum number of ended endpoints that are kept, so that a late message does not bring
-/// one back.
-const MAX_GONE: usize = 4_096;
-
-/// State of an endpoint. The variants are in the order in which an endpoint passes them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum EndpointState {
-    /// It accepts new requests.
-    Ready,
-    /// It finishes its running requests and takes no new ones.
-    Leaving,
-    /// It has ended.
-    Gone,
-}
-
-/// An endpoint's report on itself, sent with each heartbeat.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Registration {
-    /// Its id, which stays the same when it starts again: see `started_at_ms`.
-    pub id: String,
-    /// Time of its start, in milliseconds since the epoch; 0 if not reported. The higher of
-    /// two is the later start, which keeps no state of the earlier one.
-    pub started_at_ms: u64,
-    /// The service that it belongs to.
-    pub service: String,
-    /// The release of its software; empty if not reported.
-    pub version: String,
-    /// The address on which it listens; none if only its end is known.
-    pub address: Option<SocketAddr>,
-    /// Its data hall.
-    pub hall: String,
-    /// Maximum number of requests that it runs at once.
-    pub slots: u32,
-    /// Its state.
-    pub state: EndpointState,
-    /// Milliseconds for which it is still warming up after its start.
-    pub warmup_ms: u64,
-    /// Rises with each of its heartbeats.
-    pub sequence: u64,
-    /// How often this start was recorded as ended and then found to be still running, as an
-    /// end does not name its start. The higher of two is the later update. Only the registry
-    /// sets it.
-    pub revivals: u32,
-}
-
-impl Registration {
-    /// The end of an endpoint, without its other fields.
-    pub fn gone(id: &str) -> Registration {
-        Registration {
-            id: id.to_string(),
-            started_at_ms: 0,
-            service: String::new(),
-            version: String::new(),
-            address: None,
-            hall: String::new(),
-            slots: 0,
-            state: EndpointState::Gone,
-            warmup_ms: 0,
-            sequence: 0,
-            revivals: 0,
-        }
-    }
+use super::{DrainedHalls, EndpointStart, EndpointState, Origin, Registration, Retirement};
 
-    /// Whether the change from `before` to this must be sent to other processes.
-    fn differs_from(&self, before: &Registration) -> bool {
-        let of = |r: &Registration| {
-            (r.started_at_ms, r.revivals, r.state, r.address, r.slots, r.warmup_ms > 0)
-        };
-        let is_colder = self.warmup_ms > before.warmup_ms;
-        let is_elsewhere = self.service != before.service || self.hall != before.hall;
-        let is_other = is_elsewhere || self.version != before.version;
-        of(self) != of(before) || is_other || is_colder
-    }
-}
-
-/// Source of an update of an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Origin {
-    /// The endpoint sent it to this process.
-    Direct,
-    /// Another process forwarded it.
-    Relayed,
-}
+/// Number of ended endpoints that are kept at least, so that a late message does not bring one
+/// back. As many are kept as there are others, since a release may replace all of them within
+/// seconds.
+const MIN_GONE_KEPT: usize = 4_096;
 
 /// Changes that a listener receives.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -119,6 +40,9 @@
     /// a slow listener costs no memory.
     by_change: BTreeMap<u64, String>,
     last_change: u64,
+    /// Rises with each change of many endpoints that is not in `by_change`.
+    bulk_changes: u64,
+    ready: ReadyIndex,
     /// Endpoints that accepted requests before this host restarted, and have not registered since.
     remembered: BTreeMap<String, Registration>,
     /// Ids of ended endpoints, the earliest end first.
@@ -219,6 +143,7 @@
         let before = self.remembered.len();
         self.remembered.retain(|_, registration| !retirement.includes(registration));
         let removed = before - self.remembered.len();
+        self.bulk_changes += u64::from(removed > 0);
         let mut changed = Vec::new();
         for record in
             self.endpoints.values_mut().filter(|record| retirement.includes(&record.registration))
@@ -240,6 +165,11 @@
             self.by_change.remove(&record.change);
             record.change = self.last_change;
             self.by_change.insert(self.last_change, current.id.clone());
+            let service = (current.state == EndpointState::Ready).then(|| current.service.clone());
+            if record.listed_under != service {
+                let listed_under = std::mem::replace(&mut record.listed_under, service.clone());
+                self.ready.relist(&current.id, listed_under, service);
+            }
         }
         if current.state == EndpointState::Gone {
             self.record_gone(&current.id);
@@ -249,7 +179,7 @@
 
     fn record_gone(&mut self, id: &str) {
         self.gone.push_back(id.to_string());
-        if self.gone.len() > MAX_GONE
+        if self.gone.len() > MIN_GONE_KEPT.max(self.endpoints.len() / 2)
             && let Some(oldest) = self.gone.pop_front()
             && let Some(record) = self.endpoints.remove(&oldest)
         {
@@ -262,6 +192,12 @@
         self.last_change
     }
 
+    /// Rises with each change that [`Registry::changes_after`] does not contain: of the drained
+    /// data halls, and of endpoints remembered from before a restart.
+    pub fn bulk_changes(&self) -> u64 {
+        self.bulk_changes
+    }
+
     /// The first `limit` endpoints that changed after the change numbered `after`.
     pub fn changes_after(&self, after: u64, limit: usize, scope: Scope) -> Changes {
         let mut changes = Changes { upto: self.last_change, endpoints: Vec::new() };
@@ -284,6 +220,7 @@
         if drained.revision() <= self.drained.revision() {
             return false;
         }
+        self.bulk_changes += 1;
         let before = std::mem::replace(&mut self.drained, drained);
         // Several orders may arrive as one, so halls that were drained and restored in between
         // have not been recorded here as drained.
@@ -326,6 +263,7 @@
     pub fn remember(&mut self, endpoints: Vec<Registration>) {
         let unconfirmed = endpoints.into_iter().filter(|e| !self.endpoints.contains_key(&e.id));
         let unconfirmed: Vec<_> = unconfirmed.filter(|e| e.state == EndpointState::Ready).collect();
+        self.bulk_changes += u64::from(!unconfirmed.is_empty());
         for mut endpoint in unconfirmed {
             if self.just_restored.contains(&endpoint.hall) {
                 count_as_cold(&mut endpoint);
@@ -340,7 +278,9 @@
     /// Removes the endpoints remembered from before a restart that have not registered since;
     /// returns their number.
     pub fn forget_remembered(&mut self) -> usize {
-        std::mem::take(&mut self.remembered).len()
+        let forgotten = std::mem::take(&mut self.remembered).len();
+        self.bulk_changes += u64::from(forgotten > 0);
+        forgotten
     }
 
     /// Endpoints remembered from before a restart that have not registered since.
@@ -366,8 +306,33 @@
 
     /// Endpoints of a service that accept new requests.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Registration> {
+        self.ready_from(service, 0)
+    }
+
+    /// Endpoints of a service that accept new requests, those first that follow `start` in the
+    /// order of [`crate::eligibility::order_of`].
+    pub fn ready_from<'a>(
+        &'a self,
+        service: &'a str,
+        start: u32,
+    ) -> impl Iterator<Item = &'a Registration> {
+        let records = self.ready.ids_from(service, start).filter_map(|id| self.endpoints.get(id));
+        let registered = records.map(|record| &record.registration);
+        registered.filter(|r| self.accepts_requests(r)).chain(self.remembered_ready(service))
+    }
+
+    /// The number of endpoints of a service that accept new requests.
+    pub fn ready_count(&self, service: &str) -> usize {
+        let all_listed = self.drained.names().next().is_none() && self.remembered.is_empty();
+        match all_listed {
+            true => self.ready.len(service),
+            false => self.ready(service).count(),
+        }
+    }
+
+    fn remembered_ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Registration> {
         let is_ready = move |r: &&Registration| r.service == service && self.accepts_requests(r);
-        self.all().chain(self.remembered.values()).filter(is_ready)
+        self.remembered.values().filter(is_ready)
     }
 
     /// Whether an endpoint accepts new requests: it is ready, and its data hall is not drained.
