Place requests without weighing every engine, and follow engines by their changes

Cause: each placement weighed every engine of the service, and any change of one engine described all of them anew on every control host. At 9,845 engines and 1,350 requests a second a placement cost 1.01 ms and a refresh 7.3 ms (measured by the issue's author, the machine busy), more than the leader's host has; answers came after 60 ms, and routers went on to placers that are blind to each other. All of those sent prompts without known parts to one and the same engine. A router alone described all engines for each request. Change: beyond 512 engines (weigh_all_up_to) those are weighed that keep parts of the prompt and a sample from an index of the engines by hash and by the time at which they are free (placement::candidates). EngineChanges describes what has changed; a router's end and an engine's restart visit what is theirs. A router alone takes 512 engines from the prompt's hash on. Prompts without known parts have a hash of their own. Reading rates of services, refusals and the engines known are files of their own. At most 10 in 100 more engines are weighed in a fleet of four times the size (engines_weighed_for_a_request_do_not_grow_with_the_fleet); on an overload of 600 engines the sample refuses no more than 5 in 100 more than weighing all.

--- a/benches/placer.rs
+++ b/benches/placer.rs
@@ -1,8 +1,11 @@
-//! Processor time of one placement by the number of engines and of customers.
+//! Processor time of one placement by the number of engines and of customers, and of a change of
+//! one engine.
 //!
 //! Run with `cargo bench --bench placer`. Drives a placer without I/O on a simulated clock. Prompts
 //! of three kinds arrive, begin and end at a steady rate until engines keep many prompt parts. Then
-//! placements are timed, each including its first event and its end.
+//! placements are timed, each including its first event and its end. One load keeps half of the
+//! engines' capacity busy; the other has the same number of requests a second however many engines
+//! there are, so that most of many engines are idle.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -14,6 +17,13 @@
 
 /// Requests per engine before the measurement starts.
 const WARM_UP: u64 = 60;
+/// Requests per second of the load that does not grow with the engines, and the number of them
+/// before the measurement starts.
+const FIXED_RATE: (u64, u64) = (1_350, 20_000);
+/// Shared parts of each kind of prompt in the load that does not grow with the engines.
+const FIXED_SHARED: u64 = 1_500;
+/// Changes of one engine that are timed.
+const CHANGES: u32 = 1_000;
 /// Requests that are timed.
 const TIMED: u64 = 3_000;
 /// Reading rate of the engines in tokens per millisecond.
@@ -51,12 +61,12 @@
     }
 }
 
-fn request(seq: u64, customers: u64) -> PlacementRequest {
+fn request(seq: u64, customers: u64, shared_parts: u64) -> PlacementRequest {
     let kind = seq % 3;
     let (shared, own, made) = KINDS[kind as usize];
     let own = if seq.is_multiple_of(LONG.0) { LONG.1 } else { own };
     let spread = |n: u64| n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
-    let shared_id = 1 + kind * SHARED + spread(seq) % SHARED;
+    let shared_id = 1 + kind * shared_parts + spread(seq) % shared_parts;
     PlacementRequest {
         seq,
         service: "llm".into(),
@@ -74,10 +84,11 @@
     }
 }
 
-/// A placer under a steady load of about half of its engines' capacity.
+/// A placer under a steady load.
 struct Load {
     placer: Placer,
-    engines: u64,
+    requests_per_second: u64,
+    shared_parts: u64,
     customers: u64,
     seq: u64,
     open: VecDeque<(u64, u64)>,
@@ -86,11 +97,25 @@
 }
 
 impl Load {
-    fn start(engines: u64, customers: u64) -> Load {
+    /// About half of the engines' capacity: four requests per second and engine.
+    fn busy(engines: u64, customers: u64) -> Load {
+        Load::start(engines, customers, 4 * engines, SHARED)
+    }
+
+    fn start(engines: u64, customers: u64, requests_per_second: u64, shared_parts: u64) -> Load {
         let mut placer = Placer::new(PlacementRules::default());
         placer.set_engines(0, (0..engines).map(engine).collect());
         let (open, begun) = Default::default();
-        Load { placer, engines, customers, seq: 0, open, begun, placed: 0 }
+        Load {
+            placer,
+            requests_per_second,
+            shared_parts,
+            customers,
+            seq: 0,
+            open,
+            begun,
+            placed: 0,
+        }
     }
 
     fn router(seq: u64) -> HostId {
@@ -99,8 +124,7 @@
 
     fn step(&mut self) {
         self.seq += 1;
-        // Four requests per second and engine.
-        let now = self.seq * 250 / self.engines;
+        let now = self.seq * 1_000 / self.requests_per_second;
         while let Some((at, seq)) = self.open.pop_front_if(|(at, _)| *at <= now) {
             self.placer.receive(now, Self::router(seq), ToPlacer::FirstEvent { seq });
             self.begun.push_back((at + ENDS_MS, seq));
@@ -109,7 +133,7 @@
             let done = ToPlacer::Done { seq, completion: Completion::Served };
             self.placer.receive(now, Self::router(seq), done);
         }
-        let request = request(self.seq, self.customers);
+        let request = request(self.seq, self.customers, self.shared_parts);
         let router = Self::router(self.seq);
         let decision = self.placer.receive(now, router, ToPlacer::Place(request));
         if let Some(FromPlacer::Go { seq, .. }) = decision.map(|d| d.answer) {
@@ -119,21 +143,45 @@
     }
 }
 
-fn measure(engines: u64, customers: u64) -> (Duration, u64) {
-    let mut load = Load::start(engines, customers);
-    (0..engines * WARM_UP).for_each(|_| load.step());
+/// The time of one placement, and the percentage of requests that were placed.
+fn measure(mut load: Load, warm_up: u64) -> (Duration, u64) {
+    (0..warm_up).for_each(|_| load.step());
     let placed = load.placed;
     let began = Instant::now();
     (0..TIMED).for_each(|_| load.step());
     (began.elapsed() / TIMED as u32, (load.placed - placed) * 100 / TIMED)
 }
 
+/// The time of one change of one engine.
+fn measure_change(engines: u64) -> Duration {
+    let mut placer = Placer::new(PlacementRules::default());
+    placer.set_engines(0, (0..engines).map(engine).collect());
+    let began = Instant::now();
+    for number in 0..CHANGES {
+        let changed = engine(u64::from(number) % engines);
+        placer.update_engines(1, vec![], std::slice::from_ref(&changed.id));
+        placer.update_engines(2, vec![changed], &[]);
+    }
+    began.elapsed() / CHANGES / 2
+}
+
+fn micros(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e6
+}
+
 fn main() {
-    println!("engines customers us/placement placed%");
+    println!("half busy: engines customers us/placement placed%");
     for (engines, customers) in
         [(30, 60), (100, 60), (320, 60), (1_200, 60), (1_200, 1_900), (1_200, 19_000)]
     {
-        let (each, placed) = measure(engines, customers);
-        println!("{engines:7} {customers:9} {:12.2} {placed:7}", each.as_secs_f64() * 1e6);
+        let (each, placed) = measure(Load::busy(engines, customers), engines * WARM_UP);
+        println!("{engines:18} {customers:9} {:12.2} {placed:7}", micros(each));
+    }
+    println!("{} requests/s: engines us/placement placed% us/change", FIXED_RATE.0);
+    for engines in [320, 2_500, 5_000, 9_845, 19_690] {
+        let load = Load::start(engines, 333, FIXED_RATE.0, FIXED_SHARED);
+        let (each, placed) = measure(load, FIXED_RATE.1);
+        let change = micros(measure_change(engines));
+        println!("{engines:24} {:12.2} {placed:7} {change:9.2}", micros(each));
     }
 }
--- a/src/eligibility.rs
+++ b/src/eligibility.rs
@@ -21,9 +21,17 @@
 
 /// The position of an endpoint in an order that every host computes alike from the id.
 pub fn order_of(id: &str) -> u32 {
-    (xxh3_64(id.as_bytes()) >> 32) as u32
+    (hash_of(id) >> ORDER_SHIFT) as u32
 }
 
+/// The hash of an endpoint's id, whose upper half is [`order_of`] it.
+pub fn hash_of(id: &str) -> u64 {
+    xxh3_64(id.as_bytes())
+}
+
+/// Bits of [`hash_of`] below those of [`order_of`].
+const ORDER_SHIFT: u32 = 32;
+
 /// Which releases of a service may run a request during a rollout.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum VersionRule {
@@ -56,6 +64,16 @@
     pub fn allows(&self, candidate: Candidate<'_>) -> bool {
         self.regions.allows(candidate.region) && self.version.allows(candidate)
     }
+
+    /// The highest [`hash_of`] an endpoint that may run the request.
+    pub fn highest_hash(&self) -> u64 {
+        match &self.version {
+            VersionRule::Only { highest_order, .. } => {
+                ((u64::from(*highest_order) + 1) << ORDER_SHIFT).wrapping_sub(1)
+            }
+            VersionRule::Any | VersionRule::Not(_) => u64::MAX,
+        }
+    }
 }
 
 impl VersionRule {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -10,6 +10,7 @@
 //! queued, which leaves capacity for the others. One placer decides for all routers that reach it;
 //! see `docs/DISPATCH.md`.
 
+mod candidates;
 mod choice;
 mod client;
 mod cold_limiter;
@@ -25,9 +26,12 @@
 mod queue;
 mod rate;
 mod records;
+mod refusal;
 mod rests;
+mod router_requests;
 mod rules;
 mod server;
+mod service_rates;
 mod shares;
 #[cfg(test)]
 mod tests;
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -4,19 +4,20 @@
 use slab::Slab;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::candidates::{CandidateIndex, prompt_hash};
 use super::cold_limiter::ColdLimiter;
 use super::copy::{CopySources, PartCopy};
 use super::engine::{EngineModel, reading_units};
 use super::engines::EngineInfo;
 use super::message::PlacementRequest;
-use super::parts::{EngineNumber, Match};
+use super::parts::{EngineNumber, Matches};
 use super::queue::{Position, Queue};
 use super::rests::RouterRests;
 use super::rules::PlacementRules;
 use super::shares::ShareUsage;
 use super::timing::FIRST_EVENT_OVERHEAD_MS;
 use crate::dispatch::Millis;
-use crate::eligibility::{Candidate, order_of};
+use crate::eligibility::{Candidate, hash_of, order_of};
 use crate::region::are_distinct_regions;
 use crate::wire::HostId;
 
@@ -36,7 +37,7 @@
     /// not apply to it.
     pub started_at_ms: u64,
     /// A hash of the id, which breaks ties between engines of equal cost.
-    hash: u64,
+    pub hash: u64,
     /// Its service.
     pub service: String,
     /// The release of its software.
@@ -71,7 +72,7 @@
         model.set_tokens_per_event(info.tokens_per_event);
         Engine {
             cold_limiter,
-            hash: xxh3_64(info.id.as_bytes()),
+            hash: hash_of(&info.id),
             order: order_of(&info.id),
             id: info.id,
             started_at_ms: info.started_at_ms,
@@ -92,6 +93,13 @@
         Candidate { region: &self.region, version: &self.version, order: self.order }
     }
 
+    /// When it will have read all prompts sent to it and may be sent more, in milliseconds on the
+    /// clock.
+    pub fn free_at(&self) -> Millis {
+        let planned = self.queue.read_until(self.model.ms_per_unit());
+        (planned.ceil() as Millis).max(self.model.free_at())
+    }
+
     /// Whether it may be sent requests at all.
     pub fn accepts_requests(&self) -> bool {
         self.is_ready && !self.is_replaced
@@ -138,6 +146,15 @@
     pub latest_start: f64,
 }
 
+/// The best engine for a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Best {
+    /// The engine.
+    pub engine: EngineNumber,
+    /// Number of engines that were weighed.
+    pub weighed: usize,
+}
+
 impl Choice {
     /// Whether its expected wait is within the allowed wait.
     pub fn is_allowed(&self) -> bool {
@@ -155,8 +172,10 @@
     pub rules: &'a PlacementRules,
     /// All engines.
     pub engines: &'a Slab<Engine>,
-    /// The tokens of the request's prompt that each engine keeps, by engine number.
-    pub found: &'a [Match],
+    /// The engines that accept requests.
+    pub index: &'a CandidateIndex,
+    /// The tokens of the request's prompt that each engine keeps.
+    pub found: &'a Matches,
     /// The router that sent the request.
     pub router: HostId,
     /// The region of that router; empty if it is not known.
@@ -168,18 +187,45 @@
 }
 
 impl Chooser<'_> {
-    /// The engine with the earliest expected first event. Reading the request's own prompt is
-    /// weighted above waiting, and everything queued at the engine counts, not only the prompts
-    /// before the request's position.
-    pub fn best(&self, request: &PlacementRequest) -> Option<EngineNumber> {
+    /// The engine with the earliest expected first event. Of many engines those that keep parts of
+    /// the prompt and a sample of the others are weighed.
+    pub fn best(&self, request: &PlacementRequest) -> Option<Best> {
+        let all = || self.engines.iter().map(|(number, _)| number);
+        if self.engines.len() <= self.rules.weigh_all_up_to {
+            return self.best_of(request, all());
+        }
         let tokens = memory_tokens(&request.parts, request.prompt_tokens, request.output_tokens);
-        let sources = self.copy_sources(request);
-        let fits = |(_, engine): &(EngineNumber, &Engine)| {
-            self.is_candidate(engine, request)
-                && !engine.cold_limiter.is_exhausted(self.now, self.rules.cold_part)
+        let is_usable = |number: EngineNumber| {
+            self.engines.get(number).is_some_and(|engine| {
+                self.fits(engine, request)
+                    && engine.model.has_room(tokens)
+                    && !engine.should_avoid(self.now, self.router)
+            })
         };
+        let start = prompt_hash(self.router, request);
+        let sample = self.index.sample(self.now, request, start, is_usable);
+        let holders = self.found.engines().iter().copied();
+        self.best_of(request, holders.chain(sample)).or_else(|| self.best_of(request, all()))
+    }
+
+    /// The best of these engines. Reading the request's own prompt is weighted above waiting, and
+    /// everything queued at the engine counts, not only the prompts before the request's position.
+    fn best_of(
+        &self,
+        request: &PlacementRequest,
+        numbers: impl Iterator<Item = EngineNumber>,
+    ) -> Option<Best> {
+        let tokens = memory_tokens(&request.parts, request.prompt_tokens, request.output_tokens);
+        let sources = self.copy_sources(request);
+        let seed = prompt_hash(self.router, request);
         let mut best: Option<(SortKey, EngineNumber)> = None;
-        for (number, engine) in self.engines.iter().filter(fits) {
+        let mut weighed = 0;
+        for number in numbers {
+            let Some(engine) = self.engines.get(number) else { continue };
+            if !self.fits(engine, request) {
+                continue;
+            }
+            weighed += 1;
             let reading = self.reading_cost(number, engine, request, &sources);
             let score = engine.queue.wait_ms(self.now, engine.model.pace(self.now))
                 + self.region_cost_ms(engine)
@@ -192,13 +238,19 @@
             let is_better = best.is_none_or(|(best_order, best_number)| {
                 order < best_order
                     || order == best_order
-                        && self.tie_rank(request, number) < self.tie_rank(request, best_number)
+                        && self.tie_rank(seed, number) < self.tie_rank(seed, best_number)
             });
             if is_better {
                 best = Some((order, number));
             }
         }
-        best.map(|(_, number)| number)
+        best.map(|(_, engine)| Best { engine, weighed })
+    }
+
+    /// Whether an engine may be sent the request now.
+    fn fits(&self, engine: &Engine, request: &PlacementRequest) -> bool {
+        self.is_candidate(engine, request)
+            && !engine.cold_limiter.is_exhausted(self.now, self.rules.cold_part)
     }
 
     /// Milliseconds until an engine may be sent another request, if all candidates are cold and
@@ -211,12 +263,10 @@
         free.min().map(|at| at.saturating_sub(self.now))
     }
 
-    /// Breaks ties between engines. Every placer computes the same order, so a new placer chooses
-    /// the engines that already keep the parts.
-    fn tie_rank(&self, request: &PlacementRequest, number: EngineNumber) -> u64 {
-        let affinity = request.parts.first().map_or(0, |part| part.0);
+    /// Breaks ties between engines, which are the rule while most of them are idle.
+    fn tie_rank(&self, seed: u64, number: EngineNumber) -> u64 {
         let hash = self.engines.get(number).map_or(0, |engine| engine.hash);
-        xxh3_64(&(affinity ^ hash).to_be_bytes())
+        xxh3_64(&(seed ^ hash).to_be_bytes())
     }
 
     /// The cost of a request at an engine whose queue was advanced to `now`.
@@ -258,7 +308,7 @@
         request: &PlacementRequest,
         sources: &CopySources<'_>,
     ) -> ReadingCost {
-        let kept = self.found.get(number).map_or(0, |found| found.kept);
+        let kept = self.found.at(number).kept;
         let copy = sources.copy_for(engine, kept);
         let copied = copy.map_or(0, |copy| copy.tokens);
         let cached = (kept + copied).min(request.prompt_tokens);
--- a/src/placement/copy.rs
+++ b/src/placement/copy.rs
@@ -7,7 +7,7 @@
 
 use super::choice::Engine;
 use super::message::PlacementRequest;
-use super::parts::{EngineNumber, Match};
+use super::parts::{EngineNumber, Matches};
 use crate::dispatch::Millis;
 
 /// Milliseconds to set up a copy.
@@ -67,13 +67,14 @@
     pub fn find(
         now: Millis,
         engines: &'a Slab<Engine>,
-        found: &[Match],
+        found: &Matches,
         request: &PlacementRequest,
         between_regions: bool,
     ) -> CopySources<'a> {
         let mut sources: Vec<Source<'a>> = Vec::new();
-        for (number, engine) in engines {
-            let read = found.get(number).map_or(0, |found| found.read);
+        for &number in found.engines() {
+            let Some(engine) = engines.get(number) else { continue };
+            let read = found.at(number).read;
             let is_allowed = request.eligibility.regions.allows(&engine.region);
             if read == 0 || !is_allowed || !can_copy(engine, now) {
                 continue;
--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -173,10 +173,21 @@
         self.timing.backlog_ms(now)
     }
 
+    /// Milliseconds to read one unit if it spends only its fraction of the time on reading.
+    pub fn ms_per_unit(&self) -> f64 {
+        1.0 / (self.rate() * self.reading_share)
+    }
+
+    /// When it will have read all prompts placed here and may be sent more, in milliseconds on the
+    /// clock.
+    pub fn free_at(&self) -> Millis {
+        (self.timing.read_until().ceil() as Millis).max(self.excluded_until)
+    }
+
     /// How fast it reads, and how much it has still to read.
     pub fn pace(&self, now: Millis) -> Pace {
         Pace {
-            ms_per_unit: 1.0 / (self.rate() * self.reading_share),
+            ms_per_unit: self.ms_per_unit(),
             backlog_ms: self.backlog_ms(now),
             lateness_ms: self.lateness_ms(now),
         }
@@ -184,10 +195,14 @@
 
     /// Whether it has room for one more request of this size in tokens.
     pub fn has_room(&self, tokens: u64) -> bool {
-        let requests = self.pending.len() + self.running.len();
-        let memory = self.usable_memory();
-        let fits = requests == 0 || self.running_tokens + tokens <= memory;
-        requests < self.slots as usize && fits
+        let is_idle = self.pending.is_empty() && self.running.is_empty();
+        let fits = is_idle || self.running_tokens + tokens <= self.usable_memory();
+        self.has_slot() && fits
+    }
+
+    /// Whether it has a slot for one more request.
+    pub fn has_slot(&self) -> bool {
+        self.pending.len() + self.running.len() < self.slots as usize
     }
 
     /// Whether it is excluded after failures.
@@ -323,11 +338,8 @@
         }
     }
 
-    /// Removes all requests of a router.
-    pub fn remove_router(&mut self, now: Millis, router: HostId) {
-        let keys: Vec<_> = self.running.keys().filter(|k| k.0 == router).copied().collect();
-        for key in keys {
-            self.remove_request(now, key);
-        }
+    /// The requests placed here that have not ended.
+    pub fn request_keys(&self) -> impl Iterator<Item = RequestKey> + '_ {
+        self.running.keys().copied()
     }
 }
--- a/src/placement/local.rs
+++ b/src/placement/local.rs
@@ -5,7 +5,8 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use super::engines::engines_of;
+use super::candidates::prompt_hash;
+use super::engines::FleetEngines;
 use super::hall_regions::HallRegions;
 use super::message::{FromPlacer, PlacementRequest, ToPlacer};
 use super::placer::Placer;
@@ -49,8 +50,13 @@
     pub fn place(&self, request: PlacementRequest, routers: usize) -> FromPlacer {
         let seq = request.seq;
         let Some(routing) = self.routing.current() else { return FromPlacer::Unknown { seq } };
-        let engines = self.registry.read(|registry| engines_of(&routing, registry, &self.regions));
         let defaults = PlacementRules::default();
+        // Routers agree on the engines for prompts with the same first part.
+        let start = prompt_hash(self.me, &request) as u32;
+        let engines = self.registry.read(|registry| {
+            let fleet = FleetEngines { routing: &routing, registry, regions: &self.regions };
+            fleet.some_of(&request.service, start, defaults.weigh_all_up_to)
+        });
         let fraction = (LOCAL_SHARE_FACTOR / routers.max(1) as f64).min(1.0);
         // A router has no record of what others send to a cold engine, so it sends cold engines
         // nothing.
--- a/src/placement/parts.rs
+++ b/src/placement/parts.rs
@@ -6,6 +6,10 @@
 /// An engine's number at its placer.
 pub type EngineNumber = usize;
 
+/// Engines that are looked up for each part of a prompt. A part that every prompt of a kind begins
+/// with is kept by as many engines as run that kind.
+pub const MAX_HOLDERS: usize = 512;
+
 /// How much of one prompt an engine keeps.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Match {
@@ -15,6 +19,62 @@
     pub read: u32,
     kept_parts: usize,
     read_parts: usize,
+    is_listed: bool,
+}
+
+/// How much of the prompt looked up last the engines keep.
+#[derive(Clone, Debug, Default)]
+pub struct Matches {
+    /// By engine number.
+    found: Vec<Match>,
+    /// The engines that keep some of it, or whose entry in `found` may differ from the default.
+    engines: Vec<EngineNumber>,
+}
+
+impl Matches {
+    /// The engines that keep some of the prompt.
+    pub fn engines(&self) -> &[EngineNumber] {
+        &self.engines
+    }
+
+    /// What one engine keeps.
+    pub fn at(&self, engine: EngineNumber) -> Match {
+        self.found.get(engine).copied().unwrap_or_default()
+    }
+
+    fn clear(&mut self) {
+        for engine in self.engines.drain(..) {
+            self.found[engine] = Match::default();
+        }
+    }
+
+    fn entry(&mut self, engine: EngineNumber) -> &mut Match {
+        if self.found.len() <= engine {
+            self.found.resize(engine + 1, Match::default());
+        }
+        &mut self.found[engine]
+    }
+
+    /// Adds an engine, which may be known.
+    fn add(&mut self, engine: EngineNumber) {
+        let found = self.entry(engine);
+        if !std::mem::replace(&mut found.is_listed, true) {
+            self.engines.push(engine);
+        }
+    }
+
+    /// Counts a part that a listed engine keeps, the one after `before` other parts.
+    fn count(&mut self, holder: Holder, before: usize, tokens: u32) {
+        let found = self.entry(holder.engine);
+        if found.kept_parts == before {
+            found.kept_parts += 1;
+            found.kept += tokens;
+        }
+        if holder.read && found.read_parts == before {
+            found.read_parts += 1;
+            found.read += tokens;
+        }
+    }
 }
 
 /// An engine that keeps a part.
@@ -74,24 +134,38 @@
         self.caches.get(engine).map_or(0, |cache| cache.kept_tokens(parts))
     }
 
-    /// Writes to `found`, indexed by engine number, how much of a prompt each engine keeps.
-    pub fn find(&self, parts: &[(u64, u32)], found: &mut [Match]) {
-        found.fill(Match::default());
+    /// Writes to `matches` how much of a prompt engines keep. Of a part that more than
+    /// [`MAX_HOLDERS`] engines keep, only those count that keep a later part as well, and some
+    /// others that follow `start` in the order of engine numbers.
+    pub fn find(&self, parts: &[(u64, u32)], start: u64, matches: &mut Matches) {
+        matches.clear();
+        for (part, _) in parts.iter().rev() {
+            let holders = self.holders_of(*part);
+            let from = start.checked_rem(holders.len() as u64).unwrap_or(0) as usize;
+            let (before, after) = holders.split_at(from);
+            for holder in after.iter().chain(before).take(MAX_HOLDERS) {
+                matches.add(holder.engine);
+            }
+        }
         for (before, (part, tokens)) in parts.iter().enumerate() {
-            let holders = self.holders.get(part).map_or(&[][..], Vec::as_slice);
-            for holder in holders {
-                let Some(found) = found.get_mut(holder.engine) else { continue };
-                if found.kept_parts == before {
-                    found.kept_parts += 1;
-                    found.kept += tokens;
-                }
-                if holder.read && found.read_parts == before {
-                    found.read_parts += 1;
-                    found.read += tokens;
+            let holders = self.holders_of(*part);
+            if holders.len() <= MAX_HOLDERS {
+                holders.iter().for_each(|holder| matches.count(*holder, before, *tokens));
+                continue;
+            }
+            for at in 0..matches.engines.len() {
+                let engine = matches.engines[at];
+                if let Ok(at) = holders.binary_search_by_key(&engine, |holder| holder.engine) {
+                    matches.count(holders[at], before, *tokens);
                 }
             }
         }
     }
+
+    /// The engines that keep a part, by engine number.
+    fn holders_of(&self, part: u64) -> &[Holder] {
+        self.holders.get(&part).map_or(&[], Vec::as_slice)
+    }
 }
 
 fn remove_holder(holders: &mut HashMap<u64, Vec<Holder>>, engine: EngineNumber, part: u64) {
--- a/src/placement/queue.rs
+++ b/src/placement/queue.rs
@@ -77,6 +77,11 @@
         paced.max(0.0).max(pace.backlog_ms) + pace.lateness_ms
     }
 
+    /// When all prompts will have been read at `ms_per_unit`, in milliseconds on the clock.
+    pub fn read_until(&self, ms_per_unit: f64) -> f64 {
+        self.advanced_at as f64 + (self.units - self.read).max(0.0) * ms_per_unit
+    }
+
     /// The position before the first of the trailing prompts that all may start later than
     /// `latest_start`. The queue must have been advanced to now.
     pub fn position(&self, pace: Pace, latest_start: f64) -> Position {
--- a/src/placement/rules.rs
+++ b/src/placement/rules.rs
@@ -42,6 +42,8 @@
     /// Cost, in milliseconds of waiting, of each stream whose pauses a prompt would extend beyond
     /// their objective.
     pub late_stream_cost_ms: f64,
+    /// Number of engines up to which all of them are weighed for each request; of more, a sample.
+    pub weigh_all_up_to: usize,
 }
 
 impl Default for PlacementRules {
@@ -61,6 +63,7 @@
             cold_part: 1.0,
             piece_tokens: 2_048,
             late_stream_cost_ms: 400.0,
+            weigh_all_up_to: 512,
         }
     }
 }
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::cold_limiter::ColdSendPermit;
-use super::engines::engines_of;
+use super::engines::{EngineChanges, EngineUpdate, FleetEngines};
 use super::hall_regions::HallRegions;
 use super::message::{FromPlacer, ToPlacer};
 use super::placer::Placer;
@@ -24,7 +24,7 @@
 
 /// How often the engines are read from the registry even if no change was announced.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
-/// Minimum time between two reads of the engines: each iterates over all engines, and thousands may
+/// Minimum time between two reads of the engines, in which changes are batched: thousands may
 /// register within a second.
 const MIN_REFRESH_INTERVAL: Duration = Duration::from_millis(20);
 /// Messages that may wait for the placer.
@@ -61,6 +61,7 @@
         routing,
         registry,
         regions,
+        engine_changes: EngineChanges::default(),
         placer,
         leading_term: Box::new(leading_term),
         cold_send_permit: ColdSendPermit::default(),
@@ -101,6 +102,7 @@
     routing: Arc<CurrentRouting>,
     registry: Arc<SharedRegistry>,
     regions: Regions,
+    engine_changes: EngineChanges,
     placer: Placer,
     leading_term: Box<dyn Fn() -> Option<u64> + Send>,
     cold_send_permit: ColdSendPermit,
@@ -148,12 +150,19 @@
 
     fn refresh_engines(&mut self) {
         self.update_cold_part(self.clock.now());
-        if let Some(routing) = self.routing.current() {
-            let engines =
-                self.registry.read(|registry| engines_of(&routing, registry, &self.regions));
-            self.placer.set_engines(self.clock.now(), engines);
-            self.placer.set_nominal(routing.table.limits.tokens_per_second);
+        let Some(routing) = self.routing.current() else { return };
+        let (changes, regions) = (&mut self.engine_changes, &self.regions);
+        let update = self
+            .registry
+            .read(|registry| changes.next(FleetEngines { routing: &routing, registry, regions }));
+        let now = self.clock.now();
+        match update {
+            EngineUpdate::All(engines) => self.placer.set_engines(now, engines),
+            EngineUpdate::Changed { ready, gone } => {
+                self.placer.update_engines(now, ready, &gone);
+            }
         }
+        self.placer.set_nominal(routing.table.limits.tokens_per_second);
     }
 
     fn handle_event(&mut self, event: Event) {
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the placer's decisions.
 
+mod large_fleet;
 mod parts;
 mod pauses;
 mod queue;
@@ -14,7 +15,7 @@
 
 use proptest::prelude::*;
 
-use super::parts::{Match, PartIndex};
+use super::parts::{Matches, PartIndex};
 use super::records::{EndpointStartRef, PlacementRecords, PlacerId};
 use super::shares::{Shares, WINDOW_MS};
 use super::*;
@@ -253,9 +254,9 @@
 
 /// Tokens that one engine keeps and has read.
 fn tokens_found(index: &PartIndex, parts: &[(u64, u32)]) -> [(u32, u32); 1] {
-    let mut found = [Match::default()];
-    index.find(parts, &mut found);
-    found.map(|found| (found.kept, found.read))
+    let mut found = Matches::default();
+    index.find(parts, 0, &mut found);
+    [(found.at(0).kept, found.at(0).read)]
 }
 
 #[test]
--- a/src/placement/tests/parts.rs
+++ b/src/placement/tests/parts.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 
-use super::super::parts::{Match, PartIndex};
+use super::super::parts::{Matches, PartIndex};
 
 const ENGINES: usize = 3;
 const CAPACITY: u64 = 50;
@@ -86,11 +86,13 @@
             }
         }
         let parts = with_tokens(&asked);
-        let mut found = [Match::default(); ENGINES];
-        index.find(&parts, &mut found);
+        let mut found = Matches::default();
+        // What an earlier lookup has found does not count.
+        index.find(&with_tokens(&[0, 1]), 0, &mut found);
+        index.find(&parts, 0, &mut found);
         for (engine, cache) in caches.iter().enumerate() {
-            prop_assert_eq!(found[engine].kept, leading(cache, &parts, false));
-            prop_assert_eq!(found[engine].read, leading(cache, &parts, true));
+            prop_assert_eq!(found.at(engine).kept, leading(cache, &parts, false));
+            prop_assert_eq!(found.at(engine).read, leading(cache, &parts, true));
             prop_assert_eq!(index.kept(engine, &parts), leading(cache, &parts, false));
         }
     }
--- a/src/placement/timing.rs
+++ b/src/placement/timing.rs
@@ -53,6 +53,11 @@
         head_ms + self.behind_ms
     }
 
+    /// When all prompts will have been read, in milliseconds on the clock; 0 if there are none.
+    pub fn read_until(&self) -> f64 {
+        self.head.map_or(0.0, |head| head.done_at + self.behind_ms)
+    }
+
     /// Whether the head takes so long that the engine counts as stalled.
     pub fn is_stalled(&self, now: Millis) -> bool {
         self.head.is_some_and(|head| now as f64 > head.stalled_at)
