Circuit breakers between data halls at the placer

Cause: an engine out of reach is found by two failures of its own. A data hall of the whole fleet has 1,969 engines: while it is cut off, a fifth of all requests would be sent there first, each for the 400 ms in which a connection may open, for longer than the cut lasts. Change: six engines of a hall that fail in a row for the routers of another, without one success, open a breaker between the two halls: other engines are preferred, and a request every half second probes the path. One success closes it. Result: with half of the engines out of reach and a request every 10 ms, at most 30 of 200 requests go there (a_hall_out_of_reach_costs_few_requests_however_many_engines_it_has); half did before.

--- a/benches/placer.rs
+++ b/benches/placer.rs
@@ -49,6 +49,7 @@
         started_at_ms: 0,
         service: "llm".into(),
         version: "v1".into(),
+        hall: "a".into(),
         region: "r".into(),
         slots: 12,
         memory_tokens: 472_528,
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -17,6 +17,7 @@
 mod copy;
 mod engine;
 mod engines;
+mod hall_breakers;
 mod hall_regions;
 mod local;
 mod message;
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -42,6 +42,8 @@
     pub service: String,
     /// The release of its software.
     pub version: String,
+    /// Its data hall.
+    pub hall: String,
     /// The region of its data hall.
     pub region: String,
     /// Its position in the order of a rollout, from [`order_of`] its id.
@@ -78,6 +80,7 @@
             started_at_ms: info.started_at_ms,
             service: info.service,
             version: info.version,
+            hall: info.hall,
             region: info.region,
             model,
             queue: Queue::default(),
@@ -180,6 +183,8 @@
     pub router: HostId,
     /// The region of that router; empty if it is not known.
     pub from_region: &'a str,
+    /// The data halls whose engines that router seems not to reach.
+    pub avoided_halls: Vec<&'a str>,
     /// The rate at which engines of the service read long prompts, in units per millisecond.
     pub long_rate: f64,
     /// Milliseconds on the placer's clock.
@@ -199,7 +204,7 @@
             self.engines.get(number).is_some_and(|engine| {
                 self.fits(engine, request)
                     && engine.model.has_room(tokens)
-                    && !engine.should_avoid(self.now, self.router)
+                    && !self.should_avoid(engine)
             })
         };
         let start = prompt_hash(self.router, request);
@@ -233,8 +238,7 @@
                 + self.rules.copying_weight * reading.copy_ms
                 + self.rules.late_stream_cost_ms
                     * engine.model.streams().count_exceeded(reading.pause_ms) as f64;
-            let order =
-                (engine.should_avoid(self.now, self.router), !engine.model.has_room(tokens), score);
+            let order = (self.should_avoid(engine), !engine.model.has_room(tokens), score);
             let is_better = best.is_none_or(|(best_order, best_number)| {
                 order < best_order
                     || order == best_order
@@ -247,6 +251,12 @@
         best.map(|(_, engine)| Best { engine, weighed })
     }
 
+    /// Whether other engines are preferred.
+    fn should_avoid(&self, engine: &Engine) -> bool {
+        engine.should_avoid(self.now, self.router)
+            || self.avoided_halls.contains(&engine.hall.as_str())
+    }
+
     /// Whether an engine may be sent the request now.
     fn fits(&self, engine: &Engine, request: &PlacementRequest) -> bool {
         self.is_candidate(engine, request)
--- a/src/placement/engines.rs
+++ b/src/placement/engines.rs
@@ -22,6 +22,8 @@
     pub service: String,
     /// The release of its software.
     pub version: String,
+    /// Its data hall.
+    pub hall: String,
     /// The region of its data hall.
     pub region: String,
     /// Requests that it runs concurrently.
@@ -107,6 +109,7 @@
             started_at_ms: endpoint.started_at_ms,
             service: service.name.clone(),
             version: endpoint.version.clone(),
+            hall: endpoint.hall.clone(),
             region: self.regions.of(&endpoint.hall).to_string(),
             slots: endpoint.slots.max(engine.slots),
             memory_tokens: engine.memory_tokens,
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -9,6 +9,7 @@
 use super::candidates::CandidateIndex;
 use super::choice::{Best, Choice, Chooser, Engine, memory_tokens};
 use super::engine::{RequestKey, reading_units};
+use super::hall_breakers::HallBreakers;
 use super::hall_regions::HallRegions;
 use super::message::{
     Completion, FromPlacer, PlacementRequest, RestReport, RouterSnapshot, ToPlacer,
@@ -53,6 +54,7 @@
     placed: PlacedRequests,
     shares: Shares,
     hall_regions: HallRegions,
+    hall_breakers: HallBreakers,
     service_rates: ServiceRates,
 }
 
@@ -112,7 +114,7 @@
 
     /// Removes a router and all its requests.
     pub fn remove_router(&mut self, now: Millis, router: HostId) {
-        let RouterRequests { placed, rests } = self.placed.remove_router(router);
+        let RouterRequests { placed, rests, .. } = self.placed.remove_router(router);
         for (seq, number) in placed {
             self.engines[number].model.remove_request(now, (router, seq));
             self.index.update(number, &self.engines[number]);
@@ -176,6 +178,7 @@
         let Some(number) = self.placed.engine_of(key) else { return };
         let engine = &mut self.engines[number];
         engine.rests.record_served(now, key.0);
+        self.hall_breakers.record_success(self.placed.hall_of(key.0), &engine.hall);
         // Prompts read until now were read at the pace known before this event.
         engine.queue.advance(now, engine.model.pace(now));
         let first_event = engine.model.record_first_event(now, key);
@@ -193,10 +196,22 @@
     fn on_completion(&mut self, now: Millis, key: RequestKey, completion: Completion) {
         let Some(number) = self.placed.remove(key) else { return };
         let engine = &mut self.engines[number];
+        let from = self.placed.hall_of(key.0);
         match completion {
-            Completion::Failed => engine.model.record_failure(now),
+            Completion::Failed => {
+                engine.model.record_failure(now);
+                if self.hall_breakers.record_failure(now, from, &engine.hall, number) {
+                    log::warn!(
+                        "placement: engines of data hall {} fail for routers of {from}, avoided",
+                        engine.hall
+                    );
+                }
+            }
             Completion::Replaced => engine.is_replaced = true,
-            Completion::Served => engine.rests.record_served(now, key.0),
+            Completion::Served => {
+                engine.rests.record_served(now, key.0);
+                self.hall_breakers.record_success(from, &engine.hall);
+            }
             Completion::Abandoned => {}
         }
         engine.rests.record_end(key.0);
@@ -286,9 +301,10 @@
 
     fn chooser(&self, now: Millis, router: HostId, request: &PlacementRequest) -> Chooser<'_> {
         let long_rate = self.service_rates.long(&request.service).unwrap_or(f64::MAX);
-        let Placer { rules, engines, index, found, hall_regions, .. } = self;
-        let from_region = hall_regions.region_of(request);
-        Chooser { rules, engines, index, found, router, from_region, long_rate, now }
+        let Placer { rules, engines, index, found, .. } = self;
+        let from_region = self.hall_regions.region_of(request);
+        let avoided_halls = self.hall_breakers.avoided_from(now, &request.hall);
+        Chooser { rules, engines, index, found, router, from_region, avoided_halls, long_rate, now }
     }
 
     /// Records that a request is sent to an engine.
@@ -304,6 +320,8 @@
         engine.cold_limiter.record_sent(now);
         engine.rests.record_sent(now, key.0);
         self.index.update(to.engine, engine);
+        self.hall_breakers.record_sent(now, &request.hall, &engine.hall);
+        self.placed.set_hall(key.0, &request.hall);
         self.placed.insert(key, to.engine);
     }
 }
--- a/src/placement/router_requests.rs
+++ b/src/placement/router_requests.rs
@@ -10,6 +10,8 @@
 /// What engines have from one router.
 #[derive(Clone, Debug, Default)]
 pub struct RouterRequests {
+    /// The router's data hall; empty before its first request.
+    pub hall: String,
     /// The engine of each request that has not ended, by the request's number.
     pub placed: HashMap<u64, EngineNumber>,
     /// Engines that requested a rest from the router. They may have served it since.
@@ -28,6 +30,19 @@
         self.routers.get(&router)?.placed.get(&seq).copied()
     }
 
+    /// Records the data hall of a router.
+    pub fn set_hall(&mut self, router: HostId, hall: &str) {
+        let known = &mut self.routers.entry(router).or_default().hall;
+        if known != hall {
+            *known = hall.to_string();
+        }
+    }
+
+    /// The data hall of a router; empty if it is not known.
+    pub fn hall_of(&self, router: HostId) -> &str {
+        self.routers.get(&router).map_or("", |router| router.hall.as_str())
+    }
+
     /// Records the engine of a request.
     pub fn insert(&mut self, (router, seq): RequestKey, engine: EngineNumber) {
         self.routers.entry(router).or_default().placed.insert(seq, engine);
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the placer's decisions.
 
+mod hall_breakers;
 mod large_fleet;
 mod parts;
 mod pauses;
@@ -29,6 +30,7 @@
         started_at_ms: 0,
         service: "llm".into(),
         version: "v1".into(),
+        hall: "a".into(),
         region: "r".into(),
         slots: 64,
         memory_tokens: 500_000,
