Test of the hall breakers: answers as slow as the placer assumes

Cause: the test passed without breakers. Its engines answered faster than the placer assumes, which drew requests away from the hall out of reach; the claim that half of them went there was not run. Change: answers and failures take 300 ms; the bound is 50 of 200, since 30 requests are sent before the first outcome is known.

--- a/src/placement/tests/hall_breakers.rs
+++ b/src/placement/tests/hall_breakers.rs
@@ -5,6 +5,8 @@
 use super::*;
 
 const HALL_ENGINES: usize = 100;
+/// Milliseconds to a first event at the rate that the placer assumes, so that it learns no other.
+const ANSWER_MS: u64 = 300;
 
 /// Engines in the halls `a` and `b`, in equal number.
 fn placer_of_two_halls() -> Placer {
@@ -16,7 +18,7 @@
     placer
 }
 
-/// Sends a request every 10 ms, each of which fails after 100 ms at engines of `b`, and is served
+/// Sends a request every 10 ms, each of which fails after `ANSWER_MS` at engines of `b`, and is served
 /// at those of `a`. Returns how many were sent to `b`.
 fn sent_to_b(placer: &mut Placer, from: u64, until: u64, b_fails: bool) -> usize {
     let mut sent = 0;
@@ -33,7 +35,7 @@
         if let FromPlacer::Go { endpoint, seq, .. } = place(placer, now, request) {
             let is_b = endpoint.starts_with('b');
             sent += usize::from(is_b);
-            open.push_back((now + 100, seq, is_b && b_fails));
+            open.push_back((now + ANSWER_MS, seq, is_b && b_fails));
         }
     }
     sent
@@ -45,7 +47,7 @@
 fn a_hall_out_of_reach_costs_few_requests_however_many_engines_it_has() {
     let mut placer = placer_of_two_halls();
     let sent = sent_to_b(&mut placer, 10, 2_010, true);
-    assert!(sent <= 30, "{sent} of 200 requests went to the hall out of reach");
+    assert!(sent <= 50, "{sent} of 200 requests went to the hall out of reach");
 }
 
 #[test]
