Show how answers of endpoints were framed and how they ended

`answer::AnswerBody` reads the answers of the gateway and reports how the end of a body was marked, how it came, and where in its events. It is counted as bramblecrank_gateway_body_ends_total by service, framing and ending, logged at debug, and named in the line of a lost answer.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use axum::body::Body;
+use axum::http::response::Parts;
 use axum::http::{HeaderMap, Request, Response, StatusCode, Uri, header};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use super::assignment::Assignment;
@@ -17,6 +18,7 @@
 use super::observation::ReleaseObservation;
 use super::request::Call;
 use super::stream;
+use crate::answer::{AnswerBody, BodyEnd, Ending};
 use crate::placement::{Completion, Reservation};
 use crate::registry::Registration;
 use crate::routing::RouteKind;
@@ -101,7 +103,8 @@
 
 /// An endpoint's answer whose head has arrived and whose body is still to be read.
 pub(super) struct PendingAnswer {
-    pub response: Response<Incoming>,
+    pub head: Parts,
+    pub body: AnswerBody,
     pub connection: Connection,
     pub assignment: Assignment,
 }
@@ -141,7 +144,11 @@
     assignment.set_completion(Completion::Failed);
     let request = request_for(call, endpoint, assignment.copy_from(), after_event);
     match send_and_await_head(call, endpoint, address, request, &mut assignment).await {
-        Ok((response, connection)) => Ok(PendingAnswer { response, connection, assignment }),
+        Ok((response, connection)) => {
+            let is_streaming = call.route.kind == RouteKind::Streaming;
+            let (head, body) = AnswerBody::split(response, is_streaming);
+            Ok(PendingAnswer { head, body, connection, assignment })
+        }
         Err(attempt) => {
             assignment.observation.record_attempt(&attempt);
             Err(attempt)
@@ -217,6 +224,11 @@
     Attempt::Unknown
 }
 
+/// Describes the end of a lost answer in the log.
+pub(super) fn lost_reason(end: BodyEnd) -> String {
+    format!("framed by {}, ended {}", end.framing.name(), end.name())
+}
+
 fn reject_foreign_answer(call: &Call, endpoint: &Registration, reason: &str) -> Attempt {
     log::info!(
         "gateway: request {} got a foreign answer from {}: {reason}",
@@ -271,7 +283,7 @@
     pending: PendingAnswer,
 ) -> Attempt {
     let is_streaming = call.route.kind == RouteKind::Streaming;
-    if pending.response.status().is_success() && is_streaming {
+    if pending.head.status.is_success() && is_streaming {
         if let Some(stream) = call.resumed_stream()
             && !call.may_go_on(&stream, endpoint, &pending.connection).await
         {
@@ -280,8 +292,8 @@
         call.gateway.record_success(endpoint);
         return Attempt::Answered(stream::relay(call, pending));
     }
-    let PendingAnswer { response, connection, mut assignment } = pending;
-    let attempt = read_complete_answer(call, endpoint, response, connection, &assignment).await;
+    let PendingAnswer { head, body, connection, mut assignment } = pending;
+    let attempt = read_complete_answer(call, endpoint, head, body, connection, &assignment).await;
     if matches!(attempt, Attempt::Answered(_)) {
         assignment.set_completion(Completion::Served);
     }
@@ -293,17 +305,19 @@
 async fn read_complete_answer(
     call: &Call,
     endpoint: &Registration,
-    response: Response<Incoming>,
+    mut head: Parts,
+    body: AnswerBody,
     connection: Connection,
     assignment: &Assignment,
 ) -> Attempt {
-    let (mut head, body) = response.into_parts();
-    let reading = Limited::new(body, MAX_ANSWER_BYTES).collect();
-    let body = match tokio::time::timeout(call.remaining(), reading).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => return answer_lost(call, endpoint, assignment, &error.to_string()),
-        Err(_) => return Attempt::TimedOut,
+    let reading = body.read(MAX_ANSWER_BYTES);
+    let Ok((body, end)) = tokio::time::timeout(call.remaining(), reading).await else {
+        return Attempt::TimedOut;
     };
+    call.record_body_end(assignment, end);
+    if end.ending != Ending::Clean {
+        return answer_lost(call, endpoint, assignment, &lost_reason(end));
+    }
     call.gateway.connections.keep_idle(&endpoint.id, connection);
     strip_connection_headers(&mut head.headers);
     if call.parts.method != axum::http::Method::HEAD {
--- a/src/gateway/losses.rs
+++ b/src/gateway/losses.rs
@@ -4,6 +4,7 @@
 use super::assignment::Assignment;
 use super::refusal::Refusal;
 use super::request::Call;
+use crate::answer::BodyEnd;
 use crate::registry::EndpointStart;
 
 /// Maximum number of characters of a path in a log line.
@@ -34,6 +35,19 @@
         self.gateway.guard.record_loss(endpoint, &self.fingerprint, since_sent);
     }
 
+    /// Records how the body of an answer ended.
+    pub(super) fn record_body_end(&self, assignment: &Assignment, end: BodyEnd) {
+        let (framing, ending) = (end.framing.name(), end.name());
+        let labels = [self.service.as_str(), framing, ending];
+        self.gateway.metrics.body_ends.with_label_values(&labels).inc();
+        log::debug!(
+            "gateway: request {} ({}) at {}: answer framed by {framing}, ended {ending}",
+            self.number,
+            self.head.id.as_deref().unwrap_or_default(),
+            assignment.endpoint,
+        );
+    }
+
     /// Records that the endpoint began its own answer to this request, so it is alive.
     pub(super) fn record_answer_began(&self, assignment: &Assignment) {
         let since_sent = assignment.observation.since_sent();
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -6,8 +6,6 @@
 use axum::body::Body;
 use axum::http::{Response, StatusCode, header};
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use super::assignment::Assignment;
 use super::connections::Connection;
@@ -17,6 +15,7 @@
 use super::exchange::{self, PendingAnswer, strip_connection_headers};
 use super::request::Call;
 use super::stream_keeper::StreamKeeper;
+use crate::answer::{AnswerBody, Ending, Part};
 use crate::placement::Completion;
 
 /// A stream being relayed. Dropping it closes the endpoint's connection, which ends the run
@@ -33,7 +32,7 @@
 
 /// The endpoint that a stream is read from.
 struct Source {
-    incoming: Incoming,
+    body: AnswerBody,
     connection: Connection,
     assignment: Assignment,
 }
@@ -49,9 +48,8 @@
 
 /// The answer for the caller: the endpoint's head, and its events as they arrive.
 pub(super) fn relay(call: &Arc<Call>, pending: PendingAnswer) -> Response<Body> {
-    let PendingAnswer { response, connection, mut assignment } = pending;
+    let PendingAnswer { mut head, body, connection, mut assignment } = pending;
     assignment.set_completion(Completion::Abandoned);
-    let (mut head, incoming) = response.into_parts();
     strip_connection_headers(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
     call.bind(&assignment.observation.version);
@@ -63,7 +61,7 @@
     let relay = Relay {
         call: call.clone(),
         tried: vec![assignment.endpoint.clone()],
-        source: Some(Source { incoming, connection, assignment }),
+        source: Some(Source { body, connection, assignment }),
         splitter: is_resumable.then(|| EventSplitter::after(call.head.last_event.clone())),
         keeper,
     };
@@ -103,8 +101,8 @@
     async fn next(&mut self) -> Result<Option<Bytes>, StreamError> {
         loop {
             let Some(source) = &mut self.source else { return Ok(None) };
-            let frame = tokio::time::timeout(self.call.remaining(), source.incoming.frame());
-            let Ok(frame) = frame.await else {
+            let part = tokio::time::timeout(self.call.remaining(), source.body.next());
+            let Ok(part) = part.await else {
                 source.assignment.observation.record_failed();
                 log::info!(
                     "gateway: request {} ran out of time during its stream",
@@ -112,10 +110,8 @@
                 );
                 return Err(StreamError::TimedOut);
             };
-            match frame {
-                Some(Ok(frame)) => {
-                    // Trailers are specific to this connection.
-                    let Ok(bytes) = frame.into_data() else { continue };
+            match part {
+                Part::Data(bytes) => {
                     source.assignment.record_first_event();
                     self.call.record_stream_data(&source.assignment);
                     let bytes = match &mut self.splitter {
@@ -130,8 +126,12 @@
                         return Ok(Some(bytes));
                     }
                 }
-                Some(Err(error)) => {
-                    self.call.record_lost_answer(&source.assignment, &error.to_string());
+                Part::End(end) => {
+                    self.call.record_body_end(&source.assignment, end);
+                    if end.ending == Ending::Clean {
+                        return Ok(self.finish());
+                    }
+                    self.call.record_lost_answer(&source.assignment, &exchange::lost_reason(end));
                     let endpoint = source.assignment.endpoint.clone();
                     let resumed = self.resume(&endpoint).await;
                     if let (Err(_), Some(keeper)) = (&resumed, &self.keeper) {
@@ -139,7 +139,6 @@
                     }
                     resumed?;
                 }
-                None => return Ok(self.finish()),
             }
         }
     }
@@ -194,11 +193,11 @@
         );
         let pending =
             exchange::begin_attempt(&call, &endpoint, reservation, after.as_deref()).await;
-        let Ok(PendingAnswer { response, connection, mut assignment }) = pending else {
+        let Ok(PendingAnswer { head, body, connection, mut assignment }) = pending else {
             return Err(StreamError::Truncated);
         };
-        if response.status() != StatusCode::OK {
-            let (status, at) = (response.status(), &assignment.endpoint);
+        if head.status != StatusCode::OK {
+            let (status, at) = (head.status, &assignment.endpoint);
             log::info!("gateway: request {} cannot be resumed on {at}: {status}", call.number);
             assignment.observation.record_failed();
             return Err(StreamError::Truncated);
@@ -208,7 +207,7 @@
         }
         call.gateway.metrics.resumed.with_label_values(&[&call.service]).inc();
         assignment.set_completion(Completion::Abandoned);
-        self.source = Some(Source { incoming: response.into_body(), connection, assignment });
+        self.source = Some(Source { body, connection, assignment });
         Ok(())
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod agree;
+pub mod answer;
 pub mod caller;
 pub mod claim;
 pub mod clock;
--- a/src/telemetry/gateway.rs
+++ b/src/telemetry/gateway.rs
@@ -15,6 +15,8 @@
     pub retries: IntCounterVec,
     /// Requests whose endpoint closed the connection before the complete answer, by service.
     pub lost_answers: IntCounterVec,
+    /// Bodies of answers by service, framing and ending.
+    pub body_ends: IntCounterVec,
     /// Notices that answers carry about their endpoint, by service and notice.
     pub notices: IntCounterVec,
     /// Checks of restarted endpoints, by service and outcome.
@@ -68,6 +70,11 @@
             outcomes: counter("requests_total", "Requests.", &["service", "outcome"])?,
             retries: counter("retries_total", "Requests sent again.", &["service"])?,
             lost_answers: counter("lost_answers_total", "Answers that broke off.", &["service"])?,
+            body_ends: counter(
+                "body_ends_total",
+                "Answers of endpoints, by how the end of their body was marked and how it came.",
+                &["service", "framing", "ending"],
+            )?,
             notices: counter(
                 "notices_total",
                 "Answers that say that their endpoint leaves or wants rest.",
@@ -119,6 +126,7 @@
         registry.register(Box::new(metrics.outcomes.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.lost_answers.clone()))?;
+        registry.register(Box::new(metrics.body_ends.clone()))?;
         registry.register(Box::new(metrics.notices.clone()))?;
         registry.register(Box::new(metrics.start_checks.clone()))?;
         registry.register(Box::new(metrics.resumed.clone()))?;
