Fail where a stream that ended inside an event is framed as complete

Replicas of the tests can frame an answer by a length, chunks, neither or HTTP/1.0, end lines in LF, CRLF or CR, and end it whole, early within its framing, by a close or by a reset, between two events or inside one; the path of a request names the shape.

--- a/benches/gateway.rs
+++ b/benches/gateway.rs
@@ -14,6 +14,9 @@
 #[path = "../tests/platform/replica.rs"]
 #[allow(dead_code, reason = "shared with the tests of the platform")]
 mod replica;
+#[path = "../tests/platform/shapes.rs"]
+#[allow(dead_code, reason = "shared with the tests of the platform")]
+mod shapes;
 
 use std::time::{Duration, Instant};
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -3,6 +3,8 @@
 
 #[path = "platform/crashes.rs"]
 mod crashes;
+#[path = "platform/endings.rs"]
+mod endings;
 #[path = "platform/fleet.rs"]
 mod fleet;
 #[path = "platform/halls.rs"]
@@ -29,6 +31,10 @@
 mod resumption;
 #[path = "platform/rollouts.rs"]
 mod rollouts;
+// Shared with the soak test.
+#[allow(dead_code)]
+#[path = "platform/shapes.rs"]
+mod shapes;
 #[path = "platform/silence.rs"]
 mod silence;
 #[path = "platform/starts.rs"]
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -30,6 +30,9 @@
 const SERVES_ALL: &str = "  overload:\n    hand_over_lag_ms: 600000\n    \
                          unready_lag_ms: 600000\n    refuse_lag_ms: 600000\n";
 
+/// Settings of a router whose requests are sent again as often as their routes allow.
+const UNLIMITED_RETRIES: &str = "  retry_budget:\n    slack: 1000000\n";
+
 /// Number of the next fleet; each fleet of a test run has its own three loopback addresses.
 static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
 
@@ -145,6 +148,16 @@
         self.wait_ready().await;
     }
 
+    /// Restarts the router with an unlimited budget for retries.
+    pub async fn restart_router_retrying(&mut self) {
+        self.kill_router();
+        let path = self.folder.path().join("router.yaml");
+        let text = std::fs::read_to_string(&path).unwrap();
+        std::fs::write(path, text + UNLIMITED_RETRIES).unwrap();
+        self.start_router();
+        self.wait_ready().await;
+    }
+
     /// Value of a metric of the first router; 0 if the metric is missing.
     pub async fn metric(&self, name: &str) -> u64 {
         let answer = call(self.ready, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n").await;
--- a/tests/platform/http.rs
+++ b/tests/platform/http.rs
@@ -6,16 +6,36 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+/// How an answer states where its body ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    Length,
+    Chunks,
+    /// The body ends with the connection.
+    Connection,
+}
+
 /// An HTTP answer, possibly truncated.
 #[derive(Debug)]
 pub struct Answer {
+    pub version: String,
     pub status: u16,
     pub headers: Vec<(String, String)>,
     pub body: String,
-    /// Whether the whole body was received.
+    pub framing: Framing,
+    /// Whether the whole body was received, as far as its framing tells: one that ends with its
+    /// connection counts as whole unless the connection was reset.
     pub complete: bool,
 }
 
+/// How a connection stands while an answer is read from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Connection {
+    Open,
+    Closed,
+    Reset,
+}
+
 impl Answer {
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut headers = self.headers.iter();
@@ -44,11 +64,14 @@
     stream.write_all(text.as_bytes()).await.ok()?;
     let mut bytes = Vec::new();
     let mut buffer = [0; 4_096];
-    while let Ok(Ok(size @ 1..)) = tokio::time::timeout_at(deadline, stream.read(&mut buffer)).await
-    {
-        bytes.extend_from_slice(&buffer[..size]);
-    }
-    parse(&bytes, true)
+    let connection = loop {
+        match tokio::time::timeout_at(deadline, stream.read(&mut buffer)).await {
+            Ok(Ok(size @ 1..)) => bytes.extend_from_slice(&buffer[..size]),
+            Ok(Ok(0)) => break Connection::Closed,
+            _ => break Connection::Reset,
+        }
+    };
+    parse(&bytes, connection)
 }
 
 /// Reads one answer; `None` if the connection ends before the head is complete.
@@ -56,35 +79,45 @@
     let mut bytes = Vec::new();
     let mut buffer = [0; 4_096];
     loop {
-        if let Some(answer) = parse(&bytes, false) {
+        if let Some(answer) = parse(&bytes, Connection::Open) {
             return Some(answer);
         }
         match stream.read(&mut buffer).await {
-            Ok(0) | Err(_) => return parse(&bytes, true),
+            Ok(0) => return parse(&bytes, Connection::Closed),
+            Err(_) => return parse(&bytes, Connection::Reset),
             Ok(size) => bytes.extend_from_slice(&buffer[..size]),
         }
     }
 }
 
 /// Parses the answer in `bytes`; `None` while it is incomplete and the connection is open.
-fn parse(bytes: &[u8], ended: bool) -> Option<Answer> {
+fn parse(bytes: &[u8], connection: Connection) -> Option<Answer> {
     let text = String::from_utf8_lossy(bytes);
     let (head, rest) = text.split_once("\r\n\r\n")?;
     let mut lines = head.lines();
-    let status = lines.next()?.split(' ').nth(1)?.parse().ok()?;
+    let mut words = lines.next()?.split(' ');
+    let version = words.next()?.to_string();
+    let status = words.next()?.parse().ok()?;
     let headers: Vec<_> = lines
         .filter_map(|line| line.split_once(':'))
         .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_string()))
         .collect();
     let header = |name: &str| headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.clone());
-    let (body, complete) = match header("content-length") {
-        Some(length) => {
-            let length: usize = length.parse().ok()?;
+    let framing = match (header("content-length"), header("transfer-encoding")) {
+        (Some(_), _) => Framing::Length,
+        (None, Some(_)) => Framing::Chunks,
+        (None, None) => Framing::Connection,
+    };
+    let (body, complete) = match framing {
+        Framing::Length => {
+            let length: usize = header("content-length")?.parse().ok()?;
             (rest.chars().take(length).collect(), rest.len() >= length)
         }
-        None => decode_chunked(rest),
+        Framing::Chunks => decode_chunked(rest),
+        Framing::Connection => (rest.to_string(), connection == Connection::Closed),
     };
-    (complete || ended).then_some(Answer { status, headers, body, complete })
+    let is_over = complete || connection != Connection::Open;
+    is_over.then_some(Answer { version, status, headers, body, framing, complete })
 }
 
 /// Decodes a chunked body; the flag says whether the last chunk was received.
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -9,8 +9,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use crate::shapes::{AfterAnswer, Ending, Shape};
+
 /// Path of health checks in the tests' configurations. A health check runs no request.
 const HEALTH_PATH: &str = "/healthz";
+/// Time in which all bytes written before a reset have been read.
+const RESET_DELAY: Duration = Duration::from_millis(20);
 
 /// How a replica treats each request.
 #[derive(Clone, Debug)]
@@ -40,6 +44,10 @@
     /// Streams events that name the version of the software, up to this number, with a pause
     /// before each, from the event after the one that the request names.
     VersionedStream { events: u32, pause: Duration },
+    /// Frames and ends its answers as the path of a request says. On paths of streams these are
+    /// this number of events with a pause before each, from the event after the one that the
+    /// request names; a run that resumes a stream is whole.
+    Shaped { events: u32, pause: Duration },
     /// If the request contains `body`, begins a stream and crashes `after` this time; treats all
     /// other requests like `others`.
     CrashOn { body: &'static str, after: Duration, others: Box<Behaviour> },
@@ -401,11 +409,51 @@
                 write(stream, &text).await;
                 false
             }
+            Behaviour::Shaped { events, pause } => {
+                self.answer_shaped(stream, request, *events, *pause).await
+            }
             Behaviour::CrashOn { .. } => unreachable!("handled by `answer`"),
         }
     }
 }
 
+impl Replica {
+    async fn answer_shaped(
+        &self,
+        stream: &mut TcpStream,
+        request: &Request,
+        events: u32,
+        pause: Duration,
+    ) -> bool {
+        let (id, after) = (request.id(), last_event(request));
+        let mut shape = Shape::in_path(&request.path).unwrap_or(Shape::PLAIN);
+        if after > 0 {
+            shape.ending = Ending::Whole;
+        }
+        let is_stream = ["/stream", "/resumable"].iter().any(|path| request.path.starts_with(path));
+        let (kind, pieces) = match is_stream {
+            true => {
+                let version = self.version();
+                let events = (after + 1..=events).map(|number| shape.event(number, &version));
+                ("Content-Type: text/event-stream\r\n", events.collect())
+            }
+            false => ("", vec!["answer to ".to_string(), id.clone()]),
+        };
+        let answer = shape.render(&pieces);
+        let head = self.head(200, &id, &format!("{kind}{}", answer.headers));
+        let mut open = write(stream, &head.replacen("HTTP/1.1", answer.version, 1)).await;
+        for piece in &answer.pieces {
+            tokio::time::sleep(pause).await;
+            open = open && write(stream, piece).await;
+        }
+        if answer.connection == AfterAnswer::Reset {
+            tokio::time::sleep(RESET_DELAY).await;
+            let _ = stream.set_zero_linger();
+        }
+        open && answer.connection == AfterAnswer::Kept
+    }
+}
+
 /// The id of the last event that the caller has, 0 if it has none.
 fn last_event(request: &Request) -> u32 {
     request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0)
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -30,6 +30,9 @@
 #[allow(dead_code)]
 #[path = "platform/replica.rs"]
 mod replica;
+#[allow(dead_code)]
+#[path = "platform/shapes.rs"]
+mod shapes;
 
 use std::future::Future;
 use std::sync::{Arc, Mutex};
