Tell callers of an answer what its endpoint stated, and no more

Cause: whether an answer was whole was read off the HTTP library, which ends a body without length or chunks like any other, and knows nothing of events. Each answer was then framed anew, as whole.

`answer::BodyEnd::verdict` decides now, from the framing, how the connection ended and where in its events: inside an event it is broken off, in any framing. An event ends with an empty line in LF, CRLF, CR or any mix. What only its connection ended reaches its caller in the same way, without length or chunks (`caller_connection`): a reset breaks it, also when a router is killed, and through a router that relays it for another. Answers of HTTP/1.0 and callers of HTTP/1.0 are treated the same, and the router states its own version. A broken resumable stream goes on elsewhere; no other is run again. Streams count as answered when they have ended, for metrics, the breaker and crash observations, and a connection that ended is not kept.

--- a/src/answer/body.rs
+++ b/src/answer/body.rs
@@ -11,57 +11,7 @@
 
 use super::events::EventScanner;
 use super::framing::{Framing, has_events};
-
-/// How the connection ended a body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ending {
-    /// Where its framing says, or by an orderly close if it has none.
-    Clean,
-    /// By an orderly close before the end that its framing announced.
-    ClosedEarly,
-    /// By a reset, or another failure of the connection.
-    Reset,
-    /// By bytes that are no valid framing.
-    Invalid,
-    /// It had more bytes than are accepted.
-    TooLong,
-}
-
-/// Where the content of a body ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ContentEnd {
-    /// The content shows no end.
-    Opaque,
-    /// Between two events.
-    BetweenEvents,
-    /// Inside an event.
-    InsideEvent,
-}
-
-/// How a body ended, in all that can be told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BodyEnd {
-    /// How its end was to be marked.
-    pub framing: Framing,
-    /// How the connection ended it.
-    pub ending: Ending,
-    /// Where its content ended.
-    pub content: ContentEnd,
-}
-
-impl BodyEnd {
-    /// The name of the ending in logs and metrics.
-    pub fn name(self) -> &'static str {
-        match (self.ending, self.content) {
-            (Ending::Clean, ContentEnd::InsideEvent) => "inside_event",
-            (Ending::Clean, _) => "clean",
-            (Ending::ClosedEarly, _) => "closed_early",
-            (Ending::Reset, _) => "reset",
-            (Ending::Invalid, _) => "invalid",
-            (Ending::TooLong, _) => "too_long",
-        }
-    }
-}
+use super::verdict::{BodyEnd, ContentEnd, Ending};
 
 /// The next part of a body.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -79,6 +29,8 @@
     framing: Framing,
     /// Follows the events of a body that consists of such.
     scanner: Option<EventScanner>,
+    /// Whether the last event of a whole body is known to its reader, who reads no further.
+    has_final_event: bool,
 }
 
 impl AnswerBody {
@@ -91,7 +43,13 @@
         let framing = Framing::of(&response);
         let (head, incoming) = response.into_parts();
         let scanner = has_events(&head.headers, expects_events).then(EventScanner::default);
-        (head, AnswerBody { incoming, framing, scanner })
+        (head, AnswerBody { incoming, framing, scanner, has_final_event: false })
+    }
+
+    /// Sets that its reader stops at an event that ends every whole body of this protocol: a body
+    /// that is read to its end is then not whole.
+    pub fn expect_final_event(&mut self) {
+        self.has_final_event = true;
     }
 
     /// How the end of the body is marked.
@@ -138,9 +96,10 @@
 
     fn end(&self, ending: Ending) -> BodyEnd {
         let content = match &self.scanner {
+            Some(scanner) if !scanner.is_between_events() => ContentEnd::InsideEvent,
+            _ if self.has_final_event => ContentEnd::BeforeFinalEvent,
+            Some(_) => ContentEnd::BetweenEvents,
             None => ContentEnd::Opaque,
-            Some(scanner) if scanner.is_between_events() => ContentEnd::BetweenEvents,
-            Some(_) => ContentEnd::InsideEvent,
         };
         BodyEnd { framing: self.framing, ending, content }
     }
--- a/src/answer/events.rs
+++ b/src/answer/events.rs
@@ -1,5 +1,9 @@
 //! Finding the ends of server-sent events in a stream of bytes.
 
+use bytes::{Bytes, BytesMut};
+
+/// Maximum length of an event that is buffered, in bytes.
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
 const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
 
 /// What the current line is, by its first byte.
@@ -72,3 +76,87 @@
         }
     }
 }
+
+/// Buffers a stream until its events are complete.
+#[derive(Clone, Debug, Default)]
+pub struct EventSplitter {
+    buffer: BytesMut,
+    scanner: EventScanner,
+    /// Number of bytes at the start of the buffer that were scanned.
+    scanned: usize,
+    /// Number of bytes up to the end of the last complete event.
+    complete: usize,
+}
+
+impl EventSplitter {
+    /// Appends received bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Takes the next complete event; `None` while there is none.
+    pub fn take_event(&mut self) -> Option<Bytes> {
+        while self.scanned < self.buffer.len() {
+            let was_inside = !self.scanner.is_between_events();
+            self.scan_next();
+            if was_inside && self.scanner.is_between_events() {
+                if self.scanner.after_cr && self.buffer.get(self.scanned) == Some(&b'\n') {
+                    self.scan_next();
+                }
+                return Some(self.take_complete());
+            }
+        }
+        None
+    }
+
+    /// Takes everything up to the end of the last complete event.
+    pub fn take_events(&mut self) -> Bytes {
+        while self.scanned < self.buffer.len() {
+            self.scan_next();
+        }
+        self.take_complete()
+    }
+
+    /// Takes everything, incomplete events too.
+    pub fn take_all(&mut self) -> Bytes {
+        while self.scanned < self.buffer.len() {
+            self.scan_next();
+        }
+        self.complete = self.scanned;
+        self.take_complete()
+    }
+
+    /// Number of bytes that were not taken.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
+    fn scan_next(&mut self) {
+        self.scanner.scan_byte(self.buffer[self.scanned]);
+        self.scanned += 1;
+        if self.scanner.is_between_events() {
+            self.complete = self.scanned;
+        }
+    }
+
+    fn take_complete(&mut self) -> Bytes {
+        let length = std::mem::take(&mut self.complete);
+        self.scanned -= length;
+        self.buffer.split_to(length).freeze()
+    }
+}
+
+/// The lines of complete events, without their line ends.
+pub fn lines(events: &[u8]) -> impl DoubleEndedIterator<Item = &[u8]> {
+    // A CRLF yields an empty line more, which holds no field.
+    events.split(|byte| matches!(byte, b'\n' | b'\r'))
+}
+
+/// The value of a line that holds the field `name`.
+pub fn field<'a>(line: &'a [u8], name: &str) -> Option<&'a [u8]> {
+    match line.strip_prefix(name.as_bytes())? {
+        [] => Some(&[]),
+        [b':', b' ', value @ ..] | [b':', value @ ..] => Some(value),
+        _ => None,
+    }
+}
--- a/src/answer/framing.rs
+++ b/src/answer/framing.rs
@@ -1,6 +1,6 @@
 //! How the end of an answer's body is marked.
 
-use axum::http::{HeaderMap, HeaderName, Response, header};
+use axum::http::{HeaderMap, HeaderName, Response, Version, header};
 use hyper::body::Body;
 
 /// How an answer states where its body ends.
@@ -37,6 +37,19 @@
     }
 }
 
+/// Whether the endpoint keeps its connection open after an answer, as it was received.
+pub fn keeps_connection(response: &Response<impl Body>) -> bool {
+    let states = |wanted: &str| {
+        let mut options = tokens(response.headers(), header::CONNECTION);
+        options.any(|option| option.eq_ignore_ascii_case(wanted))
+    };
+    let is_kept = match response.version() {
+        Version::HTTP_09 | Version::HTTP_10 => states("keep-alive"),
+        _ => !states("close"),
+    };
+    is_kept && Framing::of(response) != Framing::Connection
+}
+
 /// The tokens of a header that is a list, in all its lines.
 fn tokens(headers: &HeaderMap, name: HeaderName) -> impl Iterator<Item = &str> {
     let lines = headers.get_all(name).into_iter().filter_map(|value| value.to_str().ok());
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -68,3 +68,8 @@
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |d| d.as_millis() as u64)
 }
+
+/// The time of day in the format of HTTP, for the `date` header.
+pub(crate) fn http_date() -> String {
+    httpdate::fmt_http_date(SystemTime::now())
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -27,6 +27,7 @@
 mod overload;
 mod records;
 mod refusal;
+mod relayed_head;
 mod request;
 mod resumption;
 mod rollouts;
@@ -41,7 +42,7 @@
 
 pub use budget::{BudgetRules, RetryBudgets};
 pub use endpoints::{ColdLimit, EndpointTracker, Failure, Preference};
-pub use events::EventSplitter;
+pub use events::ResumableEvents;
 pub use header_names::{AnswerHead, Forwarding, HeaderNames, PromptPart, RequestHead};
 pub use neighbours::Neighbours;
 pub use overload::{Overload, OverloadRules};
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 
 use super::open_connections::{OpenConnection, OpenConnections};
+use crate::answer::keeps_connection;
 use crate::clock::BootInstant;
 
 /// How long opening a connection to an endpoint may take.
@@ -124,8 +125,7 @@
         if let Some(seconds) = seconds {
             self.idle_timeout = Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN);
         }
-        let closes = response.headers().get("connection").and_then(|v| v.to_str().ok());
-        if closes.is_some_and(|text| text.eq_ignore_ascii_case("close")) {
+        if !keeps_connection(response) {
             self.idle_timeout = Duration::ZERO;
         }
     }
--- a/src/gateway/endpoints.rs
+++ b/src/gateway/endpoints.rs
@@ -261,17 +261,27 @@
         }
     }
 
-    /// Records that a request was answered.
+    /// Records that an endpoint accepted a request and answers it, which ends its rest.
+    pub fn record_accepted(&mut self, now: Millis, id: &str, started_at_ms: u64) {
+        if let Some(observed) = self.observed_at(id, started_at_ms) {
+            observed.rest.record_served(now);
+        }
+    }
+
+    /// Records that a request was answered, and that the answer was not broken off.
     pub fn record_success(&mut self, now: Millis, id: &str, started_at_ms: u64) {
-        if let Some(observed) =
-            self.observed.get_mut(id).filter(|observed| observed.started_at_ms == started_at_ms)
-        {
+        if let Some(observed) = self.observed_at(id, started_at_ms) {
             observed.failures = 0;
             observed.avoid_until = 0;
             observed.rest.record_served(now);
         }
     }
 
+    /// What was observed of this start of an endpoint, if no other start has been.
+    fn observed_at(&mut self, id: &str, started_at_ms: u64) -> Option<&mut ObservedEndpoint> {
+        self.observed.get_mut(id).filter(|observed| observed.started_at_ms == started_at_ms)
+    }
+
     /// Records that it rejected a request and requested a rest of `time` milliseconds.
     pub fn record_rest(&mut self, now: Millis, id: &str, started_at_ms: u64, rest_ms: Millis) {
         if let Some(observed) = self.observed_mut(id, started_at_ms) {
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -1,47 +1,52 @@
-//! Splitting a stream of server-sent events into complete events.
+//! Passing on a stream event by event, so that another endpoint can resume it.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 
-/// Bytes of an incomplete event above which they are forwarded as they are.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+use crate::answer::events::{EventSplitter, MAX_EVENT_BYTES, field, lines};
 
-/// Buffers bytes until events are complete.
+/// A stream that is passed on event by event.
 #[derive(Debug, Default)]
-pub struct EventSplitter {
-    partial: BytesMut,
+pub struct ResumableEvents {
+    splitter: EventSplitter,
     last_id: Option<String>,
+    /// Whether a part of the current event was returned, because the event is too long.
+    is_split: bool,
 }
 
-impl EventSplitter {
-    /// A splitter for a stream that is resumed after the event `last_id`.
-    pub fn after(last_id: Option<String>) -> EventSplitter {
-        EventSplitter { partial: BytesMut::new(), last_id }
+impl ResumableEvents {
+    /// A stream that is resumed after the event `last_id`.
+    pub fn after(last_id: Option<String>) -> ResumableEvents {
+        ResumableEvents { last_id, ..ResumableEvents::default() }
     }
 
-    /// Adds bytes; returns all events that are complete by now.
+    /// Adds bytes; returns all events that are complete by now, or everything if an event is too
+    /// long to be held back.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
-        // The end of an event may be split between two pieces.
-        let search_from = self.partial.len().saturating_sub(3);
-        self.partial.extend_from_slice(bytes);
-        let complete = match last_end(&self.partial, search_from) {
-            Some(end) => self.partial.split_to(end).freeze(),
-            None if self.partial.len() > MAX_EVENT_BYTES => self.partial.split().freeze(),
-            None => return Bytes::new(),
-        };
-        if let Some(id) = last_event_id(&complete) {
+        self.splitter.push(bytes);
+        let events = self.splitter.take_events();
+        if let Some(id) = last_event_id(&events) {
             self.last_id = Some(id);
         }
-        complete
+        if !events.is_empty() {
+            self.is_split = false;
+            return events;
+        }
+        if self.splitter.buffered() <= MAX_EVENT_BYTES {
+            return events;
+        }
+        self.is_split = true;
+        self.splitter.take_all()
     }
 
-    /// The bytes left at the end of the stream, which are no complete event.
-    pub fn finish(&mut self) -> Bytes {
-        self.partial.split().freeze()
+    /// Whether what was returned so far ends between two events, so that another endpoint can
+    /// resume the stream there.
+    pub fn can_resume(&self) -> bool {
+        !self.is_split
     }
 
-    /// Drops the incomplete event of a truncated stream.
+    /// Drops the incomplete event of an endpoint that broke the stream off.
     pub fn discard_partial(&mut self) {
-        self.partial.clear();
+        self.splitter = EventSplitter::default();
     }
 
     /// The id of the last complete event.
@@ -50,19 +55,8 @@
     }
 }
 
-/// The offset after the last complete event.
-fn last_end(bytes: &[u8], from: usize) -> Option<usize> {
-    let lf = bytes[from..].windows(2).rposition(|pair| pair == b"\n\n");
-    let crlf = bytes[from..].windows(4).rposition(|four| four == b"\r\n\r\n");
-    let lf = lf.map(|at| from + at + 2);
-    let crlf = crlf.map(|at| from + at + 4);
-    lf.max(crlf)
-}
-
-/// The last `id` field of some events.
+/// The last id among complete events.
 fn last_event_id(events: &[u8]) -> Option<String> {
-    let mut lines = events.rsplit(|byte| *byte == b'\n');
-    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    let id = std::str::from_utf8(id).ok()?;
-    Some(id.trim().to_string())
+    let id = lines(events).rev().find_map(|line| field(line, "id"))?;
+    std::str::from_utf8(id).ok().map(str::to_string)
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -18,7 +18,8 @@
 use super::observation::ReleaseObservation;
 use super::request::Call;
 use super::stream;
-use crate::answer::{AnswerBody, BodyEnd, Ending};
+use crate::answer::{AnswerBody, Completeness};
+use crate::caller_connection::EndsWithConnection;
 use crate::placement::{Completion, Reservation};
 use crate::registry::Registration;
 use crate::routing::RouteKind;
@@ -33,8 +34,10 @@
 
 /// Result of one attempt.
 pub(super) enum Attempt {
-    /// The answer, for the caller.
+    /// The complete answer, for the caller.
     Answered(Response<Body>),
+    /// The head of a stream, for the caller; its end is still to come.
+    Streams(Response<Body>),
     /// The endpoint ran it and answered with an error.
     Error(Response<Body>),
     /// Nothing was sent.
@@ -195,7 +198,8 @@
             Err(Attempt::NotSent)
         }
         Ok(Err(SendError::Unknown(reason))) => {
-            Err(answer_lost(call, endpoint, assignment, &reason))
+            call.record_lost_answer(assignment, &reason);
+            Err(Attempt::Unknown)
         }
         Err(_) => {
             call.gateway.record_failure(&endpoint.id, endpoint.started_at_ms, Failure::Failed);
@@ -212,23 +216,6 @@
     }
 }
 
-/// Records that the endpoint closed the connection before the answer was complete.
-fn answer_lost(
-    call: &Call,
-    endpoint: &Registration,
-    assignment: &Assignment,
-    reason: &str,
-) -> Attempt {
-    call.record_lost_answer(assignment, reason);
-    call.gateway.record_failure(&endpoint.id, endpoint.started_at_ms, Failure::Failed);
-    Attempt::Unknown
-}
-
-/// Describes the end of a lost answer in the log.
-pub(super) fn lost_reason(end: BodyEnd) -> String {
-    format!("framed by {}, ended {}", end.framing.name(), end.name())
-}
-
 fn reject_foreign_answer(call: &Call, endpoint: &Registration, reason: &str) -> Attempt {
     log::info!(
         "gateway: request {} got a foreign answer from {}: {reason}",
@@ -289,8 +276,8 @@
         {
             return Attempt::Unknown;
         }
-        call.gateway.record_success(endpoint);
-        return Attempt::Answered(stream::relay(call, pending));
+        call.gateway.record_accepted(&endpoint.id, endpoint.started_at_ms);
+        return Attempt::Streams(stream::relay(call, pending));
     }
     let PendingAnswer { head, body, connection, mut assignment } = pending;
     let attempt = read_complete_answer(call, endpoint, head, body, connection, &assignment).await;
@@ -315,9 +302,13 @@
         return Attempt::TimedOut;
     };
     call.record_body_end(assignment, end);
-    if end.ending != Ending::Clean {
-        return answer_lost(call, endpoint, assignment, &lost_reason(end));
-    }
+    let completeness = match end.verdict() {
+        Ok(completeness) => completeness,
+        Err(broken) => {
+            call.record_broken_answer(assignment, broken);
+            return Attempt::Unknown;
+        }
+    };
     call.gateway.connections.keep_idle(&endpoint.id, connection);
     strip_connection_headers(&mut head.headers);
     if call.parts.method != axum::http::Method::HEAD {
@@ -325,11 +316,14 @@
     }
     call.record_served();
     let failed = head.status.is_server_error();
-    let response = Response::from_parts(head, Body::from(body));
+    let mut response = Response::from_parts(head, Body::from(body));
+    if completeness == Completeness::Unstated {
+        response.extensions_mut().insert(EndsWithConnection);
+    }
     if failed {
         call.gateway.record_failure(&endpoint.id, endpoint.started_at_ms, Failure::Failed);
         return Attempt::Error(response);
     }
-    call.gateway.record_success(endpoint);
+    call.gateway.record_success(&endpoint.id, endpoint.started_at_ms);
     Attempt::Answered(response)
 }
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -13,14 +13,16 @@
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf, ReadHalf, WriteHalf};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use super::callers::{KeepAlive, serve_requests};
-use super::leaving::{LeavingHeaderScanner, fetch_leaving_report, send_leaving_report};
+use super::callers::serve_requests;
+use super::leaving::{fetch_leaving_report, send_leaving_report};
 use super::overload::Overload;
+use super::relayed_head::{HeadScanner, RelayedHead};
 use super::state::Gateway;
+use crate::caller_connection::{CallerIo, KeepAlive, set_reset_on_close};
 use crate::error::{Result, RpcSnafu};
 use crate::feed::Neighbour;
 use crate::peer::Incoming;
@@ -139,10 +141,21 @@
     }
 }
 
+/// How a relayed answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RelayEnd {
+    /// No byte of it came.
+    NoAnswer,
+    /// The other router closed the connection: the answer is complete as far as its framing tells.
+    Closed,
+    /// The connection to the other router failed, or the caller has left.
+    Failed,
+}
+
 /// Relays bytes both ways until the answer is complete or either side closes.
 async fn relay_connection(
     gateway: &Arc<Gateway>,
-    caller: TcpStream,
+    mut caller: TcpStream,
     peer: PeerStream,
     neighbour: Neighbour,
 ) {
@@ -150,24 +163,43 @@
     // Without it an unresponsive router is detected later.
     let socket = socket2::SockRef::from(requests.as_ref());
     let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
-    let (read, mut write) = caller.into_split();
-    // The answer may report that its endpoint leaves, which this router has to record too.
-    let on_leaving = || drop(tokio::spawn(fetch_leaving_report(gateway.clone(), neighbour)));
-    let mut scanner = LeavingHeaderScanner::new(gateway.header_names.leaving.clone(), on_leaving);
-    let relayed = tokio::select! {
-        relayed = relay_answer(answers, &mut write, &mut scanner) => relayed,
+    let mut head = RelayedHead::default();
+    let (read, write) = caller.split();
+    let on_head = |relayed: RelayedHead, caller: &WriteHalf<'_>| {
+        head = relayed;
+        if head.ends_with_connection {
+            // Until the other router has closed the connection, the answer may still break off.
+            set_reset_on_close(socket2::SockRef::from(caller.as_ref()), true);
+        }
+        if head.is_leaving {
+            // This router has to record it too.
+            tokio::spawn(fetch_leaving_report(gateway.clone(), neighbour));
+        }
+    };
+    let scanner = HeadScanner::new(gateway.header_names.leaving.clone());
+    let end = tokio::select! {
+        end = relay_answer(answers, write, scanner, on_head) => end,
         () = relay_request(read, requests) => return,
     };
-    if relayed == 0 {
-        log::info!("gateway: answer lost at router {}", neighbour.host);
-        gateway.metrics.handed_over.with_label_values(&["lost"]).inc();
-        // Fails when the caller has closed its connection, which needs no answer.
-        let _ = write.write_all(ANSWER_LOST_RESPONSE).await;
+    match end {
+        RelayEnd::NoAnswer => {
+            log::info!("gateway: answer lost at router {}", neighbour.host);
+            gateway.metrics.handed_over.with_label_values(&["lost"]).inc();
+            // Fails when the caller has closed its connection, which needs no answer.
+            let _ = caller.write_all(ANSWER_LOST_RESPONSE).await;
+        }
+        RelayEnd::Closed => set_reset_on_close(caller.socket(), false),
+        RelayEnd::Failed => {
+            if head.ends_with_connection {
+                log::info!("gateway: answer broken off at router {}", neighbour.host);
+                gateway.metrics.handed_over.with_label_values(&["broken"]).inc();
+            }
+        }
     }
 }
 
 /// Returns once the caller has closed its connection.
-async fn relay_request(mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+async fn relay_request(mut from: ReadHalf<'_>, mut to: OwnedWriteHalf) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let read = match from.read(&mut buffer).await {
@@ -181,28 +213,34 @@
     }
 }
 
-/// Returns the bytes relayed until the router or the caller has closed its connection.
+/// Relays an answer to the caller until either side has closed its connection. `on_head` is called
+/// with its head before that is passed on.
 async fn relay_answer(
     mut from: BufReader<OwnedReadHalf>,
-    to: &mut OwnedWriteHalf,
-    scanner: &mut LeavingHeaderScanner<impl Fn()>,
-) -> usize {
-    let mut relayed = 0;
+    mut to: WriteHalf<'_>,
+    mut scanner: HeadScanner,
+    mut on_head: impl FnMut(RelayedHead, &WriteHalf<'_>),
+) -> RelayEnd {
+    let mut has_begun = false;
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let reading = from.read(&mut buffer);
-        let read = match relayed {
-            0 => tokio::time::timeout(FIRST_ANSWER_TIMEOUT, reading).await.unwrap_or(Ok(0)),
-            _ => reading.await,
+        let read = match has_begun {
+            false => tokio::time::timeout(FIRST_ANSWER_TIMEOUT, reading).await.unwrap_or(Ok(0)),
+            true => reading.await,
         };
         let read = match read {
-            Ok(0) | Err(_) => return relayed,
+            Ok(0) | Err(_) if !has_begun => return RelayEnd::NoAnswer,
+            Ok(0) => return RelayEnd::Closed,
+            Err(_) => return RelayEnd::Failed,
             Ok(read) => read,
         };
-        relayed += read;
-        scanner.scan(&buffer[..read]);
+        has_begun = true;
+        if let Some(head) = scanner.scan(&buffer[..read]) {
+            on_head(head, &to);
+        }
         if to.write_all(&buffer[..read]).await.is_err() {
-            return relayed;
+            return RelayEnd::Failed;
         }
     }
 }
--- a/src/gateway/losses.rs
+++ b/src/gateway/losses.rs
@@ -1,21 +1,43 @@
-//! Answers lost because an endpoint closed the connection too early, and the refusal of
-//! requests that crash endpoints.
+//! Answers that endpoints broke off, and the refusal of requests that crash endpoints.
 
 use super::assignment::Assignment;
+use super::endpoints::Failure;
 use super::refusal::Refusal;
 use super::request::Call;
-use crate::answer::BodyEnd;
+use crate::answer::{BodyEnd, BrokenAnswer};
 use crate::registry::EndpointStart;
 
 /// Maximum number of characters of a path in a log line.
 const MAX_LOGGED_PATH_CHARS: usize = 80;
 
 impl Call {
+    /// Records that an answer was not whole, which counts as a failure of its endpoint.
+    pub(super) fn record_broken_answer(&self, assignment: &Assignment, broken: BrokenAnswer) {
+        if broken.has_closed() {
+            self.record_lost_answer(assignment, &broken.to_string());
+            return;
+        }
+        self.gateway.metrics.lost_answers.with_label_values(&[&self.service]).inc();
+        log::info!(
+            "gateway: request {} ({}) broken off by {}, which goes on: {broken}",
+            self.number,
+            self.head.id.as_deref().unwrap_or_default(),
+            assignment.endpoint,
+        );
+        self.record_failure(assignment);
+    }
+
+    fn record_failure(&self, assignment: &Assignment) {
+        let Assignment { endpoint, started_at_ms, .. } = assignment;
+        self.gateway.record_failure(endpoint, *started_at_ms, Failure::Failed);
+    }
+
     /// Records that the endpoint closed the connection before the answer was complete: it
     /// crashed, or the connection failed.
     pub(super) fn record_lost_answer(&self, assignment: &Assignment, reason: &str) {
         self.gateway.metrics.lost_answers.with_label_values(&[&self.service]).inc();
         self.gateway.record_broken_connection(&assignment.endpoint);
+        self.record_failure(assignment);
         let since_sent = assignment.observation.since_sent();
         log::info!(
             "gateway: request {} ({}) lost at {}, started at {}, {} ms after it was sent: {reason}; \
--- a/src/gateway/observation.rs
+++ b/src/gateway/observation.rs
@@ -68,7 +68,8 @@
             Attempt::Answered(_) => self.record_answered(),
             Attempt::Error(_) | Attempt::Unknown | Attempt::TimedOut => self.record_failed(),
             Attempt::NotSent => self.record_unsent(),
-            Attempt::NotExecuted => {}
+            // A stream counts from its first event on.
+            Attempt::NotExecuted | Attempt::Streams(_) => {}
         }
     }
 
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -65,6 +65,11 @@
         self.deadline.remaining()
     }
 
+    /// Counts how it ended.
+    pub fn count_outcome(&self, outcome: &str) {
+        self.gateway.metrics.outcomes.with_label_values(&[&self.service, outcome]).inc();
+    }
+
     /// Takes one retry out of the service's budget; false when nothing is left.
     pub fn try_spend_retry(&self) -> bool {
         let now = self.gateway.now();
@@ -175,6 +180,10 @@
         call.record_failure_at(&endpoint.version, &attempt);
         match attempt {
             Attempt::Answered(response) => return finish(&call, &endpoint.id, response),
+            Attempt::Streams(response) => {
+                record_head(&call, &endpoint.id, &response);
+                return response;
+            }
             Attempt::NotSent => outcome = Refusal::NotExecuted,
             Attempt::NotExecuted => {
                 outcome = Refusal::NotExecuted;
@@ -232,7 +241,7 @@
         outcome.name(),
         progress.tried
     );
-    count_outcome(call, outcome.name());
+    call.count_outcome(outcome.name());
     outcome.into_response()
 }
 
@@ -255,14 +264,14 @@
 }
 
 fn finish(call: &Call, endpoint: &str, response: Response<Body>) -> Response<Body> {
-    log::debug!("gateway: request {} answered {} by {endpoint}", call.number, response.status());
+    record_head(call, endpoint, &response);
     let name = if response.status().is_success() { "answered" } else { "endpoint_error" };
-    count_outcome(call, name);
-    let seconds = call.arrived.elapsed().as_secs_f64();
-    call.gateway.metrics.first_answer.with_label_values(&[&call.service]).observe(seconds);
+    call.count_outcome(name);
     response
 }
 
-fn count_outcome(call: &Call, outcome: &str) {
-    call.gateway.metrics.outcomes.with_label_values(&[&call.service, outcome]).inc();
+fn record_head(call: &Call, endpoint: &str, response: &Response<Body>) {
+    log::debug!("gateway: request {} gets {} from {endpoint}", call.number, response.status());
+    let seconds = call.arrived.elapsed().as_secs_f64();
+    call.gateway.metrics.first_answer.with_label_values(&[&call.service]).observe(seconds);
 }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use super::callers::{KeepAlive, serve_requests};
+use super::callers::serve_requests;
 use super::directory;
 use super::handover::{accept_handovers, hand_over};
 use super::header_names::HeaderNames;
@@ -18,6 +18,7 @@
 use super::rollouts;
 use super::state::{Gateway, follow_registry};
 use super::version_checks;
+use crate::caller_connection::KeepAlive;
 use crate::error::{NetSnafu, Result};
 use crate::peer::Peers;
 use crate::quarantine::report_crashes;
@@ -125,7 +126,7 @@
     // Without it, events are delayed until the caller's delayed acknowledgements arrive.
     let _ = stream.set_nodelay(true);
     if let Some(stream) = hand_over(&gateway, stream, &closing).await {
-        serve_requests(&gateway, stream, KeepAlive::UntilIdle, &closing).await;
+        serve_requests(&gateway, stream, KeepAlive::UntilClosed, &closing).await;
     }
     gateway.with_overload(Overload::remove_connection);
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -230,10 +230,16 @@
         self.next_number.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Records that an endpoint answered a request.
-    pub(super) fn record_success(&self, endpoint: &Registration) {
+    /// Records that an endpoint accepted a request and answers it.
+    pub(super) fn record_accepted(&self, id: &str, started_at_ms: u64) {
         let now = self.now();
-        self.with_endpoints(|e| e.record_success(now, &endpoint.id, endpoint.started_at_ms));
+        self.with_endpoints(|e| e.record_accepted(now, id, started_at_ms));
+    }
+
+    /// Records that an endpoint answered a request, and that the answer was not broken off.
+    pub(super) fn record_success(&self, id: &str, started_at_ms: u64) {
+        let now = self.now();
+        self.with_endpoints(|e| e.record_success(now, id, started_at_ms));
     }
 
     /// Records that a request failed at an endpoint.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -10,12 +10,12 @@
 use super::assignment::Assignment;
 use super::connections::Connection;
 use super::destination::Destination;
-use super::endpoints::Failure;
-use super::events::EventSplitter;
+use super::events::ResumableEvents;
 use super::exchange::{self, PendingAnswer, strip_connection_headers};
 use super::request::Call;
 use super::stream_keeper::StreamKeeper;
-use crate::answer::{AnswerBody, Ending, Part};
+use crate::answer::{AnswerBody, BrokenAnswer, Completeness, Framing, Part};
+use crate::caller_connection::EndsWithConnection;
 use crate::placement::Completion;
 
 /// A stream being relayed. Dropping it closes the endpoint's connection, which ends the run
@@ -25,9 +25,13 @@
     source: Option<Source>,
     tried: Vec<String>,
     /// Set if the stream may be resumed on another endpoint: it is then relayed event by event.
-    splitter: Option<EventSplitter>,
+    events: Option<ResumableEvents>,
+    /// Whether the caller's answer ends with its connection.
+    ends_with_connection: bool,
     /// Keeps the record of a stream that may be resumed.
     keeper: Option<StreamKeeper>,
+    /// Whether its outcome has been counted.
+    has_outcome: bool,
 }
 
 /// The endpoint that a stream is read from.
@@ -40,8 +44,10 @@
 /// Why a stream is truncated; the caller's connection is closed.
 #[derive(Debug, snafu::Snafu)]
 enum StreamError {
-    #[snafu(display("the endpoint closed the connection early"))]
+    #[snafu(display("the endpoint broke it off"))]
     Truncated,
+    #[snafu(display("it went on in an answer whose end tells nothing"))]
+    Unstated,
     #[snafu(display("the deadline has passed"))]
     TimedOut,
 }
@@ -57,23 +63,34 @@
         record_stream(call, &assignment);
     }
     let keeper = StreamKeeper::start(call, &assignment, &connection);
-    let is_resumable = call.route.resumable && call.route.attempts > 1;
+    let is_resumable = call.route.resumable && call.route.attempts > 1 && body.has_events();
+    let ends_with_connection = body.framing() == Framing::Connection;
     let relay = Relay {
         call: call.clone(),
         tried: vec![assignment.endpoint.clone()],
         source: Some(Source { body, connection, assignment }),
-        splitter: is_resumable.then(|| EventSplitter::after(call.head.last_event.clone())),
+        events: is_resumable.then(|| ResumableEvents::after(call.head.last_event.clone())),
+        ends_with_connection,
         keeper,
+        has_outcome: false,
     };
     let events = futures_util::stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
         match relay.next().await {
             Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
             Ok(None) => None,
-            Err(error) => Some((Err(error), None)),
+            Err(error) => {
+                // Lets what was passed on before reach the caller.
+                tokio::task::yield_now().await;
+                Some((Err(error), None))
+            }
         }
     });
-    Response::from_parts(head, Body::from_stream(events))
+    let mut response = Response::from_parts(head, Body::from_stream(events));
+    if ends_with_connection {
+        response.extensions_mut().insert(EndsWithConnection);
+    }
+    response
 }
 
 /// Logs and counts a stream that begins, or that its caller resumes.
@@ -108,14 +125,15 @@
                     "gateway: request {} ran out of time during its stream",
                     self.call.number
                 );
+                self.record_outcome("timed_out");
                 return Err(StreamError::TimedOut);
             };
             match part {
                 Part::Data(bytes) => {
                     source.assignment.record_first_event();
                     self.call.record_stream_data(&source.assignment);
-                    let bytes = match &mut self.splitter {
-                        Some(splitter) => splitter.push(&bytes),
+                    let bytes = match &mut self.events {
+                        Some(events) => events.push(&bytes),
                         None => bytes,
                     };
                     if !bytes.is_empty() {
@@ -128,48 +146,65 @@
                 }
                 Part::End(end) => {
                     self.call.record_body_end(&source.assignment, end);
-                    if end.ending == Ending::Clean {
-                        return Ok(self.finish());
-                    }
-                    self.call.record_lost_answer(&source.assignment, &exchange::lost_reason(end));
-                    let endpoint = source.assignment.endpoint.clone();
-                    let resumed = self.resume(&endpoint).await;
-                    if let (Err(_), Some(keeper)) = (&resumed, &self.keeper) {
-                        keeper.store_truncation(&endpoint).await;
+                    match end.verdict() {
+                        Ok(completeness) => return self.finish(completeness).map(|()| None),
+                        Err(broken) => self.resume(broken).await?,
                     }
-                    resumed?;
                 }
             }
         }
     }
 
-    /// Ends a complete stream; returns the bytes after its last event.
-    fn finish(&mut self) -> Option<Bytes> {
-        if let Some(mut source) = self.source.take() {
-            source.assignment.set_completion(Completion::Served);
-            self.call.record_served();
-            self.call.gateway.connections.keep_idle(&source.assignment.endpoint, source.connection);
+    /// Ends a stream that its endpoint did not break off. The caller of an answer in chunks is
+    /// told that it is whole only if the endpoint stated that.
+    fn finish(&mut self, completeness: Completeness) -> Result<(), StreamError> {
+        let Some(mut source) = self.source.take() else { return Ok(()) };
+        source.assignment.set_completion(Completion::Served);
+        self.call.record_served();
+        let (endpoint, started_at_ms) =
+            (&source.assignment.endpoint, source.assignment.started_at_ms);
+        self.call.gateway.record_success(endpoint, started_at_ms);
+        self.call.gateway.connections.keep_idle(endpoint, source.connection);
+        if completeness == Completeness::Unstated && !self.ends_with_connection {
+            self.record_outcome("unstated_end");
+            return Err(StreamError::Unstated);
+        }
+        self.record_outcome("answered");
+        Ok(())
+    }
+
+    /// Goes on with a stream that an endpoint broke off, at another one if its route allows that.
+    async fn resume(&mut self, broken: BrokenAnswer) -> Result<(), StreamError> {
+        let Some(mut lost) = self.source.take() else { return Err(StreamError::Truncated) };
+        let assignment = &mut lost.assignment;
+        self.call.record_broken_answer(assignment, broken);
+        assignment.set_completion(Completion::Failed);
+        assignment.observation.record_failed();
+        let lost_at = assignment.endpoint.clone();
+        drop(lost);
+        let resumed = self.resume_elsewhere(&lost_at).await;
+        if resumed.is_err() {
+            if let Some(keeper) = &self.keeper {
+                keeper.store_truncation(&lost_at).await;
+            }
+            self.record_outcome("broken_off");
+        }
+        resumed
+    }
+
+    fn record_outcome(&mut self, outcome: &str) {
+        if !std::mem::replace(&mut self.has_outcome, true) {
+            self.call.count_outcome(outcome);
         }
-        let remainder = self.splitter.as_mut().map(EventSplitter::finish);
-        remainder.filter(|remainder| !remainder.is_empty())
     }
 
     /// Resumes the stream, truncated at an endpoint, after its last complete event on another
     /// endpoint of the same release, since the output of another release may differ.
-    async fn resume(&mut self, lost_at: &str) -> Result<(), StreamError> {
-        let Some(mut lost) = self.source.take() else { return Err(StreamError::Truncated) };
+    async fn resume_elsewhere(&mut self, lost_at: &str) -> Result<(), StreamError> {
         let call = self.call.clone();
-        let assignment = &lost.assignment;
-        call.gateway.record_failure(
-            &assignment.endpoint,
-            assignment.started_at_ms,
-            Failure::Failed,
-        );
-        lost.assignment.set_completion(Completion::Failed);
-        lost.assignment.observation.record_failed();
-        drop(lost);
-        let Some(splitter) = &mut self.splitter else { return Err(StreamError::Truncated) };
-        splitter.discard_partial();
+        let events = self.events.as_mut().filter(|events| events.can_resume());
+        let Some(events) = events else { return Err(StreamError::Truncated) };
+        events.discard_partial();
         let runs = self.tried.len() as u32;
         // Without a record it is not known which version began the stream.
         let Some(keeper) = &self.keeper else { return Err(StreamError::Truncated) };
@@ -184,7 +219,7 @@
             return Err(StreamError::Truncated);
         };
         self.tried.push(endpoint.id.clone());
-        let after = splitter.last_id().map(str::to_string);
+        let after = events.last_id().map(str::to_string);
         log::info!(
             "gateway: request {} is resumed on {}, version {}, after {after:?}",
             call.number,
@@ -211,3 +246,9 @@
         Ok(())
     }
 }
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.record_outcome("caller_left");
+    }
+}
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -120,16 +120,38 @@
     assert!(endpoints.record_failure(2, "a", 0, Failure::Failed) > 0);
 }
 
+#[test]
+fn an_endpoint_that_accepts_requests_and_breaks_off_its_answers_is_avoided() {
+    let mut endpoints = EndpointTracker::default();
+    endpoints.record_accepted(0, "a", 0);
+    assert_eq!(endpoints.record_failure(0, "a", 0, Failure::Failed), 0);
+    endpoints.record_accepted(1, "a", 0);
+    assert!(endpoints.record_failure(1, "a", 0, Failure::Failed) > 0);
+}
+
 #[test]
 fn events_are_forwarded_complete_and_the_last_id_is_tracked() {
-    let mut splitter = EventSplitter::default();
+    let mut splitter = ResumableEvents::default();
     assert!(splitter.push(b"id: 1\ndata: x\n").is_empty());
     assert_eq!(&splitter.push(b"\nid: 2\nda")[..], b"id: 1\ndata: x\n\n");
     assert_eq!(splitter.last_id(), Some("1"));
     splitter.discard_partial();
     assert_eq!(&splitter.push(b"id: 2\ndata: y\n\n")[..], b"id: 2\ndata: y\n\n");
     assert_eq!(splitter.last_id(), Some("2"));
-    assert!(splitter.finish().is_empty());
+    assert!(splitter.push(b"\n\r\n").ends_with(b"\r\n"), "nothing is left over");
+}
+
+#[test]
+fn a_stream_is_not_resumed_inside_an_event_that_was_passed_on_in_part() {
+    let mut events = ResumableEvents::after(Some("6".into()));
+    let long = format!("id: 7\ndata: {}", "x".repeat(1 << 20));
+    assert_eq!(events.push(long.as_bytes()).len(), long.len(), "it is too long to be held back");
+    assert!(!events.can_resume());
+    assert!(events.push(b"x").is_empty());
+    assert!(!events.can_resume());
+    assert_eq!(&events.push(b"x\r\rid: 8\rdata: y\r\r")[..], b"xx\r\rid: 8\rdata: y\r\r");
+    assert!(events.can_resume());
+    assert_eq!(events.last_id(), Some("8"));
 }
 
 #[test]
@@ -147,28 +169,35 @@
 proptest! {
     #![proptest_config(crate::testing::property(64))]
 
-    /// However the stream is split into pieces, the same bytes come out, in order.
+    /// However the stream is split into pieces, and whatever ends its lines, the same bytes come
+    /// out, in order and event by event.
     #[test]
     fn splitting_preserves_the_bytes_of_any_pieces(
         events in proptest::collection::vec("[a-z]{0,12}", 0..12),
         lengths in proptest::collection::vec(1usize..9, 1..40),
+        end in prop::sample::select(vec!["\n", "\r\n", "\r"]),
     ) {
         let numbered = events.iter().enumerate();
-        let text: String = numbered.map(|(n, e)| format!("id: {n}\ndata: {e}\n\n")).collect();
-        let mut splitter = EventSplitter::default();
+        let text: String =
+            numbered.map(|(n, e)| format!("id: {n}{end}data: {e}{end}{end}")).collect();
+        let mut splitter = ResumableEvents::default();
         let mut out = Vec::new();
         let mut rest = text.as_bytes();
         let mut lengths = lengths.into_iter().cycle();
+        let event_end = end.repeat(2);
         while !rest.is_empty() {
             let at = lengths.next().unwrap().min(rest.len());
             let (piece, after) = rest.split_at(at);
-            let complete = splitter.push(piece);
-            prop_assert!(complete.is_empty() || complete.ends_with(b"\n\n"));
-            out.extend_from_slice(&complete);
+            out.extend_from_slice(&splitter.push(piece));
+            let is_event_end = out.is_empty()
+                || out.ends_with(event_end.as_bytes())
+                || end == "\r\n" && out.ends_with(b"\r\n\r");
+            prop_assert!(is_event_end, "{:?}", String::from_utf8_lossy(&out));
             rest = after;
         }
-        out.extend_from_slice(&splitter.finish());
         prop_assert_eq!(out, text.as_bytes());
+        let last_id = (!events.is_empty()).then(|| (events.len() - 1).to_string());
+        prop_assert_eq!(splitter.last_id(), last_id.as_deref());
     }
 
     /// The retries of all routers together stay within the limit in any window.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod agree;
 pub mod answer;
 pub mod caller;
+pub mod caller_connection;
 pub mod claim;
 pub mod clock;
 pub mod config;
--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -17,6 +17,12 @@
     seen.filter(|request| request.id() == id).count()
 }
 
+/// Number of requests that ended in one way, by the metrics of the router.
+async fn outcomes(fleet: &Fleet, outcome: &str) -> u64 {
+    let labels = format!(r#"{{outcome="{outcome}",service="app"}}"#);
+    fleet.metric(&format!("bramblecrank_gateway_requests_total{labels}")).await
+}
+
 /// A shape and what was seen of it, if that is not what its caller must be told.
 fn mismatch(shape: Shape, expected: Told, answer: &Answer) -> Option<String> {
     let seen = told(answer.framing, answer.complete);
@@ -74,3 +80,51 @@
     let wrong: Vec<_> = wrong.collect();
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
+
+#[tokio::test]
+async fn a_caller_is_told_of_a_stream_exactly_what_its_replica_stated() {
+    let (fleet, replicas) = fleet_with(&[SHAPED, SHAPED]).await;
+    let answers = call_in_shapes(&fleet, "/stream/", |_| true).await;
+    let wrong = answers.iter().filter_map(|(shape, answer)| {
+        assert_eq!((answer.status, runs(&replicas, &shape.name())), (200, 1), "{}", shape.name());
+        assert_eq!(answer.version, "HTTP/1.1");
+        mismatch(*shape, shape.told(), answer)
+    });
+    let wrong: Vec<_> = wrong.collect();
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+    let is_broken = |shape: &Shape| shape.told() == Told::Broken;
+    let (broken, whole): (Vec<_>, Vec<_>) = Shape::all().into_iter().partition(is_broken);
+    assert_eq!(outcomes(&fleet, "broken_off").await, broken.len() as u64);
+    assert_eq!(outcomes(&fleet, "answered").await, whole.len() as u64);
+}
+
+#[tokio::test]
+async fn a_caller_is_told_of_a_plain_answer_exactly_what_its_replica_stated() {
+    let (fleet, replicas) = fleet_with(&[SHAPED, SHAPED]).await;
+    let answers = call_in_shapes(&fleet, "/once/", |_| true).await;
+    for (shape, answer) in answers {
+        let name = shape.name();
+        assert_eq!((answer.version.as_str(), runs(&replicas, &name)), ("HTTP/1.1", 1), "{name}");
+        match shape.told_of_plain() {
+            Told::Broken => assert_eq!(answer.status, 502, "{name}"),
+            expected => assert_eq!(mismatch(shape, expected, &answer), None),
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_caller_of_http_1_0_is_not_told_that_a_broken_stream_is_whole() {
+    let (fleet, _replicas) = fleet_with(&[SHAPED]).await;
+    let calling = Shape::all().into_iter().map(async |shape| {
+        let name = shape.name();
+        let text = get(&format!("/stream/{name}"), &name).replacen("HTTP/1.1", "HTTP/1.0", 1);
+        (shape, call(fleet.front, &text).await)
+    });
+    for (shape, answer) in futures_util::future::join_all(calling).await {
+        let expected = match shape.told() {
+            Told::Broken => Told::Broken,
+            Told::Whole | Told::Nothing => Told::Nothing,
+        };
+        assert_eq!(mismatch(shape, expected, &answer), None);
+    }
+}
--- a/tests/platform/handover.rs
+++ b/tests/platform/handover.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use super::fleet::Fleet;
-use super::http::{call, open, read_answer};
+use super::http::{Answer, Framing, call, open, read_answer};
 use super::replica::{Behaviour, Replica};
+use super::shapes::{Shape, told};
 use super::{fleet_with, get, post};
 
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -79,6 +80,42 @@
     assert_eq!(runs(&replicas, "lost"), 1);
 }
 
+#[tokio::test]
+async fn a_caller_is_told_what_its_replica_stated_also_through_another_router() {
+    let shaped = Behaviour::Shaped { events: 6, pause: Duration::from_millis(1) };
+    let (fleet, _replicas) = fleet_of_two(shaped).await;
+    let before = fleet.metric(HANDED_OVER_METRIC).await;
+    let mut shapes = 0;
+    for shape in Shape::all() {
+        let name = shape.name();
+        let answer = call(fleet.front, &get(&format!("/stream/{name}"), &name)).await;
+        assert_eq!(told(answer.framing, answer.complete), shape.told(), "{name}");
+        shapes += 1;
+    }
+    assert_eq!(fleet.metric(HANDED_OVER_METRIC).await, before + shapes);
+}
+
+/// The end of a router's connections must not pass for the end of an answer that only a connection
+/// ends.
+#[tokio::test]
+async fn an_answer_that_ends_with_its_connection_is_broken_by_a_lost_router() {
+    let shaped = Behaviour::Shaped { events: 200, pause: Duration::from_millis(20) };
+    for loses_first in [true, false] {
+        let (mut fleet, _replicas) = fleet_of_two(shaped.clone()).await;
+        let path = "/stream/connection.lf.whole";
+        let mut caller = open(fleet.front, &get(path, "lost")).await;
+        // The answer has begun.
+        caller.readable().await.unwrap();
+        match loses_first {
+            true => fleet.kill_router(),
+            false => fleet.kill_neighbour(),
+        }
+        let answer = read_answer(&mut caller).await;
+        let is_broken = |answer: Answer| answer.framing == Framing::Connection && !answer.complete;
+        assert!(answer.is_none_or(is_broken), "loses the first router: {loses_first}");
+    }
+}
+
 #[tokio::test]
 async fn a_request_whose_router_is_lost_before_its_answer_gets_a_502() {
     let (mut fleet, replicas) = fleet_of_two(Behaviour::Hang).await;
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -426,7 +426,7 @@
         pause: Duration,
     ) -> bool {
         let (id, after) = (request.id(), last_event(request));
-        let mut shape = Shape::in_path(&request.path).unwrap_or(Shape::PLAIN);
+        let mut shape = Shape::in_path(&request.path).unwrap_or(Shape::DEFAULT);
         if after > 0 {
             shape.ending = Ending::Whole;
         }
--- a/tests/platform/shapes.rs
+++ b/tests/platform/shapes.rs
@@ -136,6 +136,18 @@
     }
 }
 
+impl Shape {
+    /// What the caller of an answer without events must be told: only the replica's framing and its
+    /// connection tell something.
+    pub fn told_of_plain(self) -> Told {
+        match (self.ending, self.is_framed()) {
+            (Ending::Whole | Ending::Framed(_), true) => Told::Whole,
+            (Ending::Whole | Ending::Framed(_) | Ending::Closed(_), false) => Told::Nothing,
+            (Ending::Closed(_), true) | (Ending::Reset(_), _) => Told::Broken,
+        }
+    }
+}
+
 /// What a caller was told, by the framing of the answer and whether that ended as it should.
 pub fn told(framing: Framing, complete: bool) -> Told {
     match (complete, framing) {
@@ -167,7 +179,7 @@
 
 impl Shape {
     /// The shape of an answer whose path names none.
-    pub const PLAIN: Shape =
+    pub const DEFAULT: Shape =
         Shape { framing: ReplicaFraming::Chunks, line_end: "\n", ending: Ending::Whole };
 
     /// An event in the line ends of this shape.
