A first event is no success of an answer at the placer

An engine that begins every answer and breaks it off was never excluded: its first event set the count of failures back.

an_engine_that_begins_answers_and_breaks_them_off_is_excluded: failed with the old line put back, passes without it.

--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -255,8 +255,6 @@
     pub fn record_first_event(&mut self, now: Millis, key: RequestKey) -> Option<FirstEvent> {
         let at = self.pending.iter().position(|p| p.key == key)?;
         let started = self.pending.remove(at)?;
-        self.failures = 0;
-        self.excluded_until = 0;
         // Its prompt had been read some time before its first event.
         let read_at = now as f64 - FIRST_EVENT_OVERHEAD_MS;
         self.record_lateness(now, read_at - started.read_by);
@@ -328,6 +326,12 @@
         }
     }
 
+    /// Records that a request was answered here, up to the end of its answer.
+    pub fn record_success(&mut self) {
+        self.failures = 0;
+        self.excluded_until = 0;
+    }
+
     /// Records the failure of a request here.
     pub fn record_failure(&mut self, now: Millis) {
         self.failures += 1;
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -209,6 +209,7 @@
             }
             Completion::Replaced => engine.is_replaced = true,
             Completion::Served => {
+                engine.model.record_success();
                 engine.rests.record_served(now, key.0);
                 self.hall_breakers.record_success(from, &engine.hall);
             }
