Decide at the other way in as well whether an answer was whole

A plain answer that ended with its connection was framed as whole, and recorded for resends of its keyed call. A stream was counted and settled as answered with its head. The stream of a plain service had to end with [DONE], so that a whole one was called broken; broken off, it was sent again, also where the call may run once only. A given-up stream ended its chunks after the error event.

Readers go by the same verdict now: an answer whose end was not stated is passed on in the same way and not recorded; streams are counted and settled when they end; only a model's is resumed, and none that may run once; a broken one ends with a broken connection, a model's after its error event. The load generator and the reader of the host list use the same reader. The emulated engine ended a stream as whole when it stopped before running it; it breaks now. Emulated endpoints can leave out all framing and close early.

--- a/src/delivery/attempt.rs
+++ b/src/delivery/attempt.rs
@@ -4,14 +4,15 @@
 use std::time::Duration;
 
 use axum::body::Body;
+use axum::http::response::Parts;
 use axum::http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
 use super::client::HttpClient;
 use super::header;
 use super::outcome::UnknownReason;
+use crate::answer::{AnswerBody, Completeness};
 use crate::notice::Notice;
 
 /// Maximum size of an answer that is not streamed, in bytes.
@@ -42,10 +43,10 @@
 /// An endpoint's answer: complete or streamed.
 #[derive(Debug)]
 pub enum Answer {
-    /// The complete answer, body included.
-    Complete(Response<Bytes>),
+    /// The answer with its body, and whether the endpoint stated that it is whole.
+    Complete(Response<Bytes>, Completeness),
     /// The head of the answer; server-sent events follow in the body.
-    Stream(Response<Incoming>),
+    Stream(Box<Parts>, AnswerBody),
 }
 
 /// The result of one attempt.
@@ -125,28 +126,23 @@
     if echoed.is_some_and(|id| id != call.id) {
         return Attempt::Unknown(UnknownReason::Crossed);
     }
-    if is_stream(response.headers()) {
-        return Attempt::Answered(Answer::Stream(response));
+    let (head, body) = AnswerBody::split(response, false);
+    if body.has_events() {
+        return Attempt::Answered(Answer::Stream(Box::new(head), body));
     }
-    read_complete(response).await
-}
-
-async fn read_complete(response: Response<Incoming>) -> Attempt {
-    let (head, body) = response.into_parts();
-    match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
-        Ok(body) => {
-            let answer = Response::from_parts(head, body.to_bytes());
-            Attempt::Answered(Answer::Complete(answer))
+    let (body, end) = body.read(MAX_ANSWER_BYTES).await;
+    match end.verdict() {
+        Ok(completeness) => {
+            let response = Response::from_parts(head, body);
+            Attempt::Answered(Answer::Complete(response, completeness))
+        }
+        Err(broken) => {
+            log::info!("delivery: the answer to {} was broken off: {broken}", call.id);
+            Attempt::Unknown(UnknownReason::Broken)
         }
-        Err(_) => Attempt::Unknown(UnknownReason::Broken),
     }
 }
 
-fn is_stream(headers: &HeaderMap) -> bool {
-    let kind = header::text(headers, "content-type");
-    kind.is_some_and(|k| k.starts_with("text/event-stream"))
-}
-
 /// Copies headers for forwarding in either direction, without the hop-by-hop ones.
 pub(crate) fn strip_hop_headers(headers: &HeaderMap) -> HeaderMap {
     let mut end_to_end = headers.clone();
--- a/src/delivery/outcome.rs
+++ b/src/delivery/outcome.rs
@@ -84,6 +84,8 @@
 pub enum Outcome {
     /// An endpoint answered.
     Answered(Response<Body>),
+    /// An endpoint answers with a stream, whose end is still to come.
+    Streams(Response<Body>),
     /// The request did not run; the caller may retry after this many milliseconds.
     NotRun(NotRunReason, u32),
     /// An earlier call with the same key is still running; the caller may retry after this many
@@ -101,7 +103,7 @@
     /// A short name for headers and metrics.
     pub fn name(&self) -> &'static str {
         match self {
-            Outcome::Answered(_) | Outcome::AnsweredBefore => "answered",
+            Outcome::Answered(_) | Outcome::Streams(_) | Outcome::AnsweredBefore => "answered",
             Outcome::NotRun(..) | Outcome::BadRequest(..) => "not-run",
             Outcome::Running(_) => "running",
             Outcome::Unknown(_) => "unknown",
@@ -111,7 +113,7 @@
     /// A short name of the reason; empty if the request was answered.
     pub fn reason(&self) -> &'static str {
         match self {
-            Outcome::Answered(_) => "",
+            Outcome::Answered(_) | Outcome::Streams(_) => "",
             Outcome::AnsweredBefore => "answer-not-kept",
             Outcome::NotRun(reason, _) => reason.name(),
             Outcome::Running(_) => "still-running",
@@ -124,7 +126,7 @@
     pub fn into_response(self, trace: &str) -> Response<Body> {
         let (name, reason) = (self.name(), self.reason());
         let (mut response, retry_ms) = match self {
-            Outcome::Answered(response) => (response, None),
+            Outcome::Answered(response) | Outcome::Streams(response) => (response, None),
             Outcome::NotRun(cause, retry) => (error(cause.status(), reason), Some(retry)),
             Outcome::Running(retry) => (error(StatusCode::CONFLICT, reason), Some(retry)),
             Outcome::AnsweredBefore => (error(StatusCode::GONE, reason), None),
--- a/src/delivery/sse.rs
+++ b/src/delivery/sse.rs
@@ -1,17 +1,17 @@
-//! Parser for the server-sent events of a model's stream.
+//! The events of a model's stream.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use serde::Deserialize;
 
+use crate::answer::events::{EventSplitter, MAX_EVENT_BYTES, field, lines};
+
 /// Data of the event that ends a stream.
 pub const DONE: &str = "[DONE]";
-/// Maximum length of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// Splits a byte stream into events.
+/// Splits a byte stream into parsed events.
 #[derive(Debug, Default)]
 pub struct Splitter {
-    buffer: BytesMut,
+    splitter: EventSplitter,
 }
 
 /// One event, parsed and as received.
@@ -19,7 +19,7 @@
 pub struct Event {
     /// The bytes received, including the blank line that ends the event.
     pub raw: Bytes,
-    /// The contents of its `data:` lines, joined by line feeds.
+    /// The contents of its `data` lines, joined by line feeds.
     pub data: String,
 }
 
@@ -30,37 +30,26 @@
 impl Splitter {
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
-        self.buffer.extend_from_slice(bytes);
+        self.splitter.push(bytes);
     }
 
     /// Returns the next complete event, if there is one.
     pub fn next(&mut self) -> Result<Option<Event>, BadEvent> {
-        let Some((end, separator_len)) = self.boundary() else {
-            return match self.buffer.len() > MAX_EVENT_BYTES {
-                true => Err(BadEvent),
-                false => Ok(None),
-            };
-        };
-        let raw = self.buffer.split_to(end + separator_len).freeze();
-        let text = std::str::from_utf8(&raw[..end]).map_err(|_| BadEvent)?;
-        let lines = text.lines().filter_map(|l| l.strip_prefix("data:"));
-        let data: Vec<_> = lines.map(|l| l.strip_prefix(' ').unwrap_or(l)).collect();
-        let data = data.join("\n");
-        Ok(Some(Event { raw, data }))
-    }
-
-    fn boundary(&self) -> Option<(usize, usize)> {
-        let lf = find(&self.buffer, b"\n\n").map(|at| (at, 2));
-        let crlf = find(&self.buffer, b"\r\n\r\n").map(|at| (at, 4));
-        match (lf, crlf) {
-            (Some(a), Some(b)) => Some(a.min(b)),
-            (a, b) => a.or(b),
+        match self.splitter.take_event() {
+            Some(raw) => Event::parse(raw).map(Some),
+            None if self.splitter.buffered() > MAX_EVENT_BYTES => Err(BadEvent),
+            None => Ok(None),
         }
     }
 }
 
-fn find(haystack: &[u8], needle: &[u8]) -> Option<usize> {
-    haystack.windows(needle.len()).position(|w| w == needle)
+impl Event {
+    fn parse(raw: Bytes) -> Result<Event, BadEvent> {
+        let data = lines(&raw).filter_map(|line| field(line, "data"));
+        let data = data.map(std::str::from_utf8).collect::<Result<Vec<_>, _>>();
+        let data = data.map_err(|_| BadEvent)?.join("\n");
+        Ok(Event { raw, data })
+    }
 }
 
 /// Token counts reported by the engine.
--- a/src/emulate/engine.rs
+++ b/src/emulate/engine.rs
@@ -20,7 +20,9 @@
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::fault::{Fault, FaultKind, Faults, with_leaving_header, with_rest_request};
+use super::fault::{
+    Fault, FaultKind, Faults, with_leaving_header, with_rest_request, without_framing,
+};
 use super::slot::{Slot, Slots};
 use crate::delivery::header;
 use crate::error::Result;
@@ -121,9 +123,25 @@
     from: u32,
     /// Output tokens of the complete answer.
     total: u32,
-    cut_after: Option<u32>,
-    /// Whether the engine runs another version after the cut.
-    upgrades: bool,
+    cut: Option<Cut>,
+}
+
+/// The injected end of a stream.
+#[derive(Clone, Copy, Debug)]
+struct Cut {
+    /// After this number of output tokens.
+    after: u32,
+    kind: CutKind,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CutKind {
+    /// The connection breaks.
+    Break,
+    /// The connection breaks, and the engine runs another version afterwards.
+    Upgrade,
+    /// The stream ends inside an event as if it were whole.
+    End,
 }
 
 /// Runs an engine until the task is dropped.
@@ -169,14 +187,19 @@
     if kind == Some(FaultKind::Cross) {
         return crossed();
     }
-    let upgrades = kind == Some(FaultKind::Upgrade);
-    let cuts = |f: &Fault| matches!(f.kind, FaultKind::Cut | FaultKind::Upgrade);
-    let cut_after = fault.filter(cuts).map(|f| f.amount as u32);
+    let cut = fault.as_ref().and_then(|fault| {
+        let kind = match fault.kind {
+            FaultKind::Cut => CutKind::Break,
+            FaultKind::Upgrade => CutKind::Upgrade,
+            FaultKind::Close => CutKind::End,
+            _ => return None,
+        };
+        Some(Cut { after: fault.amount as u32, kind })
+    });
     let resume = header::text(&headers, header::RESUME).and_then(|v| v.parse().ok());
-    let Some(job) = engine.plan_job(id, &request, resume, cut_after) else {
+    let Some(job) = engine.plan_job(id, &request, resume, cut) else {
         return refusal("no such stream to resume");
     };
-    let job = Job { upgrades, ..job };
     if let Some(ms) = request.emulate.crash_after_ms.filter(|_| engine.settings.crashes) {
         tokio::spawn(crash(Duration::from_millis(ms)));
     }
@@ -186,6 +209,7 @@
     };
     match kind {
         Some(FaultKind::Leave) => with_leaving_header(answer),
+        Some(FaultKind::Unframed | FaultKind::Close) => without_framing(answer),
         _ => answer,
     }
 }
@@ -197,7 +221,7 @@
         id: String,
         request: &ChatRequest,
         resume: Option<u32>,
-        cut_after: Option<u32>,
+        cut: Option<Cut>,
     ) -> Option<Job> {
         let prompt: String = request.messages.iter().map(|m| m.content.as_str()).collect();
         let prompt_tokens = prompt.len().div_ceil(BYTES_PER_TOKEN) as u32;
@@ -205,15 +229,7 @@
             let mut cut_streams = self.cut_streams.lock().unwrap_or_else(PoisonError::into_inner);
             let total = cut_streams.remove(&id)?;
             let prefill = Duration::ZERO;
-            return Some(Job {
-                id,
-                prompt_tokens,
-                prefill,
-                from,
-                total,
-                cut_after,
-                upgrades: false,
-            });
+            return Some(Job { id, prompt_tokens, prefill, from, total, cut });
         }
         let limit = self.settings.cache_blocks;
         let mut cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
@@ -221,7 +237,7 @@
         let fresh = u64::from(prompt_tokens) - cached as u64;
         let total = request.emulate.output_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS);
         let prefill = Duration::from_micros(fresh * self.settings.prefill_us);
-        Some(Job { id, prompt_tokens, prefill, from: 0, total, cut_after, upgrades: false })
+        Some(Job { id, prompt_tokens, prefill, from: 0, total, cut })
     }
 
     fn record_cut(&self, job: &Job) {
@@ -292,8 +308,14 @@
             () = sender.closed() => {}
         }
     });
-    let frames = futures_util::stream::unfold(receiver, |mut receiver| async move {
-        receiver.recv().await.map(|frame: Result<Bytes, std::io::Error>| (frame, receiver))
+    // Without an explicit end a stream breaks, so that it never looks whole when it is not.
+    let frames = futures_util::stream::unfold(Some(receiver), |receiver| async move {
+        let mut receiver = receiver?;
+        match receiver.recv().await {
+            Some(Frame::Event(bytes)) => Some((Ok(bytes), Some(receiver))),
+            Some(Frame::End) => None,
+            None => Some((Err(std::io::Error::other("the stream broke off")), None)),
+        }
     });
     let headers = [
         ("content-type", "text/event-stream".to_string()),
@@ -303,7 +325,13 @@
     (headers, Body::from_stream(frames)).into_response()
 }
 
-type FrameSender = mpsc::Sender<Result<Bytes, std::io::Error>>;
+/// What a stream sends.
+enum Frame {
+    Event(Bytes),
+    End,
+}
+
+type FrameSender = mpsc::Sender<Frame>;
 
 /// Streams events until the output is complete, the injected cut, or the caller's disconnect.
 /// The slot is released in each case.
@@ -327,22 +355,34 @@
         });
         done = to;
         send_event(&sender, &event.to_string()).await;
-        if job.cut_after.is_some_and(|after| done >= after) && done < job.total {
-            engine.record_cut(&job);
-            if job.upgrades {
+        let Some(Cut { after, kind }) = job.cut else { continue };
+        if done < after || done == job.total {
+            continue;
+        }
+        engine.record_cut(&job);
+        match kind {
+            // Dropping the sender breaks the stream.
+            CutKind::Break => {}
+            CutKind::Upgrade => {
                 engine.version.fetch_add(1, Ordering::Relaxed);
             }
-            let broken = std::io::Error::other("told to cut");
-            // Fails if the caller has disconnected already.
-            let _ = sender.send(Err(broken)).await;
-            return;
+            CutKind::End => {
+                send(&sender, Frame::Event(Bytes::from_static(b"data: {\"id\": "))).await;
+                send(&sender, Frame::End).await;
+            }
         }
+        return;
     }
     drop(slot);
     send_event(&sender, "[DONE]").await;
+    send(&sender, Frame::End).await;
 }
 
 async fn send_event(sender: &FrameSender, data: &str) {
+    send(sender, Frame::Event(Bytes::from(format!("data: {data}\n\n")))).await;
+}
+
+async fn send(sender: &FrameSender, frame: Frame) {
     // Fails if the caller has disconnected, which the next wait detects.
-    let _ = sender.send(Ok(Bytes::from(format!("data: {data}\n\n")))).await;
+    let _ = sender.send(frame).await;
 }
--- a/src/emulate/fault.rs
+++ b/src/emulate/fault.rs
@@ -2,7 +2,8 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use axum::http::{HeaderValue, header};
+use axum::body::Body;
+use axum::http::{HeaderValue, Version, header};
 use axum::response::Response;
 use serde::{Deserialize, Serialize};
 
@@ -17,7 +18,8 @@
     /// Number of requests that it affects.
     #[serde(default = "once")]
     pub times: u32,
-    /// Milliseconds for `late` and `rest`, tokens for `cut` and `upgrade`; unused by other kinds.
+    /// Milliseconds for `late` and `rest`, tokens for `cut`, `upgrade` and `close`; unused by other
+    /// kinds.
     #[serde(default)]
     pub amount: u64,
 }
@@ -34,6 +36,11 @@
     Late,
     /// The connection breaks in the middle of the answer.
     Cut,
+    /// The answer has neither a length nor chunks and ends with its connection.
+    Unframed,
+    /// Like `Unframed`, and the connection is closed early: in the middle of an event or of the
+    /// body.
+    Close,
     /// Like `Cut`, and from then on the endpoint runs another version of its software, as if it
     /// had been replaced in place. It still knows its streams.
     Upgrade,
@@ -70,6 +77,13 @@
     }
 }
 
+/// Leaves out all framing of the body, as endpoints of HTTP/1.0 do.
+pub(super) fn without_framing(mut answer: Response) -> Response {
+    *answer.version_mut() = Version::HTTP_10;
+    answer.headers_mut().remove(header::CONTENT_LENGTH);
+    answer.map(|body| Body::from_stream(body.into_data_stream()))
+}
+
 /// Adds the header that announces the endpoint's leaving.
 pub(super) fn with_leaving_header(mut answer: Response) -> Response {
     answer.headers_mut().insert(LEAVING, HeaderValue::from_static("1"));
--- a/src/emulate/service.rs
+++ b/src/emulate/service.rs
@@ -14,7 +14,9 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use super::fault::{Fault, FaultKind, Faults, with_leaving_header, with_rest_request};
+use super::fault::{
+    Fault, FaultKind, Faults, with_leaving_header, with_rest_request, without_framing,
+};
 use super::slot::Slots;
 use crate::delivery::header;
 use crate::error::Result;
@@ -106,8 +108,15 @@
         "run": run,
         "echo": String::from_utf8_lossy(&body),
     });
+    if kind == Some(FaultKind::Close) {
+        let text = answer.to_string();
+        let half = text[..text.len() / 2].to_string();
+        let headers = [(header::REQUEST, id), ("content-type", "application/json")];
+        return without_framing((headers, half).into_response());
+    }
     let answer = ([(header::REQUEST, id.to_string())], Json(answer)).into_response();
     match kind {
+        Some(FaultKind::Unframed) => without_framing(answer),
         Some(FaultKind::Leave) => with_leaving_header(answer),
         _ => answer,
     }
--- a/src/host_list.rs
+++ b/src/host_list.rs
@@ -6,9 +6,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Limited};
 use serde::{Deserialize, Serialize};
 
+use crate::answer::AnswerBody;
 use crate::delivery::HttpClient;
 
 /// Interval at which the list is polled, and time limit for each request.
@@ -55,6 +55,7 @@
     let uri = format!("http://{platform}/hosts").parse().ok()?;
     let request = client.get(uri);
     let response = tokio::time::timeout(POLL_INTERVAL, request).await.ok()?.ok()?;
-    let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect().await.ok()?;
-    serde_json::from_slice(&body.to_bytes()).ok()
+    let (body, end) = AnswerBody::split(response, false).1.read(MAX_LIST_BYTES).await;
+    end.verdict().ok()?;
+    serde_json::from_slice(&body).ok()
 }
--- a/src/load/request.rs
+++ b/src/load/request.rs
@@ -5,15 +5,15 @@
 
 use axum::body::Body;
 use axum::http::{HeaderMap, Method, Request, Response};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde_json::json;
 use tokio::time::Instant;
 
 use super::file::{LoadCustomer, LoadFile};
 use super::observe::{Observations, add, record};
+use crate::answer::{AnswerBody, BrokenAnswer, Completeness, Part};
 use crate::delivery::sse::{Chunk, DONE, Splitter};
-use crate::delivery::{HttpClient, header};
+use crate::delivery::{HttpClient, MAX_ANSWER_BYTES, header};
 use crate::emulate::engine::BYTES_PER_TOKEN;
 
 /// Units charged for a call to a plain service: milliseconds of a slot.
@@ -225,18 +225,20 @@
     let prompt_units = u64::from(planned.prompt * file.input_weight);
     let all_units = prompt_units + u64::from(planned.output * file.output_weight);
     observations.largest_units.fetch_max(all_units, Ordering::Relaxed);
-    let mut body = response.into_body();
+    let (_, mut body) = AnswerBody::split(response, true);
+    body.expect_final_event();
     let mut splitter = Splitter::default();
     let mut tokens = 0;
     let mut last_event = Instant::now();
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
-            // The connection failed, so the caller knows that the answer is incomplete.
-            add(&observations.lost, 1);
-            return false;
-        };
-        if let Some(data) = frame.data_ref() {
-            splitter.push(data);
+    loop {
+        match body.next().await {
+            Part::Data(bytes) => splitter.push(&bytes),
+            Part::End(end) => {
+                if let Err(broken) = end.verdict() {
+                    record_broken(broken, observations);
+                }
+                return false;
+            }
         }
         while let Ok(Some(event)) = splitter.next() {
             if event.data == DONE {
@@ -268,7 +270,14 @@
             add(&counters.received, u64::from(new_tokens * file.output_weight));
         }
     }
-    check_complete(false, observations)
+}
+
+/// Records an answer that is not whole. Where its connection ended, the caller knows that.
+fn record_broken(broken: BrokenAnswer, observations: &Observations) {
+    match broken.has_closed() {
+        true => add(&observations.lost, 1),
+        false => add(&observations.truncated, 1),
+    }
 }
 
 fn check_complete(complete: bool, observations: &Observations) -> bool {
@@ -292,12 +301,20 @@
     add(&counters.wait_ms, wait.as_millis() as u64);
     add(&counters.received, PLAIN_CALL_UNITS);
     observations.largest_units.fetch_max(PLAIN_CALL_UNITS, Ordering::Relaxed);
-    let Ok(body) = response.into_body().collect().await else {
-        add(&observations.lost, 1);
-        return false;
+    let (body, end) = AnswerBody::split(response, false).1.read(MAX_ANSWER_BYTES).await;
+    let completeness = match end.verdict() {
+        Ok(completeness) => completeness,
+        Err(broken) => {
+            record_broken(broken, observations);
+            return false;
+        }
     };
-    let Ok(answer) = serde_json::from_slice::<serde_json::Value>(&body.to_bytes()) else {
-        return check_complete(false, observations);
+    let Ok(answer) = serde_json::from_slice::<serde_json::Value>(&body) else {
+        match completeness {
+            Completeness::Stated => add(&observations.truncated, 1),
+            Completeness::Unstated => add(&observations.lost, 1),
+        }
+        return false;
     };
     let key = planned.key.as_deref();
     if answer.get("key").and_then(|k| k.as_str()) != key {
--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp};
@@ -17,7 +16,8 @@
 use super::observe::Observations;
 use super::report::{self, LoadReport, Probe};
 use super::request::{Outcome, PlannedRequest, send_request};
-use crate::delivery::HttpClient;
+use crate::answer::AnswerBody;
+use crate::delivery::{HttpClient, MAX_ANSWER_BYTES};
 use crate::emulate::service::Ledger;
 use crate::error::Result;
 
@@ -223,8 +223,8 @@
     let uri = format!("http://{from}{path}").parse().ok()?;
     let get = async {
         let response = client.get(uri).await.ok()?;
-        let body = response.into_body().collect().await.ok()?;
-        Some(body.to_bytes().to_vec())
+        let (body, end) = AnswerBody::split(response, false).1.read(MAX_ANSWER_BYTES).await;
+        end.verdict().is_ok().then(|| body.to_vec())
     };
     tokio::time::timeout(Duration::from_secs(2), get).await.ok()?
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -14,13 +14,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use axum::serve::ListenerExt;
+use axum::body::Body;
 use snafu::ResultExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use tower::ServiceExt;
 
 use crate::caller;
+use crate::caller_connection::{ConnectionLimits, KeepAlive, serve_connection};
 use crate::error::{NetSnafu, Result};
 use crate::peer::{Incoming, Peers};
 use crate::settings::RouterSettings;
@@ -38,6 +41,8 @@
 /// Maximum time for which it then waits for a control host. An election takes one or two seconds,
 /// longer on a busy host.
 const CONTROL_WAIT_TIMEOUT: Duration = Duration::from_secs(6);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Interval at which it checks for a control host.
 const CONTROL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -92,30 +97,58 @@
 async fn serve_callers(router: Arc<Router>, stop: CancellationToken) -> Result<()> {
     let listen = router.settings.listen;
     let what = format!("listen for callers on {listen}");
-    let listener = TcpListener::bind(listen).await;
-    let listener = listener.context(NetSnafu { what: what.clone() })?.tap_io(set_nodelay);
+    let listener = TcpListener::bind(listen).await.context(NetSnafu { what })?;
     log::info!("router: host {} accepts requests on {listen}", router.peers.me);
     let drain = Duration::from_millis(router.settings.drain_ms);
     let app = caller::app(router.clone());
-    let stop_signal = stop.clone();
-    let stopping_router = router.clone();
-    let server = axum::serve(listener, app).with_graceful_shutdown(async move {
-        stop_signal.cancelled().await;
-        stopping_router.begin_stop();
-    });
-    let expired = async {
-        stop.cancelled().await;
-        tokio::time::sleep(drain).await;
-    };
+    let connections = TaskTracker::new();
     tokio::select! {
-        served = async { server.await } => served.context(NetSnafu { what })?,
-        () = expired => log::warn!("router: drain limit reached with requests in flight"),
+        () = accept_callers(listener, app, &connections, &stop) => {}
+        () = stop.cancelled() => {}
+    }
+    router.begin_stop();
+    connections.close();
+    if tokio::time::timeout(drain, connections.wait()).await.is_err() {
+        log::warn!("router: drain limit reached with requests in flight");
     }
     router.finish_run_once_calls().await;
     log::info!("router: stopped");
     Ok(())
 }
 
+/// Accepts callers' connections. Once `stop` is cancelled, each is closed as soon as it is idle.
+async fn accept_callers(
+    listener: TcpListener,
+    app: axum::Router,
+    connections: &TaskTracker,
+    stop: &CancellationToken,
+) {
+    let limits = ConnectionLimits {
+        keep_alive: KeepAlive::UntilClosed,
+        head_timeout: None,
+        max_buffer: None,
+    };
+    loop {
+        let mut stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("router: accept failed: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        set_nodelay(&mut stream);
+        let (app, stop) = (app.clone(), stop.clone());
+        connections.spawn(async move {
+            let serve = |request: axum::http::Request<hyper::body::Incoming>| {
+                let serving = app.clone().oneshot(request.map(Body::new));
+                async { serving.await.unwrap_or_else(|never| match never {}) }
+            };
+            serve_connection(stream, limits, serve, stop.cancelled()).await;
+        });
+    }
+}
+
 /// Sets `TCP_NODELAY`. Without it, the end of a stream waits until the caller has acknowledged the
 /// event before, which TCP delays.
 pub(crate) fn set_nodelay(stream: &mut TcpStream) {
--- a/src/router/run_once.rs
+++ b/src/router/run_once.rs
@@ -4,9 +4,11 @@
 
 use axum::body::Body;
 use axum::http::{HeaderValue, Response, StatusCode};
+use bytes::Bytes;
 
 use super::serve::Job;
 use super::state::Router;
+use crate::answer::Completeness;
 use crate::claim::{
     Attempt as Claimant, Claim, ClaimDecision, MAX_RECORDED_ANSWER_BYTES, RecordedAnswer,
     Settlement, fingerprint,
@@ -110,21 +112,32 @@
     response
 }
 
-/// Records the result of a claimed call before its caller is answered, so that a resend finds it.
-pub(super) async fn settle(router: &Router, claim: Claim, attempt: &Attempt) {
-    let settlement = match attempt {
-        Attempt::Answered(Answer::Complete(response)) => {
-            let body = response.body();
-            let is_recordable = body.len() <= MAX_RECORDED_ANSWER_BYTES;
-            Settlement::Answered(is_recordable.then(|| RecordedAnswer {
-                status: response.status().as_u16(),
-                content_type: header::text(response.headers(), "content-type").map(String::from),
-                body: body.to_vec(),
-            }))
+/// How a claimed call ended; `None` while its answer is still streamed.
+pub(super) fn settlement_of(attempt: &Attempt) -> Option<Settlement> {
+    match attempt {
+        Attempt::Answered(Answer::Complete(response, completeness)) => {
+            Some(Settlement::Answered(recorded(response, *completeness)))
         }
-        Attempt::Answered(Answer::Stream(_)) => Settlement::Answered(None),
-        Attempt::NotSent | Attempt::Refused => Settlement::NotRun,
-        Attempt::Unknown(_) => Settlement::Unknown,
-    };
+        Attempt::Answered(Answer::Stream(..)) => None,
+        Attempt::NotSent | Attempt::Refused => Some(Settlement::NotRun),
+        Attempt::Unknown(_) => Some(Settlement::Unknown),
+    }
+}
+
+/// The answer as it is recorded for resends. A resend would be told that it is whole, so one whose
+/// endpoint did not state that is not recorded.
+fn recorded(response: &Response<Bytes>, completeness: Completeness) -> Option<RecordedAnswer> {
+    let body = response.body();
+    let is_recordable =
+        completeness == Completeness::Stated && body.len() <= MAX_RECORDED_ANSWER_BYTES;
+    is_recordable.then(|| RecordedAnswer {
+        status: response.status().as_u16(),
+        content_type: header::text(response.headers(), "content-type").map(String::from),
+        body: body.to_vec(),
+    })
+}
+
+/// Records how a claimed call ended, before its caller is told, so that a resend finds it.
+pub(super) async fn settle(router: &Router, claim: Claim, settlement: Settlement) {
     router.claims.settle_and_wait(claim, settlement, SETTLE_TIMEOUT).await;
 }
--- a/src/router/serve.rs
+++ b/src/router/serve.rs
@@ -17,6 +17,9 @@
 use super::state::Router;
 use super::{run_once, stream};
 use crate::admission::Denied;
+use crate::answer::Completeness;
+use crate::caller_connection::EndsWithConnection;
+use crate::claim::Settlement;
 use crate::clock::BootInstant;
 use crate::config::{CustomerId, EndpointId, Service, ServiceId, ServiceKind};
 use crate::delivery::{
@@ -74,9 +77,12 @@
             Err(outcome) => outcome,
         };
         let (name, reason) = (outcome.name(), outcome.reason());
-        let is_known = self.config().service_id(&service).is_some();
-        let label = if is_known { service.as_str() } else { "unknown" };
-        self.metrics.requests.with_label_values(&[label, name, reason]).inc();
+        // A stream is counted when it ends.
+        if !matches!(outcome, Outcome::Streams(_)) {
+            let is_known = self.config().service_id(&service).is_some();
+            let label = if is_known { service.as_str() } else { "unknown" };
+            self.metrics.requests.with_label_values(&[label, name, reason]).inc();
+        }
         self.trace.decide(id, "delivery", format!("{name} {reason}").trim_end().to_string());
         outcome.into_response(&id.to_string())
     }
@@ -246,7 +252,7 @@
         // The endpoint may have begun to leave or to rest while the key was being claimed.
         if !self.router.accepts_requests(endpoint) {
             if let Some(claim) = claim {
-                run_once::settle(&self.router, claim, &Attempt::NotSent).await;
+                run_once::settle(&self.router, claim, Settlement::NotRun).await;
             }
             ticket.finish(0, Completion::Unused);
             return NextStep::Retry { is_free: true, fallback: endpoints_refuse() };
@@ -257,8 +263,11 @@
         let AttemptReport { attempt, notice } =
             self.router.endpoint_client.attempt(address, &self.call, limit).await;
         self.record_notice(endpoint, &declared.name, &notice);
-        if let Some(claim) = claim {
-            run_once::settle(&self.router, claim, &attempt).await;
+        let mut claim = claim;
+        if let Some(settlement) = run_once::settlement_of(&attempt)
+            && let Some(claim) = claim.take()
+        {
+            run_once::settle(&self.router, claim, settlement).await;
         }
         if matches!(attempt, Attempt::Refused)
             && let Some(rest) = notice.rest.duration_ms()
@@ -272,18 +281,17 @@
             };
         }
         match attempt {
-            Attempt::Answered(Answer::Complete(response)) => {
+            Attempt::Answered(Answer::Complete(response, completeness)) => {
                 self.router.guard.record_served(&self.fingerprint);
                 let units = self.units_used(&response, started);
                 self.count_units(units);
                 ticket.finish(units, Completion::Answered);
-                NextStep::Finish(Outcome::Answered(into_caller_response(response)))
+                NextStep::Finish(Outcome::Answered(into_caller_response(response, completeness)))
             }
-            Attempt::Answered(Answer::Stream(response)) => {
-                let endpoint =
-                    stream::Engine { id: endpoint, name: declared.name.clone(), address };
-                match stream::relay(self, ticket, endpoint, response).await {
-                    Ok(response) => NextStep::Finish(Outcome::Answered(response)),
+            Attempt::Answered(Answer::Stream(head, body)) => {
+                let engine = stream::Engine { id: endpoint, name: declared.name.clone(), address };
+                match stream::relay(self, ticket, claim, engine, *head, body).await {
+                    Ok(response) => NextStep::Finish(Outcome::Streams(response)),
                     Err(reason) => self.after_unknown(reason),
                 }
             }
@@ -365,8 +373,11 @@
 }
 
 /// Converts an endpoint's answer to the response for the caller.
-fn into_caller_response(response: Response<Bytes>) -> Response<Body> {
+fn into_caller_response(response: Response<Bytes>, completeness: Completeness) -> Response<Body> {
     let (mut head, body) = response.into_parts();
     head.headers = crate::delivery::strip_hop_headers(&head.headers);
+    if completeness == Completeness::Unstated {
+        head.extensions.insert(EndsWithConnection);
+    }
     Response::from_parts(head, Body::from(body))
 }
--- a/tests/features/03_whole_answer_to_own_request.feature
+++ b/tests/features/03_whole_answer_to_own_request.feature
@@ -13,6 +13,26 @@
     And harbour-agents chats through router 1 for 400 tokens
     Then the stream ends with an explicit error
 
+  Scenario: a stream that its engine ends inside an event is resumed and is whole
+    Given a fleet of 2 routers, 1 control hosts, 1 engines and 1 ticket services
+    When engine 1 is told to close 1 request after 40
+    And harbour-agents chats through router 1 for 100 tokens
+    Then the answer is answered
+    And the stream holds all 100 tokens and its end
+
+  Scenario: a stream without length or chunks is whole
+    Given a fleet of 2 routers, 1 control hosts, 1 engines and 1 ticket services
+    When engine 1 is told to unframed 1 request
+    And harbour-agents chats through router 1 for 100 tokens
+    Then the answer is answered
+    And the stream holds all 100 tokens and its end
+
+  Scenario: a stream that ends inside an event each time ends with an explicit error
+    Given a fleet of 2 routers, 1 control hosts, 1 engines and 1 ticket services
+    When engine 1 is told to close 9 requests after 40
+    And harbour-agents chats through router 1 for 400 tokens
+    Then the stream ends with an explicit error
+
   Scenario: a stream does not go on at an engine whose software has changed
     Given a fleet of 2 routers, 1 control hosts, 1 engines and 1 ticket services
     When engine 1 is told to upgrade 1 request after 40
--- a/tests/features/05_at_most_once.feature
+++ b/tests/features/05_at_most_once.feature
@@ -18,6 +18,15 @@
     Then the answer is unknown
     And seat 5B was sold 1 times
 
+  Scenario: an answer that may have been broken off is delivered and not recorded
+    Given a fleet of 2 routers, 3 control hosts, 1 engines and 1 ticket services
+    When ticket service 1 is told to unframed 1 request
+    And market-traders buys seat 5D through router 1
+    Then the answer is answered
+    When market-traders buys seat 5D through router 2
+    Then the call was answered before, and its answer is not kept
+    And seat 5D was sold 1 times
+
   Scenario: the recorded answer outlives the leader and every router
     Given a fleet of 2 routers, 3 control hosts, 1 engines and 1 ticket services
     When market-traders buys seat 5C through router 1
--- a/tests/scenarios/fleet.rs
+++ b/tests/scenarios/fleet.rs
@@ -77,6 +77,8 @@
     pub replayed: bool,
     pub trace: String,
     pub body: String,
+    /// Whether the body ended as its framing says.
+    pub is_complete: bool,
 }
 
 impl FleetWorld {
--- a/tests/scenarios/steps.rs
+++ b/tests/scenarios/steps.rs
@@ -6,6 +6,7 @@
 use axum::http::Request;
 use bramblecrank::delivery::{HttpClient, header};
 use bramblecrank::operator::{connect, proto};
+use bytes::Bytes;
 use cucumber::{given, then, when};
 use http_body_util::BodyExt;
 use serde_json::json;
@@ -292,10 +293,18 @@
         replayed: !text(header::REPLAYED).is_empty(),
         trace: text(header::TRACE),
         body: String::new(),
+        is_complete: false,
     };
-    let body = response.into_body().collect().await;
-    answer.body =
-        body.map(|b| String::from_utf8_lossy(&b.to_bytes()).into_owned()).unwrap_or_default();
+    let mut body = response.into_body();
+    let mut bytes = Vec::new();
+    answer.is_complete = loop {
+        match body.frame().await {
+            Some(Ok(frame)) => bytes.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new())),
+            Some(Err(_)) => break false,
+            None => break true,
+        }
+    };
+    answer.body = String::from_utf8_lossy(&bytes).into_owned();
     world.answers.push(answer);
 }
 
@@ -398,7 +407,8 @@
 
 #[then(regex = r"^the stream holds all (\d+) tokens and its end$")]
 async fn complete_stream(world: &mut FleetWorld, tokens: u32) {
-    let body = &world.answers.last().unwrap().body;
+    let Answer { body, is_complete, .. } = world.answers.last().unwrap();
+    assert!(is_complete, "{body}");
     let mut from = 0;
     for n in 0..tokens {
         let token = format!("t{n} ");
@@ -410,8 +420,15 @@
 
 #[then("the stream ends with an explicit error")]
 async fn stream_ends_with_error(world: &mut FleetWorld) {
-    let body = &world.answers.last().unwrap().body;
+    let Answer { body, is_complete, .. } = world.answers.last().unwrap();
     assert!(body.contains("event: error") && !body.contains("[DONE]"), "{body}");
+    assert!(!is_complete, "the connection is broken");
+}
+
+#[then("the call was answered before, and its answer is not kept")]
+async fn answer_is_not_kept(world: &mut FleetWorld) {
+    let answer = world.answers.last().unwrap();
+    assert_eq!((answer.status, answer.reason.as_str()), (410, "answer-not-kept"));
 }
 
 #[when(
