Play all framings and endings of streams in the soak

New check: what is framed as whole has the stream's last event, unless its replica framed less as whole, and nothing that is not broken ends inside an event.

--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -7,6 +7,8 @@
     StreamTry,
 };
 use crate::replica::Arrival;
+use crate::shapes::Told;
+use crate::streams::EVENTS;
 
 fn after(start: Instant, ms: u64) -> Instant {
     start + Duration::from_millis(ms)
@@ -50,6 +52,7 @@
     history.stream_tries.push(stream_try("s", "s-1", 503, &[]));
     history.stream_tries.push(stream_try("s", "s-2", 200, &[(3, "v1")]));
     history.stream_tries.push(stream_try("t", "t-0", 200, &[(1, "v2")]));
+    history.stream_tries.push(whole_try("u", Told::Whole));
     history.stream_runs = ["s-0", "s-2", "t-0"].map(String::from).to_vec();
     (history, start)
 }
@@ -59,10 +62,20 @@
         stream: stream.into(),
         attempt: attempt.into(),
         status: Some(status),
+        after: 0,
         events: events.iter().map(|(id, version)| (*id, version.to_string())).collect(),
+        told: Some(Told::Broken),
+        is_inside: false,
+        is_short_by_replica: false,
     }
 }
 
+/// A try that brings all events of a stream, and what its caller is told.
+fn whole_try(stream: &str, told: Told) -> StreamTry {
+    let events: Vec<_> = (1..=EVENTS).map(|id| (id, "v1")).collect();
+    StreamTry { told: Some(told), ..stream_try(stream, stream, 200, &events) }
+}
+
 fn rollout_read(asked: Instant, rollout: Option<(u64, &str)>) -> RolloutRead {
     RolloutRead { asked, rollout: rollout.map(|(number, state)| (number, state.into())) }
 }
@@ -90,6 +103,34 @@
     assert_eq!(violations_after(|h, _| h.refused_changes.push("refused".into())), 1);
 }
 
+#[test]
+fn a_broken_stream_that_is_framed_as_whole_is_caught() {
+    let short = |h: &mut History| {
+        h.stream_tries.last_mut().unwrap().events.pop();
+    };
+    assert_eq!(violations_after(|h, _| short(h)), 1);
+    let by_replica = |h: &mut History, _| {
+        short(h);
+        h.stream_tries.last_mut().unwrap().is_short_by_replica = true;
+    };
+    assert_eq!(violations_after(by_replica), 0);
+    let told_nothing = |h: &mut History, _| {
+        short(h);
+        h.stream_tries.last_mut().unwrap().told = Some(Told::Nothing);
+    };
+    assert_eq!(violations_after(told_nothing), 0);
+}
+
+#[test]
+fn a_stream_that_ends_inside_an_event_and_is_not_broken_is_caught() {
+    for told in [Told::Whole, Told::Nothing] {
+        let inside = |h: &mut History, _| {
+            h.stream_tries.push(StreamTry { is_inside: true, ..whole_try("w", told) });
+        };
+        assert_eq!(violations_after(inside), 1, "{told:?}");
+    }
+}
+
 #[test]
 fn an_answer_to_another_request_is_caught() {
     assert_eq!(violations_after(|h, _| h.calls[0] = answered("a", true, 200, "answer to d")), 1);
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -5,6 +5,8 @@
 use std::time::Instant;
 
 use crate::replica::Arrival;
+use crate::shapes::Told;
+use crate::streams::EVENTS;
 
 /// An acknowledged change of the configuration.
 #[derive(Clone, Copy, Debug)]
@@ -89,8 +91,16 @@
     pub attempt: String,
     /// Status of the answer; `None` if no answer came.
     pub status: Option<u16>,
+    /// The last event that its caller had before.
+    pub after: u32,
     /// The complete events of the answer: their ids, and the version that wrote each.
     pub events: Vec<(u32, String)>,
+    /// What its caller was told of the answer; `None` if none came.
+    pub told: Option<Told>,
+    /// Whether the answer ended inside an event.
+    pub is_inside: bool,
+    /// Whether the replica frames an answer as whole that is short.
+    pub is_short_by_replica: bool,
 }
 
 /// Everything that was observed in one soak.
@@ -148,6 +158,7 @@
         violations.extend(self.mixed_streams());
         violations.extend(self.gaps_in_streams());
         violations.extend(self.falsely_refused_streams());
+        violations.extend(self.broken_streams_told_as_whole());
         violations.extend(
             self.wrongly_refused
                 .iter()
@@ -196,6 +207,22 @@
         false_refusals.map(|t| format!("{} was reported as not run, but ran", t.attempt))
     }
 
+    /// A stream that is framed as whole has all its events, unless its replica framed it as whole
+    /// without them; one that ends with its connection does not end inside an event.
+    fn broken_streams_told_as_whole(&self) -> impl Iterator<Item = String> {
+        self.stream_tries.iter().filter(|t| t.status == Some(200)).filter_map(|t| {
+            let last_event = t.events.last().map_or(t.after, |(id, _)| *id);
+            let is_short = last_event < EVENTS && !t.is_short_by_replica;
+            let is_wrong = match t.told? {
+                Told::Whole => is_short || t.is_inside,
+                Told::Nothing => t.is_inside,
+                Told::Broken => false,
+            };
+            let text = format!("{} was told {:?} after event {last_event}", t.attempt, t.told);
+            is_wrong.then_some(text)
+        })
+    }
+
     /// An acknowledged order is never lost.
     fn lost_orders(&self) -> impl Iterator<Item = String> {
         self.rollout_reads.iter().filter_map(|read| {
--- a/tests/soak/streams.rs
+++ b/tests/soak/streams.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 
 use crate::actors::{Context, exchange};
@@ -12,13 +13,14 @@
 use crate::http::Answer;
 use crate::registrations::{REGISTER_INTERVAL, Registration, register_for};
 use crate::replica::{Behaviour, Replica};
+use crate::shapes::{Ending, Place, Shape, told};
 
 /// Service and path of the streams.
 pub const SERVICE: &str = "streams";
 const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Replicas of each version that keep it, so that one is left when another is in doubt.
 const LASTING_REPLICAS: usize = 2;
-const EVENTS: u32 = 20;
+pub const EVENTS: u32 = 20;
 const EVENT_PAUSE: Duration = Duration::from_millis(25);
 /// Registrations of a replica between two changes of its software.
 const REGISTRATIONS_OF_A_VERSION: std::ops::Range<u64> = 4..12;
@@ -49,7 +51,7 @@
 
 impl Replicas {
     pub async fn start(software: Software) -> Replicas {
-        let behaviour = Behaviour::VersionedStream { events: EVENTS, pause: EVENT_PAUSE };
+        let behaviour = Behaviour::Shaped { events: EVENTS, pause: EVENT_PAUSE };
         let mut lasting = Vec::new();
         for (number, version) in VERSIONS.iter().cycle().take(2 * LASTING_REPLICAS).enumerate() {
             let replica = Replica::start(&format!("i-stream-{number}"), behaviour.clone()).await;
@@ -119,11 +121,13 @@
 pub async fn run_streams(context: Context, caller: usize, seed: u64) {
     let mut rng = SmallRng::seed_from_u64(seed + caller as u64);
     let routers = context.fleet.size.routers;
+    let shapes = Shape::all();
     for number in 0.. {
         if context.is_finished() {
             return;
         }
-        let mut stream = Stream::new(format!("t{caller}-{number}"));
+        let shape = rng.random_bool(0.5).then(|| shapes.choose(&mut rng)).flatten();
+        let mut stream = Stream::new(format!("t{caller}-{number}"), shape.copied());
         for _ in 0..MAX_TRIES {
             let front = context.fleet.front(rng.random_range(0..routers));
             let give_up = rng.random_bool(0.2).then_some(GIVE_UP_AFTER);
@@ -141,7 +145,7 @@
     let (mut begun, mut resumed) = (0, 0);
     for router in 0..routers {
         for number in 0..FINAL_STREAMS {
-            let mut stream = Stream::new(format!("final{router}-{number}"));
+            let mut stream = Stream::new(format!("final{router}-{number}"), None);
             let front = context.fleet.front(router);
             stream.attempt(context, front, Some(GIVE_UP_AFTER)).await;
             if stream.last_event == 0 {
@@ -162,14 +166,17 @@
 struct Stream {
     id: String,
     tries: usize,
+    /// How its replicas frame it and end its first run.
+    shape: Shape,
     /// The attempt that brought its first event.
     first_attempt: Option<String>,
     last_event: u32,
 }
 
 impl Stream {
-    fn new(id: String) -> Stream {
-        Stream { id, tries: 0, first_attempt: None, last_event: 0 }
+    fn new(id: String, shape: Option<Shape>) -> Stream {
+        let shape = shape.unwrap_or(Shape::DEFAULT);
+        Stream { id, tries: 0, shape, first_attempt: None, last_event: 0 }
     }
 
     /// Begins or resumes the stream; returns whether it is complete.
@@ -186,21 +193,38 @@
             .as_ref()
             .map(|first| format!("Resumes: {first}\r\nLast-Event-Id: {}\r\n", self.last_event));
         let text = format!(
-            "GET /{SERVICE}/x HTTP/1.1\r\nHost: shop.example\r\n\
+            "GET /{SERVICE}/{}/{} HTTP/1.1\r\nHost: shop.example\r\n\
              Bramblecrank-Attempt-Id: {attempt}\r\nBramblecrank-Deadline-Ms: 4000\r\n{}\
              Connection: close\r\n\r\n",
+            // Requests that differ are not taken for one that crashes replicas.
+            self.id,
+            self.shape.name(),
             resumes.unwrap_or_default()
         );
         let answer = exchange_partly(front, &text, give_up).await;
-        let events = answer.as_ref().map(events).unwrap_or_default();
+        let after = self.last_event;
+        let events = answer.as_ref().map(|a| events(a, self.shape)).unwrap_or_default();
         if let Some((last_event, _)) = events.last() {
             self.first_attempt.get_or_insert(attempt.clone());
             self.last_event = *last_event;
         }
         let is_complete = answer.as_ref().is_some_and(|a| a.status == 200 && a.complete);
+        let told = answer.as_ref().map(|answer| told(answer.framing, answer.complete));
+        let is_inside = answer.as_ref().is_some_and(|a| ends_inside_an_event(a, self.shape));
         let status = answer.map(|answer| answer.status);
         let stream = self.id.clone();
-        context.record(|h| h.stream_tries.push(StreamTry { stream, attempt, status, events }));
+        let is_short_by_replica = self.shape.ending == Ending::Framed(Place::BetweenEvents);
+        let stream_try = StreamTry {
+            stream,
+            attempt,
+            status,
+            after,
+            events,
+            told,
+            is_inside,
+            is_short_by_replica,
+        };
+        context.record(|h| h.stream_tries.push(stream_try));
         is_complete
     }
 }
@@ -218,15 +242,20 @@
 }
 
 /// The complete events of an answer: ids and the version that wrote them.
-fn events(answer: &Answer) -> Vec<(u32, String)> {
+fn events(answer: &Answer, shape: Shape) -> Vec<(u32, String)> {
     if answer.status != 200 {
         return Vec::new();
     }
-    let complete = answer.body.rsplit_once("\n\n").map_or("", |(complete, _)| complete);
+    let event_end = shape.line_end.repeat(2);
+    let complete = answer.body.rsplit_once(&event_end).map_or("", |(complete, _)| complete);
     let event = |event: &str| {
-        let (id, data) = event.split_once('\n')?;
+        let (id, data) = event.split_once(shape.line_end)?;
         let id = id.strip_prefix("id: ")?.parse().ok()?;
         Some((id, data.strip_prefix("data: ")?.to_string()))
     };
-    complete.split("\n\n").filter_map(event).collect()
+    complete.split(&event_end).filter_map(event).collect()
+}
+
+fn ends_inside_an_event(answer: &Answer, shape: Shape) -> bool {
+    !answer.body.is_empty() && !answer.body.ends_with(&shape.line_end.repeat(2))
 }
