--- a/src/emulate/service.rs
+++ b/src/emulate/service.rs
@@ -22,6 +22,10 @@
 use crate::error::Result;
 use crate::settings::ServiceSettings;
 
+const EVENT_STREAM: &str = "text/event-stream";
+/// Events of an answer to a caller that accepts such.
+const EVENTS: u32 = 3;
+
 /// How often each call ran.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ledger {
@@ -108,20 +112,32 @@
         "run": run,
         "echo": String::from_utf8_lossy(&body),
     });
+    let (media_type, mut text) = match accepts_events(&headers) {
+        true => (EVENT_STREAM, events_of(&answer)),
+        false => ("application/json", answer.to_string()),
+    };
     if kind == Some(FaultKind::Close) {
-        let text = answer.to_string();
-        let half = text[..text.len() / 2].to_string();
-        let headers = [(header::REQUEST, id), ("content-type", "application/json")];
-        return without_framing((headers, half).into_response());
+        // Inside the last event, if these are events.
+        text.truncate(text.len() * 3 / 4);
     }
-    let answer = ([(header::REQUEST, id.to_string())], Json(answer)).into_response();
+    let headers = [(header::REQUEST, id), ("content-type", media_type)];
+    let answer = (headers, text).into_response();
     match kind {
-        Some(FaultKind::Unframed) => without_framing(answer),
+        Some(FaultKind::Unframed | FaultKind::Close) => without_framing(answer),
         Some(FaultKind::Leave) => with_leaving_header(answer),
         _ => answer,
     }
 }
 
+fn accepts_events(headers: &HeaderMap) -> bool {
+    header::text(headers, "accept").is_some_and(|accepted| accepted.contains(EVENT_STREAM))
+}
+
+/// Events that each hold the whole answer.
+fn events_of(answer: &serde_json::Value) -> String {
+    (1..=EVENTS).map(|id| format!("id: {id}\ndata: {answer}\n\n")).collect()
+}
+
 impl Service {
     /// Records the call in the ledger before it runs; returns how often its key has run.
     fn record(&self, headers: &HeaderMap) -> u32 {
--- a/tests/features/03_whole_answer_to_own_request.feature
+++ b/tests/features/03_whole_answer_to_own_request.feature
@@ -33,6 +33,25 @@
     And harbour-agents chats through router 1 for 400 tokens
     Then the stream ends with an explicit error
 
+  Scenario: the stream of a plain service is whole without a final event
+    Given a fleet of 2 routers, 1 control hosts, 1 engines and 1 ticket services
+    When market-traders follows seat 6A through router 1
+    Then the answer is answered
+    And the stream has all its events and is complete
+    When ticket service 1 is told to unframed 1 request
+    And market-traders follows seat 6B through router 1
+    Then the answer is answered
+    And the stream has all its events and is complete
+
+  Scenario: a plain service's stream that ends inside an event is broken off and runs once
+    Given a fleet of 2 routers, 1 control hosts, 1 engines and 1 ticket services
+    When ticket service 1 is told to close 1 request
+    And market-traders follows seat 6C through router 1
+    Then the stream is broken off
+    When market-traders follows seat 6C through router 2
+    Then the answer is unknown
+    And seat 6C was sold 1 times
+
   Scenario: a stream does not go on at an engine whose software has changed
     Given a fleet of 2 routers, 1 control hosts, 1 engines and 1 ticket services
     When engine 1 is told to upgrade 1 request after 40
--- a/tests/scenarios/steps.rs
+++ b/tests/scenarios/steps.rs
@@ -322,6 +322,28 @@
     call(world, router, request).await;
 }
 
+#[when(regex = r"^(\S+) follows seat (\S+) through router (\d+)$")]
+async fn follows(world: &mut FleetWorld, customer: String, seat: String, router: u16) {
+    let site = &world.fleet().site;
+    let path = format!("/{}{}/{seat}", site.plain, site.run_once_path);
+    let mut request = post(&path, &customer, json!({"seat": seat}).to_string());
+    request.headers_mut().insert(header::KEY, seat.parse().unwrap());
+    request.headers_mut().insert("accept", "text/event-stream".parse().unwrap());
+    call(world, router, request).await;
+}
+
+#[then("the stream has all its events and is complete")]
+async fn plain_stream_is_complete(world: &mut FleetWorld) {
+    let Answer { body, is_complete, .. } = world.answers.last().unwrap();
+    assert!(*is_complete && body.contains("id: 3\n") && body.ends_with("\n\n"), "{body}");
+}
+
+#[then("the stream is broken off")]
+async fn plain_stream_is_broken(world: &mut FleetWorld) {
+    let Answer { body, is_complete, .. } = world.answers.last().unwrap();
+    assert!(!is_complete, "{body}");
+}
+
 #[when(regex = r"^(\S+) chats through router (\d+) for (\d+) tokens$")]
 async fn chats(world: &mut FleetWorld, customer: String, router: u16, tokens: u32) {
     let model = world.fleet().site.model.clone();
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -114,7 +114,7 @@
     let history = Arc::new(Mutex::new(History::default()));
     let context = Context { fleet: fleet.clone(), history, finished: CancellationToken::new() };
     let replicas = [
-        Replica::start("i-1", Behaviour::Answer).await,
+        Replica::start("i-1", Behaviour::Shaped { events: 0, pause: Duration::ZERO }).await,
         Replica::start("i-2", Behaviour::Slow(Duration::from_millis(20))).await,
     ];
     let mut actors = JoinSet::new();
--- a/tests/soak/actors.rs
+++ b/tests/soak/actors.rs
@@ -15,9 +15,10 @@
 use crate::history::{
     Acknowledged, Call, CallTimes, History, Order, Read, RolloutRead, RouteAnswer, RouteCheck,
 };
-use crate::http::{Answer, read_answer};
+use crate::http::{Answer, Framing, read_answer};
 use crate::registrations::{REGISTER_INTERVAL, Registration, epoch_ms, register};
 use crate::replica::Replica;
+use crate::shapes::{Ending, Shape, Told};
 
 /// How long a request other than a caller's may take; it is then repeated, mostly elsewhere.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
@@ -25,6 +26,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(4);
 const CHANGE_INTERVAL: Duration = Duration::from_millis(80);
 const CALL_INTERVAL: Duration = Duration::from_millis(8);
+/// One of this number of calls names how a replica frames and ends its answer.
+const SHAPED_CALL_INTERVAL: usize = 5;
 const ROUTE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Duration of a roll-out, in seconds.
 const ROLLOUT_DURATION_S: u64 = 5;
@@ -169,15 +172,21 @@
     let router = caller % context.fleet.size.routers;
     let front = context.fleet.front(router);
     let mut connection = None;
+    // A short answer that its replica does not state to be short cannot be told from a whole one.
+    let is_told =
+        |shape: &Shape| shape.ending == Ending::Whole || shape.told_of_plain() == Told::Broken;
+    let shapes: Vec<_> = Shape::all().into_iter().filter(is_told).collect();
     for number in 0.. {
         if context.is_finished() {
             return;
         }
+        let shape = (number % SHAPED_CALL_INTERVAL == caller % SHAPED_CALL_INTERVAL)
+            .then(|| shapes[number / SHAPED_CALL_INTERVAL % shapes.len()]);
         let once = number % 2 == 0;
         let id = format!("c{caller}-{number}");
         let host = context.fleet.size.router(router);
         let (start_number, asked) = (context.fleet.start_number(host), Instant::now());
-        let answer = call(&mut connection, front, &id, once).await;
+        let answer = call(&mut connection, front, &id, once, shape).await;
         let times = CallTimes { start_number, asked, answered: Instant::now() };
         let times = Some(times)
             .filter(|_| answer.is_some() && context.fleet.start_number(host) == start_number);
@@ -192,11 +201,14 @@
     front: SocketAddr,
     id: &str,
     once: bool,
+    shape: Option<Shape>,
 ) -> Option<Answer> {
-    let path = if once { "once" } else { "safe" };
+    let route = if once { "once" } else { "safe" };
+    let shape = shape.map_or("x".into(), Shape::name);
     let text = format!(
-        "POST /{path}/x HTTP/1.1\r\nHost: shop.example\r\nBramblecrank-Attempt-Id: {id}\r\n\
-         Bramblecrank-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n"
+        "POST /{route}/{shape}/{id} HTTP/1.1\r\nHost: shop.example\r\n\
+         Bramblecrank-Attempt-Id: {id}\r\nBramblecrank-Deadline-Ms: 3000\r\n\
+         Content-Length: 0\r\n\r\n"
     );
     let exchange = async {
         let mut stream = match connection.take() {
@@ -205,6 +217,10 @@
         };
         stream.write_all(text.as_bytes()).await.ok()?;
         let answer = read_answer(&mut stream).await?;
+        if answer.framing == Framing::Connection && !answer.complete {
+            // A reset tells the caller that it has no answer.
+            return None;
+        }
         if answer.complete && answer.header("connection") != Some("close") {
             *connection = Some(stream);
         }
@@ -320,7 +336,7 @@
 pub async fn is_served(context: &Context, number: usize) -> bool {
     let stamp = Instant::now();
     let id = format!("s{number}-{stamp:?}").replace([' ', '{', '}', ':', ','], "");
-    let answer = call(&mut None, context.fleet.front(number), &id, false).await;
+    let answer = call(&mut None, context.fleet.front(number), &id, false, None).await;
     let answer = answer.map(|a| (a.status, a.body, a.complete));
     let served = answer.as_ref().is_some_and(|(status, ..)| *status == 200);
     context.record(|h| h.calls.push(Call { id, router: number, times: None, once: false, answer }));
