--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -146,7 +146,7 @@
 enum RelayEnd {
     /// No byte of it came.
     NoAnswer,
-    /// The other router closed the connection: the answer is complete as far as its framing tells.
+    /// The other router closed the connection.
     Closed,
     /// The connection to the other router failed, or the caller has left.
     Failed,
@@ -188,13 +188,15 @@
             // Fails when the caller has closed its connection, which needs no answer.
             let _ = caller.write_all(ANSWER_LOST_RESPONSE).await;
         }
-        RelayEnd::Closed => set_reset_on_close(caller.socket(), false),
-        RelayEnd::Failed => {
-            if head.ends_with_connection {
-                log::info!("gateway: answer broken off at router {}", neighbour.host);
-                gateway.metrics.handed_over.with_label_values(&["broken"]).inc();
-            }
+        RelayEnd::Closed if head.ends_with_connection => {
+            set_reset_on_close(caller.socket(), false);
+        }
+        RelayEnd::Failed if head.ends_with_connection => {
+            log::info!("gateway: answer broken off at router {}", neighbour.host);
+            gateway.metrics.handed_over.with_label_values(&["broken"]).inc();
         }
+        // The framing of the answer tells the caller whether it is complete.
+        RelayEnd::Closed | RelayEnd::Failed => {}
     }
 }
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -231,7 +231,7 @@
         let Ok(PendingAnswer { head, body, connection, mut assignment }) = pending else {
             return Err(StreamError::Truncated);
         };
-        if head.status != StatusCode::OK {
+        if head.status != StatusCode::OK || !body.has_events() {
             let (status, at) = (head.status, &assignment.endpoint);
             log::info!("gateway: request {} cannot be resumed on {at}: {status}", call.number);
             assignment.observation.record_failed();
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -13,6 +13,11 @@
 use crate::http::{Answer, call};
 use crate::replica::Replica;
 
+#[path = "fleet_settings.rs"]
+mod settings;
+
+use settings::{HANDS_OVER_ALL, SERVES_ALL, UNLIMITED_RETRIES, write_settings};
+
 /// Interval between two checks of a condition that a test waits for.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Ports, the same on every address.
@@ -22,17 +27,6 @@
 const FRONT_PORT: u16 = 8_703;
 const READY_PORT: u16 = 8_704;
 
-/// Settings of a router that hands over every connection, whatever its load is.
-const HANDS_OVER_ALL: &str = "  overload:\n    hand_over_lag_ms: 0\n    hand_over_answer_ms: 600000\n    \
-                          unready_lag_ms: 600000\n    refuse_lag_ms: 600000\n";
-/// Settings of a router that serves every request, whatever its load is. By default a router
-/// refuses requests when its event loop lags by 40 ms, which a busy test machine may cause.
-const SERVES_ALL: &str = "  overload:\n    hand_over_lag_ms: 600000\n    \
-                         unready_lag_ms: 600000\n    refuse_lag_ms: 600000\n";
-
-/// Settings of a router whose requests are sent again as often as their routes allow.
-const UNLIMITED_RETRIES: &str = "  retry_budget:\n    slack: 1000000\n";
-
 /// Number of the next fleet; each fleet of a test run has its own three loopback addresses.
 static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
 
@@ -423,35 +417,3 @@
         let _ = child.wait();
     }
 }
-
-fn write_settings(folder: &TempDir, addresses: [Ipv4Addr; 3], regions: &str) {
-    let [control, router, neighbour] = addresses;
-    let host = |name: &str, address: Ipv4Addr| {
-        format!(
-            "host:\n  name: {name}\n  hall: a\n  peer: \"{address}:{PEER_PORT}\"\n  \
-             seeds: [\"{control}:{CONTROL_PORT}\"]\n  seed_port: {PEER_PORT}\n  heartbeats: control\n  \
-             regions: {regions}\n\
-             operator: \"{address}:{OPERATOR_PORT}\"\n"
-        )
-    };
-    let data = folder.path().join("data");
-    let control_text = format!(
-        "{}platform: \"{control}:{CONTROL_PORT}\"\ndata: {}\nfound_with_seeds: true\n\
-         tolerated_losses: 0\nwait_for_disk: true\n",
-        host("control", control),
-        data.display()
-    );
-    let router_text = |name: &str, address: Ipv4Addr| {
-        format!(
-            "{}listen: \"{address}:{FRONT_PORT}\"\ngateway:\n  ready: \"{address}:{READY_PORT}\"\n  \
-             stop_takes_ms: 300\n  stop_within_s: 8\n",
-            host(name, address)
-        )
-    };
-    std::fs::write(folder.path().join("control.yaml"), control_text).unwrap();
-    let routers = [("router", router), ("neighbour", neighbour)];
-    for (name, address) in routers {
-        let path = folder.path().join(format!("{name}.yaml"));
-        std::fs::write(path, router_text(name, address) + SERVES_ALL).unwrap();
-    }
-}
