--- a/src/answer/tests.rs
+++ b/src/answer/tests.rs
@@ -1,6 +1,11 @@
-use super::events::EventScanner;
+use axum::body::Body;
+use axum::http::{HeaderValue, Response, Version};
+use bytes::Bytes;
 use proptest::prelude::*;
 
+use super::events::EventScanner;
+use super::*;
+
 fn is_between(text: &str) -> bool {
     let mut scanner = EventScanner::default();
     scanner.scan(text.as_bytes());
@@ -64,3 +69,63 @@
         prop_assert!(scanner.is_between_events());
     }
 }
+
+/// What is decided for each framing, ending and end of the content.
+#[test]
+fn nothing_is_taken_for_whole_that_its_endpoint_did_not_state_to_be_whole() {
+    use {ContentEnd::*, Ending::*};
+    let framings = [Framing::Length, Framing::Chunks, Framing::Connection];
+    for framing in framings {
+        for content in [Opaque, BetweenEvents, InsideEvent, BeforeFinalEvent] {
+            for ending in [Clean, ClosedEarly, Reset, Invalid, TooLong] {
+                let verdict = BodyEnd { framing, ending, content }.verdict();
+                let is_whole = ending == Clean && matches!(content, Opaque | BetweenEvents);
+                assert_eq!(verdict.is_ok(), is_whole, "{framing:?} {ending:?} {content:?}");
+                let Ok(completeness) = verdict else { continue };
+                let is_stated = completeness == Completeness::Stated;
+                assert_eq!(is_stated, framing != Framing::Connection);
+            }
+        }
+    }
+}
+
+fn answer(version: Version, headers: &[(&'static str, &'static str)]) -> Response<Body> {
+    let unknown_length = futures_util::stream::empty::<Result<Bytes, std::io::Error>>();
+    let mut answer = Response::new(Body::from_stream(unknown_length));
+    *answer.version_mut() = version;
+    for (name, value) in headers {
+        answer.headers_mut().append(*name, HeaderValue::from_static(value));
+    }
+    answer
+}
+
+#[test]
+fn only_a_connection_that_outlives_its_answer_is_kept() {
+    let chunks = ("transfer-encoding", "chunked");
+    let cases: [(Version, &[_], Framing, bool); 8] = [
+        (Version::HTTP_11, &[chunks], Framing::Chunks, true),
+        (Version::HTTP_11, &[chunks, ("connection", "Close")], Framing::Chunks, false),
+        (Version::HTTP_11, &[chunks, ("connection", "x, close")], Framing::Chunks, false),
+        (
+            Version::HTTP_11,
+            &[chunks, ("connection", "x"), ("connection", "close")],
+            Framing::Chunks,
+            false,
+        ),
+        (Version::HTTP_11, &[("transfer-encoding", "gzip, chunked")], Framing::Chunks, true),
+        (Version::HTTP_11, &[("transfer-encoding", "gzip")], Framing::Connection, false),
+        (Version::HTTP_11, &[], Framing::Connection, false),
+        (Version::HTTP_10, &[("connection", "keep-alive")], Framing::Connection, false),
+    ];
+    for (version, headers, framing, is_kept) in cases {
+        let answer = answer(version, headers);
+        assert_eq!(Framing::of(&answer), framing, "{headers:?}");
+        assert_eq!(keeps_connection(&answer), is_kept, "{headers:?}");
+    }
+    for (connection, is_kept) in [("keep-alive", true), ("x", false)] {
+        let answer = answer(Version::HTTP_10, &[("connection", connection)]);
+        let answer = answer.map(|_| Body::from("with a length"));
+        assert_eq!(Framing::of(&answer), Framing::Length);
+        assert_eq!(keeps_connection(&answer), is_kept);
+    }
+}
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -2,6 +2,7 @@
 
 mod open_connections;
 mod overload;
+mod relayed_head;
 mod rollouts;
 
 use proptest::prelude::*;
