Count every clean end of a short answer as truncated in load

The load generator counted a stream that ended cleanly, without length, chunks and its final event, as lost, which breaks no promise; so it did for a plain answer of that kind.

--- a/src/load/request.rs
+++ b/src/load/request.rs
@@ -11,7 +11,7 @@
 
 use super::file::{LoadCustomer, LoadFile};
 use super::observe::{Observations, add, record};
-use crate::answer::{AnswerBody, BrokenAnswer, Completeness, Part};
+use crate::answer::{AnswerBody, BodyEnd, Ending, Part};
 use crate::delivery::sse::{Chunk, DONE, Splitter};
 use crate::delivery::{HttpClient, MAX_ANSWER_BYTES, header};
 use crate::emulate::engine::BYTES_PER_TOKEN;
@@ -226,19 +226,13 @@
     let all_units = prompt_units + u64::from(planned.output * file.output_weight);
     observations.largest_units.fetch_max(all_units, Ordering::Relaxed);
     let (_, mut body) = AnswerBody::split(response, true);
-    body.expect_final_event();
     let mut splitter = Splitter::default();
     let mut tokens = 0;
     let mut last_event = Instant::now();
     loop {
         match body.next().await {
             Part::Data(bytes) => splitter.push(&bytes),
-            Part::End(end) => {
-                if let Err(broken) = end.verdict() {
-                    record_broken(broken, observations);
-                }
-                return false;
-            }
+            Part::End(end) => return record_short(end, observations),
         }
         while let Ok(Some(event)) = splitter.next() {
             if event.data == DONE {
@@ -272,12 +266,14 @@
     }
 }
 
-/// Records an answer that is not whole. Where its connection ended, the caller knows that.
-fn record_broken(broken: BrokenAnswer, observations: &Observations) {
-    match broken.has_closed() {
-        true => add(&observations.lost, 1),
-        false => add(&observations.truncated, 1),
+/// Records an answer that is not whole; returns false. Unless its connection failed or was closed
+/// early, the caller was not told so.
+fn record_short(end: BodyEnd, observations: &Observations) -> bool {
+    match end.ending {
+        Ending::Clean => add(&observations.truncated, 1),
+        _ => add(&observations.lost, 1),
     }
+    false
 }
 
 fn check_complete(complete: bool, observations: &Observations) -> bool {
@@ -302,19 +298,11 @@
     add(&counters.received, PLAIN_CALL_UNITS);
     observations.largest_units.fetch_max(PLAIN_CALL_UNITS, Ordering::Relaxed);
     let (body, end) = AnswerBody::split(response, false).1.read(MAX_ANSWER_BYTES).await;
-    let completeness = match end.verdict() {
-        Ok(completeness) => completeness,
-        Err(broken) => {
-            record_broken(broken, observations);
-            return false;
-        }
-    };
+    if end.verdict().is_err() {
+        return record_short(end, observations);
+    }
     let Ok(answer) = serde_json::from_slice::<serde_json::Value>(&body) else {
-        match completeness {
-            Completeness::Stated => add(&observations.truncated, 1),
-            Completeness::Unstated => add(&observations.lost, 1),
-        }
-        return false;
+        return record_short(end, observations);
     };
     let key = planned.key.as_deref();
     if answer.get("key").and_then(|k| k.as_str()) != key {
