A rest of a start that was not known yet is not ended by a shorter one

Cause: an answer that arrives before its start is known counts for each start that may have given it, until that start answers a health check; then the check's answer took its place. A start that rests has not taken the earlier rest back, and a shorter request does not shorten a rest.

Weighed: asking the start again when its own rest is over, which needs a timer for each such start; not built.

--- a/src/gateway/endpoints.rs
+++ b/src/gateway/endpoints.rs
@@ -154,16 +154,20 @@
         start_address(endpoint).is_some_and(|start| self.unattributed.may_apply_to(now, start))
     }
 
-    /// Records an answer on a connection opened while this start was the latest one known.
-    pub fn record_notice(&mut self, now: Millis, endpoint: &Registration, notice: &Notice) {
+    /// Records an answer on a connection opened while this start was the latest one known. Returns
+    /// the milliseconds left of an earlier rest, as [`UnattributedNotices::record`] does.
+    pub fn record_notice(
+        &mut self,
+        now: Millis,
+        endpoint: &Registration,
+        notice: &Notice,
+    ) -> Millis {
         if endpoint.revivals > 0
             && let Some(observed) = self.observed_mut(&endpoint.id, endpoint.started_at_ms)
         {
             observed.revivals = observed.revivals.max(endpoint.revivals);
         }
-        if let Some(start) = start_address(endpoint) {
-            self.unattributed.record(now, start, notice);
-        }
+        start_address(endpoint).map_or(0, |start| self.unattributed.record(now, start, notice))
     }
 
     /// Notices in answers that may have come from a later start than the one they were
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -48,7 +48,8 @@
     /// `endpoint` was the latest start known.
     pub(super) fn apply_notice(self: &Arc<Self>, endpoint: &Registration, notice: &Notice) {
         let now = self.now();
-        self.with_endpoints(|endpoints| endpoints.record_notice(now, endpoint, notice));
+        let earlier_rest_ms =
+            self.with_endpoints(|endpoints| endpoints.record_notice(now, endpoint, notice));
         if notice.is_leaving {
             self.count_notice(endpoint, "leaves");
             self.record_leaving(EndpointStart::of(endpoint));
@@ -58,7 +59,13 @@
             RequestedRest::For(rest_ms) => {
                 self.count_notice(endpoint, "rests");
                 log::info!("gateway: endpoint {} requests a rest of {rest_ms} ms", endpoint.id);
-                self.record_rest(endpoint, *rest_ms);
+                if earlier_rest_ms > *rest_ms {
+                    log::info!(
+                        "gateway: endpoint {} rests for {earlier_rest_ms} ms by an earlier answer",
+                        endpoint.id
+                    );
+                }
+                self.record_rest(endpoint, earlier_rest_ms.max(*rest_ms));
             }
             RequestedRest::Unreadable(value) => {
                 self.count_notice(endpoint, "unreadable");
--- a/src/notice/tests/unattributed.rs
+++ b/src/notice/tests/unattributed.rs
@@ -57,6 +57,22 @@
     assert!(notices.may_apply_to(9_999_999, start(20)));
 }
 
+#[test]
+fn an_earlier_longer_rest_applies_to_a_start_that_requests_one_itself() {
+    let recorded = |notice: Notice| {
+        let mut notices = UnattributedNotices::default();
+        assert_eq!(notices.record(0, start(10), &rest_notice(500)), 0);
+        let earlier = notices.record(100, start(20), &notice);
+        (earlier, notices.may_apply_to(400, start(30)), notices.may_apply_to(501, start(30)))
+    };
+    assert_eq!(recorded(rest_notice(50)), (401, true, false));
+    assert_eq!(recorded(rest_notice(900)), (401, true, true));
+    // A start that accepts requests, or leaves, says nothing of the earlier rest.
+    assert_eq!(recorded(rest_notice(0)), (0, false, false));
+    assert_eq!(recorded(Notice::default()), (0, false, false));
+    assert_eq!(recorded(leaving_notice()), (0, true, true));
+}
+
 /// A request on a connection that was opened earlier may still be answered, by any start since.
 #[test]
 fn a_late_answer_makes_the_later_start_uncertain_again() {
--- a/src/notice/unattributed.rs
+++ b/src/notice/unattributed.rs
@@ -59,12 +59,15 @@
 
 impl UnattributedNotices {
     /// Records the notice of an answer on a connection that was opened while `start` was the latest
-    /// known start.
-    pub fn record(&mut self, now: Millis, start: StartAddress<'_>, notice: &Notice) {
-        self.discard_superseded(start);
+    /// known start. Returns how many milliseconds are left of an earlier rest that `start` may have
+    /// requested before it was known, if it requests one by this notice as well; otherwise 0.
+    pub fn record(&mut self, now: Millis, start: StartAddress<'_>, notice: &Notice) -> Millis {
+        let earlier_rest_end = self.discard_superseded(start);
         if !notice.refuses_work() {
-            return;
+            return 0;
         }
+        let requested_rest_end = notice.rest.duration_ms().map(|time| rest_end(now, time));
+        let resting_until = requested_rest_end.map_or(0, |end| end.max(earlier_rest_end));
         if !self.by_endpoint.contains_key(start.id) && self.by_endpoint.len() >= MAX_ENDPOINTS {
             self.evict_oldest();
         }
@@ -72,10 +75,11 @@
             address: start.address,
             known_start_ms: start.started_at_ms,
             is_leaving: notice.is_leaving,
-            resting_until: notice.rest.duration_ms().map_or(0, |time| rest_end(now, time)),
+            resting_until,
             received_at: now,
         };
         merge(self.by_endpoint.entry(start.id.to_string()).or_default(), received);
+        requested_rest_end.map_or(0, |_| earlier_rest_end.saturating_sub(now))
     }
 
     /// Whether a notice may have come from this start, which has not answered since it became
@@ -100,12 +104,15 @@
     }
 
     /// Discards notices from before `start` was known, since `start` or a later one has answered.
-    fn discard_superseded(&mut self, start: StartAddress<'_>) {
-        let Some(notices) = self.by_endpoint.get_mut(start.id) else { return };
-        notices.retain(|notice| !notice.may_apply_to(start));
+    /// Returns when the last of the rests in them ends; 0 if there was none.
+    fn discard_superseded(&mut self, start: StartAddress<'_>) -> Millis {
+        let Some(notices) = self.by_endpoint.get_mut(start.id) else { return 0 };
+        let superseded = notices.extract_if(.., |notice| notice.may_apply_to(start));
+        let last_rest_end = superseded.map(|notice| notice.resting_until).max().unwrap_or(0);
         if notices.is_empty() {
             self.by_endpoint.remove(start.id);
         }
+        last_rest_end
     }
 
     fn evict_oldest(&mut self) {
--- a/tests/platform/starts.rs
+++ b/tests/platform/starts.rs
@@ -16,6 +16,8 @@
 
 /// Answer time of a slow replica: long enough for a test's steps while the answer is pending.
 const SLOW: Duration = Duration::from_millis(800);
+/// Long enough for a start to be checked during it.
+const SHORT_REST: Duration = Duration::from_secs(2);
 /// Health checks that a router sent to learn whether a notice applies to a new start.
 const START_CHECKS_METRIC: &str =
     r#"bramblecrank_gateway_start_checks_total{outcome="answered",service="app"}"#;
@@ -88,6 +90,21 @@
     assert_avoided(&fleet, "/once/x", &replicas[0]).await;
 }
 
+/// The start requests a long rest before it is known, and a shorter one from then on.
+#[tokio::test]
+async fn a_shorter_rest_does_not_end_the_one_that_a_start_requested_before_it_was_known() {
+    let (fleet, replicas) = fleet_of_two().await;
+    replicas[0].rest(LONG_REST);
+    send_until_reached(&fleet, "/once/x", &replicas[0]).await;
+    replicas[0].rest(SHORT_REST);
+    register_start(&fleet, &replicas[0], 2_000).await;
+    while fleet.metric(START_CHECKS_METRIC).await == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    tokio::time::sleep(SHORT_REST).await;
+    assert_avoided(&fleet, "/once/x", &replicas[0]).await;
+}
+
 /// The previous start was leaving or resting; its notice must not apply to the next one.
 #[tokio::test]
 async fn an_available_start_is_used_after_one_with_a_notice() {
