Tests of handover begin once connections are handed over, not once one has been

While the set-up waits for both routers to have the newest configuration, connections are handed over already. In the failing runs the first router got the newest version 1 ms before the second one, which then answered "behind" once and got no connection for 500 ms, as the design says. The set-up only asked whether any connection had been handed over so far, and the test's 20 requests fell into those 500 ms.

The test's checks are unchanged.

--- a/tests/platform/handover.rs
+++ b/tests/platform/handover.rs
@@ -18,14 +18,26 @@
 
 async fn fleet_of_two_with(behaviours: &[Behaviour]) -> (Fleet, Vec<Replica>) {
     let (mut fleet, replicas) = fleet_with(behaviours).await;
+    hand_over_all(&mut fleet).await;
+    (fleet, replicas)
+}
+
+/// Adds a second router, to which the first one hands over every connection.
+pub async fn hand_over_all(fleet: &mut Fleet) {
     fleet.start_neighbour().await;
     fleet.restart_router_handing_over().await;
-    // Once the other router accepts a connection, it is known and has a configuration.
-    while fleet.metric(HANDED_OVER_METRIC).await == 0 {
-        call(fleet.front, &get("/safe/x", "before")).await;
+    // Connections accepted before prove nothing: the other router may have refused one since, as its
+    // configuration was older, and then gets none for a while.
+    while !is_handed_over(fleet).await {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
-    (fleet, replicas)
+}
+
+/// Sends a request, and returns whether its connection is handed over.
+async fn is_handed_over(fleet: &Fleet) -> bool {
+    let before = fleet.metric(HANDED_OVER_METRIC).await;
+    call(fleet.front, &get("/safe/x", "before")).await;
+    fleet.metric(HANDED_OVER_METRIC).await > before
 }
 
 fn runs(replicas: &[Replica], id: &str) -> usize {
--- a/tests/platform/starts.rs
+++ b/tests/platform/starts.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use crate::fleet::{Fleet, configuration};
+use crate::handover::hand_over_all;
 use crate::http::call;
 use crate::notices::{LONG_REST, REQUESTS, assert_avoided, send_until_reached};
 use crate::replica::{Behaviour, Replica};
@@ -262,13 +263,7 @@
 #[tokio::test]
 async fn a_router_that_hands_over_learns_of_a_notice_of_an_unknown_start() {
     let (mut fleet, replicas) = fleet_of_two().await;
-    fleet.start_neighbour().await;
-    fleet.restart_router_handing_over().await;
-    let handed_over_metric = r#"bramblecrank_gateway_handed_over_total{answer="taken"}"#;
-    while fleet.metric(handed_over_metric).await == 0 {
-        call(fleet.front, &get("/safe/x", "before")).await;
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    hand_over_all(&mut fleet).await;
     replicas[0].set_leaving(true);
     send_until_reached(&fleet, "/once/x", &replicas[0]).await;
     // Meanwhile it requests the list of leaving endpoints from the other router.
