Split the replica's outputs and the simulated group of its tests into files of their own

Change: types that the replica returns are in agree/replica/output.rs, the tests' simulated group is in agree/tests/group.rs. Lines are moved, not changed, but for visibility and imports.

--- a/src/agree/replica.rs
+++ b/src/agree/replica.rs
@@ -2,6 +2,7 @@
 
 mod election;
 mod membership;
+mod output;
 mod replication;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -13,6 +14,8 @@
 use super::message::*;
 use crate::dispatch::Millis;
 
+pub use output::{NotLeader, Output, Persist, Role, Status};
+
 /// Milliseconds between two heartbeats of a leader.
 pub const HEARTBEAT_MS: Millis = 100;
 /// Shortest election timeout in milliseconds: without contact with a leader for
@@ -26,72 +29,6 @@
 /// Maximum number of entries in one message of the leader.
 const MAX_ENTRIES_PER_MESSAGE: usize = 512;
 
-/// The current role of a replica.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Role {
-    /// Follows a leader, or waits for one.
-    Follower,
-    /// Collects pre-votes.
-    PreCandidate,
-    /// Collects votes.
-    Candidate,
-    /// Leads the group in its term.
-    Leader,
-}
-
-/// A record to be synced to disk before the messages that need it are sent
-/// (see [`Envelope::needs_sync`]).
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Persist {
-    /// Term and vote.
-    HardState(HardState),
-    /// Entries to append, after removing any existing ones from the first one's index on.
-    Entries(Vec<Entry>),
-    /// A snapshot that replaces all entries up to its index.
-    Snapshot(Snapshot),
-}
-
-/// The effects of an input, to be carried out in the order of the fields.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Output {
-    /// Records to write and sync, in order.
-    pub persist: Vec<Persist>,
-    /// Messages to send.
-    pub messages: Vec<Envelope>,
-    /// A snapshot from which the state machine must be restored.
-    pub restore: Option<Snapshot>,
-    /// Newly committed entries, to apply in order.
-    pub committed: Vec<Entry>,
-    /// Tokens of reads that may now be answered from the applied state.
-    pub reads: Vec<u64>,
-}
-
-/// A request was refused because this replica is not the leader.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NotLeader {
-    /// The leader, if known.
-    pub leader: Option<StoreId>,
-}
-
-/// A replica's state for status reports.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Status {
-    /// The store.
-    pub store: StoreId,
-    /// Its role.
-    pub role: Role,
-    /// Its term.
-    pub term: u64,
-    /// The leader, if known.
-    pub leader: Option<StoreId>,
-    /// Its commit index.
-    pub commit: u64,
-    /// The index of its last entry.
-    pub last: u64,
-    /// The latest membership in its log.
-    pub members: Vec<GroupMember>,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Progress {
     matched: u64,
