Soak: streams of each round after the faults have names of their own

Cause: a fault of the soak. The second round began other streams under the same names, and the check read both as one.

Change: names hold the number of the round. The check is unchanged.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -35,6 +35,7 @@
 mod shapes;
 
 use std::future::Future;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -160,7 +161,9 @@
     let crash_scenario = tokio::spawn(CrashScenario::new(context.clone(), seed).run());
     faults::inject_faults(&fleet, seed, time).await;
     let has_recovered = eventually(|| serves(&context)).await;
-    let go_on = eventually(|| streams::go_on_after_faults(&context)).await;
+    let rounds = AtomicUsize::new(0);
+    let next_round = || rounds.fetch_add(1, Ordering::Relaxed);
+    let go_on = eventually(|| streams::go_on_after_faults(&context, next_round())).await;
     context.finished.cancel();
     actors.join_all().await;
     let is_used = notices::is_used_again(&context, &notifying, seed).await;
--- a/tests/soak/streams.rs
+++ b/tests/soak/streams.rs
@@ -145,13 +145,14 @@
     }
 }
 
-/// Whether streams go on nearly as often as new ones begin, once no more faults are injected.
-pub async fn go_on_after_faults(context: &Context) -> bool {
+/// Whether streams go on nearly as often as new ones begin, once no more faults are injected. Each
+/// round begins streams of its own.
+pub async fn go_on_after_faults(context: &Context, round: usize) -> bool {
     let routers = context.fleet.size.routers.min(8);
     let (mut begun, mut resumed) = (0, 0);
     for router in 0..routers {
         for number in 0..FINAL_STREAMS {
-            let mut stream = Stream::new(format!("final{router}-{number}"), None);
+            let mut stream = Stream::new(format!("final{round}-{router}-{number}"), None);
             let front = context.fleet.front(router);
             stream.attempt(context, front, Some(GIVE_UP_AFTER)).await;
             if stream.last_event == 0 {
