--- a/review/build.sh
+++ b/review/build.sh
@@ -6,5 +6,5 @@
 for case in review/[0-9]*/; do
     number=$(basename "$case")
     [ -f "$case/main.rs" ] || continue
-    rustc --edition 2021 -O "$case/main.rs" -o "target/review/case-$number"
+    rustc --edition 2024 -O "$case/main.rs" -o "target/review/case-$number"
 done
