--- a/review/build.sh
+++ b/review/build.sh
@@ -1,10 +1,9 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of all cases. They use only the standard library.
+# Builds the stand-ins of all scripts. They use only the standard library.
 set -eu
-cd "$(dirname "$0")/.."
-mkdir -p target/review
-for case in review/[0-9]*/; do
-    number=$(basename "$case")
-    [ -f "$case/main.rs" ] || continue
-    rustc --edition 2024 -O "$case/main.rs" -o "target/review/case-$number"
+cd "$(dirname "$0")"
+mkdir -p ../target/review
+for source in [0-9]/main.rs entries/*/main.rs; do
+    name=$(basename "$(dirname "$source")")
+    rustc --edition 2024 -O "$source" -o "../target/review/$name"
 done
--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -8,7 +8,6 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -207,7 +206,8 @@
         let Some(pid) = self.pid() else { return 0 };
         let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
         let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kib = line.and_then(|line| line.trim().trim_end_matches("kB").trim().parse::<u64>().ok());
+        let kib =
+            line.and_then(|line| line.trim().trim_end_matches("kB").trim().parse::<u64>().ok());
         kib.unwrap_or(0) * 1_024
     }
 
@@ -321,11 +321,6 @@
         Ok(())
     }
 
-    /// Removes the disk of a control host that does not run.
-    pub fn wipe(&self, number: usize) {
-        let _ = std::fs::remove_dir_all(self.folder.join(format!("data-{number}")));
-    }
-
     pub fn start_router(&mut self, number: usize) -> Result<(), Failure> {
         let host = &self.routers[number];
         let text = format!(
@@ -364,13 +359,6 @@
         Ok(child)
     }
 
-    /// The lines of a host's log that contain `pattern`.
-    pub fn log_lines(&self, name: &str, pattern: &str) -> Vec<String> {
-        let text = std::fs::read_to_string(self.folder.join(format!("{name}.log")));
-        let text = text.unwrap_or_default();
-        text.lines().filter(|line| line.contains(pattern)).map(str::to_string).collect()
-    }
-
     /// Sends an operator's call, following redirections, to one host after the other until one
     /// answers it with another status than a 5xx.
     pub fn operate(
@@ -416,7 +404,8 @@
         }
         for router in &self.routers {
             wait_until(within, || {
-                let answer = call(router.ready(), "GET", "/ready", &[], &[], Duration::from_secs(1));
+                let answer =
+                    call(router.ready(), "GET", "/ready", &[], &[], Duration::from_secs(1));
                 answer.is_ok_and(|(head, _)| head.status() == 200)
             })?;
         }
@@ -453,8 +442,16 @@
     pub runs: Mutex<HashMap<String, u32>>,
     pub record: Record,
     sequence: Mutex<u64>,
+    software: Mutex<Software>,
+    connections: Mutex<Vec<TcpStream>>,
+}
+
+/// What a replica runs.
+#[derive(Clone)]
+struct Software {
+    version: String,
+    /// When it started, in milliseconds since the epoch.
     born: u64,
-    stopped: AtomicBool,
 }
 
 impl Replica {
@@ -477,8 +474,8 @@
             runs: Mutex::default(),
             record: record.clone(),
             sequence: Mutex::default(),
-            born: epoch_ms(),
-            stopped: AtomicBool::new(false),
+            software: Mutex::new(Software { version: "v1".into(), born: epoch_ms() }),
+            connections: Mutex::default(),
         });
         let serving = replica.clone();
         std::thread::spawn(move || {
@@ -491,7 +488,7 @@
         });
         let beating = replica.clone();
         std::thread::spawn(move || {
-            while !beating.stopped.load(Ordering::Relaxed) {
+            loop {
                 let _ = beating.beat(&controls, "ready");
                 std::thread::sleep(Duration::from_millis(1_200));
             }
@@ -499,15 +496,29 @@
         Ok(replica)
     }
 
+    /// Starts it again with software of this version, under its id and at its address.
+    pub fn restart(&self, version: &str) {
+        *self.software.lock().unwrap() = Software { version: version.into(), born: epoch_ms() };
+        *self.sequence.lock().unwrap() = 0;
+        for connection in self.connections.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    pub fn version(&self) -> String {
+        self.software.lock().unwrap().version.clone()
+    }
+
     pub fn beat(&self, controls: &[SocketAddr], state: &str) -> Result<SocketAddr, Failure> {
         let sequence = {
             let mut sequence = self.sequence.lock().unwrap();
             *sequence += 1;
             *sequence
         };
+        let Software { version, born } = self.software.lock().unwrap().clone();
         let body = format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"{state}","warmupLeftMs":0,"callSeq":{sequence},"born":{}}}"#,
-            self.service, self.address, self.zone, self.slots, self.born
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"{version}","slots":{},"state":"{state}","warmupLeftMs":0,"callSeq":{sequence},"born":{born}}}"#,
+            self.service, self.address, self.zone, self.slots
         );
         let path = format!("/replicas/{}", self.id);
         for control in controls {
@@ -522,6 +533,7 @@
 
     fn serve(&self, mut stream: TcpStream, answerer: &Answerer) -> io::Result<()> {
         stream.set_nodelay(true)?;
+        self.connections.lock().unwrap().push(stream.try_clone()?);
         let mut reader = BufReader::new(stream.try_clone()?);
         while let Some(head) = read_head(&mut reader)? {
             let body = read_body(&mut reader, &head)?;
--- a/review/run-case.sh
+++ b/review/run-script.sh
@@ -1,13 +1,13 @@
 #!/usr/bin/env bash
-# Runs the case of a folder: starts its stand-in, and ends by their ids the processes that the
-# stand-in started, if it left any.
+# Runs the script of a folder: starts its stand-ins, which start the project's processes, and ends
+# by their ids the processes that are left.
 set -u
+folder=$(cd "$1" && pwd)
 cd "$(dirname "$0")/.."
-case=$1
-export RECORD="review/$case/record.txt"
+export RECORD="$folder/record.txt"
 PIDS=$(mktemp)
 export PIDS
-timeout --signal=KILL 115 "target/review/case-$case"
+timeout --signal=KILL 115 "target/review/$(basename "$folder")"
 result=$?
 while read -r pid; do
     if grep -qs bramblecrank "/proc/$pid/cmdline"; then kill -KILL "$pid"; fi
