--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -75,6 +75,13 @@
         pending_reads: BTreeMap::new(),
         last_read_token: 0,
     };
+    log::info!(
+        "control: starts in term {} with entries up to {}, applied up to {}, routing version {}",
+        driver.replica.term(),
+        driver.replica.last_entry().0,
+        driver.applied_index,
+        driver.state.document_version(),
+    );
     driver.published.update(&driver.state);
     let task = tokio::spawn(driver.run(events, synced));
     Ok((Handle { store, events: sender, leadership }, task))
@@ -153,7 +160,13 @@
         self.leadership.send_if_modified(|published| {
             let changed = *published != current;
             if changed {
-                log::info!("control: term {}, leader {:?}", current.term, current.leader);
+                log::info!(
+                    "control: term {}, leader {:?}, caught up {}, hosts {:?}",
+                    current.term,
+                    current.leader,
+                    current.has_caught_up,
+                    current.hosts.iter().map(|(host, _)| host.0).collect::<Vec<_>>(),
+                );
                 *published = current;
             }
             changed
--- a/src/feed/host_reports.rs
+++ b/src/feed/host_reports.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// The leader and term that a control host reported last.
+    pub fn reported_leader(&self, from: HostId) -> LeaderUpdate {
+        self.hosts.get(&from).map(|report| report.leader).unwrap_or_default()
+    }
+
     /// Records how many live routers a control host reports.
     pub fn set_router_count(&mut self, now: Millis, from: HostId, routers: usize) {
         if let Some(report) = self.hosts.get_mut(&from) {
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -281,6 +281,14 @@
                 self.tables_changed.notify_one();
             }
             FeedMessage::Routing { version, encoded } => {
+                let reported = self.reports().reported_leader(from);
+                log::info!(
+                    "feed: control host {from} sent routing version {version}, term {}, \
+                     leader {:?}, caught up {}",
+                    reported.term,
+                    reported.leader,
+                    reported.has_caught_up,
+                );
                 if let Err(error) = self.fleet_state.routing.adopt_encoded(version, &encoded) {
                     log::error!("feed: routing version {version} of host {from}: {error}");
                 }
