Routers learn of every control host that replaces a lost one

What callers saw: after control hosts had been replaced one after the other, requests were handled by an older configuration than the acknowledged one, at routers that could reach every running control host.

Cause: a control host with an empty disk at a new address is known only to the hosts that it was given as seeds. Others learn its address from the full heartbeats of those, each of which announces one member, chosen by the number of heartbeats sent. Most heartbeats are full only every tenth time, so with two, four, five or six control hosts in the table, those that were lost included, only some of them were ever announced, and each at most every 5 s. When the last control host that a router knew was lost, the router kept its table for good, until it was restarted with new seeds.

Fix: a control host that has started, or is heard again after silence, is announced with the next heartbeat; when any host starts, each live control host is announced to it within as many heartbeats as there are of them; the members announced in turn have a count of their own. The wire is unchanged.

--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -1,6 +1,6 @@
 //! The member table: a state machine without I/O that follows other hosts' heartbeats.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -99,6 +99,11 @@
     members: BTreeMap<HostId, Member>,
     sent_count: usize,
     full_heartbeat_due: bool,
+    /// Addresses of control hosts that other hosts may not know; each of the next heartbeats
+    /// announces one of them.
+    to_announce: VecDeque<SocketAddr>,
+    /// The number of addresses that were announced in turn.
+    announced_count: usize,
     unknown_heartbeats: u64,
     /// Whether a heartbeat has changed what [`MemberTable::view`] shows.
     view_changed: bool,
@@ -114,6 +119,8 @@
             members: BTreeMap::new(),
             sent_count: 0,
             full_heartbeat_due: true,
+            to_announce: VecDeque::new(),
+            announced_count: 0,
             unknown_heartbeats: 0,
             view_changed: false,
             scope,
@@ -157,10 +164,14 @@
                     return Some((from, HeartbeatMessage::RequestFull(self.me.clone())));
                 };
                 let shown = (member.heartbeat.version, member.heartbeat.draining);
-                self.view_changed |= shown != (version, draining) || member.is_silent(now);
+                let was_silent = member.is_silent(now);
+                self.view_changed |= shown != (version, draining) || was_silent;
                 member.heartbeat.version = version;
                 member.heartbeat.draining = draining;
                 member.last_heard = now;
+                if was_silent {
+                    self.announce_soon(host);
+                }
                 None
             }
             HeartbeatMessage::RequestFull(heartbeat) => {
@@ -198,8 +209,16 @@
         let answer_to =
             (restarted && self.exchanges_with(heartbeat.role)).then_some(heartbeat.peer);
         let member = Member { heartbeat, last_heard: now, avoid_until };
-        self.view_changed |= known.is_none_or(|m| m.is_silent(now) || m.shown() != member.shown());
-        self.members.insert(member.heartbeat.host, member);
+        let was_silent = known.is_some_and(|m| m.is_silent(now));
+        self.view_changed |= known.is_none_or(|m| was_silent || m.shown() != member.shown());
+        let host = member.heartbeat.host;
+        self.members.insert(host, member);
+        if restarted {
+            self.announce_all_to_newcomer(now);
+        }
+        if restarted || was_silent {
+            self.announce_soon(host);
+        }
         answer_to
     }
 
@@ -224,6 +243,28 @@
         self.members.is_empty()
     }
 
+    /// Announces a control host with the next heartbeat: one that has just started at this
+    /// address is known only to hosts that it was given as seeds.
+    fn announce_soon(&mut self, host: HostId) {
+        let Some(member) = self.members.get(&host) else { return };
+        if member.heartbeat.role == Role::Control {
+            let address = member.heartbeat.peer;
+            self.to_announce.retain(|queued| *queued != address);
+            self.to_announce.push_front(address);
+        }
+    }
+
+    /// Announces the live control hosts, one with each heartbeat, to a host that has just started
+    /// and may know only some of them.
+    fn announce_all_to_newcomer(&mut self, now: Millis) {
+        let live = self.members.values().filter(|m| !m.is_silent(now));
+        for member in live.filter(|m| m.heartbeat.role == Role::Control) {
+            if !self.to_announce.contains(&member.heartbeat.peer) {
+                self.to_announce.push_back(member.heartbeat.peer);
+            }
+        }
+    }
+
     fn add_seed(&mut self, address: SocketAddr) {
         let known = address == self.me.peer || self.seeds.contains(&address);
         if !known {
@@ -254,13 +295,21 @@
             self.members.values().filter(is_announced).map(|m| m.heartbeat.peer).collect();
         let seeds_only = self.seeds.iter().filter(|s| **s != self.me.peer && !targets.contains(s));
         let seeds_only: Vec<_> = seeds_only.copied().collect();
-        let also = announced.get(self.sent_count % announced.len().max(1)).copied();
+        let in_turn = announced.get(self.announced_count % announced.len().max(1)).copied();
         self.sent_count += 1;
         targets.extend(seeds_only);
+        let urgent = self.to_announce.pop_front();
         let is_due = std::mem::take(&mut self.full_heartbeat_due);
         let is_full = is_due
+            || urgent.is_some()
             || self.sent_count <= INITIAL_FULL_HEARTBEATS
             || self.sent_count % FULL_HEARTBEAT_PERIOD == 1;
+        // Counted apart from the heartbeats: a fixed part of these is full, and would announce only
+        // some of the members.
+        if is_full && urgent.is_none() {
+            self.announced_count += 1;
+        }
+        let also = urgent.or(in_turn);
         let heartbeat = match is_full {
             true => HeartbeatMessage::Full(Heartbeat { also, ..self.me.clone() }),
             false => HeartbeatMessage::Brief {
--- a/src/member/tests.rs
+++ b/src/member/tests.rs
@@ -1,4 +1,5 @@
 mod network;
+mod replacement;
 mod restart;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
--- a/src/member/tests/network.rs
+++ b/src/member/tests/network.rs
@@ -28,8 +28,8 @@
     heartbeat: HeartbeatMessage,
 }
 
-/// Routers, numbered from 1, and control hosts, numbered after them. The control hosts are
-/// the seeds of all.
+/// Routers, numbered from 1, and control hosts, numbered after them. The first control hosts are
+/// the seeds of all, unless others are given.
 pub struct Network {
     now: Millis,
     routers: u32,
@@ -76,7 +76,13 @@
 
     /// Starts a process with an empty member table.
     pub fn start(&mut self, host: u32) {
-        let is_control = self.control_numbers().contains(&host);
+        let seeds: Vec<u32> = self.control_numbers().collect();
+        self.start_with_seeds(host, &seeds);
+    }
+
+    /// Starts a process with an empty member table and these seeds.
+    pub fn start_with_seeds(&mut self, host: u32, seeds: &[u32]) {
+        let is_control = !self.router_numbers().contains(&host);
         let me = Heartbeat {
             host: HostId(host),
             incarnation: self.now + 1,
@@ -88,7 +94,7 @@
             draining: false,
             also: None,
         };
-        let seeds = self.control_numbers().map(address).collect();
+        let seeds = seeds.iter().copied().map(address).collect();
         let table = MemberTable::new(me, seeds, HeartbeatScope::Control);
         let process = Process { table, heartbeat_due: self.now, interval: FIRST_HEARTBEAT_MS };
         self.processes.insert(host, process);
@@ -161,9 +167,12 @@
         view.get(HostId(other)).is_some_and(|m| m.incarnation == current.incarnation)
     }
 
-    /// Pairs of a router and a control host of which one does not have the other as live.
+    /// Pairs of a running router and a running control host of which one does not have the other
+    /// as live.
     pub fn unknown_pairs(&self) -> Vec<(u32, u32)> {
-        let pairs = self.router_numbers().flat_map(|r| self.control_numbers().map(move |c| (r, c)));
+        let (routers, controls): (Vec<u32>, Vec<u32>) =
+            self.processes.keys().partition(|host| self.router_numbers().contains(host));
+        let pairs = routers.iter().flat_map(|r| controls.iter().map(move |c| (*r, *c)));
         pairs.filter(|(r, c)| !self.sees_live(*r, *c) || !self.sees_live(*c, *r)).collect()
     }
 }
