A store without a vote states no leader that it does not hear

Only a store that starts an election dropped the leader that it knew, and one without a vote starts none: a learner that was cut off, or removed after a minute of silence, went on stating its last leader and having caught up. A router that heard only this host took its own table for the newest and denied routes and keys that were added since, and the host never asked to join again, because it does so only while it knows no leader. Its driver also woke up every millisecond, as its election was always due.

Evidence: a_store_without_a_vote_states_no_leader_that_it_does_not_hear failed: the leader was still stated after 2.8 s without a message.

--- a/src/agree/replica.rs
+++ b/src/agree/replica.rs
@@ -204,8 +204,11 @@
     pub fn tick(&mut self, now: Millis) -> Output {
         if self.role == Role::Leader {
             self.tick_leader(now);
-        } else if now >= self.election_due && self.is_voter() {
-            self.start_election(now, true);
+        } else if now >= self.election_due {
+            match self.is_voter() {
+                true => self.start_election(now, true),
+                false => self.forget_leader(now),
+            }
         }
         self.take_output()
     }
--- a/src/agree/replica/election.rs
+++ b/src/agree/replica/election.rs
@@ -26,6 +26,12 @@
         self.count_votes(now);
     }
 
+    /// Without a vote this store cannot start an election; it only stops stating a leader.
+    pub(super) fn forget_leader(&mut self, now: Millis) {
+        self.leader = None;
+        self.reset_election_timer(now);
+    }
+
     pub(super) fn on_request_vote(
         &mut self,
         now: Millis,
--- a/src/agree/tests.rs
+++ b/src/agree/tests.rs
@@ -296,3 +296,29 @@
     let voters = group.voters();
     assert!(voters.contains(&StoreId(4)) && !voters.contains(&crashed));
 }
+
+#[test]
+fn a_store_without_a_vote_states_no_leader_that_it_does_not_hear() {
+    let mut group = Group::new(3, 17);
+    group.run(150);
+    let leader = group.leader().unwrap();
+    let now = group.now;
+    let replica = group.stores.get_mut(&leader).unwrap().replica.as_mut().unwrap();
+    replica.set_max_voters(3);
+    let (joined, out) = replica.join(now, member(4, false, None)).unwrap();
+    assert!(joined);
+    group.carry_out(leader, out);
+    group.start(StoreId(4), Disk::default());
+    group.run(100);
+    let stated = |group: &Group| group.stores[&StoreId(4)].replica.as_ref().unwrap().leader();
+    assert_eq!(stated(&group), Some(leader));
+    for other in [1, 2, 3].map(StoreId) {
+        group.cut_links.insert((other, StoreId(4)));
+    }
+    // Two of the longest election timeouts.
+    group.run(4 * MIN_ELECTION_TIMEOUT_MS as usize / 20);
+    assert_eq!(stated(&group), None);
+    group.cut_links.clear();
+    group.run(100);
+    assert_eq!(stated(&group), group.leader());
+}
