A leader with steady work replaces lost voters

The leader looked for a learner to promote in place of a silent voter only when it sent a heartbeat that was due, and each proposal or read puts the next one off by 100 ms. With reads, changes or claims at shorter intervals it never looked: the group kept a lost voter, and the next loss left it without a majority although a replacement had caught up.

Evidence: a_leader_with_reads_all_the_time_replaces_a_silent_voter failed: after 6 s the crashed store still voted. With real processes, a read every 50 ms and a change every 250 ms, the vote of a host that had been silent for 30 s was not given to the replacement, which had joined 3 s after its start.

Fix: the check has a time of its own.

--- a/src/agree/replica.rs
+++ b/src/agree/replica.rs
@@ -66,6 +66,8 @@
     /// Number of times that the election timer was set since the start.
     timer_resets: u32,
     heartbeat_due: Millis,
+    /// When the leader checks next whether a member can be replaced.
+    membership_check_due: Millis,
     rng: SmallRng,
     output: Output,
 }
@@ -103,6 +105,7 @@
             election_due: 0,
             timer_resets: 0,
             heartbeat_due: 0,
+            membership_check_due: 0,
             rng: SmallRng::seed_from_u64(seed),
             output: Output::default(),
         };
@@ -171,7 +174,7 @@
     /// When to call [`Replica::tick`] next, in milliseconds.
     pub fn next_tick(&self) -> Millis {
         match self.role {
-            Role::Leader => self.heartbeat_due,
+            Role::Leader => self.heartbeat_due.min(self.membership_check_due),
             _ => self.election_due,
         }
     }
--- a/src/agree/replica/replication.rs
+++ b/src/agree/replica/replication.rs
@@ -36,6 +36,10 @@
         }
         if now >= self.heartbeat_due {
             self.broadcast(now);
+        }
+        // Apart from the heartbeats, which a leader with steady work need not send.
+        if now >= self.membership_check_due {
+            self.membership_check_due = now + HEARTBEAT_MS;
             self.promote_learner(now);
         }
     }
--- a/src/agree/tests.rs
+++ b/src/agree/tests.rs
@@ -322,3 +322,25 @@
     group.run(100);
     assert_eq!(stated(&group), group.leader());
 }
+
+#[test]
+fn a_leader_with_reads_all_the_time_replaces_a_silent_voter() {
+    let mut group = Group::new(3, 17);
+    group.run(150);
+    let leader = group.leader().unwrap();
+    let now = group.now;
+    let replica = group.stores.get_mut(&leader).unwrap().replica.as_mut().unwrap();
+    replica.set_max_voters(3);
+    let (joined, out) = replica.join(now, member(4, false, None)).unwrap();
+    assert!(joined);
+    group.carry_out(leader, out);
+    group.start(StoreId(4), Disk::default());
+    let crashed = [1, 2, 3].map(StoreId).into_iter().find(|s| *s != leader).unwrap();
+    group.crash(crashed);
+    for token in 0..300 {
+        group.update(leader, |replica, now| replica.read(now, token).unwrap_or_default());
+        group.step();
+    }
+    let voters = group.voters();
+    assert!(voters.contains(&StoreId(4)) && !voters.contains(&crashed), "voters {voters:?}");
+}
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -120,6 +120,13 @@
     ) -> Result<()> {
         loop {
             let now = self.peers.clock.now();
+            if now >= self.replica.next_tick() {
+                // Not left to the timer below, which steady events start again and again.
+                let out = self.replica.tick(now);
+                self.execute(out)?;
+                self.fail_pending_unless_leader();
+                self.publish_leadership();
+            }
             let pause = self.replica.next_tick().saturating_sub(now).max(1);
             tokio::select! {
                 event = events.recv() => {
