Bound the messages for a store that is behind in bytes

Cause: send_entries put up to 512 entries into one message, whatever their size, so a store with an empty disk was sent the whole log at once: the entries, their encoding and the frame are held beside each other.

Now a message holds 1 MiB of entries, or one entry, and a member that has not answered is sent no more than 2 MiB beyond what it has acknowledged; heartbeats go on without entries. A refusal starts again from what it names.

--- a/src/agree/log.rs
+++ b/src/agree/log.rs
@@ -35,10 +35,16 @@
         self.entries.get(offset as usize)
     }
 
-    /// The entries from index `first` on, at most `max`.
-    pub fn entries_from(&self, first: u64, max: usize) -> Vec<Entry> {
+    /// The entries from index `first` on, as many as fit into `max_bytes`, and at least one.
+    pub fn entries_from(&self, first: u64, max_bytes: usize) -> Vec<Entry> {
         let offset = first.saturating_sub(self.snapshot.index + 1) as usize;
-        self.entries.iter().skip(offset).take(max).cloned().collect()
+        let mut bytes = 0;
+        let fits = |entry: &&Entry| {
+            let is_first = bytes == 0;
+            bytes += entry.size();
+            is_first || bytes <= max_bytes
+        };
+        self.entries.iter().skip(offset).take_while(fits).cloned().collect()
     }
 
     /// Appends entries, after removing any existing ones from the first one's index on.
--- a/src/agree/message.rs
+++ b/src/agree/message.rs
@@ -53,6 +53,21 @@
     pub payload: Payload,
 }
 
+impl Entry {
+    /// Bytes of an entry beside its data, at most: term, index and the length of the data.
+    const OVERHEAD_BYTES: usize = 32;
+
+    /// Its approximate size in bytes, in memory and in a message.
+    pub fn size(&self) -> usize {
+        let content = match &self.payload {
+            Payload::Noop => 0,
+            Payload::Members(members) => size_of_val(members.as_slice()),
+            Payload::Data(data) => data.len(),
+        };
+        Entry::OVERHEAD_BYTES + content
+    }
+}
+
 /// The term and vote that a store must persist before it answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HardState {
--- a/src/agree/replica.rs
+++ b/src/agree/replica.rs
@@ -15,6 +15,8 @@
 use crate::dispatch::Millis;
 
 pub use output::{NotLeader, Output, Persist, Role, Status};
+#[cfg(test)]
+pub(in crate::agree) use replication::{MAX_IN_FLIGHT_BYTES, MAX_MESSAGE_BYTES};
 
 /// Milliseconds between two heartbeats of a leader.
 pub const HEARTBEAT_MS: Millis = 100;
@@ -26,15 +28,23 @@
 /// short because after a restart of all hosts there is no leader. If there is one, the
 /// pre-vote is refused. A leader sends two heartbeats within it.
 const FIRST_ELECTION_TIMEOUT_MS: Millis = 200;
-/// Maximum number of entries in one message of the leader.
-const MAX_ENTRIES_PER_MESSAGE: usize = 512;
 
+/// What a leader knows of another member's log.
 #[derive(Clone, Copy, Debug)]
 struct Progress {
     matched: u64,
     next: u64,
     acked_at: Millis,
     acked_round: u64,
+    in_flight: InFlight,
+}
+
+/// The bytes of entries and snapshots that were sent to a member and not yet answered.
+#[derive(Clone, Copy, Debug, Default)]
+struct InFlight {
+    bytes: usize,
+    /// The index up to which they reach.
+    upto: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/src/agree/replica/membership.rs
+++ b/src/agree/replica/membership.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 
 use super::{
-    GroupMember, MIN_ELECTION_TIMEOUT_MS, Millis, NotLeader, Output, Payload, Progress, Replica,
-    Role, StoreId,
+    GroupMember, InFlight, MIN_ELECTION_TIMEOUT_MS, Millis, NotLeader, Output, Payload, Progress,
+    Replica, Role, StoreId,
 };
 
 /// Milliseconds of silence after which a voter may be replaced by a learner.
@@ -32,7 +32,8 @@
         self.progress.retain(|store, _| others.contains(store));
         let next = self.log.last_index() + 1;
         for store in others {
-            let initial = Progress { matched: 0, next, acked_at: now, acked_round: 0 };
+            let in_flight = InFlight::default();
+            let initial = Progress { matched: 0, next, acked_at: now, acked_round: 0, in_flight };
             self.progress.entry(store).or_insert(initial);
         }
     }
--- a/src/agree/replica/replication.rs
+++ b/src/agree/replica/replication.rs
@@ -1,10 +1,30 @@
 //! Log replication from the leader to the other members, and commits.
 
 use super::{
-    Entry, HEARTBEAT_MS, MAX_ENTRIES_PER_MESSAGE, Message, Millis, Payload, Persist, Read, Replica,
-    Role, Snapshot, StoreId,
+    Entry, HEARTBEAT_MS, InFlight, Message, Millis, Payload, Persist, Read, Replica, Role,
+    Snapshot, StoreId,
 };
 
+/// Bytes of entries in one message of the leader, unless its first entry alone is larger.
+pub(in crate::agree) const MAX_MESSAGE_BYTES: usize = 1 << 20;
+/// Bytes that may be in flight to a member before it has answered: while it catches up, the
+/// messages queued for it take no more memory than these and one message.
+pub(in crate::agree) const MAX_IN_FLIGHT_BYTES: usize = 2 << 20;
+
+impl InFlight {
+    fn add(&mut self, bytes: usize, upto: u64) {
+        self.bytes += bytes;
+        self.upto = upto;
+    }
+
+    /// Records that the member has everything up to `index`.
+    fn acknowledge(&mut self, index: u64) {
+        if index >= self.upto {
+            self.bytes = 0;
+        }
+    }
+}
+
 impl Replica {
     pub(super) fn append_as_leader(&mut self, now: Millis, payloads: Vec<Payload>) -> Vec<u64> {
         let first = self.log.last_index() + 1;
@@ -49,30 +69,31 @@
     }
 
     pub(super) fn send_entries(&mut self, to: StoreId) {
-        let Some(next) = self.progress.get(&to).map(|p| p.next) else {
+        let Some(progress) = self.progress.get_mut(&to) else {
             return;
         };
         let (term, round) = (self.hard_state.term, self.round);
-        let prev_index = next - 1;
+        let prev_index = progress.next - 1;
         let Some(prev_term) = self.log.term(prev_index) else {
             let snapshot = self.log.snapshot.clone();
-            self.set_next(to, snapshot.index + 1);
+            progress.next = snapshot.index + 1;
+            progress.in_flight.add(snapshot.data.len(), snapshot.index);
             self.send(to, term, Message::InstallSnapshot { snapshot, round });
             return;
         };
-        let entries = self.log.entries_from(next, MAX_ENTRIES_PER_MESSAGE);
-        self.set_next(to, next + entries.len() as u64);
+        let entries = match progress.in_flight.bytes < MAX_IN_FLIGHT_BYTES {
+            true => self.log.entries_from(progress.next, MAX_MESSAGE_BYTES),
+            false => Vec::new(),
+        };
+        if let Some(last) = entries.last() {
+            progress.next = last.index + 1;
+            progress.in_flight.add(entries.iter().map(Entry::size).sum(), last.index);
+        }
         let commit = self.commit;
         let append = Message::AppendEntries { prev_index, prev_term, entries, commit, round };
         self.send(to, term, append);
     }
 
-    pub(super) fn set_next(&mut self, store: StoreId, next: u64) {
-        if let Some(progress) = self.progress.get_mut(&store) {
-            progress.next = next;
-        }
-    }
-
     #[allow(clippy::too_many_arguments)]
     pub(super) fn on_append_entries(
         &mut self,
@@ -164,10 +185,12 @@
         if success {
             progress.matched = progress.matched.max(index.min(last));
             progress.next = progress.next.max(progress.matched + 1);
+            progress.in_flight.acknowledge(index);
         } else {
             progress.next = (index + 1).clamp(progress.matched + 1, last + 1);
+            progress.in_flight = InFlight::default();
         }
-        let is_behind = progress.next <= last;
+        let is_behind = progress.next <= last && progress.in_flight.bytes < MAX_IN_FLIGHT_BYTES;
         self.advance_commit();
         self.answer_reads();
         if is_behind && self.role == Role::Leader {
--- a/src/agree/tests.rs
+++ b/src/agree/tests.rs
@@ -1,6 +1,7 @@
 //! The replicated log under lost, duplicated, delayed and reordered messages, cut links,
 //! crashes, lost disks and membership changes.
 
+mod catch_up;
 mod group;
 
 use proptest::prelude::*;
