--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -70,7 +70,9 @@
         state,
         applied_index,
         snapshot_index: applied_index,
+        snapshot_job: None,
         snapshot_every: settings.snapshot_every,
+        snapshot_every_bytes: settings.snapshot_every_bytes,
         pending_proposals: BTreeMap::new(),
         pending_reads: BTreeMap::new(),
         last_read_token: 0,
@@ -95,8 +97,12 @@
     applied_index: u64,
     /// Index of the last entry in the newest snapshot.
     snapshot_index: u64,
-    /// Minimum number of entries between two snapshots.
+    /// The disk job that writes a snapshot, until it is synced.
+    snapshot_job: Option<u64>,
+    /// Entries after which a snapshot is due if the log is at least as large as the last one.
     snapshot_every: u64,
+    /// Bytes of log after which a snapshot is due if the last one is not larger.
+    snapshot_every_bytes: u64,
     /// Proposals made here that are not yet applied, by index: term and reply channel.
     pending_proposals: BTreeMap<u64, (u64, ReplyTo)>,
     /// Reads that are not yet confirmed, by token.
@@ -139,6 +145,7 @@
 
     /// Handles that a disk job and all jobs before it are synced.
     fn on_synced(&mut self, job: u64) -> Result<()> {
+        self.snapshot_job.take_if(|writing| *writing <= job);
         while let Some(unsynced) = self.unsynced.pop_front_if(|u| u.job <= job) {
             self.send_messages(unsynced.messages);
             let (index, term) = unsynced.last_entry;
@@ -288,18 +295,19 @@
     }
 
     /// Queues records for the disk, and the messages that must not be sent before they are
-    /// synced.
-    fn persist(&mut self, records: Vec<Persist>, messages: Vec<Envelope>) {
+    /// synced. Returns the job that writes the records, if there are any.
+    fn persist(&mut self, records: Vec<Persist>, messages: Vec<Envelope>) -> Option<u64> {
         let last_entry = self.replica.last_entry();
         if !records.is_empty() {
             let job = self.disk.write(records);
             self.unsynced.push_back(Unsynced { job, messages, last_entry });
-            return;
+            return Some(job);
         }
         match self.unsynced.back_mut() {
             Some(last) => last.messages.extend(messages),
             None => self.send_messages(messages),
         }
+        None
     }
 
     fn apply(&mut self, entries: Vec<Entry>) -> Result<()> {
@@ -325,12 +333,16 @@
         Ok(())
     }
 
-    /// Writes a snapshot when at least `snapshot_every` entries were applied since the last
-    /// one and the log is at least as large as that snapshot, so that writing snapshots costs
-    /// at most a constant factor.
+    /// Writes a snapshot when the log is long or large and at least as large as the last
+    /// snapshot, so that writing snapshots costs at most a constant factor.
     fn snapshot_if_due(&mut self) -> Result<()> {
         let entries = self.applied_index - self.snapshot_index;
-        if entries < self.snapshot_every || self.disk.log_bytes() < self.disk.snapshot_bytes() {
+        let log_bytes = self.disk.log_bytes();
+        let is_long = entries >= self.snapshot_every;
+        let is_large = entries > 0 && log_bytes >= self.snapshot_every_bytes;
+        // The size of the log is that of before until the snapshot is written.
+        let is_written = self.snapshot_job.is_none();
+        if !is_written || !(is_long || is_large) || log_bytes < self.disk.snapshot_bytes() {
             return Ok(());
         }
         let Ok(data) = encode_state(&self.state) else {
@@ -339,7 +351,7 @@
         self.snapshot_index = self.applied_index;
         log::info!("store: snapshot at entry {}, {} bytes", self.applied_index, data.len());
         let out = self.replica.compact(self.applied_index, data);
-        self.persist(out.persist, Vec::new());
+        self.snapshot_job = self.persist(out.persist, Vec::new());
         Ok(())
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -183,6 +183,10 @@
     /// Log entries between two snapshots.
     #[serde(default = "default_snapshot_every")]
     pub snapshot_every: u64,
+    /// Bytes of log entries after which a snapshot is taken, even if they are few. Bounds what a
+    /// control host stores, and reads at its start, beside the state itself.
+    #[serde(default = "default_snapshot_every_bytes")]
+    pub snapshot_every_bytes: u64,
     /// Whether operators may cut this host's links to rehearse faults.
     #[serde(default)]
     pub rehearsal: bool,
@@ -273,6 +277,9 @@
 fn default_snapshot_every() -> u64 {
     1_000
 }
+fn default_snapshot_every_bytes() -> u64 {
+    8 << 20
+}
 fn default_slots() -> u32 {
     16
 }
@@ -378,6 +385,9 @@
         if self.snapshot_every == 0 {
             return Err(invalid("snapshot_every", "is zero", "give a number of entries"));
         }
+        if self.snapshot_every_bytes == 0 {
+            return Err(invalid("snapshot_every_bytes", "is zero", "give a size in bytes"));
+        }
         let share = self.rollout.canary_share;
         if !(MIN_CANARY_SHARE..=1.0).contains(&share) {
             let remedy = "give a part between 0.01 and 1";
--- a/src/site/plan.rs
+++ b/src/site/plan.rs
@@ -251,6 +251,7 @@
                 .map(|n| self.address_at(port_offset::CONTROL_PEER, n))
                 .collect(),
             snapshot_every: 1_000,
+            snapshot_every_bytes: 8 << 20,
             rehearsal: true,
         }
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -19,6 +19,8 @@
 #[allow(dead_code)]
 #[path = "platform/http.rs"]
 mod http;
+#[path = "platform/large_configurations.rs"]
+mod large_configurations;
 #[path = "platform/notices.rs"]
 mod notices;
 #[path = "platform/regions.rs"]
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -173,6 +173,13 @@
         }
     }
 
+    /// Bytes in the control host's data folder.
+    pub fn stored_bytes(&self) -> u64 {
+        let files = std::fs::read_dir(self.folder.path().join("data")).unwrap();
+        // A temporary file may be renamed meanwhile.
+        files.filter_map(|file| Some(file.ok()?.metadata().ok()?.len())).sum()
+    }
+
     pub fn kill_control(&mut self) {
         kill_child(&mut self.control_process);
     }
