--- a/src/control/serve.rs
+++ b/src/control/serve.rs
@@ -15,6 +15,7 @@
 use crate::agree::{Envelope, StoreId};
 use crate::claim::{Claim, ClaimDecision, Settlement};
 use crate::clock::epoch_ms;
+use crate::error::Error;
 use crate::peer::PeerReader;
 use crate::resumption::RouterDirectory;
 use crate::wire::{BatchWriter, HostId, Traffic, keep_alive, write_frame};
@@ -88,12 +89,19 @@
     let sent = control.peers.sent.of(Traffic::Agreement);
     // The reader sees when the connection ends, and this task is then aborted.
     let _keep_alive = AbortOnDropHandle::new(tokio::spawn(keep_alive(writer, sent)));
-    while let Ok(batch) = reader.next::<Vec<Envelope>>().await {
-        if control.peers.links.is_cut_from(host) {
-            continue;
-        }
-        for envelope in batch {
-            control.handle.receive(envelope, host, peer).await;
+    loop {
+        match reader.next::<Vec<Envelope>>().await {
+            Ok(_) if control.peers.links.is_cut_from(host) => {}
+            Ok(batch) => {
+                for envelope in batch {
+                    control.handle.receive(envelope, host, peer).await;
+                }
+            }
+            Err(error @ Error::FrameTooLarge { .. }) => {
+                log::error!("control: messages of host {host} are refused: {error}");
+                return;
+            }
+            Err(_) => return,
         }
     }
 }
--- a/tests/platform/large_configurations.rs
+++ b/tests/platform/large_configurations.rs
@@ -37,3 +37,13 @@
     fleet.start_control();
     assert_eq!(fleet.read_configuration().await, last);
 }
+
+#[tokio::test]
+async fn a_configuration_that_hosts_cannot_send_each_other_is_refused() {
+    let fleet = Fleet::start().await;
+    fleet.configure(&configuration(1)).await;
+    let too_large = configuration(2) + &" ".repeat(16 << 20);
+    assert_eq!(fleet.put_configuration(&too_large).await, 413);
+    fleet.configure(&configuration(3)).await;
+    assert_eq!(fleet.read_configuration().await, configuration(3));
+}
