Test streams that callers resume after all routers were killed

Two versions serve, or one of them has left, or returns later, and all routers are killed at once, again and again, or with the control host. 24 callers resume at any router at once, under the id that began their stream, another one, a refused one, or none: no stream may have events of two versions, miss one or have one twice, or look whole and not be.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -35,6 +35,8 @@
 mod replica;
 #[path = "platform/resumption.rs"]
 mod resumption;
+#[path = "platform/resumption_after_loss.rs"]
+mod resumption_after_loss;
 #[path = "platform/rollouts.rs"]
 mod rollouts;
 // Shared with the soak test.
