Test answers to a router that has restarted since (red)

A router that was asked for a stream before the asker's restart may answer after it: it was frozen, or its datagram was late.

--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -2,6 +2,7 @@
 
 mod open_connections;
 mod overload;
+mod records;
 mod relayed_head;
 mod rollouts;
 
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -199,6 +199,21 @@
         kill(Pid::from_raw(router as i32), signal).unwrap();
     }
 
+    /// Freezes the second router.
+    pub fn freeze_neighbour(&self) {
+        self.signal_neighbour(Signal::SIGSTOP);
+    }
+
+    /// Lets the second router run again.
+    pub fn thaw_neighbour(&self) {
+        self.signal_neighbour(Signal::SIGCONT);
+    }
+
+    fn signal_neighbour(&self, signal: Signal) {
+        let neighbour = self.neighbour_process.as_ref().unwrap().id();
+        kill(Pid::from_raw(neighbour as i32), signal).unwrap();
+    }
+
     /// Process ids of the router and the control host.
     pub fn process_ids(&self) -> [u32; 2] {
         [&self.router_process, &self.control_process].map(|child| child.as_ref().unwrap().id())
--- a/tests/platform/resumption.rs
+++ b/tests/platform/resumption.rs
@@ -161,16 +161,16 @@
         last_event.is_some()
     }
 
-    /// Begins a stream at a router and gives it up midway.
-    async fn begin_partly(router: SocketAddr, attempt: &str) -> Stream {
-        let answer = call_for(router, &stream_request(attempt, None), GIVE_UP_AFTER).await;
-        Stream::new(attempt, &answer.unwrap())
+    /// Begins a stream at a router and gives it up after some time.
+    pub async fn begin_partly(router: SocketAddr, attempt: String, time: Duration) -> Stream {
+        let answer = call_for(router, &stream_request(&attempt, None), time).await;
+        Stream::new(&attempt, &answer.unwrap())
     }
 
     /// Begins [`STREAMS`] streams at a router and gives them up midway.
     async fn begin_all_partly(router: SocketAddr) -> Vec<Stream> {
         let begun = (0..STREAMS)
-            .map(async |number| Stream::begin_partly(router, &format!("s{number}")).await);
+            .map(|number| Stream::begin_partly(router, format!("s{number}"), GIVE_UP_AFTER));
         futures_util::future::join_all(begun).await
     }
 
@@ -182,7 +182,7 @@
     }
 
     /// Resumes streams at a router at the same time; returns how many went on.
-    async fn resume_all_partly(
+    pub async fn resume_all_partly(
         streams: &mut [Stream],
         router: SocketAddr,
         time: Duration,
--- a/tests/platform/resumption_after_loss.rs
+++ b/tests/platform/resumption_after_loss.rs
@@ -13,7 +13,7 @@
 use crate::http::{Answer, call_for};
 use crate::replica::{Behaviour, Replica};
 use crate::request;
-use crate::resumption::Versions;
+use crate::resumption::{STREAMS, Stream, Versions};
 
 /// Callers at the same time.
 const CALLERS: usize = 24;
@@ -388,3 +388,58 @@
     let went_on = scene.went_on_by_naming();
     assert!(went_on.iter().any(|(naming, count)| *naming == Naming::First && *count > 0));
 }
+
+/// How long a router waits for what a frozen one knows of a stream, and some time more.
+const VAIN_SEARCH: Duration = Duration::from_millis(300);
+/// How long a restarted router has to find the frozen one in the directory, which drops it soon.
+const DIRECTORY_WAIT: Duration = Duration::from_millis(600);
+/// How long callers of the platform wait for the next event at least.
+const EVENT_PATIENCE: Duration = Duration::from_secs(2);
+/// Scenes played until the restarted router knew the frozen one in time.
+const MAX_SCENES: usize = 5;
+
+/// Freezes the router that has the records while the other one asks it for streams of v1, restarts
+/// that one, and lets the frozen one answer once it is asked for streams of v2. Returns whether the
+/// restarted router did ask it.
+async fn late_answers_follow_a_restart(versions: &mut Versions) -> bool {
+    let (front, neighbour) = (versions.fleet.front, versions.fleet.neighbour);
+    let begun = (0..STREAMS)
+        .map(|number| Stream::begin_partly(neighbour, format!("late-{number}"), BEFORE_KILL));
+    let streams = futures_util::future::join_all(begun).await;
+    let (mut first, mut second): (Vec<_>, Vec<_>) =
+        streams.into_iter().partition(|stream| stream.versions.contains("1"));
+    versions.fleet.kill_router();
+    versions.fleet.start_router();
+    versions.fleet.wait_ready().await;
+    versions.fleet.wait_known_routers(2).await;
+    versions.fleet.freeze_neighbour();
+    let went_on = Stream::resume_all_partly(&mut first, front, VAIN_SEARCH).await;
+    assert_eq!(went_on, 0, "nobody else has the records");
+    versions.fleet.kill_router();
+    versions.fleet.start_router();
+    versions.fleet.wait_ready().await;
+    let knows_both = versions.fleet.wait_known_routers(2);
+    if tokio::time::timeout(DIRECTORY_WAIT, knows_both).await.is_err() {
+        versions.fleet.thaw_neighbour();
+        return false;
+    }
+    let resuming = Stream::resume_all_partly(&mut second, front, EVENT_PATIENCE);
+    let thawing = async {
+        tokio::time::sleep(VAIN_SEARCH / 3).await;
+        versions.fleet.thaw_neighbour();
+    };
+    tokio::join!(resuming, thawing);
+    true
+}
+
+#[tokio::test]
+async fn an_answer_to_a_router_before_its_restart_resolves_no_stream_after_it() {
+    let ids = [("v1", "i-11"), ("v2", "i-21")];
+    for _ in 0..MAX_SCENES {
+        let mut versions = Versions::start_with_versions(VERSIONED_STREAM, &ids).await;
+        if late_answers_follow_a_restart(&mut versions).await {
+            return;
+        }
+    }
+    panic!("the frozen router was never asked");
+}
