Read and send ids of events that are not ASCII

What callers saw: a stream whose last event's id has characters beyond ASCII, which event streams allow, was taken up as a new one and went on at any version; and a router that resumed such a stream itself named no event to the second endpoint, which began anew, so that events came twice.

Cause: headers were read and written as ASCII, and one that is not counted as absent. The class: a value that cannot be read is taken for one that is not there.

Evidence: with the program before, the new test of tests/platform got 200 and another run's events instead of 503 unknown_stream. An id that no header can have ends the stream instead of repeating it.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 
+use super::header_names::event_id_value;
 use crate::answer::events::{EventSplitter, MAX_EVENT_BYTES, field, lines};
 
 /// A stream that is passed on event by event.
@@ -39,9 +40,9 @@
     }
 
     /// Whether what was returned so far ends between two events, so that another endpoint can
-    /// resume the stream there.
+    /// resume the stream there, and the last one can be named to it.
     pub fn can_resume(&self) -> bool {
-        !self.is_split
+        !self.is_split && self.last_id().is_none_or(|id| event_id_value(id).is_some())
     }
 
     /// Drops the incomplete event of an endpoint that broke the stream off.
--- a/src/gateway/header_names.rs
+++ b/src/gateway/header_names.rs
@@ -140,8 +140,8 @@
             output_tokens,
             model: header_text(headers, &self.model).map(|name| xxh3_64(name.as_bytes())),
             parts: header_text(headers, &self.parts).map(prompt_parts).unwrap_or_default(),
-            last_event: header_text(headers, &self.last_event).map(str::to_string),
-            resumes: header_text(headers, &self.resumes).map(str::to_string),
+            last_event: header_unicode(headers, &self.last_event),
+            resumes: header_unicode(headers, &self.resumes),
         }
     }
 
@@ -157,8 +157,8 @@
         set_header(headers, &self.customer, forwarding.customer);
         let copy_from = forwarding.copy_from.map(|address| address.to_string());
         set_header(headers, &self.copy_from, copy_from.as_deref());
-        if forwarding.after_event.is_some() {
-            set_header(headers, &self.last_event, forwarding.after_event);
+        if let Some(value) = forwarding.after_event.and_then(event_id_value) {
+            headers.insert(&self.last_event, value);
         }
     }
 
@@ -182,6 +182,17 @@
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
+/// A header's value, if it is present, whatever its bytes are.
+fn header_unicode(headers: &HeaderMap, name: &HeaderName) -> Option<String> {
+    headers.get(name).map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned())
+}
+
+/// The value of a header that names an event; `None` if its id has characters that no header may
+/// have.
+pub(super) fn event_id_value(id: &str) -> Option<HeaderValue> {
+    HeaderValue::from_bytes(id.as_bytes()).ok()
+}
+
 /// Sets a header, or removes it if there is no valid value.
 fn set_header(headers: &mut HeaderMap, name: &HeaderName, value: Option<&str>) {
     match value.and_then(|value| HeaderValue::from_str(value).ok()) {
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -6,6 +6,7 @@
 mod relayed_head;
 mod rollouts;
 
+use axum::http::HeaderMap;
 use proptest::prelude::*;
 
 use super::endpoints::ColdLimit;
@@ -156,6 +157,33 @@
     assert_eq!(events.last_id(), Some("8"));
 }
 
+#[test]
+fn an_event_whose_id_is_not_ascii_is_named_when_its_stream_is_resumed() {
+    let mut events = ResumableEvents::default();
+    events.push("id: 7é\ndata: x\n\n".as_bytes());
+    assert!(events.can_resume());
+    let names = HeaderNames::native();
+    let forwarding = Forwarding {
+        remaining_ms: 1_000,
+        endpoint: "i-1",
+        customer: None,
+        copy_from: None,
+        after_event: events.last_id(),
+    };
+    let mut headers = HeaderMap::new();
+    names.write_request(&mut headers, &forwarding);
+    let sent = headers.get("last-event-id").map(|value| value.as_bytes());
+    assert_eq!(sent, Some("7é".as_bytes()));
+    assert_eq!(names.read_request(&headers).last_event.as_deref(), Some("7é"));
+}
+
+#[test]
+fn a_stream_is_not_resumed_after_an_event_that_no_header_can_name() {
+    let mut events = ResumableEvents::default();
+    events.push(b"id: 7\x01\ndata: x\n\n");
+    assert!(!events.can_resume());
+}
+
 #[test]
 fn prompt_parts_are_kept_only_after_equal_parts_and_have_the_same_content_after_any() {
     let one = prompt_parts("a:10,b:20");
--- a/tests/platform/resumption.rs
+++ b/tests/platform/resumption.rs
@@ -280,6 +280,12 @@
     assert!(versions.versions_of(&["r3".to_string()]).is_empty());
 }
 
+#[tokio::test]
+async fn a_resumed_stream_is_not_taken_for_a_new_one_if_its_last_event_is_not_ascii() {
+    let versions = Versions::start().await;
+    versions.assert_refused("r1", "Last-Event-Id: 2é\r\n", "unknown_stream").await;
+}
+
 #[tokio::test]
 async fn a_stream_whose_version_serves_no_more_is_refused_as_not_run() {
     let versions = Versions::start().await;
