Doubt a version that a router never heard of for the stream's endpoint

What callers could see: a stream that began just after its endpoint had replaced its software in place, and before the news of it, went on at the version before at a router that first heard of the endpoint later, as one that was killed and whose control hosts came back after some seconds.

Cause: the time at which a router first hears of an endpoint was taken for the time at which the endpoint changed to its present version. The class: absence of a sign of change taken for proof that there was none.

Evidence: the new test of VersionHistory failed before. A stream whose beginning was confirmed goes on as before.

--- a/src/resumption/tests/versions.rs
+++ b/src/resumption/tests/versions.rs
@@ -54,6 +54,19 @@
     assert!(history.changes_in_place("i-1") && !history.changes_in_place("i-2"));
 }
 
+#[test]
+fn an_unconfirmed_stream_is_doubtful_if_its_endpoint_changed_before_this_router_heard_of_it() {
+    let mut history = VersionHistory::default();
+    history.record(60_000, "i-1", "v2");
+    let began = |certainty| {
+        let stream = stream("v1", 90_000);
+        KnownStream { record: StreamRecord { certainty, ..stream.record }, ..stream }
+    };
+    assert!(history.is_doubtful(100_000, &began(Certainty::Doubtful)));
+    assert!(history.is_doubtful(100_000, &began(Certainty::Presumed)));
+    assert!(!history.is_doubtful(100_000, &began(Certainty::Confirmed)));
+}
+
 #[test]
 fn endpoints_that_keep_their_version_or_have_ended_leave_no_doubt() {
     let mut history = VersionHistory::default();
--- a/src/resumption/versions.rs
+++ b/src/resumption/versions.rs
@@ -76,6 +76,10 @@
                     Certainty::Doubtful => known.since + MAX_LAG_MS > began_at,
                 };
         }
+        // Registered with this version ever since it is known here, so the change may be far older.
+        if record.certainty != Certainty::Confirmed && !self.changes_in_place(&record.endpoint) {
+            return true;
+        }
         // A change of software breaks the streams of the software before.
         let loss = stream.loss.as_ref().filter(|loss| loss.endpoint == record.endpoint);
         if record.certainty == Certainty::Confirmed && loss.is_some() {
