--- a/src/store.rs
+++ b/src/store.rs
@@ -6,8 +6,11 @@
 
 pub(crate) mod checksummed;
 mod disk;
+mod files;
 mod record;
 #[cfg(test)]
+pub(crate) mod simulated;
+#[cfg(test)]
 mod tests;
 mod writer;
 
--- a/src/store/disk.rs
+++ b/src/store/disk.rs
@@ -1,19 +1,16 @@
 //! The data folder of a control host.
 
-use std::fs::{File, OpenOptions};
-use std::io::{Read, Write};
 use std::path::{Path, PathBuf};
 
-use fs4::fs_std::FileExt;
 use rand::RngExt;
 use snafu::ResultExt;
 
 use super::checksummed;
+use super::files::{Files, Folder};
 use super::record::{self, Item};
 use crate::agree::{Entry, HardState, Persist, Snapshot, StoreId};
-use crate::error::{DamagedSnafu, Error, FileSnafu, LockedSnafu, Result};
+use crate::error::{DamagedSnafu, Error, FileSnafu, Result};
 
-const LOCK: &str = "lock";
 const IDENTITY: &str = "identity";
 const LOG: &str = "log";
 const SNAPSHOT: &str = "snapshot";
@@ -35,9 +32,8 @@
 #[derive(Debug)]
 pub struct Disk {
     folder: PathBuf,
+    files: Box<dyn Files>,
     identity: StoreId,
-    _lock: File,
-    log: File,
     sequence: u64,
     hard: HardState,
     log_bytes: u64,
@@ -48,27 +44,31 @@
 impl Disk {
     /// Opens a folder; creates it, and its identity if it has no log.
     pub fn open(folder: &Path) -> Result<(Disk, RecoveredState)> {
-        std::fs::create_dir_all(folder).context(FileSnafu { path: folder })?;
-        let lock = lock_folder(folder)?;
-        let identity = read_or_create_identity(folder)?;
-        let snapshot_path = folder.join(SNAPSHOT);
-        let (snapshot, snapshot_bytes) = read_snapshot(&snapshot_path)?;
+        let files = Folder::open(folder)?;
+        Disk::open_files(folder, Box::new(files))
+    }
+
+    /// Opens the folder `folder` whose files are `files`.
+    pub(super) fn open_files(
+        folder: &Path,
+        mut files: Box<dyn Files>,
+    ) -> Result<(Disk, RecoveredState)> {
+        let identity = read_or_create_identity(folder, files.as_mut())?;
+        let (snapshot, snapshot_bytes) = read_snapshot(folder, files.as_ref())?;
         let path = folder.join(LOG);
-        let mut log = open_log(&path)?;
-        let mut bytes = Vec::new();
-        log.read_to_end(&mut bytes).context(FileSnafu { path: &path })?;
+        files.append(LOG, &[]).context(FileSnafu { path: &path })?;
+        let bytes = files.read(LOG).context(FileSnafu { path: &path })?.unwrap_or_default();
         let mut recovered = RecoveredState { snapshot, ..RecoveredState::default() };
         let replayed = replay(&path, &bytes, &mut recovered)?;
         if recovered.cut_bytes > 0 {
-            log.set_len(replayed.length).context(FileSnafu { path: &path })?;
-            log.sync_all().context(FileSnafu { path: &path })?;
+            files.truncate(LOG, replayed.length).context(FileSnafu { path: &path })?;
+            files.sync(LOG).context(FileSnafu { path: &path })?;
         }
-        sync_folder(folder)?;
+        files.sync_folder().context(FileSnafu { path: folder })?;
         let disk = Disk {
             folder: folder.to_path_buf(),
+            files,
             identity,
-            _lock: lock,
-            log,
             sequence: replayed.sequence + 1,
             hard: recovered.hard,
             log_bytes: replayed.length,
@@ -109,9 +109,8 @@
     /// the last synced record, so that the same records can be written again.
     pub fn recover(&mut self) -> Result<()> {
         let path = self.folder.join(LOG);
-        self.log = open_log(&path)?;
-        self.log.set_len(self.log_bytes).context(FileSnafu { path: &path })?;
-        self.log.sync_all().context(FileSnafu { path: &path })?;
+        self.files.truncate(LOG, self.log_bytes).context(FileSnafu { path: &path })?;
+        self.files.sync(LOG).context(FileSnafu { path: &path })?;
         self.failed = false;
         Ok(())
     }
@@ -145,8 +144,8 @@
         }
         let buffer = self.encode(items)?;
         let path = self.folder.join(LOG);
-        self.log.write_all(&buffer).context(FileSnafu { path: &path })?;
-        self.log.sync_data().context(FileSnafu { path: &path })?;
+        self.files.append(LOG, &buffer).context(FileSnafu { path: &path })?;
+        self.files.sync(LOG).context(FileSnafu { path: &path })?;
         self.sequence += 1;
         self.log_bytes += buffer.len() as u64;
         Ok(())
@@ -164,13 +163,12 @@
         self.replace(LOG, &buffer)?;
         self.log_bytes = buffer.len() as u64;
         self.sequence += 1;
-        self.log = open_log(&self.folder.join(LOG))?;
         Ok(())
     }
 
     fn entries_after(&self, snapshot: &Snapshot) -> Result<Vec<Entry>> {
         let path = self.folder.join(LOG);
-        let bytes = std::fs::read(&path).context(FileSnafu { path: &path })?;
+        let bytes = self.files.read(LOG).context(FileSnafu { path: &path })?.unwrap_or_default();
         let mut recovered = RecoveredState::default();
         replay(&path, &bytes, &mut recovered)?;
         let covered = recovered.entries.iter().find(|e| e.index == snapshot.index);
@@ -181,64 +179,43 @@
         Ok(recovered.entries)
     }
 
-    fn replace(&self, name: &str, bytes: &[u8]) -> Result<()> {
-        let new = self.folder.join(format!("{name}.new"));
-        let path = self.folder.join(name);
-        let mut file = File::create(&new).context(FileSnafu { path: &new })?;
-        file.write_all(bytes).context(FileSnafu { path: &new })?;
-        file.sync_all().context(FileSnafu { path: &new })?;
-        std::fs::rename(&new, &path).context(FileSnafu { path })?;
-        sync_folder(&self.folder)
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
+        replace(&self.folder, self.files.as_mut(), name, bytes)
     }
 }
 
-fn lock_folder(folder: &Path) -> Result<File> {
-    let path = folder.join(LOCK);
-    let file = OpenOptions::new().create(true).truncate(false).write(true).open(&path);
-    let file = file.context(FileSnafu { path: &path })?;
-    match FileExt::try_lock_exclusive(&file) {
-        Ok(true) => Ok(file),
-        _ => LockedSnafu { path: folder }.fail(),
-    }
+/// Replaces the file `name`, which has its old or its new content at any moment.
+fn replace(folder: &Path, files: &mut dyn Files, name: &str, bytes: &[u8]) -> Result<()> {
+    let new = format!("{name}.new");
+    files.create(&new, bytes).context(FileSnafu { path: folder.join(&new) })?;
+    files.rename(&new, name).context(FileSnafu { path: folder.join(name) })?;
+    files.sync_folder().context(FileSnafu { path: folder })
 }
 
 /// Reads the folder's identity; creates a random one if the folder has no log.
-fn read_or_create_identity(folder: &Path) -> Result<StoreId> {
+fn read_or_create_identity(folder: &Path, files: &mut dyn Files) -> Result<StoreId> {
     let path = folder.join(IDENTITY);
-    match std::fs::read_to_string(&path) {
-        Ok(text) => match u64::from_str_radix(text.trim(), 16) {
+    if let Some(bytes) = files.read(IDENTITY).context(FileSnafu { path: &path })? {
+        let text = String::from_utf8_lossy(&bytes);
+        return match u64::from_str_radix(text.trim(), 16) {
             Ok(id) => Ok(StoreId(id)),
             Err(_) => DamagedSnafu { path, offset: 0u64 }.fail(),
-        },
-        Err(_) if !folder.join(LOG).exists() => {
-            let id = StoreId(rand::rng().random());
-            let new = folder.join("identity.new");
-            let mut file = File::create(&new).context(FileSnafu { path: &new })?;
-            file.write_all(id.to_string().as_bytes()).context(FileSnafu { path: &new })?;
-            file.sync_all().context(FileSnafu { path: &new })?;
-            std::fs::rename(&new, &path).context(FileSnafu { path: &path })?;
-            sync_folder(folder)?;
-            Ok(id)
-        }
-        Err(source) => Err(source).context(FileSnafu { path }),
+        };
     }
+    if files.read(LOG).context(FileSnafu { path: folder.join(LOG) })?.is_some() {
+        let source = std::io::Error::from(std::io::ErrorKind::NotFound);
+        return Err(source).context(FileSnafu { path });
+    }
+    let id = StoreId(rand::rng().random());
+    replace(folder, files, IDENTITY, id.to_string().as_bytes())?;
+    Ok(id)
 }
 
-fn open_log(path: &Path) -> Result<File> {
-    let options = OpenOptions::new().create(true).read(true).append(true).open(path);
-    options.context(FileSnafu { path })
-}
-
-fn sync_folder(folder: &Path) -> Result<()> {
-    let opened = File::open(folder).context(FileSnafu { path: folder })?;
-    opened.sync_all().context(FileSnafu { path: folder })
-}
-
-fn read_snapshot(path: &Path) -> Result<(Snapshot, u64)> {
-    if !path.exists() {
+fn read_snapshot(folder: &Path, files: &dyn Files) -> Result<(Snapshot, u64)> {
+    let path = folder.join(SNAPSHOT);
+    let Some(bytes) = files.read(SNAPSHOT).context(FileSnafu { path: &path })? else {
         return Ok((Snapshot::default(), 0));
-    }
-    let bytes = std::fs::read(path).context(FileSnafu { path })?;
+    };
     match checksummed::decode(&bytes) {
         Some(snapshot) => Ok((snapshot, bytes.len() as u64)),
         None => DamagedSnafu { path, offset: 0u64 }.fail(),
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -1,3 +1,5 @@
+mod power;
+
 use std::fs::OpenOptions;
 use std::io::{Seek, SeekFrom, Write};
 
