store: sync what is found at the start before anything relies on it

What callers saw: nothing yet in a record of ours; an acknowledged change can be lost. Cause: a process killed between a write and its sync leaves the record in the file. The next process read it, counted it as durable and acknowledged it or voted on it without another write, and a loss of power then removed it. Opening a folder synced its names, but the log only after a torn end was cut.

Evidence: written_records_survive_a_loss_of_power_or_a_kill_at_any_operation failed in its 30th case (append, kill before the sync, open, loss of power: an entry that was read is gone), and passes with the sync at the start. The cost is one sync of a file at each start.

--- a/src/store/disk.rs
+++ b/src/store/disk.rs
@@ -62,8 +62,9 @@
         let replayed = replay(&path, &bytes, &mut recovered)?;
         if recovered.cut_bytes > 0 {
             files.truncate(LOG, replayed.length).context(FileSnafu { path: &path })?;
-            files.sync(LOG).context(FileSnafu { path: &path })?;
         }
+        // A process that was killed may have left records that it had not synced.
+        files.sync(LOG).context(FileSnafu { path: &path })?;
         files.sync_folder().context(FileSnafu { path: folder })?;
         let disk = Disk {
             folder: folder.to_path_buf(),
