--- a/src/store/disk.rs
+++ b/src/store/disk.rs
@@ -37,6 +37,8 @@
     sequence: u64,
     hard: HardState,
     log_bytes: u64,
+    /// Index of the snapshot on disk.
+    snapshot_index: u64,
     snapshot_bytes: u64,
     failed: bool,
 }
@@ -54,31 +56,50 @@
         mut files: Box<dyn Files>,
     ) -> Result<(Disk, RecoveredState)> {
         let identity = read_or_create_identity(folder, files.as_mut())?;
-        let (snapshot, snapshot_bytes) = read_snapshot(folder, files.as_ref())?;
-        let path = folder.join(LOG);
-        files.append(LOG, &[]).context(FileSnafu { path: &path })?;
-        let bytes = files.read(LOG).context(FileSnafu { path: &path })?.unwrap_or_default();
-        let mut recovered = RecoveredState { snapshot, ..RecoveredState::default() };
-        let replayed = replay(&path, &bytes, &mut recovered)?;
-        if recovered.cut_bytes > 0 {
-            files.truncate(LOG, replayed.length).context(FileSnafu { path: &path })?;
-        }
-        // A process that was killed may have left records that it had not synced.
-        files.sync(LOG).context(FileSnafu { path: &path })?;
-        files.sync_folder().context(FileSnafu { path: folder })?;
-        let disk = Disk {
+        let mut disk = Disk {
             folder: folder.to_path_buf(),
             files,
             identity,
-            sequence: replayed.sequence + 1,
-            hard: recovered.hard,
-            log_bytes: replayed.length,
-            snapshot_bytes,
+            sequence: 0,
+            hard: HardState::default(),
+            log_bytes: 0,
+            snapshot_index: 0,
+            snapshot_bytes: 0,
             failed: false,
         };
+        let recovered = disk.load()?;
+        disk.hard = recovered.hard;
         Ok((disk, recovered))
     }
 
+    /// Reads the snapshot and the log, cuts off an incomplete last record, and syncs what it
+    /// has read: a process that was killed may have left records that it had not synced.
+    fn load(&mut self) -> Result<RecoveredState> {
+        let (snapshot, snapshot_bytes) = read_snapshot(&self.folder, self.files.as_ref())?;
+        let path = self.folder.join(LOG);
+        self.files.append(LOG, &[]).context(FileSnafu { path: &path })?;
+        let bytes = self.files.read(LOG).context(FileSnafu { path: &path })?.unwrap_or_default();
+        let replayed = replay(&path, &bytes, snapshot.index > 0)?;
+        let cut_bytes = bytes.len() as u64 - replayed.length;
+        if cut_bytes > 0 {
+            self.files.truncate(LOG, replayed.length).context(FileSnafu { path: &path })?;
+        }
+        self.files.sync(LOG).context(FileSnafu { path: &path })?;
+        self.files.sync_folder().context(FileSnafu { path: &self.folder })?;
+        self.sequence = replayed.sequence + 1;
+        self.log_bytes = replayed.length;
+        self.snapshot_index = snapshot.index;
+        self.snapshot_bytes = snapshot_bytes;
+        let hard = replayed.hard;
+        let differs = differs_from(&replayed.entries, &snapshot);
+        let entries = entries_after(replayed.entries, &snapshot);
+        if differs {
+            // What is appended from now on follows the snapshot, not these entries.
+            self.replace_log(hard, &entries)?;
+        }
+        Ok(RecoveredState { hard, snapshot, entries, cut_bytes })
+    }
+
     /// The identity of this folder.
     pub fn identity(&self) -> StoreId {
         self.identity
@@ -106,12 +127,10 @@
         result
     }
 
-    /// Allows writes again after a failed one: cuts off whatever the log holds after
-    /// the last synced record, so that the same records can be written again.
+    /// Allows writes again after a failed one. The same records are to be written again: some
+    /// of them may be on disk already, and a snapshot may have replaced what it covers.
     pub fn recover(&mut self) -> Result<()> {
-        let path = self.folder.join(LOG);
-        self.files.truncate(LOG, self.log_bytes).context(FileSnafu { path: &path })?;
-        self.files.sync(LOG).context(FileSnafu { path: &path })?;
+        self.load()?;
         self.failed = false;
         Ok(())
     }
@@ -128,7 +147,10 @@
                 Persist::Snapshot(snapshot) => {
                     self.append(&items)?;
                     items.clear();
-                    self.write_snapshot(snapshot)?;
+                    // A later one of the same records is on disk if they are written again.
+                    if snapshot.index >= self.snapshot_index {
+                        self.write_snapshot(snapshot)?;
+                    }
                 }
             }
         }
@@ -153,33 +175,27 @@
     }
 
     /// Replaces the snapshot, then replaces the log by one without the entries that
-    /// the snapshot covers. A crash between the two leaves covered entries in the
-    /// log, which `open` skips.
+    /// the snapshot covers or contradicts. A crash between the two leaves those in the
+    /// log, which `load` skips.
     fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<()> {
         let bytes = checksummed::encode(snapshot)?;
         self.replace(SNAPSHOT, &bytes)?;
+        self.snapshot_index = snapshot.index;
         self.snapshot_bytes = bytes.len() as u64;
-        let kept = self.entries_after(snapshot)?;
-        let buffer = self.encode(&[Item::HardState(self.hard), Item::Entries(kept)])?;
+        let path = self.folder.join(LOG);
+        let written = self.files.read(LOG).context(FileSnafu { path: &path })?.unwrap_or_default();
+        let kept = entries_after(replay(&path, &written, true)?.entries, snapshot);
+        self.replace_log(self.hard, &kept)
+    }
+
+    fn replace_log(&mut self, hard: HardState, entries: &[Entry]) -> Result<()> {
+        let buffer = self.encode(&[Item::HardState(hard), Item::Entries(entries.to_vec())])?;
         self.replace(LOG, &buffer)?;
         self.log_bytes = buffer.len() as u64;
         self.sequence += 1;
         Ok(())
     }
 
-    fn entries_after(&self, snapshot: &Snapshot) -> Result<Vec<Entry>> {
-        let path = self.folder.join(LOG);
-        let bytes = self.files.read(LOG).context(FileSnafu { path: &path })?.unwrap_or_default();
-        let mut recovered = RecoveredState::default();
-        replay(&path, &bytes, &mut recovered)?;
-        let covered = recovered.entries.iter().find(|e| e.index == snapshot.index);
-        if covered.is_none_or(|e| e.term != snapshot.term) {
-            return Ok(Vec::new());
-        }
-        recovered.entries.retain(|e| e.index > snapshot.index);
-        Ok(recovered.entries)
-    }
-
     fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
         replace(&self.folder, self.files.as_mut(), name, bytes)
     }
@@ -223,41 +239,57 @@
     }
 }
 
+/// What the log file holds.
+#[derive(Default)]
 struct Replayed {
+    hard: HardState,
+    entries: Vec<Entry>,
+    /// Bytes up to the end of the last complete record.
     length: u64,
+    /// The number of that record.
     sequence: u64,
 }
 
-fn replay(path: &Path, bytes: &[u8], recovered: &mut RecoveredState) -> Result<Replayed> {
+/// Reads the log file. With a snapshot in place, its first record had been synced.
+fn replay(path: &Path, bytes: &[u8], has_snapshot: bool) -> Result<Replayed> {
+    let mut replayed = Replayed::default();
     let mut at = 0;
-    let mut sequence = 0;
     while at < bytes.len() {
         let Some(parsed) = record::decode(&bytes[at..]) else {
-            // With a snapshot in place, the first record of the log had been synced.
-            let was_synced = at == 0 && recovered.snapshot.index > 0;
-            if was_synced || record::has_later(&bytes[at..], sequence) {
+            let was_synced = at == 0 && has_snapshot;
+            if was_synced || record::has_later(&bytes[at..], replayed.sequence) {
                 return DamagedSnafu { path, offset: at as u64 }.fail();
             }
-            recovered.cut_bytes = (bytes.len() - at) as u64;
             break;
         };
-        sequence = parsed.sequence;
+        replayed.sequence = parsed.sequence;
         at += parsed.size;
         for item in parsed.items {
             match item {
-                Item::HardState(hard) => recovered.hard = hard,
-                Item::Entries(entries) => apply_entries(recovered, entries),
+                Item::HardState(hard) => replayed.hard = hard,
+                Item::Entries(entries) => {
+                    if let Some(first) = entries.first().map(|e| e.index) {
+                        replayed.entries.retain(|e| e.index < first);
+                        replayed.entries.extend(entries);
+                    }
+                }
             }
         }
     }
-    Ok(Replayed { length: at as u64, sequence })
+    replayed.length = at as u64;
+    Ok(replayed)
 }
 
-fn apply_entries(recovered: &mut RecoveredState, entries: Vec<Entry>) {
-    let Some(first) = entries.first().map(|e| e.index) else {
-        return;
-    };
-    recovered.entries.retain(|e| e.index < first);
-    let covered_index = recovered.snapshot.index;
-    recovered.entries.extend(entries.into_iter().filter(|e| e.index > covered_index));
+/// Whether the last entry that a snapshot covers is another one in the log.
+fn differs_from(entries: &[Entry], snapshot: &Snapshot) -> bool {
+    entries.iter().any(|e| e.index == snapshot.index && e.term != snapshot.term)
+}
+
+/// The entries of a log that follow a snapshot; none if the log differs from it.
+fn entries_after(mut entries: Vec<Entry>, snapshot: &Snapshot) -> Vec<Entry> {
+    if differs_from(&entries, snapshot) {
+        return Vec::new();
+    }
+    entries.retain(|e| e.index > snapshot.index);
+    entries
 }
--- a/src/store/tests/power.rs
+++ b/src/store/tests/power.rs
@@ -7,13 +7,15 @@
 use crate::store::simulated::SimulatedDisk;
 use crate::store::{Disk, RecoveredState};
 
-/// One batch of records: appends entries, replaces the last ones, or takes a snapshot.
+/// One batch of records: appends entries, replaces the last ones, or takes or receives a
+/// snapshot.
 #[derive(Clone, Debug)]
 enum Batch {
     Append(u64),
     Replace(u64),
     Snapshot(u64),
     SnapshotAndAppend(u64),
+    Install(u64),
 }
 
 fn batch() -> impl Strategy<Value = Batch> {
@@ -22,11 +24,11 @@
         2 => (1u64..4).prop_map(Batch::Replace),
         2 => (0u64..4).prop_map(Batch::Snapshot),
         1 => (0u64..4).prop_map(Batch::SnapshotAndAppend),
+        1 => (1u64..6).prop_map(Batch::Install),
     ]
 }
 
-/// The records of a batch, given the snapshot's index, the terms of the entries after it, and
-/// the term.
+/// What the records amount to: the snapshot, the terms of the entries after it, and the term.
 #[derive(Clone, Debug, Default)]
 struct Model {
     snapshot: u64,
@@ -69,6 +71,13 @@
                 records
             }
             Batch::Snapshot(kept) => self.compact(*kept),
+            Batch::Install(covered) => {
+                self.term += 1;
+                self.snapshot += covered;
+                self.snapshot_term = self.term;
+                self.terms.clear();
+                vec![hard(self.term), snapshot(self.snapshot, self.term)]
+            }
             Batch::SnapshotAndAppend(kept) => {
                 let mut records = self.append(2);
                 records.extend(self.compact(*kept));
@@ -78,6 +87,26 @@
         }
     }
 
+    /// Applies one record, as a disk holds it.
+    fn apply(&mut self, record: &Persist) {
+        match record {
+            Persist::HardState(hard) => self.term = hard.term,
+            Persist::Entries(entries) => {
+                self.terms.truncate((entries[0].index - self.snapshot - 1) as usize);
+                self.terms.extend(entries.iter().map(|e| e.term));
+            }
+            Persist::Snapshot(snapshot) => {
+                let covered = (snapshot.index - self.snapshot) as usize;
+                let matches = self.terms.get(covered - 1) == Some(&snapshot.term);
+                match matches {
+                    true => drop(self.terms.drain(..covered)),
+                    false => self.terms.clear(),
+                }
+                (self.snapshot, self.snapshot_term) = (snapshot.index, snapshot.term);
+            }
+        }
+    }
+
     fn is_read_back(&self, recovered: &RecoveredState) -> bool {
         let terms: Vec<_> = recovered.entries.iter().map(|e| e.term).collect();
         let indexes = recovered.entries.iter().map(|e| e.index);
@@ -90,12 +119,12 @@
 }
 
 /// The states that a disk may hold: before the last batch, after it, or in between.
-fn is_one_of(recovered: &RecoveredState, before: &Model, after: &Model) -> bool {
-    let in_between = recovered.hard.term >= before.term
-        && recovered.hard.term <= after.term
-        && recovered.snapshot.index >= before.snapshot
-        && recovered.snapshot.index <= after.snapshot;
-    before.is_read_back(recovered) || after.is_read_back(recovered) || in_between
+fn is_one_of(recovered: &RecoveredState, before: &Model, records: &[Persist]) -> bool {
+    (0..=records.len()).any(|written| {
+        let mut model = before.clone();
+        records[..written].iter().for_each(|record| model.apply(record));
+        model.is_read_back(recovered)
+    })
 }
 
 fn open(disk: &SimulatedDisk) -> (Disk, RecoveredState) {
@@ -125,12 +154,15 @@
             };
             folder.fail_after(until_failure);
             let mut before = model.clone();
+            let mut unfinished = Vec::new();
             for batch in &batches {
                 before = model.clone();
-                if disk.write(&model.records(batch)).is_err() {
+                unfinished = model.records(batch);
+                if disk.write(&unfinished).is_err() {
                     break;
                 }
                 before = model.clone();
+                unfinished.clear();
             }
             let lose = |is_kill: bool| if is_kill { folder.kill() } else { folder.lose_power() };
             lose(is_kill);
@@ -140,8 +172,8 @@
             }
             (disk, recovered) = open(&folder);
             prop_assert_eq!(disk.identity(), identity);
-            prop_assert!(is_one_of(&recovered, &before, &model), "{recovered:?}\n{before:?}\n{model:?}");
-            prop_assert!(recovered.hard.term >= before.term);
+            let is_allowed = is_one_of(&recovered, &before, &unfinished);
+            prop_assert!(is_allowed, "{recovered:?}\n{before:?}\n{unfinished:?}");
             // What this process has read may be acknowledged without another write.
             drop(disk);
             folder.lose_power();
