--- a/src/store/disk.rs
+++ b/src/store/disk.rs
@@ -1,19 +1,16 @@
 //! The data folder of a control host.
 
-use std::fs::{File, OpenOptions};
-use std::io::{Read, Write};
 use std::path::{Path, PathBuf};
 
-use fs4::fs_std::FileExt;
 use rand::RngExt;
 use snafu::ResultExt;
 
 use super::checksummed;
+use super::files::{Files, Folder};
 use super::record::{self, Item};
 use crate::agree::{Entry, HardState, Persist, Snapshot, StoreId};
-use crate::error::{DamagedSnafu, Error, FileSnafu, LockedSnafu, Result};
+use crate::error::{DamagedSnafu, Error, FileSnafu, Result};
 
-const LOCK: &str = "lock";
 const IDENTITY: &str = "identity";
 const LOG: &str = "log";
 const SNAPSHOT: &str = "snapshot";
@@ -35,12 +32,13 @@
 #[derive(Debug)]
 pub struct Disk {
     folder: PathBuf,
+    files: Box<dyn Files>,
     identity: StoreId,
-    _lock: File,
-    log: File,
     sequence: u64,
     hard: HardState,
     log_bytes: u64,
+    /// Index of the snapshot on disk.
+    snapshot_index: u64,
     snapshot_bytes: u64,
     failed: bool,
 }
@@ -48,36 +46,60 @@
 impl Disk {
     /// Opens a folder; creates it, and its identity if it has no log.
     pub fn open(folder: &Path) -> Result<(Disk, RecoveredState)> {
-        std::fs::create_dir_all(folder).context(FileSnafu { path: folder })?;
-        let lock = lock_folder(folder)?;
-        let identity = read_or_create_identity(folder)?;
-        let snapshot_path = folder.join(SNAPSHOT);
-        let (snapshot, snapshot_bytes) = read_snapshot(&snapshot_path)?;
-        let path = folder.join(LOG);
-        let mut log = open_log(&path)?;
-        let mut bytes = Vec::new();
-        log.read_to_end(&mut bytes).context(FileSnafu { path: &path })?;
-        let mut recovered = RecoveredState { snapshot, ..RecoveredState::default() };
-        let replayed = replay(&path, &bytes, &mut recovered)?;
-        if recovered.cut_bytes > 0 {
-            log.set_len(replayed.length).context(FileSnafu { path: &path })?;
-            log.sync_all().context(FileSnafu { path: &path })?;
-        }
-        sync_folder(folder)?;
-        let disk = Disk {
+        let files = Folder::open(folder)?;
+        Disk::open_files(folder, Box::new(files))
+    }
+
+    /// Opens the folder `folder` whose files are `files`.
+    pub(super) fn open_files(
+        folder: &Path,
+        mut files: Box<dyn Files>,
+    ) -> Result<(Disk, RecoveredState)> {
+        let identity = read_or_create_identity(folder, files.as_mut())?;
+        let mut disk = Disk {
             folder: folder.to_path_buf(),
+            files,
             identity,
-            _lock: lock,
-            log,
-            sequence: replayed.sequence + 1,
-            hard: recovered.hard,
-            log_bytes: replayed.length,
-            snapshot_bytes,
+            sequence: 0,
+            hard: HardState::default(),
+            log_bytes: 0,
+            snapshot_index: 0,
+            snapshot_bytes: 0,
             failed: false,
         };
+        let recovered = disk.load()?;
+        disk.hard = recovered.hard;
         Ok((disk, recovered))
     }
 
+    /// Reads the snapshot and the log, cuts off an incomplete last record, and syncs what it
+    /// has read: a process that was killed may have left records that it had not synced.
+    fn load(&mut self) -> Result<RecoveredState> {
+        let (snapshot, snapshot_bytes) = read_snapshot(&self.folder, self.files.as_ref())?;
+        let path = self.folder.join(LOG);
+        self.files.append(LOG, &[]).context(FileSnafu { path: &path })?;
+        let bytes = self.files.read(LOG).context(FileSnafu { path: &path })?.unwrap_or_default();
+        let replayed = replay(&path, &bytes, snapshot.index > 0)?;
+        let cut_bytes = bytes.len() as u64 - replayed.length;
+        if cut_bytes > 0 {
+            self.files.truncate(LOG, replayed.length).context(FileSnafu { path: &path })?;
+        }
+        self.files.sync(LOG).context(FileSnafu { path: &path })?;
+        self.files.sync_folder().context(FileSnafu { path: &self.folder })?;
+        self.sequence = replayed.sequence + 1;
+        self.log_bytes = replayed.length;
+        self.snapshot_index = snapshot.index;
+        self.snapshot_bytes = snapshot_bytes;
+        let hard = replayed.hard;
+        let differs = differs_from(&replayed.entries, &snapshot);
+        let entries = entries_after(replayed.entries, &snapshot);
+        if differs {
+            // What is appended from now on follows the snapshot, not these entries.
+            self.replace_log(hard, &entries)?;
+        }
+        Ok(RecoveredState { hard, snapshot, entries, cut_bytes })
+    }
+
     /// The identity of this folder.
     pub fn identity(&self) -> StoreId {
         self.identity
@@ -105,13 +127,10 @@
         result
     }
 
-    /// Allows writes again after a failed one: cuts off whatever the log holds after
-    /// the last synced record, so that the same records can be written again.
+    /// Allows writes again after a failed one. The same records are to be written again: some
+    /// of them may be on disk already, and a snapshot may have replaced what it covers.
     pub fn recover(&mut self) -> Result<()> {
-        let path = self.folder.join(LOG);
-        self.log = open_log(&path)?;
-        self.log.set_len(self.log_bytes).context(FileSnafu { path: &path })?;
-        self.log.sync_all().context(FileSnafu { path: &path })?;
+        self.load()?;
         self.failed = false;
         Ok(())
     }
@@ -128,7 +147,10 @@
                 Persist::Snapshot(snapshot) => {
                     self.append(&items)?;
                     items.clear();
-                    self.write_snapshot(snapshot)?;
+                    // A later one of the same records is on disk if they are written again.
+                    if snapshot.index >= self.snapshot_index {
+                        self.write_snapshot(snapshot)?;
+                    }
                 }
             }
         }
@@ -145,141 +167,129 @@
         }
         let buffer = self.encode(items)?;
         let path = self.folder.join(LOG);
-        self.log.write_all(&buffer).context(FileSnafu { path: &path })?;
-        self.log.sync_data().context(FileSnafu { path: &path })?;
+        self.files.append(LOG, &buffer).context(FileSnafu { path: &path })?;
+        self.files.sync(LOG).context(FileSnafu { path: &path })?;
         self.sequence += 1;
         self.log_bytes += buffer.len() as u64;
         Ok(())
     }
 
     /// Replaces the snapshot, then replaces the log by one without the entries that
-    /// the snapshot covers. A crash between the two leaves covered entries in the
-    /// log, which `open` skips.
+    /// the snapshot covers or contradicts. A crash between the two leaves those in the
+    /// log, which `load` skips.
     fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<()> {
         let bytes = checksummed::encode(snapshot)?;
         self.replace(SNAPSHOT, &bytes)?;
+        self.snapshot_index = snapshot.index;
         self.snapshot_bytes = bytes.len() as u64;
-        let kept = self.entries_after(snapshot)?;
-        let buffer = self.encode(&[Item::HardState(self.hard), Item::Entries(kept)])?;
+        let path = self.folder.join(LOG);
+        let written = self.files.read(LOG).context(FileSnafu { path: &path })?.unwrap_or_default();
+        let kept = entries_after(replay(&path, &written, true)?.entries, snapshot);
+        self.replace_log(self.hard, &kept)
+    }
+
+    fn replace_log(&mut self, hard: HardState, entries: &[Entry]) -> Result<()> {
+        let buffer = self.encode(&[Item::HardState(hard), Item::Entries(entries.to_vec())])?;
         self.replace(LOG, &buffer)?;
         self.log_bytes = buffer.len() as u64;
         self.sequence += 1;
-        self.log = open_log(&self.folder.join(LOG))?;
         Ok(())
     }
 
-    fn entries_after(&self, snapshot: &Snapshot) -> Result<Vec<Entry>> {
-        let path = self.folder.join(LOG);
-        let bytes = std::fs::read(&path).context(FileSnafu { path: &path })?;
-        let mut recovered = RecoveredState::default();
-        replay(&path, &bytes, &mut recovered)?;
-        let covered = recovered.entries.iter().find(|e| e.index == snapshot.index);
-        if covered.is_none_or(|e| e.term != snapshot.term) {
-            return Ok(Vec::new());
-        }
-        recovered.entries.retain(|e| e.index > snapshot.index);
-        Ok(recovered.entries)
-    }
-
-    fn replace(&self, name: &str, bytes: &[u8]) -> Result<()> {
-        let new = self.folder.join(format!("{name}.new"));
-        let path = self.folder.join(name);
-        let mut file = File::create(&new).context(FileSnafu { path: &new })?;
-        file.write_all(bytes).context(FileSnafu { path: &new })?;
-        file.sync_all().context(FileSnafu { path: &new })?;
-        std::fs::rename(&new, &path).context(FileSnafu { path })?;
-        sync_folder(&self.folder)
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
+        replace(&self.folder, self.files.as_mut(), name, bytes)
     }
 }
 
-fn lock_folder(folder: &Path) -> Result<File> {
-    let path = folder.join(LOCK);
-    let file = OpenOptions::new().create(true).truncate(false).write(true).open(&path);
-    let file = file.context(FileSnafu { path: &path })?;
-    match FileExt::try_lock_exclusive(&file) {
-        Ok(true) => Ok(file),
-        _ => LockedSnafu { path: folder }.fail(),
-    }
+/// Replaces the file `name`, which has its old or its new content at any moment.
+fn replace(folder: &Path, files: &mut dyn Files, name: &str, bytes: &[u8]) -> Result<()> {
+    let new = format!("{name}.new");
+    files.create(&new, bytes).context(FileSnafu { path: folder.join(&new) })?;
+    files.rename(&new, name).context(FileSnafu { path: folder.join(name) })?;
+    files.sync_folder().context(FileSnafu { path: folder })
 }
 
 /// Reads the folder's identity; creates a random one if the folder has no log.
-fn read_or_create_identity(folder: &Path) -> Result<StoreId> {
+fn read_or_create_identity(folder: &Path, files: &mut dyn Files) -> Result<StoreId> {
     let path = folder.join(IDENTITY);
-    match std::fs::read_to_string(&path) {
-        Ok(text) => match u64::from_str_radix(text.trim(), 16) {
+    if let Some(bytes) = files.read(IDENTITY).context(FileSnafu { path: &path })? {
+        let text = String::from_utf8_lossy(&bytes);
+        return match u64::from_str_radix(text.trim(), 16) {
             Ok(id) => Ok(StoreId(id)),
             Err(_) => DamagedSnafu { path, offset: 0u64 }.fail(),
-        },
-        Err(_) if !folder.join(LOG).exists() => {
-            let id = StoreId(rand::rng().random());
-            let new = folder.join("identity.new");
-            let mut file = File::create(&new).context(FileSnafu { path: &new })?;
-            file.write_all(id.to_string().as_bytes()).context(FileSnafu { path: &new })?;
-            file.sync_all().context(FileSnafu { path: &new })?;
-            std::fs::rename(&new, &path).context(FileSnafu { path: &path })?;
-            sync_folder(folder)?;
-            Ok(id)
-        }
-        Err(source) => Err(source).context(FileSnafu { path }),
+        };
     }
+    if files.read(LOG).context(FileSnafu { path: folder.join(LOG) })?.is_some() {
+        let source = std::io::Error::from(std::io::ErrorKind::NotFound);
+        return Err(source).context(FileSnafu { path });
+    }
+    let id = StoreId(rand::rng().random());
+    replace(folder, files, IDENTITY, id.to_string().as_bytes())?;
+    Ok(id)
 }
 
-fn open_log(path: &Path) -> Result<File> {
-    let options = OpenOptions::new().create(true).read(true).append(true).open(path);
-    options.context(FileSnafu { path })
-}
-
-fn sync_folder(folder: &Path) -> Result<()> {
-    let opened = File::open(folder).context(FileSnafu { path: folder })?;
-    opened.sync_all().context(FileSnafu { path: folder })
-}
-
-fn read_snapshot(path: &Path) -> Result<(Snapshot, u64)> {
-    if !path.exists() {
+fn read_snapshot(folder: &Path, files: &dyn Files) -> Result<(Snapshot, u64)> {
+    let path = folder.join(SNAPSHOT);
+    let Some(bytes) = files.read(SNAPSHOT).context(FileSnafu { path: &path })? else {
         return Ok((Snapshot::default(), 0));
-    }
-    let bytes = std::fs::read(path).context(FileSnafu { path })?;
+    };
     match checksummed::decode(&bytes) {
         Some(snapshot) => Ok((snapshot, bytes.len() as u64)),
         None => DamagedSnafu { path, offset: 0u64 }.fail(),
     }
 }
 
+/// What the log file holds.
+#[derive(Default)]
 struct Replayed {
+    hard: HardState,
+    entries: Vec<Entry>,
+    /// Bytes up to the end of the last complete record.
     length: u64,
+    /// The number of that record.
     sequence: u64,
 }
 
-fn replay(path: &Path, bytes: &[u8], recovered: &mut RecoveredState) -> Result<Replayed> {
+/// Reads the log file. With a snapshot in place, its first record had been synced.
+fn replay(path: &Path, bytes: &[u8], has_snapshot: bool) -> Result<Replayed> {
+    let mut replayed = Replayed::default();
     let mut at = 0;
-    let mut sequence = 0;
     while at < bytes.len() {
         let Some(parsed) = record::decode(&bytes[at..]) else {
-            // With a snapshot in place, the first record of the log had been synced.
-            let was_synced = at == 0 && recovered.snapshot.index > 0;
-            if was_synced || record::has_later(&bytes[at..], sequence) {
+            let was_synced = at == 0 && has_snapshot;
+            if was_synced || record::has_later(&bytes[at..], replayed.sequence) {
                 return DamagedSnafu { path, offset: at as u64 }.fail();
             }
-            recovered.cut_bytes = (bytes.len() - at) as u64;
             break;
         };
-        sequence = parsed.sequence;
+        replayed.sequence = parsed.sequence;
         at += parsed.size;
         for item in parsed.items {
             match item {
-                Item::HardState(hard) => recovered.hard = hard,
-                Item::Entries(entries) => apply_entries(recovered, entries),
+                Item::HardState(hard) => replayed.hard = hard,
+                Item::Entries(entries) => {
+                    if let Some(first) = entries.first().map(|e| e.index) {
+                        replayed.entries.retain(|e| e.index < first);
+                        replayed.entries.extend(entries);
+                    }
+                }
             }
         }
     }
-    Ok(Replayed { length: at as u64, sequence })
+    replayed.length = at as u64;
+    Ok(replayed)
 }
 
-fn apply_entries(recovered: &mut RecoveredState, entries: Vec<Entry>) {
-    let Some(first) = entries.first().map(|e| e.index) else {
-        return;
-    };
-    recovered.entries.retain(|e| e.index < first);
-    let covered_index = recovered.snapshot.index;
-    recovered.entries.extend(entries.into_iter().filter(|e| e.index > covered_index));
+/// Whether the last entry that a snapshot covers is another one in the log.
+fn differs_from(entries: &[Entry], snapshot: &Snapshot) -> bool {
+    entries.iter().any(|e| e.index == snapshot.index && e.term != snapshot.term)
+}
+
+/// The entries of a log that follow a snapshot; none if the log differs from it.
+fn entries_after(mut entries: Vec<Entry>, snapshot: &Snapshot) -> Vec<Entry> {
+    if differs_from(&entries, snapshot) {
+        return Vec::new();
+    }
+    entries.retain(|e| e.index > snapshot.index);
+    entries
 }
