Wait for news after a stall before a stream goes on

Cause: a stall was taken for a loss of control. News were counted as missing from 1.25 s before its end on, not from its beginning, so that what would have become known during a stall of 2.75 s or more counted as known. And what could not be known yet was presumed at once, as if control hosts were gone, though their news were in the router's sockets. The class: time that passed is taken for news that were read.

A stall is now detected by the checks of the feeds themselves, from 300 ms on, and nothing becomes known from the last check before it until 1.5 s after its end. What begins meanwhile is recorded as doubtful.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -137,8 +137,11 @@
 pub(super) async fn run(call: Arc<Call>) -> Response<Body> {
     let mut progress = Progress::default();
     let mut outcome = Refusal::NoEndpoint;
-    if call.resumes_stream() && !call.may_resume() {
-        return refuse(&call, &progress, Refusal::VersionNotServed);
+    if call.resumes_stream() {
+        call.gateway.wait_until_caught_up(|| call.remaining()).await;
+        if !call.may_resume() {
+            return refuse(&call, &progress, Refusal::VersionNotServed);
+        }
     }
     while progress.tried.len() < MAX_ENDPOINTS_TRIED {
         if !call.version_is_served() {
--- a/src/gateway/resumption.rs
+++ b/src/gateway/resumption.rs
@@ -153,13 +153,13 @@
             destination => return destination,
         }
         let was_tried = |endpoint: &str| tried.iter().any(|tried| tried == endpoint);
-        let follows_control = self.gateway.follows_control();
+        let hears_versions = self.gateway.follows_control() || self.gateway.is_catching_up();
         match choose_unconfirmed(&suspects.broken, was_tried) {
             // Without control hosts nobody would tell whether it has replaced its software.
-            Some(endpoint) if follows_control => {
+            Some(endpoint) if hears_versions => {
                 self.choose_destination(&avoid_unless(endpoint)).await
             }
-            None if follows_control => self.choose_destination(tried).await,
+            None if hears_versions => self.choose_destination(tried).await,
             _ => Destination::NoEndpoint,
         }
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -212,6 +212,7 @@
         let runs = self.tried.len() as u32;
         // Without a record it is not known which version began the stream.
         let Some(keeper) = &self.keeper else { return Err(StreamError::Truncated) };
+        call.gateway.wait_until_caught_up(|| call.remaining()).await;
         let is_knowable = call.gateway.is_knowable(&keeper.known(Some(lost_at)));
         let may_resume = is_knowable && call.may_resume() && call.crash_refusal().is_none();
         if runs >= call.route.attempts || !may_resume || !call.try_spend_retry() {
--- a/src/gateway/version_checks.rs
+++ b/src/gateway/version_checks.rs
@@ -8,13 +8,18 @@
 use super::state::Gateway;
 use crate::dispatch::Millis;
 use crate::registry::Registration;
-use crate::resumption::{CONFIRM_MS, Certainty, DISCONNECTED_INTERVAL_MS, KnownStream};
+use crate::resumption::{
+    CONFIRM_MS, Certainty, DISCONNECTED_INTERVAL_MS, KnownStream, RecentLosses,
+};
 
 /// How often the feeds of control hosts are checked.
 const FEED_CHECK_INTERVAL: Duration = Duration::from_millis(DISCONNECTED_INTERVAL_MS / 2);
 /// Milliseconds of silence of a feed after which news may be missing: keep-alives come every
 /// second.
 const MAX_FEED_SILENCE_MS: Millis = 1_250;
+/// Milliseconds from when control hosts are heard again until the endpoints that changed meanwhile are
+/// received: they are requested 100 ms after a feed has opened.
+const READ_MS: Millis = 150;
 /// How often a stream that waits until versions are known looks for news.
 const NEWS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -42,13 +47,23 @@
 impl Gateway {
     /// Records whether news of control hosts may be missing at this moment.
     pub(super) fn check_feeds(&self) {
-        if !self.feeds.hears_all(MAX_FEED_SILENCE_MS) {
-            let now = self.now();
-            let missing_since = now.saturating_sub(MAX_FEED_SILENCE_MS);
-            self.with_losses(|losses| losses.record_disconnected(now, missing_since));
+        let hears_control = self.feeds.hears_all(MAX_FEED_SILENCE_MS);
+        let check = |losses: &mut RecentLosses| {
+            // Read under the lock: checks of several tasks must not seem to go back in time.
+            losses.record_check(self.now(), hears_control, MAX_FEED_SILENCE_MS)
+        };
+        if let Some(stalled_ms) = self.with_losses(check) {
+            log::info!("gateway: stalled for {stalled_ms} ms, versions may have changed meanwhile");
         }
     }
 
+    /// Whether this process was stalled shortly before, so that news of versions may not have been
+    /// read yet.
+    pub(super) fn is_catching_up(&self) -> bool {
+        let now = self.now();
+        self.with_losses(|losses| losses.is_catching_up(now))
+    }
+
     /// Whether this router hears of changed versions at this moment.
     pub(super) fn follows_control(&self) -> bool {
         self.check_feeds();
@@ -56,6 +71,23 @@
         self.with_losses(|losses| losses.has_followed_since(now))
     }
 
+    /// Waits for a moment after a stall until what happened meanwhile has been read, so that the
+    /// endpoint for a stream is not chosen by old registrations.
+    pub(super) async fn wait_until_caught_up(&self, remaining: impl Fn() -> Duration) {
+        loop {
+            self.check_feeds();
+            let now = self.now();
+            let has_caught_up = self.with_losses(|losses| {
+                !losses.is_catching_up(now)
+                    || losses.has_followed_since(now.saturating_sub(READ_MS))
+            });
+            if has_caught_up || remaining() < NEWS_CHECK_INTERVAL {
+                return;
+            }
+            tokio::time::sleep(NEWS_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Records that a connection to an endpoint broke or was refused.
     pub(super) fn record_broken_connection(&self, endpoint: &str) {
         let now = self.now();
@@ -79,6 +111,7 @@
         !self.is_doubtful(stream)
             && (is_presumed
                 || self.follows_control()
+                || self.is_catching_up()
                 || self.now() >= self.beginning_known_from(stream))
     }
 
@@ -111,7 +144,7 @@
         } else if now >= self.endpoint_known_from(endpoint, connection) {
             Certainty::Confirmed
         } else if self.is_suspect(now, endpoint, opened_at)
-            || !follows_control && self.changes_in_place(service)
+            || !follows_control && (self.is_catching_up() || self.changes_in_place(service))
         {
             Certainty::Doubtful
         } else {
@@ -120,8 +153,8 @@
     }
 
     /// Waits until it is known that an endpoint, reached by this connection, runs the version of
-    /// a stream, and that the stream began at it. While no control host is followed this cannot be
-    /// known, and the stream goes on unless endpoints of its service replace their software in
+    /// a stream, and that the stream began at it. While no control host is followed, other than for
+    /// a moment after a stall, this cannot be known, and the stream goes on unless endpoints of its service replace their software in
     /// place, or a connection to the endpoint broke before this one was opened.
     pub(super) async fn confirm_version(
         &self,
@@ -150,14 +183,15 @@
             if now >= known_from && !is_remembered {
                 return Ok(());
             }
-            if !follows_control {
+            let is_catching_up = self.is_catching_up();
+            if !follows_control && !is_catching_up {
                 let is_presumed = stream.record.certainty > Certainty::Doubtful
                     && !self.changes_in_place(&endpoint.service)
                     && !self.is_suspect(now, &endpoint.id, opened_at);
                 return if is_presumed { Ok(()) } else { NoControlSnafu.fail() };
             }
             // It has not registered within a heartbeat: nobody will tell its version.
-            if now >= known_from + CONFIRM_MS {
+            if follows_control && now >= known_from + CONFIRM_MS {
                 return InDoubtSnafu.fail();
             }
             if Duration::from_millis(known_from.saturating_sub(now)) >= remaining() {
--- a/src/resumption.rs
+++ b/src/resumption.rs
@@ -16,7 +16,7 @@
 mod versions;
 
 pub use directory::{DirectoryAnswer, ListedRouter, RouterDirectory};
-pub use losses::{DISCONNECTED_INTERVAL_MS, RecentLosses, choose_unconfirmed};
+pub use losses::{DISCONNECTED_INTERVAL_MS, RecentLosses, STALL_MS, choose_unconfirmed};
 pub use record::{Certainty, KnownStream, RecordMessage, StreamKey, StreamLoss, StreamRecord};
 pub use replicas::{replicas_to_ask, replicas_to_store};
 pub use table::{MAX_RECORDS, RETENTION_MS, RecordTable};
--- a/src/resumption/losses.rs
+++ b/src/resumption/losses.rs
@@ -13,6 +13,14 @@
 /// control host is followed.
 pub const DISCONNECTED_INTERVAL_MS: Millis = 100;
 
+/// Milliseconds between two checks of the feeds from which on this process was stalled: as many as
+/// [`CONFIRM_MS`] exceeds a heartbeat by, so that news may be read too late.
+pub const STALL_MS: Millis = 300;
+
+/// Milliseconds for which news are waited for after a stall, whether control hosts are followed or
+/// not: feeds that ended meanwhile are opened again within 2 s.
+const CATCH_UP_MS: Millis = 2_500;
+
 /// The losses of connections to one endpoint that follow each other within [`CONFIRM_MS`].
 #[derive(Clone, Copy, Debug)]
 struct Losses {
@@ -37,6 +45,10 @@
     disconnection: Option<Disconnection>,
     /// When the one before it ended; 0 if there was none.
     disconnected_before: Millis,
+    /// When the feeds of control hosts were checked last.
+    checked_at: Option<Millis>,
+    /// When the last stall of this process ended, if there was one.
+    stalled_until: Option<Millis>,
 }
 
 impl RecentLosses {
@@ -53,6 +65,33 @@
         losses.last_at = now;
     }
 
+    /// Records whether this router hears control hosts at this moment: all feeds delivered something
+    /// within the last `max_silence_ms`. Returns for how long this process was stalled before, if it
+    /// was: what was not known by then is not known yet, however much time has passed.
+    pub fn record_check(
+        &mut self,
+        now: Millis,
+        hears_control: bool,
+        max_silence_ms: Millis,
+    ) -> Option<Millis> {
+        let checked_before = self.checked_at.replace(now).unwrap_or(now);
+        let unchecked_ms = now.saturating_sub(checked_before);
+        let was_stalled = unchecked_ms >= STALL_MS;
+        if was_stalled {
+            self.stalled_until = Some(now);
+        }
+        if was_stalled || !hears_control {
+            self.record_disconnected(now, checked_before.saturating_sub(max_silence_ms));
+        }
+        was_stalled.then_some(unchecked_ms)
+    }
+
+    /// Whether this process was stalled shortly before: what happened meanwhile may be read any
+    /// moment, even if no control host is followed yet.
+    pub fn is_catching_up(&self, now: Millis) -> bool {
+        self.stalled_until.is_some_and(|until| now < until + CATCH_UP_MS)
+    }
+
     /// Records that this router follows no control host at this moment, and from when on news may
     /// be missing if it did until now.
     pub fn record_disconnected(&mut self, now: Millis, missing_since: Millis) {
--- a/src/resumption/tests.rs
+++ b/src/resumption/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of where records of streams are kept, and of what is known from them.
 
 mod replicas;
+mod stalls;
 mod table;
 mod versions;
 
