--- a/tests/platform/resumption_out_of_step.rs
+++ b/tests/platform/resumption_out_of_step.rs
@@ -98,18 +98,30 @@
     assert!(2 * went_on >= STREAMS, "{went_on} of {STREAMS} streams went on");
 }
 
-#[tokio::test]
-async fn no_stream_goes_on_at_another_version_at_a_router_that_stood_still() {
+/// The router stands still for this time and about a second more.
+async fn assert_not_mixed_after(standstill: Duration) {
     let versions = Versions::start_eight().await;
     versions.fleet.freeze_router();
     versions.swap_three();
     versions.register_all(2).await;
     versions.fleet.settle_neighbour().await;
-    tokio::time::sleep(STANDSTILL).await;
+    tokio::time::sleep(standstill).await;
     let streams = begin_all(&versions).await;
     resume_all_at_thaw(&versions, &streams).await;
 }
 
+#[tokio::test]
+async fn no_stream_goes_on_at_another_version_at_a_router_that_stood_still() {
+    assert_not_mixed_after(STANDSTILL).await;
+}
+
+#[tokio::test]
+async fn no_stream_goes_on_at_another_version_however_long_a_router_stood_still() {
+    for milliseconds in [0, 400, 900, 1_500, 6_500] {
+        assert_not_mixed_after(Duration::from_millis(milliseconds)).await;
+    }
+}
+
 #[tokio::test]
 async fn no_stream_goes_on_at_another_version_at_a_router_that_lost_its_feeds_standing_still() {
     let mut versions = Versions::start_eight().await;
