--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -39,6 +39,8 @@
 mod resumption;
 #[path = "platform/resumption_after_loss.rs"]
 mod resumption_after_loss;
+#[path = "platform/resumption_out_of_step.rs"]
+mod resumption_out_of_step;
 #[path = "platform/rollouts.rs"]
 mod rollouts;
 // Shared with the soak test.
