A follower restarted within a term has not caught up before it holds earlier commits

A control host tells routers whether it has caught up; they take its table for the newest then, and deny routes and keys that it lacks. It said so once its commit index had reached the current term.

Evidence: the test failed: caught up at entry 12 of 22 that were committed.

--- a/src/agree/replica.rs
+++ b/src/agree/replica.rs
@@ -52,6 +52,9 @@
     log: Log,
     role: Role,
     leader: Option<StoreId>,
+    /// The leader's commit index when this store last began to follow it; `None` until a message
+    /// has told it.
+    catch_up_to: Option<u64>,
     commit: u64,
     members: Vec<GroupMember>,
     members_index: u64,
@@ -92,6 +95,7 @@
             log,
             role: Role::Follower,
             leader: None,
+            catch_up_to: None,
             commit,
             members,
             members_index,
@@ -149,10 +153,13 @@
         self.hard_state.term
     }
 
-    /// Whether its commit index has reached the current term, and so covers every earlier
-    /// commit. After a restart it learns the leader before that.
+    /// Whether its commit index has reached the current term, and so covers every commit of
+    /// earlier terms, and also those made before it last began to follow the leader. It learns
+    /// the leader before that.
     pub fn has_caught_up(&self) -> bool {
+        let covers_leader = || self.catch_up_to.is_some_and(|index| self.commit >= index);
         self.log.term(self.commit) == Some(self.hard_state.term)
+            && (self.role == Role::Leader || covers_leader())
     }
 
     /// The leader of its term, if known; possibly itself.
--- a/src/agree/replica/replication.rs
+++ b/src/agree/replica/replication.rs
@@ -93,6 +93,7 @@
             self.send(from, self.hard_state.term, rejection);
             return;
         }
+        self.catch_up_to.get_or_insert(commit);
         let (prev_index, prev_term) = prev;
         let covered = prev_index < self.log.snapshot.index;
         if !covered && self.log.term(prev_index) != Some(prev_term) {
@@ -117,6 +118,9 @@
         if term < self.hard_state.term {
             return false;
         }
+        if self.leader != Some(from) || self.hard_state.term != term {
+            self.catch_up_to = None;
+        }
         self.become_follower(now, term, Some(from));
         self.last_leader_contact = Some(now);
         true
--- a/src/agree/tests.rs
+++ b/src/agree/tests.rs
@@ -344,3 +344,27 @@
     let voters = group.voters();
     assert!(voters.contains(&StoreId(4)) && !voters.contains(&crashed), "voters {voters:?}");
 }
+
+#[test]
+fn a_follower_restarted_within_a_term_has_not_caught_up_before_it_holds_earlier_commits() {
+    let mut group = Group::new(3, 5);
+    group.run(150);
+    let leader = group.leader().unwrap();
+    let follower = [1, 2, 3].map(StoreId).into_iter().find(|s| *s != leader).unwrap();
+    (0..10).for_each(|_| group.propose(leader));
+    group.run(40);
+    group.compact(follower);
+    group.run(20);
+    group.crash(follower);
+    (0..10).for_each(|_| group.propose(leader));
+    group.run(40);
+    let committed = *group.committed.keys().max().unwrap();
+    group.restart(follower);
+    let caught_up = (0..100).find_map(|_| {
+        group.step();
+        let replica = group.stores[&follower].replica.as_ref().unwrap();
+        let states_it = replica.leader().is_some() && replica.has_caught_up();
+        states_it.then(|| replica.status().commit)
+    });
+    assert!(caught_up.is_some_and(|commit| commit >= committed), "{caught_up:?} of {committed}");
+}
