Tests: answers that callers still read while their router stops as planned

What callers saw: an answer that breaks off in the middle, though its endpoint had sent all of it and the router had time left to write it.

The tests run the real programs: a caller with a small receive buffer begins to read 12 MB once its router refuses new requests, and reads for 3 s.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -21,6 +21,8 @@
 mod http;
 #[path = "platform/notices.rs"]
 mod notices;
+#[path = "platform/planned_stop.rs"]
+mod planned_stop;
 #[path = "platform/regions.rs"]
 mod regions;
 #[path = "platform/registrations.rs"]
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -6,7 +6,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
-use super::{Behaviour, Replica, Request, write};
+use super::{Behaviour, Replica, Request, large_body, write};
 use crate::shapes::{AfterAnswer, Ending, ReplicaFraming, Shape};
 
 /// Time in which all bytes written before a reset have been read.
@@ -50,7 +50,17 @@
         let body = format!("answer to {id}");
         let length = format!("Content-Length: {}\r\n", body.len());
         match behaviour {
-            Behaviour::Answer => write(stream, &(self.head(200, &id, &length) + &body)).await,
+            Behaviour::Large(bytes) if request.path.contains("large") => {
+                // Without its type it would be read as events on the path of a stream.
+                let headers = format!(
+                    "Content-Type: application/octet-stream\r\nContent-Length: {bytes}\r\n"
+                );
+                let head = self.head(200, &id, &headers);
+                write(stream, &(head + &large_body(&id, *bytes))).await
+            }
+            Behaviour::Answer | Behaviour::Large(_) => {
+                write(stream, &(self.head(200, &id, &length) + &body)).await
+            }
             Behaviour::Slow(time) => {
                 tokio::time::sleep(*time).await;
                 write(stream, &(self.head(200, &id, &length) + &body)).await
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -185,6 +185,11 @@
         self.signal_router(Signal::SIGTERM);
     }
 
+    pub fn terminate_neighbour(&self) {
+        let neighbour = self.neighbour_process.as_ref().unwrap().id();
+        kill(Pid::from_raw(neighbour as i32), Signal::SIGTERM).unwrap();
+    }
+
     pub fn hang_up_router(&self) {
         self.signal_router(Signal::SIGHUP);
     }
@@ -216,6 +221,11 @@
         }
     }
 
+    /// Whether the router has exited, however it did.
+    pub fn router_has_ended(&mut self) -> bool {
+        self.router_process.as_mut().unwrap().try_wait().unwrap().is_some()
+    }
+
     async fn wait_listening(&self, address: SocketAddr) {
         while tokio::net::TcpStream::connect(address).await.is_err() {
             tokio::time::sleep(POLL_INTERVAL).await;
--- a/tests/platform/http.rs
+++ b/tests/platform/http.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// How an answer states where its body ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -90,6 +90,32 @@
     }
 }
 
+/// Opens a connection whose kernel receives little ahead of its reader, and writes `text`.
+pub async fn open_with_small_buffer(to: SocketAddr, text: &str) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(64 << 10).unwrap();
+    let mut stream = socket.connect(to).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    stream
+}
+
+/// Reads at a limited rate what comes until the connection ends; `None` if that is no answer.
+pub async fn read_slowly(stream: &mut TcpStream, bytes_per_s: usize) -> Option<Answer> {
+    let begun = tokio::time::Instant::now();
+    let mut bytes = Vec::new();
+    let mut buffer = vec![0; 64 << 10];
+    let connection = loop {
+        match stream.read(&mut buffer).await {
+            Ok(0) => break Connection::Closed,
+            Err(_) => break Connection::Reset,
+            Ok(size) => bytes.extend_from_slice(&buffer[..size]),
+        }
+        let due = Duration::from_secs_f64(bytes.len() as f64 / bytes_per_s as f64);
+        tokio::time::sleep_until(begun + due).await;
+    };
+    parse(&bytes, connection)
+}
+
 /// Reads an answer until its body contains `text`, however long that takes, and not to its end.
 pub async fn read_until(stream: &mut TcpStream, text: &str) -> Answer {
     let mut bytes = Vec::new();
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -22,6 +22,8 @@
     Answer,
     /// Runs the request and answers after this time.
     Slow(Duration),
+    /// Runs the request and answers with this number of bytes if its path names `large`.
+    Large(usize),
     /// Refuses the request as not run.
     Full,
     /// Runs the request and answers 500.
@@ -346,6 +348,11 @@
     }
 }
 
+/// The body of a large answer.
+pub fn large_body(id: &str, bytes: usize) -> String {
+    id.chars().chain("0123456789".chars()).cycle().take(bytes).collect()
+}
+
 async fn write(stream: &mut TcpStream, text: &str) -> bool {
     stream.write_all(text.as_bytes()).await.is_ok()
 }
