Count an answer until it is written, and wait for that in a planned stop

What callers saw: an answer that breaks off in the middle while its router stops as planned, though its endpoint had sent all of it and seconds were left.

Cause: a request was counted from its arrival until its answer was handed to the HTTP library. From then on nothing counted it, and the stop ended 50 ms after the last counted request. The class is work that leaves the count before it leaves the process: also the last pieces of a stream, refusals, and the connection that is closed with bytes of the caller unread, which resets it and takes back what the kernel still held.

Fix: `serve_connection`, the one way in for both kinds of router and for connections that were handed over, counts each request from its head. The body carries the count, and it ends with the first flush after the body, which the HTTP library does only when it has written all that it buffers; or with the connection. On a connection that is closed after the answer it ends when the connection is closed. `close_connection` ends the sending side first, then reads and discards what the caller still sends, up to 5 s; only callers that go on sending hold up a stop by that. A router that relays a connection closes it in the same way. What a router serves, for its load, is counted as before.

A caller that reads nothing costs `stop_within_s`, no more.

--- a/src/caller_connection.rs
+++ b/src/caller_connection.rs
@@ -4,7 +4,9 @@
 //! endpoint did whose answer ended with its connection, so such answers are written here, and end
 //! with the caller's connection too.
 
+mod answers;
 mod close_delimited;
+mod closing;
 
 use std::pin::{Pin, pin};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -12,7 +14,7 @@
 use std::time::Duration;
 
 use axum::body::Body;
-use axum::http::{Request, Response, Version};
+use axum::http::{Request, Response, Version, header};
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -21,6 +23,12 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
+use answers::{ConnectionAnswers, CountedBody};
+
+pub use answers::OpenAnswers;
+
+pub(crate) use closing::close_connection;
+
 /// Marks an answer whose body ends with the caller's connection, as that of its endpoint did.
 #[derive(Clone, Copy, Debug)]
 pub struct EndsWithConnection;
@@ -46,7 +54,7 @@
 }
 
 /// A caller's connection, or one on which another router relays it.
-pub trait CallerIo: AsyncRead + AsyncWrite + Unpin + Send {
+pub trait CallerIo: AsyncRead + AsyncWrite + Unpin + Send + 'static {
     /// The socket that it writes to.
     fn socket(&self) -> socket2::SockRef<'_>;
 
@@ -87,26 +95,36 @@
 struct PutAside;
 
 /// Serves the requests on a connection until it closes. Once `closing` is ready, the connection is
-/// closed as soon as it is idle.
+/// closed as soon as it is idle. The answers count as open until they are written, the last ones
+/// until the connection is closed.
 pub async fn serve_connection<I, S, F>(
     io: I,
     limits: ConnectionLimits,
     serve: S,
     closing: impl Future<Output = ()>,
+    open_answers: &Arc<OpenAnswers>,
 ) where
     I: CallerIo,
     S: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<Body>>,
 {
-    let aside: Arc<Mutex<Option<Response<Body>>>> = Arc::default();
+    let answers = ConnectionAnswers::new(open_answers);
+    if limits.keep_alive == KeepAlive::OneRequest {
+        answers.set_closing();
+    }
+    let aside: Arc<Mutex<Option<Response<CountedBody>>>> = Arc::default();
     let service = service_fn(|request: Request<Incoming>| {
         let caller_version = request.version();
+        let open = answers.begin();
         let answering = serve(request);
-        let aside = aside.clone();
+        let (aside, answers) = (aside.clone(), answers.clone());
         async move {
-            let mut answer = answering.await;
+            let mut answer = answering.await.map(|body| CountedBody { body, _answer: open });
             *answer.version_mut() = Version::HTTP_11;
             if !ends_with_connection(&answer, caller_version) {
+                if answer.headers().get(header::CONNECTION).is_some_and(|value| value == "close") {
+                    answers.set_closing();
+                }
                 return Ok(answer);
             }
             *aside.lock().unwrap_or_else(PoisonError::into_inner) = Some(answer);
@@ -119,37 +137,49 @@
     if let Some(bytes) = limits.max_buffer {
         builder.max_buf_size(bytes);
     }
-    let io = TokioIo::new(WriteTracker { io, is_blocked: false });
+    let io = TokioIo::new(WriteTracker { io, is_blocked: false, answers: answers.clone() });
     let mut connection = builder.serve_connection(io, service);
     let served = {
         let mut closing = pin!(closing);
         tokio::select! {
             served = &mut connection => served,
             () = &mut closing => {
+                answers.set_closing();
                 Pin::new(&mut connection).graceful_shutdown();
                 (&mut connection).await
             }
         }
     };
-    let Err(error) = served else { return };
+    let parts = connection.into_parts();
+    let has_input = !parts.read_buf.is_empty();
+    let WriteTracker { io, is_blocked, .. } = parts.io.into_inner();
+    let Err(error) = served else {
+        return close_connection(io, has_input).await;
+    };
     let answer = aside.lock().unwrap_or_else(PoisonError::into_inner).take();
     let Some(answer) = answer else {
         log::debug!("caller: a connection failed: {error}");
+        if error.is_parse() {
+            // It has been answered, and the rest of the request is still arriving.
+            close_connection(io, has_input).await;
+        }
         return;
     };
-    let WriteTracker { io, is_blocked } = connection.into_parts().io.into_inner();
     if is_blocked {
         log::info!("caller: a connection is closed, since an answer before is still unsent");
         return;
     }
-    if let Err(error) = close_delimited::write_answer(io, answer).await {
-        log::debug!("caller: an answer that ends with its connection was broken off: {error}");
+    match close_delimited::write_answer(io, answer).await {
+        Ok(io) => close_connection(io, has_input).await,
+        Err(error) => {
+            log::debug!("caller: an answer that ends with its connection was broken off: {error}");
+        }
     }
 }
 
 /// Whether an answer can only be ended by the end of the caller's connection: chunks are unknown
 /// to callers of HTTP/1.0.
-fn ends_with_connection(answer: &Response<Body>, caller_version: Version) -> bool {
+fn ends_with_connection(answer: &Response<CountedBody>, caller_version: Version) -> bool {
     let has_length = answer.body().size_hint().exact().is_some();
     answer.extensions().get::<EndsWithConnection>().is_some()
         || caller_version < Version::HTTP_11 && !has_length
@@ -159,6 +189,7 @@
 struct WriteTracker<T> {
     io: T,
     is_blocked: bool,
+    answers: Arc<ConnectionAnswers>,
 }
 
 impl<T: AsyncRead + Unpin> AsyncRead for WriteTracker<T> {
@@ -200,7 +231,12 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(context)
+        let flushed = Pin::new(&mut self.io).poll_flush(context);
+        // The HTTP library flushes its connection only once it has written all that it buffers.
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            self.answers.record_flush();
+        }
+        flushed
     }
 
     fn poll_shutdown(
--- a/src/caller_connection/close_delimited.rs
+++ b/src/caller_connection/close_delimited.rs
@@ -2,12 +2,11 @@
 
 use std::io;
 
-use axum::body::Body;
 use axum::http::{HeaderValue, Response, header, response};
 use http_body_util::BodyExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-use super::{CallerIo, set_reset_on_close};
+use super::{CallerIo, CountedBody, set_reset_on_close};
 use crate::clock::http_date;
 
 /// A connection that is reset, also by the end of the process, unless it is finished: an orderly
@@ -20,10 +19,11 @@
         ResetUnlessFinished(Some(io))
     }
 
-    async fn finish(mut self) -> io::Result<()> {
-        let Some(mut io) = self.0.take() else { return Ok(()) };
+    async fn finish(mut self) -> io::Result<I> {
+        let Some(mut io) = self.0.take() else { return Err(io::ErrorKind::NotConnected.into()) };
         set_reset_on_close(io.socket(), false);
-        io.shutdown().await
+        io.shutdown().await?;
+        Ok(io)
     }
 }
 
@@ -35,8 +35,11 @@
     }
 }
 
-/// Writes an answer and closes the connection, or resets it if the answer is broken off.
-pub(super) async fn write_answer(io: impl CallerIo, answer: Response<Body>) -> io::Result<()> {
+/// Writes an answer and its end, or resets the connection if the answer is broken off.
+pub(super) async fn write_answer<I: CallerIo>(
+    io: I,
+    answer: Response<CountedBody>,
+) -> io::Result<I> {
     let mut connection = ResetUnlessFinished::new(io);
     if let Some(io) = &mut connection.0 {
         write_parts(io, answer).await?;
@@ -44,7 +47,7 @@
     connection.finish().await
 }
 
-async fn write_parts(io: &mut impl CallerIo, answer: Response<Body>) -> io::Result<()> {
+async fn write_parts(io: &mut impl CallerIo, answer: Response<CountedBody>) -> io::Result<()> {
     let (head, mut body) = answer.into_parts();
     io.write_all(&encode(head)).await?;
     let mut discarded = [0; 1_024];
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -34,5 +34,5 @@
         }
     };
     let serve = |request| request::serve(gateway.clone(), request);
-    serve_connection(io, limits, serve, closing).await;
+    serve_connection(io, limits, serve, closing, &gateway.answers).await;
 }
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -22,7 +22,7 @@
 use super::overload::Overload;
 use super::relayed_head::{HeadScanner, RelayedHead};
 use super::state::Gateway;
-use crate::caller_connection::{CallerIo, KeepAlive, set_reset_on_close};
+use crate::caller_connection::{CallerIo, KeepAlive, close_connection, set_reset_on_close};
 use crate::error::{Result, RpcSnafu};
 use crate::feed::Neighbour;
 use crate::peer::Incoming;
@@ -194,10 +194,12 @@
         RelayEnd::Failed if head.ends_with_connection => {
             log::info!("gateway: answer broken off at router {}", neighbour.host);
             gateway.metrics.handed_over.with_label_values(&["broken"]).inc();
+            return;
         }
         // The framing of the answer tells the caller whether it is complete.
         RelayEnd::Closed | RelayEnd::Failed => {}
     }
+    close_connection(caller, false).await;
 }
 
 /// Returns once the caller has closed its connection.
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -8,6 +8,7 @@
 use axum::routing::get;
 use snafu::ResultExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::callers::serve_requests;
@@ -25,7 +26,7 @@
 use crate::settings::{GatewaySettings, RouterSettings};
 use crate::wire::Role;
 
-/// How often a planned stop checks whether all requests have ended.
+/// How often a planned stop checks whether all answers are written.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time by which a planned stop ends before the limit at which the process is killed.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
@@ -64,23 +65,38 @@
 }
 
 /// Accepts requests for a while longer, since the platform still sends some; then closes
-/// connections as they fall idle, and waits for the remaining requests until the limit.
+/// connections as they fall idle, and waits until the limit for the remaining answers to be written.
 async fn stop_gracefully(gateway: &Gateway, closing: &CancellationToken) {
-    log::info!("gateway: planned stop begins, {} requests in flight", gateway.in_flight());
+    log::info!("gateway: planned stop begins, {}", open_work(gateway));
     gateway.peers.set_draining();
     let limit = Duration::from_secs_f64(gateway.rules.stop_within_s).saturating_sub(STOP_MARGIN);
     let accept_time = Duration::from_millis(gateway.rules.stop_takes_ms).min(limit / 2);
+    let deadline = Instant::now() + limit;
     tokio::time::sleep(accept_time).await;
     gateway.stop_accepting();
     closing.cancel();
-    let deadline = tokio::time::Instant::now() + limit.saturating_sub(accept_time);
-    while gateway.in_flight() > 0 && tokio::time::Instant::now() < deadline {
+    log::info!("gateway: no new requests are taken, {}", open_work(gateway));
+    wait_until_written(gateway, deadline).await;
+    gateway.records.hand_over().await;
+    wait_until_written(gateway, deadline).await;
+    match gateway.unfinished() {
+        0 => log::info!("gateway: stopped, all answers written"),
+        _ => log::warn!("gateway: stopped at its limit, cutting off {}", open_work(gateway)),
+    }
+}
+
+/// Waits until every answer is with its caller's kernel, or its caller gone.
+async fn wait_until_written(gateway: &Gateway, deadline: Instant) {
+    while gateway.unfinished() > 0 && Instant::now() < deadline {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
-    gateway.records.hand_over().await;
-    // The last answers still have to be written.
-    tokio::time::sleep(STOP_POLL_INTERVAL).await;
-    log::info!("gateway: stopped, {} requests in flight", gateway.in_flight());
+}
+
+/// What a planned stop waits for, for the log.
+fn open_work(gateway: &Gateway) -> String {
+    let in_flight = gateway.in_flight();
+    let written = gateway.unfinished().saturating_sub(in_flight);
+    format!("{in_flight} requests in flight, {written} answers still being written")
 }
 
 async fn serve_readiness(gateway: &Arc<Gateway>) -> Result<()> {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use super::overload::Overload;
 use super::records::StreamRecords;
 use super::rollouts::Releases;
+use crate::caller_connection::OpenAnswers;
 use crate::dispatch::Millis;
 use crate::feed::{FleetState, Subscriptions};
 use crate::loop_lag::LoopLag;
@@ -55,6 +56,8 @@
     pub connections: Connections,
     /// Records of streams that may be resumed.
     pub(super) records: Arc<StreamRecords>,
+    /// Answers to callers that are not yet written in full.
+    pub answers: Arc<OpenAnswers>,
     /// Metrics of the gateway.
     pub metrics: GatewayMetrics,
     /// Cancelled when a planned stop begins.
@@ -127,6 +130,7 @@
             header_names,
             connections: Connections::new(max_connections, on_early_close),
             records,
+            answers: Arc::default(),
             metrics: GatewayMetrics::default(),
             stop,
             endpoints: Mutex::default(),
@@ -219,6 +223,7 @@
         self.metrics.routing_version.set(version);
         self.metrics.open_feeds.set(self.feeds.open_feeds() as i64);
         self.metrics.known_routers.set(self.records.directory().routers.len() as i64);
+        self.metrics.open_answers.set(i64::try_from(self.unfinished()).unwrap_or(i64::MAX));
         self.metrics.stream_records.set(self.records.len() as i64);
         let silence = self.feeds.longest_silence_ms().unwrap_or(0);
         self.metrics.feed_silence_ms.set(i64::try_from(silence).unwrap_or(i64::MAX));
@@ -266,6 +271,12 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Requests whose answers have not been written in full to their callers, served here or by a
+    /// router that they were handed over to. A planned stop waits for them.
+    pub(super) fn unfinished(&self) -> usize {
+        self.answers.count() + self.handing_over.load(Ordering::Relaxed)
+    }
+
     /// Requests that this router serves itself.
     pub(super) fn serving(&self) -> usize {
         self.in_flight().saturating_sub(self.handing_over.load(Ordering::Relaxed))
@@ -314,7 +325,7 @@
     })
 }
 
-/// A request in flight; a planned stop waits until it is dropped.
+/// A request in flight, from its arrival until its answer is left to be written.
 pub(super) struct InFlightGuard {
     gateway: Arc<Gateway>,
     is_handover: bool,
--- a/src/router.rs
+++ b/src/router.rs
@@ -23,7 +23,7 @@
 use tower::ServiceExt;
 
 use crate::caller;
-use crate::caller_connection::{ConnectionLimits, KeepAlive, serve_connection};
+use crate::caller_connection::{ConnectionLimits, KeepAlive, OpenAnswers, serve_connection};
 use crate::error::{NetSnafu, Result};
 use crate::peer::{Incoming, Peers};
 use crate::settings::RouterSettings;
@@ -102,14 +102,16 @@
     let drain = Duration::from_millis(router.settings.drain_ms);
     let app = caller::app(router.clone());
     let connections = TaskTracker::new();
+    let answers = Arc::<OpenAnswers>::default();
     tokio::select! {
-        () = accept_callers(listener, app, &connections, &stop) => {}
+        () = accept_callers(listener, app, &connections, &answers, &stop) => {}
         () = stop.cancelled() => {}
     }
+    log::info!("router: planned stop begins, {} answers not yet written", answers.count());
     router.begin_stop();
     connections.close();
     if tokio::time::timeout(drain, connections.wait()).await.is_err() {
-        log::warn!("router: drain limit reached with requests in flight");
+        log::warn!("router: drain limit reached, {} answers cut off", answers.count());
     }
     router.finish_run_once_calls().await;
     log::info!("router: stopped");
@@ -121,6 +123,7 @@
     listener: TcpListener,
     app: axum::Router,
     connections: &TaskTracker,
+    answers: &Arc<OpenAnswers>,
     stop: &CancellationToken,
 ) {
     let limits = ConnectionLimits {
@@ -138,13 +141,13 @@
             }
         };
         set_nodelay(&mut stream);
-        let (app, stop) = (app.clone(), stop.clone());
+        let (app, answers, stop) = (app.clone(), answers.clone(), stop.clone());
         connections.spawn(async move {
             let serve = |request: axum::http::Request<hyper::body::Incoming>| {
                 let serving = app.clone().oneshot(request.map(Body::new));
                 async { serving.await.unwrap_or_else(|never| match never {}) }
             };
-            serve_connection(stream, limits, serve, stop.cancelled()).await;
+            serve_connection(stream, limits, serve, stop.cancelled(), &answers).await;
         });
     }
 }
--- a/src/telemetry/gateway.rs
+++ b/src/telemetry/gateway.rs
@@ -44,6 +44,8 @@
     pub handed_over: IntCounterVec,
     /// Seconds from arrival to the head of the answer, by service.
     pub first_answer: HistogramVec,
+    /// Number of requests whose answers are not yet written to their callers in full.
+    pub open_answers: IntGauge,
     /// The routing version in force.
     pub routing_version: IntGauge,
     /// Number of control hosts whose feeds are open.
@@ -118,6 +120,10 @@
             )?,
             handed_over: counter("handed_over_total", "Connections handed over.", &["answer"])?,
             first_answer: HistogramVec::new(seconds, &["service"])?,
+            open_answers: IntGauge::new(
+                name("open_answers"),
+                "Requests whose answers are not yet written in full.",
+            )?,
             routing_version: IntGauge::new(name("routing_version"), "Version in force.")?,
             open_feeds: IntGauge::new(name("open_feeds"), "Control hosts that are followed.")?,
             feed_silence_ms: IntGauge::new(name("feed_silence_ms"), "Longest silence of a feed.")?,
@@ -140,6 +146,7 @@
         registry.register(Box::new(metrics.sent_to_other_region.clone()))?;
         registry.register(Box::new(metrics.handed_over.clone()))?;
         registry.register(Box::new(metrics.first_answer.clone()))?;
+        registry.register(Box::new(metrics.open_answers.clone()))?;
         registry.register(Box::new(metrics.routing_version.clone()))?;
         registry.register(Box::new(metrics.open_feeds.clone()))?;
         registry.register(Box::new(metrics.feed_silence_ms.clone()))?;
--- a/tests/platform/planned_stop.rs
+++ b/tests/platform/planned_stop.rs
@@ -193,6 +193,36 @@
     assert!(begun.elapsed() < STOP_TIME / 2, "{:?}", begun.elapsed());
 }
 
+#[tokio::test]
+async fn answers_count_as_open_until_they_are_written_or_their_callers_gone() {
+    let (fleet, _replicas) = fleet_with_large_answers(ANSWER_BYTES).await;
+    let open_answers = async |wanted: u64| {
+        while fleet.metric("bramblecrank_gateway_open_answers").await != wanted {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    let kept = get_large("safe", "kept").replace("Connection: close\r\n", "");
+    let mut first = begin(&fleet, &get_large("safe", "first")).await;
+    let second = begin(&fleet, &get_large("stream", "second")).await;
+    let mut third = begin(&fleet, &kept).await;
+    open_answers(3).await;
+    assert_whole(read_slowly(&mut first, usize::MAX).await, "first");
+    open_answers(2).await;
+    drop(second);
+    open_answers(1).await;
+    // It stays open, and counts no more once its answer is read.
+    let mut rest = ANSWER_BYTES;
+    let mut buffer = vec![0; 64 << 10];
+    while rest > 0 {
+        let size = third.read(&mut buffer).await.unwrap();
+        assert!(size > 0, "{rest} bytes are missing");
+        rest = rest.saturating_sub(size);
+    }
+    open_answers(0).await;
+    assert_eq!(call(fleet.front, &get("/safe/x", "next")).await.status, 200);
+    open_answers(0).await;
+}
+
 #[tokio::test]
 async fn a_second_signal_ends_a_router_that_still_writes_answers() {
     let (mut fleet, _replicas) = fleet_with_large_answers(ANSWER_BYTES).await;
