--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -23,6 +23,8 @@
 mod large_configurations;
 #[path = "platform/notices.rs"]
 mod notices;
+#[path = "platform/planned_stop.rs"]
+mod planned_stop;
 #[path = "platform/regions.rs"]
 mod regions;
 #[path = "platform/registrations.rs"]
