agree: generated tests of power lost everywhere during replacements, which fail

The simulated group now keeps its state in real data folders on simulated disks: a process ends at any operation of a write. Two tests generate replacements for good (planned or not), lost disks within what is tolerated, kills, power lost by one or all, and the return of removed stores.

--- a/src/agree.rs
+++ b/src/agree.rs
@@ -20,5 +20,6 @@
 
 pub use message::*;
 pub use replica::{
-    HEARTBEAT_MS, MIN_ELECTION_TIMEOUT_MS, NotLeader, Output, Persist, Replica, Role, Status,
+    Departure, HEARTBEAT_MS, MIN_ELECTION_TIMEOUT_MS, NotLeader, Output, Persist, Replica, Role,
+    Status,
 };
--- a/src/agree/replica.rs
+++ b/src/agree/replica.rs
@@ -14,7 +14,7 @@
 use super::message::*;
 use crate::dispatch::Millis;
 
-pub use output::{NotLeader, Output, Persist, Role, Status};
+pub use output::{Departure, NotLeader, Output, Persist, Role, Status};
 
 /// Milliseconds between two heartbeats of a leader.
 pub const HEARTBEAT_MS: Millis = 100;
--- a/src/agree/replica/membership.rs
+++ b/src/agree/replica/membership.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 
 use super::{
-    GroupMember, MIN_ELECTION_TIMEOUT_MS, Millis, NotLeader, Output, Payload, Progress, Replica,
-    Role, StoreId,
+    Departure, GroupMember, MIN_ELECTION_TIMEOUT_MS, Millis, NotLeader, Output, Payload, Progress,
+    Replica, Role, StoreId,
 };
 
 /// Milliseconds of silence after which a voter may be replaced by a learner.
@@ -133,6 +133,11 @@
         Ok((true, self.take_output()))
     }
 
+    /// Starts the departure of a voter, or goes on with it.
+    pub fn leave(&mut self, _: Millis, _: StoreId) -> Result<(Departure, Output), NotLeader> {
+        Ok((Departure::Kept, Output::default()))
+    }
+
     /// Steps down as leader once the change that removed this store's vote is committed.
     pub(super) fn step_down_if_removed(&mut self) {
         if !self.is_voter() && self.members_index <= self.commit {
--- a/src/agree/replica/output.rs
+++ b/src/agree/replica/output.rs
@@ -49,6 +49,17 @@
     pub leader: Option<StoreId>,
 }
 
+/// How far the leader is with the departure of a store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Departure {
+    /// The store is no member of the group, or never was one that votes.
+    Left,
+    /// Another store is about to replace it, or a change of the group is under way.
+    Pending,
+    /// No store can replace it; it remains a member.
+    Kept,
+}
+
 /// A replica's state for status reports.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Status {
--- a/src/agree/tests.rs
+++ b/src/agree/tests.rs
@@ -2,6 +2,7 @@
 //! crashes, lost disks and membership changes.
 
 mod group;
+mod power;
 
 use proptest::prelude::*;
 
@@ -58,7 +59,7 @@
     let Ok(Some(out)) = replica.change_members(now, members) else { return };
     group.carry_out(leader, out);
     group.stores.remove(&id);
-    group.start(new, Disk::default());
+    group.start(new, Disk::empty(1));
 }
 
 fn apply_event(group: &mut Group, event: Event) {
@@ -287,7 +288,7 @@
     let (joined, out) = replica.join(now, member(4, false, None)).unwrap();
     assert!(joined);
     group.carry_out(leader, out);
-    group.start(StoreId(4), Disk::default());
+    group.start(StoreId(4), Disk::empty(1));
     group.run(300);
     assert!(!group.voters().contains(&StoreId(4)), "all three voters are reachable");
     let crashed = [1, 2, 3].map(StoreId).into_iter().find(|s| *s != leader).unwrap();
--- a/src/agree/tests/group.rs
+++ b/src/agree/tests/group.rs
@@ -6,37 +6,40 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::agree::*;
+use crate::store::{self, simulated::SimulatedDisk};
 use crate::wire::HostId;
 
-/// The synced state of a store.
-#[derive(Clone, Default)]
+/// The disk of a store, and the data folder that its process has open.
 pub(super) struct Disk {
-    pub(super) hard: HardState,
-    pub(super) snapshot: Snapshot,
-    pub(super) entries: Vec<Entry>,
+    disk: SimulatedDisk,
+    folder: store::Disk,
 }
 
 impl Disk {
+    /// An empty disk, with a seed for what a loss of power leaves.
+    pub(super) fn empty(seed: u64) -> Disk {
+        let disk = SimulatedDisk::new(seed);
+        let (folder, _) = disk.open().unwrap();
+        Disk { disk, folder }
+    }
+
     pub(super) fn write(&mut self, persist: &[Persist]) {
-        for record in persist {
-            match record {
-                Persist::HardState(hard) => self.hard = *hard,
-                Persist::Entries(entries) => {
-                    let first = entries[0].index;
-                    self.entries.retain(|e| e.index < first);
-                    self.entries.extend_from_slice(entries);
-                }
-                Persist::Snapshot(snapshot) => {
-                    let held = self.entries.iter().find(|e| e.index == snapshot.index);
-                    if held.is_some_and(|e| e.term == snapshot.term) {
-                        self.entries.retain(|e| e.index > snapshot.index);
-                    } else {
-                        self.entries.clear();
-                    }
-                    self.snapshot = snapshot.clone();
-                }
-            }
-        }
+        self.folder.write(persist).unwrap();
+    }
+
+    /// Opens the data folder again, in another process.
+    fn open(&mut self) -> store::RecoveredState {
+        let (folder, recovered) = self.disk.open().unwrap();
+        self.folder = folder;
+        recovered
+    }
+
+    /// Writes `records` up to an operation at which the process ends.
+    fn write_until(&mut self, records: &[Persist], operation: u64) {
+        self.disk.fail_after(operation);
+        // The result is of no use to a process that ends.
+        let _ = self.folder.write(records);
+        self.disk.kill();
     }
 }
 
@@ -63,6 +66,7 @@
     pub(super) cut_links: BTreeSet<(StoreId, StoreId)>,
     pub(super) stalled_disks: BTreeSet<StoreId>,
     pub(super) loss_rate: f64,
+    pub(super) max_voters: usize,
     pub(super) leader_by_term: BTreeMap<u64, StoreId>,
     pub(super) committed: BTreeMap<u64, Entry>,
     pub(super) accepted: Vec<(StoreId, u64, u64)>,
@@ -90,42 +94,56 @@
             cut_links: BTreeSet::new(),
             stalled_disks: BTreeSet::new(),
             loss_rate: 0.0,
+            max_voters: usize::MAX,
             leader_by_term: BTreeMap::new(),
             committed: BTreeMap::new(),
             accepted: Vec::new(),
             proposals: 0,
         };
         for id in 1..=size {
-            let mut disk = Disk::default();
+            let mut disk = Disk::empty(group.rng.random());
             disk.write(&Replica::bootstrap_records(members.clone()));
             group.start(StoreId(id), disk);
         }
         group
     }
 
-    pub(super) fn start(&mut self, id: StoreId, disk: Disk) {
+    pub(super) fn start(&mut self, id: StoreId, mut disk: Disk) {
         let seed = self.rng.random();
-        let Disk { hard, snapshot, entries } = disk.clone();
+        let store::RecoveredState { hard, snapshot, entries, .. } = disk.open();
         let applied = match snapshot.data.is_empty() {
             true => Vec::new(),
             false => postcard::from_bytes(&snapshot.data).unwrap(),
         };
-        let replica = Replica::new(self.now, id, hard, snapshot, entries, seed);
+        let mut replica = Replica::new(self.now, id, hard, snapshot, entries, seed);
+        replica.set_max_voters(self.max_voters);
         self.stores
             .insert(id, Store { disk, unsynced: Vec::new(), replica: Some(replica), applied });
     }
 
+    /// Ends a store's process while it writes what is not synced yet.
     pub(super) fn crash(&mut self, id: StoreId) {
+        let operation = self.rng.random_range(1..12);
         if let Some(store) = self.stores.get_mut(&id) {
+            let unsynced = std::mem::take(&mut store.unsynced);
+            let records: Vec<_> = unsynced.into_iter().flat_map(|u| u.persist).collect();
+            store.disk.write_until(&records, operation);
             store.replica = None;
-            store.unsynced.clear();
+        }
+    }
+
+    /// Like [`Group::crash`], and what is not synced may be lost.
+    pub(super) fn lose_power(&mut self, id: StoreId) {
+        self.crash(id);
+        if let Some(store) = self.stores.get(&id) {
+            store.disk.disk.lose_power();
         }
     }
 
     pub(super) fn restart(&mut self, id: StoreId) {
-        let down = self.stores.get(&id).filter(|s| s.replica.is_none());
-        if let Some(disk) = down.map(|s| s.disk.clone()) {
-            self.start(id, disk);
+        if self.stores.get(&id).is_some_and(|s| s.replica.is_none()) {
+            let store = self.stores.remove(&id).unwrap();
+            self.start(id, store.disk);
         }
     }
 
