--- a/src/agree/tests/power.rs
+++ b/src/agree/tests/power.rs
@@ -331,7 +331,7 @@
 }
 
 proptest! {
-    #![proptest_config(crate::testing::property(96))]
+    #![proptest_config(crate::testing::property(48))]
 
     /// With no more disks lost than is allowed at once, nothing committed is lost or changed,
     /// each term has one leader, and the group commits again once its hosts are back.
