--- a/src/agree/replica/replication.rs
+++ b/src/agree/replica/replication.rs
@@ -57,10 +57,10 @@
         if now >= self.heartbeat_due {
             self.broadcast(now);
         }
-        // Apart from the heartbeats, which a leader with steady work need not send.
-        if now >= self.membership_check_due {
-            self.membership_check_due = now + HEARTBEAT_MS;
+        if now >= self.members_check_due {
+            self.members_check_due = now + HEARTBEAT_MS;
             self.promote_learner(now);
+            self.checked_commit = self.commit;
         }
     }
 
@@ -144,6 +144,7 @@
         }
         self.become_follower(now, term, Some(from));
         self.last_leader_contact = Some(now);
+        self.last_leader = Some(from);
         true
     }
 
@@ -189,6 +190,7 @@
             return;
         };
         progress.acked_at = now;
+        progress.silent_since = now;
         progress.acked_round = progress.acked_round.max(round);
         if success {
             progress.matched = progress.matched.max(index.min(last));
@@ -199,8 +201,13 @@
             progress.in_flight = InFlight::default();
         }
         let is_behind = progress.next <= last && progress.in_flight.bytes < MAX_IN_FLIGHT_BYTES;
+        let is_changing_members = self.members_index > self.commit;
         self.advance_commit();
         self.answer_reads();
+        if is_changing_members && self.role == Role::Leader {
+            // The next step of a replacement does not wait for a heartbeat.
+            self.promote_learner(now);
+        }
         if is_behind && self.role == Role::Leader {
             self.send_entries(from);
         }
--- a/src/agree/tests.rs
+++ b/src/agree/tests.rs
@@ -3,6 +3,7 @@
 
 mod catch_up;
 mod group;
+mod power;
 
 use proptest::prelude::*;
 
@@ -59,7 +60,7 @@
     let Ok(Some(out)) = replica.change_members(now, members) else { return };
     group.carry_out(leader, out);
     group.stores.remove(&id);
-    group.start(new, Disk::default());
+    group.start(new, Disk::empty(1));
 }
 
 fn apply_event(group: &mut Group, event: Event) {
@@ -288,7 +289,7 @@
     let (joined, out) = replica.join(now, member(4, false, None)).unwrap();
     assert!(joined);
     group.carry_out(leader, out);
-    group.start(StoreId(4), Disk::default());
+    group.start(StoreId(4), Disk::empty(1));
     group.run(300);
     assert!(!group.voters().contains(&StoreId(4)), "all three voters are reachable");
     let crashed = [1, 2, 3].map(StoreId).into_iter().find(|s| *s != leader).unwrap();
@@ -309,7 +310,7 @@
     let (joined, out) = replica.join(now, member(4, false, None)).unwrap();
     assert!(joined);
     group.carry_out(leader, out);
-    group.start(StoreId(4), Disk::default());
+    group.start(StoreId(4), Disk::empty(1));
     group.run(100);
     let stated = |group: &Group| group.stores[&StoreId(4)].replica.as_ref().unwrap().leader();
     assert_eq!(stated(&group), Some(leader));
@@ -335,7 +336,7 @@
     let (joined, out) = replica.join(now, member(4, false, None)).unwrap();
     assert!(joined);
     group.carry_out(leader, out);
-    group.start(StoreId(4), Disk::default());
+    group.start(StoreId(4), Disk::empty(1));
     let crashed = [1, 2, 3].map(StoreId).into_iter().find(|s| *s != leader).unwrap();
     group.crash(crashed);
     for token in 0..300 {
