tests: replicas that send without end, in heads and bodies

A stand-in replica sends, in a shape that the path of a request names, heads and bodies without an end: fast or as a trickle, on idempotent, non-idempotent, streaming and resumable routes, with many callers at once. Checked: what callers are told and when, when the replica's connection is closed, the peak memory of the router against the 260 MB that a process has, other callers, changes and a planned stop meanwhile.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -7,8 +7,14 @@
 mod crashing_parts;
 #[path = "platform/crashing_replicas.rs"]
 mod crashing_replicas;
+#[path = "platform/drain.rs"]
+mod drain;
 #[path = "platform/endings.rs"]
 mod endings;
+#[path = "platform/endless.rs"]
+mod endless;
+#[path = "platform/endless_replica.rs"]
+mod endless_replica;
 #[path = "platform/fleet.rs"]
 mod fleet;
 #[path = "platform/halls.rs"]
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -142,6 +142,14 @@
         self.wait_ready().await;
     }
 
+    /// A value of the router's memory in KiB, as the system reports it under this name.
+    pub fn memory_kib(&self, name: &str) -> u64 {
+        let [router, _] = self.process_ids();
+        let status = std::fs::read_to_string(format!("/proc/{router}/status")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
+        line.trim_matches([':', ' ', '\t', 'k', 'B']).parse().unwrap()
+    }
+
     /// Restarts the router with an unlimited budget for retries.
     pub async fn restart_router_retrying(&mut self) {
         self.kill_router();
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -350,7 +350,8 @@
     stream.write_all(text.as_bytes()).await.is_ok()
 }
 
-async fn read_request(stream: &mut TcpStream) -> Option<Request> {
+/// Reads one request; `None` if the connection ends before it is complete.
+pub async fn read_request(stream: &mut TcpStream) -> Option<Request> {
     let mut bytes = Vec::new();
     let mut buffer = [0; 4_096];
     let head_end = loop {
