answer: bound what is read and held of an answer that has no end

What callers saw: behind a head that never ends, a request waits until its deadline, or three objectives where it may be repeated; empty lines before a head, sent fast, were answered after 5.6 s on a route of 2 s. Streams that always have more data went on past their deadline (300 of 300 for 10 s). 40 answers without an end took 552,584 KiB at once; a process has 260,000.

Cause: the reader of an answer waits for the endpoint's own marks of an end. Limits were given for one answer (16 MiB) and one event, never for what a router holds of all; a head had no time of its own, interim heads no number, framing without content no length; and a timeout around a read that is always ready is never looked at.

Fix: one place for both ways in. ReadGuard wraps an endpoint's connection and fails its reads when a head is too long, takes too long from its first byte, comes after more than eight interim heads, or when a body brings framing without content; so the connection is closed at once, whoever waits. AnswerBody ends an event that is too long. AnswerMemory bounds the bytes held of all incomplete answers: beyond it the largest is given up, so that answers without end don't displace sound ones; events that are held back for resuming are passed on in parts instead. The deadline of a stream is looked at before each read. A body that has no end by its deadline, and a stream without one complete event by then, count as failures of the endpoint. The list of the platform's hosts has a time limit for its body too.

Settings: answers.* with their check; counters exceeded_limits_total, gauge held_bytes, log line, endings too_long and no_memory.

Long answers (12 MiB) and streams (48 MiB) arrive whole as before.

--- a/src/answer/body.rs
+++ b/src/answer/body.rs
@@ -2,15 +2,18 @@
 
 use std::error::Error;
 use std::io;
+use std::sync::Arc;
 
 use axum::http::Response;
 use axum::http::response;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use super::events::EventScanner;
 use super::framing::{Framing, has_events};
+use super::memory::{AnswerMemory, HeldBytes};
+use super::read_guard::ReadGuard;
 use super::verdict::{BodyEnd, ContentEnd, Ending};
 
 /// The next part of a body.
@@ -29,6 +32,8 @@
     framing: Framing,
     /// Follows the events of a body that consists of such.
     scanner: Option<EventScanner>,
+    /// Follows its connection, if that is read within limits.
+    guard: Option<ReadGuard>,
     /// Whether the last event of a whole body is known to its reader, who reads no further.
     has_final_event: bool,
 }
@@ -41,9 +46,10 @@
         expects_events: bool,
     ) -> (response::Parts, AnswerBody) {
         let framing = Framing::of(&response);
-        let (head, incoming) = response.into_parts();
+        let (mut head, incoming) = response.into_parts();
         let scanner = has_events(&head.headers, expects_events).then(EventScanner::default);
-        (head, AnswerBody { incoming, framing, scanner, has_final_event: false })
+        let guard = head.extensions.remove();
+        (head, AnswerBody { incoming, framing, scanner, guard, has_final_event: false })
     }
 
     /// Sets that its reader stops at an event that ends every whole body of this protocol: a body
@@ -62,6 +68,11 @@
         self.scanner.is_some()
     }
 
+    /// Whether a complete event was read.
+    pub fn has_complete_event(&self) -> bool {
+        self.scanner.as_ref().is_some_and(EventScanner::has_event)
+    }
+
     /// The next part of the body. Nothing is lost if the future is dropped.
     pub async fn next(&mut self) -> Part {
         loop {
@@ -69,28 +80,78 @@
                 Some(Ok(frame)) => {
                     // Trailers are specific to the connection.
                     let Ok(bytes) = frame.into_data() else { continue };
-                    if let Some(scanner) = &mut self.scanner {
-                        scanner.scan(&bytes);
+                    if self.is_within_limits(&bytes) {
+                        return Part::Data(bytes);
                     }
-                    return Part::Data(bytes);
+                    return Part::End(self.end(Ending::TooLong));
                 }
-                Some(Err(error)) => return Part::End(self.end(ending_of(&error))),
+                Some(Err(error)) => return Part::End(self.end(self.ending_of(&error))),
                 None => return Part::End(self.end(Ending::Clean)),
             }
         }
     }
 
+    /// Records content; returns whether its event, if it consists of events, is not too long.
+    fn is_within_limits(&mut self, bytes: &[u8]) -> bool {
+        let max_event_bytes = self.guard.as_ref().map_or(usize::MAX, |guard| {
+            guard.record_content();
+            guard.limits().event_bytes
+        });
+        let Some(scanner) = &mut self.scanner else { return true };
+        scanner.scan(bytes);
+        scanner.open_bytes() <= max_event_bytes
+    }
+
+    fn ending_of(&self, error: &hyper::Error) -> Ending {
+        match self.guard.as_ref().and_then(ReadGuard::exceeded) {
+            Some(_) => Ending::TooLong,
+            None => ending_of(error),
+        }
+    }
+
     /// Reads the body to its end, or until it has more than `max_bytes`.
-    pub async fn read(mut self, max_bytes: usize) -> (Bytes, BodyEnd) {
+    pub async fn read(self, max_bytes: usize) -> (Bytes, BodyEnd) {
+        self.read_into(max_bytes, None).await
+    }
+
+    /// Reads the body to its end, or until it has more than `max_bytes`, or until it is the
+    /// largest of too many bytes in `memory`.
+    pub async fn read_within(
+        self,
+        max_bytes: usize,
+        memory: &Arc<AnswerMemory>,
+    ) -> (Bytes, BodyEnd) {
+        self.read_into(max_bytes, Some(memory.hold())).await
+    }
+
+    async fn read_into(mut self, max_bytes: usize, held: Option<HeldBytes>) -> (Bytes, BodyEnd) {
         let mut content = BytesMut::new();
+        let given_up = async {
+            match &held {
+                Some(held) => held.given_up().await,
+                None => std::future::pending().await,
+            }
+        };
+        let mut given_up = std::pin::pin!(given_up);
+        if self.incoming.size_hint().lower() > max_bytes as u64 {
+            return (Bytes::new(), self.end(Ending::TooLong));
+        }
         loop {
-            match self.next().await {
+            let part = tokio::select! {
+                () = &mut given_up => return (Bytes::new(), self.end(Ending::NoMemory)),
+                part = self.next() => part,
+            };
+            match part {
                 Part::Data(bytes) if content.len() + bytes.len() > max_bytes => {
-                    return (content.freeze(), self.end(Ending::TooLong));
+                    return (Bytes::new(), self.end(Ending::TooLong));
                 }
                 Part::Data(bytes) => content.extend_from_slice(&bytes),
                 Part::End(end) => return (content.freeze(), end),
             }
+            // What is allocated counts, which may be twice the content.
+            if held.as_ref().is_some_and(|held| !held.set(content.capacity())) {
+                return (Bytes::new(), self.end(Ending::NoMemory));
+            }
         }
     }
 
--- a/src/answer/events.rs
+++ b/src/answer/events.rs
@@ -26,6 +26,10 @@
     after_cr: bool,
     /// What is left of a byte order mark that the stream may begin with.
     expected_mark: &'static [u8],
+    /// Number of bytes since the stream last stood between two events.
+    open_bytes: usize,
+    /// Whether an event is complete.
+    has_event: bool,
 }
 
 impl Default for EventScanner {
@@ -35,6 +39,8 @@
             has_fields: false,
             after_cr: false,
             expected_mark: BYTE_ORDER_MARK,
+            open_bytes: 0,
+            has_event: false,
         }
     }
 }
@@ -47,7 +53,20 @@
 
     /// Scans the next bytes of the stream.
     pub fn scan(&mut self, bytes: &[u8]) {
-        bytes.iter().for_each(|byte| self.scan_byte(*byte));
+        for byte in bytes {
+            self.scan_byte(*byte);
+            self.open_bytes = if self.is_between_events() { 0 } else { self.open_bytes + 1 };
+        }
+    }
+
+    /// Whether the stream had a complete event so far.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
+
+    /// Length so far of the event that has begun, or of the line of a comment.
+    pub fn open_bytes(&self) -> usize {
+        self.open_bytes
     }
 
     /// Scans the next byte of the stream.
@@ -64,7 +83,7 @@
             (b'\n', _) if follows_cr => {}
             (b'\n' | b'\r', line) => {
                 match line {
-                    Line::Empty => self.has_fields = false,
+                    Line::Empty => self.has_event |= std::mem::take(&mut self.has_fields),
                     Line::Comment => {}
                     Line::Field => self.has_fields = true,
                 }
--- a/src/answer/tests.rs
+++ b/src/answer/tests.rs
@@ -77,7 +77,7 @@
     let framings = [Framing::Length, Framing::Chunks, Framing::Connection];
     for framing in framings {
         for content in [Opaque, BetweenEvents, InsideEvent, BeforeFinalEvent] {
-            for ending in [Clean, ClosedEarly, Reset, Invalid, TooLong] {
+            for ending in [Clean, ClosedEarly, Reset, Invalid, TooLong, NoMemory] {
                 let verdict = BodyEnd { framing, ending, content }.verdict();
                 let is_whole = ending == Clean && matches!(content, Opaque | BetweenEvents);
                 assert_eq!(verdict.is_ok(), is_whole, "{framing:?} {ending:?} {content:?}");
@@ -129,3 +129,40 @@
         assert_eq!(keeps_connection(&answer), is_kept);
     }
 }
+
+#[test]
+fn an_answer_that_fills_the_memory_is_given_up_and_no_smaller_one() {
+    let memory = AnswerMemory::new(100);
+    let (small, large) = (memory.hold(), memory.hold());
+    assert!(small.set(30) && large.set(70));
+    assert!(!small.try_set(31), "nothing is given up for what can be passed on");
+    assert!(small.set(40), "the larger one is given up");
+    assert!(!large.set(71));
+    assert_eq!(memory.held(), 40);
+    assert!(!small.set(101), "no answer holds more than there is");
+    drop((small, large));
+    assert_eq!(memory.held(), 0);
+}
+
+#[test]
+fn limits_that_cannot_be_kept_together_are_refused() {
+    let limits = AnswerLimits::default();
+    assert!(limits.check().is_ok());
+    for refused in [
+        AnswerLimits { head_bytes: 8_191, ..limits },
+        AnswerLimits { head_ms: 0, ..limits },
+        AnswerLimits { event_bytes: limits.head_bytes - 1, ..limits },
+        AnswerLimits { held_bytes: limits.answer_bytes - 1, ..limits },
+    ] {
+        assert!(refused.check().is_err(), "{refused:?}");
+    }
+}
+
+#[test]
+fn the_length_of_an_event_counts_from_the_end_of_the_one_before() {
+    let mut scanner = EventScanner::default();
+    scanner.scan(b": a comment\n\ndata");
+    assert_eq!((scanner.open_bytes(), scanner.has_event()), (4, false));
+    scanner.scan(b": x\n\nid");
+    assert_eq!((scanner.open_bytes(), scanner.has_event()), (2, true));
+}
--- a/src/answer/verdict.rs
+++ b/src/answer/verdict.rs
@@ -15,6 +15,8 @@
     Invalid,
     /// It had more bytes than are accepted.
     TooLong,
+    /// The router held too many bytes of answers, of which this one was the largest.
+    NoMemory,
 }
 
 /// Where the content of a body ended.
@@ -65,6 +67,7 @@
             (Ending::Reset, _) => "reset",
             (Ending::Invalid, _) => "invalid",
             (Ending::TooLong, _) => "too_long",
+            (Ending::NoMemory, _) => "no_memory",
         }
     }
 }
@@ -91,7 +94,7 @@
         match self.end.ending {
             Ending::ClosedEarly | Ending::Reset => true,
             Ending::Clean => self.end.framing == Framing::Connection,
-            Ending::Invalid | Ending::TooLong => false,
+            Ending::Invalid | Ending::TooLong | Ending::NoMemory => false,
         }
     }
 }
--- a/src/delivery.rs
+++ b/src/delivery.rs
@@ -13,7 +13,7 @@
 mod tests;
 
 pub(crate) use attempt::strip_hop_headers;
-pub use attempt::{Answer, Attempt, AttemptReport, Call, EndpointClient, MAX_ANSWER_BYTES};
+pub use attempt::{Answer, Attempt, AttemptReport, Call, EndpointClient};
 pub use budget::RetryBudget;
 pub use client::HttpClient;
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
--- a/src/delivery/attempt.rs
+++ b/src/delivery/attempt.rs
@@ -1,6 +1,7 @@
 //! A single attempt to call an endpoint.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use axum::body::Body;
@@ -9,14 +10,13 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 
-use super::client::HttpClient;
+use super::client::{HttpClient, SendError};
 use super::header;
 use super::outcome::UnknownReason;
-use crate::answer::{AnswerBody, Completeness};
+use super::sse::Splitter;
+use crate::answer::{AnswerBody, AnswerLimits, AnswerMemory, Completeness};
 use crate::notice::Notice;
 
-/// Maximum size of an answer that is not streamed, in bytes.
-pub const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// Hop-by-hop headers: they apply to one connection and are not forwarded.
 const HOP_BY_HOP_HEADERS: [&str; 7] =
     ["connection", "keep-alive", "transfer-encoding", "content-length", "host", "te", "upgrade"];
@@ -78,12 +78,25 @@
 }
 
 /// HTTP client for calls to endpoints.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct EndpointClient {
     client: HttpClient,
+    limits: AnswerLimits,
+    memory: Arc<AnswerMemory>,
 }
 
 impl EndpointClient {
+    /// A client that reads and holds answers within `limits`.
+    pub fn new(limits: AnswerLimits) -> EndpointClient {
+        let memory = AnswerMemory::new(limits.held_bytes);
+        EndpointClient { client: HttpClient::new(limits), limits, memory }
+    }
+
+    /// A splitter for the events of an answer, whose buffer counts as held.
+    pub fn splitter(&self) -> Splitter {
+        Splitter::within(self.memory.hold())
+    }
+
     /// Calls `address` and waits up to `limit` for the head of the answer if it is streamed, or
     /// for the complete answer otherwise.
     pub async fn attempt(
@@ -102,43 +115,47 @@
     }
 
     async fn exchange(&self, call: &Call, request: Request<Body>) -> AttemptReport {
-        let sent = match call.run_once {
-            true => self.client.send_fresh(request).await,
-            false => self.client.send(request).await,
-        };
-        let response = match sent {
+        let kept = !call.run_once;
+        let response = match self.client.send_within_limits(request, kept).await {
             Ok(response) => response,
-            Err(error) if error.is_connect() => return Attempt::NotSent.into(),
-            Err(_) => return Attempt::Unknown(UnknownReason::Broken).into(),
+            Err(SendError::NotSent) => return Attempt::NotSent.into(),
+            Err(SendError::Broken) => return Attempt::Unknown(UnknownReason::Broken).into(),
+            Err(SendError::Exceeded(limit)) => {
+                log::info!(
+                    "delivery: {} got no answer, the connection is closed: {limit}",
+                    call.id
+                );
+                return Attempt::Unknown(UnknownReason::Broken).into();
+            }
         };
         let leaving = HeaderName::from_static(header::LEAVING);
         let notice = Notice::read(response.status(), response.headers(), &leaving);
-        AttemptReport { attempt: classify(call, response).await, notice }
+        AttemptReport { attempt: self.classify(call, response).await, notice }
     }
-}
 
-/// Determines the result of an attempt from an answer whose head has been received.
-async fn classify(call: &Call, response: Response<Incoming>) -> Attempt {
-    if response.headers().contains_key(header::NOT_RUN) {
-        return Attempt::Refused;
-    }
-    let echoed = header::text(response.headers(), header::REQUEST);
-    if echoed.is_some_and(|id| id != call.id) {
-        return Attempt::Unknown(UnknownReason::Crossed);
-    }
-    let (head, body) = AnswerBody::split(response, false);
-    if body.has_events() {
-        return Attempt::Answered(Answer::Stream(Box::new(head), body));
-    }
-    let (body, end) = body.read(MAX_ANSWER_BYTES).await;
-    match end.verdict() {
-        Ok(completeness) => {
-            let response = Response::from_parts(head, body);
-            Attempt::Answered(Answer::Complete(response, completeness))
+    /// Determines the result of an attempt from an answer whose head has been received.
+    async fn classify(&self, call: &Call, response: Response<Incoming>) -> Attempt {
+        if response.headers().contains_key(header::NOT_RUN) {
+            return Attempt::Refused;
+        }
+        let echoed = header::text(response.headers(), header::REQUEST);
+        if echoed.is_some_and(|id| id != call.id) {
+            return Attempt::Unknown(UnknownReason::Crossed);
+        }
+        let (head, body) = AnswerBody::split(response, false);
+        if body.has_events() {
+            return Attempt::Answered(Answer::Stream(Box::new(head), body));
         }
-        Err(broken) => {
-            log::info!("delivery: the answer to {} was broken off: {broken}", call.id);
-            Attempt::Unknown(UnknownReason::Broken)
+        let (body, end) = body.read_within(self.limits.answer_bytes, &self.memory).await;
+        match end.verdict() {
+            Ok(completeness) => {
+                let response = Response::from_parts(head, body);
+                Attempt::Answered(Answer::Complete(response, completeness))
+            }
+            Err(broken) => {
+                log::info!("delivery: the answer to {} was broken off: {broken}", call.id);
+                Attempt::Unknown(UnknownReason::Broken)
+            }
         }
     }
 }
--- a/src/delivery/sse.rs
+++ b/src/delivery/sse.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use serde::Deserialize;
 
+use crate::answer::HeldBytes;
 use crate::answer::events::{EventSplitter, MAX_EVENT_BYTES, field, lines};
 
 /// Data of the event that ends a stream.
@@ -12,6 +13,8 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     splitter: EventSplitter,
+    /// What is buffered, if that is bounded together with other answers.
+    held: Option<HeldBytes>,
 }
 
 /// One event, parsed and as received.
@@ -23,11 +26,16 @@
     pub data: String,
 }
 
-/// An event that is too long or is not valid UTF-8.
+/// An event that is too long, or for which there is no memory, or that is not valid UTF-8.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BadEvent;
 
 impl Splitter {
+    /// A splitter that reports an event as too long when it does not fit into what is held.
+    pub fn within(held: HeldBytes) -> Splitter {
+        Splitter { held: Some(held), ..Splitter::default() }
+    }
+
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
         self.splitter.push(bytes);
@@ -37,10 +45,15 @@
     pub fn next(&mut self) -> Result<Option<Event>, BadEvent> {
         match self.splitter.take_event() {
             Some(raw) => Event::parse(raw).map(Some),
-            None if self.splitter.buffered() > MAX_EVENT_BYTES => Err(BadEvent),
+            None if self.is_too_long() => Err(BadEvent),
             None => Ok(None),
         }
     }
+
+    fn is_too_long(&self) -> bool {
+        let bytes = self.splitter.buffered();
+        bytes > MAX_EVENT_BYTES || self.held.as_ref().is_some_and(|held| !held.try_set(bytes))
+    }
 }
 
 impl Event {
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 
 use super::open_connections::{OpenConnection, OpenConnections};
-use crate::answer::keeps_connection;
+use crate::answer::{AnswerLimits, ExceededLimit, ReadGuard, keeps_connection};
 use crate::clock::BootInstant;
 
 /// How long opening a connection to an endpoint may take.
@@ -37,6 +37,8 @@
     NotAllowed,
     /// The request may have run.
     Unknown(String),
+    /// The request may have run; what came in place of an answer exceeded a limit.
+    Exceeded(ExceededLimit),
 }
 
 /// The start of an endpoint that a connection is opened to.
@@ -54,6 +56,7 @@
 pub struct Connection {
     target: Target,
     sender: SendRequest<Full<Bytes>>,
+    guard: ReadGuard,
     idle_timeout: Duration,
     idle_since: BootInstant,
     /// When either side closed it.
@@ -62,7 +65,11 @@
 }
 
 impl Connection {
-    async fn open(target: Target, open: &Arc<OpenConnections>) -> Result<Connection, SendError> {
+    async fn open(
+        target: Target,
+        limits: AnswerLimits,
+        open: &Arc<OpenConnections>,
+    ) -> Result<Connection, SendError> {
         let address = target.address;
         let not_sent = |error: &dyn std::fmt::Display| SendError::NotSent(error.to_string());
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
@@ -74,7 +81,10 @@
         // Without these a connection is only slower, or is given up later.
         let _ = stream.set_nodelay(true);
         let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let guard = ReadGuard::new(limits);
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(limits.head_bytes);
+        let handshake = builder.handshake(TokioIo::new(guard.wrap(stream))).await;
         let (sender, driver) = handshake.map_err(|error| not_sent(&error))?;
         let closed_at = Arc::new(OnceLock::new());
         let closing = closed_at.clone();
@@ -88,6 +98,7 @@
         Ok(Connection {
             target,
             sender,
+            guard,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             idle_since: BootInstant::now(),
             closed_at,
@@ -108,18 +119,23 @@
     /// Sends a request and waits for the head of the answer.
     async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, (SendError, Option<Request<Full<Bytes>>>)> {
+        self.guard.expect_head(&mut request);
         match self.sender.try_send_request(request).await {
-            Ok(response) => {
+            Ok(mut response) => {
+                self.guard.record_head();
+                response.extensions_mut().insert(self.guard.clone());
                 self.update_idle_timeout(&response);
                 Ok(response)
             }
             Err(mut failed) => {
                 let text = failed.error().to_string();
-                match failed.take_message() {
-                    Some(unsent) => Err((SendError::NotSent(text), Some(unsent))),
-                    None => Err((SendError::Unknown(text), None)),
+                let exceeded = self.guard.exceeded_by(failed.error());
+                match (failed.take_message(), exceeded) {
+                    (Some(unsent), _) => Err((SendError::NotSent(text), Some(unsent))),
+                    (None, Some(limit)) => Err((SendError::Exceeded(limit), None)),
+                    (None, None) => Err((SendError::Unknown(text), None)),
                 }
             }
         }
@@ -162,6 +178,7 @@
 pub struct Connections {
     /// Connections that may be open; beyond that no idle one is kept.
     max_open: usize,
+    limits: AnswerLimits,
     open: Arc<OpenConnections>,
     idle: Mutex<HashMap<String, Vec<Connection>>>,
     /// Called with an endpoint that closed an idle connection before its time.
@@ -169,14 +186,21 @@
 }
 
 impl Connections {
-    /// An empty pool that keeps idle connections while fewer than `max_open` are open.
-    /// `on_early_close` is called with an endpoint that closed one before its time.
+    /// An empty pool that keeps idle connections while fewer than `max_open` are open, and reads
+    /// answers within `limits`. `on_early_close` is called with an endpoint that closed one before its time.
     pub fn new(
         max_open: usize,
+        limits: AnswerLimits,
         on_early_close: impl Fn(&str) + Send + Sync + 'static,
     ) -> Connections {
         let on_early_close = Box::new(on_early_close);
-        Connections { max_open, open: Arc::default(), idle: Mutex::default(), on_early_close }
+        Connections {
+            max_open,
+            limits,
+            open: Arc::default(),
+            idle: Mutex::default(),
+            on_early_close,
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<String, Vec<Connection>>> {
@@ -218,7 +242,7 @@
         if self.is_full() {
             self.lock().clear();
         }
-        let mut fresh = Connection::open(target, &self.open).await?;
+        let mut fresh = Connection::open(target, self.limits, &self.open).await?;
         if !is_allowed() {
             return Err(SendError::NotAllowed);
         }
@@ -234,7 +258,7 @@
         target: Target,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        let mut fresh = Connection::open(target, &self.open).await?;
+        let mut fresh = Connection::open(target, self.limits, &self.open).await?;
         fresh.send(request).await.map_err(|(error, _)| error)
     }
 
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -1,8 +1,11 @@
 //! Passing on a stream event by event, so that another endpoint can resume it.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 
 use crate::answer::events::{EventSplitter, MAX_EVENT_BYTES, field, lines};
+use crate::answer::{AnswerMemory, HeldBytes};
 
 /// A stream that is passed on event by event.
 #[derive(Debug, Default)]
@@ -11,6 +14,8 @@
     last_id: Option<String>,
     /// Whether a part of the current event was returned, because the event is too long.
     is_split: bool,
+    /// What is held back, if that is bounded together with other answers.
+    held: Option<HeldBytes>,
 }
 
 impl ResumableEvents {
@@ -19,6 +24,11 @@
         ResumableEvents { last_id, ..ResumableEvents::default() }
     }
 
+    /// Bounds what is held back: an event is passed on in parts when `memory` is full.
+    pub fn within(self, memory: &Arc<AnswerMemory>) -> ResumableEvents {
+        ResumableEvents { held: Some(memory.hold()), ..self }
+    }
+
     /// Adds bytes; returns all events that are complete by now, or everything if an event is too
     /// long to be held back.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
@@ -29,13 +39,23 @@
         }
         if !events.is_empty() {
             self.is_split = false;
-            return events;
         }
-        if self.splitter.buffered() <= MAX_EVENT_BYTES {
+        if self.may_hold_back() {
             return events;
         }
         self.is_split = true;
-        self.splitter.take_all()
+        let rest = self.splitter.take_all();
+        self.may_hold_back();
+        match events.is_empty() {
+            true => rest,
+            false => [events, rest].concat().into(),
+        }
+    }
+
+    /// Whether what was not returned may be held back.
+    fn may_hold_back(&self) -> bool {
+        let bytes = self.splitter.buffered();
+        bytes <= MAX_EVENT_BYTES && self.held.as_ref().is_none_or(|held| held.try_set(bytes))
     }
 
     /// Whether what was returned so far ends between two events, so that another endpoint can
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -24,8 +24,6 @@
 use crate::registry::Registration;
 use crate::routing::RouteKind;
 
-/// Largest answer other than a stream, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// An idempotent request is given up at one endpoint and sent to another after this multiple
 /// of the route's objective.
 const ANSWER_TIMEOUT_OBJECTIVES: u64 = 3;
@@ -201,6 +199,10 @@
             call.record_lost_answer(assignment, &reason);
             Err(Attempt::Unknown)
         }
+        Ok(Err(SendError::Exceeded(limit))) => {
+            call.record_exceeded_limit(assignment, limit);
+            Err(Attempt::Unknown)
+        }
         Err(_) => {
             call.gateway.record_failure(&endpoint.id, endpoint.started_at_ms, Failure::Failed);
             log::info!(
@@ -297,8 +299,10 @@
     connection: Connection,
     assignment: &Assignment,
 ) -> Attempt {
-    let reading = body.read(MAX_ANSWER_BYTES);
+    let max_bytes = call.gateway.settings.answers.answer_bytes;
+    let reading = body.read_within(max_bytes, &call.gateway.answer_memory);
     let Ok((body, end)) = tokio::time::timeout(call.remaining(), reading).await else {
+        call.gateway.record_failure(&endpoint.id, endpoint.started_at_ms, Failure::Failed);
         return Attempt::TimedOut;
     };
     call.record_body_end(assignment, end);
--- a/src/gateway/losses.rs
+++ b/src/gateway/losses.rs
@@ -6,7 +6,7 @@
 use super::endpoints::Failure;
 use super::refusal::Refusal;
 use super::request::Call;
-use crate::answer::{BodyEnd, BrokenAnswer, Completeness};
+use crate::answer::{BodyEnd, BrokenAnswer, Completeness, ExceededLimit};
 use crate::registry::EndpointStart;
 
 /// Maximum number of characters of a path in a log line.
@@ -31,6 +31,20 @@
         self.record_failure(assignment);
     }
 
+    /// Records that an endpoint sent bytes that are no head of an answer until a limit was exceeded.
+    /// It goes on, so the request has not crashed it.
+    pub(super) fn record_exceeded_limit(&self, assignment: &Assignment, limit: ExceededLimit) {
+        let labels = [self.service.as_str(), limit.name()];
+        self.gateway.metrics.exceeded_limits.with_label_values(&labels).inc();
+        log::info!(
+            "gateway: request {} ({}) got no answer from {}, whose connection is closed: {limit}",
+            self.number,
+            self.head.id.as_deref().unwrap_or_default(),
+            assignment.endpoint,
+        );
+        self.record_failure(assignment);
+    }
+
     fn record_failure(&self, assignment: &Assignment) {
         let Assignment { endpoint, started_at_ms, .. } = assignment;
         self.gateway.record_failure(endpoint, *started_at_ms, Failure::Failed);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use super::overload::Overload;
 use super::records::StreamRecords;
 use super::rollouts::Releases;
+use crate::answer::AnswerMemory;
 use crate::dispatch::Millis;
 use crate::feed::{FleetState, Subscriptions};
 use crate::loop_lag::LoopLag;
@@ -53,6 +54,8 @@
     pub header_names: Arc<HeaderNames>,
     /// Connections to endpoints.
     pub connections: Connections,
+    /// The bytes of incomplete answers that are held.
+    pub(super) answer_memory: Arc<AnswerMemory>,
     /// Records of streams that may be resumed.
     pub(super) records: Arc<StreamRecords>,
     /// Metrics of the gateway.
@@ -114,6 +117,7 @@
                 losses.record(clock.now(), endpoint);
             }
         };
+        let answers = settings.answers;
         Arc::new(Gateway {
             settings,
             rules,
@@ -125,7 +129,8 @@
             feeds,
             placements,
             header_names,
-            connections: Connections::new(max_connections, on_early_close),
+            connections: Connections::new(max_connections, answers, on_early_close),
+            answer_memory: AnswerMemory::new(answers.held_bytes),
             records,
             metrics: GatewayMetrics::default(),
             stop,
@@ -218,6 +223,7 @@
         let version = i64::try_from(self.routing_version()).unwrap_or(i64::MAX);
         self.metrics.routing_version.set(version);
         self.metrics.open_feeds.set(self.feeds.open_feeds() as i64);
+        self.metrics.held_bytes.set(self.answer_memory.held() as i64);
         self.metrics.known_routers.set(self.records.directory().routers.len() as i64);
         self.metrics.stream_records.set(self.records.len() as i64);
         let silence = self.feeds.longest_silence_ms().unwrap_or(0);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -10,6 +10,7 @@
 use super::assignment::Assignment;
 use super::connections::Connection;
 use super::destination::Destination;
+use super::endpoints::Failure;
 use super::events::ResumableEvents;
 use super::exchange::{self, PendingAnswer, strip_connection_headers};
 use super::request::Call;
@@ -72,7 +73,10 @@
         tried: vec![assignment.endpoint.clone()],
         source: Some(Source { body, connection, assignment }),
         status: head.status,
-        events: is_resumable.then(|| ResumableEvents::after(call.head.last_event.clone())),
+        events: is_resumable.then(|| {
+            let events = ResumableEvents::after(call.head.last_event.clone());
+            events.within(&call.gateway.answer_memory)
+        }),
         ends_with_connection,
         keeper,
         has_outcome: false,
@@ -121,14 +125,14 @@
     async fn next(&mut self) -> Result<Option<Bytes>, StreamError> {
         loop {
             let Some(source) = &mut self.source else { return Ok(None) };
-            let part = tokio::time::timeout(self.call.remaining(), source.body.next());
-            let Ok(part) = part.await else {
-                source.assignment.observation.record_failed();
-                log::info!(
-                    "gateway: request {} ran out of time during its stream",
-                    self.call.number
-                );
-                self.record_outcome("timed_out");
+            let remaining = self.call.remaining();
+            // Where more data is always ready, a timeout alone would never elapse.
+            let part = match remaining.is_zero() {
+                true => None,
+                false => tokio::time::timeout(remaining, source.body.next()).await.ok(),
+            };
+            let Some(part) = part else {
+                self.record_timeout();
                 return Err(StreamError::TimedOut);
             };
             match part {
@@ -158,6 +162,21 @@
         }
     }
 
+    /// Records that the deadline passed. Without any event it counts as a failure of the endpoint,
+    /// as a missing answer does.
+    fn record_timeout(&mut self) {
+        if let Some(mut source) = self.source.take() {
+            let assignment = &mut source.assignment;
+            assignment.observation.record_failed();
+            if source.body.has_events() && !source.body.has_complete_event() {
+                let (endpoint, start) = (&assignment.endpoint, assignment.started_at_ms);
+                self.call.gateway.record_failure(endpoint, start, Failure::Failed);
+            }
+        }
+        log::info!("gateway: request {} ran out of time during its stream", self.call.number);
+        self.record_outcome("timed_out");
+    }
+
     /// Ends a stream that its endpoint did not break off. The caller of an answer in chunks is
     /// told that it is whole only if the endpoint stated that.
     fn finish(&mut self, completeness: Completeness) -> Result<(), StreamError> {
--- a/src/gateway/tests/rollouts.rs
+++ b/src/gateway/tests/rollouts.rs
@@ -85,6 +85,7 @@
             dispatch: Default::default(),
             alone_routers: 1,
             max_body: 1_000,
+            answers: Default::default(),
             drain_ms: 0,
             rehearsal: false,
             gateway: None,
--- a/src/host_list.rs
+++ b/src/host_list.rs
@@ -53,9 +53,11 @@
 /// Fetches the list once; returns `None` if the platform gives no valid answer in time.
 pub async fn fetch(client: &HttpClient, platform: SocketAddr) -> Option<HostList> {
     let uri = format!("http://{platform}/hosts").parse().ok()?;
-    let request = client.get(uri);
-    let response = tokio::time::timeout(POLL_INTERVAL, request).await.ok()?.ok()?;
-    let (body, end) = AnswerBody::split(response, false).1.read(MAX_LIST_BYTES).await;
-    end.verdict().ok()?;
-    serde_json::from_slice(&body).ok()
+    let reading = async {
+        let response = client.get(uri).await.ok()?;
+        let (body, end) = AnswerBody::split(response, false).1.read(MAX_LIST_BYTES).await;
+        end.verdict().ok()?;
+        serde_json::from_slice(&body).ok()
+    };
+    tokio::time::timeout(POLL_INTERVAL, reading).await.ok()?
 }
--- a/src/load/request.rs
+++ b/src/load/request.rs
@@ -11,9 +11,9 @@
 
 use super::file::{LoadCustomer, LoadFile};
 use super::observe::{Observations, add, record};
-use crate::answer::{AnswerBody, BodyEnd, Ending, Part};
+use crate::answer::{AnswerBody, AnswerLimits, BodyEnd, Ending, Part};
 use crate::delivery::sse::{Chunk, DONE, Splitter};
-use crate::delivery::{HttpClient, MAX_ANSWER_BYTES, header};
+use crate::delivery::{HttpClient, header};
 use crate::emulate::engine::{BYTES_PER_TOKEN, DEADLY_MESSAGE};
 
 /// Units charged for a call to a plain service: milliseconds of a slot.
@@ -312,7 +312,8 @@
     add(&counters.wait_ms, wait.as_millis() as u64);
     add(&counters.received, PLAIN_CALL_UNITS);
     observations.largest_units.fetch_max(PLAIN_CALL_UNITS, Ordering::Relaxed);
-    let (body, end) = AnswerBody::split(response, false).1.read(MAX_ANSWER_BYTES).await;
+    let (body, end) =
+        AnswerBody::split(response, false).1.read(AnswerLimits::default().answer_bytes).await;
     if end.verdict().is_err() {
         return record_short(end, observations);
     }
--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -16,8 +16,8 @@
 use super::observe::Observations;
 use super::report::{self, LoadReport, Probe};
 use super::request::{Outcome, PlannedRequest, send_request};
-use crate::answer::AnswerBody;
-use crate::delivery::{HttpClient, MAX_ANSWER_BYTES};
+use crate::answer::{AnswerBody, AnswerLimits};
+use crate::delivery::HttpClient;
 use crate::emulate::service::Ledger;
 use crate::error::Result;
 
@@ -224,7 +224,8 @@
     let uri = format!("http://{from}{path}").parse().ok()?;
     let get = async {
         let response = client.get(uri).await.ok()?;
-        let (body, end) = AnswerBody::split(response, false).1.read(MAX_ANSWER_BYTES).await;
+        let (body, end) =
+            AnswerBody::split(response, false).1.read(AnswerLimits::default().answer_bytes).await;
         end.verdict().is_ok().then(|| body.to_vec())
     };
     tokio::time::timeout(Duration::from_secs(2), get).await.ok()?
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -96,6 +96,7 @@
         let guard =
             Arc::new(CrashGuard::new(fleet_state.quarantine.clone(), peers.me, peers.clock));
         let hall = settings.host.hall.clone();
+        let endpoint_client = EndpointClient::new(settings.answers);
         let feeds = Subscriptions::start(peers.clone(), fleet_state, &hall, Role::Router);
         Arc::new(Router {
             claims,
@@ -108,7 +109,7 @@
             dispatchers,
             trace,
             metrics: Metrics::default(),
-            endpoint_client: EndpointClient::default(),
+            endpoint_client,
             notices: EndpointNotices::default(),
             run_once_calls: TaskTracker::new(),
             leaving,
--- a/src/router/stream.rs
+++ b/src/router/stream.rs
@@ -127,7 +127,7 @@
         engine,
         started_at: Instant::now(),
         body,
-        splitter: is_model.then(Splitter::default),
+        splitter: is_model.then(|| job.router.endpoint_client.splitter()),
         version,
         ticket: Some(ticket),
         claim,
@@ -296,7 +296,7 @@
         }
         body.expect_final_event();
         self.body = body;
-        self.splitter = Some(Splitter::default());
+        self.splitter = Some(self.router.endpoint_client.splitter());
         self.router.metrics.resumed_streams.inc();
         let text = format!("resumed after {} tokens", self.output_tokens);
         self.router.trace.decide(self.id, "delivery", text);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 
+use crate::answer::AnswerLimits;
 use crate::error::{Error, FileSnafu, Result};
 use crate::gateway::{BudgetRules, OverloadRules};
 use crate::placement::PlacementRules;
@@ -103,6 +104,9 @@
     /// Largest request body in bytes.
     #[serde(default = "default_max_body")]
     pub max_body: usize,
+    /// Limits on what is read and held of answers.
+    #[serde(default)]
+    pub answers: AnswerLimits,
     /// Milliseconds for which a planned stop waits for requests in flight.
     #[serde(default = "default_drain_ms")]
     pub drain_ms: u64,
@@ -345,7 +349,7 @@
         if self.max_body == 0 {
             return Err(invalid("max_body", "is zero", "give a size in bytes"));
         }
-        Ok(())
+        self.answers.check()
     }
 }
 
--- a/src/site/plan.rs
+++ b/src/site/plan.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 use snafu::ResultExt;
 
+use crate::answer::AnswerLimits;
 use crate::config::{Customer, Document, Endpoint, RunOnceRule, Service, ServiceKind};
 use crate::error::{Error, FileSnafu, Result};
 use crate::settings::{
@@ -219,6 +220,7 @@
             dispatch: self.dispatch,
             alone_routers: u32::from(self.routers),
             max_body: 4 << 20,
+            answers: AnswerLimits::default(),
             drain_ms: 60_000,
             rehearsal: true,
             gateway: None,
--- a/src/telemetry/gateway.rs
+++ b/src/telemetry/gateway.rs
@@ -15,6 +15,10 @@
     pub retries: IntCounterVec,
     /// Requests whose endpoint closed the connection before the complete answer, by service.
     pub lost_answers: IntCounterVec,
+    /// Heads of answers given up, by service and the limit that they exceeded.
+    pub exceeded_limits: IntCounterVec,
+    /// Bytes of incomplete answers that are held.
+    pub held_bytes: IntGauge,
     /// Bodies of answers by service, framing and ending.
     pub body_ends: IntCounterVec,
     /// Notices that answers carry about their endpoint, by service and notice.
@@ -70,6 +74,12 @@
             outcomes: counter("requests_total", "Requests.", &["service", "outcome"])?,
             retries: counter("retries_total", "Requests sent again.", &["service"])?,
             lost_answers: counter("lost_answers_total", "Answers that broke off.", &["service"])?,
+            exceeded_limits: counter(
+                "exceeded_limits_total",
+                "Heads of answers given up, by the limit that they exceeded.",
+                &["service", "limit"],
+            )?,
+            held_bytes: IntGauge::new(name("held_bytes"), "Bytes held of incomplete answers.")?,
             body_ends: counter(
                 "body_ends_total",
                 "Answers of endpoints, by how the end of their body was marked and how it came.",
@@ -126,6 +136,8 @@
         registry.register(Box::new(metrics.outcomes.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.lost_answers.clone()))?;
+        registry.register(Box::new(metrics.exceeded_limits.clone()))?;
+        registry.register(Box::new(metrics.held_bytes.clone()))?;
         registry.register(Box::new(metrics.body_ends.clone()))?;
         registry.register(Box::new(metrics.notices.clone()))?;
         registry.register(Box::new(metrics.start_checks.clone()))?;
