tests: a late answer to another request, of six kinds

Failing first, listed as known red: two replicas answer an earlier request once more, on the connection and in the place of the next answer, as not executed, 421, leaving, wanting rest, or with a time for the connection; once with the id of the earlier request, once without any. A request that may not be repeated then runs at both. An idempotent request got 503, which says that it has not run, where both replicas did so.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -51,6 +51,8 @@
 mod silence;
 #[path = "platform/starts.rs"]
 mod starts;
+#[path = "platform/surplus.rs"]
+mod surplus;
 
 use std::time::Duration;
 
