gateway: read nothing in an answer before its id is that of the request

What callers saw: a request that may not be repeated ran at two endpoints (TWICE), or got 503 for a run (REFUSED), when its endpoint sent a late answer to an earlier request that said "not executed".

Cause: the head of an answer was read in the order of its convenience: the time for which the connection is kept, notices of leaving and rest, "not executed" and 421 came before the id. The class is a statement that is used before it is known whom it is about.

Fix: check_id comes first, and another's answer is not read any further. Its connection is closed (on the product's own interface it is retired from the pool), a line names both requests, a counter counts it, and the present request may have run, as where a connection breaks. The time for the connection is read after the id, no longer by the pool itself.

Decision: an answer without any id, "not executed" and 421 included, says nothing about a request that has one. PROTOCOL lets replicas echo the id in their answers and gives "400 without an id" for requests that came without; to such a request an answer without an id still counts. On the product's own interface endpoints need not echo the id, so there a missing one is no difference; calls that run once have connections of their own.

Health checks use new connections and carry no id; a router that relays for another passes on what that one has checked. Both are unchanged.

--- a/src/delivery/attempt.rs
+++ b/src/delivery/attempt.rs
@@ -116,8 +116,8 @@
 
     async fn exchange(&self, call: &Call, request: Request<Body>) -> AttemptReport {
         let kept = !call.run_once;
-        let response = match self.client.send_within_limits(request, kept).await {
-            Ok(response) => response,
+        let (response, connection) = match self.client.send_within_limits(request, kept).await {
+            Ok(answered) => answered,
             Err(SendError::NotSent) => return Attempt::NotSent.into(),
             Err(SendError::Broken) => return Attempt::Unknown(UnknownReason::Broken).into(),
             Err(SendError::Exceeded(limit)) => {
@@ -128,6 +128,12 @@
                 return Attempt::Unknown(UnknownReason::Broken).into();
             }
         };
+        let echoed = header::text(response.headers(), header::REQUEST);
+        if let Some(id) = echoed.filter(|id| *id != call.id) {
+            log::info!("delivery: {} got a surplus answer, to {id:.80}", call.id);
+            connection.retire();
+            return Attempt::Unknown(UnknownReason::Crossed).into();
+        }
         let leaving = HeaderName::from_static(header::LEAVING);
         let notice = Notice::read(response.status(), response.headers(), &leaving);
         AttemptReport { attempt: self.classify(call, response).await, notice }
@@ -138,10 +144,6 @@
         if response.headers().contains_key(header::NOT_RUN) {
             return Attempt::Refused;
         }
-        let echoed = header::text(response.headers(), header::REQUEST);
-        if echoed.is_some_and(|id| id != call.id) {
-            return Attempt::Unknown(UnknownReason::Crossed);
-        }
         let (head, body) = AnswerBody::split(response, false);
         if body.has_events() {
             return Attempt::Answered(Answer::Stream(Box::new(head), body));
--- a/src/delivery/client.rs
+++ b/src/delivery/client.rs
@@ -37,6 +37,19 @@
     Exceeded(ExceededLimit),
 }
 
+/// The connection that a request was sent on.
+#[derive(Debug)]
+pub(super) struct SentOn(CaptureConnection);
+
+impl SentOn {
+    /// Has no further request sent on it.
+    pub fn retire(&self) {
+        if let Some(connected) = self.0.connection_metadata().as_ref() {
+            connected.poison();
+        }
+    }
+}
+
 /// Opens connections that are read within limits.
 #[derive(Clone, Debug)]
 struct Connector {
@@ -160,14 +173,15 @@
     }
 
     /// Sends a request, on a pooled connection if it may be repeated, and waits for the head of
-    /// the answer within the limits.
+    /// the answer within the limits. Also returns the connection that it arrived on.
     pub(super) async fn send_within_limits(
         &self,
         mut request: Request<Body>,
         may_repeat: bool,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<(Response<Incoming>, SentOn), SendError> {
         let guard = Arc::new(OnceLock::new());
         let captured = capture_connection(&mut request);
+        let connection = captured.clone();
         let counting = guard.clone();
         hyper::ext::on_informational(&mut request, move |_| {
             counting.get().into_iter().for_each(ReadGuard::record_interim_head);
@@ -185,7 +199,7 @@
         match (sent, exceeded) {
             (Ok(response), _) => {
                 guard.get().into_iter().for_each(ReadGuard::record_head);
-                Ok(response)
+                Ok((response, SentOn(connection)))
             }
             (Err(error), _) if error.is_connect() => Err(SendError::NotSent),
             (Err(_), Some(limit)) => Err(SendError::Exceeded(limit)),
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -126,7 +126,6 @@
             Ok(mut response) => {
                 self.guard.record_head();
                 response.extensions_mut().insert(self.guard.clone());
-                self.update_idle_timeout(&response);
                 Ok(response)
             }
             Err(mut failed) => {
@@ -141,7 +140,8 @@
         }
     }
 
-    fn update_idle_timeout(&mut self, response: &Response<Incoming>) {
+    /// Reads in an answer to the request that was sent how long the endpoint keeps the connection.
+    pub fn read_keep_alive(&mut self, response: &Response<Incoming>) {
         let value = response.headers().get("keep-alive").and_then(|v| v.to_str().ok());
         let mut words = value.into_iter().flat_map(|text| text.split(','));
         let seconds = words.find_map(|word| word.trim().strip_prefix("timeout=")?.parse().ok());
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -27,6 +27,8 @@
 /// An idempotent request is given up at one endpoint and sent to another after this multiple
 /// of the route's objective.
 const ANSWER_TIMEOUT_OBJECTIVES: u64 = 3;
+/// Maximum number of characters of another request's id in a log line.
+const MAX_LOGGED_ID_CHARS: usize = 80;
 /// Shortest time to wait for an answer of one endpoint.
 const MIN_ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -168,7 +170,9 @@
     let target = Target { address, started_at_ms: endpoint.started_at_ms };
     let exchange = call.gateway.connections.send(&endpoint.id, target, request, is_allowed);
     match tokio::time::timeout(answer_timeout(call), exchange).await {
-        Ok(Ok((response, connection))) => {
+        Ok(Ok((response, mut connection))) => {
+            check_id(call, endpoint, &response)?;
+            connection.read_keep_alive(&response);
             let requests_rest = call.apply_notice(endpoint, &response);
             if response.status() == StatusCode::MISDIRECTED_REQUEST {
                 assignment.set_completion(Completion::Replaced);
@@ -218,14 +222,27 @@
     }
 }
 
-fn reject_foreign_answer(call: &Call, endpoint: &Registration, reason: &str) -> Attempt {
+/// Checks that an answer is one to this request. Nothing else in another's answer is read, and its
+/// connection is closed: the request may have run.
+fn check_id(
+    call: &Call,
+    endpoint: &Registration,
+    response: &Response<Incoming>,
+) -> Result<(), Attempt> {
+    let answered = call.gateway.header_names.read_answer(response.headers()).id;
+    if answered == call.head.id {
+        return Ok(());
+    }
     log::info!(
-        "gateway: request {} got a foreign answer from {}: {reason}",
+        "gateway: request {} ({}) got a surplus answer from {}, to {:.MAX_LOGGED_ID_CHARS$}",
         call.number,
-        endpoint.id
+        call.head.id.as_deref().unwrap_or_default(),
+        endpoint.id,
+        answered.as_deref().unwrap_or("no request"),
     );
+    call.gateway.metrics.surplus_answers.with_label_values(&[&call.service]).inc();
     call.gateway.record_failure(&endpoint.id, endpoint.started_at_ms, Failure::Failed);
-    Attempt::Unknown
+    Err(Attempt::Unknown)
 }
 
 /// How long to wait for an answer of one endpoint.
@@ -238,7 +255,7 @@
     remaining.min(timeout.max(MIN_ANSWER_TIMEOUT))
 }
 
-/// Checks that a head is the endpoint's own answer to this request. An endpoint that requests
+/// Checks that the answer to a request is one of the endpoint that ran it. An endpoint that requests
 /// a rest is not also recorded as failed.
 fn check_head(
     call: &Call,
@@ -257,11 +274,14 @@
         }
         return Err(Attempt::NotExecuted);
     }
-    if head.id != call.head.id {
-        return Err(reject_foreign_answer(call, endpoint, "it belongs to another request"));
-    }
     if !head.sealed {
-        return Err(reject_foreign_answer(call, endpoint, "it lacks the endpoint's seal"));
+        log::info!(
+            "gateway: request {} got an answer from {} without its seal",
+            call.number,
+            endpoint.id
+        );
+        call.gateway.record_failure(&endpoint.id, endpoint.started_at_ms, Failure::Failed);
+        return Err(Attempt::Unknown);
     }
     Ok(())
 }
--- a/src/telemetry/gateway.rs
+++ b/src/telemetry/gateway.rs
@@ -15,6 +15,8 @@
     pub retries: IntCounterVec,
     /// Requests whose endpoint closed the connection before the complete answer, by service.
     pub lost_answers: IntCounterVec,
+    /// Answers to another request than the one sent, by service.
+    pub surplus_answers: IntCounterVec,
     /// Heads of answers given up, by service and the limit that they exceeded.
     pub exceeded_limits: IntCounterVec,
     /// Bytes of incomplete answers that are held.
@@ -74,6 +76,11 @@
             outcomes: counter("requests_total", "Requests.", &["service", "outcome"])?,
             retries: counter("retries_total", "Requests sent again.", &["service"])?,
             lost_answers: counter("lost_answers_total", "Answers that broke off.", &["service"])?,
+            surplus_answers: counter(
+                "surplus_answers_total",
+                "Answers to another request than the one sent.",
+                &["service"],
+            )?,
             exceeded_limits: counter(
                 "exceeded_limits_total",
                 "Heads of answers given up, by the limit that they exceeded.",
@@ -136,6 +143,7 @@
         registry.register(Box::new(metrics.outcomes.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.lost_answers.clone()))?;
+        registry.register(Box::new(metrics.surplus_answers.clone()))?;
         registry.register(Box::new(metrics.exceeded_limits.clone()))?;
         registry.register(Box::new(metrics.held_bytes.clone()))?;
         registry.register(Box::new(metrics.body_ends.clone()))?;
