--- a/src/settings.rs
+++ b/src/settings.rs
@@ -105,7 +105,7 @@
     #[serde(default = "default_max_body")]
     pub max_body: usize,
     /// Limits on what is read and held of answers.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub answers: AnswerLimits,
     /// Milliseconds for which a planned stop waits for requests in flight.
     #[serde(default = "default_drain_ms")]
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -266,7 +266,7 @@
     let fleet = fleet_of(std::slice::from_ref(&replica), &[]).await;
     for shape in [Shape::all_in(Place::Head), Shape::all_in(Place::Body)].concat() {
         let name = shape.name();
-        let caller = super::open(fleet.front, &get(&format!("/stream/{name}"), &name)).await;
+        let caller = super::open(fleet.front, &get(&format!("/stream/{name}"), name)).await;
         while replica.sent().iter().all(|sent| sent.shape != shape) {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use bramblecrank::answer::AnswerLimits;
 use bramblecrank::gateway::{BudgetRules, OverloadRules};
 use bramblecrank::placement::PlacementRules;
 use bramblecrank::rollout::RolloutRules;
@@ -53,6 +54,7 @@
     }
     for value in [
         serde_json::to_value(gateway()).unwrap(),
+        serde_json::to_value(AnswerLimits::default()).unwrap(),
         serde_json::to_value(PlacementRules::default()).unwrap(),
         serde_json::to_value(RolloutRules::default()).unwrap(),
     ] {
@@ -61,6 +63,7 @@
     let omitted_by_default = [
         "remove_customers",
         "remove_endpoints",
+        "answers",
         "seed_port",
         "heartbeats",
         "found_with_seeds",
