Announce a control host that others may not know three times

What callers saw: nothing yet; found by the review of the announcements. A control host that replaces a lost one was announced with one heartbeat, a datagram: a router that lost it kept the table of before until the turn came, which takes 5 s for each control host in the table.

Class: news that are told once, by a message that may be lost.

Test: routers_know_a_replacement_though_datagrams_are_lost, where each link loses up to one of three datagrams. It failed with three announcements of each host in turn, (1, 11) and (2, 11) unknown after 3 s, and passes with three in a row for the host that has just started. It was not played with one announcement.

--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -24,6 +24,8 @@
 const INITIAL_FULL_HEARTBEATS: usize = 6;
 /// One of this many heartbeats is full.
 const FULL_HEARTBEAT_PERIOD: usize = 10;
+/// Number of heartbeats that announce a host which others may not know: datagrams may be lost.
+const ANNOUNCEMENTS: usize = 3;
 /// Milliseconds of silence after which a host is removed from the table.
 const FORGET_AFTER_MS: Millis = 600_000;
 
@@ -250,26 +252,28 @@
         if member.heartbeat.role == Role::Control {
             let address = member.heartbeat.peer;
             self.to_announce.retain(|queued| *queued != address);
-            self.to_announce.push_front(address);
+            (0..ANNOUNCEMENTS).for_each(|_| self.to_announce.push_front(address));
         }
     }
 
     /// Announces the live control hosts, one with each heartbeat, to a host that has just started
     /// and may know only some of them.
     fn announce_all_to_newcomer(&mut self, now: Millis) {
-        let live = self.members.values().filter(|m| !m.is_silent(now));
-        for member in live.filter(|m| m.heartbeat.role == Role::Control) {
-            if !self.to_announce.contains(&member.heartbeat.peer) {
-                self.to_announce.push_back(member.heartbeat.peer);
-            }
-        }
+        let is_live_control = |m: &&Member| m.heartbeat.role == Role::Control && !m.is_silent(now);
+        let live = self.members.values().filter(is_live_control).map(|m| m.heartbeat.peer);
+        let unqueued: Vec<_> = live.filter(|peer| !self.to_announce.contains(peer)).collect();
+        (0..ANNOUNCEMENTS).for_each(|_| self.to_announce.extend(&unqueued));
     }
 
-    fn add_seed(&mut self, address: SocketAddr) {
-        let known = address == self.me.peer || self.seeds.contains(&address);
-        if !known {
+    /// Sends heartbeats to this address from now on. Returns whether it is a new one.
+    pub fn add_seed(&mut self, address: SocketAddr) -> bool {
+        let is_new = address != self.me.peer && !self.seeds.contains(&address);
+        if is_new {
             self.seeds.push(address);
+            // A host that does not know this one ignores brief heartbeats at first.
+            self.full_heartbeat_due = true;
         }
+        is_new
     }
 
     /// Treats a host as suspected for `AVOID_MS`, after a connection to it failed.
--- a/src/member/tests/network.rs
+++ b/src/member/tests/network.rs
@@ -105,6 +105,19 @@
         self.processes.remove(&host);
     }
 
+    /// Gives a process further seeds.
+    pub fn add_seeds(&mut self, host: u32, seeds: &[u32]) {
+        let table = &mut self.processes.get_mut(&host).unwrap().table;
+        seeds.iter().for_each(|seed| drop(table.add_seed(address(*seed))));
+    }
+
+    /// Runs for `ms` milliseconds while a process stands still.
+    pub fn run_without(&mut self, host: u32, ms: Millis) {
+        let frozen = self.processes.remove(&host).unwrap();
+        self.run(ms);
+        self.processes.insert(host, frozen);
+    }
+
     /// Advances time by `ms` milliseconds.
     pub fn run(&mut self, ms: Millis) {
         let until = self.now + ms;
--- a/src/member/tests/replacement.rs
+++ b/src/member/tests/replacement.rs
@@ -62,4 +62,59 @@
         network.run(CONTACT_MS);
         prop_assert_eq!(network.unknown_pairs(), vec![]);
     }
+
+    #[test]
+    fn a_router_that_was_away_while_all_control_hosts_were_replaced_finds_them_by_new_seeds(
+        numbers in shuffled_numbers(),
+        interval in CONTACT_MS..9_000,
+    ) {
+        let mut controls = numbers[..3].to_vec();
+        let mut network = start_fleet(&controls);
+        network.run(CONTACT_MS);
+        for replacement in &numbers[3..6] {
+            network.kill(controls.remove(0));
+            controls.push(*replacement);
+            network.start_with_seeds(*replacement, &controls);
+            network.run_without(1, interval);
+        }
+        network.add_seeds(1, &controls);
+        network.run(CONTACT_MS);
+        prop_assert_eq!(network.unknown_pairs(), vec![]);
+    }
+
+    #[test]
+    fn control_hosts_that_restart_with_lost_seeds_find_each_other_by_their_group(
+        numbers in shuffled_numbers(),
+    ) {
+        let (controls, gone) = (&numbers[..3], &numbers[3..6]);
+        let mut network = start_fleet(controls);
+        network.run(CONTACT_MS);
+        for host in controls.iter().copied().chain(network.router_numbers()) {
+            network.kill(host);
+        }
+        for host in controls {
+            network.start_with_seeds(*host, gone);
+            network.add_seeds(*host, controls);
+        }
+        let seeds = [gone[0], gone[1], controls[0]];
+        network.router_numbers().for_each(|host| network.start_with_seeds(host, &seeds));
+        network.run(CONTACT_MS);
+        prop_assert_eq!(network.unknown_pairs(), vec![]);
+    }
+
+    #[test]
+    fn routers_know_a_replacement_though_datagrams_are_lost(
+        numbers in shuffled_numbers(),
+        losses in prop::collection::vec(any::<bool>(), 0..600),
+    ) {
+        let mut controls = numbers[..3].to_vec();
+        let mut network = start_fleet(&controls);
+        network.run(CONTACT_MS);
+        network.kill(controls.remove(0));
+        controls.push(numbers[3]);
+        network.set_losses(losses);
+        network.start_with_seeds(numbers[3], &controls);
+        network.run(CONTACT_MS);
+        prop_assert_eq!(network.unknown_pairs(), vec![]);
+    }
 }
