Find control hosts by the group on disk, and by the seeds in the file

What callers saw: a router that was down or cut off while all control hosts were replaced kept its table, or had none, for as long as it ran: the new hosts don't know it, and it knows none of them. The same for routers whose control hosts restart with seeds that are all lost, as the group on their disks was not used to find each other.

Cause: addresses spread only through hosts that both sides know, and the settings file, which the platform keeps current, was read once.

Now a control host sends heartbeats to the hosts of its group, and a process that has no live control host reads the seeds from its file again, every second. No case for SIGHUP is needed: the file may change without it.

--- a/examples/spread.rs
+++ b/examples/spread.rs
@@ -83,6 +83,7 @@
         seed_port: None,
         regions: Default::default(),
         heartbeats: Default::default(),
+        file: None,
         name: format!("host-{n}"),
         id: Some(HostId((n + 1).into())),
         hall: "bkk-ratchada".into(),
--- a/src/bin/bramblecrank/command.rs
+++ b/src/bin/bramblecrank/command.rs
@@ -54,8 +54,16 @@
 
 async fn execute(task: Task) -> Result<()> {
     match task {
-        Task::Router(file) => run_router(settings::read(&file)?).await,
-        Task::Control(file) => run_control(settings::read(&file)?).await,
+        Task::Router(file) => {
+            let mut settings: RouterSettings = settings::read(&file)?;
+            settings.host.file = Some(file);
+            run_router(settings).await
+        }
+        Task::Control(file) => {
+            let mut settings: ControlSettings = settings::read(&file)?;
+            settings.host.file = Some(file);
+            run_control(settings).await
+        }
         Task::Engine(file) => until_signal(emulate::engine::run(settings::read(&file)?)).await,
         Task::Service(file) => until_signal(emulate::service::run(settings::read(&file)?)).await,
         Task::Platform(file) => until_signal(emulate::platform::run(settings::read(&file)?)).await,
@@ -97,8 +105,8 @@
 }
 
 /// Logs each hangup signal, with which the platform reports a changed settings file. The
-/// file is read only at the next start: a running process learns new addresses and peers
-/// from its peers.
+/// file is read at the next start: a running process learns new addresses from its peers, and
+/// reads only the seeds again once it has none.
 async fn log_hangups() {
     use tokio::signal::unix::{SignalKind, signal};
     let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
--- a/src/control.rs
+++ b/src/control.rs
@@ -5,6 +5,7 @@
 mod documents;
 mod driver;
 mod format;
+mod group_addresses;
 mod halls;
 mod handle;
 mod join;
@@ -172,6 +173,7 @@
     });
     tokio::spawn(accept_connections(control.clone(), incoming));
     tokio::spawn(bootstrap::bootstrap(control.clone()));
+    tokio::spawn(group_addresses::follow(control.clone()));
     tokio::spawn(spread::announce_version(control.configs.clone(), control.peers.clone()));
     tokio::spawn(rollout_controller::run(control.clone()));
     tokio::spawn(quarantine_controller::run(control.clone()));
--- a/src/gateway/tests/rollouts.rs
+++ b/src/gateway/tests/rollouts.rs
@@ -78,6 +78,7 @@
                 seed_port: None,
                 regions: Default::default(),
                 heartbeats: Default::default(),
+                file: None,
             },
             listen: address,
             operator: address,
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -2,6 +2,7 @@
 
 mod heartbeats;
 mod link;
+mod seed_file;
 mod stream_datagrams;
 #[cfg(test)]
 mod tests;
@@ -137,6 +138,9 @@
         tokio::spawn(send_heartbeats(peers.clone(), udp.clone()));
         tokio::spawn(receive_datagrams(peers.clone(), udp));
         tokio::spawn(refresh_view(peers.clone()));
+        if let Some(file) = &settings.file {
+            tokio::spawn(seed_file::follow(peers.clone(), file.clone()));
+        }
         tokio::spawn(accept(peers.clone(), tcp, sender));
         Ok((peers, incoming))
     }
@@ -171,6 +175,12 @@
         self.with_table(MemberTable::set_draining);
     }
 
+    /// Sends heartbeats to these addresses from now on; returns how many of them are new.
+    pub fn add_seeds(&self, addresses: impl IntoIterator<Item = SocketAddr>) -> usize {
+        let mut table = self.table();
+        addresses.into_iter().filter(|address| table.add_seed(*address)).count()
+    }
+
     /// The number of brief heartbeats, since the start, from hosts that sent no full one.
     pub fn unknown_heartbeats(&self) -> u64 {
         self.table().unknown_heartbeats()
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -62,6 +62,10 @@
     /// Which hosts it exchanges heartbeats with.
     #[serde(default, skip_serializing_if = "HeartbeatScope::is_default")]
     pub heartbeats: HeartbeatScope,
+    /// The file that these settings were read from. Its seeds are read again while no control
+    /// host is live.
+    #[serde(skip)]
+    pub file: Option<PathBuf>,
 }
 
 /// Which hosts a host exchanges heartbeats with.
@@ -306,6 +310,15 @@
         .map_err(|e| Error::Parse { path: path.to_path_buf(), message: e.to_string() })
 }
 
+/// Reads the peer addresses of the seeds from the settings file of a control host or router.
+pub fn read_seeds(path: &Path) -> Result<Vec<SocketAddr>> {
+    #[derive(Deserialize)]
+    struct SettingsOfAnyRole {
+        host: HostSettings,
+    }
+    Ok(read::<SettingsOfAnyRole>(path)?.host.seed_peers())
+}
+
 impl HostSettings {
     /// The host's number: the one given, or its IPv4 address, or a hash of
     /// its IPv6 address.
--- a/src/site/plan.rs
+++ b/src/site/plan.rs
@@ -205,6 +205,7 @@
             seed_port: None,
             regions: Default::default(),
             heartbeats: HeartbeatScope::All,
+            file: None,
         }
     }
 
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -46,6 +46,7 @@
         seed_port: None,
         regions: Default::default(),
         heartbeats: HeartbeatScope::Control,
+        file: None,
     };
     Peers::start(&settings, role, peer).await.unwrap()
 }
--- a/tests/replaced_controls.rs
+++ b/tests/replaced_controls.rs
@@ -52,6 +52,36 @@
     play(Seeds::Outdated, Replaced::ComeBack).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_whose_seeds_are_all_lost_reads_them_again() {
+    let fleet = Arc::new(Fleet::start());
+    let record = Arc::new(Record::default());
+    let changes =
+        tokio::spawn(record::change_configuration(fleet.clone(), record.clone(), CHANGE_INTERVAL));
+    assert!(eventually(|| record.acknowledged_since(Duration::ZERO)).await, "no leader");
+    tokio::time::sleep(CONTACT).await;
+    // The replacements do not know a router that is down meanwhile.
+    let router = fleet.routers()[0];
+    fleet.kill(router);
+    for lost in fleet.first_controls().into_iter().rev() {
+        fleet.replace(lost);
+        assert!(eventually_all_vote(&fleet).await, "no replacement of host {lost} got a vote");
+    }
+    fleet.start_with_lost_seeds(router);
+    while record::version_in_force(&fleet, router).await != Some(0) {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    fleet.update_seeds(router);
+    record.finish();
+    changes.await.unwrap();
+    let newest = record.newest_acknowledged();
+    let restarted = Instant::now();
+    while record::version_in_force(&fleet, router).await < newest {
+        assert!(restarted.elapsed() < WAIT_TIMEOUT, "the router stays behind version {newest:?}");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 /// Replaces all control hosts while the configuration changes, then restarts everything, one
 /// control host without its disk.
 async fn play(seeds: Seeds, replaced: Replaced) {
@@ -84,6 +114,12 @@
     actors.join_all().await;
     let read = fleet.read_configuration().await;
     let mut violations = record.violations();
+    for router in fleet.routers() {
+        let version = record::version_in_force(&fleet, router).await;
+        if version < record.newest_acknowledged() {
+            violations.push(format!("router {router} ends at version {version:?}"));
+        }
+    }
     if read < record.newest_acknowledged() {
         let newest = record.newest_acknowledged();
         violations.push(format!("version {newest:?} was acknowledged, {read:?} is read"));
--- a/tests/replaced_controls/fleet.rs
+++ b/tests/replaced_controls/fleet.rs
@@ -196,6 +196,32 @@
         self.spawn(new, &self.seeds(Seeds::Current), false);
     }
 
+    pub fn kill(&self, host: usize) {
+        self.with_hosts(|hosts| {
+            let mut child = hosts[host].process.take().unwrap();
+            child.kill().unwrap();
+            child.wait().unwrap();
+        });
+    }
+
+    /// Starts a host with seeds that are all lost.
+    pub fn start_with_lost_seeds(&self, host: usize) {
+        let lost = self.numbers(|host| host.is_lost);
+        let seeds: Vec<_> = lost.into_iter().map(|host| self.address(host)).collect();
+        self.spawn(host, &seeds, false);
+    }
+
+    /// Writes the settings file of a running host anew, with the control hosts that run as seeds.
+    pub fn update_seeds(&self, host: usize) {
+        let role = self.with_hosts(|hosts| hosts[host].role);
+        let text = self.settings(host, role, &self.seeds(Seeds::Current), false);
+        std::fs::write(self.settings_file(host), text).unwrap();
+    }
+
+    fn settings_file(&self, host: usize) -> PathBuf {
+        self.folder.path().join(format!("{host}.yaml"))
+    }
+
     /// Kills every process, and the lost ones for good.
     pub fn kill_all(&self) {
         // What is observed meanwhile counts as another life.
@@ -240,7 +266,7 @@
     }
 
     fn spawn(&self, host: usize, seeds: &[Ipv4Addr], is_first_start: bool) {
-        let settings = self.folder.path().join(format!("{host}.yaml"));
+        let settings = self.settings_file(host);
         let role = self.with_hosts(|hosts| hosts[host].role);
         std::fs::write(&settings, self.settings(host, role, seeds, is_first_start)).unwrap();
         let log = || {
--- a/tests/replaced_controls/record.rs
+++ b/tests/replaced_controls/record.rs
@@ -210,21 +210,20 @@
     router: usize,
     interval: Duration,
 ) {
-    let (ready, front) = (fleet.ready(router), fleet.front(router));
+    let front = fleet.front(router);
     while !record.finished.is_cancelled() {
         let (asked, life) = (Instant::now(), fleet.life());
         let due = asked.checked_sub(CONFIG).map_or(0, |time| record.newest_by(time));
-        let metrics = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
         let request = format!(
             "GET /v{due}/ HTTP/1.1\r\nHost: shop.example\r\nBramblecrank-Deadline-Ms: 100\r\n\
              Connection: close\r\n\r\n"
         );
-        let metrics = exchange(ready, metrics, WATCH_TIMEOUT).await;
+        let version = version_in_force(&fleet, router).await;
         let answer = match due {
             0 => None,
             _ => exchange(front, &request, WATCH_TIMEOUT).await,
         };
-        if let Some(version) = metrics.and_then(|answer| routing_version(&answer.body)) {
+        if let Some(version) = version {
             let status = answer.map(|answer| answer.status);
             let observation = Observation { router, life, asked, version, due, status };
             if fleet.life() == life {
@@ -235,6 +234,13 @@
     }
 }
 
+/// The version that a router has in force, as it states.
+pub async fn version_in_force(fleet: &Fleet, router: usize) -> Option<u64> {
+    let metrics = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let answer = exchange(fleet.ready(router), metrics, WATCH_TIMEOUT).await?;
+    routing_version(&answer.body)
+}
+
 fn routing_version(metrics: &str) -> Option<u64> {
     metrics.lines().find_map(|line| line.strip_prefix(METRIC))?.trim().parse().ok()
 }
