--- a/src/site/plan.rs
+++ b/src/site/plan.rs
@@ -206,6 +206,7 @@
             seed_port: None,
             regions: Default::default(),
             heartbeats: HeartbeatScope::All,
+            file: None,
         }
     }
 
