--- a/src/member/tests/network.rs
+++ b/src/member/tests/network.rs
@@ -108,7 +108,9 @@
     /// Gives a process further seeds.
     pub fn add_seeds(&mut self, host: u32, seeds: &[u32]) {
         let table = &mut self.processes.get_mut(&host).unwrap().table;
-        seeds.iter().for_each(|seed| drop(table.add_seed(address(*seed))));
+        for seed in seeds {
+            table.add_seed(address(*seed));
+        }
     }
 
     /// Runs for `ms` milliseconds while a process stands still.
