--- a/src/answer/limits.rs
+++ b/src/answer/limits.rs
@@ -61,9 +61,9 @@
         Duration::from_millis(self.head_ms)
     }
 
-    /// Bytes that may be read without bringing the answer further. The HTTP library reads up to
-    /// three of its buffers ahead, which are of `head_bytes` each.
-    pub(super) fn fruitless_bytes(&self) -> usize {
+    /// Bytes that may be read in a row without content. The HTTP library reads up to three of its
+    /// buffers ahead, which are of `head_bytes` each.
+    pub(super) fn overhead_bytes(&self) -> usize {
         self.head_bytes.saturating_mul(4)
     }
 }
--- a/src/answer/read_guard.rs
+++ b/src/answer/read_guard.rs
@@ -1,5 +1,5 @@
-//! Bounding what is read from an endpoint's connection without bringing its answer further: a
-//! head, or framing of a body, that has no end.
+//! Bounding what is read from an endpoint's connection beside the content of its answers: a head,
+//! or framing of a body, that has no end.
 
 use std::io;
 use std::pin::Pin;
@@ -56,8 +56,8 @@
 #[derive(Debug)]
 struct State {
     part: Part,
-    /// Bytes read since the answer last came further.
-    fruitless: usize,
+    /// Bytes read since the last content, or since the head began.
+    overhead: usize,
     /// When the head in progress began.
     head_began: Option<Instant>,
     interim_heads: u32,
@@ -76,7 +76,7 @@
     pub fn new(limits: AnswerLimits) -> ReadGuard {
         let state = State {
             part: Part::None,
-            fruitless: 0,
+            overhead: 0,
             head_began: None,
             interim_heads: 0,
             exceeded: None,
@@ -110,7 +110,7 @@
         let mut state = self.lock();
         let exceeded = state.exceeded;
         *state =
-            State { part: Part::Head, fruitless: 0, head_began: None, interim_heads: 0, exceeded };
+            State { part: Part::Head, overhead: 0, head_began: None, interim_heads: 0, exceeded };
     }
 
     /// Records that an interim head has ended.
@@ -127,13 +127,13 @@
     pub fn record_head(&self) {
         let mut state = self.lock();
         state.part = Part::Body;
-        state.fruitless = 0;
+        state.overhead = 0;
         state.head_began = None;
     }
 
     /// Records content of the body.
     pub fn record_content(&self) {
-        self.lock().fruitless = 0;
+        self.lock().overhead = 0;
     }
 
     /// The limit that was exceeded, if one was.
@@ -153,8 +153,8 @@
             state.head_began.get_or_insert_with(Instant::now);
         }
         if state.part != Part::None {
-            state.fruitless = state.fruitless.saturating_add(bytes);
-            if state.fruitless > self.limits.fruitless_bytes() {
+            state.overhead = state.overhead.saturating_add(bytes);
+            if state.overhead > self.limits.overhead_bytes() {
                 let limit = match state.part {
                     Part::Body => ExceededLimit::Framing,
                     Part::Head | Part::None => ExceededLimit::HeadBytes,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -255,8 +255,8 @@
     remaining.min(timeout.max(MIN_ANSWER_TIMEOUT))
 }
 
-/// Checks that the answer to a request is one of the endpoint that ran it. An endpoint that requests
-/// a rest is not also recorded as failed.
+/// Checks that the answer to a request is one of the endpoint that ran it. An endpoint that
+/// requests a rest is not also recorded as failed.
 fn check_head(
     call: &Call,
     endpoint: &Registration,
--- a/src/gateway/version_checks.rs
+++ b/src/gateway/version_checks.rs
@@ -17,8 +17,8 @@
 /// Milliseconds of silence of a feed after which news may be missing: keep-alives come every
 /// second.
 const MAX_FEED_SILENCE_MS: Millis = 1_250;
-/// Milliseconds from when control hosts are heard again until the endpoints that changed meanwhile are
-/// received: they are requested 100 ms after a feed has opened.
+/// Milliseconds from when control hosts are heard again until the endpoints that changed meanwhile
+/// are received: they are requested 100 ms after a feed has opened.
 const READ_MS: Millis = 150;
 /// How often a stream that waits until versions are known looks for news.
 const NEWS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -154,8 +154,9 @@
 
     /// Waits until it is known that an endpoint, reached by this connection, runs the version of
     /// a stream, and that the stream began at it. While no control host is followed, other than for
-    /// a moment after a stall, this cannot be known, and the stream goes on unless endpoints of its service replace their software in
-    /// place, or a connection to the endpoint broke before this one was opened.
+    /// a moment after a stall, this cannot be known, and the stream goes on unless endpoints of its
+    /// service replace their software in place, or a connection to the endpoint broke before this
+    /// one was opened.
     pub(super) async fn confirm_version(
         &self,
         stream: &KnownStream,
--- a/src/resumption/losses.rs
+++ b/src/resumption/losses.rs
@@ -65,9 +65,9 @@
         losses.last_at = now;
     }
 
-    /// Records whether this router hears control hosts at this moment: all feeds delivered something
-    /// within the last `max_silence_ms`. Returns for how long this process was stalled before, if it
-    /// was: what was not known by then is not known yet, however much time has passed.
+    /// Records whether this router hears control hosts at this moment: all feeds delivered
+    /// something within the last `max_silence_ms`. Returns for how long this process was stalled
+    /// before, if it was: what was not known by then is not known yet, however much time passed.
     pub fn record_check(
         &mut self,
         now: Millis,
