Tests of the platform: fleets beyond the 85th no longer share addresses with earlier ones

A fleet's three addresses were its number times three, modulo 256. With more than 85 fleets in one run a later one may get those of one that still runs. Fleets now go on in the next network. No check changes.

--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -29,6 +29,9 @@
 
 /// Number of the next fleet; each fleet of a test run has its own three loopback addresses.
 static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
+/// Fleets in one network of 256 addresses, and the second octet of the first network.
+const FLEETS_PER_NET: u32 = 84;
+const FIRST_NET: u32 = 9;
 
 pub struct Fleet {
     pub front: SocketAddr,
@@ -80,7 +83,10 @@
         let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
         // Concurrent test processes have other process ids, hence other networks.
         let net = (std::process::id() % 250 + 1) as u8;
-        let address = |last: u32| Ipv4Addr::new(127, 9, net, (number * 3 + last) as u8);
+        let (block, number) = (number / FLEETS_PER_NET, number % FLEETS_PER_NET);
+        let address = |last: u32| {
+            Ipv4Addr::new(127, (FIRST_NET + block) as u8, net, (number * 3 + last) as u8)
+        };
         let (control, router, neighbour) = (address(1), address(2), address(3));
         let folder = TempDir::new().unwrap();
         write_settings(&folder, [control, router, neighbour], regions);
