Tests of the replicated log: one function for a group that a learner has joined

Three tests built the same group of three voters and a learner, line by line. Their assertions, seeds and steps are unchanged.

--- a/src/agree/tests.rs
+++ b/src/agree/tests.rs
@@ -278,8 +278,8 @@
     assert!(!group.committed.contains_key(&index));
 }
 
-#[test]
-fn a_learner_replaces_a_silent_voter_and_waits_while_all_are_reachable() {
+/// A group of three voters, its largest number, that store 4 has joined as a learner; and its leader.
+fn group_with_a_learner() -> (Group, StoreId) {
     let mut group = Group::new(3, 17);
     group.run(150);
     let leader = group.leader().unwrap();
@@ -290,6 +290,12 @@
     assert!(joined);
     group.carry_out(leader, out);
     group.start(StoreId(4), Disk::empty(1));
+    (group, leader)
+}
+
+#[test]
+fn a_learner_replaces_a_silent_voter_and_waits_while_all_are_reachable() {
+    let (mut group, leader) = group_with_a_learner();
     group.run(300);
     assert!(!group.voters().contains(&StoreId(4)), "all three voters are reachable");
     let crashed = [1, 2, 3].map(StoreId).into_iter().find(|s| *s != leader).unwrap();
@@ -301,16 +307,7 @@
 
 #[test]
 fn a_store_without_a_vote_states_no_leader_that_it_does_not_hear() {
-    let mut group = Group::new(3, 17);
-    group.run(150);
-    let leader = group.leader().unwrap();
-    let now = group.now;
-    let replica = group.stores.get_mut(&leader).unwrap().replica.as_mut().unwrap();
-    replica.set_max_voters(3);
-    let (joined, out) = replica.join(now, member(4, false, None)).unwrap();
-    assert!(joined);
-    group.carry_out(leader, out);
-    group.start(StoreId(4), Disk::empty(1));
+    let (mut group, leader) = group_with_a_learner();
     group.run(100);
     let stated = |group: &Group| group.stores[&StoreId(4)].replica.as_ref().unwrap().leader();
     assert_eq!(stated(&group), Some(leader));
@@ -327,16 +324,7 @@
 
 #[test]
 fn a_leader_with_reads_all_the_time_replaces_a_silent_voter() {
-    let mut group = Group::new(3, 17);
-    group.run(150);
-    let leader = group.leader().unwrap();
-    let now = group.now;
-    let replica = group.stores.get_mut(&leader).unwrap().replica.as_mut().unwrap();
-    replica.set_max_voters(3);
-    let (joined, out) = replica.join(now, member(4, false, None)).unwrap();
-    assert!(joined);
-    group.carry_out(leader, out);
-    group.start(StoreId(4), Disk::empty(1));
+    let (mut group, leader) = group_with_a_learner();
     let crashed = [1, 2, 3].map(StoreId).into_iter().find(|s| *s != leader).unwrap();
     group.crash(crashed);
     for token in 0..300 {
