Refuse a body announced over the limit before any of it is read

A caller that announced a body over `maxBodyBytes` was read up to the limit before it got its 413, and one that announced it and sent nothing got no answer until its time was over. Many such callers at once each held up to the limit.

Cause: the limit was only compared with what had arrived, not with the length in the head. What cannot be served was not rejected at once.

--- a/src/gateway/arrival.rs
+++ b/src/gateway/arrival.rs
@@ -7,7 +7,7 @@
 use axum::http::request::Parts;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use rand::RngExt;
 
 use super::header_names::RequestHead;
@@ -142,6 +142,9 @@
 }
 
 async fn read_body(body: Incoming, max_bytes: usize, until: BootInstant) -> Result<Bytes, Refusal> {
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(Refusal::BodyTooLarge);
+    }
     let reading = Limited::new(body, max_bytes).collect();
     let collected = tokio::time::timeout(until.remaining(), reading).await;
     match collected {
