Bound what a router holds of requests by one budget in bytes

Clients that send large legal bodies at once ended a router: those that stop just short of their end, whole bodies that wait for their answers or are kept for another try, and bodies in one-byte chunks, which cost many times their content.

Cause: `read_body` collected each body as a list of the pieces that the HTTP library handed out, each of which keeps the read buffer that it lies in, and nothing bounded the sum over requests.

`request_body` now reads bodies for the gateway. Pieces are copied into one allocation, which counts from its first byte to the answer (`HeldBody`), and `Ledger` decides who may hold how much of `requests.held_bytes`, by default a quarter of the host's memory. A customer's bodies may hold as much as is left free, so that one customer's crowd holds half at most and there is always room for another customer. A request that finds no room displaces senders that have stalled, of the customer with the most bytes first; where none has, it is refused at once as not run. An announced length that finds no room is refused before it is read. What has arrived whole is never displaced, and a single request finds room whatever its size is, so that nobody meets the limit in calm. A router that holds more than half takes no connections from its neighbours.

--- a/src/gateway/arrival.rs
+++ b/src/gateway/arrival.rs
@@ -5,9 +5,7 @@
 
 use axum::http::header;
 use axum::http::request::Parts;
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use rand::RngExt;
 
 use super::header_names::RequestHead;
@@ -17,6 +15,7 @@
 use super::state::Gateway;
 use crate::clock::BootInstant;
 use crate::quarantine::{Attribute, Fingerprint, RequestProfile};
+use crate::request_body::read_body;
 use crate::rollout::ReleaseChoice;
 use crate::routing::{CustomerKeys, Route, Routing};
 
@@ -48,7 +47,9 @@
     let deadline = arrived + caller_timeout.min(timeout);
     let limits = &routing.table.limits;
     let body_limit = deadline.min(arrived + Duration::from_millis(limits.header_timeout_ms));
-    let body = read_body(body, limits.max_body_bytes, body_limit).await?;
+    let held = gateway.request_memory.hold(customer.as_deref().unwrap_or_default());
+    let held = held.ok_or(Refusal::NoMemory)?;
+    let body = read_body(body, limits.max_body_bytes, body_limit.remaining(), held).await?;
     let stream = resolve_stream(gateway, &route, customer.as_deref(), &head).await?;
     let resumed = stream.as_ref().and_then(|stream| stream.resumed.as_ref());
     let service = match resumed {
@@ -140,17 +141,3 @@
     }
     None
 }
-
-async fn read_body(body: Incoming, max_bytes: usize, until: BootInstant) -> Result<Bytes, Refusal> {
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(Refusal::BodyTooLarge);
-    }
-    let reading = Limited::new(body, max_bytes).collect();
-    let collected = tokio::time::timeout(until.remaining(), reading).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Ok(Err(_)) => Err(Refusal::BodyBroken),
-        Err(_) => Err(Refusal::BodyTooSlow),
-    }
-}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -92,7 +92,7 @@
         after_event,
     };
     call.gateway.header_names.write_request(&mut headers, &forwarding);
-    let mut request = Request::new(Full::new(call.body.clone()));
+    let mut request = Request::new(Full::new(call.body.to_bytes()));
     *request.method_mut() = call.parts.method.clone();
     *request.uri_mut() = origin_form(&call.parts.uri);
     *request.headers_mut() = headers;
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -290,6 +290,9 @@
     if gateway.routing_version() < version {
         return HandoverAnswer::Behind;
     }
+    if gateway.request_memory.is_scarce() {
+        return HandoverAnswer::Busy;
+    }
     let serving = gateway.serving();
     let try_accept = |overload: &mut Overload| {
         overload.accepts_handover(serving) && overload.try_add_connection()
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -3,6 +3,8 @@
 use axum::body::Body;
 use axum::http::{HeaderValue, Response, StatusCode, header};
 
+use crate::request_body::ReadError;
+
 /// Default delay before a retry, in seconds.
 const DEFAULT_RETRY_AFTER_S: f64 = 0.25;
 
@@ -31,6 +33,8 @@
     BodyTooSlow,
     /// The body was truncated.
     BodyBroken,
+    /// This router holds too many bytes of requests.
+    NoMemory,
     /// No endpoint of the service is known to accept requests.
     NoEndpoint,
     /// Endpoints of the service accept requests, but none in a region where the request may be
@@ -65,6 +69,17 @@
     AnswerLost,
 }
 
+impl From<ReadError> for Refusal {
+    fn from(error: ReadError) -> Refusal {
+        match error {
+            ReadError::TooLarge => Refusal::BodyTooLarge,
+            ReadError::TooSlow => Refusal::BodyTooSlow,
+            ReadError::Broken => Refusal::BodyBroken,
+            ReadError::NoMemory => Refusal::NoMemory,
+        }
+    }
+}
+
 impl Refusal {
     pub(super) fn status(self) -> StatusCode {
         match self {
@@ -72,6 +87,7 @@
             | Refusal::RoutingUnconfirmed
             | Refusal::Stopping
             | Refusal::Overloaded
+            | Refusal::NoMemory
             | Refusal::NoEndpoint
             | Refusal::NoAllowedRegion
             | Refusal::EndpointsRest { .. }
@@ -100,6 +116,7 @@
                 | Refusal::BodyTooLarge
                 | Refusal::BodyTooSlow
                 | Refusal::BodyBroken
+                | Refusal::NoMemory
         )
     }
 
@@ -115,6 +132,7 @@
             Refusal::BodyTooLarge => "body_too_large",
             Refusal::BodyTooSlow => "body_too_slow",
             Refusal::BodyBroken => "body_broken",
+            Refusal::NoMemory => "no_memory",
             Refusal::NoEndpoint => "no_endpoint",
             Refusal::NoAllowedRegion => "no_allowed_region",
             Refusal::EndpointsRest { .. } => "endpoints_rest",
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -6,7 +6,6 @@
 use axum::body::Body;
 use axum::http::request::Parts;
 use axum::http::{HeaderValue, Request, Response, StatusCode, header};
-use bytes::Bytes;
 use hyper::body::Incoming;
 
 use super::arrival::admit;
@@ -20,6 +19,7 @@
 use crate::placement;
 use crate::quarantine::RequestProfile;
 use crate::region::AllowedRegions;
+use crate::request_body::HeldBody;
 use crate::rollout::ReleaseChoice;
 use crate::routing::Route;
 
@@ -43,7 +43,7 @@
     pub routing_version: u64,
     pub head: RequestHead,
     pub parts: Parts,
-    pub body: Bytes,
+    pub body: HeldBody,
     /// What of it can be blamed if it crashes endpoints.
     pub profile: RequestProfile,
     pub arrived: BootInstant,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -24,6 +24,7 @@
 use crate::placement::{LocalPlacer, PlacementClient};
 use crate::quarantine::{CrashGuard, KnownStarts, SharedQuarantine};
 use crate::registry::{EndpointState, Registration, Scope, SharedRegistry};
+use crate::request_body::RequestMemory;
 use crate::resumption::{RecentLosses, VersionHistory};
 use crate::rollout::SharedRollouts;
 use crate::routing::CurrentRouting;
@@ -57,6 +58,8 @@
     pub connections: Connections,
     /// The bytes of incomplete answers that are held.
     pub(super) answer_memory: Arc<AnswerMemory>,
+    /// The bytes of requests that are held.
+    pub(super) request_memory: Arc<RequestMemory>,
     /// Records of streams that may be resumed.
     pub(super) records: Arc<StreamRecords>,
     /// Answers to callers that are not yet written in full.
@@ -121,6 +124,7 @@
             }
         };
         let answers = settings.answers;
+        let request_memory = RequestMemory::new(settings.requests.max_held_bytes());
         Arc::new(Gateway {
             settings,
             rules,
@@ -134,6 +138,7 @@
             header_names,
             connections: Connections::new(max_connections, answers, on_early_close),
             answer_memory: AnswerMemory::new(answers.held_bytes),
+            request_memory,
             records,
             answers: Arc::default(),
             metrics: GatewayMetrics::default(),
@@ -228,6 +233,7 @@
         self.metrics.routing_version.set(version);
         self.metrics.open_feeds.set(self.feeds.open_feeds() as i64);
         self.metrics.held_bytes.set(self.answer_memory.held() as i64);
+        self.metrics.held_request_bytes.set(self.request_memory.held() as i64);
         self.metrics.known_routers.set(self.records.directory().routers.len() as i64);
         self.metrics.open_answers.set(i64::try_from(self.unfinished()).unwrap_or(i64::MAX));
         self.metrics.stream_records.set(self.records.len() as i64);
--- a/src/gateway/tests/rollouts.rs
+++ b/src/gateway/tests/rollouts.rs
@@ -16,6 +16,7 @@
 use crate::clock::BootInstant;
 use crate::quarantine::{Fingerprint, RequestProfile};
 use crate::registry::Origin;
+use crate::request_body::HeldBody;
 use crate::rollout::{Grant, Grants, Order, Release, Report, Rollouts, Stage, Step};
 use crate::settings::{GatewaySettings, HostSettings, RouterSettings};
 use crate::testing::{peer_address, route, start_peers};
@@ -87,6 +88,7 @@
             alone_routers: 1,
             max_body: 1_000,
             answers: Default::default(),
+            requests: Default::default(),
             drain_ms: 0,
             rehearsal: false,
             gateway: None,
@@ -126,6 +128,8 @@
     fn call(&self) -> Arc<Call> {
         let (parts, _) = Request::get("http://shop.example/").body(()).unwrap().into_parts();
         let now = BootInstant::now();
+        let held = self.gateway.request_memory.hold("").expect("there is room");
+        let body = HeldBody::new(Default::default(), held);
         Arc::new(Call {
             gateway: self.gateway.clone(),
             number: 1,
@@ -138,7 +142,7 @@
             routing_version: 0,
             head: Default::default(),
             parts,
-            body: Default::default(),
+            body,
             profile: RequestProfile::new(Fingerprint::of("", &["/"], &[]), "llm", []),
             arrived: now,
             deadline: now + Duration::from_secs(10),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod quarantine;
 pub mod region;
 pub mod registry;
+pub mod request_body;
 pub mod resumption;
 pub mod rollout;
 pub mod router;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -12,6 +12,7 @@
 use crate::gateway::{BudgetRules, OverloadRules};
 use crate::placement::PlacementRules;
 use crate::region::Regions;
+use crate::request_body::RequestLimits;
 use crate::rollout::RolloutRules;
 use crate::wire::HostId;
 
@@ -111,6 +112,9 @@
     /// Limits on what is read and held of answers.
     #[serde(default, skip_serializing_if = "is_default")]
     pub answers: AnswerLimits,
+    /// Limits on what is held of requests.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub requests: RequestLimits,
     /// Milliseconds for which a planned stop waits for requests in flight.
     #[serde(default = "default_drain_ms")]
     pub drain_ms: u64,
@@ -369,7 +373,8 @@
         if self.max_body == 0 {
             return Err(invalid("max_body", "is zero", "give a size in bytes"));
         }
-        self.answers.check()
+        self.answers.check()?;
+        self.requests.check()
     }
 }
 
--- a/src/site/plan.rs
+++ b/src/site/plan.rs
@@ -9,6 +9,7 @@
 use crate::answer::AnswerLimits;
 use crate::config::{Customer, Document, Endpoint, RunOnceRule, Service, ServiceKind};
 use crate::error::{Error, FileSnafu, Result};
+use crate::request_body::RequestLimits;
 use crate::settings::{
     ControlSettings, DispatchMode, EngineSettings, HeartbeatScope, HostSettings, PlatformSettings,
     RouterSettings, ServiceSettings,
@@ -222,6 +223,7 @@
             alone_routers: u32::from(self.routers),
             max_body: 4 << 20,
             answers: AnswerLimits::default(),
+            requests: RequestLimits::default(),
             drain_ms: 60_000,
             rehearsal: true,
             gateway: None,
--- a/src/telemetry/gateway.rs
+++ b/src/telemetry/gateway.rs
@@ -21,6 +21,8 @@
     pub exceeded_limits: IntCounterVec,
     /// Bytes of incomplete answers that are held.
     pub held_bytes: IntGauge,
+    /// Bytes of requests that are held.
+    pub held_request_bytes: IntGauge,
     /// Bodies of answers by service, framing and ending.
     pub body_ends: IntCounterVec,
     /// Notices that answers carry about their endpoint, by service and notice.
@@ -89,6 +91,10 @@
                 &["service", "limit"],
             )?,
             held_bytes: IntGauge::new(name("held_bytes"), "Bytes held of incomplete answers.")?,
+            held_request_bytes: IntGauge::new(
+                name("held_request_bytes"),
+                "Bytes held of requests.",
+            )?,
             body_ends: counter(
                 "body_ends_total",
                 "Answers of endpoints, by how the end of their body was marked and how it came.",
@@ -152,6 +158,7 @@
         registry.register(Box::new(metrics.surplus_answers.clone()))?;
         registry.register(Box::new(metrics.exceeded_limits.clone()))?;
         registry.register(Box::new(metrics.held_bytes.clone()))?;
+        registry.register(Box::new(metrics.held_request_bytes.clone()))?;
         registry.register(Box::new(metrics.body_ends.clone()))?;
         registry.register(Box::new(metrics.notices.clone()))?;
         registry.register(Box::new(metrics.start_checks.clone()))?;
--- a/tests/platform/fleet_settings.rs
+++ b/tests/platform/fleet_settings.rs
@@ -17,6 +17,9 @@
 /// Settings of a router whose requests are sent again as often as their routes allow.
 pub(super) const UNLIMITED_RETRIES: &str = "  retry_budget:\n    slack: 1000000\n";
 
+/// A quarter of the memory of the users' machines, which the machine of the tests has many times.
+const REQUEST_BYTES: usize = 64_000_000;
+
 /// Writes the settings of the control host and of both routers.
 pub(super) fn write_settings(folder: &TempDir, addresses: [Ipv4Addr; 3], regions: &str) {
     let [control, router, neighbour] = addresses;
@@ -37,7 +40,8 @@
     );
     let router_text = |name: &str, address: Ipv4Addr| {
         format!(
-            "{}listen: \"{address}:{FRONT_PORT}\"\ngateway:\n  ready: \"{address}:{READY_PORT}\"\n  \
+            "{}listen: \"{address}:{FRONT_PORT}\"\n\
+             requests:\n  held_bytes: {REQUEST_BYTES}\ngateway:\n  ready: \"{address}:{READY_PORT}\"\n  \
              stop_takes_ms: 300\n  stop_within_s: 8\n",
             host(name, address)
         )
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -5,6 +5,7 @@
 use bramblecrank::answer::AnswerLimits;
 use bramblecrank::gateway::{BudgetRules, OverloadRules};
 use bramblecrank::placement::PlacementRules;
+use bramblecrank::request_body::RequestLimits;
 use bramblecrank::rollout::RolloutRules;
 use bramblecrank::settings::GatewaySettings;
 use bramblecrank::site::SampleSite;
@@ -55,6 +56,7 @@
     for value in [
         serde_json::to_value(gateway()).unwrap(),
         serde_json::to_value(AnswerLimits::default()).unwrap(),
+        serde_json::to_value(RequestLimits { held_bytes: Some(1) }).unwrap(),
         serde_json::to_value(PlacementRules::default()).unwrap(),
         serde_json::to_value(RolloutRules::default()).unwrap(),
     ] {
