Limit what a connection receives before it is read

Bytes that have arrived and are not read count as the process's memory, so that not reading a client doesn't bound what it costs. The kernel lets a connection that was read fast before receive megabytes ahead: behind a request that is being served, at a router that relays a connection to a busy neighbour, and at that neighbour.

A sender that is not read is held up.

A new test of one connection: after a body of 4 MB, 8 MB behind a stream that is being served.

--- a/src/caller_connection.rs
+++ b/src/caller_connection.rs
@@ -7,6 +7,7 @@
 mod answers;
 mod close_delimited;
 mod closing;
+mod listen;
 
 use std::pin::{Pin, pin};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -28,6 +29,7 @@
 pub use answers::OpenAnswers;
 
 pub(crate) use closing::close_connection;
+pub(crate) use listen::{limit_receive_buffer, listen};
 
 /// Marks an answer whose body ends with the caller's connection, as that of its endpoint did.
 #[derive(Clone, Copy, Debug)]
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -22,7 +22,9 @@
 use super::overload::Overload;
 use super::relayed_head::{HeadScanner, RelayedHead};
 use super::state::Gateway;
-use crate::caller_connection::{CallerIo, KeepAlive, close_connection, set_reset_on_close};
+use crate::caller_connection::{
+    CallerIo, KeepAlive, close_connection, limit_receive_buffer, set_reset_on_close,
+};
 use crate::error::{Result, RpcSnafu};
 use crate::feed::Neighbour;
 use crate::peer::Incoming;
@@ -273,6 +275,7 @@
     if let Err(error) = write_frame(&mut writer, &answer).await {
         log::debug!("gateway: cannot answer a router that hands over: {error}");
     } else if answer == HandoverAnswer::Taken {
+        limit_receive_buffer(socket2::SockRef::from(writer.as_ref()));
         let io = tokio::io::join(reader.into_inner(), writer);
         let never = CancellationToken::new();
         serve_requests(&gateway, io, KeepAlive::OneRequest, &never).await;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -19,7 +19,7 @@
 use super::rollouts;
 use super::state::{Gateway, follow_registry};
 use super::version_checks;
-use crate::caller_connection::KeepAlive;
+use crate::caller_connection::{self, KeepAlive};
 use crate::error::{NetSnafu, Result};
 use crate::peer::Peers;
 use crate::quarantine::report_crashes;
@@ -53,7 +53,7 @@
     tokio::spawn(report_crashes(gateway.guard.clone(), gateway.feeds.clone()));
     serve_readiness(&gateway).await?;
     let listen = gateway.settings.listen;
-    let listener = TcpListener::bind(listen).await;
+    let listener = caller_connection::listen(listen);
     let listener =
         listener.context(NetSnafu { what: format!("listen for callers on {listen}") })?;
     log::info!("gateway: host {} accepts requests on {listen}", gateway.peers.me);
--- a/src/router.rs
+++ b/src/router.rs
@@ -23,7 +23,7 @@
 use tower::ServiceExt;
 
 use crate::caller;
-use crate::caller_connection::{ConnectionLimits, KeepAlive, OpenAnswers, serve_connection};
+use crate::caller_connection::{self, ConnectionLimits, KeepAlive, OpenAnswers, serve_connection};
 use crate::error::{NetSnafu, Result};
 use crate::peer::{Incoming, Peers};
 use crate::settings::RouterSettings;
@@ -97,7 +97,7 @@
 async fn serve_callers(router: Arc<Router>, stop: CancellationToken) -> Result<()> {
     let listen = router.settings.listen;
     let what = format!("listen for callers on {listen}");
-    let listener = TcpListener::bind(listen).await.context(NetSnafu { what })?;
+    let listener = caller_connection::listen(listen).context(NetSnafu { what })?;
     log::info!("router: host {} accepts requests on {listen}", router.peers.me);
     let drain = Duration::from_millis(router.settings.drain_ms);
     let app = caller::app(router.clone());
--- a/tests/crowds/bodies.rs
+++ b/tests/crowds/bodies.rs
@@ -2,7 +2,7 @@
 
 use super::clients::{Crowd, Script};
 use super::fleet::Fleet;
-use super::process::{Watch, ip};
+use super::process::{Queues, Watch, ip};
 use super::replica::Behaviour;
 use super::{MAX_BODY_BYTES, ROUTER, alone, assert_answered, exchange, fleet_with, head};
 
@@ -17,6 +17,8 @@
 const LARGE_CHUNK_BYTES: usize = 64 << 10;
 /// One-byte chunks of a client; each takes six bytes on the wire.
 const ONE_BYTE_CHUNKS: usize = 256 << 10;
+/// What a connection receives at most that is not read, with what the kernel counts for it.
+const UNREAD_BYTES: u64 = 128 << 10;
 /// What a client sends behind a request that is being served.
 const PIPELINED_BYTES: usize = 8 << 20;
 
@@ -151,23 +153,34 @@
     neighbour.assert_within(ROUTER);
 }
 
+/// A whole body first, with which the kernel learns to receive much at a time, and then much more
+/// behind a request that is being served.
+fn pipelined(head: &str) -> Script {
+    let first = self::head("/once/x", "first", "key-one");
+    let body = "x".repeat(MAX_BODY_BYTES);
+    let first = format!("{first}Content-Length: {MAX_BODY_BYTES}\r\n\r\n{body}");
+    let script = Script::with_length(head, 0, PIPELINED_BYTES);
+    Script { first: Some(first.into()), ..script }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_is_not_read_receives_little() {
+    let _alone = alone().await;
+    let events = Behaviour::Shaped { events: 1_000, pause: std::time::Duration::from_millis(50) };
+    let (fleet, _replica) = fleet_with(events).await;
+    let crowd = Crowd::start(fleet.front, crowd_of(1, "/stream/x", pipelined));
+    crowd.settle().await;
+    let unread = Queues::at(ip(fleet.front)).unread_bytes;
+    assert!(unread <= UNREAD_BYTES, "{unread} bytes");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bytes_behind_a_request_that_is_being_served_do_not_fill_a_router() {
     let _alone = alone().await;
     let events = Behaviour::Shaped { events: 1_000, pause: std::time::Duration::from_millis(50) };
     let (fleet, _replica) = fleet_with(events).await;
     let watch = watch_router(&fleet);
-    // A whole body first, with which the kernel learns to receive much at a time.
-    let crowd = Crowd::start(
-        fleet.front,
-        crowd_of(FEW_CLIENTS, "/stream/x", |head| {
-            let first = self::head("/once/x", "first", "key-one");
-            let body = "x".repeat(MAX_BODY_BYTES);
-            let first = format!("{first}Content-Length: {MAX_BODY_BYTES}\r\n\r\n{body}");
-            let script = Script::with_length(head, 0, PIPELINED_BYTES);
-            Script { first: Some(first.into()), ..script }
-        }),
-    );
+    let crowd = Crowd::start(fleet.front, crowd_of(FEW_CLIENTS, "/stream/x", pipelined));
     crowd.settle().await;
     assert_answered(fleet.front, "/once/x", "key-two").await;
     watch.assert_within(ROUTER);
