Close the connection that waited longest where callers' connections are too many

Clients that connect and send part of a head, or nothing, kept everybody else out of a router: once it held as many connections as its descriptors bear, it closed each new one, and the clients that held the others had `idleTimeoutMs` to do nothing.

Connections on which no request is being served are now kept in the order in which they began to wait, whether for a request, the rest of a head, or their caller's close. Where no more can be held, the first of them makes way. Bytes of a head that trickle in don't move a connection to the end, so that callers who were served meanwhile stay. One whose request has arrived is never closed: the choice and the arrival of the request exclude each other.

--- a/src/caller_connection.rs
+++ b/src/caller_connection.rs
@@ -8,6 +8,7 @@
 mod close_delimited;
 mod closing;
 mod listen;
+mod waiting;
 
 use std::pin::{Pin, pin};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -98,7 +99,8 @@
 
 /// Serves the requests on a connection until it closes. Once `closing` is ready, the connection is
 /// closed as soon as it is idle. The answers count as open until they are written, the last ones
-/// until the connection is closed.
+/// until the connection is closed. While it waits for a request, it may be closed to make way for
+/// another ([`OpenAnswers::close_longest_waiting`]).
 pub async fn serve_connection<I, S, F>(
     io: I,
     limits: ConnectionLimits,
@@ -117,10 +119,10 @@
     let aside: Arc<Mutex<Option<Response<CountedBody>>>> = Arc::default();
     let service = service_fn(|request: Request<Incoming>| {
         let caller_version = request.version();
-        let open = answers.begin();
-        let answering = serve(request);
+        let begun = answers.begin().map(|open| (open, serve(request)));
         let (aside, answers) = (aside.clone(), answers.clone());
         async move {
+            let Some((open, answering)) = begun else { return std::future::pending().await };
             let mut answer = answering.await.map(|body| CountedBody { body, _answer: open });
             *answer.version_mut() = Version::HTTP_11;
             if !ends_with_connection(&answer, caller_version) {
@@ -143,27 +145,40 @@
     let mut connection = builder.serve_connection(io, service);
     let served = {
         let mut closing = pin!(closing);
-        tokio::select! {
-            served = &mut connection => served,
-            () = &mut closing => {
-                answers.set_closing();
-                Pin::new(&mut connection).graceful_shutdown();
-                (&mut connection).await
+        let serving = async {
+            tokio::select! {
+                served = &mut connection => served,
+                () = &mut closing => {
+                    answers.set_closing();
+                    Pin::new(&mut connection).graceful_shutdown();
+                    (&mut connection).await
+                }
             }
+        };
+        tokio::select! {
+            biased;
+            () = answers.displaced() => return,
+            served = serving => served,
         }
     };
+    answers.stop_waiting();
     let parts = connection.into_parts();
     let has_input = !parts.read_buf.is_empty();
     let WriteTracker { io, is_blocked, .. } = parts.io.into_inner();
-    let Err(error) = served else {
-        return close_connection(io, has_input).await;
+    let close = async |io| {
+        answers.wait_for_close();
+        tokio::select! {
+            () = close_connection(io, has_input) => {}
+            () = answers.displaced() => {}
+        }
     };
+    let Err(error) = served else { return close(io).await };
     let answer = aside.lock().unwrap_or_else(PoisonError::into_inner).take();
     let Some(answer) = answer else {
         log::debug!("caller: a connection failed: {error}");
         if error.is_parse() {
             // It has been answered, and the rest of the request is still arriving.
-            close_connection(io, has_input).await;
+            close(io).await;
         }
         return;
     };
@@ -172,7 +187,7 @@
         return;
     }
     match close_delimited::write_answer(io, answer).await {
-        Ok(io) => close_connection(io, has_input).await,
+        Ok(io) => close(io).await,
         Err(error) => {
             log::debug!("caller: an answer that ends with its connection was broken off: {error}");
         }
--- a/src/caller_connection/answers.rs
+++ b/src/caller_connection/answers.rs
@@ -1,23 +1,36 @@
-//! Counting answers until they are written.
+//! Counting answers until they are written, and the connections that wait for requests meanwhile.
 
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 
 use axum::body::Body;
 use bytes::Bytes;
 use hyper::body::{Frame, SizeHint};
+use tokio_util::sync::CancellationToken;
+
+use super::waiting::WaitingConnections;
 
 /// The answers of all connections of a process that are not yet written in full.
 #[derive(Debug, Default)]
-pub struct OpenAnswers(AtomicUsize);
+pub struct OpenAnswers {
+    count: AtomicUsize,
+    waiting: WaitingConnections,
+}
 
 impl OpenAnswers {
     /// Number of requests whose callers are still connected and whose answers the kernel has not
     /// accepted in full.
     pub fn count(&self) -> usize {
-        self.0.load(Ordering::Acquire)
+        self.count.load(Ordering::Acquire)
+    }
+
+    /// Closes the connection on which no request has been served for the longest time, to make way
+    /// for a new one; returns whether there is such a connection.
+    pub fn close_longest_waiting(&self) -> bool {
+        self.waiting.close_longest()
     }
 }
 
@@ -29,21 +42,75 @@
     ended: AtomicUsize,
     /// Whether they count until the connection is closed.
     is_closing: AtomicBool,
+    place: Mutex<Place>,
+    /// Cancelled when the connection has to make way for another.
+    displaced: CancellationToken,
+}
+
+/// Where a connection stands between requests.
+#[derive(Debug)]
+enum Place {
+    /// It waits for a request, or for its caller to close it, under this number.
+    Waiting(u64),
+    /// This number of answers is not yet written in full.
+    Serving(usize),
+    /// No further request is read.
+    Closing,
 }
 
 impl ConnectionAnswers {
     pub fn new(all: &Arc<OpenAnswers>) -> Arc<ConnectionAnswers> {
+        let displaced = CancellationToken::new();
+        let place = Place::Waiting(all.waiting.add(displaced.clone()));
         Arc::new(ConnectionAnswers {
             all: all.clone(),
             ended: AtomicUsize::new(0),
             is_closing: AtomicBool::new(false),
+            place: Mutex::new(place),
+            displaced,
         })
     }
 
-    /// Counts the answer to a request that has arrived.
-    pub fn begin(self: &Arc<Self>) -> OpenAnswer {
-        self.all.0.fetch_add(1, Ordering::AcqRel);
-        OpenAnswer(self.clone())
+    fn place(&self) -> MutexGuard<'_, Place> {
+        self.place.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Ready once the connection has to make way for another.
+    pub async fn displaced(&self) {
+        self.displaced.cancelled().await;
+    }
+
+    /// Counts the answer to a request that has arrived; `None` if the connection is being closed to
+    /// make way for another, so that the request must not be served.
+    pub fn begin(self: &Arc<Self>) -> Option<OpenAnswer> {
+        let mut place = self.place();
+        *place = match *place {
+            Place::Waiting(number) if !self.all.waiting.remove(number) => return None,
+            Place::Waiting(_) => Place::Serving(1),
+            Place::Serving(open) => Place::Serving(open + 1),
+            Place::Closing => Place::Closing,
+        };
+        drop(place);
+        self.all.count.fetch_add(1, Ordering::AcqRel);
+        Some(OpenAnswer(self.clone()))
+    }
+
+    /// The connection reads no further request, but is still used.
+    pub fn stop_waiting(&self) {
+        self.set_place(Place::Closing);
+    }
+
+    /// All answers are written, and the connection only waits for its caller to close it.
+    pub fn wait_for_close(&self) {
+        self.set_place(Place::Waiting(self.all.waiting.add(self.displaced.clone())));
+    }
+
+    fn set_place(&self, next: Place) {
+        let mut place = self.place();
+        if let Place::Waiting(number) = *place {
+            self.all.waiting.remove(number);
+        }
+        *place = next;
     }
 
     /// Counts the last answers until the connection is closed: until then, a reset would take from
@@ -61,8 +128,16 @@
 
     fn release(&self) {
         let ended = self.ended.swap(0, Ordering::AcqRel);
-        if ended > 0 {
-            self.all.0.fetch_sub(ended, Ordering::AcqRel);
+        if ended == 0 {
+            return;
+        }
+        self.all.count.fetch_sub(ended, Ordering::AcqRel);
+        let mut place = self.place();
+        if let Place::Serving(open) = &mut *place {
+            *open = open.saturating_sub(ended);
+            if *open == 0 {
+                *place = Place::Waiting(self.all.waiting.add(self.displaced.clone()));
+            }
         }
     }
 }
@@ -70,6 +145,7 @@
 impl Drop for ConnectionAnswers {
     fn drop(&mut self) {
         self.release();
+        self.stop_waiting();
     }
 }
 
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -97,10 +97,15 @@
         if self.connections >= self.rules.max_caller_connections() {
             return false;
         }
-        self.connections += 1;
+        self.add_connection();
         true
     }
 
+    /// Counts a new connection of a caller for which another one is being closed.
+    pub fn add_connection(&mut self) {
+        self.connections += 1;
+    }
+
     /// Counts a closed connection of a caller.
     pub fn remove_connection(&mut self) {
         self.connections = self.connections.saturating_sub(1);
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -126,7 +126,7 @@
     loop {
         match listener.accept().await {
             // Closed before any request is read, so the caller may safely retry at another router.
-            Ok((stream, _)) if !gateway.with_overload(Overload::try_add_connection) => drop(stream),
+            Ok((stream, _)) if !add_connection(&gateway) => drop(stream),
             Ok((stream, _)) => {
                 tokio::spawn(serve_caller(gateway.clone(), stream, closing.clone()));
             }
@@ -138,6 +138,19 @@
     }
 }
 
+/// Counts a new connection, in place of one that waits for a request where no more can be held.
+/// Returns false if there is none.
+fn add_connection(gateway: &Gateway) -> bool {
+    if gateway.with_overload(Overload::try_add_connection) {
+        return true;
+    }
+    let makes_way = gateway.answers.close_longest_waiting();
+    if makes_way {
+        gateway.with_overload(Overload::add_connection);
+    }
+    makes_way
+}
+
 async fn serve_caller(gateway: Arc<Gateway>, stream: TcpStream, closing: CancellationToken) {
     // Without it, events are delayed until the caller's delayed acknowledgements arrive.
     let _ = stream.set_nodelay(true);
--- a/tests/crowds/connections.rs
+++ b/tests/crowds/connections.rs
@@ -1,6 +1,9 @@
 //! Connections and heads of requests at routers.
 
+use std::time::Duration;
+
 use super::clients::{Crowd, Script};
+use super::http::{open, read_answer};
 use super::process::{Watch, ip};
 use super::replica::Behaviour;
 use super::{ROUTER, alone, assert_answered, exchange, fleet_with, head};
@@ -51,6 +54,21 @@
     watch.assert_within(ROUTER);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_is_being_served_makes_way_for_none() {
+    let _alone = alone().await;
+    let events = Behaviour::Shaped { events: 100, pause: Duration::from_millis(50) };
+    let (fleet, _replica) = fleet_with(events).await;
+    let text = head("/stream/x", "served", "key-two") + "Content-Length: 0\r\n\r\n";
+    let mut served = open(fleet.front, &text).await;
+    served.readable().await.unwrap();
+    let head = |number| Script::head_only(head("/once/x", &format!("crowd-{number}"), "key-one"));
+    let crowd = Crowd::start(fleet.front, (0..CONNECTIONS).map(head));
+    crowd.settle().await;
+    let answer = read_answer(&mut served).await.expect("an answer");
+    assert!(answer.complete, "the stream was broken off: {}", answer.body);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_without_end_at_the_ready_address_do_not_fill_a_router() {
     let _alone = alone().await;
