Bound what a control host holds of operators' and endpoints' calls

Clients that reach the address for operators and endpoints could end a control host: 40 of them, each with a configuration of 16 MB that stops just short of its end, in one piece, in large or in one-byte chunks, or with one far over the limit.

Cause: handlers collected each body whole, each within its own limit, and nothing bounded their sum nor how long one may take.

Control hosts read bodies with `request_body` too, within `requests.held_bytes` (a quarter of the host's memory by default). What operators send leaves room for heartbeats of endpoints, and the reverse. A call that finds no room gets 503, with which its caller moves on to another host, as the platform's page says of every 5xx. Bodies may take 60 s; an order of a roll-out may have 64 KiB, where it could have as many as a configuration.

--- a/src/control.rs
+++ b/src/control.rs
@@ -2,6 +2,7 @@
 //! and the other replicated state.
 
 pub(crate) mod bootstrap;
+mod calls;
 mod documents;
 mod driver;
 mod format;
@@ -37,6 +38,7 @@
 use crate::placement::{self, PlacerHandle};
 use crate::quarantine::SharedQuarantine;
 use crate::registry::{SharedRegistry, saved};
+use crate::request_body::RequestMemory;
 use crate::rollout::{Progress, SharedRollouts};
 use crate::routing::CurrentRouting;
 use crate::settings::ControlSettings;
@@ -49,6 +51,7 @@
 
 use published::PublishedState;
 
+pub use calls::CallSource;
 pub use documents::CallError;
 pub use halls::HallOrder;
 pub use handle::{Handle, Leadership, NoLeader};
@@ -79,6 +82,8 @@
     pub rollout_progress: Mutex<BTreeMap<String, Progress>>,
     /// The placer that runs here.
     pub placement: PlacerHandle,
+    /// The bytes of operators' and endpoints' calls that are held.
+    pub request_memory: Arc<RequestMemory>,
     /// The subscribers to the feeds of this host.
     pub subscribers: Arc<Subscribers>,
     /// Handle to the agreement of the control group.
@@ -159,6 +164,7 @@
         settings.host.regions.clone(),
         peers.sent.of(Traffic::Placement),
     );
+    let request_memory = RequestMemory::new(settings.requests.max_held_bytes());
     let control = Arc::new(Control {
         placement,
         settings,
@@ -169,6 +175,7 @@
         rollouts,
         quarantine,
         rollout_progress: Mutex::default(),
+        request_memory,
         subscribers: Arc::default(),
         handle,
         stop: stop.clone(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -192,6 +192,9 @@
     /// Peer addresses of the other control hosts.
     #[serde(default)]
     pub control: Vec<SocketAddr>,
+    /// Limits on what is held of operators' and endpoints' calls.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub requests: RequestLimits,
     /// Log entries between two snapshots.
     #[serde(default = "default_snapshot_every")]
     pub snapshot_every: u64,
@@ -410,6 +413,7 @@
         if self.snapshot_every_bytes == 0 {
             return Err(invalid("snapshot_every_bytes", "is zero", "give a size in bytes"));
         }
+        self.requests.check()?;
         let share = self.rollout.canary_share;
         if !(MIN_CANARY_SHARE..=1.0).contains(&share) {
             let remedy = "give a part between 0.01 and 1";
--- a/src/site/plan.rs
+++ b/src/site/plan.rs
@@ -257,6 +257,7 @@
                 .collect(),
             snapshot_every: 1_000,
             snapshot_every_bytes: 8 << 20,
+            requests: RequestLimits::default(),
             rehearsal: true,
         }
     }
--- a/tests/platform/fleet_settings.rs
+++ b/tests/platform/fleet_settings.rs
@@ -34,7 +34,8 @@
     let data = folder.path().join("data");
     let control_text = format!(
         "{}platform: \"{control}:{CONTROL_PORT}\"\ndata: {}\nfound_with_seeds: true\n\
-         tolerated_losses: 0\nwait_for_disk: true\n",
+         tolerated_losses: 0\nwait_for_disk: true\n\
+         requests:\n  held_bytes: {REQUEST_BYTES}\n",
         host("control", control),
         data.display()
     );
