Bound connections and heads where the platform reaches routers and control hosts

The address for readiness and metrics of a router, and that of a control host for operators and endpoints, took any number of connections, and heads of up to 400 KB. 4,500 idle clients used up the descriptors that a process has, so that it could accept nothing at its other addresses either; 1,000 clients with heads without end filled its memory.

Cause: both were served with the defaults of the HTTP library, which bounds neither. They are now served like callers' connections, with heads of up to 16 KB and a receive buffer of 64 KB, on 256 connections at the ready address and on half of `descriptors` (a new setting, 8,192 by default, filled by the platform) at control hosts. Beyond that the connection that has waited longest makes way, so that those who ask now are answered.

--- a/src/control.rs
+++ b/src/control.rs
@@ -48,6 +48,8 @@
 
 /// Pause before the data folder is opened again after an I/O error.
 const DISK_RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Callers' connections take this fraction of the descriptors at most.
+const CONNECTIONS_PART: usize = 2;
 
 use published::PublishedState;
 
@@ -196,7 +198,9 @@
             &control.settings.host.hall,
             Role::Control,
         );
-        crate::http::serve(interface.listen, (interface.app)(control.clone()), &stop).await?;
+        let app = (interface.app)(control.clone());
+        let max_connections = control.settings.descriptors / CONNECTIONS_PART;
+        crate::http::serve(interface.listen, app, max_connections, &stop).await?;
     }
     log::info!("control: host {} runs with store {}", control.peers.me, control.handle.store);
     tokio::select! {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -32,6 +32,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Connections for readiness and metrics that may be open.
+const MAX_READY_CONNECTIONS: usize = 256;
 
 /// Runs a gateway until `stop` is cancelled, then lets requests in flight finish.
 pub async fn run(
@@ -105,9 +107,10 @@
         .route("/metrics", get(async |State(g): State<Arc<Gateway>>| g.render_metrics()))
         .with_state(gateway.clone());
     let never = CancellationToken::new();
-    crate::http::serve(gateway.rules.ready, app.clone(), &never).await?;
+    let max = MAX_READY_CONNECTIONS;
+    crate::http::serve(gateway.rules.ready, app.clone(), max, &never).await?;
     match gateway.rules.metrics {
-        Some(metrics) => crate::http::serve(metrics, app, &never).await,
+        Some(metrics) => crate::http::serve(metrics, app, max, &never).await,
         None => Ok(()),
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -19,6 +19,8 @@
 /// Smallest fraction of a service's requests that a canary release may get. With less, no
 /// service has enough answers in time to judge the release.
 const MIN_CANARY_SHARE: f64 = 0.01;
+/// Fewest descriptors with which a control host can serve anyone beside its peers.
+const MIN_DESCRIPTORS: usize = 64;
 /// Shortest time in milliseconds in which a bad release can be stopped on every router: its
 /// answers are reported, the stage is agreed, and grants end.
 const MIN_ROLLBACK_MS: u64 = 1_000;
@@ -195,6 +197,10 @@
     /// Limits on what is held of operators' and endpoints' calls.
     #[serde(default, skip_serializing_if = "is_default")]
     pub requests: RequestLimits,
+    /// Descriptors that the process may hold. Connections of operators and endpoints take half of
+    /// them at most.
+    #[serde(default = "default_descriptors", skip_serializing_if = "is_default_descriptors")]
+    pub descriptors: usize,
     /// Log entries between two snapshots.
     #[serde(default = "default_snapshot_every")]
     pub snapshot_every: u64,
@@ -280,6 +286,12 @@
 fn is_default_tolerated(losses: &usize) -> bool {
     *losses == default_tolerated()
 }
+fn default_descriptors() -> usize {
+    8_192
+}
+fn is_default_descriptors(descriptors: &usize) -> bool {
+    *descriptors == default_descriptors()
+}
 fn default_alone_routers() -> u32 {
     1
 }
@@ -414,6 +426,9 @@
             return Err(invalid("snapshot_every_bytes", "is zero", "give a size in bytes"));
         }
         self.requests.check()?;
+        if self.descriptors < MIN_DESCRIPTORS {
+            return Err(invalid("descriptors", "is too small", "give 64 or more"));
+        }
         let share = self.rollout.canary_share;
         if !(MIN_CANARY_SHARE..=1.0).contains(&share) {
             let remedy = "give a part between 0.01 and 1";
--- a/src/site/plan.rs
+++ b/src/site/plan.rs
@@ -258,6 +258,7 @@
             snapshot_every: 1_000,
             snapshot_every_bytes: 8 << 20,
             requests: RequestLimits::default(),
+            descriptors: 8_192,
             rehearsal: true,
         }
     }
--- a/tests/platform/fleet_settings.rs
+++ b/tests/platform/fleet_settings.rs
@@ -35,7 +35,7 @@
     let control_text = format!(
         "{}platform: \"{control}:{CONTROL_PORT}\"\ndata: {}\nfound_with_seeds: true\n\
          tolerated_losses: 0\nwait_for_disk: true\n\
-         requests:\n  held_bytes: {REQUEST_BYTES}\n",
+         descriptors: 4096\nrequests:\n  held_bytes: {REQUEST_BYTES}\n",
         host("control", control),
         data.display()
     );
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -71,6 +71,7 @@
         "found_with_seeds",
         "tolerated_losses",
         "wait_for_disk",
+        "descriptors",
         "platform",
         "placement",
         "gateway",
