Bound what a router holds of requests at the product's own interface

The same crowds fill a router that serves chat completions and plain services: each body was collected whole within `max_body`, a customer's `max_bytes` counted only what had arrived in full, and heads could have 400 KB.

This interface now reads bodies with `request_body` too, within `requests.held_bytes`; a body counts until its last copy is gone, with a stream until the stream has ended. Callers whose request finds no room are answered 429, `too-many-bytes`, as not run. Names that are no customer's share one part of the memory. Bodies may take 60 s, heads may have 16 KB.

Not covered: the number of connections at this interface, which nothing bounds but the descriptors of the process.

The tests now look at one port where several processes share an address.

--- a/src/caller.rs
+++ b/src/caller.rs
@@ -3,21 +3,24 @@
 //! Only this module depends on the formats of callers' requests.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::Router as App;
 use axum::body::Body;
-use axum::extract::rejection::BytesRejection;
-use axum::extract::{DefaultBodyLimit, Path, State};
+use axum::extract::{Path, State};
 use axum::http::{HeaderMap, Method, Response, StatusCode, Uri};
-use axum::response::IntoResponse;
 use axum::routing::{any, get, post};
-use bytes::Bytes;
 use serde::Deserialize;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::delivery::{Outcome, header};
+use crate::delivery::{NotRunReason, Outcome, header};
+use crate::request_body::{HeldBody, ReadError, read_body};
 use crate::router::{Request, Router};
 
+/// Longest time that the body of a request may take.
+const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time after which a caller may retry whose request finds no room, in milliseconds.
+const RETRY_AFTER_MS: u32 = 1_000;
 /// Number of bytes of a prompt that count as one token.
 const BYTES_PER_TOKEN: usize = 4;
 /// Lengths of the prompt prefixes that are hashed for cache affinity, in bytes.
@@ -48,13 +51,11 @@
 
 /// Returns the HTTP application for callers.
 pub fn app(router: Arc<Router>) -> App {
-    let limit = DefaultBodyLimit::max(router.settings.max_body);
     App::new()
         .route("/metrics", get(async |State(r): State<Arc<Router>>| r.metrics.render()))
         .route("/ready", get(ready))
         .route("/v1/chat/completions", post(chat))
         .route("/{service}/{*path}", any(plain))
-        .layer(limit)
         .with_state(router)
 }
 
@@ -65,13 +66,9 @@
     }
 }
 
-async fn chat(
-    State(router): State<Arc<Router>>,
-    headers: HeaderMap,
-    body: Result<Bytes, BytesRejection>,
-) -> Response<Body> {
-    let (customer, body) = match read_request(&headers, body) {
-        Ok(parsed) => parsed,
+async fn chat(State(router): State<Arc<Router>>, headers: HeaderMap, body: Body) -> Response<Body> {
+    let (customer, body) = match read_request(&router, &headers, body).await {
+        Ok(read) => read,
         Err(response) => return response,
     };
     let chat: Chat = match serde_json::from_slice(&body) {
@@ -104,10 +101,10 @@
     method: Method,
     uri: Uri,
     headers: HeaderMap,
-    body: Result<Bytes, BytesRejection>,
+    body: Body,
 ) -> Response<Body> {
-    let (customer, body) = match read_request(&headers, body) {
-        Ok(parsed) => parsed,
+    let (customer, body) = match read_request(&router, &headers, body).await {
+        Ok(read) => read,
         Err(response) => return response,
     };
     let query = uri.query().map(|q| format!("?{q}")).unwrap_or_default();
@@ -125,26 +122,31 @@
     router.serve(request).await
 }
 
-fn read_request(
+async fn read_request(
+    router: &Router,
     headers: &HeaderMap,
-    body: Result<Bytes, BytesRejection>,
-) -> Result<(String, Bytes), Response<Body>> {
-    let body = match body {
-        Ok(body) => body,
-        Err(rejection) => {
-            let response = rejection.into_response();
-            return Err(error_response(
-                response.status(),
-                "the body cannot be read or is too large".into(),
-            ));
-        }
+    body: Body,
+) -> Result<(String, HeldBody), Response<Body>> {
+    let Some(customer) = header::text(headers, header::CUSTOMER) else {
+        let message = format!("name the customer in {}", header::CUSTOMER);
+        return Err(error_response(StatusCode::UNAUTHORIZED, message));
     };
-    match header::text(headers, header::CUSTOMER) {
-        Some(customer) => Ok((customer.to_string(), body)),
-        None => {
-            let message = format!("name the customer in {}", header::CUSTOMER);
-            Err(error_response(StatusCode::UNAUTHORIZED, message))
+    // Invented names share one part of the memory.
+    let holder = if router.config().customer_id(customer).is_some() { customer } else { "" };
+    let held = router.request_memory.hold(holder).ok_or(ReadError::NoMemory);
+    let held = held.map_err(unread_response)?;
+    let max_bytes = router.settings.max_body;
+    let body = read_body(body, max_bytes, BODY_TIMEOUT, held).await.map_err(unread_response)?;
+    Ok((customer.to_string(), body))
+}
+
+/// The answer to a request whose body was not read to its end.
+fn unread_response(error: ReadError) -> Response<Body> {
+    match error {
+        ReadError::NoMemory => {
+            Outcome::NotRun(NotRunReason::TooManyBytes, RETRY_AFTER_MS).into_response("")
         }
+        error => error_response(error.status(), error.to_string()),
     }
 }
 
--- a/src/delivery/attempt.rs
+++ b/src/delivery/attempt.rs
@@ -16,6 +16,7 @@
 use super::sse::Splitter;
 use crate::answer::{AnswerBody, AnswerLimits, AnswerMemory, Completeness};
 use crate::notice::Notice;
+use crate::request_body::HeldBody;
 
 /// Hop-by-hop headers: they apply to one connection and are not forwarded.
 const HOP_BY_HOP_HEADERS: [&str; 7] =
@@ -33,7 +34,7 @@
     /// The caller's headers.
     pub headers: HeaderMap,
     /// The body.
-    pub body: Bytes,
+    pub body: HeldBody,
     /// Whether the call may run at most once, so that it must not be repeated.
     pub run_once: bool,
     /// Number of tokens already received, when a truncated stream is resumed.
@@ -181,6 +182,6 @@
         if let Some(tokens) = self.resume_after {
             headers.insert(header::RESUME, tokens.into());
         }
-        request.body(Body::from(self.body.clone())).ok()
+        request.body(Body::from(self.body.to_bytes())).ok()
     }
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -41,6 +41,8 @@
 /// Maximum time for which it then waits for a control host. An election takes one or two seconds,
 /// longer on a busy host.
 const CONTROL_WAIT_TIMEOUT: Duration = Duration::from_secs(6);
+/// Largest head of a request in bytes.
+const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Interval at which it checks for a control host.
@@ -129,7 +131,7 @@
     let limits = ConnectionLimits {
         keep_alive: KeepAlive::UntilClosed,
         head_timeout: None,
-        max_buffer: None,
+        max_buffer: Some(MAX_HEAD_BYTES),
     };
     loop {
         let mut stream = match listener.accept().await {
--- a/src/router/serve/request.rs
+++ b/src/router/serve/request.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use axum::http::{HeaderMap, Method, StatusCode};
-use bytes::Bytes;
 
 use super::{Job, RETRY_AFTER_MS};
 use crate::clock::BootInstant;
 use crate::config::{Config, CustomerId, ServiceId};
 use crate::delivery::{Call, NotRunReason, Outcome, header};
 use crate::quarantine::{Attribute, Fingerprint, RequestProfile};
+use crate::request_body::HeldBody;
 use crate::router::state::Router;
 use crate::telemetry::RequestId;
 
@@ -28,7 +28,7 @@
     /// Headers as sent by the caller.
     pub headers: HeaderMap,
     /// The body.
-    pub body: Bytes,
+    pub body: HeldBody,
     /// Estimated number of prompt tokens; 0 for plain services.
     pub prompt_tokens: u32,
     /// Hashes of prefixes of the prompt, shortest first; empty for plain services.
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -21,6 +21,7 @@
 use crate::host_list;
 use crate::peer::Peers;
 use crate::quarantine::{CrashGuard, report_crashes};
+use crate::request_body::RequestMemory;
 use crate::settings::{DispatchMode, RouterSettings};
 use crate::spread::{self, CurrentConfig};
 use crate::telemetry::{Metrics, RequestId, Trace};
@@ -49,6 +50,8 @@
     pub metrics: Metrics,
     /// HTTP client for calls to endpoints.
     pub endpoint_client: EndpointClient,
+    /// The bytes of requests that are held.
+    pub request_memory: Arc<RequestMemory>,
     /// Refuses requests that crash endpoints.
     pub guard: Arc<CrashGuard>,
     /// Subscriptions to the feeds of control hosts.
@@ -97,6 +100,7 @@
             Arc::new(CrashGuard::new(fleet_state.quarantine.clone(), peers.me, peers.clock));
         let hall = settings.host.hall.clone();
         let endpoint_client = EndpointClient::new(settings.answers);
+        let request_memory = RequestMemory::new(settings.requests.max_held_bytes());
         let feeds = Subscriptions::start(peers.clone(), fleet_state, &hall, Role::Router);
         Arc::new(Router {
             claims,
@@ -110,6 +114,7 @@
             trace,
             metrics: Metrics::default(),
             endpoint_client,
+            request_memory,
             notices: EndpointNotices::default(),
             run_once_calls: TaskTracker::new(),
             leaving,
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -12,8 +12,14 @@
 mod connections;
 #[path = "crowds/control_hosts.rs"]
 mod control_hosts;
+#[path = "crowds/own_interface.rs"]
+mod own_interface;
 #[path = "crowds/process.rs"]
 mod process;
+// Shared with the scenarios, which use more of it.
+#[allow(dead_code)]
+#[path = "scenarios/fleet.rs"]
+mod site_fleet;
 // Shared with the tests of the platform, which use more of these items.
 #[allow(dead_code)]
 #[path = "platform/fleet.rs"]
--- a/tests/crowds/bodies.rs
+++ b/tests/crowds/bodies.rs
@@ -2,7 +2,7 @@
 
 use super::clients::{Crowd, Script};
 use super::fleet::Fleet;
-use super::process::{Queues, Watch, ip};
+use super::process::{Place, Queues, Watch};
 use super::replica::Behaviour;
 use super::{MAX_BODY_BYTES, ROUTER, alone, assert_answered, exchange, fleet_with, head};
 
@@ -24,7 +24,7 @@
 
 fn watch_router(fleet: &Fleet) -> Watch {
     let [router, _] = fleet.process_ids();
-    Watch::start("router", router, ip(fleet.front))
+    Watch::start("router", router, Place::host(fleet.front))
 }
 
 /// Requests of one customer, by the heads that they begin with.
@@ -139,7 +139,7 @@
     fleet.settle_neighbour().await;
     assert_answered(fleet.front, "/once/x", "key-two").await;
     let router = watch_router(&fleet);
-    let neighbour = Watch::start("neighbour", fleet.neighbour_id(), ip(fleet.neighbour));
+    let neighbour = Watch::start("neighbour", fleet.neighbour_id(), Place::host(fleet.neighbour));
     let crowd = Crowd::start(
         fleet.front,
         crowd_of(CLIENTS, "/once/x", |head| {
@@ -170,7 +170,7 @@
     let (fleet, _replica) = fleet_with(events).await;
     let crowd = Crowd::start(fleet.front, crowd_of(1, "/stream/x", pipelined));
     crowd.settle().await;
-    let unread = Queues::at(ip(fleet.front)).unread_bytes;
+    let unread = Queues::at(&Place::host(fleet.front)).unread_bytes;
     assert!(unread <= UNREAD_BYTES, "{unread} bytes");
 }
 
--- a/tests/crowds/clients.rs
+++ b/tests/crowds/clients.rs
@@ -1,6 +1,6 @@
 //! Clients that send as much as they can, and keep their connections open.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -10,7 +10,7 @@
 use tokio::task::JoinSet;
 
 use super::http::read_answer;
-use super::process::{Queues, ip};
+use super::process::{Place, Queues};
 
 /// How long clients may be held up by a process that does not read.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -67,7 +67,7 @@
 
 /// Clients that are connected until this is dropped.
 pub struct Crowd {
-    to: Ipv4Addr,
+    to: Place,
     clients: JoinSet<()>,
     settled: Arc<AtomicUsize>,
 }
@@ -94,7 +94,7 @@
                 std::future::pending::<()>().await;
             });
         }
-        Crowd { to: ip(to), clients, settled }
+        Crowd { to: Place::port(to), clients, settled }
     }
 
     /// Waits until the other side has read what each client sent or has cut it off, or holds
@@ -102,7 +102,7 @@
     pub async fn settle(&self) {
         let settling = async {
             while self.settled.load(Ordering::Relaxed) < self.clients.len()
-                || Queues::at(self.to) != Queues::default()
+                || Queues::at(&self.to) != Queues::default()
             {
                 tokio::time::sleep(POLL_INTERVAL).await;
             }
--- a/tests/crowds/connections.rs
+++ b/tests/crowds/connections.rs
@@ -4,7 +4,7 @@
 
 use super::clients::{Crowd, Script};
 use super::http::{open, read_answer};
-use super::process::{Watch, ip};
+use super::process::{Place, Watch};
 use super::replica::Behaviour;
 use super::{ROUTER, alone, assert_answered, exchange, fleet_with, head};
 
@@ -31,7 +31,7 @@
 async fn heads_that_stop_short_of_their_end_do_not_fill_a_router() {
     let _alone = alone().await;
     let (fleet, _replica) = fleet_with(Behaviour::Answer).await;
-    let watch = Watch::start("router", fleet.process_ids()[0], ip(fleet.front));
+    let watch = Watch::start("router", fleet.process_ids()[0], Place::host(fleet.front));
     let head = |number| {
         let head = head("/once/x", &format!("crowd-{number}"), "key-one");
         Script::head_only(format!("{head}X-Long: {}", "y".repeat(LONG_HEADER_BYTES)))
@@ -46,7 +46,7 @@
 async fn more_connections_than_a_router_holds_do_not_keep_others_out() {
     let _alone = alone().await;
     let (fleet, _replica) = fleet_with(Behaviour::Answer).await;
-    let watch = Watch::start("router", fleet.process_ids()[0], ip(fleet.front));
+    let watch = Watch::start("router", fleet.process_ids()[0], Place::host(fleet.front));
     let head = |number| Script::head_only(head("/once/x", &format!("crowd-{number}"), "key-one"));
     let crowd = Crowd::start(fleet.front, (0..CONNECTIONS).map(head));
     crowd.settle().await;
@@ -73,7 +73,7 @@
 async fn heads_without_end_at_the_ready_address_do_not_fill_a_router() {
     let _alone = alone().await;
     let (fleet, _replica) = fleet_with(Behaviour::Answer).await;
-    let watch = Watch::start("router", fleet.process_ids()[0], ip(fleet.front));
+    let watch = Watch::start("router", fleet.process_ids()[0], Place::host(fleet.front));
     let crowd =
         Crowd::start(fleet.ready, (0..ENDLESS_HEADS).map(|_| endless_head(ENDLESS_HEAD_BYTES)));
     crowd.settle().await;
@@ -87,7 +87,7 @@
 async fn connections_to_the_ready_address_do_not_use_up_the_descriptors() {
     let _alone = alone().await;
     let (fleet, _replica) = fleet_with(Behaviour::Answer).await;
-    let watch = Watch::start("router", fleet.process_ids()[0], ip(fleet.front));
+    let watch = Watch::start("router", fleet.process_ids()[0], Place::host(fleet.front));
     let crowd = Crowd::start(fleet.ready, (0..READY_CONNECTIONS).map(|_| endless_head(0)));
     crowd.settle().await;
     assert_answered(fleet.front, "/once/x", "key-two").await;
--- a/tests/crowds/control_hosts.rs
+++ b/tests/crowds/control_hosts.rs
@@ -3,7 +3,7 @@
 use super::clients::{Crowd, Script};
 use super::connections::endless_head;
 use super::fleet::Fleet;
-use super::process::{Watch, ip};
+use super::process::{Place, Watch};
 use super::replica::Behaviour;
 use super::{CONTROL_HOST, alone, exchange, fleet_with, patient_configuration};
 
@@ -31,7 +31,7 @@
     let _alone = alone().await;
     let (fleet, replica) = fleet_with(Behaviour::Answer).await;
     let to = fleet.control_address();
-    let watch = Watch::start("control host", fleet.process_ids()[1], ip(to));
+    let watch = Watch::start("control host", fleet.process_ids()[1], Place::host(to));
     let crowd = Crowd::start(to, scripts);
     crowd.settle().await;
     assert_serves(&fleet).await;
--- a/tests/crowds/process.rs
+++ b/tests/crowds/process.rs
@@ -1,6 +1,6 @@
 //! Memory and descriptors of a running process, as its machine counts them.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
@@ -35,8 +35,8 @@
 }
 
 impl Watch {
-    /// Watches a process that is the only one with sockets at `address`.
-    pub fn start(name: &'static str, pid: u32, address: Ipv4Addr) -> Watch {
+    /// Watches a process that is the only one with sockets at `place`.
+    pub fn start(name: &'static str, pid: u32, place: Place) -> Watch {
         let peak = Arc::<Mutex<Usage>>::default();
         let stop = Arc::<AtomicBool>::default();
         let sampling = {
@@ -44,7 +44,7 @@
             std::thread::spawn(move || {
                 while !stop.load(Ordering::Relaxed) {
                     let memory_bytes =
-                        status_bytes(pid, "VmRSS:") + Queues::at(address).unread_bytes;
+                        status_bytes(pid, "VmRSS:") + Queues::at(&place).unread_bytes;
                     let descriptors = descriptors(pid);
                     let mut peak = peak.lock().unwrap();
                     peak.memory_bytes = peak.memory_bytes.max(memory_bytes);
@@ -91,21 +91,37 @@
     std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count)
 }
 
+/// Where connections end, as the beginning of an address in `/proc/net/tcp`.
+#[derive(Clone, Debug)]
+pub struct Place(String);
+
+impl Place {
+    /// All ports of the IP address of a socket.
+    pub fn host(socket: SocketAddr) -> Place {
+        let IpAddr::V4(ip) = socket.ip() else { panic!("the tests use IPv4, not {socket}") };
+        Place(format!("{:08X}:", u32::from_le_bytes(ip.octets())))
+    }
+
+    /// One port of an IP address.
+    pub fn port(socket: SocketAddr) -> Place {
+        Place(format!("{}{:04X}", Place::host(socket).0, socket.port()))
+    }
+}
+
 /// What waits in the kernel at one end of connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Queues {
-    /// Bytes received by the sockets of an address and not read.
+    /// Bytes received by the sockets of a place and not read.
     pub unread_bytes: u64,
-    /// Bytes sent to that address and not received.
+    /// Bytes sent to that place and not received.
     pub unsent_bytes: u64,
-    /// Connections to that address that are not accepted.
+    /// Connections to that place that are not accepted.
     pub unaccepted: u64,
 }
 
 impl Queues {
-    /// What waits at an address now.
-    pub fn at(address: Ipv4Addr) -> Queues {
-        let address = format!("{:08X}:", u32::from_le_bytes(address.octets()));
+    /// What waits at a place now.
+    pub fn at(place: &Place) -> Queues {
         let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
         let mut queues = Queues::default();
         for line in table.lines().skip(1) {
@@ -113,23 +129,15 @@
             let [_, local, remote, state, lengths, ..] = fields[..] else { continue };
             let Some((sending, receiving)) = lengths.split_once(':') else { continue };
             let length = |text: &str| u64::from_str_radix(text, 16).unwrap_or(0);
-            if local.starts_with(&address) {
+            if local.starts_with(&place.0) {
                 match state {
                     LISTENING => queues.unaccepted += length(receiving),
                     _ => queues.unread_bytes += length(receiving),
                 }
-            } else if remote.starts_with(&address) {
+            } else if remote.starts_with(&place.0) {
                 queues.unsent_bytes += length(sending);
             }
         }
         queues
     }
 }
-
-/// The IPv4 address of a socket.
-pub fn ip(address: SocketAddr) -> Ipv4Addr {
-    match address.ip() {
-        IpAddr::V4(ip) => ip,
-        IpAddr::V6(ip) => panic!("the tests use IPv4, not {ip}"),
-    }
-}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,5 +1,7 @@
 //! Runs the scenarios in `tests/features` with real processes on loopback addresses.
 
+// Shared with the tests of crowds, which use more of it.
+#[allow(dead_code)]
 #[path = "scenarios/fleet.rs"]
 mod fleet;
 #[path = "scenarios/loads.rs"]
--- a/tests/scenarios/fleet.rs
+++ b/tests/scenarios/fleet.rs
@@ -160,6 +160,11 @@
         self.processes.insert(name.to_string(), child);
     }
 
+    /// Process id of a running process.
+    pub fn process_id(&self, name: &str) -> u32 {
+        self.processes[name].id()
+    }
+
     fn signal(&self, name: &str, signal: Signal) {
         let pid = Pid::from_raw(self.processes[name].id() as i32);
         kill(pid, signal).unwrap();
