Pass on no answer whose status is that of no final answer

An endpoint in trouble that answered with status 101, 600, 700 or 999 had that answer passed on to the caller, on every route and at the product's own interface. 000 and texts that are no three digits were refused by the HTTP client already (502), and so were 100, 102, 103 and 199, which announce an answer that didn't come.

Cause: the HTTP client takes any three digits from 100 to 999 for a status, and hands out a 101 that nobody asked for as an answer; the router compared the status with those that mean something to it, and passed on the rest.

`answer::is_final` tells statuses of final answers (200 to 599) from others. Both clients ask it once the id is known to be that of the request, before anything else in the head is read: neither a promise that it has not run nor a notice in such a head counts. The connection is closed and the endpoint has failed; the request may have run, so that the caller gets 502 unless its route allows another try.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod memory;
 mod read_guard;
+mod status;
 #[cfg(test)]
 mod tests;
 mod verdict;
@@ -18,4 +19,5 @@
 pub use limits::AnswerLimits;
 pub use memory::{AnswerMemory, HeldBytes};
 pub use read_guard::{ExceededLimit, GuardedIo, ReadGuard};
+pub use status::is_final;
 pub use verdict::{BodyEnd, BrokenAnswer, Completeness, ContentEnd, Ending};
--- a/src/delivery/attempt.rs
+++ b/src/delivery/attempt.rs
@@ -14,7 +14,7 @@
 use super::header;
 use super::outcome::UnknownReason;
 use super::sse::Splitter;
-use crate::answer::{AnswerBody, AnswerLimits, AnswerMemory, Completeness};
+use crate::answer::{self, AnswerBody, AnswerLimits, AnswerMemory, Completeness};
 use crate::notice::Notice;
 use crate::request_body::HeldBody;
 
@@ -135,6 +135,11 @@
             connection.retire();
             return Attempt::Unknown(UnknownReason::Crossed).into();
         }
+        if !answer::is_final(response.status()) {
+            log::info!("delivery: {} got status {}", call.id, response.status().as_str());
+            connection.retire();
+            return Attempt::Unknown(UnknownReason::Invalid).into();
+        }
         let leaving = HeaderName::from_static(header::LEAVING);
         let notice = Notice::read(response.status(), response.headers(), &leaving);
         AttemptReport { attempt: self.classify(call, response).await, notice }
--- a/src/delivery/outcome.rs
+++ b/src/delivery/outcome.rs
@@ -63,6 +63,8 @@
     TimedOut,
     /// The answer belongs to another request.
     Crossed,
+    /// The answer has a status that no answer has.
+    Invalid,
     /// An earlier call with the same key ended without a known answer.
     Earlier,
 }
@@ -74,6 +76,7 @@
             UnknownReason::Broken => "broken",
             UnknownReason::TimedOut => "timed-out",
             UnknownReason::Crossed => "crossed",
+            UnknownReason::Invalid => "invalid",
             UnknownReason::Earlier => "earlier",
         }
     }
--- a/src/delivery/tests.rs
+++ b/src/delivery/tests.rs
@@ -1,5 +1,15 @@
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use axum::http::{HeaderMap, Method};
+use bytes::Bytes;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
 use super::sse::{DONE, Splitter};
 use super::*;
+use crate::answer::AnswerLimits;
+use crate::request_body::{HeldBody, RequestMemory};
 use crate::wire::RefuseReason;
 
 fn events(chunks: &[&str]) -> Vec<String> {
@@ -58,9 +68,51 @@
 
 #[test]
 fn unknown_is_never_reported_as_not_run() {
-    for reason in [UnknownReason::Broken, UnknownReason::TimedOut, UnknownReason::Crossed] {
+    for reason in [
+        UnknownReason::Broken,
+        UnknownReason::TimedOut,
+        UnknownReason::Crossed,
+        UnknownReason::Invalid,
+    ] {
         let response = Outcome::Unknown(reason).into_response("1-a-1");
         assert_eq!(header::text(response.headers(), header::OUTCOME), Some("unknown"));
         assert!(response.headers().get("retry-after").is_none());
     }
 }
+
+/// The result of a call to an endpoint that answers with this status line.
+async fn attempt_with_status(status: &str) -> Attempt {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let answer = format!("HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\nok");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buffer = [0; 4_096];
+        let _ = stream.read(&mut buffer).await;
+        let _ = stream.write_all(answer.as_bytes()).await;
+    });
+    let held = RequestMemory::new(1 << 20).hold("one").unwrap();
+    let call = Call {
+        id: "1-a-1".into(),
+        method: Method::GET,
+        path: "/app/x".into(),
+        headers: HeaderMap::new(),
+        body: HeldBody::new(Bytes::new(), held),
+        run_once: false,
+        resume_after: None,
+    };
+    let client = EndpointClient::new(AnswerLimits::default());
+    client.attempt(address, &call, Duration::from_secs(10)).await.attempt
+}
+
+#[tokio::test]
+async fn an_answer_whose_status_is_that_of_no_final_answer_is_not_passed_on() {
+    for status in ["000", "099", "101", "199", "600", "700", "999", "1000", "20", "2xx"] {
+        let attempt = attempt_with_status(status).await;
+        assert!(matches!(attempt, Attempt::Unknown(_)), "{status}: {attempt:?}");
+    }
+    for status in ["200", "299", "300", "404", "500", "599"] {
+        let attempt = attempt_with_status(status).await;
+        assert!(matches!(attempt, Attempt::Answered(_)), "{status}: {attempt:?}");
+    }
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -18,7 +18,7 @@
 use super::observation::ReleaseObservation;
 use super::request::Call;
 use super::stream;
-use crate::answer::{AnswerBody, Completeness};
+use crate::answer::{self, AnswerBody, Completeness};
 use crate::caller_connection::EndsWithConnection;
 use crate::placement::{Completion, Reservation};
 use crate::registry::Registration;
@@ -172,6 +172,7 @@
     match tokio::time::timeout(answer_timeout(call), exchange).await {
         Ok(Ok((response, mut connection))) => {
             check_id(call, endpoint, &response)?;
+            check_status(call, endpoint, &response)?;
             connection.read_keep_alive(&response);
             let requests_rest = call.apply_notice(endpoint, &response);
             if response.status() == StatusCode::MISDIRECTED_REQUEST {
@@ -245,6 +246,28 @@
     Err(Attempt::Unknown)
 }
 
+/// Checks that an answer has the status of a final answer. Nothing else in another one is read, and
+/// its connection is closed: the request may have run.
+fn check_status(
+    call: &Call,
+    endpoint: &Registration,
+    response: &Response<Incoming>,
+) -> Result<(), Attempt> {
+    let status = response.status();
+    if answer::is_final(status) {
+        return Ok(());
+    }
+    log::info!(
+        "gateway: request {} ({}) got an answer with status {} from {}",
+        call.number,
+        call.head.id.as_deref().unwrap_or_default(),
+        status.as_str(),
+        endpoint.id,
+    );
+    call.gateway.record_failure(&endpoint.id, endpoint.started_at_ms, Failure::Failed);
+    Err(Attempt::Unknown)
+}
+
 /// How long to wait for an answer of one endpoint.
 fn answer_timeout(call: &Call) -> Duration {
     let remaining = call.remaining();
