--- a/src/control.rs
+++ b/src/control.rs
@@ -48,8 +48,9 @@
 
 /// Pause before the data folder is opened again after an I/O error.
 const DISK_RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// Callers' connections take this fraction of the descriptors at most.
-const CONNECTIONS_PART: usize = 2;
+/// Descriptors for each connection of an operator or endpoint, so that half of all are left for
+/// other hosts and files.
+const DESCRIPTORS_PER_CONNECTION: usize = 2;
 
 use published::PublishedState;
 
@@ -199,7 +200,7 @@
             Role::Control,
         );
         let app = (interface.app)(control.clone());
-        let max_connections = control.settings.descriptors / CONNECTIONS_PART;
+        let max_connections = control.settings.descriptors / DESCRIPTORS_PER_CONNECTION;
         crate::http::serve(interface.listen, app, max_connections, &stop).await?;
     }
     log::info!("control: host {} runs with store {}", control.peers.me, control.handle.store);
--- a/tests/crowds/clients.rs
+++ b/tests/crowds/clients.rs
@@ -31,8 +31,6 @@
     pub bytes: usize,
     /// Pause after each piece.
     pub pause: Duration,
-    /// What it sends in the end.
-    pub tail: &'static str,
 }
 
 impl Script {
@@ -126,5 +124,5 @@
             tokio::time::sleep(script.pause).await;
         }
     }
-    stream.write_all(script.tail.as_bytes()).await
+    Ok(())
 }
