--- a/review/common-2/scene.rs
+++ b/review/common-2/scene.rs
@@ -2,6 +2,9 @@
 //! replicas that follow PROTOCOL.md, an operator and callers. Only the standard library is used.
 #![allow(dead_code)]
 
+#[path = "relay.rs"]
+pub mod relay;
+
 use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{ErrorKind, Read, Write};
@@ -245,6 +248,10 @@
     pub ports: Ports,
     pub controls: Vec<Host>,
     pub routers: Vec<Host>,
+    /// Where hosts reach the control hosts, if through relays.
+    relays: Vec<Ipv4Addr>,
+    /// The host that the relays cut off.
+    pub cut_off: relay::CutOff,
     pub control_processes: Vec<Process>,
     pub router_processes: Vec<Process>,
 }
@@ -260,6 +267,15 @@
 impl Fleet {
     /// Starts a control host in each zone and `routers_per_zone` routers in each.
     pub fn start(record: Record, routers_per_zone: usize) -> Result<Fleet, String> {
+        Fleet::start_with(record, routers_per_zone, false)
+    }
+
+    /// The same, with a relay in front of each control host.
+    pub fn start_relayed(record: Record, routers_per_zone: usize) -> Result<Fleet, String> {
+        Fleet::start_with(record, routers_per_zone, true)
+    }
+
+    fn start_with(record: Record, routers_per_zone: usize, is_relayed: bool) -> Result<Fleet, String> {
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let net = (std::process::id() % 200 + 20) as u8;
@@ -268,7 +284,12 @@
         let routers: Vec<Host> = (0..ZONES.len() * routers_per_zone)
             .map(|n| Host { ip: ip(20, n), zone: n / routers_per_zone })
             .collect();
-        let all: Vec<Ipv4Addr> = controls.iter().chain(&routers).map(|host| host.ip).collect();
+        let relays: Vec<Ipv4Addr> = match is_relayed {
+            true => (0..ZONES.len()).map(|n| ip(10, n)).collect(),
+            false => Vec::new(),
+        };
+        let hosts = controls.iter().chain(&routers).map(|host| host.ip);
+        let all: Vec<Ipv4Addr> = hosts.chain(relays.iter().copied()).collect();
         let first = (20..60).map(|n| n * 500).find(|first| are_free(&all, *first));
         let first = first.ok_or("no free ports")?;
         let ports = Ports {
@@ -284,9 +305,15 @@
             ports,
             controls,
             routers,
+            relays,
+            cut_off: relay::CutOff::default(),
             control_processes: Vec::new(),
             router_processes: Vec::new(),
         };
+        for (relay, control) in fleet.relays.iter().zip(&fleet.controls) {
+            let (listen, to) = ((*relay, ports.peer).into(), (control.ip, ports.peer).into());
+            relay::start(listen, to, &fleet.cut_off).map_err(|error| error.to_string())?;
+        }
         for number in 0..fleet.controls.len() {
             fleet.write_control_settings(number, true);
             let process = fleet.spawn("control", &format!("control-{number}"));
@@ -302,7 +329,11 @@
 
     fn host_settings(&self, name: &str, host: Host) -> String {
         let Ports { peer, operator, control, .. } = self.ports;
-        let seeds: Vec<_> = self.controls.iter().map(|c| format!("\"{}:{control}\"", c.ip)).collect();
+        let seeds: Vec<Ipv4Addr> = match self.relays.is_empty() {
+            true => self.controls.iter().map(|control| control.ip).collect(),
+            false => self.relays.clone(),
+        };
+        let seeds: Vec<_> = seeds.iter().map(|ip| format!("\"{ip}:{control}\"")).collect();
         let regions: Vec<_> = ZONES.iter().map(|zone| format!("\"{zone}\": \"region\"")).collect();
         format!(
             "host:\n  name: \"{name}\"\n  hall: \"{}\"\n  peer: \"{}:{peer}\"\n  seeds: [{}]\n  \
@@ -319,7 +350,16 @@
         let host = self.controls[number];
         let name = format!("control-{number}");
         let halls: Vec<_> = ZONES.iter().map(|zone| format!("\"{zone}\"")).collect();
-        let text = self.host_settings(&name, host)
+        let mut host_text = self.host_settings(&name, host);
+        if let Some(relay) = self.relays.get(number) {
+            let reached = format!(
+                "  id: {}\n  advertise: \"{relay}:{}\"\n  seed_port:",
+                u32::from(*relay),
+                self.ports.peer
+            );
+            host_text = host_text.replace("  seed_port:", &reached);
+        }
+        let text = host_text
             + &format!(
                 "platform: \"{}:{}\"\ndata: \"{}\"\nfound_with_seeds: {is_first_start}\nhalls: [{}]\n\
                  tolerated_losses: 1\nwait_for_disk: true\ndescriptors: 4096\n",
