--- a/review/common-2/relay.rs
+++ b/review/common-2/relay.rs
@@ -151,3 +151,70 @@
         }
     }
 }
+
+/// Time between two calls that were held back, which arrive in the order in which they were sent.
+const RELEASE_PAUSE: Duration = Duration::from_millis(40);
+
+/// Whether calls through a relay of [`start_delaying`] are held back.
+pub type Held = Arc<Mutex<bool>>;
+
+/// Relays calls of a replica to a control host. While they are held, a call is kept, also once its
+/// sender has given up waiting, and delivered afterwards, as a network does that was cut for a while.
+pub fn start_delaying(listen: SocketAddr, to: SocketAddr, held: &Held) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind(listen)?;
+    let address = listener.local_addr()?;
+    let held = held.clone();
+    thread::spawn(move || {
+        let mut calls_held = 0;
+        for stream in listener.incoming().flatten() {
+            let is_held = *held.lock().unwrap();
+            let place = if is_held { calls_held } else { 0 };
+            calls_held += u32::from(is_held);
+            let held = held.clone();
+            thread::spawn(move || {
+                let _ = relay_call(stream, to, &held, RELEASE_PAUSE * place);
+            });
+        }
+    });
+    Ok(address)
+}
+
+fn relay_call(mut from: TcpStream, to: SocketAddr, held: &Held, pause: Duration) -> std::io::Result<()> {
+    let mut call = Vec::new();
+    let mut buffer = [0; 16 << 10];
+    from.set_read_timeout(Some(POLL))?;
+    loop {
+        let read = from.read(&mut buffer);
+        if let Ok(read) = read {
+            call.extend_from_slice(&buffer[..read]);
+        }
+        let is_held = *held.lock().unwrap();
+        if !is_held && is_whole(&call) {
+            break;
+        }
+        if matches!(read, Ok(0)) {
+            // The sender has given up.
+            if !is_whole(&call) {
+                return Ok(());
+            }
+            thread::sleep(POLL);
+        }
+    }
+    thread::sleep(pause);
+    let mut target = TcpStream::connect(to)?;
+    target.write_all(&call)?;
+    target.set_read_timeout(Some(Duration::from_secs(1)))?;
+    let mut answer = Vec::new();
+    // The sender asks for the connection to be closed after the answer.
+    let _ = target.read_to_end(&mut answer);
+    from.write_all(&answer)?;
+    Ok(())
+}
+
+fn is_whole(call: &[u8]) -> bool {
+    let Some(end) = call.windows(4).position(|four| four == b"\r\n\r\n") else { return false };
+    let head = String::from_utf8_lossy(&call[..end]).to_ascii_lowercase();
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length:"));
+    let length = length.and_then(|text| text.trim().parse::<usize>().ok()).unwrap_or(0);
+    call.len() >= end + 4 + length
+}
--- a/review/common-2/scene.rs
+++ b/review/common-2/scene.rs
@@ -491,6 +491,11 @@
     pub zone: usize,
     sequence: AtomicU64,
     is_registering: AtomicBool,
+    is_leaving: AtomicBool,
+    has_ended: AtomicBool,
+    /// Calls to control hosts so far, and which of them is called next.
+    turn: AtomicU64,
+    connections: Mutex<Vec<TcpStream>>,
 }
 
 impl Replica {
@@ -507,10 +512,17 @@
             zone,
             sequence: AtomicU64::new(0),
             is_registering: AtomicBool::new(false),
+            is_leaving: AtomicBool::new(false),
+            has_ended: AtomicBool::new(false),
+            turn: AtomicU64::new(0),
+            connections: Mutex::default(),
         });
         let (served, record) = (replica.clone(), record.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if served.has_ended.load(Ordering::Relaxed) {
+                    return;
+                }
                 let (replica, record) = (served.clone(), record.clone());
                 thread::spawn(move || replica.serve(stream, work, &record));
             }
@@ -520,6 +532,9 @@
 
     fn serve(&self, mut stream: TcpStream, work: Work, record: &Record) {
         let _ = stream.set_nodelay(true);
+        if let Ok(connection) = stream.try_clone() {
+            self.connections.lock().unwrap().push(connection);
+        }
         let mut bytes = Vec::new();
         while let Some((first, headers)) = read_request(&mut stream, &mut bytes) {
             let path = first.split(' ').nth(1).unwrap_or_default().to_string();
@@ -531,10 +546,28 @@
                 }
                 continue;
             }
+            if path == "/healthz" {
+                // It answers 200 for as long as it is not leaving.
+                let status = if self.is_leaving.load(Ordering::Relaxed) { "503 Service Unavailable" } else { "200 OK" };
+                let text = format!(
+                    "HTTP/1.1 {status}\r\nBramblecrank-Replica-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                    self.id
+                );
+                record.add(format!("{} answers a health check with {status}", self.id));
+                if stream.write_all(text.as_bytes()).is_err() {
+                    return;
+                }
+                continue;
+            }
             let at = Instant::now();
             self.seen.lock().unwrap().push(Seen { id: id.clone(), path, headers, at });
             record.add(format!("{} runs {id}", self.id));
-            if !works(&stream, work.time) {
+            let is_open = works(&stream, work.time);
+            if self.has_ended.load(Ordering::Relaxed) {
+                record.add(format!("{} ends while it runs {id}", self.id));
+                return;
+            }
+            if !is_open {
                 record.add(format!("{} drops {id}: its connection was closed", self.id));
                 return;
             }
@@ -552,35 +585,85 @@
         }
     }
 
-    fn heartbeat(&self, controls: &[SocketAddr], state: &str) -> bool {
-        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-        let body = format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":100,"state":"{state}","warmupLeftMs":0,"callSeq":{sequence}}}"#,
-            self.service, self.address, ZONES[self.zone]
-        );
-        let path = format!("/replicas/{}", self.id);
-        let first = sequence as usize;
-        (0..controls.len()).any(|offset| {
-            let control = controls[(first + offset) % controls.len()];
-            control_call(control, "PUT", &path, &body).is_ok_and(|answer| answer.status == 200)
+    /// Calls one control host after the other, each call with a number of its own, until one
+    /// acknowledges it. Each round begins with the next control host. Returns which one did.
+    fn call_controls(&self, controls: &[SocketAddr], mut request: impl FnMut(u64) -> (&'static str, String)) -> Option<usize> {
+        let first = self.turn.fetch_add(1, Ordering::Relaxed) as usize;
+        (0..controls.len()).map(|offset| (first + offset) % controls.len()).find(|number| {
+            let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+            let (method, body) = request(sequence);
+            let path = format!("/replicas/{}", self.id);
+            let answer = control_call(controls[*number], method, &path, &body);
+            answer.is_ok_and(|answer| answer.status == 200)
         })
     }
 
+    fn heartbeat(&self, controls: &[SocketAddr], record: &Record, state: &str) -> bool {
+        let acknowledged_by = self.call_controls(controls, |sequence| {
+            record.add(format!("{} sends heartbeat {sequence}, {state}", self.id));
+            let body = format!(
+                r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":100,"state":"{state}","warmupLeftMs":0,"callSeq":{sequence}}}"#,
+                self.service, self.address, ZONES[self.zone]
+            );
+            ("PUT", body)
+        });
+        acknowledged_by.is_some()
+    }
+
+    /// Waits until a heartbeat was sent and the next one begins with this control host.
+    pub fn wait_for_turn(&self, control: usize, controls: usize) {
+        let next = || self.turn.load(Ordering::Relaxed) as usize % controls;
+        while next() == control {
+            thread::sleep(Duration::from_millis(5));
+        }
+        while next() != control {
+            thread::sleep(Duration::from_millis(5));
+        }
+        thread::sleep(HEARTBEAT * 9 / 10);
+    }
+
+    /// Sends `DELETE /replicas/ID` without having stated `draining`, and goes on serving. Returns
+    /// when it was acknowledged.
+    pub fn leave(&self, controls: &[SocketAddr], record: &Record) -> Result<Instant, String> {
+        self.is_registering.store(false, Ordering::Relaxed);
+        self.is_leaving.store(true, Ordering::Relaxed);
+        let acknowledged_by = self.call_controls(controls, |sequence| {
+            record.add(format!("{} sends DELETE, call {sequence}", self.id));
+            ("DELETE", String::new())
+        });
+        let number = acknowledged_by.ok_or(format!("no control host acknowledges the end of {}", self.id))?;
+        record.add(format!("control-{number} acknowledges the end of {}", self.id));
+        Ok(Instant::now())
+    }
+
+    /// Ends: nothing is served any more, and what runs breaks off.
+    pub fn end(&self, record: &Record) {
+        self.has_ended.store(true, Ordering::Relaxed);
+        let _ = TcpStream::connect(self.address);
+        self.connections.lock().unwrap().iter().for_each(close);
+        record.add(format!("{} has ended", self.id));
+    }
+
     /// Registers, and goes on sending heartbeats.
-    pub fn register(self: &Arc<Self>, controls: Vec<SocketAddr>) -> Result<(), String> {
+    pub fn register(self: &Arc<Self>, controls: Vec<SocketAddr>, record: &Record) -> Result<(), String> {
         let deadline = Instant::now() + Duration::from_secs(10);
-        while !self.heartbeat(&controls, "ready") {
+        while !self.heartbeat(&controls, record, "ready") {
             if Instant::now() > deadline {
                 return Err(format!("replica {} is not acknowledged", self.id));
             }
             thread::sleep(Duration::from_millis(100));
         }
         self.is_registering.store(true, Ordering::Relaxed);
-        let replica = self.clone();
+        let (replica, record) = (self.clone(), record.clone());
         thread::spawn(move || {
-            while replica.is_registering.load(Ordering::Relaxed) {
-                thread::sleep(HEARTBEAT);
-                replica.heartbeat(&controls, "ready");
+            let mut due = Instant::now();
+            loop {
+                due += HEARTBEAT;
+                thread::sleep(due.saturating_duration_since(Instant::now()));
+                if !replica.is_registering.load(Ordering::Relaxed) {
+                    return;
+                }
+                replica.heartbeat(&controls, &record, "ready");
             }
         });
         Ok(())
