--- a/review/common-2/scene.rs
+++ b/review/common-2/scene.rs
@@ -267,15 +267,20 @@
 impl Fleet {
     /// Starts a control host in each zone and `routers_per_zone` routers in each.
     pub fn start(record: Record, routers_per_zone: usize) -> Result<Fleet, String> {
-        Fleet::start_with(record, routers_per_zone, false)
+        let mut fleet = Fleet::prepare(record, routers_per_zone, false)?;
+        fleet.start_all();
+        Ok(fleet)
     }
 
     /// The same, with a relay in front of each control host.
     pub fn start_relayed(record: Record, routers_per_zone: usize) -> Result<Fleet, String> {
-        Fleet::start_with(record, routers_per_zone, true)
+        let mut fleet = Fleet::prepare(record, routers_per_zone, true)?;
+        fleet.start_all();
+        Ok(fleet)
     }
 
-    fn start_with(record: Record, routers_per_zone: usize, is_relayed: bool) -> Result<Fleet, String> {
+    /// Writes the settings of a first start, without starting a process.
+    pub fn prepare(record: Record, routers_per_zone: usize, is_relayed: bool) -> Result<Fleet, String> {
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let net = (std::process::id() % 200 + 20) as u8;
@@ -299,7 +304,7 @@
             front: first + 3,
             ready: first + 4,
         };
-        let mut fleet = Fleet {
+        let fleet = Fleet {
             record,
             folder,
             ports,
@@ -316,17 +321,32 @@
         }
         for number in 0..fleet.controls.len() {
             fleet.write_control_settings(number, true);
-            let process = fleet.spawn("control", &format!("control-{number}"));
-            fleet.control_processes.push(process);
         }
         for number in 0..fleet.routers.len() {
             fleet.write_router_settings(number);
-            let process = fleet.spawn("router", &format!("router-{number}"));
-            fleet.router_processes.push(process);
         }
         Ok(fleet)
     }
 
+    fn start_all(&mut self) {
+        for number in 0..self.controls.len() {
+            self.start_control(number);
+        }
+        self.start_routers();
+    }
+
+    pub fn start_control(&mut self, number: usize) {
+        let process = self.spawn("control", &format!("control-{number}"));
+        self.control_processes.push(process);
+    }
+
+    pub fn start_routers(&mut self) {
+        for number in 0..self.routers.len() {
+            let process = self.spawn("router", &format!("router-{number}"));
+            self.router_processes.push(process);
+        }
+    }
+
     fn host_settings(&self, name: &str, host: Host) -> String {
         let Ports { peer, operator, control, .. } = self.ports;
         let seeds: Vec<Ipv4Addr> = match self.relays.is_empty() {
