--- a/review/common-2/scene.rs
+++ b/review/common-2/scene.rs
@@ -516,6 +516,8 @@
     /// Calls to control hosts so far, and which of them is called next.
     turn: AtomicU64,
     connections: Mutex<Vec<TcpStream>>,
+    /// Whether it also says so by `Server-Leaving`, which these pages do not name.
+    says_leaving: bool,
 }
 
 impl Replica {
@@ -536,6 +538,7 @@
             has_ended: AtomicBool::new(false),
             turn: AtomicU64::new(0),
             connections: Mutex::default(),
+            says_leaving: std::env::var("SERVER_LEAVING").is_ok(),
         });
         let (served, record) = (replica.clone(), record.clone());
         thread::spawn(move || {
@@ -570,8 +573,9 @@
                 // It answers 200 for as long as it is not leaving.
                 let status = if self.is_leaving.load(Ordering::Relaxed) { "503 Service Unavailable" } else { "200 OK" };
                 let text = format!(
-                    "HTTP/1.1 {status}\r\nBramblecrank-Replica-Id: {}\r\nContent-Length: 0\r\n\r\n",
-                    self.id
+                    "HTTP/1.1 {status}\r\nBramblecrank-Replica-Id: {}\r\n{}Content-Length: 0\r\n\r\n",
+                    self.id,
+                    self.leaving_headers()
                 );
                 record.add(format!("{} answers a health check with {status}", self.id));
                 if stream.write_all(text.as_bytes()).is_err() {
@@ -594,14 +598,28 @@
             let body = format!("answer to {id}");
             let text = format!(
                 "HTTP/1.1 200 OK\r\nBramblecrank-Attempt-Id: {id}\r\nBramblecrank-Replica-Seal: {}.{id}\r\n\
-                 Content-Length: {}\r\n\r\n{body}",
+                 {}Content-Length: {}\r\n\r\n{body}",
                 self.id,
+                self.leaving_headers(),
                 body.len()
             );
+            let closes = self.is_leaving.load(Ordering::Relaxed);
             if stream.write_all(text.as_bytes()).is_err() {
                 return;
             }
             record.add(format!("{} answers {id}", self.id));
+            if closes {
+                return;
+            }
+        }
+    }
+
+    /// A replica that is leaving puts `Connection: close` in its answers.
+    fn leaving_headers(&self) -> &'static str {
+        match (self.is_leaving.load(Ordering::Relaxed), self.says_leaving) {
+            (true, true) => "Connection: close\r\nServer-Leaving: 1\r\n",
+            (true, false) => "Connection: close\r\n",
+            (false, _) => "",
         }
     }
 
