--- a/review/common-2/scene.rs
+++ b/review/common-2/scene.rs
@@ -381,16 +381,29 @@
         }
         let text = host_text
             + &format!(
-                "platform: \"{}:{}\"\ndata: \"{}\"\nfound_with_seeds: {is_first_start}\nhalls: [{}]\n\
+                "platform: \"{}:{}\"\ndata: \"{}\"\n{}halls: [{}]\n\
                  tolerated_losses: 1\nwait_for_disk: true\ndescriptors: 4096\n",
                 host.ip,
                 self.ports.control,
                 self.folder.join(format!("{name}.data")).display(),
+                self.founding_settings(is_first_start),
                 halls.join(", ")
             );
         fs::write(self.folder.join(format!("{name}.yaml")), text).expect("settings are written");
     }
 
+    /// Which hosts form the group at the first start. Behind relays they are named by number, as the
+    /// addresses of the seeds are not their own.
+    fn founding_settings(&self, is_first_start: bool) -> String {
+        if self.relays.is_empty() {
+            return format!("found_with_seeds: {is_first_start}\n");
+        }
+        let numbers: Vec<_> = self.relays.iter().map(|relay| u32::from(*relay).to_string()).collect();
+        let peer = self.ports.peer;
+        let addresses: Vec<_> = self.relays.iter().map(|relay| format!("\"{relay}:{peer}\"")).collect();
+        format!("founders: [{}]\ncontrol: [{}]\n", numbers.join(", "), addresses.join(", "))
+    }
+
     fn write_router_settings(&self, number: usize) {
         let host = self.routers[number];
         let name = format!("router-{number}");
