--- a/review/common-2/scene.rs
+++ b/review/common-2/scene.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{ErrorKind, Read, Write};
+use std::os::unix::process::CommandExt;
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -18,8 +19,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
+/// Names the signal that a process gets when the one that started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
@@ -420,14 +425,22 @@
     pub fn spawn(&self, role: &str, name: &str) -> Process {
         let log = File::options().create(true).append(true).open(self.folder.join(format!("{name}.log")));
         let log = log.expect("a log file is created");
-        let child = Command::new(BINARY)
+        let mut command = Command::new(BINARY);
+        command
             .args(["--log-layout", "plain", role, "--settings"])
             .arg(self.folder.join(format!("{name}.yaml")))
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("a log file is shared"))
-            .stderr(log)
-            .spawn()
-            .expect("the program starts");
+            .stderr(log);
+        // SAFETY: `prctl` may be called between fork and exec. The process ends with this one, also if
+        // this one is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        let child = command.spawn().expect("the program starts");
         self.record.add(format!("started {name}"));
         Process { child, name: name.to_string() }
     }
