Don't let late heartbeats undo an acknowledged end or a leaving

Cause: a control host takes an end back once heartbeats go on, and counted from the first one that arrives after the end. It never compared with the highest number recorded, so two late heartbeats four numbers apart were enough. Log of control-0: "Gone, call 12", then "Ready, call 11". Routers then checked the replica and ignored that its health check answered 503.

The same cause elsewhere: the highest number was lost when an end was relayed by a host without a record, or hit an endpoint that was only remembered; a certain end became uncertain; a late heartbeat of replaced software passed for a restart in place, which undid a leaving or brought the release back; a late leaving of that software ended its successor.

Fix: registry::continuation. What may be late must go on for longer than calls can be late, measured against the highest number that any host recorded; replaced releases are kept. A router sends requests to a start that was recorded as ended only once its health check succeeds, however it came back.

--- a/src/gateway/endpoints.rs
+++ b/src/gateway/endpoints.rs
@@ -50,8 +50,8 @@
 struct ObservedEndpoint {
     /// The start that was observed. Observations of it do not apply to a later start.
     started_at_ms: u64,
-    /// Revivals of the start when it last answered.
-    revivals: u32,
+    /// Revivals of the start when it last stated in a health check that it accepts requests.
+    confirmed_revivals: u32,
     in_flight: u32,
     prompt_tokens: u64,
     failures: u32,
@@ -144,11 +144,24 @@
         self.observed(endpoint)?.rest.remaining(now)
     }
 
+    /// Whether this start was recorded as ended and has not stated since that it accepts
+    /// requests.
+    pub fn is_unconfirmed(&self, endpoint: &Registration) -> bool {
+        let confirmed = self.observed(endpoint).map_or(0, |observed| observed.confirmed_revivals);
+        confirmed < endpoint.revivals
+    }
+
+    /// Records that this start accepts requests, as its health check states.
+    pub fn record_confirmed(&mut self, endpoint: &Registration) {
+        if let Some(observed) = self.observed_mut(&endpoint.id, endpoint.started_at_ms) {
+            observed.confirmed_revivals = observed.confirmed_revivals.max(endpoint.revivals);
+        }
+    }
+
     /// Whether this start may have reported that it leaves, rests or ends, and has not
     /// answered since.
     pub fn is_uncertain(&self, now: Millis, endpoint: &Registration) -> bool {
-        let answered = self.observed(endpoint).map_or(0, |observed| observed.revivals);
-        if answered < endpoint.revivals {
+        if self.is_unconfirmed(endpoint) {
             return true;
         }
         start_address(endpoint).is_some_and(|start| self.unattributed.may_apply_to(now, start))
@@ -162,11 +175,6 @@
         endpoint: &Registration,
         notice: &Notice,
     ) -> Millis {
-        if endpoint.revivals > 0
-            && let Some(observed) = self.observed_mut(&endpoint.id, endpoint.started_at_ms)
-        {
-            observed.revivals = observed.revivals.max(endpoint.revivals);
-        }
         start_address(endpoint).map_or(0, |start| self.unattributed.record(now, start, notice))
     }
 
--- a/src/gateway/start_checks.rs
+++ b/src/gateway/start_checks.rs
@@ -2,8 +2,9 @@
 //! from the new start.
 //!
 //! A check uses its own connection and names the endpoint. Only the head of its answer counts:
-//! whether the endpoint is leaving or resting. The status is ignored, since the status of a
-//! health check may be wrong.
+//! whether the endpoint is leaving or resting. The status of a health check may be wrong, so it
+//! counts only where the endpoint was recorded as ended: such an endpoint must state that it
+//! accepts requests.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,6 +44,8 @@
     TooSlow,
     #[snafu(display("another endpoint answers at its address"))]
     OtherEndpoint,
+    #[snafu(display("it was recorded as ended, and answers {status}"))]
+    Ended { status: StatusCode },
 }
 
 impl Gateway {
@@ -90,7 +93,10 @@
                     endpoint.started_at_ms
                 );
                 gateway.count_start_check(&endpoint, "answered");
+                // In this order, so that an endpoint that refuses work is never taken for one that
+                // accepts it.
                 gateway.apply_notice(&endpoint, &notice);
+                gateway.with_endpoints(|endpoints| endpoints.record_confirmed(&endpoint));
             }
             Err(error) => {
                 log::info!(
@@ -117,10 +123,16 @@
         Ok(Err(error)) => return NoAnswerSnafu { error }.fail(),
         Err(_) => return TooSlowSnafu.fail(),
     };
-    match response.status() {
-        StatusCode::MISDIRECTED_REQUEST => OtherEndpointSnafu.fail(),
-        status => Ok(gateway.header_names.read_notice(status, response.headers())),
+    let status = response.status();
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return OtherEndpointSnafu.fail();
     }
+    let notice = gateway.header_names.read_notice(status, response.headers());
+    let is_unconfirmed = gateway.with_endpoints(|endpoints| endpoints.is_unconfirmed(endpoint));
+    if is_unconfirmed && !status.is_success() && !notice.is_leaving {
+        return EndedSnafu { status }.fail();
+    }
+    Ok(notice)
 }
 
 fn health_check(
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -5,6 +5,7 @@
 //! forward (ready, leaving, gone). So processes may receive updates from each other in any
 //! order.
 
+mod continuation;
 mod halls;
 mod ready_index;
 mod record;
--- a/src/registry/table.rs
+++ b/src/registry/table.rs
@@ -67,6 +67,9 @@
                 update.revivals = known.revivals;
             }
         }
+        if direct && update.address.is_none() {
+            self.record_remembered(&update.id);
+        }
         if !self.replaces_remembered(&update) {
             return None;
         }
@@ -126,6 +129,14 @@
         })
     }
 
+    /// Records an endpoint remembered from before the restart as if it had registered, so that
+    /// its end is merged with what is known of it.
+    fn record_remembered(&mut self, id: &str) {
+        if let Some(before) = self.remembered.remove(id) {
+            self.endpoints.insert(id.to_string(), EndpointRecord::new(before, false));
+        }
+    }
+
     /// Whether an update is of no earlier start than the endpoint remembered from before the
     /// restart; if so, removes the latter.
     fn replaces_remembered(&mut self, update: &Registration) -> bool {
--- a/src/registry/tests.rs
+++ b/src/registry/tests.rs
@@ -1,4 +1,5 @@
 mod halls;
+mod late;
 mod leaving;
 mod starts;
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -29,6 +29,8 @@
 mod http;
 #[path = "platform/large_configurations.rs"]
 mod large_configurations;
+#[path = "platform/late_heartbeats.rs"]
+mod late_heartbeats;
 #[path = "platform/notices.rs"]
 mod notices;
 #[path = "platform/planned_stop.rs"]
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -141,6 +141,8 @@
     checks: AtomicUsize,
     /// Whether health checks are left unanswered.
     holds_checks: AtomicBool,
+    /// Whether health checks are answered with 503.
+    fails_checks: AtomicBool,
     /// Number of connections accepted.
     accepted: AtomicUsize,
     /// Number of the oldest connections on which no request is answered any more.
@@ -251,6 +253,11 @@
         self.state.holds_checks.store(holds, Ordering::SeqCst);
     }
 
+    /// Sets whether further health checks are answered with 503.
+    pub fn fail_checks(&self, fails: bool) {
+        self.state.fails_checks.store(fails, Ordering::SeqCst);
+    }
+
     /// Number of health checks received, answered or not.
     pub fn checks(&self) -> usize {
         self.state.checks.load(Ordering::SeqCst)
@@ -308,7 +315,9 @@
                 continue;
             }
             if is_check {
-                let status = if self.state.leaving.load(Ordering::SeqCst) { 503 } else { 200 };
+                let is_leaving = self.state.leaving.load(Ordering::SeqCst);
+                let fails = is_leaving || self.state.fails_checks.load(Ordering::SeqCst);
+                let status = if fails { 503 } else { 200 };
                 write(&mut stream, &self.head(status, &request.id(), "Content-Length: 0\r\n"))
                     .await;
                 continue;
