Tell an empty list of tenants from a missing one

Cause: platform/configuration.rs turned a missing list and an empty one into the same value, and neither the table nor what is stored and sent of it could hold the difference. A table without customers was taken for one that needs no keys (Routing::needs_keys).

The stored format is raised to 0x85 and the protocol to 0x87. The five formats before are read; in them no customers mean anyone, which is what was in force.

Evidence: tenants::nobody_may_call_once_the_last_tenant_is_taken_away, with the real programs, failed on the sources before (status 200 instead of 401); the tests of the parser and of the formats can't be built there, as the type is new.

--- a/src/control/format.rs
+++ b/src/control/format.rs
@@ -7,13 +7,16 @@
 use super::legacy;
 use super::state::{Command, State};
 use crate::error::{Error, Result};
-use crate::routing;
+use crate::quarantine::Verdict;
 
 /// The format that this release writes. It is raised with every change to the contents of the
 /// state or of a command. Commands of the first release have no format number and begin with
 /// the index of their variant, which is below `MIN_FORMAT`.
-const FORMAT: u8 = 0x84;
-/// The format of the previous release, which could blame nothing but requests for crashes.
+const FORMAT: u8 = 0x85;
+/// The format of the previous release, which did not tell an empty list of customers from a
+/// missing one.
+const FORMAT_WITHOUT_CALLERS: u8 = 0x84;
+/// The format of the release before that, which could blame nothing but requests for crashes.
 const FORMAT_WITHOUT_SUSPECTS: u8 = 0x83;
 /// The format of the release before that, whose services had no health path either.
 const FORMAT_WITHOUT_HEALTH_PATH: u8 = 0x82;
@@ -38,6 +41,9 @@
         return Ok(State::default());
     }
     let decoded = match data.strip_prefix(&STATE_PREFIX) {
+        Some(&[FORMAT_WITHOUT_CALLERS, ref state @ ..]) => {
+            decode_all(state).map(legacy::StateWithoutCallers::into_current).map_err(Cause::Codec)
+        }
         Some(&[FORMAT_WITHOUT_SUSPECTS, ref state @ ..]) => {
             decode_all(state).map(legacy::StateWithoutSuspects::into_current).map_err(Cause::Codec)
         }
@@ -61,8 +67,11 @@
 /// Decodes the command in the log at entry `index`.
 pub fn decode_command(data: &[u8], index: u64) -> Result<Command> {
     let decoded = match data.first() {
+        Some(&FORMAT_WITHOUT_CALLERS) => decode_all(&data[1..])
+            .map(legacy::Command::<legacy::DocumentWithoutCallers, Verdict>::into_current)
+            .map_err(Cause::Codec),
         Some(&FORMAT_WITHOUT_SUSPECTS) => decode_all(&data[1..])
-            .map(legacy::Command::<routing::Document>::into_current)
+            .map(legacy::Command::<legacy::DocumentWithoutCallers>::into_current)
             .map_err(Cause::Codec),
         Some(&(FORMAT_WITHOUT_HEALTH_PATH | FORMAT_WITHOUT_QUARANTINE)) => decode_all(&data[1..])
             .map(legacy::Command::<legacy::DocumentWithoutHealthPath>::into_current)
--- a/src/control/legacy.rs
+++ b/src/control/legacy.rs
@@ -1,5 +1,6 @@
-//! The agreed state and commands as earlier releases encoded them: the previous release, which
-//! could blame nothing but requests for crashes; the one before, whose services had no health path
+//! The agreed state and commands as earlier releases encoded them: the previous release, which did
+//! not tell an empty list of customers from a missing one; the one before, which could blame
+//! nothing but requests for crashes; the one before that, whose services had no health path
 //! either; the one before that, which had no quarantine at all; and the first one, which wrote no
 //! format number and had neither rollouts nor allowed regions.
 //!
@@ -14,19 +15,23 @@
 use super::state::{self, ChangeOutcome};
 use crate::claim::{Claim, ClaimTable, Settlement};
 use crate::config::{Change, History};
-use crate::quarantine::{Quarantines, RequestQuarantines, RequestVerdict};
+use crate::quarantine::{Quarantines, RequestQuarantines, RequestVerdict, Verdict};
 use crate::region::AllowedRegions;
 use crate::registry::DrainedHalls;
 use crate::rollout::{Order, Rollouts, Step};
-use crate::routing::{self, Engine, Limits, RouteKind, Target};
+use crate::routing::{self, Callers, Engine, Limits, RouteKind, Target};
 
 /// The health path of services in documents that have none.
 const DEFAULT_HEALTH_PATH: &str = "/";
 
 /// A document of the first release, whose routes and customers have no allowed regions.
-pub(super) type DocumentWithoutRegions = Document<Route, CustomerKeys>;
+pub(super) type DocumentWithoutRegions = Document<Route, ServicePool, CustomerKeys>;
 /// A document of releases whose services have no health path.
-pub(super) type DocumentWithoutHealthPath = Document<routing::Route, routing::CustomerKeys>;
+pub(super) type DocumentWithoutHealthPath =
+    Document<routing::Route, ServicePool, routing::CustomerKeys>;
+/// A document of releases that do not tell an empty list of customers from a missing one.
+pub(super) type DocumentWithoutCallers =
+    Document<routing::Route, routing::ServicePool, routing::CustomerKeys>;
 
 /// The fields with which the state of every release begins.
 #[derive(Deserialize)]
@@ -52,10 +57,31 @@
     }
 }
 
+#[derive(Deserialize)]
+pub(super) struct StateWithoutCallers {
+    common: CommonState,
+    document: Option<DocumentWithoutCallers>,
+    drained: DrainedHalls,
+    rollouts: Rollouts,
+    quarantines: Quarantines,
+}
+
+impl StateWithoutCallers {
+    pub(super) fn into_current(self) -> state::State {
+        state::State {
+            document: self.document.map(|document| Arc::new(document.into())),
+            drained: self.drained,
+            rollouts: self.rollouts,
+            quarantines: self.quarantines,
+            ..self.common.into_current()
+        }
+    }
+}
+
 #[derive(Deserialize)]
 pub(super) struct StateWithoutSuspects {
     common: CommonState,
-    document: Option<Arc<routing::Document>>,
+    document: Option<DocumentWithoutCallers>,
     drained: DrainedHalls,
     rollouts: Rollouts,
     quarantines: RequestQuarantines,
@@ -64,7 +90,7 @@
 impl StateWithoutSuspects {
     pub(super) fn into_current(self) -> state::State {
         state::State {
-            document: self.document,
+            document: self.document.map(|document| Arc::new(document.into())),
             drained: self.drained,
             rollouts: self.rollouts,
             quarantines: self.quarantines.into(),
@@ -125,7 +151,7 @@
 /// The commands of all earlier releases. The first release lacks the last three, the release
 /// without quarantine the last one.
 #[derive(Deserialize)]
-pub(super) enum Command<D> {
+pub(super) enum Command<D, V = RequestVerdict> {
     Change { operation: String, base: Option<u64>, changes: Vec<Change> },
     Claim { at_ms: u64, claim: Claim },
     Settle { at_ms: u64, claim: Claim, settlement: Settlement },
@@ -134,10 +160,10 @@
     RestoreHall(String),
     StartRollout(Order),
     StepRollout(Step),
-    Quarantine(RequestVerdict),
+    Quarantine(V),
 }
 
-impl<D: Into<routing::Document>> Command<D> {
+impl<D: Into<routing::Document>, V: Into<Verdict>> Command<D, V> {
     pub(super) fn into_current(self) -> state::Command {
         use state::Command as Current;
         match self {
@@ -165,23 +191,30 @@
 }
 
 #[derive(Deserialize)]
-pub(super) struct Document<R, C> {
-    table: RoutingTable<R, C>,
+pub(super) struct Document<R, S, C> {
+    table: RoutingTable<R, S, C>,
     source: Vec<u8>,
 }
 
-impl<R, C> From<Document<R, C>> for routing::Document
+impl<R, S, C> From<Document<R, S, C>> for routing::Document
 where
     R: Into<routing::Route>,
+    S: Into<routing::ServicePool>,
     C: Into<routing::CustomerKeys>,
 {
-    fn from(before: Document<R, C>) -> routing::Document {
+    fn from(before: Document<R, S, C>) -> routing::Document {
         let Document { table, source } = before;
+        let customers: Vec<_> = table.customers.into_iter().map(Into::into).collect();
+        // What was in force stays in force: releases without callers let anyone call then.
+        let callers = match customers.is_empty() {
+            true => Callers::Anyone,
+            false => Callers::Customers(customers),
+        };
         let table = routing::RoutingTable {
             version: table.version,
             routes: table.routes.into_iter().map(Into::into).collect(),
-            services: table.services.into_iter().map(ServicePool::into_current).collect(),
-            customers: table.customers.into_iter().map(Into::into).collect(),
+            services: table.services.into_iter().map(Into::into).collect(),
+            callers,
             limits: table.limits,
         };
         routing::Document { table, source }
@@ -189,30 +222,30 @@
 }
 
 #[derive(Deserialize)]
-struct RoutingTable<R, C> {
+struct RoutingTable<R, S, C> {
     version: u64,
     routes: Vec<R>,
-    services: Vec<ServicePool>,
+    services: Vec<S>,
     customers: Vec<C>,
     limits: Limits,
 }
 
 #[derive(Deserialize)]
-struct ServicePool {
+pub(super) struct ServicePool {
     name: String,
     max_connections: u32,
     engine: Option<Engine>,
     cold_per_second: Option<f64>,
 }
 
-impl ServicePool {
-    fn into_current(self) -> routing::ServicePool {
+impl From<ServicePool> for routing::ServicePool {
+    fn from(service: ServicePool) -> routing::ServicePool {
         routing::ServicePool {
-            name: self.name,
+            name: service.name,
             health_path: DEFAULT_HEALTH_PATH.into(),
-            max_connections: self.max_connections,
-            engine: self.engine,
-            cold_per_second: self.cold_per_second,
+            max_connections: service.max_connections,
+            engine: service.engine,
+            cold_per_second: service.cold_per_second,
         }
     }
 }
--- a/src/control/tests/format.rs
+++ b/src/control/tests/format.rs
@@ -11,12 +11,12 @@
 use crate::config::{CustomerId, History};
 use crate::control::format::{decode_command, decode_state, encode_command, encode_state};
 use crate::error::Error;
-use crate::quarantine::{Fingerprint, Quarantine, Stage, Suspect};
+use crate::quarantine::{Fingerprint, Quarantine, Quarantines, RequestQuarantines, Stage, Suspect};
 use crate::region::AllowedRegions;
 use crate::registry::DrainedHalls;
 use crate::rollout::{Order, Rollouts, Step};
 use crate::routing::{
-    CustomerKeys, Engine, Limits, Route, RouteKind, RoutingTable, ServicePool, Target,
+    Callers, CustomerKeys, Engine, Limits, Route, RouteKind, RoutingTable, ServicePool, Target,
 };
 use crate::wire::HostId;
 
@@ -26,18 +26,31 @@
     operations: HashMap<String, ChangeOutcome>,
     operations_by_age: VecDeque<String>,
     claims: ClaimTable,
-    document: Option<Arc<OldDocument<OldRoute, OldCustomer>>>,
+    document: Option<Arc<OldDocument<OldRoute, OldServicePool, OldCustomer>>>,
     drained: OldDrained,
 }
 
 /// The state of the previous release, which follows its format number.
 #[derive(Serialize)]
+struct StateWithoutCallers {
+    history: History,
+    operations: HashMap<String, ChangeOutcome>,
+    operations_by_age: VecDeque<String>,
+    claims: ClaimTable,
+    document: Option<Arc<DocumentWithoutCallers>>,
+    drained: DrainedHalls,
+    rollouts: Rollouts,
+    quarantines: Quarantines,
+}
+
+/// The state of the release before that one.
+#[derive(Serialize)]
 struct StateWithoutSuspects {
     history: History,
     operations: HashMap<String, ChangeOutcome>,
     operations_by_age: VecDeque<String>,
     claims: ClaimTable,
-    document: Option<Arc<Document>>,
+    document: Option<Arc<DocumentWithoutCallers>>,
     drained: DrainedHalls,
     rollouts: Rollouts,
     quarantines: OldQuarantines,
@@ -50,7 +63,7 @@
     operations: HashMap<String, ChangeOutcome>,
     operations_by_age: VecDeque<String>,
     claims: ClaimTable,
-    document: Option<Arc<OldDocument<Route, CustomerKeys>>>,
+    document: Option<Arc<OldDocument<Route, OldServicePool, CustomerKeys>>>,
     drained: DrainedHalls,
     rollouts: Rollouts,
     quarantines: OldQuarantines,
@@ -63,18 +76,18 @@
     operations: HashMap<String, ChangeOutcome>,
     operations_by_age: VecDeque<String>,
     claims: ClaimTable,
-    document: Option<Arc<OldDocument<Route, CustomerKeys>>>,
+    document: Option<Arc<OldDocument<Route, OldServicePool, CustomerKeys>>>,
     drained: DrainedHalls,
     rollouts: Rollouts,
 }
 
 #[derive(Serialize)]
 #[allow(dead_code)]
-enum OldCommand<R, C> {
+enum OldCommand<R, S, C> {
     Change { operation: String, base: Option<u64>, changes: Vec<Change> },
     Claim { at_ms: u64, claim: Claim },
     Settle { at_ms: u64, claim: Claim, settlement: Settlement },
-    Replace(Box<OldDocument<R, C>>),
+    Replace(Box<OldDocument<R, S, C>>),
     DrainHall(String),
     RestoreHall(String),
     StartRollout(Order),
@@ -121,6 +134,12 @@
     }
 }
 
+/// The same in the current form.
+fn quarantines() -> Quarantines {
+    let encoded = postcard::to_stdvec(&old_quarantines()).unwrap();
+    postcard::from_bytes::<RequestQuarantines>(&encoded).unwrap().into()
+}
+
 #[derive(Serialize)]
 struct OldDrained {
     revision: u64,
@@ -128,16 +147,18 @@
 }
 
 #[derive(Serialize)]
-struct OldDocument<R, C> {
-    table: OldTable<R, C>,
+struct OldDocument<R, S, C> {
+    table: OldTable<R, S, C>,
     source: Vec<u8>,
 }
 
+type DocumentWithoutCallers = OldDocument<Route, ServicePool, CustomerKeys>;
+
 #[derive(Serialize)]
-struct OldTable<R, C> {
+struct OldTable<R, S, C> {
     version: u64,
     routes: Vec<R>,
-    services: Vec<OldServicePool>,
+    services: Vec<S>,
     customers: Vec<C>,
     limits: Limits,
 }
@@ -185,7 +206,7 @@
 }
 
 /// A document in the form of the first release.
-fn old_document(version: u64) -> OldDocument<OldRoute, OldCustomer> {
+fn old_document(version: u64) -> OldDocument<OldRoute, OldServicePool, OldCustomer> {
     let route = OldRoute {
         name: "r".into(),
         host: "h".into(),
@@ -216,9 +237,17 @@
 }
 
 /// The same document in the form of the two previous releases.
-fn document_without_health_path(version: u64) -> OldDocument<Route, CustomerKeys> {
+fn document_without_callers(version: u64) -> DocumentWithoutCallers {
     let Document { table, source } = document(version);
-    let RoutingTable { version, routes, customers, limits, .. } = table;
+    let RoutingTable { version, routes, services, callers, limits } = table;
+    let customers = callers.customers().to_vec();
+    OldDocument { table: OldTable { version, routes, services, customers, limits }, source }
+}
+
+/// The same document in the form of the two releases before these.
+fn document_without_health_path(version: u64) -> OldDocument<Route, OldServicePool, CustomerKeys> {
+    let OldDocument { table, source } = document_without_callers(version);
+    let OldTable { version, routes, customers, limits, .. } = table;
     let table = OldTable { version, routes, services: old_services(), customers, limits };
     OldDocument { table, source }
 }
@@ -251,7 +280,7 @@
         version,
         routes: vec![route],
         services: with_services().document().unwrap().table.services.clone(),
-        customers: vec![customer("x", Some(7)), customer("y", None)],
+        callers: Callers::Customers(vec![customer("x", Some(7)), customer("y", None)]),
         limits: Limits::default(),
     };
     Document { table, source: b"the text".to_vec() }
@@ -281,7 +310,7 @@
 }
 
 pub(super) fn old_commands() -> Vec<Vec<u8>> {
-    let commands: [OldCommand<OldRoute, OldCustomer>; 5] = [
+    let commands: [OldCommand<OldRoute, OldServicePool, OldCustomer>; 5] = [
         OldCommand::Change {
             operation: "c".into(),
             base: Some(1),
@@ -324,9 +353,9 @@
     assert_eq!(claimed, Reply::Claimed(ClaimDecision::Answered(None)));
 }
 
-/// An encoded state in which no part is empty, in the form of each of the three previous releases,
+/// An encoded state in which no part is empty, in the form of each of the four previous releases,
 /// the latest first. The oldest had no quarantines.
-fn previous_states() -> [Vec<u8>; 3] {
+fn previous_states() -> [Vec<u8>; 4] {
     let mut current_state = with_services();
     current_state.apply(change("a", Some(0), "x"));
     current_state.apply(Command::Claim { at_ms: 1, claim: claim() });
@@ -334,12 +363,23 @@
     current_state.apply(order("llm", "v2"));
     let State { history, operations, operations_by_age, claims, drained, rollouts, .. } =
         current_state;
+    let document = || Some(Arc::new(document_without_callers(5)));
+    let without_callers = StateWithoutCallers {
+        history: history.clone(),
+        operations: operations.clone(),
+        operations_by_age: operations_by_age.clone(),
+        claims: claims.clone(),
+        document: document(),
+        drained: drained.clone(),
+        rollouts: rollouts.clone(),
+        quarantines: quarantines(),
+    };
     let without_suspects = StateWithoutSuspects {
         history: history.clone(),
         operations: operations.clone(),
         operations_by_age: operations_by_age.clone(),
         claims: claims.clone(),
-        document: Some(Arc::new(document(5))),
+        document: document(),
         drained: drained.clone(),
         rollouts: rollouts.clone(),
         quarantines: old_quarantines(),
@@ -367,6 +407,7 @@
     };
     let state_prefix = [0xff_u8; 9];
     [
+        postcard::to_stdvec(&(state_prefix, 0x84_u8, without_callers)),
         postcard::to_stdvec(&(state_prefix, 0x83_u8, without_suspects)),
         postcard::to_stdvec(&(state_prefix, 0x82_u8, without_health_path)),
         postcard::to_stdvec(&(state_prefix, 0x81_u8, without_quarantine)),
@@ -375,8 +416,8 @@
 }
 
 #[test]
-fn snapshots_of_the_three_previous_releases_decode_completely() {
-    for (bytes, has_quarantines) in previous_states().into_iter().zip([true, true, false]) {
+fn snapshots_of_the_four_previous_releases_decode_completely() {
+    for (bytes, has_quarantines) in previous_states().into_iter().zip([true, true, true, false]) {
         let state = decode_state(&bytes, 9).unwrap();
         let refused = state.quarantines().get(&suspect("refused"));
         assert_eq!(refused, has_quarantines.then_some(&quarantine()));
@@ -394,7 +435,7 @@
     for format in [0x82_u8, 0x83] {
         let mut state = with_services();
         let mut apply = |verdict| {
-            let command = OldCommand::<Route, CustomerKeys>::Quarantine(verdict);
+            let command = OldCommand::<Route, OldServicePool, CustomerKeys>::Quarantine(verdict);
             let bytes = postcard::to_stdvec(&(format, command)).unwrap();
             state.apply(decode_command(&bytes, 10).unwrap());
         };
@@ -411,19 +452,62 @@
 }
 
 #[test]
-fn a_document_of_the_previous_release_is_put_in_force() {
+fn documents_of_the_two_previous_releases_are_put_in_force() {
+    #[derive(Serialize)]
+    #[allow(dead_code)]
+    enum Command {
+        Change,
+        Claim,
+        Settle,
+        Replace(Box<DocumentWithoutCallers>),
+    }
+    for format in [0x83_u8, 0x84] {
+        let mut state = with_services();
+        let replace = Command::Replace(Box::new(document_without_callers(9)));
+        let bytes = postcard::to_stdvec(&(format, replace)).unwrap();
+        state.apply(decode_command(&bytes, 10).unwrap());
+        assert_eq!(**state.document().unwrap(), document(9));
+    }
+}
+
+/// The release before let anyone call where it held no customers, and could not tell whether a
+/// list of none had been submitted.
+#[test]
+fn a_document_of_the_previous_release_without_customers_stays_open_to_anyone() {
     #[derive(Serialize)]
     #[allow(dead_code)]
     enum Command {
         Change,
         Claim,
         Settle,
-        Replace(Box<Document>),
+        Replace(Box<DocumentWithoutCallers>),
     }
+    let mut old = document_without_callers(9);
+    old.table.customers.clear();
+    let bytes = postcard::to_stdvec(&(0x84_u8, Command::Replace(Box::new(old)))).unwrap();
     let mut state = with_services();
-    let bytes = postcard::to_stdvec(&(0x83_u8, Command::Replace(Box::new(document(9))))).unwrap();
     state.apply(decode_command(&bytes, 10).unwrap());
-    assert_eq!(**state.document().unwrap(), document(9));
+    assert_eq!(state.document().unwrap().table.callers, Callers::Anyone);
+}
+
+/// Guards against an empty list of customers that became a missing one in the log, in a snapshot
+/// or on the way to a router.
+#[test]
+fn an_empty_list_of_customers_survives_commands_snapshots_and_feeds() {
+    for callers in [Callers::Anyone, Callers::Customers(vec![])] {
+        let mut document = document(9);
+        document.table.callers = callers.clone();
+        let command = encode_command(&Command::Replace(Box::new(document))).unwrap();
+        let mut state = with_services();
+        state.apply(decode_command(&command, 10).unwrap());
+        let state = decode_state(&encode_state(&state).unwrap(), 10).unwrap();
+        let agreed = crate::routing::Routing::new(state.document().unwrap().table.clone());
+        let router = crate::routing::CurrentRouting::default();
+        router.adopt_encoded(9, &agreed.encoded()).unwrap();
+        let in_force = router.current().unwrap();
+        assert_eq!(in_force.table.callers, callers);
+        assert_eq!(in_force.needs_keys(), callers != Callers::Anyone);
+    }
 }
 
 #[test]
@@ -431,7 +515,7 @@
     let Command::StartRollout(started) = order("llm", "v2") else { panic!("another command") };
     for format in [0x81_u8, 0x82] {
         let mut state = with_services();
-        let replace: OldCommand<Route, CustomerKeys> =
+        let replace: OldCommand<Route, OldServicePool, CustomerKeys> =
             OldCommand::Replace(Box::new(document_without_health_path(9)));
         for command in [replace, OldCommand::StartRollout(started.clone())] {
             let bytes = postcard::to_stdvec(&(format, command)).unwrap();
@@ -471,7 +555,7 @@
     state[9] += 1;
     let mut command = encode_command(&Command::DrainHall("a".into())).unwrap();
     command[0] += 1;
-    let remedy = "has format 133, this release reads 132; install the release that wrote it again";
+    let remedy = "has format 134, this release reads 133; install the release that wrote it again";
     assert_eq!(
         unreadable_text(decode_state(&state, 7)),
         format!("the snapshot at entry 7 {remedy}")
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -8,5 +8,6 @@
 
 pub use current::{CurrentRouting, Routing};
 pub use model::{
-    CustomerKeys, Document, Engine, Limits, Route, RouteKind, RoutingTable, ServicePool, Target,
+    Callers, CustomerKeys, Document, Engine, Limits, Route, RouteKind, RoutingTable, ServicePool,
+    Target,
 };
--- a/src/routing/current.rs
+++ b/src/routing/current.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::watch;
 
-use super::model::{CustomerKeys, Document, Route, RoutingTable, ServicePool};
+use super::model::{Callers, CustomerKeys, Document, Route, RoutingTable, ServicePool};
 use crate::error::{Error, Result};
 
 /// A routing table with indexes for look-ups.
@@ -34,13 +34,13 @@
             routes.sort_by_key(|index| std::cmp::Reverse(table.routes[*index].prefix.len()));
         }
         let mut by_key = HashMap::new();
-        for (index, customer) in table.customers.iter().enumerate() {
+        for (index, customer) in table.callers.customers().iter().enumerate() {
             by_key.extend(customer.keys.iter().map(|key| (key.clone(), index)));
         }
         let services = table.services.iter().enumerate();
         let by_service = services.map(|(index, service)| (service.name.clone(), index)).collect();
         let routes_by_name = order_by(&table.routes, |route| &route.name);
-        let customers_by_name = order_by(&table.customers, |customer| &customer.name);
+        let customers_by_name = order_by(table.callers.customers(), |customer| &customer.name);
         Routing {
             table,
             by_host,
@@ -66,7 +66,7 @@
 
     /// The customer that `key` belongs to.
     pub fn customer_by_key(&self, key: &str) -> Option<&CustomerKeys> {
-        self.by_key.get(key).map(|index| &self.table.customers[*index])
+        self.by_key.get(key).map(|index| &self.table.callers.customers()[*index])
     }
 
     /// A route by name.
@@ -76,7 +76,7 @@
 
     /// A customer by name.
     pub fn customer_by_name(&self, name: &str) -> Option<&CustomerKeys> {
-        let customers = &self.table.customers;
+        let customers = self.table.callers.customers();
         find_by(customers, &self.customers_by_name, name, |customer| &customer.name)
     }
 
@@ -87,7 +87,7 @@
 
     /// Whether callers need keys.
     pub fn needs_keys(&self) -> bool {
-        !self.table.customers.is_empty()
+        self.table.callers != Callers::Anyone
     }
 }
 
--- a/src/routing/model.rs
+++ b/src/routing/model.rs
@@ -112,6 +112,26 @@
     pub regions: AllowedRegions,
 }
 
+/// Who may call routes that are not public.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Callers {
+    /// Anyone, without a key.
+    #[default]
+    Anyone,
+    /// Those with a key of one of these customers; nobody if there are none.
+    Customers(Vec<CustomerKeys>),
+}
+
+impl Callers {
+    /// The customers that are named.
+    pub fn customers(&self) -> &[CustomerKeys] {
+        match self {
+            Callers::Anyone => &[],
+            Callers::Customers(customers) => customers,
+        }
+    }
+}
+
 /// Limits on requests of callers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
@@ -148,8 +168,8 @@
     pub routes: Vec<Route>,
     /// The services that routes refer to.
     pub services: Vec<ServicePool>,
-    /// Customers; without any, callers need no key.
-    pub customers: Vec<CustomerKeys>,
+    /// Who may call.
+    pub callers: Callers,
     /// Limits for callers.
     pub limits: Limits,
 }
@@ -185,7 +205,7 @@
 
     fn check_keys(&self) -> Result<(), Refusal> {
         let mut owners = std::collections::HashMap::new();
-        for customer in &self.customers {
+        for customer in self.callers.customers() {
             for key in &customer.keys {
                 let owner = owners.insert(key, &customer.name);
                 if owner.is_some_and(|other| *other != customer.name) {
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -51,9 +51,9 @@
 #[test]
 fn two_customers_cannot_share_a_key() {
     let mut shared = table(1, vec![]);
-    shared.customers = vec![keys("a", &["k1", "k2"]), keys("b", &["k2"])];
+    shared.callers = Callers::Customers(vec![keys("a", &["k1", "k2"]), keys("b", &["k2"])]);
     assert_eq!(shared.check().unwrap_err().field, "customers.b.keys");
-    shared.customers[1].keys = vec!["k3".into()];
+    shared.callers = Callers::Customers(vec![keys("a", &["k1", "k2"]), keys("b", &["k3"])]);
     assert!(shared.check().is_ok());
     assert_eq!(Routing::new(shared).customer_by_key("k3").unwrap().name, "b");
 }
@@ -89,7 +89,8 @@
 fn routes_and_customers_are_found_by_name_whatever_their_order() {
     let routes = ["c", "a", "b"].map(|name| route(name, name, "/"));
     let customers = ["z", "x", "y"].map(|name| keys(name, &[name])).to_vec();
-    let routing = Routing::new(RoutingTable { customers, ..table(1, routes.to_vec()) });
+    let callers = Callers::Customers(customers);
+    let routing = Routing::new(RoutingTable { callers, ..table(1, routes.to_vec()) });
     for name in ["a", "b", "c"] {
         assert_eq!(routing.route_by_name(name).unwrap().name, name);
     }
--- a/src/wire/protocol.rs
+++ b/src/wire/protocol.rs
@@ -9,7 +9,7 @@
 /// The protocol version of this release. It is incremented with every change of a message.
 /// It stays above the numbers with which unversioned messages start, so that such messages
 /// are recognized.
-pub const PROTOCOL: u8 = 0x86;
+pub const PROTOCOL: u8 = 0x87;
 
 /// The byte that follows the protocol version in datagrams about streams. Heartbeats have their
 /// variant there, with a lower number, so that a host of a release without such datagrams drops
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -67,6 +67,8 @@
 mod statuses;
 #[path = "platform/surplus.rs"]
 mod surplus;
+#[path = "platform/tenants.rs"]
+mod tenants;
 
 use std::time::Duration;
 
