Answer every request before a planned stop ends

Reported by operators (LOST): in a planned stop in calm, requests that came late were passed on and cut at its end without an answer, also those that may not be repeated.

Cause: whether a request is refused was decided at its head only. With the default settings a body that begins 2.4 s after the signal and takes 2.5 s ends after the refusals began; it was passed on, whatever its deadline. And at the limit of the stop the process ended with requests in flight and no answer begun: "stopped at its limit, cutting off 2 requests in flight".

Fix: gateway::planned_stop. Once requests are refused, a request whose body has just been read is refused too (503, stopping, not run) unless its deadline comes before the end of the stop; then it is still served, since it gets an answer by then for certain. 300 ms before the limit a request without an answer gets one from the gateway: 503 where it has certainly not run, 502 where it may have. A router that had handed the connection over does the same.

Evidence: tests/platform/late_in_stop.rs, with the real programs at the default stop_takes_ms (other tests set 300).

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -25,6 +25,7 @@
 mod observation;
 mod open_connections;
 mod overload;
+mod planned_stop;
 mod records;
 mod refusal;
 mod relayed_head;
--- a/src/gateway/arrival.rs
+++ b/src/gateway/arrival.rs
@@ -1,5 +1,6 @@
 //! Admission of an arriving request: its route, its customer and its body.
 
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -28,7 +29,7 @@
 ) -> Result<Call, Refusal> {
     let arrived = BootInstant::now();
     let in_flight = gateway.track_request();
-    if gateway.is_refusing() {
+    if gateway.planned_stop.is_refusing() {
         return Err(Refusal::Stopping);
     }
     if gateway.with_overload(|overload| overload.refuses()) {
@@ -51,6 +52,9 @@
     let held = held.ok_or(Refusal::NoMemory)?;
     let body = read_body(body, limits.max_body_bytes, body_limit.remaining(), held).await?;
     let stream = resolve_stream(gateway, &route, customer.as_deref(), &head).await?;
+    if !gateway.planned_stop.may_serve_until(deadline) {
+        return Err(Refusal::Stopping);
+    }
     let resumed = stream.as_ref().and_then(|stream| stream.resumed.as_ref());
     let service = match resumed {
         Some(resumed) => resumed.record.service.to_string(),
@@ -87,6 +91,7 @@
         deadline,
         release_choice: Mutex::new(release_choice),
         stream,
+        is_in_doubt: AtomicBool::new(false),
         _in_flight: in_flight,
         gateway: gateway.clone(),
     })
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -26,7 +26,7 @@
         head_timeout: Some(Duration::from_millis(limits.idle_timeout_ms)),
         max_buffer: Some(limits.max_header_bytes.max(MIN_BUFFER_BYTES)),
     };
-    let is_refusing = gateway.is_refusing();
+    let is_refusing = gateway.planned_stop.is_refusing();
     let closing = async {
         match is_refusing {
             true => std::future::pending().await,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use axum::body::Body;
@@ -166,7 +167,11 @@
     request: Request<Full<Bytes>>,
     assignment: &mut Assignment,
 ) -> Result<(Response<Incoming>, Connection), Attempt> {
-    let is_allowed = || call.may_be_sent_to(endpoint);
+    let is_allowed = || {
+        let is_allowed = call.may_be_sent_to(endpoint);
+        call.is_in_doubt.fetch_or(is_allowed, Ordering::Relaxed);
+        is_allowed
+    };
     let target = Target { address, started_at_ms: endpoint.started_at_ms };
     let exchange = call.gateway.connections.send(&endpoint.id, target, request, is_allowed);
     match tokio::time::timeout(answer_timeout(call), exchange).await {
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -80,7 +80,7 @@
     caller: TcpStream,
     closing: &CancellationToken,
 ) -> Option<TcpStream> {
-    if !gateway.should_hand_over() || gateway.is_refusing() {
+    if !gateway.should_hand_over() || gateway.planned_stop.is_refusing() {
         return Some(caller);
     }
     let has_sent = tokio::time::timeout(FIRST_BYTES_TIMEOUT, caller.readable());
@@ -180,7 +180,7 @@
     };
     let scanner = HeadScanner::new(gateway.header_names.leaving.clone());
     let end = tokio::select! {
-        end = relay_answer(answers, write, scanner, on_head) => end,
+        end = relay_answer(gateway, answers, write, scanner, on_head) => end,
         () = relay_request(read, requests) => return,
     };
     match end {
@@ -220,8 +220,10 @@
 }
 
 /// Relays an answer to the caller until either side has closed its connection. `on_head` is called
-/// with its head before that is passed on.
+/// with its head before that is passed on. An answer that has not begun at the end of a planned
+/// stop is not waited for.
 async fn relay_answer(
+    gateway: &Gateway,
     mut from: BufReader<OwnedReadHalf>,
     mut to: WriteHalf<'_>,
     mut scanner: HeadScanner,
@@ -232,7 +234,10 @@
     loop {
         let reading = from.read(&mut buffer);
         let read = match has_begun {
-            false => tokio::time::timeout(FIRST_ANSWER_TIMEOUT, reading).await.unwrap_or(Ok(0)),
+            false => tokio::select! {
+                read = tokio::time::timeout(FIRST_ANSWER_TIMEOUT, reading) => read.unwrap_or(Ok(0)),
+                () = gateway.planned_stop.answers_ended() => Ok(0),
+            },
             true => reading.await,
         };
         let read = match read {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,5 +1,6 @@
 //! Serving one request from its arrival to its answer.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -52,6 +53,8 @@
     pub release_choice: Mutex<ReleaseChoice>,
     /// The stream that it begins or resumes, on a route that allows resuming.
     pub stream: Option<CallStream>,
+    /// Whether it may have run at an endpoint, or may be running there.
+    pub is_in_doubt: AtomicBool,
     pub _in_flight: InFlightGuard,
 }
 
@@ -83,8 +86,12 @@
     let (parts, body) = request.into_parts();
     let head = gateway.header_names.read_request(&parts.headers);
     let id = head.id.clone();
-    let mut response = match admit(&gateway, parts, head, body).await {
-        Ok(call) => run(Arc::new(call)).await,
+    let admitted = tokio::select! {
+        admitted = admit(&gateway, parts, head, body) => admitted,
+        () = gateway.planned_stop.answers_ended() => Err(Refusal::Stopping),
+    };
+    let mut response = match admitted {
+        Ok(call) => run_until_stopped(Arc::new(call)).await,
         Err(refusal) => {
             let refusal = replace_if_unconfirmed(&gateway, refusal);
             record_refusal(&gateway, id.as_deref(), refusal);
@@ -133,6 +140,20 @@
     last_error: Option<Response<Body>>,
 }
 
+/// Serves a request, and answers it at the end of a planned stop if nothing else has.
+async fn run_until_stopped(call: Arc<Call>) -> Response<Body> {
+    tokio::select! {
+        response = run(call.clone()) => response,
+        () = call.gateway.planned_stop.answers_ended() => {
+            let outcome = match call.is_in_doubt.load(Ordering::Relaxed) {
+                true => Refusal::AnswerLost,
+                false => Refusal::Stopping,
+            };
+            refuse(&call, &[], outcome)
+        }
+    }
+}
+
 /// Sends a request to endpoints until one of them answers it or no attempt is left.
 pub(super) async fn run(call: Arc<Call>) -> Response<Body> {
     let mut progress = Progress::default();
@@ -140,7 +161,7 @@
     if call.resumes_stream() {
         call.gateway.wait_until_caught_up(|| call.remaining()).await;
         if !call.may_resume() {
-            return refuse(&call, &progress, Refusal::VersionNotServed);
+            return refuse(&call, &progress.tried, Refusal::VersionNotServed);
         }
     }
     while progress.tried.len() < MAX_ENDPOINTS_TRIED {
@@ -181,6 +202,9 @@
         progress.tried.push(endpoint.id.clone());
         let attempt = exchange::attempt(&call, &endpoint, reservation, is_retry).await;
         call.record_failure_at(&endpoint.version, &attempt);
+        if matches!(attempt, Attempt::NotSent | Attempt::NotExecuted) {
+            call.is_in_doubt.store(progress.may_have_run, Ordering::Relaxed);
+        }
         match attempt {
             Attempt::Answered(response) => return finish(&call, &endpoint.id, response),
             Attempt::Streams(response) => {
@@ -231,18 +255,17 @@
     if progress.may_have_run && outcome.status() == StatusCode::SERVICE_UNAVAILABLE {
         outcome = Refusal::AnswerLost;
     }
-    refuse(&call, &progress, outcome)
+    refuse(&call, &progress.tried, outcome)
 }
 
-fn refuse(call: &Call, progress: &Progress, outcome: Refusal) -> Response<Body> {
+fn refuse(call: &Call, tried: &[String], outcome: Refusal) -> Response<Body> {
     let ms = call.arrived.elapsed().as_millis();
     log::info!(
-        "gateway: request {} ({}) on {} ended {} after {ms} ms, tried {:?}",
+        "gateway: request {} ({}) on {} ended {} after {ms} ms, tried {tried:?}",
         call.number,
         call.head.id.as_deref().unwrap_or_default(),
         call.route.name,
         outcome.name(),
-        progress.tried
     );
     call.count_outcome(outcome.name());
     outcome.into_response()
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -20,6 +20,7 @@
 use super::state::{Gateway, follow_registry};
 use super::version_checks;
 use crate::caller_connection::{self, KeepAlive};
+use crate::clock::BootInstant;
 use crate::error::{NetSnafu, Result};
 use crate::peer::Peers;
 use crate::quarantine::report_crashes;
@@ -30,6 +31,9 @@
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time by which a planned stop ends before the limit at which the process is killed.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the end of a planned stop in which requests without an answer are answered by the
+/// gateway itself.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(300);
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Connections for readiness and metrics that may be open.
@@ -67,18 +71,23 @@
 }
 
 /// Accepts requests for a while longer, since the platform still sends some; then closes
-/// connections as they fall idle, and waits until the limit for the remaining answers to be written.
+/// connections as they fall idle, and waits for the remaining answers to be written. Requests that
+/// have no answer shortly before the limit get one from the gateway.
 async fn stop_gracefully(gateway: &Gateway, closing: &CancellationToken) {
     log::info!("gateway: planned stop begins, {}", open_work(gateway));
     gateway.peers.set_draining();
     let limit = Duration::from_secs_f64(gateway.rules.stop_within_s).saturating_sub(STOP_MARGIN);
     let accept_time = Duration::from_millis(gateway.rules.stop_takes_ms).min(limit / 2);
     let deadline = Instant::now() + limit;
+    let answers_time = limit.saturating_sub(LAST_ANSWERS_TIME);
+    gateway.planned_stop.begin(BootInstant::now() + answers_time);
+    let answers_until = Instant::now() + answers_time;
     tokio::time::sleep(accept_time).await;
-    gateway.stop_accepting();
+    gateway.planned_stop.stop_accepting();
     closing.cancel();
     log::info!("gateway: no new requests are taken, {}", open_work(gateway));
-    wait_until_written(gateway, deadline).await;
+    wait_until_written(gateway, answers_until).await;
+    gateway.planned_stop.end_answers();
     gateway.records.hand_over().await;
     wait_until_written(gateway, deadline).await;
     match gateway.unfinished() {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,7 +1,7 @@
 //! State shared by the parts of a gateway.
 
 use std::collections::BTreeSet;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use tokio::sync::Notify;
@@ -13,6 +13,7 @@
 use super::header_names::HeaderNames;
 use super::neighbours::Neighbours;
 use super::overload::Overload;
+use super::planned_stop::PlannedStop;
 use super::records::StreamRecords;
 use super::rollouts::Releases;
 use crate::answer::AnswerMemory;
@@ -79,7 +80,8 @@
     versions: Mutex<VersionHistory>,
     overload: Arc<Mutex<Overload>>,
     neighbours: Mutex<Neighbours>,
-    refusing: AtomicBool,
+    /// How far a planned stop has come.
+    pub(super) planned_stop: PlannedStop,
     in_flight: AtomicUsize,
     handing_over: AtomicUsize,
     next_number: AtomicU64,
@@ -152,7 +154,7 @@
             versions: Mutex::default(),
             overload,
             neighbours: Mutex::default(),
-            refusing: AtomicBool::new(false),
+            planned_stop: PlannedStop::default(),
             in_flight: AtomicUsize::new(0),
             handing_over: AtomicUsize::new(0),
             next_number: AtomicU64::new(1),
@@ -268,16 +270,6 @@
         }
     }
 
-    /// Whether a planned stop has begun to refuse new requests.
-    pub(super) fn is_refusing(&self) -> bool {
-        self.refusing.load(Ordering::Relaxed)
-    }
-
-    /// Makes a planned stop refuse new requests from now on.
-    pub(super) fn stop_accepting(&self) {
-        self.refusing.store(true, Ordering::Relaxed);
-    }
-
     /// Requests in flight, served here or by a router that they were handed over to.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
--- a/src/gateway/tests/rollouts.rs
+++ b/src/gateway/tests/rollouts.rs
@@ -148,6 +148,7 @@
             deadline: now + Duration::from_secs(10),
             release_choice: Default::default(),
             stream: None,
+            is_in_doubt: Default::default(),
             _in_flight: self.gateway.track_request(),
         })
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -31,6 +31,8 @@
 mod large_configurations;
 #[path = "platform/late_heartbeats.rs"]
 mod late_heartbeats;
+#[path = "platform/late_in_stop.rs"]
+mod late_in_stop;
 #[path = "platform/notices.rs"]
 mod notices;
 #[path = "platform/planned_stop.rs"]
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -159,6 +159,16 @@
         self.wait_ready().await;
     }
 
+    /// Restarts the router with the default time for which a planned stop takes requests.
+    pub async fn restart_router_with_default_stop(&mut self) {
+        self.kill_router();
+        let path = self.folder.path().join("router.yaml");
+        let text = std::fs::read_to_string(&path).unwrap();
+        std::fs::write(path, text.replace("stop_takes_ms: 300\n  ", "")).unwrap();
+        self.start_router();
+        self.wait_ready().await;
+    }
+
     /// Where the control host serves operators and replicas.
     pub fn control_address(&self) -> SocketAddr {
         self.control
