Answer the calls that a control host has read before it stops

Cause: a control host ended as soon as it had handed its vote over, and calls of operators and replicas that it had read ended without an answer. A configuration that is being checked or stored may then be in force or not.

Fix: the stop waits until the answers are written, for 2 s at most; callers call another host after a second.

--- a/src/control.rs
+++ b/src/control.rs
@@ -32,6 +32,7 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
+use crate::caller_connection::OpenAnswers;
 use crate::error::{Error, Result};
 use crate::feed::{self, FleetState, Publication, Subscribers, Subscriptions};
 use crate::peer::{Incoming, PeerReader, Peers};
@@ -48,6 +49,11 @@
 
 /// Pause before the data folder is opened again after an I/O error.
 const DISK_RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// How long a planned stop waits for the answers to calls: callers that get none within a second
+/// call another host.
+const MAX_ANSWER_TIME: Duration = Duration::from_secs(2);
+/// How often a planned stop checks whether all answers are written.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Descriptors for each connection of an operator or endpoint, so that half of all are left for
 /// other hosts and files.
 const DESCRIPTORS_PER_CONNECTION: usize = 2;
@@ -191,6 +197,7 @@
     tokio::spawn(quarantine_controller::run(control.clone()));
     tokio::spawn(crate::operator::serve_control(control.clone()));
     let joins_by_itself = interface.is_some();
+    let mut answers = Arc::<OpenAnswers>::default();
     if let Some(interface) = interface {
         tokio::spawn(join::keep_joined(control.clone()));
         Subscriptions::start(
@@ -201,7 +208,7 @@
         );
         let app = (interface.app)(control.clone());
         let max_connections = control.settings.descriptors / DESCRIPTORS_PER_CONNECTION;
-        crate::http::serve(interface.listen, app, max_connections, &stop).await?;
+        answers = crate::http::serve(interface.listen, app, max_connections, &stop).await?;
     }
     log::info!("control: host {} runs with store {}", control.peers.me, control.handle.store);
     tokio::select! {
@@ -211,12 +218,25 @@
             if joins_by_itself {
                 leave::leave(&control).await;
             }
+            wait_until_written(&answers).await;
             log::info!("control: stopped");
             Ok(())
         }
     }
 }
 
+/// Waits until the calls that arrived before the stop are answered.
+async fn wait_until_written(answers: &OpenAnswers) {
+    let all_written = async {
+        while answers.count() > 0 {
+            tokio::time::sleep(STOP_POLL_INTERVAL).await;
+        }
+    };
+    if tokio::time::timeout(MAX_ANSWER_TIME, all_written).await.is_err() {
+        log::warn!("control: stopped with {} calls unanswered", answers.count());
+    }
+}
+
 async fn accept_connections(control: Arc<Control>, mut incoming: mpsc::Receiver<Incoming>) {
     while let Some(Incoming { open, reader, writer }) = incoming.recv().await {
         match open {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -118,10 +118,10 @@
     let never = CancellationToken::new();
     let max = MAX_READY_CONNECTIONS;
     crate::http::serve(gateway.rules.ready, app.clone(), max, &never).await?;
-    match gateway.rules.metrics {
-        Some(metrics) => crate::http::serve(metrics, app, max, &never).await,
-        None => Ok(()),
+    if let Some(metrics) = gateway.rules.metrics {
+        crate::http::serve(metrics, app, max, &never).await?;
     }
+    Ok(())
 }
 
 async fn ready(State(gateway): State<Arc<Gateway>>) -> StatusCode {
--- a/src/http.rs
+++ b/src/http.rs
@@ -27,23 +27,24 @@
 
 /// Binds `address` and serves `app` in a background task until `stop` is cancelled, on up to
 /// `max_connections` connections. Beyond that the one that has waited longest for a request is
-/// closed for a new one.
+/// closed for a new one. Returns the answers that are not yet written in full.
 pub async fn serve(
     address: SocketAddr,
     app: axum::Router,
     max_connections: usize,
     stop: &CancellationToken,
-) -> Result<()> {
+) -> Result<Arc<OpenAnswers>> {
     let listener = listen(address);
     let listener = listener.with_context(|_| NetSnafu { what: format!("listen on {address}") })?;
+    let answers = Arc::<OpenAnswers>::default();
     let server = Server {
         app,
         places: Arc::new(Semaphore::new(max_connections)),
-        answers: Arc::default(),
+        answers: answers.clone(),
         stop: stop.clone(),
     };
     tokio::spawn(server.run(listener));
-    Ok(())
+    Ok(answers)
 }
 
 struct Server {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -1,6 +1,8 @@
 //! End-to-end tests of the real binaries on the users' platform. Emulated replicas, operators
 //! and clients talk to them in the platform's published protocol.
 
+#[path = "platform/control_stop.rs"]
+mod control_stop;
 #[path = "platform/crashes.rs"]
 mod crashes;
 #[path = "platform/crashing_parts.rs"]
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -233,6 +233,12 @@
         kill_child(&mut self.router_process);
     }
 
+    /// Asks the control host to stop.
+    pub fn terminate_control(&self) {
+        let [_, control] = self.process_ids();
+        kill(Pid::from_raw(control as i32), Signal::SIGTERM).unwrap();
+    }
+
     pub fn terminate_router(&self) {
         self.signal_router(Signal::SIGTERM);
     }
