Tests of heads that break off at any byte, also in repeated attempts

Reported by operators (MIXED, ORDER): a replica stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

Shown that it can't happen here: tests/platform/cut_heads.rs cuts the head of five shapes of answers at every byte, in the only attempt, in both attempts of an idempotent request, in the first of two, and where a stream is resumed, directly and over a connection that was handed over. All attempts cut: a 502. The first cut: the whole answer of the second.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -9,6 +9,8 @@
 mod crashing_parts;
 #[path = "platform/crashing_replicas.rs"]
 mod crashing_replicas;
+#[path = "platform/cut_heads.rs"]
+mod cut_heads;
 #[path = "platform/drain.rs"]
 mod drain;
 #[path = "platform/endings.rs"]
