Tests of answers without end to health checks and on handed-over connections

Reported by operators (LOST): a faulty replica sent bytes without end, and the machine that had called it ran out of memory. tests/platform/endless.rs held this for answers to requests; how it is with health checks and with connections that were handed over was not tried.

--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -11,6 +11,7 @@
 use super::replica::{Behaviour, Replica};
 use super::{get, post};
 use crate::drain::{Drained, End, drain};
+use crate::handover::hand_over_all;
 
 /// The timeout of each route in the configuration of the tests.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -28,14 +29,17 @@
 const PROCESS_KIB: u64 = 260_000;
 const ROUTES: [&str; 4] = ["safe", "once", "stream", "resumable"];
 
+fn heartbeat(replica: &EndlessReplica, sequence: u64) -> String {
+    format!(
+        r#"{{"service":"app","address":"{}","zone":"a","version":"v1","slots":6,"state":"ready","warmupLeftMs":0,"callSeq":{sequence}}}"#,
+        replica.address
+    )
+}
+
 async fn fleet_of(endless: &[EndlessReplica], sound: &[Replica]) -> Fleet {
     let fleet = Fleet::start().await;
     for replica in endless {
-        let body = format!(
-            r#"{{"service":"app","address":"{}","zone":"a","version":"v1","slots":6,"state":"ready","warmupLeftMs":0,"callSeq":1}}"#,
-            replica.address
-        );
-        assert_eq!(fleet.heartbeat(&replica.id, &body).await, 200);
+        assert_eq!(fleet.heartbeat(&replica.id, &heartbeat(replica, 1)).await, 200);
     }
     for replica in sound {
         fleet.register(replica, "ready", 1).await;
@@ -92,11 +96,20 @@
 async fn assert_true_and_bounded(place: Place, pace: Pace) {
     let replica = EndlessReplica::start("i-endless", pace).await;
     let fleet = fleet_of(std::slice::from_ref(&replica), &[]).await;
+    assert_true_and_bounded_at(&fleet, &replica, place, pace).await;
+}
+
+async fn assert_true_and_bounded_at(
+    fleet: &Fleet,
+    replica: &EndlessReplica,
+    place: Place,
+    pace: Pace,
+) {
     let shapes = Shape::all_in(place);
-    let answers = call_all(&fleet, &shapes, &ROUTES, 2).await;
+    let answers = call_all(fleet, &shapes, &ROUTES, 2).await;
     let mut wrong: Vec<_> =
         answers.iter().filter_map(|(shape, route, d)| untrue(*shape, route, d)).collect();
-    let closed = timeout(ROUTE_TIMEOUT + SLACK, all_closed(&replica)).await;
+    let closed = timeout(ROUTE_TIMEOUT + SLACK, all_closed(replica)).await;
     let closed = closed.unwrap_or_else(|_| replica.sent());
     for sent in &closed {
         // A stream that goes on in whole events may last until its deadline.
@@ -143,6 +156,49 @@
     assert_true_and_bounded(Place::Body, Pace::Trickle).await;
 }
 
+/// Guards against limits that hold only where a router serves its callers itself.
+#[tokio::test]
+async fn answers_without_end_are_bounded_on_connections_that_were_handed_over() {
+    for place in [Place::Head, Place::Body] {
+        let replica = EndlessReplica::start("i-endless", Pace::Fast).await;
+        let mut fleet = fleet_of(std::slice::from_ref(&replica), &[]).await;
+        hand_over_all(&mut fleet).await;
+        assert_true_and_bounded_at(&fleet, &replica, place, Pace::Fast).await;
+    }
+}
+
+/// Guards against limits that hold only for answers to requests of callers.
+#[tokio::test]
+async fn answers_without_end_to_health_checks_are_neither_held_nor_waited_for() {
+    for pace in [Pace::Fast, Pace::Trickle] {
+        let replica = EndlessReplica::start("i-endless", pace).await;
+        let fleet = fleet_of(std::slice::from_ref(&replica), &[]).await;
+        let mut sequence = 1;
+        let mut version = 100;
+        for shape in [Shape::all_in(Place::Head), Shape::all_in(Place::Body)].concat() {
+            let path = format!("\"/healthz/{}\"", shape.name());
+            fleet.configure(&configuration(version).replace("\"/healthz\"", &path)).await;
+            fleet.settle().await;
+            // A router checks a replica that goes on after its end.
+            fleet.deregister_id(&replica.id).await;
+            for _ in 0..6 {
+                sequence += 1;
+                fleet.heartbeat(&replica.id, &heartbeat(&replica, sequence)).await;
+            }
+            while replica.sent().iter().all(|sent| sent.shape != shape) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            version += 100;
+        }
+        let closed = timeout(HEAD_TIMEOUT + SLACK, all_closed(&replica)).await.unwrap();
+        for sent in closed {
+            assert!(sent.bytes <= HEAD_BYTES + SOCKET_BYTES, "{sent:?}");
+            assert!(sent.closed_after.unwrap() < HEAD_TIMEOUT + SLACK, "{sent:?}");
+        }
+        assert!(fleet.memory_kib("VmHWM") < PROCESS_KIB, "more than a process has");
+    }
+}
+
 #[tokio::test]
 async fn an_idempotent_request_leaves_a_head_without_end_for_another_replica() {
     for pace in [Pace::Fast, Pace::Trickle] {
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -493,7 +493,11 @@
     }
 
     pub async fn deregister(&self, replica: &Replica) {
-        let path = format!("/replicas/{}", replica.id);
+        self.deregister_id(&replica.id).await;
+    }
+
+    pub async fn deregister_id(&self, id: &str) {
+        let path = format!("/replicas/{id}");
         assert_eq!(self.control_call("DELETE", &path, "").await.status, 200);
     }
 }
