Send ended endpoints to routers that subscribe

What callers saw: a router that stood still while its control host restarted, and an endpoint was deregistered meanwhile, kept the endpoint as ready for good: 11 of 20 requests went there. The same holds for a router that learns of an endpoint from a control host that does not know its end yet, while the one that does leaves it out.

Cause: a router that subscribed to a control host for the first time since that had started was not sent the endpoints that had ended before (EndpointsAfter::with_gone), since it was taken to know nothing of them.

Fix: ended endpoints are sent like all others; the field and the rule for skipping are gone.

Evidence: late_heartbeats::a_router_learns_of_ends_from_before_it_reached_a_restarted_control_host failed before, with the real programs, and passes now. The bytes were not measured.

--- a/src/feed.rs
+++ b/src/feed.rs
@@ -145,8 +145,6 @@
     pub change: u64,
     /// Which changes are requested.
     pub scope: Scope,
-    /// Whether endpoints that had gone before the request are included.
-    pub with_gone: bool,
 }
 
 /// A router of the same data hall.
--- a/src/feed/cursor.rs
+++ b/src/feed/cursor.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use super::EndpointsAfter;
-use crate::registry::{EndpointState, Registration, Scope, SharedRegistry};
+use crate::registry::{Registration, Scope, SharedRegistry};
 
 /// The maximum number of endpoints in one message, which then takes some 10 KB: a subscriber
 /// that reads slowly delays all else in its feed for as long as it takes to read one.
@@ -20,8 +20,6 @@
 pub(super) struct Cursor {
     /// Number of the last change that was sent.
     sent_upto: u64,
-    /// Endpoints that had gone up to this change are skipped.
-    skip_gone_upto: u64,
     scope: Scope,
     /// When the next update may be sent.
     not_before: Instant,
@@ -29,14 +27,12 @@
 
 impl Cursor {
     /// The position from which a subscriber that holds the changes up to `after` continues.
-    pub fn new(after: EndpointsAfter, numbering: u64, registry: &SharedRegistry) -> Cursor {
+    /// Ended endpoints are sent too: the subscriber may know them as ready from an earlier feed,
+    /// or from another control host that has not learned of the end.
+    pub fn new(after: EndpointsAfter, numbering: u64) -> Cursor {
         let is_known = after.numbering == numbering;
         let sent_upto = if is_known { after.change } else { 0 };
-        let skip_gone_upto = match after.with_gone || is_known {
-            true => 0,
-            false => registry.read(|r| r.last_change()),
-        };
-        Cursor { sent_upto, skip_gone_upto, scope: after.scope, not_before: Instant::now() }
+        Cursor { sent_upto, scope: after.scope, not_before: Instant::now() }
     }
 
     /// Which changes are sent.
@@ -64,10 +60,6 @@
             self.not_before = Instant::now() + BATCH_INTERVAL;
         }
         self.sent_upto = changes.upto;
-        let mut endpoints = changes.endpoints;
-        if self.sent_upto <= self.skip_gone_upto {
-            endpoints.retain(|endpoint| endpoint.state != EndpointState::Gone);
-        }
-        (endpoints, self.sent_upto)
+        (changes.endpoints, self.sent_upto)
     }
 }
--- a/src/feed/publish.rs
+++ b/src/feed/publish.rs
@@ -272,9 +272,7 @@
             }
             FeedRequest::Probe { stall } => Some(FeedMessage::ProbeAnswer { stall }),
             FeedRequest::Endpoints(after) => {
-                let cursor =
-                    Cursor::new(after, publication.numbering, &publication.fleet_state.registry);
-                self.cursor = Some(cursor);
+                self.cursor = Some(Cursor::new(after, publication.numbering));
                 // A subscriber that received updates before already has the remembered endpoints.
                 let remembered =
                     || publication.fleet_state.registry.read(|r| r.remembered().cloned().collect());
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -212,7 +212,7 @@
     fn endpoints_after(&self, host: HostId, scope: Scope) -> EndpointsAfter {
         let (numbering, change) =
             lock(&self.received_upto).get(&(host, scope)).copied().unwrap_or_default();
-        EndpointsAfter { numbering, change, scope, with_gone: self.role == Role::Control }
+        EndpointsAfter { numbering, change, scope }
     }
 
     /// The other routers of this one's data hall, as last received.
--- a/tests/platform/late_heartbeats.rs
+++ b/tests/platform/late_heartbeats.rs
@@ -66,3 +66,20 @@
     replica.fail_checks(false);
     send_until_reached(&fleet, "/once/x", replica).await;
 }
+
+/// Guards against a router that keeps an endpoint as ready whose end it has missed: a control host
+/// that started meanwhile did not send the ends that it knew of.
+#[tokio::test]
+async fn a_router_learns_of_ends_from_before_it_reached_a_restarted_control_host() {
+    let (mut fleet, replicas) = fleet_of_two().await;
+    fleet.freeze_router();
+    fleet.kill_control();
+    fleet.start_control();
+    for replica in &replicas {
+        send_heartbeat(&fleet, replica, "v1", "ready", 10).await;
+    }
+    fleet.deregister(&replicas[0]).await;
+    fleet.thaw_router();
+    fleet.settle().await;
+    assert_avoided(&fleet, "/once/x", &replicas[0]).await;
+}
