--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -169,6 +169,7 @@
 ) -> Result<(Response<Incoming>, Connection), Attempt> {
     let is_allowed = || {
         let is_allowed = call.may_be_sent_to(endpoint);
+        // It is written right after this.
         call.is_in_doubt.fetch_or(is_allowed, Ordering::Relaxed);
         is_allowed
     };
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -10,6 +10,7 @@
 mod ready_index;
 mod record;
 mod registration;
+mod replaced_releases;
 mod retirement;
 pub mod saved;
 mod shared;
--- a/src/registry/record.rs
+++ b/src/registry/record.rs
@@ -3,6 +3,7 @@
 use std::cmp::Ordering;
 
 use super::continuation::Continuation;
+use super::replaced_releases::ReplacedReleases;
 use super::{EndpointState, Origin, Registration};
 
 /// Time for which an endpoint counts as cold after its data hall was restored, in
@@ -14,16 +15,6 @@
 /// How far a heartbeat of a release that was never recorded may be behind the recorded one
 /// without being that of other software that counts its heartbeats anew.
 const MAX_LAG_OF_LATE_HEARTBEAT: u64 = 4;
-/// Replaced releases that are kept for one endpoint.
-const MAX_REPLACED_RELEASES: usize = 4;
-
-/// A release whose place at the endpoint other software has taken.
-#[derive(Clone, Debug)]
-struct ReplacedRelease {
-    version: String,
-    /// The highest sequence number recorded of it.
-    sequence: u64,
-}
 
 /// What was recorded of a start before an end arrived that names none.
 #[derive(Clone, Copy, Debug)]
@@ -63,8 +54,8 @@
     warmth_trusted_from: u64,
     /// Heartbeats received here from a start since it was recorded as ended or replaced.
     continuation: Option<Continuation>,
-    /// Releases that this start ran before, the latest last.
-    replaced_releases: Vec<ReplacedRelease>,
+    /// Releases that this start ran before.
+    replaced_releases: ReplacedReleases,
     /// The start that was recorded when an end arrived that names none.
     ended_start: Option<EndedStart>,
     /// Whether this start was reported as leaving.
@@ -86,7 +77,7 @@
             listed_under: None,
             warmth_trusted_from: 0,
             continuation: None,
-            replaced_releases: Vec::new(),
+            replaced_releases: ReplacedReleases::default(),
             ended_start: None,
             was_leaving,
             end_is_certain,
@@ -145,22 +136,10 @@
     /// Records that the software of `before` was replaced, if it was.
     fn record_replaced_release(&mut self, before: &Registration) {
         let current = &self.registration.version;
-        self.replaced_releases.retain(|replaced| replaced.version != *current);
-        if before.version == *current || is_bare_end(before) {
-            return;
-        }
-        self.replaced_releases.retain(|replaced| replaced.version != before.version);
-        if self.replaced_releases.len() == MAX_REPLACED_RELEASES {
-            self.replaced_releases.remove(0);
+        self.replaced_releases.forget(current);
+        if before.version != *current && !is_bare_end(before) {
+            self.replaced_releases.record(&before.version, before.sequence);
         }
-        let (version, sequence) = (before.version.clone(), before.sequence);
-        self.replaced_releases.push(ReplacedRelease { version, sequence });
-    }
-
-    /// The highest sequence number recorded of a release of this start before it was replaced.
-    fn replaced_sequence(&self, version: &str) -> Option<u64> {
-        let mut releases = self.replaced_releases.iter();
-        releases.find(|replaced| replaced.version == version).map(|replaced| replaced.sequence)
     }
 
     /// The highest sequence number recorded of the start and release of a heartbeat; 0 if none is.
@@ -175,7 +154,7 @@
         }
         match heartbeat.version == self.registration.version {
             true => self.registration.sequence,
-            false => self.replaced_sequence(&heartbeat.version).unwrap_or(0),
+            false => self.replaced_releases.sequence_of(&heartbeat.version).unwrap_or(0),
         }
     }
 
@@ -282,7 +261,7 @@
     /// under its id, and the new software may count its heartbeats anew.
     fn judge_other_release(&mut self, update: &Registration) -> OtherRelease {
         let known = &self.registration;
-        let replaced = self.replaced_sequence(&update.version);
+        let replaced = self.replaced_releases.sequence_of(&update.version);
         let goes_on_counting = replaced.is_none_or(|last| last < known.sequence);
         if goes_on_counting && update.sequence > known.sequence {
             return OtherRelease::Newer;
